--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: real processes on loopback with stand-ins of the platform."""
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,364 @@
+"""Starts the daemons and stand-ins of one bench on loopback, and ends them by id."""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+ZONES_PER_REGION = 3
+DAEMON_PORT = 7100
+BACKEND_PORT = 7200
+PLATFORM_PORT = 7300
+START_SECONDS = 40.0
+STOP_SECONDS = 20.0
+ENGINES_PER_PROCESS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterPlan:
+    """What a bench starts.
+
+    Attributes:
+      entries: Number of entry processes.
+      engines: Number of endpoint processes before engines.
+      services: Number of endpoint processes before plain services.
+      regions: Number of regions.
+      origin_folder: Folder that the origin serves.
+      origin_bytes_per_second: Rate of the origin's link; 0 for no limit.
+      links: Link settings of the daemons.
+      entry: Entry settings of the daemons.
+      endpoint: Endpoint settings of the daemons.
+      membership: Membership settings of the daemons.
+      engine: Options of the engine stand-ins.
+      service: Options of the service stand-ins.
+      list_lag_seconds: Lag of the VM list.
+      writes_per_second: Limit on writes of the key-value stand-in.
+      log_level: Lowest level that daemons log.
+    """
+
+    entries: int = 2
+    engines: int = 8
+    services: int = 0
+    regions: int = 2
+    origin_folder: Path = Path()
+    origin_bytes_per_second: float = 0.0
+    links: dict[str, Any] = field(default_factory=dict)
+    entry: dict[str, Any] = field(default_factory=dict)
+    endpoint: dict[str, Any] = field(default_factory=dict)
+    membership: dict[str, Any] = field(default_factory=dict)
+    engine: dict[str, Any] = field(default_factory=dict)
+    service: dict[str, Any] = field(default_factory=dict)
+    list_lag_seconds: float = 0.5
+    writes_per_second: float = 0.0
+    log_level: str = "info"
+
+
+@dataclass(slots=True)
+class Process:
+    """One started process.
+
+    Attributes:
+      name: Name of the VM or stand-in.
+      process: The process.
+      address: Address that it listens on.
+      backend: Address of the backend of an endpoint process.
+    """
+
+    name: str
+    process: asyncio.subprocess.Process
+    address: str = ""
+    backend: str = ""
+
+
+class Cluster:
+    """Running processes of one bench.
+
+    Attributes:
+      plan: What was asked for.
+      folder: Folder with settings and logs.
+      processes: Processes by name.
+      key_value: URL of the key-value stand-in.
+      origin: URL of the origin stand-in.
+      vm_list: URL of the VM list stand-in.
+    """
+
+    def __init__(self, plan: ClusterPlan) -> None:
+        self.plan = plan
+        self.folder = Path(tempfile.mkdtemp(prefix="verbenaward-bench-"))
+        self.processes: dict[str, Process] = {}
+        self.network = random.SystemRandom().randint(20, 220)
+        platform = f"127.{self.network}.0.1"
+        self.key_value = f"http://{platform}:{PLATFORM_PORT}"
+        self.origin = f"http://{platform}:{PLATFORM_PORT + 1}"
+        self.vm_list = f"http://{platform}:{PLATFORM_PORT + 2}"
+        self.platform_host = platform
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+
+    @property
+    def entry_vms(self) -> list[str]:
+        """Return the names of the entry VMs."""
+        return [f"entry-{index}" for index in range(self.plan.entries)]
+
+    @property
+    def engine_vms(self) -> list[str]:
+        """Return the names of the engine VMs."""
+        return [f"engine-{index}" for index in range(self.plan.engines)]
+
+    @property
+    def service_vms(self) -> list[str]:
+        """Return the names of the service VMs."""
+        return [f"service-{index}" for index in range(self.plan.services)]
+
+    def host_of(self, vm: str) -> str:
+        """Return the loopback address of a VM."""
+        kind, _, index = vm.rpartition("-")
+        subnet = {"entry": 1, "engine": 2, "service": 3}[kind]
+        return f"127.{self.network}.{subnet}.{int(index) + 1}"
+
+    def address_of(self, vm: str) -> str:
+        """Return the address of the daemon of a VM."""
+        return f"{self.host_of(vm)}:{DAEMON_PORT}"
+
+    def backend_of(self, vm: str) -> str:
+        """Return the address of the engine or service of a VM."""
+        return f"{self.host_of(vm)}:{BACKEND_PORT}"
+
+    def place_of(self, vm: str) -> tuple[str, str]:
+        """Return region and availability zone of a VM."""
+        index = int(vm.rpartition("-")[2])
+        region = index % self.plan.regions
+        zone = (index // self.plan.regions) % ZONES_PER_REGION
+        return f"region-{region}", f"zone-{region}-{zone}"
+
+    def settings_of(self, vm: str) -> dict[str, Any]:
+        """Return the settings of a daemon."""
+        kind = vm.rpartition("-")[0]
+        region, zone = self.place_of(vm)
+        settings: dict[str, Any] = {
+            "format": 1,
+            "role": "entry" if kind == "entry" else "endpoint",
+            "vm": vm,
+            "region": region,
+            "zone": zone,
+            "listen": self.address_of(vm),
+            "seeds": [self.address_of(name) for name in self.entry_vms[:3]],
+            "platform": {
+                "key_value": self.key_value,
+                "vm_list": f"{self.vm_list}/vms",
+                "origin": self.origin,
+            },
+            "links": self.plan.links,
+            "membership": self.plan.membership,
+            "shutdown_seconds": 10,
+        }
+        if kind == "entry":
+            settings["entry"] = {"address_ttl_seconds": 1, **self.plan.entry}
+        else:
+            settings["endpoint"] = {
+                "serves": "assistant" if kind == "engine" else "reservation",
+                "kind": kind,
+                "backend": f"http://{self.backend_of(vm)}",
+                **self.plan.endpoint,
+            }
+        return settings
+
+    async def start(self) -> None:
+        """Start everything and wait until every daemon answers."""
+        await self.start_standins()
+        await self.set_vms(dict.fromkeys(self.daemon_vms(), "live"))
+        for vm in self.daemon_vms():
+            await self.start_daemon(vm)
+        await asyncio.gather(*(self.wait_until_up(vm) for vm in self.daemon_vms()))
+
+    def daemon_vms(self) -> list[str]:
+        """Return the names of all VMs with a daemon."""
+        return [*self.entry_vms, *self.engine_vms, *self.service_vms]
+
+    async def start_standins(self) -> None:
+        """Start the stand-ins."""
+        platform = [
+            {
+                "kind": "key-value",
+                "host": self.platform_host,
+                "port": PLATFORM_PORT,
+                "writes_per_second": self.plan.writes_per_second,
+            },
+            {
+                "kind": "vm-list",
+                "host": self.platform_host,
+                "port": PLATFORM_PORT + 2,
+                "lag_seconds": self.plan.list_lag_seconds,
+            },
+        ]
+        origin = {
+            "kind": "origin",
+            "host": self.platform_host,
+            "port": PLATFORM_PORT + 1,
+            "folder": str(self.plan.origin_folder),
+            "bytes_per_second": self.plan.origin_bytes_per_second,
+        }
+        engines = [
+            {
+                "kind": "engine",
+                "host": self.host_of(vm),
+                "port": BACKEND_PORT,
+                **self.plan.engine,
+            }
+            for vm in self.engine_vms
+        ]
+        services = [
+            {
+                "kind": "service",
+                "host": self.host_of(vm),
+                "port": BACKEND_PORT,
+                **self.plan.service,
+            }
+            for vm in self.service_vms
+        ]
+        groups = {"platform": platform, "origin": [origin], "services": services}
+        for start in range(0, len(engines), ENGINES_PER_PROCESS):
+            groups[f"engines-{start}"] = engines[start : start + ENGINES_PER_PROCESS]
+        for name, group in groups.items():
+            if group:
+                await self.start_standin(name, group)
+
+    async def start_standin(self, name: str, group: list[dict[str, Any]]) -> None:
+        """Start one process with stand-ins and wait until it is ready."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "standins",
+            json.dumps(group),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=self.log_file(name),
+        )
+        self.processes[name] = Process(name, process)
+        if process.stdout is not None:
+            await asyncio.wait_for(process.stdout.readline(), START_SECONDS)
+
+    async def start_daemon(self, vm: str) -> None:
+        """Start the daemon of a VM."""
+        path = self.folder / f"{vm}.json"
+        path.write_text(json.dumps(self.settings_of(vm), indent=1))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "verbenaward.daemon",
+            str(path),
+            "--log-level",
+            self.plan.log_level,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=self.log_file(vm),
+        )
+        self.processes[vm] = Process(vm, process, self.address_of(vm), self.backend_of(vm))
+
+    def log_file(self, name: str) -> int:
+        """Return a descriptor that appends to the log of a process."""
+        path = self.folder / f"{name}.log"
+        return os.open(path, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
+
+    async def wait_until_up(self, vm: str) -> None:
+        """Wait until the daemon of a VM answers."""
+        deadline = asyncio.get_running_loop().time() + START_SECONDS
+        while asyncio.get_running_loop().time() < deadline:
+            status = await self.get_json(f"http://{self.address_of(vm)}/healthz")
+            if status is not None:
+                return
+            await asyncio.sleep(0.05)
+        raise RuntimeError(f"{vm} did not start; see {self.folder / (vm + '.log')}")
+
+    async def get_json(self, url: str) -> Any:
+        """Return the JSON at a URL, or None."""
+        timeout = aiohttp.ClientTimeout(total=5)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                return json.loads(await response.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, OSError):
+            return None
+
+    async def post_json(self, url: str, body: Any) -> Any:
+        """Send JSON to a URL and return the answer, or None."""
+        timeout = aiohttp.ClientTimeout(total=5)
+        try:
+            async with self.session.post(url, json=body, timeout=timeout) as response:
+                return json.loads(await response.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, OSError):
+            return None
+
+    async def status(self, vm: str) -> Any:
+        """Return the status of a daemon, or None."""
+        return await self.get_json(f"http://{self.address_of(vm)}/admin/status")
+
+    async def set_vms(self, states: dict[str, str]) -> None:
+        """Change the platform's list of VMs."""
+        await self.post_json(f"{self.vm_list}/ledger/vms", states)
+
+    async def set_faults(self, url: str, **faults: Any) -> None:
+        """Switch faults of a stand-in on or off."""
+        await self.post_json(f"{url}/faults", faults)
+
+    def signal(self, vm: str, number: int) -> None:
+        """Send a signal to the daemon of a VM."""
+        with contextlib.suppress(ProcessLookupError):
+            self.processes[vm].process.send_signal(number)
+
+    async def kill(self, vm: str) -> None:
+        """Kill the daemon of a VM at once."""
+        self.signal(vm, signal.SIGKILL)
+        await self.processes[vm].process.wait()
+
+    async def stop(self) -> None:
+        """End all processes that were started."""
+        await self.session.close()
+        running = [
+            item.process for item in self.processes.values() if item.process.returncode is None
+        ]
+        for process in running:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGKILL)
+        await asyncio.gather(*(process.wait() for process in running))
+        if not os.environ.get("VERBENAWARD_KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+@contextlib.asynccontextmanager
+async def running(plan: ClusterPlan) -> AsyncIterator[Cluster]:
+    """Start a cluster and end it whatever happens."""
+    cluster = Cluster(plan)
+    try:
+        await cluster.start()
+        yield cluster
+    finally:
+        await cluster.stop()
+
+
+async def wait_for(check: Any, seconds: float, poll_seconds: float = 0.02) -> bool:
+    """Wait until a coroutine function returns a true value; False after the time."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < deadline:
+        if await check():
+            return True
+        await asyncio.sleep(poll_seconds)
+    return False
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return a quantile of values; 0 where there are none."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/bench/operations.py
@@ -0,0 +1,81 @@
+"""What operators do, as benches do it."""
+
+import json
+from typing import Any
+
+import aiohttp
+
+from verbenaward.configuration.store import Applied, Outcome
+from verbenaward.ctl.apply import apply_plan, make_plan
+from verbenaward.platform.key_value import ADAPTERS
+from verbenaward.schema.manifest import Manifest
+
+from .cluster import Cluster, wait_for
+
+
+async def apply_manifest(
+    cluster: Cluster, manifest: Manifest, author: str = "bench", tell: bool = True
+) -> Applied:
+    """Apply a manifest through the key-value service, as verbenactl does."""
+    async with aiohttp.ClientSession() as session:
+        service = ADAPTERS.find("http")(session, cluster.key_value)
+        plan = (await make_plan(service, manifest, prune=True)).unwrap()
+        entries = [cluster.address_of(vm) for vm in cluster.entry_vms] if tell else []
+        return await apply_plan(service, plan, author, "", entries)
+
+
+async def apply_surely(cluster: Cluster, manifest: Manifest, author: str = "bench") -> Applied:
+    """Apply a manifest and fail where it was not accepted."""
+    applied = await apply_manifest(cluster, manifest, author)
+    if applied.outcome is not Outcome.ACCEPTED:
+        raise RuntimeError(f"apply ended as {applied.outcome}: {applied.message}")
+    return applied
+
+
+async def engine_ledger(cluster: Cluster, vm: str) -> Any:
+    """Return the ledger of an engine stand-in."""
+    return await cluster.get_json(f"http://{cluster.backend_of(vm)}/ledger")
+
+
+async def wait_until_served(cluster: Cluster, release: str, vms: list[str], seconds: float) -> bool:
+    """Wait until the engines of some VMs serve a release, as the engines say."""
+    left = set(vms)
+
+    async def check() -> bool:
+        for vm in sorted(left):
+            state = await cluster.get_json(f"http://{cluster.backend_of(vm)}/state")
+            if not state or state["active"] != release:
+                return False
+            left.discard(vm)
+        return True
+
+    return await wait_for(check, seconds, 0.05)
+
+
+async def wait_until_routed(cluster: Cluster, release: str, count: int, seconds: float) -> bool:
+    """Wait until every entry process knows a number of endpoints with a release."""
+
+    async def check() -> bool:
+        for vm in cluster.entry_vms:
+            status = await cluster.status(vm)
+            members = status["members"] if status else []
+            ready = [item for item in members if item["release"] == release]
+            if len(ready) < count:
+                return False
+        return True
+
+    return await wait_for(check, seconds, 0.1)
+
+
+async def wait_until_slots(cluster: Cluster, role: str, seconds: float) -> bool:
+    """Wait until all slots of a role have a holder."""
+
+    async def check() -> bool:
+        async with aiohttp.ClientSession() as session:
+            service = ADAPTERS.find("http")(session, cluster.key_value)
+            entry = (await service.read(f"verbenaward/slots/{role}")).value_or(None)
+        if entry is None:
+            return False
+        return all(item["vm"] for item in json.loads(entry.value)["holders"])
+
+    return await wait_for(check, seconds, 0.1)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of verbenaward: features for behave, with hypothesis inside the steps."""
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,24 @@
+"""Hooks of behave: a fresh event loop for each scenario and repeatable examples."""
+
+import asyncio
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("repeatable")
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+
+
+def after_scenario(context, scenario):
+    context.loop.run_until_complete(context.loop.shutdown_asyncgens())
+    context.loop.close()
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,48 @@
+"""Runs all features and prints one closing line with the counts.
+
+Scenarios that KNOWN-RED.txt names are run and shown, but do not fail the run.
+"""
+
+import sys
+from pathlib import Path
+
+from behave.configuration import Configuration
+from behave.model_type import Status
+from behave.runner import Runner
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+PREFIX = "scenario: "
+
+
+def known_red_names() -> set[str]:
+    """Return the names of scenarios that are known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.removeprefix(PREFIX).strip() for line in lines if line.startswith(PREFIX)}
+
+
+def main() -> int:
+    """Run the features and return the exit status."""
+    arguments = sys.argv[1:] or [str(ROOT / "tests")]
+    options = ["--no-capture", "--format", "progress", "--no-summary", "--no-timings"]
+    runner = Runner(Configuration([*options, *arguments]))
+    broken = runner.run() and runner.aborted
+    known = known_red_names()
+    passed = failed = red = 0
+    for feature in runner.features:
+        for scenario in feature.walk_scenarios():
+            if scenario.status == Status.passed:
+                passed += 1
+            elif scenario.name in known:
+                red += 1
+                print(f"known red: {scenario.name}")
+            else:
+                failed += 1
+                print(f"failed: {feature.filename}: {scenario.name}")
+    hook_failures = sum(feature.hook_failed for feature in runner.features)
+    print(f"{passed} passed, {failed + hook_failures} failed, {red} skipped")
+    return 1 if failed or hook_failures or broken or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/verbenaward/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, manifests and the accepted configuration."""
--- /dev/null
+++ b/verbenaward/control.py
@@ -0,0 +1,135 @@
+"""Parts that both roles share: sessions, membership and configuration."""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from .configuration.follower import ConfigurationFollower
+from .configuration.settings import host_of
+from .logs import get_logger
+from .membership.directory import Directory
+from .membership.heartbeat import HeartbeatSender
+from .membership.own_record import OwnRecord
+from .platform import key_value, vm_list
+from .schema.messages import ConfigurationOffer, ConfigurationQuery
+from .schema.settings import Settings
+from .wire.rpc import ControlServer
+
+LOG = get_logger(__name__)
+CONNECTIONS = 2000
+CONNECTIONS_PER_HOST = 256
+KEEPALIVE_SECONDS = 20.0
+
+
+@dataclass(slots=True)
+class ControlPlane:
+    """What every process has to take part in the system.
+
+    Attributes:
+      settings: Settings of the process.
+      session: HTTP client.
+      key_values: The platform's key-value service.
+      vms: The platform's list of VMs; None where there is none.
+      directory: What this process knows about all processes.
+      own: Record of this process.
+      follower: Configuration in force.
+      server: Handlers of control messages.
+      heartbeats: Sends heartbeats to registrars.
+      tasks: Running tasks.
+    """
+
+    settings: Settings
+    session: aiohttp.ClientSession
+    key_values: key_value.KeyValueService
+    vms: vm_list.VmList | None
+    directory: Directory
+    own: OwnRecord
+    follower: ConfigurationFollower
+    server: ControlServer
+    heartbeats: HeartbeatSender
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine until the process ends; an unexpected end is logged."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(report_end)
+        self.tasks.append(task)
+
+    async def close(self) -> None:
+        """Stop all tasks and close the connections."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.session.close()
+
+
+def build_control(settings: Settings) -> ControlPlane:
+    """Build the shared parts of a process.
+
+    Args:
+      settings: Settings of the process.
+
+    Returns:
+      The parts; no task runs yet.
+    """
+    own = OwnRecord(settings, time.time())
+    directory = Directory(settings.vm)
+    follower = ConfigurationFollower()
+    session = client_session(settings)
+    server = ControlServer()
+
+    async def on_revision(address: str, revision: int) -> None:
+        await follower.hear_revision(session, address, revision)
+
+    heartbeats = HeartbeatSender(
+        session, directory, own, settings.seeds, settings.membership, on_revision
+    )
+    server.handle(ConfigurationQuery, follower.handle_query)
+    server.handle(ConfigurationOffer, follower.handle_offer)
+    follower.listeners.append(lambda configuration: own.set_revision(configuration.revision))
+    adapter = key_value.ADAPTERS.find(settings.platform.key_value_adapter)
+    return ControlPlane(
+        settings,
+        session,
+        adapter(session, settings.platform.key_value),
+        vm_list_of(settings, session),
+        directory,
+        own,
+        follower,
+        server,
+        heartbeats,
+    )
+
+
+def client_session(settings: Settings, force_close: bool = False) -> aiohttp.ClientSession:
+    """Return an HTTP client that connects from the address of the process."""
+    options: dict[str, Any] = {"force_close": True}
+    if not force_close:
+        options = {"keepalive_timeout": KEEPALIVE_SECONDS}
+    connector = aiohttp.TCPConnector(
+        limit=CONNECTIONS,
+        limit_per_host=CONNECTIONS_PER_HOST,
+        local_addr=(host_of(settings.listen), 0),
+        **options,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
+
+
+def vm_list_of(settings: Settings, session: aiohttp.ClientSession) -> vm_list.VmList | None:
+    """Return the port to the list of VMs, where there is one."""
+    url = settings.platform.vm_list
+    return vm_list.ADAPTERS.find("http")(session, url) if url else None
+
+
+def report_end(task: asyncio.Task[None]) -> None:
+    """Log the unexpected end of a task."""
+    if not task.cancelled() and task.exception() is not None:
+        LOG.error("task.failed", error=repr(task.exception()))
--- /dev/null
+++ b/verbenaward/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators."""
--- /dev/null
+++ b/verbenaward/daemon.py
@@ -0,0 +1,161 @@
+"""The daemon: one process with one role, as aiomisc services."""
+
+import logging
+import sys
+from pathlib import Path
+from typing import Annotated, Protocol
+
+import aiomisc
+import structlog
+import typer
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from .admin import AdminInterface
+from .configuration.settings import host_of, load_settings, port_of
+from .control import ControlPlane, build_control
+from .data import Fault
+from .endpoint.role import EndpointRole
+from .entry.role import EntryRole
+from .logs import configure_logs, get_logger
+from .schema.settings import Settings
+
+LOG = get_logger(__name__)
+EXIT_BAD_SETTINGS = 2
+BACKLOG = 1024
+MAXIMUM_HEADER_BYTES = 16 * 1024
+
+application = typer.Typer(add_completion=False)
+
+
+class Role(Protocol):
+    """What a role offers to the daemon."""
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of the role to an application."""
+        ...
+
+    def start(self) -> None:
+        """Start the tasks of the role."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Return True where the process can serve."""
+        ...
+
+    async def drain(self) -> None:
+        """Take no new work and finish what runs."""
+        ...
+
+
+class DaemonService(aiomisc.Service):
+    """Runs one role until the process is told to end."""
+
+    settings: Settings
+
+    async def start(self) -> None:
+        """Listen and start the tasks of the role."""
+        structlog.contextvars.bind_contextvars(vm=self.settings.vm, role=self.settings.role)
+        self.drained = False
+        self.control = build_control(self.settings)
+        self.role = build_role(self.control)
+        self.runner = web.AppRunner(
+            self.build_application(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAXIMUM_HEADER_BYTES,
+            max_field_size=MAXIMUM_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        await self.runner.setup()
+        host, port = host_of(self.settings.listen), port_of(self.settings.listen)
+        await web.TCPSite(self.runner, host, port, backlog=BACKLOG, reuse_address=True).start()
+        self.role.start()
+        LOG.info("daemon.started", listen=self.settings.listen)
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application of the process."""
+        app = web.Application(client_max_size=self.settings.entry.max_body_bytes)
+        self.control.server.add_routes(app)
+        self.role.add_routes(app)
+        AdminInterface(self.control, self.role, self.drain_once).add_routes(app)
+        app.router.add_get("/metrics", serve_metrics)
+        return app
+
+    async def drain_once(self) -> None:
+        """Drain the role; the second call returns at once."""
+        if not self.drained:
+            self.drained = True
+            await self.role.drain()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain, then stop."""
+        await self.drain_once()
+        await self.runner.cleanup()
+        await self.control.close()
+        LOG.info("daemon.stopped")
+
+
+def build_role(control: ControlPlane) -> Role:
+    """Return the role that the settings name."""
+    if control.settings.role == "entry":
+        return EntryRole(control)
+    if control.settings.endpoint is None:
+        raise ValueError("the endpoint role needs endpoint settings")
+    return EndpointRole(control, control.settings.endpoint)
+
+
+async def serve_metrics(request: web.Request) -> web.Response:
+    """Answer the metrics of the process."""
+    return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+@application.command()
+def main(
+    settings_file: Annotated[Path, typer.Argument(help="Settings: JSON with comments.")],
+    log_level: Annotated[str, typer.Option(help="Lowest level that is logged.")] = "info",
+) -> None:
+    """Run a verbenaward daemon."""
+    checked = load_settings(settings_file)
+    if checked.value is None:
+        sys.stderr.write(faults_page(settings_file, checked.faults))
+        raise typer.Exit(EXIT_BAD_SETTINGS)
+    run(checked.value, log_level)
+
+
+def faults_page(path: Path, faults: tuple[Fault, ...]) -> str:
+    """Return all faults of a file as one page of text."""
+    lines = [f"{path}: {len(faults)} fault(s); the daemon was not started"]
+    for fault in faults:
+        place = f"{fault.source}: {fault.path}" if fault.path else fault.source
+        lines.append(f"  {place}: {fault.message}")
+        if fault.hint:
+            lines.append(f"      {fault.hint}")
+    return "\n".join(lines) + "\n"
+
+
+def run(settings: Settings, log_level: str) -> None:
+    """Run a daemon until it is told to end.
+
+    Args:
+      settings: Checked settings.
+      log_level: Lowest level that is logged.
+    """
+    configure_logs(log_level)
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    service = DaemonService(settings=settings)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        shutdown_timeout=settings.shutdown_seconds + settings.entry.address_ttl_seconds,
+    ) as loop:
+        loop.run_forever()
+
+
+def run_from_command_line() -> None:
+    """Entry point of the program."""
+    application()
+
+
+if __name__ == "__main__":
+    run_from_command_line()
--- /dev/null
+++ b/verbenaward/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoint role: stands before an engine or plain service."""
--- /dev/null
+++ b/verbenaward/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: takes requests from callers."""
--- /dev/null
+++ b/verbenaward/entry/front.py
@@ -0,0 +1,192 @@
+"""HTTP interface of an entry process towards callers."""
+
+import asyncio
+import random
+import time
+
+from aiohttp import web
+from returns.result import Result, Success
+
+from .. import metrics
+from ..data import Refusal, Verdict
+from ..membership.directory import Directory
+from ..requests import headers
+from ..requests.dispatch import Dispatcher
+from ..requests.fair_queue import FairQueue
+from ..requests.limits import AdaptiveLimit
+from ..requests.parse import parse_model_request, parse_service_request
+from ..requests.records import Answer, Request
+from ..requests.refusals import not_run, response_of
+from ..requests.streams import CallerGoneError, StreamRelay
+from ..schema.messages import MemberKind
+from ..schema.settings import Settings
+from .addresses import choose_addresses
+from .state import EntryState
+
+START_LIMIT = 64.0
+MINIMUM_LIMIT = 1.0
+READ_BODY_SECONDS = 30.0
+
+
+class Front:
+    """Takes requests of callers.
+
+    Attributes:
+      settings: Settings of the process.
+      state: Configuration and leaving state.
+      directory: What this process knows about all processes.
+      dispatcher: Sends requests to endpoints.
+      queues: Fair queue of each role.
+      in_flight: Requests that are being answered.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: EntryState,
+        directory: Directory,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.directory = directory
+        self.dispatcher = dispatcher
+        self.relay = StreamRelay(dispatcher)
+        self.queues: dict[str, FairQueue] = {}
+        self.in_flight = 0
+        self.rng = random.Random()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes to an application."""
+        app.router.add_get("/v1/addresses", self.addresses)
+        app.router.add_post("/v1/chat/completions", self.serve_model)
+        app.router.add_post("/v1/completions", self.serve_model)
+        app.router.add_route("*", "/v1/services/{service}", self.serve_service)
+        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self.serve_service)
+
+    async def addresses(self, request: web.Request) -> web.Response:
+        """Answer which addresses a caller should use, and for how long."""
+        entries = self.directory.usable(MemberKind.ENTRY)
+        if self.state.leaving:
+            entries = [item for item in entries if item.vm != self.settings.vm]
+        region = request.query.get("region", "")
+        chosen = choose_addresses(entries, self.state.own.member, region, self.rng)
+        ttl = self.settings.entry.address_ttl_seconds
+        return web.json_response({"addresses": chosen, "ttl_seconds": ttl})
+
+    async def serve_model(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call to a model."""
+        body = await self.read_body(request)
+        if isinstance(body, Refusal):
+            return response_of(body)
+        parsed = parse_model_request(
+            request.path,
+            request.headers,
+            body,
+            self.state.follower.configuration,
+            self.settings.entry.default_deadline_seconds,
+            time.monotonic(),
+        )
+        return await self.serve(parsed, request)
+
+    async def serve_service(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call to a plain service."""
+        body = await self.read_body(request)
+        if isinstance(body, Refusal):
+            return response_of(body)
+        query = f"?{request.query_string}" if request.query_string else ""
+        parsed = parse_service_request(
+            request.method,
+            request.match_info["service"],
+            f"/{request.match_info.get('path', '')}{query}",
+            request.headers,
+            body,
+            self.state.follower.configuration,
+            self.settings.entry.default_deadline_seconds,
+            time.monotonic(),
+        )
+        return await self.serve(parsed, request)
+
+    async def read_body(self, request: web.Request) -> bytes | Refusal:
+        """Return the body of a request, or why it is refused."""
+        try:
+            return await asyncio.wait_for(request.read(), READ_BODY_SECONDS)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.settings.entry.max_body_bytes
+            return not_run(413, "too-large", f"the body has more than {limit} bytes")
+        except asyncio.TimeoutError:
+            return not_run(408, "slow-caller", "the body did not arrive in time")
+
+    async def serve(
+        self, parsed: Result[Request, Refusal], caller: web.Request
+    ) -> web.StreamResponse:
+        """Serve a parsed request and count it."""
+        if not isinstance(parsed, Success):
+            return response_of(parsed.failure())
+        request = parsed.unwrap()
+        self.in_flight += 1
+        try:
+            return await self.admit_and_run(request, caller)
+        finally:
+            self.in_flight -= 1
+
+    async def admit_and_run(self, request: Request, caller: web.Request) -> web.StreamResponse:
+        """Wait for admission, run the request and answer."""
+        queue = self.queue_of(request.role)
+        workspace = metrics.WORKSPACES.bounded(request.workspace)
+        labels = (workspace, request.request_class)
+        refusal = await queue.enter(request, time.monotonic())
+        metrics.QUEUE_SECONDS.labels(*labels).observe(time.monotonic() - request.received_at)
+        if refusal is not None:
+            metrics.REQUESTS.labels(*labels, refusal.verdict.value).inc()
+            return self.with_addresses(response_of(refusal, request.request_id))
+        try:
+            if request.stream:
+                response = await self.relay.run(request, caller, queue)
+            else:
+                response = self.answer(request, await self.dispatcher.run(request, queue))
+        except CallerGoneError:
+            metrics.REQUESTS.labels(*labels, "caller-gone").inc()
+            raise
+        finally:
+            queue.leave(time.monotonic())
+        metrics.ANSWER_SECONDS.labels(*labels).observe(time.monotonic() - request.received_at)
+        verdict = response.headers.get(headers.VERDICT, Verdict.MAY_HAVE_RUN.value)
+        metrics.REQUESTS.labels(*labels, verdict).inc()
+        return response
+
+    def answer(self, request: Request, result: Result[Answer, Refusal]) -> web.Response:
+        """Return the response of a whole answer or of a refusal."""
+        if not isinstance(result, Success):
+            return self.with_addresses(response_of(result.failure(), request.request_id))
+        answer = result.unwrap()
+        values = {
+            headers.REQUEST_ID: request.request_id,
+            headers.VERDICT: Verdict.RAN.value,
+            "Content-Type": answer.content_type,
+        }
+        if answer.release:
+            values[headers.RELEASE] = answer.release
+        response = web.Response(status=answer.status, body=answer.body, headers=values)
+        return self.with_addresses(response)
+
+    def with_addresses(self, response: web.Response) -> web.Response:
+        """Tell callers of a leaving process which addresses to use from now on."""
+        if self.state.leaving:
+            others = [
+                item
+                for item in self.directory.usable(MemberKind.ENTRY)
+                if item.vm != self.settings.vm
+            ]
+            chosen = choose_addresses(others, self.state.own.member, "", self.rng)
+            response.headers[headers.ADDRESSES] = ",".join(chosen)
+        return response
+
+    def queue_of(self, role: str) -> FairQueue:
+        """Return the fair queue of a role."""
+        if role not in self.queues:
+            entry = self.settings.entry
+            maximum = float(entry.concurrency)
+            limit = AdaptiveLimit(min(START_LIMIT, maximum), MINIMUM_LIMIT, maximum)
+            self.queues[role] = FairQueue(limit, entry.queue, self.state.weight_of)
+        return self.queues[role]
--- /dev/null
+++ b/verbenaward/membership/registrar.py
@@ -0,0 +1,106 @@
+"""Receiving side of heartbeats, on entry processes."""
+
+import time
+
+from ..schema.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Member,
+    MemberKind,
+    MemberStatus,
+)
+from ..schema.settings import MembershipSettings
+from .directory import Directory
+from .own_record import OwnRecord
+
+SWEEP_SECONDS = 0.5
+
+
+class Registrar:
+    """Answers heartbeats and notices silence.
+
+    Attributes:
+      directory: What this process knows.
+      own: Record of this process.
+      settings: Times of the protocol.
+      responsible_since: Since when this process has to hear from a VM.
+      suspect_since: Since when a VM is suspect.
+      revisions: Configuration revision in the last heartbeat of each VM.
+    """
+
+    def __init__(self, directory: Directory, own: OwnRecord, settings: MembershipSettings) -> None:
+        self.directory = directory
+        self.own = own
+        self.settings = settings
+        self.responsible_since: dict[str, float] = {}
+        self.suspect_since: dict[str, float] = {}
+        self.revisions: dict[str, int] = {}
+        self.last_sweep = 0.0
+
+    async def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """Note a heartbeat and answer what this process knows."""
+        member = heartbeat.member
+        self.directory.heard(member, time.monotonic())
+        self.revisions[member.vm] = member.revision
+        known = self.directory.members.get(member.vm, member)
+        return HeartbeatReply(
+            incarnation=self.own.member.incarnation,
+            sequence=self.directory.sequence,
+            revision=self.own.member.revision,
+            known_version=known.version,
+            known_status=known.status,
+            known_incarnation=known.incarnation,
+            members=self.news_for(heartbeat) if heartbeat.want_members else (),
+        )
+
+    def news_for(self, heartbeat: Heartbeat) -> tuple[Member, ...]:
+        """Return the members that changed since the last heartbeat and concern the sender."""
+        is_same = heartbeat.registrar_incarnation == self.own.member.incarnation
+        since = heartbeat.seen_sequence if is_same else 0
+        sender = heartbeat.member
+
+        def concerns(member: Member) -> bool:
+            if member.kind is MemberKind.ENTRY:
+                return True
+            return sender.kind is MemberKind.ENTRY or member.role == sender.role
+
+        return self.directory.changed_since(since, concerns)
+
+    def sweep(self, now: float) -> None:
+        """Mark silent members as suspect, and suspects as gone after a while.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+        """
+        if now - self.last_sweep > 4 * SWEEP_SECONDS:
+            # This process was itself paused: its clocks of silence say nothing.
+            self.responsible_since.clear()
+            self.suspect_since.clear()
+        self.last_sweep = now
+        for vm, member in list(self.directory.members.items()):
+            self.judge(vm, member, now)
+        self.directory.forget_tombstones(now)
+
+    def judge(self, vm: str, member: Member, now: float) -> None:
+        """Judge one member."""
+        if vm == self.own.member.vm or member.status is MemberStatus.GONE:
+            self.suspect_since.pop(vm, None)
+            return
+        if member.status is MemberStatus.SUSPECT:
+            since = self.suspect_since.setdefault(vm, now)
+            if now - since > self.settings.gone_seconds:
+                self.directory.mark(vm, MemberStatus.GONE, now)
+            return
+        self.suspect_since.pop(vm, None)
+        if not self.is_responsible(vm):
+            self.responsible_since.pop(vm, None)
+            return
+        since = self.responsible_since.setdefault(vm, now)
+        heard = max(since, self.directory.heard_at.get(vm, 0.0))
+        if now - heard > self.settings.suspect_seconds:
+            self.directory.mark(vm, MemberStatus.SUSPECT, now)
+
+    def is_responsible(self, vm: str) -> bool:
+        """Return True where this process is a registrar of a VM."""
+        count = self.settings.registrars
+        return self.own.member.vm in self.directory.registrars_of(vm, count)
--- /dev/null
+++ b/verbenaward/metrics.py
@@ -0,0 +1,77 @@
+"""Counters and histograms; label values come from bounded sets."""
+
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_SECONDS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0,
+)  # fmt: skip
+MAXIMUM_LABEL_VALUES = 64
+OTHER = "other"
+
+CONTROL_MESSAGES = Counter(
+    "verbenaward_control_messages_total", "Control messages", ["kind", "direction"]
+)
+CONTROL_BYTES = Counter(
+    "verbenaward_control_bytes_total", "Bytes of control messages", ["kind", "direction"]
+)
+KEY_VALUE_CALLS = Counter(
+    "verbenaward_key_value_calls_total", "Calls to the key-value service", ["kind", "outcome"]
+)
+CONFIGURATION_REVISION = Gauge("verbenaward_configuration_revision", "Revision in force")
+CONFIGURATION_REFUSED = Counter(
+    "verbenaward_configuration_refused_total", "Offers of older or differing revisions"
+)
+MEMBERS = Gauge("verbenaward_members", "Known members", ["kind", "status"])
+REQUESTS = Counter(
+    "verbenaward_requests_total", "Finished requests", ["workspace", "class", "verdict"]
+)
+ATTEMPTS = Counter("verbenaward_attempts_total", "Attempts at endpoints", ["outcome"])
+QUEUE_SECONDS = Histogram(
+    "verbenaward_queue_seconds", "Wait for admission", ["workspace", "class"],
+    buckets=LATENCY_BUCKETS_SECONDS,
+)  # fmt: skip
+FIRST_TOKEN_SECONDS = Histogram(
+    "verbenaward_first_token_seconds", "Time to the first token", ["workspace", "class"],
+    buckets=LATENCY_BUCKETS_SECONDS,
+)  # fmt: skip
+BETWEEN_TOKENS_SECONDS = Histogram(
+    "verbenaward_between_tokens_seconds", "Time between tokens", ["workspace", "class"],
+    buckets=LATENCY_BUCKETS_SECONDS,
+)  # fmt: skip
+ANSWER_SECONDS = Histogram(
+    "verbenaward_answer_seconds", "Time to the whole answer", ["workspace", "class"],
+    buckets=LATENCY_BUCKETS_SECONDS,
+)  # fmt: skip
+WEIGHT_BYTES = Counter("verbenaward_weight_bytes_total", "Bytes of weights", ["source"])
+CHUNKS = Counter("verbenaward_chunks_total", "Chunks by outcome", ["outcome"])
+ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
+
+
+class LabelValues:
+    """Bounds the number of values of one label; further values become "other"."""
+
+    def __init__(self, maximum: int = MAXIMUM_LABEL_VALUES) -> None:
+        self.maximum = maximum
+        self.values: set[str] = set()
+
+    def bounded(self, value: str) -> str:
+        """Return the value, or "other" where there are too many."""
+        if value in self.values:
+            return value
+        if len(self.values) >= self.maximum:
+            return OTHER
+        self.values.add(value)
+        return value
+
+
+WORKSPACES = LabelValues()
+
+
+def total(name: str, **labels: str) -> float:
+    """Return the sum of all samples of a metric that carry the given labels."""
+    return sum(
+        sample.value
+        for metric in REGISTRY.collect()
+        for sample in metric.samples
+        if sample.name == name and labels.items() <= sample.labels.items()
+    )
--- /dev/null
+++ b/verbenaward/platform/key_value_http.py
@@ -0,0 +1,112 @@
+"""Adapter to the HTTP interface of the key-value service."""
+
+import asyncio
+import base64
+from typing import Any
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from .key_value import (
+    ADAPTERS,
+    KeyValueEntry,
+    KeyValueError,
+    KeyValueFailure,
+    KeyValueSnapshot,
+)
+
+CALL_TIMEOUT_SECONDS = 2.0
+WATCH_SLACK_SECONDS = 2.0
+FAILURE_BY_STATUS = {
+    409: KeyValueFailure.CONFLICT,
+    410: KeyValueFailure.COMPACTED,
+    429: KeyValueFailure.RATE_LIMITED,
+}
+
+
+@ADAPTERS.register("http")
+class HttpKeyValueService:
+    """Key-value service behind an HTTP address.
+
+    Attributes:
+      session: HTTP client.
+      url: Base URL of the service.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def read(self, key: str) -> Result[KeyValueEntry | None, KeyValueError]:
+        """Return the entry of a key, or None."""
+        result = await self.call("GET", "/v1/kv", {"key": key})
+        return result.map(lambda body: entry_of(body["entry"]) if body["entry"] else None)
+
+    async def read_prefix(self, prefix: str) -> Result[KeyValueSnapshot, KeyValueError]:
+        """Return all entries whose keys start with a prefix."""
+        result = await self.call("GET", "/v1/range", {"prefix": prefix})
+        return result.map(snapshot_of)
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int, ttl_seconds: float = 0.0
+    ) -> Result[int, KeyValueError]:
+        """Write a value by compare-and-swap and return the new version."""
+        query = {"key": key, "version": str(expected_version), "ttl": str(ttl_seconds)}
+        result = await self.call("PUT", "/v1/kv", query, value)
+        return result.map(lambda body: int(body["version"]))
+
+    async def delete(self, key: str, expected_version: int) -> Result[int, KeyValueError]:
+        """Delete a key by compare-and-swap and return the revision of the service."""
+        query = {"key": key, "version": str(expected_version)}
+        result = await self.call("DELETE", "/v1/kv", query)
+        return result.map(lambda body: int(body["revision"]))
+
+    async def watch(
+        self, prefix: str, after: int, timeout_seconds: float
+    ) -> Result[KeyValueSnapshot, KeyValueError]:
+        """Wait for changes after a revision; an empty snapshot after the timeout."""
+        query = {"prefix": prefix, "after": str(after), "timeout": str(timeout_seconds)}
+        timeout = timeout_seconds + WATCH_SLACK_SECONDS
+        result = await self.call("GET", "/v1/watch", query, timeout_seconds=timeout)
+        return result.map(snapshot_of)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Result[Any, KeyValueError]:
+        """Make one call and map its failures."""
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        try:
+            async with self.session.request(
+                method, self.url + path, params=query, data=body, timeout=timeout
+            ) as response:
+                if response.status == 200:
+                    return Success(await response.json())
+                return Failure(await error_of(response))
+        except aiohttp.ClientConnectorError as error:
+            return Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, str(error)))
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            message = f"{method} {path}: {type(error).__name__} {error}"
+            return Failure(KeyValueError(KeyValueFailure.UNKNOWN, message))
+
+
+async def error_of(response: aiohttp.ClientResponse) -> KeyValueError:
+    """Return the typed error of a response that is not a success."""
+    failure = FAILURE_BY_STATUS.get(response.status, KeyValueFailure.UNAVAILABLE)
+    retry_after = float(response.headers.get("Retry-After", "0"))
+    return KeyValueError(failure, (await response.text())[:200], retry_after)
+
+
+def snapshot_of(body: Any) -> KeyValueSnapshot:
+    """Return the snapshot of a decoded answer."""
+    entries = tuple(entry_of(item) for item in body["entries"])
+    return KeyValueSnapshot(int(body["revision"]), entries)
+
+
+def entry_of(item: Any) -> KeyValueEntry:
+    """Return the entry of a decoded item; a deleted key has an empty value."""
+    return KeyValueEntry(item["key"], base64.b64decode(item["value"]), int(item["version"]))
--- /dev/null
+++ b/verbenaward/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, routing, retries and verdicts of requests."""
--- /dev/null
+++ b/verbenaward/requests/attempt.py
@@ -0,0 +1,161 @@
+"""One attempt to have a request run by one endpoint."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+
+import aiohttp
+from blake3 import blake3
+from returns.result import Failure, Result, Success
+
+from ..data import Refusal, Verdict
+from . import headers
+from .endpoints import EndpointView
+from .records import Answer, AttemptFailure, Request, parse_load
+from .refusals import may_have_run, not_run
+
+CONNECT_SECONDS = 1.0
+GRACE_SECONDS = 0.25
+MILLISECONDS = 1000
+BACKEND_CRASHED = "backend-crashed"
+
+
+def attempt_headers(
+    request: Request, view: EndpointView, alone: bool, resume_tokens: int, now: float
+) -> dict[str, str]:
+    """Return the headers of the call to an endpoint process.
+
+    Args:
+      request: The request.
+      view: The endpoint.
+      alone: True where the request must run alone.
+      resume_tokens: Tokens that the caller has already.
+      now: Present time, monotonic, in seconds.
+    """
+    values = {
+        headers.REQUEST_ID: request.request_id,
+        headers.WORKSPACE: request.workspace,
+        headers.CLASS: request.request_class,
+        headers.METHOD: request.method,
+        headers.PATH: request.path,
+        headers.TARGET_VM: view.member.vm,
+        headers.DEADLINE_MS: str(int((request.deadline - now) * MILLISECONDS)),
+        headers.PRIORITY: str(request.priority),
+        "Content-Type": request.content_type,
+    }
+    if request.is_model:
+        values[headers.RELEASE] = view.active_release()
+    if not request.idempotent:
+        values[headers.NON_IDEMPOTENT] = "1"
+        values[headers.IDEMPOTENCY_KEY] = request.idempotency_key
+    if alone:
+        values[headers.ALONE] = "1"
+    if request.stream:
+        values[headers.STREAM] = "1"
+    if resume_tokens:
+        values[headers.RESUME_TOKENS] = str(resume_tokens)
+    return values
+
+
+async def run_attempt(
+    session: aiohttp.ClientSession, request: Request, view: EndpointView, alone: bool
+) -> Result[Answer, AttemptFailure]:
+    """Send a request to an endpoint and wait for its whole answer.
+
+    Args:
+      session: HTTP client.
+      request: The request.
+      view: The endpoint.
+      alone: True where the request must run alone.
+
+    Returns:
+      The answer, or why there is none and whether the request may have run.
+    """
+    now = time.monotonic()
+    timeout = aiohttp.ClientTimeout(
+        total=max(0.0, request.deadline - now) + GRACE_SECONDS, sock_connect=CONNECT_SECONDS
+    )
+    try:
+        async with session.post(
+            run_url(view),
+            data=request.body,
+            headers=attempt_headers(request, view, alone, 0, now),
+            timeout=timeout,
+        ) as response:
+            body = await response.read()
+            return answer_of(request, view, response.status, response.headers, body)
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        return Failure(broken_attempt(view, error))
+
+
+def run_url(view: EndpointView) -> str:
+    """Return the URL that runs requests on an endpoint."""
+    return f"http://{view.member.address}/run"
+
+
+def broken_attempt(view: EndpointView, error: Exception) -> AttemptFailure:
+    """Return what an exception of the HTTP client says about an attempt."""
+    text = f"{type(error).__name__} {error}"[:200]
+    vm = view.member.vm
+    if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)):
+        return AttemptFailure(not_run(503, "unreachable", text, 1.0), vm)
+    is_timeout = isinstance(error, asyncio.TimeoutError)
+    reason = "timeout" if is_timeout else "connection-lost"
+    return AttemptFailure(may_have_run(reason, text), vm, crashed=not is_timeout)
+
+
+def answer_of(
+    request: Request,
+    view: EndpointView,
+    status: int,
+    values: Mapping[str, str],
+    body: bytes,
+) -> Result[Answer, AttemptFailure]:
+    """Return the answer that an endpoint sent, after checking that it belongs here."""
+    vm = view.member.vm
+    if not belongs_to(request, values, body):
+        message = "the answer belongs to another request or is damaged"
+        return Failure(AttemptFailure(may_have_run("crossed-answer", message), vm))
+    load = parse_load(values.get(headers.LOAD, ""))
+    view.note_answer(load, time.monotonic())
+    verdict = verdict_of(values)
+    release = values.get(headers.RELEASE, "")
+    if verdict is Verdict.RAN:
+        content_type = values.get("Content-Type", "application/octet-stream")
+        return Success(Answer(status, content_type, body, vm, release, load))
+    refusal = refusal_of(verdict, status, values)
+    crashed = refusal.reason == BACKEND_CRASHED
+    return Failure(AttemptFailure(refusal, vm, crashed, release))
+
+
+def belongs_to(request: Request, values: Mapping[str, str], body: bytes) -> bool:
+    """Return True where id and digest of an answer are right."""
+    if values.get(headers.REQUEST_ID) != request.request_id:
+        return False
+    digest = values.get(headers.BODY_DIGEST)
+    return digest is None or digest == body_digest(body)
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest of a body, in hexadecimal."""
+    return blake3(body).hexdigest(length=16)
+
+
+def verdict_of(values: Mapping[str, str]) -> Verdict:
+    """Return the verdict of an answer; without one it may have run."""
+    try:
+        return Verdict(values.get(headers.VERDICT, ""))
+    except ValueError:
+        return Verdict.MAY_HAVE_RUN
+
+
+def refusal_of(verdict: Verdict, status: int, values: Mapping[str, str]) -> Refusal:
+    """Return the refusal that the headers of an answer describe."""
+    try:
+        retry_after_seconds = float(values.get(headers.RETRY_AFTER, "0"))
+    except ValueError:
+        retry_after_seconds = 0.0
+    reason = values.get(headers.REASON, "unknown")
+    holder = values.get(headers.HOLDER, "")
+    message = f"the endpoint answered: {reason}"
+    return Refusal(verdict, status, reason, message, retry_after_seconds, holder)
--- /dev/null
+++ b/verbenaward/requests/refusals.py
@@ -0,0 +1,49 @@
+"""Refusals in the form that callers get."""
+
+import math
+
+import msgspec
+from aiohttp import web
+
+from ..data import Refusal, Verdict
+from . import headers
+
+
+def response_of(refusal: Refusal, request_id: str = "") -> web.Response:
+    """Return the HTTP response of a refusal: the verdict in a header and in the body."""
+    error = {
+        "verdict": refusal.verdict.value,
+        "reason": refusal.reason,
+        "message": refusal.message,
+        "request_id": request_id,
+    }
+    return web.Response(
+        status=refusal.status,
+        body=msgspec.json.encode({"error": error}),
+        content_type="application/json",
+        headers=headers_of(refusal, request_id),
+    )
+
+
+def headers_of(refusal: Refusal, request_id: str) -> dict[str, str]:
+    """Return the headers of a refusal."""
+    values = {headers.VERDICT: refusal.verdict.value, headers.REASON: refusal.reason}
+    if request_id:
+        values[headers.REQUEST_ID] = request_id
+    if refusal.retry_after_seconds > 0:
+        values[headers.RETRY_AFTER] = str(max(1, math.ceil(refusal.retry_after_seconds)))
+    if refusal.holder:
+        values[headers.HOLDER] = refusal.holder
+    return values
+
+
+def not_run(
+    status: int, reason: str, message: str, retry_after_seconds: float = 0.0, holder: str = ""
+) -> Refusal:
+    """Return a refusal of a request that did not run."""
+    return Refusal(Verdict.NOT_RUN, status, reason, message, retry_after_seconds, holder)
+
+
+def may_have_run(reason: str, message: str) -> Refusal:
+    """Return a refusal of a request that may have run."""
+    return Refusal(Verdict.MAY_HAVE_RUN, 504, reason, message)
--- /dev/null
+++ b/verbenaward/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated records of settings, manifests and messages."""
--- /dev/null
+++ b/verbenaward/schema/messages.py
@@ -0,0 +1,147 @@
+"""Messages between processes, generated from schema/messages.capnp."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class MemberKind(StrEnum):
+    """Values of MemberKind."""
+
+    ENTRY = "entry"
+    ENDPOINT = "endpoint"
+
+
+class MemberStatus(StrEnum):
+    """Values of MemberStatus."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Message Member."""
+
+    vm: str = ""
+    kind: MemberKind = next(iter(MemberKind))
+    role: str = ""
+    region: str = ""
+    zone: str = ""
+    address: str = ""
+    incarnation: int = 0
+    version: int = 0
+    status: MemberStatus = next(iter(MemberStatus))
+    revision: int = 0
+    release: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Message Heartbeat."""
+
+    member: Member = Member()
+    want_members: bool = False
+    registrar_incarnation: int = 0
+    seen_sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """Message HeartbeatReply."""
+
+    incarnation: int = 0
+    sequence: int = 0
+    revision: int = 0
+    known_version: int = 0
+    known_status: MemberStatus = next(iter(MemberStatus))
+    members: tuple[Member, ...] = ()
+    known_incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Message Crash."""
+
+    fingerprint: bytes = b""
+    vm: str = ""
+    incarnation: int = 0
+    at_unix_ms: int = 0
+    cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """Message Gossip."""
+
+    members: tuple[Member, ...] = ()
+    revision: int = 0
+    sender: str = ""
+    suspects: tuple[Crash, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Message Acknowledgement."""
+
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySummary:
+    """Message DirectorySummary."""
+
+    buckets: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryBuckets:
+    """Message DirectoryBuckets."""
+
+    members: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOffer:
+    """Message ConfigurationOffer."""
+
+    revision: int = 0
+    digest: bytes = b""
+    document: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationQuery:
+    """Message ConfigurationQuery."""
+
+    known_revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ChunksHeld:
+    """Message ChunksHeld."""
+
+    table: bytes = b""
+    held: tuple[int, ...] = ()
+    uploads: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TableFile:
+    """Message TableFile."""
+
+    path: str = ""
+    size: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkTable:
+    """Message ChunkTable."""
+
+    name: str = ""
+    version: str = ""
+    chunk_bytes: int = 0
+    files: tuple[TableFile, ...] = ()
+    hashes: bytes = b""
+
--- /dev/null
+++ b/verbenaward/schema/settings.py
@@ -0,0 +1,113 @@
+"""Documents generated from schema/settings.schema.json."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Literal, TypeAlias
+
+Address: TypeAlias = str
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """
+    Where the platform's services are and which adapter speaks to each.
+    """
+
+    key_value: str
+    key_value_adapter: str = 'http'
+    vm_list: str = ''
+    origin: str = ''
+    weight_store: str = ''
+
+
+@dataclass(frozen=True)
+class OnceSettings:
+    """
+    Times of the protocol that runs non-idempotent requests at most once.
+    """
+
+    patience_seconds: float = 12
+    write_delay_seconds: float = 3
+    renewal_seconds: float = 4
+    resend_seconds: float = 600
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """
+    Limits of an entry process.
+    """
+
+    policy: str = 'prefix-affinity'
+    concurrency: int = 512
+    queue: int = 2048
+    max_body_bytes: int = 4194304
+    default_deadline_seconds: float = 60
+    address_ttl_seconds: float = 30
+    retry_budget_ratio: float = 0.1
+
+
+@dataclass(frozen=True)
+class LinkSettings:
+    """
+    Link rates that background transfers keep to.
+    """
+
+    upload_bytes_per_second: int = 0
+    download_bytes_per_second: int = 0
+    region_bytes_per_second: int = 0
+    origin_bytes_per_second: int = 0
+    origin_region: str = ''
+    policy: str = 'auto'
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """
+    Times of the membership protocol.
+    """
+
+    heartbeat_seconds: float = 1.0
+    suspect_seconds: float = 3.5
+    gone_seconds: float = 15
+    registrars: int = 3
+
+
+@dataclass(frozen=True)
+class EndpointSettings:
+    """
+    What stands behind an endpoint process.
+    """
+
+    serves: str
+    backend: str
+    kind: Literal['engine', 'service'] = 'engine'
+    engine_adapter: str = 'openai-http'
+    engine_checks_fence: bool = True
+    order_timeout_seconds: float = 30
+    concurrency: int = 8
+    queue: int = 8
+    memory_bytes: int = 0
+    once: OnceSettings = field(default_factory=lambda: OnceSettings())
+
+
+@dataclass(frozen=True)
+class Settings:
+    """
+    Settings of one verbenaward daemon.
+    """
+
+    format: Literal[1]
+    role: Literal['entry', 'endpoint']
+    vm: str
+    region: str
+    zone: str
+    listen: Address
+    platform: PlatformSettings
+    seeds: list[Address] = field(default_factory=list)
+    endpoint: EndpointSettings | None = None
+    entry: EntrySettings = field(default_factory=lambda: EntrySettings())
+    links: LinkSettings = field(default_factory=lambda: LinkSettings())
+    membership: MembershipSettings = field(default_factory=lambda: MembershipSettings())
+    shutdown_seconds: float = 60
--- /dev/null
+++ b/verbenaward/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Chunk tables, the chunk store and the spread of weights between VMs."""
--- /dev/null
+++ b/verbenaward/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the system."""
--- /dev/null
+++ b/verbenaward/wire/rpc.py
@@ -0,0 +1,103 @@
+"""Calls between processes: a packed message in the body of an HTTP POST.
+
+The path names the type of the message: POST /control/Heartbeat.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from .. import metrics
+from ..schema import messages
+from .codec import MalformedMessageError, decode, encode
+
+Reply = TypeVar("Reply")
+Handler = Callable[[Any], Awaitable[Any]]
+
+CALL_TIMEOUT_SECONDS = 1.5
+CONTENT_TYPE = "application/capnp"
+SMALL_HEADERS = {"Content-Type": CONTENT_TYPE}
+HEADER_BYTES_ESTIMATE = 150
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    address: str,
+    message: Any,
+    reply_type: type[Reply],
+    timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+) -> Result[Reply, str]:
+    """Send a message to another process and wait for the reply.
+
+    Args:
+      session: HTTP client.
+      address: Address of the other process.
+      message: Instance of a class from schema.messages.
+      reply_type: Class of the reply.
+      timeout_seconds: Longest wait.
+
+    Returns:
+      The reply, or why there is none.
+    """
+    kind = type(message).__name__
+    payload = encode(message)
+    timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+    url = f"http://{address}/control/{kind}"
+    count(kind, "sent", len(payload))
+    try:
+        async with session.post(
+            url, data=payload, headers=SMALL_HEADERS, timeout=timeout
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                return Failure(f"{kind} to {address}: status {response.status}")
+            count(kind, "received", len(body))
+            return Success(decode(reply_type, body))
+    except (aiohttp.ClientError, asyncio.TimeoutError, MalformedMessageError) as error:
+        return Failure(f"{kind} to {address}: {type(error).__name__} {error}")
+
+
+class ControlServer:
+    """Dispatches control messages to handlers by type.
+
+    Attributes:
+      handlers: Handler of each message type, by name.
+    """
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, tuple[type[Any], Handler]] = {}
+
+    def handle(self, message_type: type[Any], handler: Handler) -> None:
+        """Register the handler of a message type."""
+        self.handlers[message_type.__name__] = (message_type, handler)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the route of control messages to an application."""
+        app.router.add_post("/control/{kind}", self.serve)
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answer one control message."""
+        kind = request.match_info["kind"]
+        if kind not in self.handlers:
+            return web.Response(status=404, text="unknown message type")
+        message_type, handler = self.handlers[kind]
+        payload = await request.read()
+        try:
+            message = decode(message_type, payload)
+        except MalformedMessageError as error:
+            return web.Response(status=400, text=str(error))
+        count(kind, "received", len(payload))
+        reply = encode(await handler(message))
+        count(kind, "sent", len(reply))
+        return web.Response(body=reply, content_type=CONTENT_TYPE)
+
+
+def count(kind: str, direction: str, size: int) -> None:
+    """Count one control message; the headers are estimated."""
+    if hasattr(messages, kind):
+        metrics.CONTROL_MESSAGES.labels(kind, direction).inc()
+        metrics.CONTROL_BYTES.labels(kind, direction).inc(size + HEADER_BYTES_ESTIMATE)
