Spread: short upload queues and a patient end game

Cause: sponsors were hot. Rarest-first sent every VM to the few holders of the newest chunks; their upload queue grew to 46 chunks (0.29 s) while other uplinks stood idle, and 8 workers a VM kept asking them. Ruled out: CPU (13 of 64 core seconds used), origin link (drained at full rate), unknown peers (a start-up effect of the bench, which now waits until all VMs know each other). At the end of a transfer the last 8 chunks were asked for twice at once.

Change: a VM refuses an upload beyond 4 waiting ones with 503 and its queue length; the asker takes another chunk or peer. A second request for a chunk starts only when the first is 0.25 s old. Benches spread and update.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,24 @@
+"""Run one bench: `python -m bench NAME [options] --json`."""
+
+import asyncio
+import sys
+
+from . import spread, update
+from .registry import BENCHES, print_result, raise_file_limit
+
+__all__ = ["spread", "update"]
+
+
+def main() -> None:
+    """Run the bench that the command line names."""
+    if len(sys.argv) < 2 or sys.argv[1].startswith("-"):
+        print(f"usage: python -m bench NAME [options]; benches: {', '.join(BENCHES.items)}")
+        raise SystemExit(2)
+    raise_file_limit()
+    arguments = [item for item in sys.argv[2:] if item != "--json"]
+    result = asyncio.run(BENCHES.find(sys.argv[1])(arguments))
+    print_result(result, "--json" in sys.argv)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/load.py
+++ b/bench/load.py
@@ -270,7 +270,12 @@
 
 
 async def keep_asking(
-    caller: Caller, rate: float, seconds: float, tokens: int = 4, stream_share: float = 0.25
+    caller: Caller,
+    rate: float,
+    seconds: float,
+    tokens: int = 4,
+    stream_share: float = 0.25,
+    stop: asyncio.Event | None = None,
 ) -> None:
     """Send prompts at a steady rate, without waiting for answers in between."""
     tasks: set[asyncio.Task[str]] = set()
@@ -278,6 +283,8 @@
     count = int(rate * seconds)
     for index in range(count):
         await asyncio.sleep(max(0.0, started + index / rate - time.monotonic()))
+        if stop is not None and stop.is_set():
+            break
         stream = caller.rng.random() < stream_share
         prompt = f"session {index % 50}: question {index}"
         task = asyncio.create_task(caller.ask_model(prompt, tokens, stream, f"w{index % 5}"))
--- a/bench/operations.py
+++ b/bench/operations.py
@@ -1,5 +1,6 @@
 """What operators do, as benches do it."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -67,6 +68,22 @@
     return await wait_for(check, seconds, 0.1)
 
 
+async def wait_until_known(cluster: Cluster, seconds: float) -> bool:
+    """Wait until every endpoint process knows all others of its role."""
+
+    async def check() -> bool:
+        statuses = await asyncio.gather(*(cluster.status(vm) for vm in cluster.engine_vms))
+        for status in statuses:
+            members = status["members"] if status else []
+            alive = [item["vm"] for item in members if item["status"] == "alive"]
+            peers = {vm for vm in alive if vm.startswith("engine-")}
+            if len(peers) < len(cluster.engine_vms) - 1:
+                return False
+        return True
+
+    return await wait_for(check, seconds, 0.2)
+
+
 async def wait_until_slots(cluster: Cluster, role: str, seconds: float) -> bool:
     """Wait until all slots of a role have a holder."""
 
--- a/verbenaward/weights/picker.py
+++ b/verbenaward/weights/picker.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .peers import Peer, PeerTable
 
@@ -10,6 +10,39 @@
 MAXIMUM_OUTSTANDING_PER_PEER = 2
 END_GAME_CHUNKS = 8
 END_GAME_REQUESTS = 2
+END_GAME_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class Flights:
+    """Running requests by chunk: how many, and since when.
+
+    Attributes:
+      counts: Number of running requests.
+      since: Start of the first of them, monotonic.
+    """
+
+    counts: dict[int, int] = field(default_factory=dict)
+    since: dict[int, float] = field(default_factory=dict)
+
+    def begin(self, index: int, now: float) -> None:
+        """Count a request that starts."""
+        self.counts[index] = self.counts.get(index, 0) + 1
+        self.since.setdefault(index, now)
+
+    def end(self, index: int) -> None:
+        """Count a request that has ended."""
+        self.counts[index] -= 1
+        if not self.counts[index]:
+            del self.counts[index]
+            del self.since[index]
+
+    def may_begin(self, index: int, is_end_game: bool, now: float) -> bool:
+        """Return True where a chunk needs a request, or a second one at the end."""
+        if index not in self.counts:
+            return True
+        is_slow = now - self.since[index] > END_GAME_SECONDS
+        return is_end_game and is_slow and self.counts[index] < END_GAME_REQUESTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +55,7 @@
 
 def pick_from_peers(
     missing: Collection[int],
-    in_flight: dict[int, int],
+    flights: Flights,
     table: PeerTable,
     zone: str,
     may_fetch: Callable[[int, Peer], bool],
@@ -33,7 +66,7 @@
 
     Args:
       missing: Indexes of chunks that are not held.
-      in_flight: Number of running requests by chunk.
+      flights: Running requests by chunk.
       table: The peers.
       zone: Own availability zone, which is preferred.
       may_fetch: Says whether a chunk may be fetched from a peer.
@@ -44,7 +77,7 @@
       The choice, or None where no peer can send anything that is missing.
     """
     able = [peer for peer in table.peers.values() if is_able(peer, now)]
-    candidates = open_candidates(missing, in_flight, table)
+    candidates = open_candidates(missing, flights, table, now)
     if len(candidates) > SAMPLE:
         candidates = rng.sample(candidates, SAMPLE)
     rng.shuffle(candidates)
@@ -57,12 +90,14 @@
 
 
 def open_candidates(
-    missing: Collection[int], in_flight: dict[int, int], table: PeerTable
+    missing: Collection[int], flights: Flights, table: PeerTable, now: float
 ) -> list[int]:
     """Return chunks that somebody holds and that need a further request."""
-    requests = END_GAME_REQUESTS if len(missing) <= END_GAME_CHUNKS else 1
+    is_end_game = len(missing) <= END_GAME_CHUNKS
     return [
-        index for index in missing if table.holders[index] and in_flight.get(index, 0) < requests
+        index
+        for index in missing
+        if table.holders[index] and flights.may_begin(index, is_end_game, now)
     ]
 
 
--- a/verbenaward/weights/server.py
+++ b/verbenaward/weights/server.py
@@ -11,7 +11,7 @@
 from .tables import TableFinder
 from .transfer import UPLOADS_HEADER
 
-MAXIMUM_UPLOADS = 64
+MAXIMUM_UPLOADS = 4
 FAULTY_DIGEST = web.HTTPBadRequest
 
 
@@ -72,7 +72,7 @@
         if payload is None:
             return web.Response(status=404)
         if self.uploads >= MAXIMUM_UPLOADS:
-            return web.Response(status=503)
+            return web.Response(status=503, headers={UPLOADS_HEADER: str(self.uploads)})
         with self.counted_upload():
             await self.context.upload.take(len(payload))
         metrics.WEIGHT_BYTES.labels("sent").inc(len(payload))
--- a/verbenaward/weights/transfer.py
+++ b/verbenaward/weights/transfer.py
@@ -13,7 +13,7 @@
 from ..wire.codec import MalformedMessageError, decode
 from .context import WeightContext
 from .peers import Peer, PeerTable
-from .picker import Pick, pick_from_peers
+from .picker import Flights, Pick, pick_from_peers
 from .policies import NEVER, POLICIES, Carriers, choose_policy
 from .reports import HeldReporter
 from .store import StoreOutcome
@@ -29,6 +29,7 @@
 ADJUST_SECONDS = 0.2
 IDLE_SECONDS = 0.03
 RECONNECT_SECONDS = 0.1
+BUSY_SECONDS = 0.02
 PEER_TIMEOUT_SECONDS = 10.0
 PEER_SILENCE_SECONDS = 1.5
 UPLOADS_HEADER = "X-Uploads"
@@ -42,7 +43,7 @@
       table: The table to fetch.
       reporter: Tells followers what is held.
       missing: Chunks that are not held, by index.
-      in_flight: Number of running requests by chunk.
+      flights: Running requests by chunk.
       peers: What is known about peers.
       policy_name: Name of the spread policy.
     """
@@ -54,7 +55,7 @@
         self.reporter = reporter
         self.missing: dict[int, Chunk] = {}
         self.twins = twins_of(table.chunks)
-        self.in_flight: dict[int, int] = {}
+        self.flights = Flights()
         self.turns = Turns(table)
         self.peers = PeerTable(len(table.chunks), now)
         self.progress_at = now
@@ -164,7 +165,7 @@
         while self.missing:
             pick = pick_from_peers(
                 self.missing,
-                self.in_flight,
+                self.flights,
                 self.peers,
                 self.context.own.member.zone,
                 self.may_fetch,
@@ -184,13 +185,16 @@
     async def fetch(self, pick: Pick) -> None:
         """Fetch one chunk from a peer."""
         chunk = self.table.chunks[pick.index]
-        self.in_flight[chunk.index] = self.in_flight.get(chunk.index, 0) + 1
+        self.flights.begin(chunk.index, time.monotonic())
         pick.peer.outstanding += 1
         try:
             payload = await self.read_from_peer(chunk, pick.peer)
         finally:
             pick.peer.outstanding -= 1
-            self.end_flight(chunk.index)
+            self.flights.end(chunk.index)
+        if payload == b"":
+            pick.peer.banned_until = time.monotonic() + BUSY_SECONDS
+            return
         if payload is None:
             self.peers.ban(pick.peer, time.monotonic())
             return
@@ -200,14 +204,6 @@
             await self.context.region.take(len(payload))
         await self.context.download.take(len(payload))
 
-    def end_flight(self, index: int) -> None:
-        """Count a request for a chunk as ended."""
-        left = self.in_flight.get(index, 0) - 1
-        if left > 0:
-            self.in_flight[index] = left
-        else:
-            self.in_flight.pop(index, None)
-
     async def read_from_peer(self, chunk: Chunk, peer: Peer) -> bytes | None:
         """Return the bytes that a peer sends for a chunk, or None."""
         url = f"http://{peer.member.address}/weights/chunks/{chunk.hash.hex()}"
@@ -216,9 +212,11 @@
         )
         try:
             async with self.context.session.get(url, timeout=timeout) as response:
+                peer.uploads = int(response.headers.get(UPLOADS_HEADER, "0"))
+                if response.status == 503:
+                    return b""
                 if response.status != 200:
                     return None
-                peer.uploads = int(response.headers.get(UPLOADS_HEADER, "0"))
                 return await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
             return None
@@ -230,11 +228,11 @@
             if chunk is None:
                 await self.wait_for_news()
                 continue
-            self.in_flight[chunk.index] = self.in_flight.get(chunk.index, 0) + 1
+            self.flights.begin(chunk.index, time.monotonic())
             try:
                 await self.draw_chunk(chunk)
             finally:
-                self.end_flight(chunk.index)
+                self.flights.end(chunk.index)
 
     def next_draw(self, now: float) -> Chunk | None:
         """Return a chunk that this process has to draw, or None.
@@ -246,7 +244,7 @@
         indexes = [
             index
             for index in self.missing
-            if index not in self.in_flight
+            if index not in self.flights.counts
             and self.turns.draw_place(self.policy, self.carriers, index) <= steps
         ]
         self.context.rng.shuffle(indexes)
