Requests bench; late requests are refused in the queue; crashes are told from cuts

Change: the fair queue refuses a request whose deadline leaves no time to run it; endpoint and entry probe the other side before they call a broken connection a crash; an endpoint takes its engine for away after a crash until it answers again. Bench requests, with the baseline hop driven at the same rate.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,10 @@
 import asyncio
 import sys
 
-from . import spread, update
+from . import requests, spread, update
 from .registry import BENCHES, print_result, raise_file_limit
 
-__all__ = ["spread", "update"]
+__all__ = ["requests", "spread", "update"]
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/accounting.py
@@ -0,0 +1,25 @@
+"""Processor time and memory of processes, from the accounting of the system."""
+
+import os
+from pathlib import Path
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_mebibytes(pid: int) -> float:
+    """Return the resident memory of a process."""
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    except OSError:
+        return 0.0
+    return pages * PAGE_BYTES / 2**20
--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,41 @@
+"""A bare aiohttp hop, the baseline for the cost of an entry process."""
+
+import asyncio
+import sys
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+
+async def serve(host: str, port: int, target: str) -> None:
+    """Pass every POST on to a target until the process is ended."""
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
+
+    async def pass_on(request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        values = {"Content-Type": "application/json"}
+        for name in ("X-Request-Id", "X-Priority"):
+            if name in request.headers:
+                values[name] = request.headers[name]
+        async with session.post(target + request.path, data=body, headers=values) as answer:
+            if answer.content_type != "text/event-stream":
+                return web.Response(body=await answer.read(), status=answer.status)
+            response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+            await response.prepare(request)
+            async for piece in answer.content.iter_any():
+                await response.write(piece)
+            await response.write_eof()
+            return response
+
+    app = web.Application()
+    app.router.add_post("/{path:.*}", pass_on)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port, backlog=1024).start()
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
--- a/bench/load.py
+++ b/bench/load.py
@@ -124,6 +124,13 @@
         self.count(outcome, workspace, time.monotonic() - started)
         return outcome
 
+    async def try_model_once(self, prompt: str) -> str:
+        """Send a prompt once, through a random entry process, outside the tally."""
+        body = json.dumps(
+            {"model": MODEL, "max_tokens": 1, "messages": [{"role": "user", "content": prompt}]}
+        ).encode()
+        return await self.try_model(body, prompt, 1, False, "w0", time.monotonic())
+
     async def try_model(
         self, body: bytes, prompt: str, tokens: int, stream: bool, workspace: str, started: float
     ) -> str:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -67,6 +67,7 @@
         add_fault_routes(app, self.faults)
         app.router.add_get("/ledger", self.ledger)
         app.router.add_get("/state", self.state)
+        app.router.add_get("/healthz", self.state)
         app.router.add_get("/load", self.load_report)
         app.router.add_post("/orders", self.take_order)
         app.router.add_post("/v1/chat/completions", self.complete)
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -17,6 +17,8 @@
 
 CONNECT_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
+PROBE_SECONDS = 0.5
+PROBE_PATH = "/healthz"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +89,23 @@
                 content_type = response.headers.get("Content-Type", "application/octet-stream")
                 return Success(Answer(response.status, content_type, body, vm, release, Load()))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return Failure(refusal_of(error))
+            return Failure(await self.explain(error))
+
+    async def explain(self, error: Exception) -> Refusal:
+        """Return what a failed call means: a crash is one after which the backend is away."""
+        refusal = refusal_of(error)
+        if refusal.reason == BACKEND_CRASHED and await self.is_reachable():
+            return may_have_run("connection-broken", refusal.message)
+        return refusal
+
+    async def is_reachable(self) -> bool:
+        """Return True where the backend answers anything at all."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        try:
+            async with self.once_session.get(self.url + PROBE_PATH, timeout=timeout):
+                return True
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return False
 
 
 def call_headers(call: Call) -> dict[str, str]:
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -68,6 +68,7 @@
             self.is_engine,
             OnceRunner(self.keeper) if self.keeper else None,
             self.charge_live,
+            self.note_crash,
         )
 
     def build_carrier(self) -> None:
@@ -157,6 +158,12 @@
         self.upload.charge(size, time.monotonic())
         self.load_watch.live_requests = self.gate.running
 
+    def note_crash(self) -> None:
+        """Take the engine for away until it says again what it serves."""
+        if self.carrier is not None:
+            self.carrier.orders.note_state(None)
+            self.control.heartbeats.wake()
+
     def is_ready(self) -> bool:
         """Return True where this process takes requests."""
         return not self.gate.closed and (not self.is_engine or bool(self.active_release()))
--- a/verbenaward/endpoint/runner.py
+++ b/verbenaward/endpoint/runner.py
@@ -12,12 +12,12 @@
 
 from ..data import Refusal, Verdict
 from ..requests import headers
-from ..requests.attempt import body_digest
+from ..requests.attempt import BACKEND_CRASHED, body_digest
 from ..requests.events import DONE_EVENT, whole_events
 from ..requests.once import OnceRunner
 from ..requests.records import Answer, format_load
 from ..requests.refusals import may_have_run, not_run, response_of
-from .backend import Backend, Call, is_answer_to, refusal_of
+from .backend import Backend, Call, is_answer_to
 from .gate import Gate
 
 MILLISECONDS = 1000
@@ -48,6 +48,7 @@
       is_engine: True before an engine, False before a plain service.
       once: Runs non-idempotent requests; None before an engine.
       charge: Told the bytes of live answers.
+      on_crash: Called when the backend broke while a request was running.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         is_engine: bool,
         once: OnceRunner | None,
         charge: Callable[[int], None],
+        on_crash: Callable[[], None],
     ) -> None:
         self.vm = vm
         self.backend = backend
@@ -67,6 +69,7 @@
         self.is_engine = is_engine
         self.once = once
         self.charge = charge
+        self.on_crash = on_crash
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Serve one call."""
@@ -119,7 +122,9 @@
         if refusal is not None:
             return Failure(refusal)
         try:
-            return await self.backend.run(order.call, self.vm, order.release)
+            result = await self.backend.run(order.call, self.vm, order.release)
+            self.note_crash(result)
+            return result
         finally:
             self.gate.leave(order.alone)
 
@@ -149,7 +154,9 @@
                 response.headers["Content-Type"] = content_type
                 return await self.relay_events(answer, response, request)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return self.refuse(refusal_of(error), order)
+            refusal = await self.backend.explain(error)
+            self.note_crash(Failure(refusal))
+            return self.refuse(refusal, order)
 
     async def relay_events(
         self,
@@ -173,6 +180,11 @@
             request.transport.abort()
         return response
 
+    def note_crash(self, result: Result[Answer, Refusal]) -> None:
+        """Tell the role that the backend crashed, before anything else is sent to it."""
+        if not isinstance(result, Success) and result.failure().reason == BACKEND_CRASHED:
+            self.on_crash()
+
     def respond(self, result: Result[Answer, Refusal], order: RunOrder) -> web.Response:
         """Return the response of a whole answer or of a refusal."""
         if not isinstance(result, Success):
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -141,16 +141,20 @@
         if refusal is not None:
             metrics.REQUESTS.labels(*labels, refusal.verdict.value).inc()
             return self.with_addresses(response_of(refusal, request.request_id))
+        started = time.monotonic()
+        ran_seconds = None
         try:
             if request.stream:
                 response = await self.relay.run(request, caller, queue)
             else:
                 response = self.answer(request, await self.dispatcher.run(request, queue))
+            if response.headers.get(headers.VERDICT) == Verdict.RAN.value:
+                ran_seconds = time.monotonic() - started
         except CallerGoneError:
             metrics.REQUESTS.labels(*labels, "caller-gone").inc()
             raise
         finally:
-            queue.leave(time.monotonic())
+            queue.leave(time.monotonic(), ran_seconds)
         metrics.ANSWER_SECONDS.labels(*labels).observe(time.monotonic() - request.received_at)
         verdict = response.headers.get(headers.VERDICT, Verdict.MAY_HAVE_RUN.value)
         metrics.REQUESTS.labels(*labels, verdict).inc()
--- a/verbenaward/requests/dispatch.py
+++ b/verbenaward/requests/dispatch.py
@@ -13,7 +13,7 @@
 from ..data import Refusal
 from ..membership.ring import rendezvous_order
 from ..schema.messages import Crash
-from .attempt import run_attempt
+from .attempt import BACKEND_CRASHED, run_attempt
 from .budget import RetryBudget
 from .endpoints import EndpointView, EndpointViews
 from .fair_queue import FairQueue
@@ -26,6 +26,8 @@
 
 NO_ENDPOINT_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 1.0
+PROBE_SECONDS = 0.5
+HTTP_OK = 200
 UNREACHABLE_REASONS = ("unreachable", "connection-lost", "leaving")
 
 
@@ -114,6 +116,8 @@
         """Report a crash, or clear a suspect that has run alone and well."""
         now = time.monotonic()
         if not isinstance(result, Success) and result.failure().crashed:
+            if await self.survived(view, result.failure()):
+                return
             member = view.member
             crash = crash_of(request.fingerprint, member.vm, member.incarnation, time.time())
             self.poison.note(crash, now)
@@ -123,6 +127,19 @@
             self.poison.note(clearance, now)
             await self.report_crash(clearance)
 
+    async def survived(self, view: EndpointView, failure: AttemptFailure) -> bool:
+        """Return True where only a connection broke and the endpoint still answers."""
+        if failure.refusal.reason == BACKEND_CRASHED:
+            return False
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        try:
+            async with self.session.get(
+                f"http://{view.member.address}/healthz", timeout=timeout
+            ) as response:
+                return response.status == HTTP_OK
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     def is_suspect(self, request: Request) -> bool:
         """Return True where a request must run alone."""
         return self.poison.judge(request.fingerprint, time.monotonic()) is Suspicion.SUSPECT
--- a/verbenaward/requests/fair_queue.py
+++ b/verbenaward/requests/fair_queue.py
@@ -8,6 +8,7 @@
 import asyncio
 import heapq
 import itertools
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -59,6 +60,7 @@
       running: Requests that run now.
       waiting_count: Requests that wait now.
       seconds_per_request: Smoothed time between two requests that end.
+      run_seconds: Smoothed time that an admitted request runs.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.waiting_count = 0
         self.virtual_time = 0.0
         self.seconds_per_request = 0.0
+        self.run_seconds = 0.0
         self.last_end = 0.0
         self.arrivals = itertools.count()
 
@@ -90,7 +93,7 @@
             self.admit(self.queue_of(request.workspace))
             return None
         expected = self.expected_wait(request.workspace)
-        if now + expected >= request.deadline:
+        if now + expected + self.run_seconds >= request.deadline:
             return self.late_refusal(expected)
         waiting = Waiting(request, asyncio.get_running_loop().create_future())
         self.push(waiting)
@@ -107,21 +110,24 @@
             self.give_up(waiting)
             raise
 
-    def leave(self, now: float) -> None:
+    def leave(self, now: float, ran_seconds: float | None = None) -> None:
         """End a request that was admitted and admit the next ones.
 
         Args:
           now: Present time, monotonic, in seconds.
+          ran_seconds: Time that it ran, where it was answered.
         """
         self.running -= 1
+        if ran_seconds is not None:
+            self.run_seconds += RATE_SMOOTHING * (ran_seconds - self.run_seconds)
         if self.waiting_count and self.last_end:
             gap = now - self.last_end
             self.seconds_per_request += RATE_SMOOTHING * (gap - self.seconds_per_request)
         self.last_end = now
-        self.admit_next()
+        self.admit_next(now)
 
-    def admit_next(self) -> None:
-        """Admit waiting requests while there is room."""
+    def admit_next(self, now: float) -> None:
+        """Admit waiting requests while there is room; refuse those that would be late."""
         while self.waiting_count and self.running < self.limit.value:
             queue = min(
                 (queue for queue in self.queues.values() if queue.heap),
@@ -129,9 +135,13 @@
             )
             waiting = heapq.heappop(queue.heap)[2]
             self.waiting_count -= 1
-            if not waiting.turn.done():
-                self.admit(queue)
-                waiting.turn.set_result(None)
+            if waiting.turn.done():
+                continue
+            if now + self.run_seconds >= waiting.request.deadline:
+                waiting.turn.set_result(self.late_refusal(0.0))
+                continue
+            self.admit(queue)
+            waiting.turn.set_result(None)
 
     def admit(self, queue: WorkspaceQueue) -> None:
         """Count one admitted request of a workspace."""
@@ -194,8 +204,7 @@
         """Remove a request whose caller has hung up, admitted or not."""
         was_admitted = waiting.turn.done() and not waiting.turn.cancelled()
         if was_admitted and waiting.turn.result() is None:
-            self.running -= 1
-            self.admit_next()
+            self.leave(time.monotonic())
         else:
             self.withdraw(waiting)
 
--- a/verbenaward/requests/retries.py
+++ b/verbenaward/requests/retries.py
@@ -57,7 +57,9 @@
         }
 
     def pause_seconds(self) -> float:
-        """Return how long to wait before the next attempt."""
+        """Return how long to wait before the next attempt; room comes back quickly."""
+        if self.failures and self.failures[-1].refusal.reason in ROOM_REASONS:
+            return PAUSE_SECONDS
         return min(MAXIMUM_PAUSE_SECONDS, PAUSE_SECONDS * float(2 ** min(self.pauses, 8)))
 
     def final(self, refusal: Refusal) -> Refusal:
