Gentler adaptive limit; streams that end in a crash say so

Cause: at 2x overload the adaptive limit fell by a tenth up to ten times a second and left endpoint queues empty; a stream cut off by an engine crash looked like a lost connection, so the prompt did not become suspect.

Change: the limit falls by 2% a step; a request is admitted only with 1.25 times the mean run time left; the endpoint process ends such a stream with a comment that the entry process takes for the crash.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -29,7 +29,7 @@
         engines = engines[3:] + engines[:3]
         started = asyncio.get_running_loop().time()
         await asyncio.gather(
-            send_poison(caller, prompt),
+            send_poison(caller, prompt, index % 2 == 1),
             stall(cluster, stalled),
             kill_and_replace(cluster, killed),
             cross_answers(cluster, crossed),
@@ -41,10 +41,10 @@
     return prompts
 
 
-async def send_poison(caller: Caller, prompt: str) -> None:
+async def send_poison(caller: Caller, prompt: str, stream: bool) -> None:
     """Send a prompt that crashes engines, again and again through all entry processes."""
     for _ in range(6):
-        await caller.try_model_once(prompt)
+        await caller.try_model_once(prompt, stream)
         await asyncio.sleep(0.15)
 
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -35,6 +35,7 @@
       partial: Answers of an engine that served unknown weights.
       by_workspace: Whole answers by workspace.
       late: Answers after the deadline.
+      finished: Times of the whole answers, monotonic.
     """
 
     latencies: list[float] = field(default_factory=list)
@@ -49,6 +50,7 @@
     cut_off: int = 0
     partial: int = 0
     late: int = 0
+    finished: list[float] = field(default_factory=list)
     by_workspace: Counter[str] = field(default_factory=Counter)
     lost_reasons: Counter[str] = field(default_factory=Counter)
 
@@ -124,12 +126,12 @@
         self.count(outcome, workspace, time.monotonic() - started)
         return outcome
 
-    async def try_model_once(self, prompt: str) -> str:
+    async def try_model_once(self, prompt: str, stream: bool) -> str:
         """Send a prompt once, through a random entry process, outside the tally."""
-        body = json.dumps(
-            {"model": MODEL, "max_tokens": 1, "messages": [{"role": "user", "content": prompt}]}
-        ).encode()
-        return await self.try_model(body, prompt, 1, False, "w0", time.monotonic())
+        message = {"role": "user", "content": prompt}
+        document = {"model": MODEL, "max_tokens": 1, "stream": stream, "messages": [message]}
+        body = json.dumps(document).encode()
+        return await self.try_model(body, prompt, 1, stream, "w0", time.monotonic())
 
     async def try_model(
         self, body: bytes, prompt: str, tokens: int, stream: bool, workspace: str, started: float
@@ -262,6 +264,7 @@
         if outcome == "answered":
             tally.answered += 1
             tally.latencies.append(seconds)
+            tally.finished.append(time.monotonic())
             tally.by_workspace[workspace] += 1
             tally.late += seconds > self.deadline_seconds
         elif outcome == "crossed":
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -42,6 +42,7 @@
 HOP_PORT = 7400
 HOP_SECONDS = 5.0
 IDLE_SECONDS = 2.0
+WARM_SECONDS = 1.0
 OVERLOAD_TOKENS = 25
 MILLISECONDS = 1000
 
@@ -75,7 +76,7 @@
             origin_bytes_per_second=2 * UPLOAD,
             links={"upload_bytes_per_second": UPLOAD, "download_bytes_per_second": UPLOAD},
             engine={"slots": SLOTS, "token_seconds": TOKEN_SECONDS},
-            endpoint={"concurrency": SLOTS, "queue": 2},
+            endpoint={"concurrency": SLOTS, "queue": SLOTS},
             entry={"policy": options.policy},
             log_level="warning",
         )
@@ -246,10 +247,11 @@
         keep_asking(large, capacity * options.overload, seconds, OVERLOAD_TOKENS, stream_share=0.0),
         ask_small(small, seconds),
     )
-    elapsed = min(time.monotonic() - started, seconds + OVERLOAD_DEADLINE_SECONDS)
-    in_time = large.tally.answered + small.tally.answered - large.tally.late - small.tally.late
+    warm, until = started + WARM_SECONDS, started + seconds
+    finished = [*large.tally.finished, *small.tally.finished]
+    in_time = sum(warm <= at <= until for at in finished) - large.tally.late - small.tally.late
     result["capacity_per_second"] = round(capacity, 1)
-    result["goodput_ratio"] = round(in_time / elapsed / capacity, 3)
+    result["goodput_ratio"] = round(in_time / (until - warm) / capacity, 3)
     result["small_workspace_answered"] = round(small.tally.answered / small.tally.sent, 3)
     result["overload_sent"] = large.tally.sent
     result["overload_refused"] = sum(large.tally.refused.values())
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -143,7 +143,7 @@
         run = (time.time(), request_id, hashlib.sha256(prompt.encode()).hexdigest(), False)
         self.runs.append(run)
         try:
-            if CRASH_MARK in prompt:
+            if CRASH_MARK in prompt and not body.get("stream"):
                 return self.crash(request, prompt)
             return await self.run(request, body, prompt, request_id)
         finally:
@@ -162,7 +162,7 @@
         words = tokens_of(prompt, count)
         headers = {"X-Request-Id": request_id}
         if body.get("stream"):
-            return await self.stream(request, words[first:], request_id, serving)
+            return await self.stream(request, prompt, words[first:], request_id, serving)
         await asyncio.sleep(len(words) * self.token_seconds)
         self.check_present()
         answer = completion_json(request_id, serving, "".join(words))
@@ -171,7 +171,12 @@
         return web.json_response(answer, headers=headers)
 
     async def stream(
-        self, request: web.Request, words: list[str], request_id: str, serving: str
+        self,
+        request: web.Request,
+        prompt: str,
+        words: list[str],
+        request_id: str,
+        serving: str,
     ) -> web.StreamResponse:
         """Send tokens as server-sent events."""
         response = web.StreamResponse(
@@ -184,6 +189,8 @@
             self.check_present()
             if index == stop_after and request.transport:
                 request.transport.close()
+            if CRASH_MARK in prompt:
+                self.crash(request, prompt)
             event = json.dumps(chunk_json(request_id, serving, word))
             await response.write(f"data: {event}\n\n".encode())
         await response.write(b"data: [DONE]\n\n")
--- a/verbenaward/endpoint/runner.py
+++ b/verbenaward/endpoint/runner.py
@@ -1,6 +1,7 @@
 """The /run call of an endpoint process: checks, admission, run, verdict."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,7 +14,7 @@
 from ..data import Refusal, Verdict
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED, body_digest
-from ..requests.events import DONE_EVENT, whole_events
+from ..requests.events import CRASH_EVENT, DONE_EVENT, whole_events
 from ..requests.once import OnceRunner
 from ..requests.records import Answer, format_load
 from ..requests.refusals import may_have_run, not_run, response_of
@@ -172,14 +173,23 @@
                 self.charge(len(events))
                 await response.write(events)
                 last = events
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             last = b""
+            await self.report_break(error, response)
         if DONE_EVENT in last:
             await response.write_eof()
         elif request.transport is not None:
-            request.transport.abort()
+            request.transport.close()
         return response
 
+    async def report_break(self, error: Exception, response: web.StreamResponse) -> None:
+        """Say in the stream where it ends because the backend crashed."""
+        refusal = await self.backend.explain(error)
+        self.note_crash(Failure(refusal))
+        if refusal.reason == BACKEND_CRASHED:
+            with contextlib.suppress(ConnectionError, aiohttp.ClientError):
+                await response.write(CRASH_EVENT)
+
     def note_crash(self, result: Result[Answer, Refusal]) -> None:
         """Tell the role that the backend crashed, before anything else is sent to it."""
         if not isinstance(result, Success) and result.failure().reason == BACKEND_CRASHED:
--- a/verbenaward/requests/events.py
+++ b/verbenaward/requests/events.py
@@ -6,6 +6,8 @@
 
 DONE_EVENT = b"data: [DONE]"
 EVENT_END = b"\n\n"
+CRASH_EVENT = b": backend-crashed\n\n"
+"""Comment by which an endpoint process says why it cuts a stream off."""
 
 
 async def whole_events(stream: aiohttp.StreamReader) -> AsyncIterator[bytes]:
--- a/verbenaward/requests/fair_queue.py
+++ b/verbenaward/requests/fair_queue.py
@@ -19,6 +19,7 @@
 from .refusals import not_run
 
 RATE_SMOOTHING = 0.1
+RUN_MARGIN = 1.25
 MINIMUM_RETRY_AFTER_SECONDS = 1.0
 MAXIMUM_RETRY_AFTER_SECONDS = 30.0
 
@@ -93,7 +94,7 @@
             self.admit(self.queue_of(request.workspace))
             return None
         expected = self.expected_wait(request.workspace)
-        if now + expected + self.run_seconds >= request.deadline:
+        if now + expected + self.needed_seconds() >= request.deadline:
             return self.late_refusal(expected)
         waiting = Waiting(request, asyncio.get_running_loop().create_future())
         self.push(waiting)
@@ -137,7 +138,7 @@
             self.waiting_count -= 1
             if waiting.turn.done():
                 continue
-            if now + self.run_seconds >= waiting.request.deadline:
+            if now + self.needed_seconds() >= waiting.request.deadline:
                 waiting.turn.set_result(self.late_refusal(0.0))
                 continue
             self.admit(queue)
@@ -217,6 +218,10 @@
         share = own / max(own, weights + (0 if queue and queue.heap else own))
         return ahead * self.seconds_per_request / share
 
+    def needed_seconds(self) -> float:
+        """Return the time that a request should have left when it is admitted."""
+        return RUN_MARGIN * self.run_seconds
+
     def late_refusal(self, expected: float) -> Refusal:
         """Return the refusal of a request that would miss its deadline."""
         message = "the request would not be answered before its deadline"
--- a/verbenaward/requests/limits.py
+++ b/verbenaward/requests/limits.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-DECREASE = 0.9
+DECREASE = 0.98
 INCREASE = 1.0
 DECREASE_INTERVAL_SECONDS = 0.1
 
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -12,6 +12,7 @@
 from ..data import Refusal, Verdict
 from . import headers
 from .attempt import (
+    BACKEND_CRASHED,
     CONNECT_SECONDS,
     GRACE_SECONDS,
     attempt_headers,
@@ -22,7 +23,7 @@
 )
 from .dispatch import Dispatcher
 from .endpoints import EndpointView
-from .events import DONE_EVENT, EVENT_END, whole_events
+from .events import CRASH_EVENT, DONE_EVENT, EVENT_END, whole_events
 from .fair_queue import FairQueue
 from .records import AttemptFailure, Request, parse_load
 from .refusals import may_have_run, not_run, response_of
@@ -38,6 +39,7 @@
       tokens: Number of events with tokens.
       release: Release that generated them, in hexadecimal.
       done: True once the end of the stream was passed on.
+      crashed: True where the last endpoint said that its backend crashed.
       last_at: Time of the last event, monotonic.
     """
 
@@ -45,6 +47,7 @@
     tokens: int = 0
     release: str = ""
     done: bool = False
+    crashed: bool = False
     last_at: float = 0.0
     labels: tuple[str, str] = field(default=("", ""))
 
@@ -149,9 +152,11 @@
         except CallerGoneError:
             raise
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            return Failure(broken_attempt(view, error))
+            if not delivered.crashed:
+                return Failure(broken_attempt(view, error))
         if not delivered.done or delivered.response is None:
-            refusal = may_have_run("connection-lost", "the stream ended early")
+            reason = BACKEND_CRASHED if delivered.crashed else "connection-lost"
+            refusal = may_have_run(reason, "the stream ended early")
             return Failure(AttemptFailure(refusal, view.member.vm, crashed=True))
         return Success(delivered.response)
 
@@ -164,7 +169,11 @@
     ) -> None:
         """Pass whole events on to the caller until the stream ends."""
         response = await self.open_response(request, caller, answer, delivered)
+        delivered.crashed = False
         async for events in whole_events(answer.content):
+            if events.endswith(CRASH_EVENT):
+                delivered.crashed = True
+                events = events.removesuffix(CRASH_EVENT)
             self.observe(request, events, delivered)
             await write_to_caller(response, events)
             if DONE_EVENT in events:
@@ -245,5 +254,5 @@
     if verdict is Verdict.RAN:
         return None
     refusal = refusal_of(verdict, answer.status, answer.headers)
-    crashed = refusal.reason == "backend-crashed"
+    crashed = refusal.reason == BACKEND_CRASHED
     return AttemptFailure(refusal, vm, crashed, answer.headers.get(headers.RELEASE, ""))
