Benches once and config

Cause: at-most-once and the spread of configuration had no measurement of their own.

Change: bench once (reservations resent 3 times, a key-value outage, lost answers, optional kill of a holder in the outage) and bench config (racing operators, lost answers, outage right after the last acceptance), both checked at the stand-ins' ledgers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,10 @@
 import asyncio
 import sys
 
-from . import requests, spread, update
+from . import config, once, requests, spread, update
 from .registry import BENCHES, print_result, raise_file_limit
 
-__all__ = ["requests", "spread", "update"]
+__all__ = ["config", "once", "requests", "spread", "update"]
 
 
 def main() -> None:
--- a/verbenaward/admin.py
+++ b/verbenaward/admin.py
@@ -33,6 +33,7 @@
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.ready)
         app.router.add_get("/admin/status", self.status)
+        app.router.add_get("/admin/revision", self.revision)
         app.router.add_post("/admin/drain", self.start_drain)
 
     async def health(self, request: web.Request) -> web.Response:
@@ -44,6 +45,10 @@
         is_ready = self.role.is_ready()
         return web.json_response({"ready": is_ready}, status=200 if is_ready else 503)
 
+    async def revision(self, request: web.Request) -> web.Response:
+        """Return the revision in force."""
+        return web.json_response({"revision": self.control.follower.configuration.revision})
+
     async def start_drain(self, request: web.Request) -> web.Response:
         """Start to drain the process; it ends when it is told to."""
         if self.draining is None:
