--- a/tests/environment.py
+++ b/tests/environment.py
@@ -4,6 +4,8 @@
 
 from hypothesis import HealthCheck, settings
 
+from verbenaward.logs import configure_logs
+
 settings.register_profile(
     "repeatable",
     derandomize=True,
@@ -13,6 +15,7 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("repeatable")
+configure_logs("critical")
 
 
 def before_scenario(context, scenario):
