--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -13,6 +13,10 @@
     When a holder runs a key without a claim, dies, and another process gets the key
     Then the key ran once and the answer is may-have-run
 
+  Scenario: Suspicion is no proof of an end
+    When a holder is cut off from the service and suspected, and goes on without claims
+    Then only the holder runs the key, and nobody else takes its slot
+
   Scenario: A resend is answered from memory while the service is away
     Given a process that holds all slots
     When a key runs, the service goes away and the key is sent again
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -229,6 +229,26 @@
     context.ledger = machine.ledger
 
 
+@when("a holder is cut off from the service and suspected, and goes on without claims")
+def suspected_holder(context):
+    machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder.service.cut = True
+    machine.accuse(holder.own.member.vm)
+    machine.advance(8.0)
+    for process in machine.processes.values():
+        machine.loop.run_until_complete(process.send(KEYS[0]))
+    context.ledger = machine.ledger
+    context.others = [item for item in machine.processes.values() if item is not holder]
+
+
+@then("only the holder runs the key, and nobody else takes its slot")
+def check_single_holder(context):
+    assert context.ledger == [KEYS[0]], context.ledger
+    assert not any(holds_key(item) for item in context.others)
+
+
 def holds_key(process):
     return process.keeper.holds(slot_of("w", KEYS[0]))
 
