--- /dev/null
+++ b/tests/steps/configuration_store.py
@@ -0,0 +1,146 @@
+import asyncio
+import dataclasses
+
+from behave import given, then, when
+from hypothesis import given as examples
+from hypothesis import strategies as st
+
+from tests.fakes import FakeKeyValues, KeyValueWorld, virtual_loop
+from verbenaward import metrics
+from verbenaward.configuration.follower import ConfigurationFollower
+from verbenaward.configuration.store import (
+    Head,
+    Outcome,
+    Proposal,
+    accepted_chain,
+    apply,
+    candidate_of,
+    drop_unfinished,
+    record_in_history,
+    unfinished,
+)
+from verbenaward.data import EMPTY_CONFIGURATION
+from verbenaward.schema.manifest import Manifest, Workspace
+
+FATES = st.lists(st.sampled_from(["", "", "before", "after", 0.5]), max_size=6)
+
+
+def manifest_named(name):
+    return Manifest(format=1, releases=[], workspaces=[Workspace(name=name)])
+
+
+@then("in random races every accepted change is in one chain, and only those")
+def races(context):
+    @examples(st.lists(FATES, min_size=2, max_size=5))
+    def run(fates):
+        with virtual_loop() as loop:
+            loop.run_until_complete(race(fates))
+
+    run()
+
+
+async def race(fates):
+    world = KeyValueWorld()
+
+    async def operate(index, lose):
+        service = FakeKeyValues(world)
+        service.lose = list(lose)
+        proposal = Proposal(manifest_named(f"w{index}"), f"o{index}", "", f"write-{index}")
+        return await apply(service, proposal, 0.0)
+
+    results = await asyncio.gather(*(operate(*item) for item in enumerate(fates)))
+    await asyncio.sleep(2.0)
+    chain = (await accepted_chain(FakeKeyValues(world))).unwrap()
+    chained = {item.write_id for item in chain if item.revision}
+    for index, applied in enumerate(results):
+        if applied.outcome is Outcome.ACCEPTED:
+            assert f"write-{index}" in chained
+        if applied.outcome is Outcome.CONFLICT:
+            assert f"write-{index}" not in chained
+    assert [item.revision for item in chain] == sorted(
+        (item.revision for item in chain), reverse=True
+    )
+
+
+@given("an empty key-value service")
+def empty_service(context):
+    context.service = FakeKeyValues(KeyValueWorld())
+
+
+@when("the same manifest is applied twice")
+def apply_twice(context):
+    async def run():
+        for write_id in ("a", "b"):
+            proposal = Proposal(manifest_named("w"), "op", "", write_id)
+            context.applied = await apply(context.service, proposal, 0.0)
+        return (await accepted_chain(context.service)).unwrap()
+
+    context.chain = context.loop.run_until_complete(run())
+
+
+@then("the second apply is unchanged and one revision exists")
+def check_unchanged(context):
+    assert context.applied.outcome is Outcome.UNCHANGED
+    assert [item.revision for item in context.chain] == [1]
+
+
+@when("a pipeline dies after it has recorded its change")
+def die(context):
+    proposal = Proposal(manifest_named("w"), "pipeline", "", "half")
+    context.candidate = candidate_of(proposal, EMPTY_CONFIGURATION, 0.0)
+    context.loop.run_until_complete(record_in_history(context.service, context.candidate))
+
+
+@then("the change is listed as unfinished")
+def check_listed(context):
+    listed = context.loop.run_until_complete(unfinished(context.service)).unwrap()
+    assert [item.write_id for item in listed] == ["half"]
+
+
+@then("it is no longer listed after it was dropped")
+def check_dropped(context):
+    context.loop.run_until_complete(drop_unfinished(context.service, context.candidate))
+    assert context.loop.run_until_complete(unfinished(context.service)).unwrap() == ()
+
+
+@when("three revisions are accepted and offered in any order, with gaps and older heads")
+def offer_all(context):
+    revisions = [
+        dataclasses.replace(EMPTY_CONFIGURATION, revision=number, write_id=f"w{number}")
+        for number in range(4)
+    ]
+
+    @examples(st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=12))
+    def run(offers):
+        follower = ConfigurationFollower()
+        seen = [0]
+        for number, is_head in offers:
+            if is_head:
+                follower.take_head(Head(revisions[number], number))
+            else:
+                follower.offer(revisions[number], 0.0, "test")
+            seen.append(follower.configuration.revision)
+        assert seen == sorted(seen)
+        assert seen[-1] == max([0, *(number for number, _ in offers)])
+
+    context.run = run
+
+
+@then("the revision in force of a process never falls")
+def check_never_falls(context):
+    context.run()
+
+
+@when("a process is offered another document with the revision in force")
+def contradict(context):
+    context.follower = ConfigurationFollower()
+    context.refused = metrics.total("verbenaward_configuration_refused_total")
+    for write_id in ("first", "second"):
+        document = dataclasses.replace(EMPTY_CONFIGURATION, revision=1, write_id=write_id)
+        context.follower.offer(document, 0.0, "test")
+
+
+@then("it keeps its own and counts the refusal")
+def check_kept(context):
+    assert context.follower.configuration.write_id == "first"
+    assert metrics.total("verbenaward_configuration_refused_total") == context.refused + 1
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -130,9 +130,7 @@
                 self.false_not_run.append(key)
 
     def others_run(self, key):
-        return any(
-            item.keeper.memory.records.get(f"w\0{key}") for item in self.processes.values()
-        )
+        return any(item.keeper.memory.records.get(f"w\0{key}") for item in self.processes.values())
 
     @rule(key=st.sampled_from(KEYS))
     def send_everywhere(self, key):
