--- a/tests/environment.py
+++ b/tests/environment.py
@@ -20,8 +20,5 @@
 
 def before_scenario(context, scenario):
     context.loop = asyncio.new_event_loop()
-
-
-def after_scenario(context, scenario):
-    context.loop.run_until_complete(context.loop.shutdown_asyncgens())
-    context.loop.close()
+    # Cleanups run in reverse order: the loop closes after all that needs it.
+    context.add_cleanup(context.loop.close)
