--- a/verbenaward/ctl/commands_status.py
+++ b/verbenaward/ctl/commands_status.py
@@ -88,4 +88,6 @@
         fail(f"no VM is named {vm}", "verbenactl status --members")
     if not drained:
         fail(f"the process on {vm} does not answer", "verbenactl status", EXIT_UNREACHABLE)
-    typer.echo(f"{vm} is draining; end its process when verbenactl status no longer names it")
+    typer.echo(
+        f"{vm} takes no new work; end its process when you like: it finishes its requests first"
+    )
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -14,7 +14,7 @@
 from ..requests.dispatch import Dispatcher
 from ..requests.fair_queue import FairQueue
 from ..requests.limits import AdaptiveLimit
-from ..requests.parse import parse_model_request, parse_service_request
+from ..requests.parse import is_name, parse_model_request, parse_service_request
 from ..requests.records import Answer, Request
 from ..requests.refusals import not_run, response_of
 from ..requests.streams import CallerGoneError, StreamRelay
@@ -123,7 +123,8 @@
     ) -> web.StreamResponse:
         """Serve a parsed request and count it."""
         if not isinstance(parsed, Success):
-            return response_of(parsed.failure())
+            named = caller.headers.get(headers.REQUEST_ID, "")
+            return response_of(parsed.failure(), named if is_name(named) else "")
         request = parsed.unwrap()
         self.in_flight += 1
         try:
