Bench tokens: processor time of a streamed token

Cause: 730,000 tokens a second over 370 daemons are about 2,000 a second each; nothing said what one costs.

Change: bench tokens streams to many callers at once and reads the processor time of entry, endpoint and a bare aiohttp hop in the same run.

--- /dev/null
+++ b/bench/tokens.py
@@ -0,0 +1,113 @@
+"""Bench `tokens`: processor time of a streamed token at entry, endpoint and a bare hop."""
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from . import hop
+from .accounting import cpu_seconds
+from .cluster import BACKEND_PORT, Cluster, ClusterPlan, quantile, running
+from .models import MODEL, make_version, manifest_of
+from .operations import apply_surely, wait_until_routed, wait_until_served
+from .registry import BENCHES
+from .requests import HOP_PORT, millis
+
+TOKENS = 150
+ENGINES = 2
+MICROSECONDS = 1_000_000
+
+
+@BENCHES.register("tokens")
+async def bench_tokens(arguments: Sequence[str]) -> dict[str, Any]:
+    """Stream to many callers at once and divide the processor time by the tokens."""
+    parser = argparse.ArgumentParser(prog="bench tokens")
+    parser.add_argument("--streams", type=int, default=40)
+    parser.add_argument("--token-ms", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    with tempfile.TemporaryDirectory(prefix="verbenaward-origin-") as name:
+        origin = Path(name)
+        version = make_version(origin, "v1", 65536, options.seed)
+        plan = ClusterPlan(
+            entries=1,
+            engines=ENGINES,
+            origin_folder=origin,
+            engine={"slots": options.streams, "token_seconds": options.token_ms / 1000},
+            endpoint={"concurrency": options.streams},
+            log_level="warning",
+        )
+        async with running(plan) as cluster:
+            await apply_surely(cluster, manifest_of(version))
+            await wait_until_served(cluster, version.digest, cluster.engine_vms, 30)
+            await wait_until_routed(cluster, version.digest, ENGINES, 30)
+            return await measure(options, cluster)
+
+
+async def measure(options: argparse.Namespace, cluster: Cluster) -> dict[str, Any]:
+    """Measure the system, then the bare hop with the same streams."""
+    pid = cluster.processes["entry-0"].process.pid
+    endpoints = [cluster.processes[vm].process.pid for vm in cluster.engine_vms]
+    before = cpu_seconds(pid), sum(map(cpu_seconds, endpoints))
+    entry = f"http://{cluster.address_of('entry-0')}/v1/chat/completions"
+    started = time.monotonic()
+    gaps = await stream_all(cluster.session, entry, options.streams)
+    elapsed = time.monotonic() - started
+    spent = cpu_seconds(pid) - before[0], sum(map(cpu_seconds, endpoints)) - before[1]
+    host = cluster.platform_host
+    target = f"http://{cluster.host_of('engine-0')}:{BACKEND_PORT}"
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", hop.__name__, host, str(HOP_PORT), target,
+        stdout=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    try:
+        if process.stdout is not None:
+            await process.stdout.readline()
+        hop_before = cpu_seconds(process.pid)
+        url = f"http://{host}:{HOP_PORT}/v1/chat/completions"
+        await stream_all(cluster.session, url, options.streams)
+        hop_spent = cpu_seconds(process.pid) - hop_before
+    finally:
+        process.kill()
+        await process.wait()
+    count = options.streams * TOKENS
+    return {
+        "streams": options.streams,
+        "tokens_per_second": round(count / elapsed),
+        "entry_us_per_token": round(spent[0] / count * MICROSECONDS, 1),
+        "endpoint_us_per_token": round(spent[1] / count * MICROSECONDS, 1),
+        "hop_us_per_token": round(hop_spent / count * MICROSECONDS, 1),
+        "engine_token_ms": options.token_ms,
+        "between_tokens_p50_ms": millis(quantile(gaps, 0.5)),
+        "between_tokens_p95_ms": millis(quantile(gaps, 0.95)),
+        "seed": options.seed,
+    }
+
+
+async def stream_all(session: aiohttp.ClientSession, url: str, count: int) -> list[float]:
+    """Read many streams at once and return the times between their tokens."""
+    gaps: list[float] = []
+
+    async def stream(index: int) -> None:
+        message = {"role": "user", "content": f"stream {index}"}
+        body = {"model": MODEL, "stream": True, "max_tokens": TOKENS, "messages": [message]}
+        last = 0.0
+        async with session.post(
+            url, data=json.dumps(body), headers={"Content-Type": "application/json"}
+        ) as response:
+            async for line in response.content:
+                if line.startswith(b"data: {"):
+                    now = time.monotonic()
+                    if last:
+                        gaps.append(now - last)
+                    last = now
+
+    await asyncio.gather(*(stream(index) for index in range(count)))
+    return gaps
