--- a/tests/steps/weights_spread.py
+++ b/tests/steps/weights_spread.py
@@ -11,7 +11,7 @@
 from verbenaward.weights.peers import PeerTable
 from verbenaward.weights.picker import Flights, pick_from_peers
 from verbenaward.weights.policies import POLICIES, Carriers, choose_policy
-from verbenaward.weights.store import ChunkStore, StoreOutcome
+from verbenaward.weights.store import ChunkStore, StoreOutcome, plan_memory
 
 
 def fleet_of(count):
@@ -130,3 +130,13 @@
 @then('the policy is "{policy}"')
 def check_policy(context, policy):
     assert context.policy == policy
+
+
+@when("memory is {limit:d}, a release needs {needed:d} and the served one holds {served:d}")
+def memory(context, limit, needed, served):
+    context.memory_plan = plan_memory(limit, needed, served)
+
+
+@then('the memory plan is "{plan}"')
+def check_memory(context, plan):
+    assert context.memory_plan == plan
--- a/tests/weights/spread.feature
+++ b/tests/weights/spread.feature
@@ -22,3 +22,14 @@
       | 0      | 0      | 2       | once       |
       | 100    | 50     | 2       | once       |
       | 100    | 10     | 2       | per-region |
+
+  Scenario Outline: A release gets room, or is refused before it starts
+    When memory is <limit>, a release needs <needed> and the served one holds <served>
+    Then the memory plan is "<plan>"
+
+    Examples:
+      | limit | needed | served | plan        |
+      | 0     | 999    | 999    | fits        |
+      | 100   | 60     | 40     | fits        |
+      | 100   | 80     | 40     | drop-served |
+      | 100   | 101    | 0      | too-large   |
--- a/verbenaward/weights/carrier.py
+++ b/verbenaward/weights/carrier.py
@@ -12,6 +12,7 @@
 from .context import WeightContext
 from .orders import OrderGiver
 from .server import WeightServer
+from .store import MemoryPlan, plan_memory
 from .table import Table
 from .tables import TableFinder
 from .transfer import Transfer
@@ -128,6 +129,8 @@
             return
         artifacts = artifacts_of(release)
         tables = await asyncio.gather(*(self.find_table(item) for item in artifacts))
+        if not self.make_room(tables):
+            return
         self.drop_unwanted({table.digest for table in tables})
         self.transfers = [
             Transfer(self.context, table, self.server.reporter_of(table.digest)) for table in tables
@@ -141,6 +144,24 @@
         self.tables_in_engine = {table.digest for table in tables}
         self.drop_unwanted(self.tables_in_engine)
 
+    def make_room(self, tables: list[Table]) -> bool:
+        """Drop the served chunks where the release needs their memory; False if it is too large."""
+        wanted = {chunk.hash: chunk.length for table in tables for chunk in table.chunks}
+        served = {
+            chunk.hash: chunk.length
+            for digest in self.tables_in_engine
+            if digest in self.finder.tables
+            for chunk in self.finder.tables[digest].chunks
+            if chunk.hash not in wanted
+        }
+        limit = self.context.store.limit_bytes
+        plan = plan_memory(limit, sum(wanted.values()), sum(served.values()))
+        if plan is MemoryPlan.DROP_SERVED:
+            self.tables_in_engine = set()
+        if plan is MemoryPlan.TOO_LARGE:
+            LOG.error("release.too_large", needed=sum(wanted.values()), limit=limit)
+        return plan is not MemoryPlan.TOO_LARGE
+
     async def find_table(self, artifact: Artifact) -> Table:
         """Return the table of an artifact."""
         return await self.finder.find(bytes.fromhex(artifact.table))
--- a/verbenaward/weights/store.py
+++ b/verbenaward/weights/store.py
@@ -15,6 +15,29 @@
     NO_MEMORY = "no-memory"
 
 
+class MemoryPlan(StrEnum):
+    """How a release gets room."""
+
+    FITS = "fits"
+    DROP_SERVED = "drop-served"
+    TOO_LARGE = "too-large"
+
+
+def plan_memory(limit_bytes: int, needed_bytes: int, served_bytes: int) -> MemoryPlan:
+    """Decide how a release gets room beside the chunks of the one that is served.
+
+    The engine has its own copy of what it serves; its chunks are kept only for peers.
+
+    Args:
+      limit_bytes: Memory for chunks; 0 for no limit.
+      needed_bytes: Size of all chunks of the release.
+      served_bytes: Size of the chunks that only the served release contains.
+    """
+    if not limit_bytes or needed_bytes + served_bytes <= limit_bytes:
+        return MemoryPlan.FITS
+    return MemoryPlan.DROP_SERVED if needed_bytes <= limit_bytes else MemoryPlan.TOO_LARGE
+
+
 class ChunkStore:
     """Chunks by hash; only bytes that match their hash get in.
 
