--- a/verbenaward/configuration/documents.py
+++ b/verbenaward/configuration/documents.py
@@ -17,6 +17,7 @@
 DocumentType = TypeVar("DocumentType")
 
 MAXIMUM_DOCUMENT_BYTES = 900_000
+MAXIMUM_MESSAGE_CHARACTERS = 300
 SCHEMA_FOLDER = Path(schema.__file__).parent
 
 
@@ -121,7 +122,12 @@
     if error.validator == "additionalProperties" and isinstance(error.schema, dict):
         known = ", ".join(sorted(error.schema.get("properties", {})))
         hint = f"known keys: {known}"
-    return Fault(place, ".".join(keys), error.message[:300], hint)
+    message = error.message
+    if error.validator == "pattern":
+        message = f"{error.instance!r} does not have the form that is wanted"
+    if error.validator == "required":
+        hint = ""
+    return Fault(place, ".".join(keys), message[:MAXIMUM_MESSAGE_CHARACTERS], hint)
 
 
 def line_of(text: str, keys: list[str]) -> int:
