Entries take a newer configuration from the processes that heartbeat to them

Cause: with the key-value service down, entry processes that all restart together had nobody to ask: endpoint processes hold the configuration, but only entries were asked for it.

Change: a heartbeat that carries a higher revision makes its receiver fetch the document from the sender.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,10 @@
 import asyncio
 import sys
 
-from . import config, footprint, once, requests, spread, tokens, update
+from . import config, footprint, once, recover, requests, spread, tokens, update
 from .registry import BENCHES, print_result, raise_file_limit
 
-__all__ = ["config", "footprint", "once", "requests", "spread", "tokens", "update"]
+__all__ = ["config", "footprint", "once", "recover", "requests", "spread", "tokens", "update"]
 
 
 def main() -> None:
--- a/tests/steps/membership_directory.py
+++ b/tests/steps/membership_directory.py
@@ -80,12 +80,16 @@
     context.entry = OwnRecord(settings_of("entry", "entry"), 100.0)
     context.endpoint = OwnRecord(settings_of("e", "endpoint"), 100.0)
     context.directory = Directory("entry")
-    context.registrar = Registrar(context.directory, context.entry, MembershipSettings())
+    context.registrar = Registrar(context.directory, context.entry, MembershipSettings(), fetch)
     context.directory.merge(context.entry.member, 0.0)
     beat(context)
     sweep_for(context, 1.0)
 
 
+async def fetch(address, revision):
+    """Stand for the fetch of a newer configuration."""
+
+
 def beat(context):
     message = Heartbeat(context.endpoint.member)
     return context.virtual.run_until_complete(context.registrar.handle_heartbeat(message))
--- a/verbenaward/entry/role.py
+++ b/verbenaward/entry/role.py
@@ -51,7 +51,9 @@
         self.control = control
         settings, directory, own = control.settings, control.directory, control.own
         self.poison = PoisonList()
-        self.registrar = Registrar(directory, own, settings.membership)
+        self.registrar = Registrar(
+            directory, own, settings.membership, control.heartbeats.on_revision
+        )
         self.gossiper = Gossiper(
             control.session, directory, own, control.heartbeats.on_revision, self.poison.note
         )
--- a/verbenaward/membership/registrar.py
+++ b/verbenaward/membership/registrar.py
@@ -1,6 +1,8 @@
 """Receiving side of heartbeats, on entry processes."""
 
+import asyncio
 import time
+from collections.abc import Awaitable, Callable
 
 from ..schema.messages import (
     Heartbeat,
@@ -24,16 +26,25 @@
       directory: What this process knows.
       own: Record of this process.
       settings: Times of the protocol.
+      on_revision: Called with the address and revision of a member that is ahead.
       responsible_since: Since when this process has to hear from a VM.
       suspect_since: Since when a VM is suspect.
       revisions: Configuration revision in the last heartbeat of each VM.
       responsible_for: Whether this process is a registrar of a VM, for the present ring.
     """
 
-    def __init__(self, directory: Directory, own: OwnRecord, settings: MembershipSettings) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        own: OwnRecord,
+        settings: MembershipSettings,
+        on_revision: Callable[[str, int], Awaitable[None]],
+    ) -> None:
         self.directory = directory
         self.own = own
         self.settings = settings
+        self.on_revision = on_revision
+        self.fetches: set[asyncio.Task[None]] = set()
         self.responsible_since: dict[str, float] = {}
         self.suspect_since: dict[str, float] = {}
         self.revisions: dict[str, int] = {}
@@ -45,7 +56,7 @@
         """Note a heartbeat and answer what this process knows."""
         member = heartbeat.member
         self.directory.heard(member, time.monotonic())
-        self.revisions[member.vm] = member.revision
+        self.note_revision(member, member.revision)
         known = self.directory.members.get(member.vm, member)
         return self.reply_to(heartbeat, member, known)
 
@@ -58,9 +69,17 @@
             )
         if (known.incarnation, known.version) == (heartbeat.incarnation, heartbeat.version):
             self.directory.heard_at[heartbeat.vm] = time.monotonic()
-            self.revisions[heartbeat.vm] = heartbeat.revision
+            self.note_revision(known, heartbeat.revision)
         return self.reply_to(heartbeat, known, known)
 
+    def note_revision(self, member: Member, revision: int) -> None:
+        """Note the revision in force at a member, and fetch it where it is newer."""
+        self.revisions[member.vm] = revision
+        if revision > self.own.member.revision and not self.fetches:
+            task = asyncio.ensure_future(self.on_revision(member.address, revision))
+            self.fetches.add(task)
+            task.add_done_callback(self.fetches.discard)
+
     def reply_to(
         self, heartbeat: Heartbeat | ShortHeartbeat, sender: Member, known: Member
     ) -> HeartbeatReply:
