--- a/standins/engine.py
+++ b/standins/engine.py
@@ -164,7 +164,7 @@
         if body.get("stream"):
             return await self.stream(request, prompt, words[first:], request_id, serving)
         await asyncio.sleep(len(words) * self.token_seconds)
-        self.check_present()
+        self.check_present(request)
         answer = completion_json(request_id, serving, "".join(words))
         if self.faults.happens(self.faults.truncate):
             return self.hang_up(request)
@@ -186,7 +186,7 @@
         stop_after = len(words) // 2 if self.faults.happens(self.faults.truncate) else None
         for index, word in enumerate(words):
             await asyncio.sleep(self.token_seconds)
-            self.check_present()
+            self.check_present(request)
             if index == stop_after and request.transport:
                 request.transport.close()
             if CRASH_MARK in prompt:
@@ -259,10 +259,10 @@
         """Return True while the engine restarts after a crash."""
         return time.monotonic() < self.away_until
 
-    def check_present(self) -> None:
-        """Break the running request where the engine crashed meanwhile."""
+    def check_present(self, request: web.Request) -> None:
+        """Cut the running request off where the engine crashed meanwhile."""
         if self.is_away():
-            raise ConnectionResetError("the engine crashed")
+            self.hang_up(request)
 
     def hang_up(self, request: web.Request) -> web.Response:
         """Close the connection without an answer."""
--- a/verbenaward/endpoint/runner.py
+++ b/verbenaward/endpoint/runner.py
@@ -113,11 +113,17 @@
         seconds = order.call.deadline - time.monotonic()
         refusal = await self.gate.enter(max(0.0, seconds), order.alone, order.no_wait)
         if refusal is None:
-            refusal = self.check(order)
+            refusal = self.check(order) or await self.check_before_suspect(order)
             if refusal is not None:
                 self.gate.leave(order.alone)
         return refusal
 
+    async def check_before_suspect(self, order: RunOrder) -> Refusal | None:
+        """Refuse a suspect where the backend is away already, which is not its fault."""
+        if not order.alone or await self.backend.is_reachable():
+            return None
+        return not_run(503, "alone", "the backend is away", RETRY_AFTER_SECONDS)
+
     async def run_admitted(self, order: RunOrder) -> Result[Answer, Refusal]:
         """Wait for a slot and run a call."""
         refusal = await self.admit(order)
