A crash is blamed on the attempt that met it

The record showed two crashes 3 ms apart, the second at a VM that could not be reached: the note of the first attempt's crash was still set when the second failed to connect. Ruled out: the probe of a dead backend (added before, no change), the other request's history (a per-request print showed both attempts).

Change: each attempt starts without that note. Tests for it, for whole events and for a suspect whose backend is away; the first fails without the change.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -16,6 +16,7 @@
     KeyValueSnapshot,
 )
 from verbenaward.platform.vm_list import ListedVm
+from verbenaward.requests.records import Request
 
 UNAVAILABLE = Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, "outage"))
 UNKNOWN = Failure(KeyValueError(KeyValueFailure.UNKNOWN, "answer lost"))
@@ -177,3 +178,26 @@
         now = time.monotonic()
         seen = {vm for vm in self.vms if now < self.gone.get(vm, float("inf")) + self.lag}
         return Success(tuple(ListedVm(vm, False) for vm in sorted(seen)))
+
+
+def request_of(workspace, deadline=1e9, idempotent=True):
+    """Return a request of a workspace."""
+    return Request(
+        request_id="r",
+        workspace=workspace,
+        request_class="standard",
+        role="assistant",
+        target="m",
+        method="POST",
+        path="/",
+        body=b"",
+        content_type="",
+        stream=False,
+        idempotent=idempotent,
+        idempotency_key="" if idempotent else "k",
+        received_at=0.0,
+        deadline=deadline,
+        fingerprint=b"",
+        affinity="",
+        is_model=True,
+    )
--- a/tests/steps/requests_queueing.py
+++ b/tests/steps/requests_queueing.py
@@ -6,38 +6,16 @@
 from hypothesis import given as examples
 from hypothesis import strategies as st
 
-from tests.fakes import virtual_loop
+from tests.fakes import request_of, virtual_loop
 from verbenaward.data import Refusal, Verdict
 from verbenaward.requests.budget import RetryBudget
 from verbenaward.requests.fair_queue import FairQueue
 from verbenaward.requests.limits import AdaptiveLimit
 from verbenaward.requests.poison import PoisonList, Suspicion, clearance_of, crash_of
-from verbenaward.requests.records import AttemptFailure, Request
+from verbenaward.requests.records import AttemptFailure
 from verbenaward.requests.retries import AttemptHistory, NextStep, next_step
 
 
-def request_of(workspace, deadline=1e9, idempotent=True):
-    return Request(
-        request_id="r",
-        workspace=workspace,
-        request_class="standard",
-        role="assistant",
-        target="m",
-        method="POST",
-        path="/",
-        body=b"",
-        content_type="",
-        stream=False,
-        idempotent=idempotent,
-        idempotency_key="" if idempotent else "k",
-        received_at=0.0,
-        deadline=deadline,
-        fingerprint=b"",
-        affinity="",
-        is_model=True,
-    )
-
-
 def queue_of(capacity, running, weights):
     limit = AdaptiveLimit(float(running), 1.0, float(running))
     return FairQueue(limit, capacity, lambda name: float(weights.get(name, 1)))
--- /dev/null
+++ b/tests/steps/requests_streams.py
@@ -0,0 +1,135 @@
+import asyncio
+import time
+from types import SimpleNamespace
+
+import aiohttp
+from aiohttp import web
+from behave import given, then, when
+
+from tests.fakes import request_of
+from verbenaward.data import Verdict
+from verbenaward.endpoint.backend import Backend, Call
+from verbenaward.endpoint.gate import Gate
+from verbenaward.endpoint.runner import Runner, RunOrder
+from verbenaward.requests.endpoints import EndpointView
+from verbenaward.requests.events import CRASH_EVENT
+from verbenaward.requests.retries import AttemptHistory
+from verbenaward.requests.streams import Delivered, StreamRelay
+from verbenaward.schema.messages import Member
+
+EVENTS = b'data: {"n": 1}\n\ndata: {"n": 2}\n\n'
+CLOSED_ADDRESS = "127.0.0.1:9"
+
+
+class FakeResponse:
+    """Keeps what the caller would get."""
+
+    def __init__(self):
+        self.body = b""
+
+    async def write(self, data):
+        self.body += data
+
+    async def write_eof(self):
+        self.body += b"<end>"
+
+
+def serve_and_relay(context, body, addresses):
+    """Relay from a server that sends a body and hangs up, then from further addresses."""
+
+    async def run():
+        async def answer(request):
+            values = {"X-Request-Id": "r", "X-Verdict": "ran", "X-Load": "1/0/8"}
+            response = web.StreamResponse(headers=values)
+            await response.prepare(request)
+            await response.write(body)
+            await asyncio.sleep(0.05)
+            request.transport.close()
+            return response
+
+        app = web.Application()
+        app.router.add_post("/run", answer)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = runner.addresses[0][1]
+        delivered = Delivered(response=FakeResponse(), labels=("w", "standard"))
+        failures = []
+        async with aiohttp.ClientSession() as session:
+            dispatcher = SimpleNamespace(
+                session=session, may_refuse_to_wait=lambda request, history: False
+            )
+            for address in (f"127.0.0.1:{port}", *addresses):
+                view = EndpointView(Member(vm="vm", address=address))
+                deadline = time.monotonic() + 5.0
+                result = await StreamRelay(dispatcher).relay(
+                    request_of("w", deadline), None, view, False, AttemptHistory(), delivered
+                )
+                failures.append(result.failure())
+        await runner.cleanup()
+        return delivered.response.body, failures
+
+    context.body, context.failures = context.loop.run_until_complete(run())
+
+
+@given("an endpoint that cuts a stream off in the middle of an event")
+def cut_off(context):
+    context.sent = EVENTS + b'data: {"n": 3'
+
+
+@given("an endpoint that says that its backend crashed")
+def crashed(context):
+    context.sent = EVENTS + CRASH_EVENT
+
+
+@when("the stream is relayed")
+def relay(context):
+    serve_and_relay(context, context.sent, ())
+
+
+@when("the stream is relayed and then tried at an endpoint that cannot be reached")
+def relay_twice(context):
+    serve_and_relay(context, context.sent, (CLOSED_ADDRESS,))
+
+
+@then("the caller has the whole events and the attempt may have run")
+def check_whole(context):
+    assert context.body == EVENTS
+    assert context.failures[0].refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+@then("the first attempt counts as a crash and the second as not run")
+def check_blame(context):
+    first, second = context.failures
+    assert context.body == EVENTS
+    assert first.crashed
+    assert not second.crashed
+    assert second.refusal.verdict is Verdict.NOT_RUN
+
+
+@given("an endpoint process whose backend cannot be reached")
+def away(context):
+    context.gate = Gate(4, 4)
+
+
+@when("a suspect asks to run alone")
+def suspect(context):
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            backend = Backend(f"http://{CLOSED_ADDRESS}", session, session)
+            runner = Runner(
+                "vm", backend, context.gate, str, False, None, lambda size: None, lambda: None
+            )
+            call = Call("r", "POST", "/", b"", "", 1, "", 0, time.monotonic() + 5.0)
+            order = RunOrder(call, "w", "vm", "", False, True, False, False)
+            return await runner.run_admitted(order)
+
+    context.result = context.loop.run_until_complete(run())
+
+
+@then("it is refused as not run and the gate is open again")
+def check_refused(context):
+    assert context.result.failure().verdict is Verdict.NOT_RUN
+    assert context.gate.is_empty()
+    assert not context.gate.exclusive
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -136,6 +136,7 @@
         delivered: Delivered,
     ) -> Result[web.StreamResponse, AttemptFailure]:
         """Relay the stream of one endpoint."""
+        delivered.crashed = False
         now = time.monotonic()
         timeout = aiohttp.ClientTimeout(
             total=max(0.0, request.deadline - now) + GRACE_SECONDS, sock_connect=CONNECT_SECONDS
@@ -171,7 +172,6 @@
     ) -> None:
         """Pass whole events on to the caller until the stream ends."""
         response = await self.open_response(request, caller, answer, delivered)
-        delivered.crashed = False
         async for events in whole_events(answer.content):
             if events.endswith(CRASH_EVENT):
                 delivered.crashed = True
