Release status and oversized headers in the golden session; cache events

Cause: release status had never been run by a test, nor an oversized header been sent, and the engine stand-in published no cache events.

Change: both are in the session; the stand-in publishes cache events late and with gaps.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,6 +16,7 @@
 
 CACHE_BLOCK_CHARACTERS = 64
 CRASH_MARK = "crash-the-engine"
+KEPT_EVENTS = 1000
 
 
 @dataclass
@@ -30,6 +31,8 @@
       checks_fence: Refuse orders with an old fencing number.
       load_lag_seconds: Age of the load that is reported.
       restart_seconds: Time that the engine is away after a crash.
+      event_lag_seconds: Age at which a cache event is published.
+      event_gap: Share of cache events that are never published.
     """
 
     slots: int = 8
@@ -39,6 +42,10 @@
     checks_fence: bool = True
     load_lag_seconds: float = 0.5
     restart_seconds: float = 1.0
+    event_lag_seconds: float = 0.5
+    event_gap: float = 0.05
+    cache_events: list[tuple[float, int, str, str]] = field(default_factory=list)
+    event_number: int = 0
     active: str = ""
     serving_digest: str = ""
     fence: int = 0
@@ -72,6 +79,7 @@
         app.router.add_post("/orders", self.take_order)
         app.router.add_post("/v1/chat/completions", self.complete)
         app.router.add_post("/v1/completions", self.complete)
+        app.router.add_get("/cache-events", self.publish_cache_events)
         app.router.add_get("/kv/{prefix}", self.export_cache)
         app.router.add_put("/kv/{prefix}", self.import_cache)
         return app
@@ -209,10 +217,30 @@
                 continue
             uncached += 1
             self.cache[name] = None
+            self.note_cache_event("stored", name)
             if len(self.cache) > self.cache_blocks:
-                self.cache.popitem(last=False)
+                evicted, _ = self.cache.popitem(last=False)
+                self.note_cache_event("evicted", evicted)
         return uncached
 
+    def note_cache_event(self, kind: str, name: str) -> None:
+        """Number a cache event; some are lost, which shows as a gap in the numbers."""
+        self.event_number += 1
+        if not self.faults.happens(self.event_gap):
+            self.cache_events.append((time.monotonic(), self.event_number, kind, name))
+            del self.cache_events[:-KEPT_EVENTS]
+
+    async def publish_cache_events(self, request: web.Request) -> web.Response:
+        """Return the cache events after a number, as they were a while ago."""
+        after = int(request.query.get("after", "0"))
+        until = time.monotonic() - self.event_lag_seconds
+        events = [
+            {"number": number, "kind": kind, "block": name}
+            for at, number, kind, name in self.cache_events
+            if number > after and at <= until
+        ]
+        return web.json_response({"events": events})
+
     async def export_cache(self, request: web.Request) -> web.Response:
         """Return a cached block by its name."""
         name = request.match_info["prefix"]
--- a/tests/steps/session.py
+++ b/tests/steps/session.py
@@ -73,6 +73,7 @@
     async def run(self):
         first, second = self.versions
         await self.apply(first, 1)
+        await self.release_status()
         await self.ctl("release", "plan", str(self.manifest_file(second)), *self.key_value())
         await self.requests()
         await self.reservations()
@@ -141,6 +142,11 @@
             X_Request_Id=request_id, X_Workspace="hospital-norte",
         )  # fmt: skip
 
+    async def release_status(self):
+        arguments = (*self.key_value(), "--entry", self.entry)
+        await self.ctl("release", "status", *arguments)
+        await self.ctl("release", "status", "--watch", *arguments)
+
     async def requests(self):
         await self.ask("question-1")
         await self.ask("question-2", stream=True)
@@ -163,12 +169,21 @@
         await self.call("POST", path, b"{}", X_Request_Id="bad-2", X_Class="royal")
         await self.call("POST", path, b"{}", X_Request_Id="bad-3", X_Deadline_Ms="-1")
         await self.call("POST", path, b" " * 5_000_000, X_Request_Id="bad-4")
+        await self.oversized_header(path)
         await self.call("POST", "/v1/services/none/x", b"", X_Request_Id="bad-5")
         bad = self.folder / "bad.json"
         bad.write_text('{\n "format": 1,\n "releases": [{"role": "a"}],\n "colour": "red"\n}')
         await self.ctl("check", str(bad))
         await self.ctl("release", "plan", str(self.folder / "missing.json"), *self.key_value())
 
+    async def oversized_header(self, path):
+        self.transcript.append(f"> POST {path} with a header of 40,000 bytes")
+        async with self.cluster.session.post(
+            f"http://{self.entry}{path}", data=b"{}", headers={"X-Workspace": "w" * 40_000}
+        ) as response:
+            text = await response.text()
+            self.transcript.append(f"< {response.status} {'Traceback' not in text}")
+
     async def drain(self):
         await self.ctl("drain", "engine-1", "--entry", self.entry)
         await self.ctl("drain", "entry-1", "--entry", self.entry)
