--- a/bench/requests.py
+++ b/bench/requests.py
@@ -3,7 +3,6 @@
 import argparse
 import asyncio
 import random
-import sys
 import tempfile
 import time
 from collections import Counter
@@ -13,10 +12,10 @@
 
 import aiohttp
 
-from . import hop
 from .accounting import cpu_seconds
-from .cluster import BACKEND_PORT, Cluster, ClusterPlan, quantile, running
+from .cluster import Cluster, ClusterPlan, quantile, running
 from .faults import inject_faults
+from .hop_process import running_hop
 from .load import Caller, Tally, keep_asking
 from .models import ModelVersion, make_version, manifest_of
 from .operations import (
@@ -39,7 +38,6 @@
 OVERLOAD_DEADLINE_SECONDS = 2.0
 SMALL_RATE = 5.0
 SMALL_WORKSPACE = "small"
-HOP_PORT = 7400
 HOP_SECONDS = 5.0
 IDLE_SECONDS = 2.0
 WARM_SECONDS = 1.0
@@ -169,16 +167,8 @@
 
     The hop gets requests at the rate that one entry process had.
     """
-    host = cluster.platform_host
-    target = f"http://{cluster.host_of('engine-0')}:{BACKEND_PORT}"
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", hop.__name__, host, str(HOP_PORT), target,
-        stdout=asyncio.subprocess.PIPE,
-    )  # fmt: skip
-    try:
-        if process.stdout is not None:
-            await process.stdout.readline()
-        before = cpu_seconds(process.pid)
+    async with running_hop(cluster) as (pid, url):
+        before = cpu_seconds(pid)
         rate = options.rate / len(cluster.entry_vms)
         count = int(rate * HOP_SECONDS)
         tasks = []
@@ -187,13 +177,9 @@
             await asyncio.sleep(max(0.0, started + index / rate - time.monotonic()))
             content = f"session {index % 50}: question {index}"
             body = {"max_tokens": TOKENS, "messages": [{"role": "user", "content": content}]}
-            url = f"http://{host}:{HOP_PORT}/v1/chat/completions"
             tasks.append(asyncio.create_task(post(session, url, body)))
         await asyncio.gather(*tasks)
-        return (cpu_seconds(process.pid) - before) / count
-    finally:
-        process.kill()
-        await process.wait()
+        return (cpu_seconds(pid) - before) / count
 
 
 async def post(session: aiohttp.ClientSession, url: str, body: Any) -> None:
--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -3,7 +3,6 @@
 import argparse
 import asyncio
 import json
-import sys
 import tempfile
 import time
 from collections.abc import Sequence
@@ -12,13 +11,13 @@
 
 import aiohttp
 
-from . import hop
 from .accounting import cpu_seconds
-from .cluster import BACKEND_PORT, Cluster, ClusterPlan, quantile, running
+from .cluster import Cluster, ClusterPlan, quantile, running
+from .hop_process import running_hop
 from .models import MODEL, make_version, manifest_of
 from .operations import apply_surely, wait_until_routed, wait_until_served
 from .registry import BENCHES
-from .requests import HOP_PORT, millis
+from .requests import millis
 
 TOKENS = 150
 ENGINES = 2
@@ -61,22 +60,10 @@
     gaps = await stream_all(cluster.session, entry, options.streams)
     elapsed = time.monotonic() - started
     spent = cpu_seconds(pid) - before[0], sum(map(cpu_seconds, endpoints)) - before[1]
-    host = cluster.platform_host
-    target = f"http://{cluster.host_of('engine-0')}:{BACKEND_PORT}"
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", hop.__name__, host, str(HOP_PORT), target,
-        stdout=asyncio.subprocess.PIPE,
-    )  # fmt: skip
-    try:
-        if process.stdout is not None:
-            await process.stdout.readline()
-        hop_before = cpu_seconds(process.pid)
-        url = f"http://{host}:{HOP_PORT}/v1/chat/completions"
+    async with running_hop(cluster) as (hop_pid, url):
+        hop_before = cpu_seconds(hop_pid)
         await stream_all(cluster.session, url, options.streams)
-        hop_spent = cpu_seconds(process.pid) - hop_before
-    finally:
-        process.kill()
-        await process.wait()
+        hop_spent = cpu_seconds(hop_pid) - hop_before
     count = options.streams * TOKENS
     return {
         "streams": options.streams,
