Typed status of the roles, a gauge of members, no list of ended tasks

Cause: read as a newcomer: the operators' status looked for attributes of the role by name, the gauge of members was declared and never set, each configuration push stayed in a list of tasks for ever, and a constant of the weight server was unused.

Change: both roles report their status through one protocol; the gauge follows the directory; ended tasks are dropped; the constant is gone.

--- a/verbenaward/admin.py
+++ b/verbenaward/admin.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from aiohttp import web
@@ -11,6 +11,30 @@
 from .membership.directory import member_json
 
 
+class Role(Protocol):
+    """What a role offers to the daemon."""
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of the role to an application."""
+        ...
+
+    def start(self) -> None:
+        """Start the tasks of the role."""
+        ...
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators see besides the members."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Return True where the process can serve."""
+        ...
+
+    async def drain(self) -> None:
+        """Take no new work and finish what runs."""
+        ...
+
+
 class AdminInterface:
     """Health, readiness, status and drain.
 
@@ -21,7 +45,7 @@
     """
 
     def __init__(
-        self, control: ControlPlane, role: Any, drain: Callable[[], Awaitable[None]]
+        self, control: ControlPlane, role: Role, drain: Callable[[], Awaitable[None]]
     ) -> None:
         self.control = control
         self.role = role
@@ -70,16 +94,8 @@
             "service_head": follower.service_head,
             "members": [member_json(item) for item in self.control.directory.members.values()],
             "ready": self.role.is_ready(),
+            **self.role.status(),
         }
-        registrar = getattr(self.role, "registrar", None)
-        if registrar is not None:
-            body["heard_revisions"] = registrar.revisions
-        carrier = getattr(self.role, "carrier", None)
-        if carrier is not None:
-            body["progress"] = carrier.progress()
-        gate = getattr(self.role, "gate", None)
-        if gate is not None:
-            body["load"] = gate.load()
         return web.Response(body=msgspec.json.encode(body), content_type="application/json")
 
 
--- a/verbenaward/control.py
+++ b/verbenaward/control.py
@@ -51,19 +51,21 @@
     follower: ConfigurationFollower
     server: ControlServer
     heartbeats: HeartbeatSender
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine until the process ends; an unexpected end is logged."""
+        """Run a coroutine until it or the process ends; an unexpected end is logged."""
         task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         task.add_done_callback(report_end)
-        self.tasks.append(task)
 
     async def close(self) -> None:
         """Stop all tasks and close the connections."""
-        for task in self.tasks:
+        running = list(self.tasks)
+        for task in running:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
         await self.session.close()
 
 
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from pathlib import Path
-from typing import Annotated, Protocol
+from typing import Annotated
 
 import aiomisc
 import structlog
@@ -11,7 +11,7 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from .admin import AdminInterface
+from .admin import AdminInterface, Role
 from .configuration.settings import host_of, load_settings, port_of
 from .control import ControlPlane, build_control
 from .data import Fault
@@ -29,26 +29,6 @@
 application = typer.Typer(add_completion=False)
 
 
-class Role(Protocol):
-    """What a role offers to the daemon."""
-
-    def add_routes(self, app: web.Application) -> None:
-        """Add the routes of the role to an application."""
-        ...
-
-    def start(self) -> None:
-        """Start the tasks of the role."""
-        ...
-
-    def is_ready(self) -> bool:
-        """Return True where the process can serve."""
-        ...
-
-    async def drain(self) -> None:
-        """Take no new work and finish what runs."""
-        ...
-
-
 class DaemonService(aiomisc.Service):
     """Runs one role until the process is told to end."""
 
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import Any
 
 from aiohttp import web
 
@@ -164,6 +165,13 @@
             self.carrier.orders.note_state(None)
             self.control.heartbeats.wake()
 
+    def status(self) -> dict[str, Any]:
+        """Return what operators see besides the members."""
+        report: dict[str, Any] = {"load": self.gate.load()}
+        if self.carrier is not None:
+            report["progress"] = self.carrier.progress()
+        return report
+
     def is_ready(self) -> bool:
         """Return True where this process takes requests."""
         return not self.gate.closed and (not self.is_engine or bool(self.active_release()))
--- a/verbenaward/entry/role.py
+++ b/verbenaward/entry/role.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 import time
+from collections import Counter
+from typing import Any
 
 from aiohttp import web
 
+from .. import metrics
 from ..control import ControlPlane
 from ..data import Configuration
 from ..logs import get_logger
@@ -16,6 +19,7 @@
 from ..requests.poison import PoisonList
 from ..schema.messages import (
     Acknowledgement,
+    ConfigurationOffer,
     Crash,
     DirectorySummary,
     Gossip,
@@ -94,6 +98,16 @@
             await asyncio.sleep(SWEEP_SECONDS)
             self.control.directory.merge(self.control.own.member, time.monotonic())
             self.registrar.sweep(time.monotonic())
+            self.count_members()
+
+    def count_members(self) -> None:
+        """Set the gauge of known members."""
+        members = self.control.directory.members.values()
+        counts = Counter((item.kind, item.status) for item in members)
+        for kind in MemberKind:
+            for status in MemberStatus:
+                gauge = metrics.MEMBERS.labels(kind.value, status.value)
+                gauge.set(counts[kind, status])
 
     def is_watcher(self) -> bool:
         """Return True where this process is one of the few that watch the configuration."""
@@ -107,8 +121,11 @@
         for member in list(self.control.directory.members.values()):
             is_endpoint = member.kind is MemberKind.ENDPOINT
             if is_endpoint and self.registrar.is_responsible(member.vm):
-                push = call(self.control.session, member.address, offer, Acknowledgement)
-                self.control.start(discard_result(push))
+                self.control.start(self.push(member.address, offer))
+
+    async def push(self, address: str, offer: ConfigurationOffer) -> None:
+        """Offer a configuration to one process; where that fails its heartbeat asks for it."""
+        await call(self.control.session, address, offer, Acknowledgement)
 
     async def report_crash(self, crash: Crash) -> None:
         """Tell other entry processes about a crash before the caller can resend."""
@@ -121,6 +138,10 @@
         with contextlib.suppress(asyncio.TimeoutError):
             await wait_at_most(self.gossiper.push_wide(news), IMMEDIATE_REPORT_SECONDS)
 
+    def status(self) -> dict[str, Any]:
+        """Return what operators see besides the members."""
+        return {"heard_revisions": self.registrar.revisions}
+
     def is_ready(self) -> bool:
         """Return True where this process can serve callers."""
         return self.control.follower.configuration.revision > 0 and not self.state.leaving
@@ -138,8 +159,3 @@
         while time.monotonic() < limit and (self.front.in_flight or time.monotonic() < kept_until):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         LOG.info("drain.ended", in_flight=self.front.in_flight)
-
-
-async def discard_result(work: object) -> None:
-    """Wait for a call whose result does not matter."""
-    await work  # type: ignore[misc]
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -41,6 +41,7 @@
       done: True once the end of the stream was passed on.
       crashed: True where the last endpoint said that its backend crashed.
       last_at: Time of the last event, monotonic.
+      labels: Workspace and class, as the metrics name them.
     """
 
     response: web.StreamResponse | None = None
--- a/verbenaward/weights/server.py
+++ b/verbenaward/weights/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterator
 
 from aiohttp import web
 
@@ -12,7 +13,6 @@
 from .transfer import UPLOADS_HEADER
 
 MAXIMUM_UPLOADS = 4
-FAULTY_DIGEST = web.HTTPBadRequest
 
 
 class WeightServer:
@@ -80,7 +80,7 @@
         return web.Response(body=payload, headers=headers)
 
     @contextlib.contextmanager
-    def counted_upload(self):  # type: ignore[no-untyped-def]
+    def counted_upload(self) -> Iterator[None]:
         """Count an upload while it waits for its turn."""
         self.note_uploads(self.uploads + 1)
         try:
