--- a/tests/steps/session.py
+++ b/tests/steps/session.py
@@ -170,6 +170,8 @@
         await self.call("POST", path, b"{}", X_Request_Id="bad-3", X_Deadline_Ms="-1")
         await self.call("POST", path, b" " * 5_000_000, X_Request_Id="bad-4")
         await self.oversized_header(path)
+        await self.call("GET", "/v1/nothing", X_Request_Id="bad-6")
+        await self.call("GET", path, X_Request_Id="bad-7")
         await self.call("POST", "/v1/services/none/x", b"", X_Request_Id="bad-5")
         bad = self.folder / "bad.json"
         bad.write_text('{\n "format": 1,\n "releases": [{"role": "a"}],\n "colour": "red"\n}')
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -23,6 +23,7 @@
 from ..waiting import wait_at_most
 from .addresses import choose_addresses
 from .state import EntryState
+from .verdicts import add_verdicts
 
 START_LIMIT = 64.0
 MINIMUM_LIMIT = 1.0
@@ -59,6 +60,7 @@
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes to an application."""
+        app.middlewares.append(add_verdicts)
         app.router.add_get("/v1/addresses", self.addresses)
         app.router.add_post("/v1/chat/completions", self.serve_model)
         app.router.add_post("/v1/completions", self.serve_model)
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -29,6 +29,9 @@
 from .refusals import may_have_run, not_run, response_of
 from .retries import AttemptHistory, NextStep, next_step
 
+STREAMING = web.RequestKey("streaming", bool)
+"""Set on the HTTP request of a caller once its stream is open."""
+
 
 @dataclass(slots=True)
 class Delivered:
@@ -200,6 +203,7 @@
                 "Content-Type": answer.headers.get("Content-Type", "text/event-stream"),
             }
             response = web.StreamResponse(status=answer.status, headers=values)
+            caller[STREAMING] = True
             await response.prepare(caller)
             delivered.response = response
         return delivered.response
