Slow callers get a verdict in a time that the settings give

Cause: the wait for a body was a constant of 30 s that no test reached, and its refusal, like the one of a body that is too large, lacked the caller's request id.

--- a/tests/steps/session.py
+++ b/tests/steps/session.py
@@ -32,7 +32,14 @@
     context.folder = tempfile.TemporaryDirectory()
     origin = Path(context.folder.name)
     context.versions = [make_version(origin, f"v{index}", 200_000, index) for index in (1, 2)]
-    plan = ClusterPlan(entries=2, engines=3, services=1, origin_folder=origin, log_level="critical")
+    plan = ClusterPlan(
+        entries=2,
+        engines=3,
+        services=1,
+        origin_folder=origin,
+        entry={"read_seconds": 1.0},
+        log_level="critical",
+    )
 
     async def run():
         context.cluster = Cluster(plan)
@@ -170,6 +177,7 @@
         await self.call("POST", path, b"{}", X_Request_Id="bad-3", X_Deadline_Ms="-1")
         await self.call("POST", path, b" " * 5_000_000, X_Request_Id="bad-4")
         await self.oversized_header(path)
+        await self.slow_caller(path)
         await self.call("GET", "/v1/nothing", X_Request_Id="bad-6")
         await self.call("GET", path, X_Request_Id="bad-7")
         await self.call("POST", "/v1/services/none/x", b"", X_Request_Id="bad-5")
@@ -186,6 +194,17 @@
             text = await response.text()
             self.transcript.append(f"< {response.status} {'Traceback' not in text}")
 
+    async def slow_caller(self, path):
+        self.transcript.append(f"> POST {path} with 3 of 10 bytes, then silence")
+        host, _, port = self.entry.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = (f"POST {path} HTTP/1.1", "Host: x", "X-Request-Id: bad-8", "Content-Length: 10")
+        writer.write("\r\n".join([*lines, "", "{ }"]).encode())
+        answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+        writer.close()
+        kept = [line for line in answer.splitlines() if line.startswith(("HTTP", "X-"))]
+        self.transcript.append(f"< {', '.join(kept)}")
+
     async def drain(self):
         await self.ctl("drain", "engine-1", "--entry", self.entry)
         await self.ctl("drain", "entry-1", "--entry", self.entry)
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -14,7 +14,7 @@
 from ..requests.dispatch import Dispatcher
 from ..requests.fair_queue import FairQueue
 from ..requests.limits import AdaptiveLimit
-from ..requests.parse import is_name, parse_model_request, parse_service_request
+from ..requests.parse import parse_model_request, parse_service_request, request_id_of
 from ..requests.records import Answer, Request
 from ..requests.refusals import not_run, response_of
 from ..requests.streams import CallerGoneError, StreamRelay
@@ -27,7 +27,6 @@
 
 START_LIMIT = 64.0
 MINIMUM_LIMIT = 1.0
-READ_BODY_SECONDS = 30.0
 
 
 class Front:
@@ -81,7 +80,7 @@
         """Serve a call to a model."""
         body = await self.read_body(request)
         if isinstance(body, Refusal):
-            return response_of(body)
+            return response_of(body, request_id_of(request.headers))
         parsed = parse_model_request(
             request.path,
             request.headers,
@@ -96,7 +95,7 @@
         """Serve a call to a plain service."""
         body = await self.read_body(request)
         if isinstance(body, Refusal):
-            return response_of(body)
+            return response_of(body, request_id_of(request.headers))
         query = f"?{request.query_string}" if request.query_string else ""
         parsed = parse_service_request(
             request.method,
@@ -113,7 +112,7 @@
     async def read_body(self, request: web.Request) -> bytes | Refusal:
         """Return the body of a request, or why it is refused."""
         try:
-            return await wait_at_most(request.read(), READ_BODY_SECONDS)
+            return await wait_at_most(request.read(), self.settings.entry.read_seconds)
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.entry.max_body_bytes
             return not_run(413, "too-large", f"the body has more than {limit} bytes")
@@ -125,8 +124,7 @@
     ) -> web.StreamResponse:
         """Serve a parsed request and count it."""
         if not isinstance(parsed, Success):
-            named = caller.headers.get(headers.REQUEST_ID, "")
-            return response_of(parsed.failure(), named if is_name(named) else "")
+            return response_of(parsed.failure(), request_id_of(caller.headers))
         request = parsed.unwrap()
         self.in_flight += 1
         try:
--- a/verbenaward/entry/verdicts.py
+++ b/verbenaward/entry/verdicts.py
@@ -6,8 +6,7 @@
 
 from ..data import Refusal, Verdict
 from ..logs import get_logger
-from ..requests import headers
-from ..requests.parse import is_name
+from ..requests.parse import request_id_of
 from ..requests.refusals import not_run, response_of
 from ..requests.streams import STREAMING
 
@@ -26,8 +25,7 @@
     Returns:
       The response of the handler, or a refusal without any inner detail.
     """
-    named = request.headers.get(headers.REQUEST_ID, "")
-    request_id = named if is_name(named) else ""
+    request_id = request_id_of(request.headers)
     try:
         return await handler(request)
     except web.HTTPException as error:
--- a/verbenaward/requests/parse.py
+++ b/verbenaward/requests/parse.py
@@ -161,6 +161,12 @@
     return not_run(400, "malformed", message)
 
 
+def request_id_of(header_values: Mapping[str, str]) -> str:
+    """Return the request id that a caller gave, or an empty text where it gave none."""
+    named = header_values.get(headers.REQUEST_ID, "")
+    return named if is_name(named) else ""
+
+
 def is_name(text: str) -> bool:
     """Return True for a short printable text."""
     return 0 < len(text) <= MAXIMUM_NAME_CHARACTERS and text.isprintable()
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -43,6 +43,7 @@
     concurrency: int = 512
     queue: int = 2048
     max_body_bytes: int = 4194304
+    read_seconds: float = 30
     default_deadline_seconds: float = 60
     address_ttl_seconds: float = 30
     retry_budget_ratio: float = 0.1
