Faults of form and of sense are found together

Cause: names that stand twice, missing sections and wrong times were only reported once the schema was satisfied, so a file could need two rounds.

Change: these rules look at the parsed JSON, whatever its form, beside the schema.

--- a/tests/configuration/documents.feature
+++ b/tests/configuration/documents.feature
@@ -22,6 +22,11 @@
     When the settings "{"format": 2, "role": "chef", "vm": "", "x": 1}" is checked
     Then there are at least 5 faults
 
+  Scenario: Faults of form and of sense come together
+    When the manifest "{"format": 2, "releases": [], "workspaces": [{"name": "a"}, {"name": "a"}]}" is checked
+    Then a fault names "format" and says "1 was expected"
+    And a fault names "workspaces" and says "a stands twice"
+
   Scenario: Comments and a byte order mark are allowed
     When a settings file with comments and a byte order mark is checked
     Then it has no faults
--- a/tests/steps/configuration_documents.py
+++ b/tests/steps/configuration_documents.py
@@ -31,7 +31,7 @@
 def check(kind, payload):
     if kind == "manifest":
         return parse_manifest("test", payload)
-    return check_document("test", payload, "settings", Settings)
+    return check_document("test", payload, "settings", Settings, settings_faults)
 
 
 @when('the {kind} "{text}" is checked')
@@ -61,7 +61,6 @@
 @then("it has no faults")
 def check_none(context):
     assert not context.checked.faults, context.checked.faults
-    assert not settings_faults("test", context.checked.value)
 
 
 @when("a document of two million bytes is checked")
--- a/verbenaward/configuration/documents.py
+++ b/verbenaward/configuration/documents.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cache
 from pathlib import Path
@@ -15,6 +16,7 @@
 from ..data import Fault
 
 DocumentType = TypeVar("DocumentType")
+Rules = Callable[[str, Any], tuple[Fault, ...]]
 
 MAXIMUM_DOCUMENT_BYTES = 900_000
 MAXIMUM_MESSAGE_CHARACTERS = 300
@@ -29,8 +31,13 @@
     faults: tuple[Fault, ...]
 
 
+def no_rules(source: str, value: Any) -> tuple[Fault, ...]:
+    """Find no faults beyond those of the schema."""
+    return ()
+
+
 def read_document(
-    path: Path, schema_name: str, document_type: type[DocumentType]
+    path: Path, schema_name: str, document_type: type[DocumentType], rules: Rules = no_rules
 ) -> Checked[DocumentType]:
     """Read and check a file.
 
@@ -38,6 +45,8 @@
       path: The file.
       schema_name: Stem of the schema file, for example "settings".
       document_type: Generated class of the document.
+      rules: Finds faults that the schema cannot express in the parsed JSON, which may
+        have any form.
 
     Returns:
       The document, or all faults that were found.
@@ -47,11 +56,15 @@
     except OSError as error:
         fault = Fault(str(path), "", f"cannot be read: {error.strerror}", "check the path")
         return Checked(None, (fault,))
-    return check_document(str(path), payload, schema_name, document_type)
+    return check_document(str(path), payload, schema_name, document_type, rules)
 
 
 def check_document(
-    source: str, payload: bytes, schema_name: str, document_type: type[DocumentType]
+    source: str,
+    payload: bytes,
+    schema_name: str,
+    document_type: type[DocumentType],
+    rules: Rules = no_rules,
 ) -> Checked[DocumentType]:
     """Check the bytes of a document.
 
@@ -60,6 +73,8 @@
       payload: The bytes.
       schema_name: Stem of the schema file.
       document_type: Generated class of the document.
+      rules: Finds faults that the schema cannot express in the parsed JSON, which may
+        have any form.
 
     Returns:
       The document, or all faults that were found.
@@ -73,12 +88,24 @@
     except (ValueError, RecursionError) as error:
         hint = "a comma, quote or bracket may be missing, or the file may be cut off"
         return Checked(None, (Fault(source, "", f"is not JSON: {error}", hint),))
-    faults = schema_faults(source, text, value, schema_name)
+    faults = schema_faults(source, text, value, schema_name) + rules(source, value)
     if faults:
         return Checked(None, faults)
     return Checked(msgspec.convert(value, document_type), ())
 
 
+def items_at(value: Any, key: str) -> list[dict[str, Any]]:
+    """Return the objects in the list under a key of a value that may have any form."""
+    listed = value.get(key) if isinstance(value, dict) else None
+    return [item for item in listed if isinstance(item, dict)] if isinstance(listed, list) else []
+
+
+def object_at(value: Any, key: str) -> dict[str, Any]:
+    """Return the object under a key of a value that may have any form; empty for none."""
+    found = value.get(key) if isinstance(value, dict) else None
+    return found if isinstance(found, dict) else {}
+
+
 def parse_text(text: str) -> Any:
     """Parse JSON, with comments where there are any.
 
--- a/verbenaward/configuration/manifest.py
+++ b/verbenaward/configuration/manifest.py
@@ -9,7 +9,7 @@
 
 from ..data import Fault
 from ..schema.manifest import Artifact, Manifest, Release, Service
-from .documents import Checked, check_document, read_document
+from .documents import Checked, check_document, items_at, object_at, read_document
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,40 +23,32 @@
 
 def load_manifest(path: Path) -> Checked[Manifest]:
     """Read and check a manifest file."""
-    return with_manifest_faults(str(path), read_document(path, "manifest", Manifest))
+    return read_document(path, "manifest", Manifest, manifest_faults)
 
 
 def parse_manifest(source: str, payload: bytes) -> Checked[Manifest]:
     """Check the bytes of a manifest."""
-    checked = check_document(source, payload, "manifest", Manifest)
-    return with_manifest_faults(source, checked)
+    return check_document(source, payload, "manifest", Manifest, manifest_faults)
 
 
-def with_manifest_faults(source: str, checked: Checked[Manifest]) -> Checked[Manifest]:
-    """Add the faults that the schema cannot express."""
-    if checked.value is None:
-        return checked
-    faults = manifest_faults(source, checked.value)
-    return Checked(None if faults else checked.value, faults)
-
-
-def manifest_faults(source: str, manifest: Manifest) -> tuple[Fault, ...]:
-    """Return faults of names that stand twice."""
-    faults = []
+def manifest_faults(source: str, value: Any) -> tuple[Fault, ...]:
+    """Return faults of names that stand twice, in parsed JSON of any form."""
+    releases, services = items_at(value, "releases"), items_at(value, "services")
     named = {
-        "releases": [release.role for release in manifest.releases],
-        "services": [service.name for service in manifest.services],
-        "workspaces": [workspace.name for workspace in manifest.workspaces],
-        "models": [release.model.name for release in manifest.releases],
+        "releases": [item.get("role") for item in releases],
+        "services": [item.get("name") for item in services],
+        "workspaces": [item.get("name") for item in items_at(value, "workspaces")],
+        "models": [object_at(item, "model").get("name") for item in releases],
     }
+    faults = []
     for path, names in named.items():
-        for name in sorted({name for name in names if names.count(name) > 1}):
+        texts = [name for name in names if isinstance(name, str)]
+        for name in sorted({name for name in texts if texts.count(name) > 1}):
             faults.append(Fault(source, path, f"{name} stands twice", "remove one of them"))
-    roles = {release.role for release in manifest.releases}
-    for service in manifest.services:
-        if service.role in roles:
-            message = f"role {service.role} has a release and a service"
-            faults.append(Fault(source, f"services.{service.name}", message))
+    for item in services:
+        if isinstance(item.get("role"), str) and item["role"] in named["releases"]:
+            message = f"role {item['role']} has a release and a service"
+            faults.append(Fault(source, f"services.{item.get('name')}", message))
     return tuple(faults)
 
 
--- a/verbenaward/configuration/settings.py
+++ b/verbenaward/configuration/settings.py
@@ -1,10 +1,14 @@
 """Settings of a daemon."""
 
+from dataclasses import asdict
 from pathlib import Path
+from typing import Any
 
 from ..data import Fault
-from ..schema.settings import Settings
-from .documents import Checked, read_document
+from ..schema.settings import MembershipSettings, Settings
+from .documents import Checked, object_at, read_document
+
+DEFAULT_TIMES = asdict(MembershipSettings())
 
 
 def load_settings(path: Path) -> Checked[Settings]:
@@ -16,31 +20,35 @@
     Returns:
       The settings, or all faults that were found.
     """
-    checked = read_document(path, "settings", Settings)
-    if checked.value is None:
-        return checked
-    faults = settings_faults(str(path), checked.value)
-    return Checked(None if faults else checked.value, faults)
+    return read_document(path, "settings", Settings, settings_faults)
 
 
-def settings_faults(source: str, settings: Settings) -> tuple[Fault, ...]:
-    """Return the faults that the schema cannot express."""
+def settings_faults(source: str, value: Any) -> tuple[Fault, ...]:
+    """Return the faults that the schema cannot express, in parsed JSON of any form."""
+    if not isinstance(value, dict):
+        return ()
     faults = []
-    if settings.role == "endpoint" and settings.endpoint is None:
+    if value.get("role") == "endpoint" and "endpoint" not in value:
         message = "is missing; the endpoint role needs it"
         faults.append(Fault(source, "endpoint", message, "name the role it serves and its backend"))
-    if settings.role == "endpoint" and not settings.seeds:
+    if value.get("role") == "endpoint" and not value.get("seeds"):
         message = "is empty; an endpoint process finds the others through it"
         faults.append(Fault(source, "seeds", message, "give addresses of two or three entry VMs"))
-    membership = settings.membership
-    if membership.suspect_seconds < 2 * membership.heartbeat_seconds:
+    membership = {**DEFAULT_TIMES, **object_at(value, "membership")}
+    heartbeat, suspect = membership["heartbeat_seconds"], membership["suspect_seconds"]
+    if is_number(heartbeat) and is_number(suspect) and suspect < 2 * heartbeat:
         message = "must be at least two heartbeat intervals"
         faults.append(Fault(source, "membership.suspect_seconds", message))
-    if port_of(settings.listen) == 0:
+    if str(value.get("listen", "")).endswith(":0"):
         faults.append(Fault(source, "listen", "the port must not be 0"))
     return tuple(faults)
 
 
+def is_number(value: Any) -> bool:
+    """Return True for a JSON number."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def host_of(address: str) -> str:
     """Return the host of an address."""
     return address.rpartition(":")[0]
--- a/verbenaward/ctl/declarations.py
+++ b/verbenaward/ctl/declarations.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+import msgspec
+
 from ..configuration.documents import Checked
 from ..configuration.manifest import load_manifest, manifest_faults
 from ..data import Fault
@@ -29,7 +31,7 @@
     if faults:
         return Checked(None, faults)
     merged = merge([item.value for item in checked if item.value is not None])
-    faults = manifest_faults(str(path), merged)
+    faults = manifest_faults(str(path), msgspec.to_builtins(merged))
     return Checked(None if faults else merged, faults)
 
 
