--- a/tests/membership/directory.feature
+++ b/tests/membership/directory.feature
@@ -14,6 +14,11 @@
     When it sends a heartbeat and hears what is thought of it
     Then its next heartbeat makes it alive again
 
+  Scenario: Nothing is kept about replaced VMs
+    Given an entry process that hears one endpoint process
+    When 300 endpoint VMs come, go and are forgotten
+    Then nothing is kept about any of them
+
   Scenario: A process that was paused itself accuses nobody
     Given an entry process that hears one endpoint process
     When the entry process is paused for 60 seconds
--- a/tests/steps/membership_directory.py
+++ b/tests/steps/membership_directory.py
@@ -8,6 +8,7 @@
 from verbenaward.membership.directory import Directory
 from verbenaward.membership.own_record import OwnRecord
 from verbenaward.membership.registrar import Registrar
+from verbenaward.requests.endpoints import EndpointViews
 from verbenaward.schema.messages import Heartbeat, Member, MemberKind, MemberStatus
 from verbenaward.schema.settings import (
     EndpointSettings,
@@ -147,3 +148,37 @@
 def check_known(context):
     known = context.directory.members["e"]
     assert known.incarnation == context.endpoint.member.incarnation
+
+
+@when("{count:d} endpoint VMs come, go and are forgotten")
+def replace_many(context, count):
+    context.views = EndpointViews(context.directory)
+    for index in range(count):
+        member = dataclasses.replace(
+            context.endpoint.member,
+            vm=f"vm-{index}",
+            address=f"10.1.{index // 250}.{index % 250}:1",
+        )
+        context.virtual.run_until_complete(context.registrar.handle_heartbeat(Heartbeat(member)))
+        sweep_for(context, 0.5)
+        context.directory.mark(member.vm, MemberStatus.GONE, context.virtual.clock.now)
+    context.virtual.clock.now += 1000.0
+    sweep_for(context, 1.0)
+
+
+@then("nothing is kept about any of them")
+def check_nothing_kept(context):
+    registrar, directory = context.registrar, context.directory
+    tables = [
+        registrar.revisions,
+        registrar.responsible_for,
+        registrar.responsible_since,
+        registrar.suspect_since,
+        directory.members,
+        directory.changed_at,
+        directory.heard_at,
+        directory.bucket_of,
+        directory.gone_at,
+        context.views.views,
+    ]
+    assert all(len(table) <= 2 for table in tables), [len(table) for table in tables]
--- a/verbenaward/membership/registrar.py
+++ b/verbenaward/membership/registrar.py
@@ -121,6 +121,14 @@
         for vm, member in list(self.directory.members.items()):
             self.judge(vm, member, now)
         self.directory.forget_tombstones(now)
+        self.forget_unknown()
+
+    def forget_unknown(self) -> None:
+        """Drop what is kept about VMs that the directory has forgotten."""
+        kept = (self.responsible_since, self.suspect_since, self.revisions, self.responsible_for)
+        for table in kept:
+            for vm in [vm for vm in table if vm not in self.directory.members]:
+                del table[vm]
 
     def judge(self, vm: str, member: Member, now: float) -> None:
         """Judge one member."""
--- a/verbenaward/requests/endpoints.py
+++ b/verbenaward/requests/endpoints.py
@@ -5,7 +5,7 @@
 from ..data import Load
 from ..membership.directory import Directory
 from ..membership.ring import Ring
-from ..schema.messages import Member, MemberKind
+from ..schema.messages import Member, MemberKind, MemberStatus
 
 AVOID_SECONDS = 1.0
 MAXIMUM_AVOID_SECONDS = 8.0
@@ -91,7 +91,9 @@
         if member.kind is not MemberKind.ENDPOINT:
             return
         view = self.views.get(member.vm)
-        if view is None or view.member.incarnation != member.incarnation:
+        if member.status is MemberStatus.GONE:
+            self.views.pop(member.vm, None)
+        elif view is None or view.member.incarnation != member.incarnation:
             self.views[member.vm] = EndpointView(member)
         else:
             view.member = member
