--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -110,3 +110,40 @@
   files @3 :List(TableFile);
   hashes @4 :Data;
 }
+
+# What one entry process has in flight at one backend.
+struct BackendLoad {
+  backend @0 :UInt32;       # hash of the backend's id
+  running @1 :UInt16;       # requests sent and not ended
+  promptTokens @2 :UInt32;  # prompt tokens of those without a first event
+}
+
+# Sent by entry processes to each other, as one datagram.
+struct Pulse {
+  vm @0 :Text;
+  zone @1 :Text;
+  front @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  ready @5 :Bool;
+  leaving @6 :Bool;
+  revision @7 :UInt64;      # everything up to it is known there
+  loads @8 :List(BackendLoad);
+  crashes @9 :List(Crash);
+  entries @10 :List(Text);  # addresses of other entry processes
+}
+
+# One item of the platform's store, as an entry process hands it on.
+struct StoredItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  deleted @3 :Bool;
+}
+
+# What has changed after a revision, or everything.
+struct StoredItems {
+  revision @0 :UInt64;
+  complete @1 :Bool;        # true where keys that are missing do not exist
+  items @2 :List(StoredItem);
+}
--- a/verbenaward/configuration/settings.py
+++ b/verbenaward/configuration/settings.py
@@ -28,10 +28,11 @@
     if not isinstance(value, dict):
         return ()
     faults = []
-    if value.get("role") == "endpoint" and "endpoint" not in value:
+    is_direct = isinstance(value.get("direct"), dict)
+    if value.get("role") == "endpoint" and "endpoint" not in value and not is_direct:
         message = "is missing; the endpoint role needs it"
         faults.append(Fault(source, "endpoint", message, "name the role it serves and its backend"))
-    if value.get("role") == "endpoint" and not value.get("seeds"):
+    if value.get("role") == "endpoint" and not value.get("seeds") and not is_direct:
         message = "is empty; an endpoint process finds the others through it"
         faults.append(Fault(source, "seeds", message, "give addresses of two or three entry VMs"))
     membership = {**DEFAULT_TIMES, **object_at(value, "membership")}
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -1,107 +1,26 @@
-"""The daemon: one process with one role, as aiomisc services."""
+"""The daemon: one process with one role."""
 
-import logging
 import sys
 from pathlib import Path
 from typing import Annotated
 
-import aiomisc
-import structlog
 import typer
-from aiohttp import web
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from .admin import AdminInterface, Role
-from .configuration.settings import host_of, load_settings, port_of
-from .control import ControlPlane, build_control
+from .configuration.settings import load_settings
 from .data import Fault
-from .endpoint.role import EndpointRole
-from .entry.role import EntryRole
-from .logs import configure_logs, get_logger
+from .logs import configure_logs
 from .schema.settings import Settings
 
-LOG = get_logger(__name__)
 EXIT_BAD_SETTINGS = 2
-BACKLOG = 1024
-CONTROL_PREFIX = "/control/"
-MAXIMUM_HEADER_BYTES = 16 * 1024
 
 application = typer.Typer(add_completion=False)
 
 
-class DaemonService(aiomisc.Service):
-    """Runs one role until the process is told to end."""
-
-    settings: Settings
-
-    async def start(self) -> None:
-        """Listen and start the tasks of the role."""
-        structlog.contextvars.bind_contextvars(vm=self.settings.vm, role=self.settings.role)
-        self.drained = False
-        self.control = build_control(self.settings)
-        self.role = build_role(self.control)
-        self.runner = web.AppRunner(
-            self.build_application(),
-            access_log=None,
-            handler_cancellation=True,
-            max_line_size=MAXIMUM_HEADER_BYTES,
-            max_field_size=MAXIMUM_HEADER_BYTES,
-            shutdown_timeout=1.0,
-        )
-        await self.runner.setup()
-        host, port = host_of(self.settings.listen), port_of(self.settings.listen)
-        await web.TCPSite(self.runner, host, port, backlog=BACKLOG, reuse_address=True).start()
-        self.role.start()
-        LOG.info("daemon.started", listen=self.settings.listen)
-
-    def build_application(self) -> web.Application:
-        """Return the HTTP application of the process."""
-        app = web.Application(client_max_size=self.settings.entry.max_body_bytes)
-        self.control.server.add_routes(app)
-        self.role.add_routes(app)
-        AdminInterface(self.control, self.role, self.drain_once).add_routes(app)
-        app.router.add_get("/metrics", serve_metrics)
-        app.on_response_prepare.append(drop_needless_headers)
-        return app
-
-    async def drain_once(self) -> None:
-        """Drain the role; the second call returns at once."""
-        if not self.drained:
-            self.drained = True
-            await self.role.drain()
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Drain, then stop."""
-        await self.drain_once()
-        await self.runner.cleanup()
-        await self.control.close()
-        LOG.info("daemon.stopped")
-
-
-def build_role(control: ControlPlane) -> Role:
-    """Return the role that the settings name."""
-    if control.settings.role == "entry":
-        return EntryRole(control)
-    if control.settings.endpoint is None:
-        raise ValueError("the endpoint role needs endpoint settings")
-    return EndpointRole(control, control.settings.endpoint)
-
-
-async def drop_needless_headers(request: web.Request, response: web.StreamResponse) -> None:
-    """Leave out headers that control messages do not need."""
-    if request.path.startswith(CONTROL_PREFIX):
-        for name in ("Date", "Server", "Content-Type"):
-            response.headers.popall(name, None)
-
-
-async def serve_metrics(request: web.Request) -> web.Response:
-    """Answer the metrics of the process."""
-    return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
-
-
 @application.command()
 def main(
-    settings_file: Annotated[Path, typer.Argument(help="Settings: JSON with comments.")],
+    settings_file: Annotated[
+        Path, typer.Argument(help="Settings: JSON with comments.", envvar="VERBENAWARD_BOOT")
+    ],
     log_level: Annotated[str, typer.Option(help="Lowest level that is logged.")] = "info",
 ) -> None:
     """Run a verbenaward daemon."""
@@ -124,21 +43,21 @@
 
 
 def run(settings: Settings, log_level: str) -> None:
-    """Run a daemon until it is told to end.
+    """Run a daemon until it is told to end; only what its role needs is imported.
 
     Args:
       settings: Checked settings.
       log_level: Lowest level that is logged.
     """
     configure_logs(log_level)
-    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
-    service = DaemonService(settings=settings)
-    with aiomisc.entrypoint(
-        service,
-        log_config=False,
-        shutdown_timeout=settings.shutdown_seconds + settings.entry.address_ttl_seconds,
-    ) as loop:
-        loop.run_forever()
+    if settings.direct is not None:
+        from .direct.service import run as run_direct
+
+        run_direct(settings, settings.direct.grace_seconds)
+        return
+    from .service import run as run_before_backends
+
+    run_before_backends(settings)
 
 
 def run_from_command_line() -> None:
--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -93,3 +93,181 @@
     running: int = 0
     queued: int = 0
     limit: int = 1
+
+
+class RouteKind(StrEnum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """Share of a route's requests that goes to one service."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route of the configuration.
+
+    Attributes:
+      name: Name of the route.
+      host: Host that requests name.
+      prefix: Beginning of the paths; it starts and ends with a slash.
+      kind: What may be repeated.
+      shares: Services behind it.
+      timeout_seconds: Longest time that a request may be kept waiting; 0 for no bound.
+      target_seconds: Time to the answer, or to the first event, that is worth the most.
+      gap_seconds: Longest pause between two events that is still on time; 0 where unknown.
+      priority: Rank; 0 is the most urgent.
+      attempts: Backends that one request may be sent to.
+      is_public: True where no key is needed.
+      is_resumable: True where a broken stream may go on at another backend.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_seconds: float
+    target_seconds: float
+    gap_seconds: float
+    priority: int
+    attempts: int
+    is_public: bool
+    is_resumable: bool
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return True where a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """What a service declares about its engines.
+
+    Attributes:
+      slots: Requests that run at once.
+      step_seconds: Time of a token step with nothing to do.
+      sequence_seconds: What each running request adds to it.
+      read_tokens_per_second: Rate at which prompts are read.
+      steps_per_event: Token steps of a pass, which is one event of a stream.
+      usual_prompt_tokens: Mean prompt.
+      usual_answer_tokens: Mean answer.
+      models: Names of the models.
+      chunk_count: Chunks of one version of the weights.
+      chunk_bytes: Size of a chunk.
+    """
+
+    slots: int
+    step_seconds: float
+    sequence_seconds: float
+    read_tokens_per_second: float
+    steps_per_event: int
+    usual_prompt_tokens: float
+    usual_answer_tokens: float
+    models: tuple[str, ...]
+    chunk_count: int
+    chunk_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceDeclaration:
+    """A service of the configuration.
+
+    Attributes:
+      name: Name of the service.
+      engine: What its engines are like; None for a plain service.
+      origin: Address of the origin of weights; empty where the service is none.
+      zone: Availability zone of the origin.
+    """
+
+    name: str
+    engine: EngineModel | None
+    origin: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceDeclaration:
+    """A workspace with its keys; a priority goes before that of the route."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take."""
+
+    max_body_bytes: int = 4 * 1024 * 1024
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfiguration:
+    """Routes, services and workspaces that are in force together.
+
+    Attributes:
+      version: Version that the operator gave it.
+      revision: Revision of the store at which it was accepted.
+    """
+
+    version: int
+    revision: int
+    routes: tuple[Route, ...]
+    services: tuple[ServiceDeclaration, ...]
+    workspaces: tuple[WorkspaceDeclaration, ...]
+    limits: CallerLimits
+
+
+@dataclass(frozen=True, slots=True)
+class HeldWeights:
+    """Version of a model's weights that a backend holds whole."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One incarnation of a backend, as it registered itself.
+
+    Attributes:
+      identity: Name of the incarnation.
+      service: Service that it belongs to.
+      address: Where it takes requests.
+      zone: Its availability zone.
+      slots: Requests that run at once.
+      is_leaving: True where it takes no new work.
+      weights: Whole weights that it holds; None where it does not speak of weights.
+      born_unix_ms: When it was started; 0 where unknown.
+      revision: Revision of its last change.
+    """
+
+    identity: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_leaving: bool
+    weights: tuple[HeldWeights, ...] | None
+    born_unix_ms: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """Version of a model's weights that the operator wants everywhere."""
+
+    model: str
+    version: int
+    revision: int
--- /dev/null
+++ b/verbenaward/direct/backends.py
@@ -0,0 +1,149 @@
+"""What an entry process believes about backends."""
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..data import Backend, EngineModel
+
+SUSPECT_SECONDS = 1.5
+"""Time for which a backend that did not answer is passed over."""
+LONGEST_SUSPECT_SECONDS = 6.0
+FULL_SECONDS = 0.15
+"""Time for which a backend that said it is full is passed over."""
+REMOTE_SECONDS = 1.5
+"""Age at which what another entry process said about its load counts no more."""
+FAILURE_SMOOTHING = 0.2
+SLOWNESS_SMOOTHING = 0.15
+FASTEST = 0.7
+SLOWEST = 20.0
+
+
+def identity_hash(identity: str) -> int:
+    """Return the short name of a backend in messages about load."""
+    return zlib.crc32(identity.encode())
+
+
+@dataclass(slots=True)
+class RemoteLoad:
+    """Load that another entry process put on a backend, and when that was heard."""
+
+    running: int
+    prompt_tokens: int
+    heard_at: float
+
+
+@dataclass(slots=True, eq=False)
+class BackendView:
+    """One backend as an entry process sees it.
+
+    Attributes:
+      backend: Its registration.
+      running: Own requests that were sent and have not ended.
+      prompt_tokens: Prompt tokens of those that have no first event yet.
+      remote: Load of other entry processes by their name.
+      passed_over_until: Time until which it gets nothing unless no other is left.
+      failures_in_a_row: Attempts since the last good one that found it dead or silent.
+      failure_share: Smoothed share of attempts that failed.
+      slowness: Smoothed ratio of the time to the first event to the expected one.
+      gone_at: When its registration lapsed in an outage of the store; 0 while it stands.
+    """
+
+    backend: Backend
+    running: int = 0
+    prompt_tokens: int = 0
+    remote: dict[str, RemoteLoad] = field(default_factory=dict)
+    passed_over_until: float = 0.0
+    failures_in_a_row: int = 0
+    failure_share: float = 0.0
+    slowness: float = 1.0
+    gone_at: float = 0.0
+
+    def all_running(self, now: float) -> int:
+        """Return the requests of all entry processes that it has."""
+        return self.running + sum(load.running for load in self.fresh_remote(now))
+
+    def all_prompt_tokens(self, now: float) -> int:
+        """Return the prompt tokens that it has still to read."""
+        return self.prompt_tokens + sum(load.prompt_tokens for load in self.fresh_remote(now))
+
+    def fresh_remote(self, now: float) -> Iterable[RemoteLoad]:
+        """Return the loads that other entry processes have told lately."""
+        return [load for load in self.remote.values() if now - load.heard_at < REMOTE_SECONDS]
+
+    def note_started(self, prompt_tokens: int) -> None:
+        """Count a request that is sent."""
+        self.running += 1
+        self.prompt_tokens += prompt_tokens
+
+    def note_read(self, prompt_tokens: int) -> None:
+        """Count a prompt that has been read, or will not be."""
+        self.prompt_tokens -= prompt_tokens
+
+    def note_ended(self) -> None:
+        """Count a request that has ended."""
+        self.running -= 1
+
+    def note_good(self) -> None:
+        """Learn from an answer."""
+        self.failures_in_a_row = 0
+        self.failure_share *= 1 - FAILURE_SMOOTHING
+
+    def note_slowness(self, ratio: float) -> None:
+        """Learn how long the first event took, against what was expected."""
+        bounded = min(SLOWEST, max(FASTEST, ratio))
+        self.slowness += SLOWNESS_SMOOTHING * (bounded - self.slowness)
+
+    def note_failure(self) -> None:
+        """Learn from an attempt that failed though the backend was there."""
+        self.failure_share += FAILURE_SMOOTHING * (1 - self.failure_share)
+
+    def note_silent(self, now: float) -> None:
+        """Learn that it could not be reached or fell silent."""
+        self.note_failure()
+        pause = min(LONGEST_SUSPECT_SECONDS, SUSPECT_SECONDS * 2**self.failures_in_a_row)
+        self.failures_in_a_row += 1
+        self.passed_over_until = max(self.passed_over_until, now + pause)
+
+    def note_full(self, now: float) -> None:
+        """Learn that it had no room."""
+        self.passed_over_until = max(self.passed_over_until, now + FULL_SECONDS)
+
+    def version_of(self, model: str) -> int:
+        """Return the version of a model that it holds; 0 for none."""
+        held = self.backend.weights or ()
+        return max((item.version for item in held if item.model == model), default=0)
+
+
+def first_event_seconds(
+    view: BackendView, engine: EngineModel, prompt_tokens: int, now: float
+) -> float:
+    """Return when the first event of a request may be expected at a backend.
+
+    The engine reads prompts between passes of token steps. A request waits for a place if all
+    are taken, then for the pass in progress, then until all prompts before its own are read.
+
+    Args:
+      view: The backend.
+      engine: What its service declares about it.
+      prompt_tokens: Prompt of the request.
+      now: Present time, monotonic, in seconds.
+    """
+    running = view.all_running(now)
+    places = max(1, view.backend.slots)
+    busy = min(running, places)
+    step = engine.step_seconds + engine.sequence_seconds * busy
+    one_pass = step * engine.steps_per_event
+    reading = (view.all_prompt_tokens(now) + prompt_tokens) / engine.read_tokens_per_second
+    waiting = max(0, running + 1 - places)
+    seconds = reading + one_pass * (1.5 if running else 1.0)
+    if waiting:
+        seconds += waiting * residence_seconds(engine, places) / places
+    return seconds * view.slowness
+
+
+def residence_seconds(engine: EngineModel, places: int) -> float:
+    """Return how long a request of usual size keeps its place on a full engine."""
+    step = engine.step_seconds + engine.sequence_seconds * places
+    reading = engine.usual_prompt_tokens / engine.read_tokens_per_second
+    return engine.usual_answer_tokens * step + places * reading
--- /dev/null
+++ b/verbenaward/direct/chunks.py
@@ -0,0 +1,226 @@
+"""Chunks of weights that entry processes draw from the origin and hand on.
+
+Entry VMs have wide links and endpoint VMs thin ones. Each chunk has one home, by rendezvous
+hashing over the entry processes in the region of the origin; it alone draws from the origin.
+In every other region one entry process fetches from the home and serves the region.
+"""
+
+import asyncio
+import hashlib
+import time
+from collections import OrderedDict
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from .. import metrics
+from ..data import ServiceDeclaration
+from ..logs import get_logger
+from ..membership.ring import rendezvous_order
+from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
+from ..schema.settings import Settings
+from .entries import Entries
+from .fleet import Fleet
+
+LOG = get_logger(__name__)
+CHUNK_PATH = "/weights/{model}/{version}/{index}"
+MANIFEST_PATH = "/weights/{model}/{version}"
+ORIGIN_SECONDS = 3.0
+PEER_SECONDS = 1.5
+ORIGIN_DRAWS = 3
+ATTEMPTS = 4
+PAUSE_SECONDS = 0.05
+MEMORY_BYTES = 12 * 1024 * 1024
+DIGEST_BYTES = 32
+
+Key = tuple[str, int, int]
+MANIFEST_INDEX = -1
+
+
+class ChunkRelay:
+    """Hands chunks and manifests on; each is fetched once, however many ask.
+
+    Attributes:
+      memory: Chunks by model, version and index; the least used go first.
+    """
+
+    def __init__(
+        self, settings: Settings, fleet: Fleet, entries: Entries, session: aiohttp.ClientSession
+    ) -> None:
+        self.settings = settings
+        self.fleet = fleet
+        self.entries = entries
+        self.session = session
+        self.memory: OrderedDict[Key, bytes] = OrderedDict()
+        self.size = 0
+        self.fetching: dict[Key, asyncio.Task[bytes | None]] = {}
+        self.draws = asyncio.Semaphore(ORIGIN_DRAWS)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes to an application."""
+        app.router.add_get(MANIFEST_PATH, self.serve)
+        app.router.add_get(CHUNK_PATH, self.serve)
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answer a chunk or a manifest, as the digests in order."""
+        try:
+            version = int(request.match_info["version"])
+            index = int(request.match_info.get("index", MANIFEST_INDEX))
+        except ValueError:
+            return web.Response(status=400)
+        body = await self.get((request.match_info["model"], version, index))
+        if body is None:
+            return web.Response(status=503)
+        return web.Response(body=body)
+
+    async def get(self, key: Key) -> bytes | None:
+        """Return a checked chunk, or the digests of a version; None where it is not to be had."""
+        known = self.memory.get(key)
+        if known is not None:
+            self.memory.move_to_end(key)
+            return known
+        task = self.fetching.get(key)
+        if task is None:
+            task = self.fetching[key] = asyncio.create_task(self.fetch(key))
+            task.add_done_callback(lambda _: self.fetching.pop(key, None))
+        return await asyncio.shield(task)
+
+    async def fetch(self, key: Key) -> bytes | None:
+        """Fetch a chunk and keep it."""
+        digest = await self.digest_of(key)
+        if digest is None:
+            return None
+        for attempt in range(ATTEMPTS):
+            result = await self.fetch_once(key, attempt)
+            if isinstance(result, Success):
+                body = result.unwrap()
+                if not digest or hashlib.sha256(body).digest() == digest:
+                    self.keep(key, body)
+                    return body
+                metrics.CHUNKS.labels("corrupt").inc()
+                LOG.warning("chunk.corrupt", model=key[0], version=key[1], index=key[2])
+            else:
+                LOG.warning("chunk.failed", index=key[2], error=result.failure()[:150])
+            await asyncio.sleep(PAUSE_SECONDS)
+        return None
+
+    async def digest_of(self, key: Key) -> bytes | None:
+        """Return the digest of a chunk; empty for a manifest, None where it is unknown."""
+        model, version, index = key
+        if index == MANIFEST_INDEX:
+            return b""
+        digests = await self.get((model, version, MANIFEST_INDEX))
+        if digests is None or not 0 <= index < len(digests) // DIGEST_BYTES:
+            return None
+        return digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES]
+
+    async def fetch_once(self, key: Key, attempt: int) -> Result[bytes, str]:
+        """Ask the home of a chunk, or the origin where this process is the home."""
+        origin = self.origin()
+        if origin is None:
+            return Failure("no origin is declared")
+        home = self.home_of(key, origin, attempt)
+        if home == self.settings.listen:
+            return await self.draw(key, origin)
+        model, version, index = key
+        path = f"/weights/{model}/{version}" + ("" if index == MANIFEST_INDEX else f"/{index}")
+        return await self.ask(f"http://{home}{path}")
+
+    def origin(self) -> ServiceDeclaration | None:
+        """Return the service that is the origin of weights."""
+        table = self.fleet.table
+        if table is None:
+            return None
+        return next((item for item in table.configuration.services if item.origin), None)
+
+    def home_of(self, key: Key, origin: ServiceDeclaration, attempt: int) -> str:
+        """Return the control address of the entry process that draws a chunk.
+
+        Further attempts go to the next processes in order, the last to the origin itself.
+        """
+        if attempt == ATTEMPTS - 1:
+            return self.settings.listen
+        direct = self.settings.direct
+        assert direct is not None
+        region = direct.zones.get(origin.zone, "")
+        now = time.monotonic()
+        homes = [
+            peer.control
+            for peer in self.entries.peers.values()
+            if peer.pulse is not None
+            and peer.is_alive(now)
+            and peer.pulse.ready
+            and direct.zones.get(peer.pulse.zone) == region
+        ]
+        if direct.zones.get(self.settings.zone) == region:
+            homes.append(self.settings.listen)
+        if not homes:
+            return self.settings.listen
+        order = rendezvous_order(f"{key[0]}/{key[1]}/{key[2]}", homes)
+        return order[attempt % len(order)]
+
+    async def draw(self, key: Key, origin: ServiceDeclaration) -> Result[bytes, str]:
+        """Draw a chunk or a manifest from the origin."""
+        model, version, index = key
+        async with self.draws:
+            if index == MANIFEST_INDEX:
+                manifest = await fetch_manifest(self.session, origin.origin, model, version)
+                return manifest.bind(lambda found: digests_of(found, model, version))
+            result = await fetch_chunk(
+                self.session, origin.origin, model, version, index, ORIGIN_SECONDS
+            )
+        if isinstance(result, Success):
+            metrics.WEIGHT_BYTES.labels("origin").inc(len(result.unwrap()))
+        return result
+
+    async def ask(self, url: str) -> Result[bytes, str]:
+        """Ask another entry process."""
+        timeout = aiohttp.ClientTimeout(total=PEER_SECONDS)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                body = await response.read()
+                if response.status != 200:
+                    return Failure(f"{url}: status {response.status}")
+                metrics.WEIGHT_BYTES.labels("entry").inc(len(body))
+                return Success(body)
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            return Failure(f"{url}: {type(error).__name__} {error}")
+
+    def keep(self, key: Key, body: bytes) -> None:
+        """Keep a chunk within the bound of memory."""
+        self.memory[key] = body
+        self.size += len(body)
+        while self.size > MEMORY_BYTES:
+            _, dropped = self.memory.popitem(last=False)
+            self.size -= len(dropped)
+
+
+def digests_of(manifest: WeightsManifest, model: str, version: int) -> Result[bytes, str]:
+    """Return the digests of the manifest that was asked for, in order."""
+    if (manifest.model, manifest.version) != (model, version):
+        return Failure("the origin sent another manifest")
+    if not manifest.digests or any(len(item) != DIGEST_BYTES for item in manifest.digests):
+        return Failure("the manifest has no digests")
+    return Success(b"".join(manifest.digests))
+
+
+def holder_order(
+    controls: dict[str, str], own_zone: str, regions: dict[str, str], key: str
+) -> list[str]:
+    """Return entry processes in the order in which an endpoint asks them for a chunk.
+
+    Args:
+      controls: Availability zone of each control address.
+      own_zone: Zone of the endpoint.
+      regions: Region of each zone.
+      key: Name of the chunk.
+    """
+
+    def distance(control: str) -> int:
+        zone = controls[control]
+        if regions.get(zone) != regions.get(own_zone):
+            return 2
+        return int(zone != own_zone)
+
+    return sorted(rendezvous_order(key, controls), key=distance)
--- /dev/null
+++ b/verbenaward/direct/entries.py
@@ -0,0 +1,299 @@
+"""The other entry processes: who they are, which load they have and what they know."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..configuration.settings import host_of, port_of
+from ..knowledge.items import ItemView
+from ..logs import get_logger
+from ..platform.key_value import KeyValueEntry
+from ..platform.names import ENTRY_PREFIX
+from ..schema.messages import BackendLoad, Pulse
+from ..schema.settings import Settings
+from ..wire.codec import MalformedMessageError, decode, encode
+from .backends import RemoteLoad, identity_hash
+from .fleet import Fleet
+from .poison import Crashes
+
+LOG = get_logger(__name__)
+ALIVE_SECONDS = 1.2
+"""Silence after which an entry process is not named to callers any more."""
+FORGET_SECONDS = 30.0
+IDLE_PULSE_SECONDS = 0.3
+QUICKEST_PULSE_SECONDS = 0.02
+DATAGRAM_OVERHEAD_BYTES = 28
+NAMED_ENTRIES = 8
+MOST_TARGETS = 16
+"""Entry processes that get one pulse, drawn anew each time."""
+
+
+class EntryRecord(msgspec.Struct, frozen=True):
+    """What an entry process writes about itself to the store."""
+
+    vm: str
+    zone: str
+    front: str
+    control: str
+
+
+def zone_of_record(value: bytes) -> str:
+    """Return the availability zone in the record of an entry process; empty where unreadable."""
+    try:
+        return msgspec.json.decode(value, type=EntryRecord).zone
+    except msgspec.DecodeError:
+        return ""
+
+
+@dataclass(slots=True)
+class EntryPeer:
+    """Another entry process.
+
+    Attributes:
+      control: Address for other processes.
+      registered: True while the store names it.
+      pulse: Its last message; None before the first.
+      heard_at: When that came.
+    """
+
+    control: str
+    registered: bool = False
+    pulse: Pulse | None = None
+    heard_at: float = 0.0
+
+    def is_alive(self, now: float) -> bool:
+        """Return True where it was heard lately."""
+        return self.pulse is not None and now - self.heard_at < ALIVE_SECONDS
+
+
+class Entries:
+    """Sends pulses to the other entry processes and takes theirs.
+
+    Attributes:
+      settings: Settings of the process.
+      peers: Other entry processes by their control address.
+      is_ready: Tells whether this process takes requests.
+      leaving: True once this process has been told to end.
+      heard_revision: Called with the revision that another process knows.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: ItemView,
+        fleet: Fleet,
+        crashes: Crashes,
+        is_ready: Callable[[], bool],
+        heard_revision: Callable[[int], None],
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.fleet = fleet
+        self.crashes = crashes
+        self.is_ready = is_ready
+        self.heard_revision = heard_revision
+        self.leaving = False
+        self.peers: dict[str, EntryPeer] = {}
+        self.incarnation = time.time_ns()
+        self.sequence = 0
+        self.transport: asyncio.DatagramTransport | None = None
+        self.changed = asyncio.Event()
+        self.rng = random.Random()
+        self.pulse_bytes = 200
+        port = port_of(settings.listen)
+        for seed in settings.seeds:
+            self.peer(f"{host_of(seed)}:{port}")
+        view.listeners.append(self.take_item)
+
+    def peer(self, control: str) -> EntryPeer | None:
+        """Return the entry process at an address; None for this one."""
+        if control == self.settings.listen:
+            return None
+        return self.peers.setdefault(control, EntryPeer(control))
+
+    def take_item(self, entry: KeyValueEntry, now: float) -> None:
+        """Take the record of an entry process from the store."""
+        if not entry.key.startswith(ENTRY_PREFIX):
+            return
+        control = entry.key.removeprefix(ENTRY_PREFIX)
+        if control == self.settings.listen:
+            return
+        if entry.value:
+            found = self.peer(control)
+            assert found is not None
+            found.registered = True
+        elif control in self.peers:
+            self.peers[control].registered = False
+
+    def own_record(self) -> bytes:
+        """Return what this process writes about itself to the store."""
+        direct = self.settings.direct
+        assert direct is not None
+        record = EntryRecord(
+            self.settings.vm, self.settings.zone, direct.front, self.settings.listen
+        )
+        return msgspec.json.encode(record)
+
+    async def open(self) -> None:
+        """Listen for pulses."""
+        loop = asyncio.get_running_loop()
+        host, port = host_of(self.settings.listen), port_of(self.settings.listen)
+        made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        made.setblocking(False)
+        made.bind((host, port))
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: PulseProtocol(self), sock=made
+        )
+
+    def close(self) -> None:
+        """Stop to listen."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def note_change(self) -> None:
+        """Note that the own load has changed."""
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Send pulses until cancelled: after each change, and when nothing changes."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_PULSE_SECONDS):
+                    await self.changed.wait()
+            self.changed.clear()
+            self.send(time.monotonic())
+            await asyncio.sleep(self.gap_seconds())
+
+    def gap_seconds(self) -> float:
+        """Return the time between two pulses that keeps to the allowed rate."""
+        direct = self.settings.direct
+        assert direct is not None
+        targets = min(MOST_TARGETS, max(1, len(self.peers)))
+        rate = direct.pulse_bytes_per_second
+        return max(QUICKEST_PULSE_SECONDS, targets * self.pulse_bytes / rate)
+
+    def send(self, now: float) -> None:
+        """Send one pulse to the other entry processes."""
+        self.forget(now)
+        if self.transport is None or not self.peers:
+            return
+        payload = encode(self.pulse(now))
+        self.pulse_bytes = len(payload) + DATAGRAM_OVERHEAD_BYTES
+        targets = list(self.peers)
+        if len(targets) > MOST_TARGETS:
+            targets = self.rng.sample(targets, MOST_TARGETS)
+        for control in targets:
+            self.transport.sendto(payload, (host_of(control), port_of(control)))
+
+    def pulse(self, now: float) -> Pulse:
+        """Return the message of this moment."""
+        direct = self.settings.direct
+        assert direct is not None
+        self.sequence += 1
+        alive = [peer.control for peer in self.peers.values() if peer.is_alive(now)]
+        named = alive if len(alive) <= NAMED_ENTRIES else self.rng.sample(alive, NAMED_ENTRIES)
+        return Pulse(
+            vm=self.settings.vm,
+            zone=self.settings.zone,
+            front=direct.front,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            ready=self.is_ready() and not self.leaving,
+            leaving=self.leaving,
+            revision=self.view.revision,
+            loads=tuple(
+                BackendLoad(identity_hash(identity), view.running, max(0, view.prompt_tokens))
+                for identity, view in self.fleet.backends.items()
+                if view.running
+            ),
+            crashes=self.crashes.to_tell(now),
+            entries=tuple(named) if self.sequence % 16 == 1 else (),
+        )
+
+    def take(self, payload: bytes, source: tuple[str, int], now: float) -> None:
+        """Take a pulse of another entry process."""
+        try:
+            pulse = decode(Pulse, payload)
+        except MalformedMessageError as error:
+            LOG.warning("pulse.malformed", source=source[0], error=str(error)[:100])
+            return
+        peer = self.peer(f"{source[0]}:{source[1]}")
+        if peer is None:
+            return
+        known = peer.pulse
+        if known is not None:
+            if (pulse.incarnation, pulse.sequence) <= (known.incarnation, known.sequence):
+                return
+            if known.ready != pulse.ready:
+                LOG.info("entry.changed", entry=pulse.vm, ready=pulse.ready)
+        else:
+            LOG.info("entry.heard", entry=pulse.vm, ready=pulse.ready)
+        peer.pulse = pulse
+        peer.heard_at = now
+        for control in pulse.entries:
+            self.peer(control)
+        self.crashes.take(pulse.crashes, now)
+        self.take_loads(pulse, now)
+        self.heard_revision(pulse.revision)
+
+    def take_loads(self, pulse: Pulse, now: float) -> None:
+        """Take the load that another entry process has put on backends."""
+        loads = {load.backend: load for load in pulse.loads}
+        for identity, view in self.fleet.backends.items():
+            load = loads.get(identity_hash(identity))
+            if load is not None:
+                view.remote[pulse.vm] = RemoteLoad(load.running, load.prompt_tokens, now)
+            else:
+                view.remote.pop(pulse.vm, None)
+
+    def forget(self, now: float) -> None:
+        """Forget entry processes that neither the store names nor anybody has heard."""
+        seeds = {f"{host_of(seed)}" for seed in self.settings.seeds}
+        gone = [
+            peer.control
+            for peer in self.peers.values()
+            if not peer.registered
+            and peer.heard_at
+            and now - peer.heard_at > FORGET_SECONDS
+            and host_of(peer.control) not in seeds
+        ]
+        for control in gone:
+            del self.peers[control]
+
+    def ready_peers(self, now: float) -> list[Pulse]:
+        """Return the last messages of the entry processes that take requests."""
+        return [
+            peer.pulse
+            for peer in self.peers.values()
+            if peer.pulse is not None and peer.is_alive(now) and peer.pulse.ready
+        ]
+
+    def ahead(self, revision: int, now: float) -> list[str]:
+        """Return the control addresses of processes that know more than a revision."""
+        found = [
+            peer.control
+            for peer in self.peers.values()
+            if peer.pulse is not None and peer.is_alive(now) and peer.pulse.revision > revision
+        ]
+        self.rng.shuffle(found)
+        return found
+
+
+class PulseProtocol(asyncio.DatagramProtocol):
+    """Hands datagrams on."""
+
+    def __init__(self, entries: Entries) -> None:
+        self.entries = entries
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram."""
+        self.entries.take(data, addr, time.monotonic())
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over a refused datagram: the other process is not there now."""
--- /dev/null
+++ b/verbenaward/direct/fleet.py
@@ -0,0 +1,176 @@
+"""The state that an entry process derives from the items of the store."""
+
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from ..data import Backend, NamedVersion, Route
+from ..knowledge.items import ItemView
+from ..logs import get_logger
+from ..platform.declarations import backend_of, configuration_of, named_version_of
+from ..platform.key_value import KeyValueEntry
+from ..platform.names import BACKEND_PREFIX, CONFIGURATION_KEY, VERSION_PREFIX
+from .backends import BackendView
+from .routes import RouteTable, table_of
+
+LOG = get_logger(__name__)
+LAPSE_SECONDS = 2.0
+"""Time for which a backend stays in use whose registration lapsed in an outage of the store."""
+OUTAGE_MEMORY_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeardVersion:
+    """A named version of weights and when it was heard."""
+
+    named: NamedVersion
+    heard_at: float
+
+
+class Fleet:
+    """Configuration, backends and versions of weights, as this process believes them.
+
+    Attributes:
+      table: Routes in force; None before a configuration is known.
+      backends: Views by identity.
+      by_service: Views by service.
+      versions: Named version of each model.
+      store_lost_at: When a call to the store last failed; 0 for never.
+    """
+
+    def __init__(self, view: ItemView) -> None:
+        self.table: RouteTable | None = None
+        self.backends: dict[str, BackendView] = {}
+        self.by_service: dict[str, list[BackendView]] = {}
+        self.versions: dict[str, HeardVersion] = {}
+        self.store_lost_at = 0.0
+        view.listeners.append(self.take)
+
+    def take(self, entry: KeyValueEntry, now: float) -> None:
+        """Take a changed item of the store.
+
+        Args:
+          entry: The item; deleted where its value is empty.
+          now: Present time, monotonic, in seconds.
+        """
+        if entry.key == CONFIGURATION_KEY:
+            self.take_configuration(entry)
+        elif entry.key.startswith(BACKEND_PREFIX):
+            self.take_backend(entry, now)
+        elif entry.key.startswith(VERSION_PREFIX):
+            self.take_version(entry, now)
+
+    def take_configuration(self, entry: KeyValueEntry) -> None:
+        """Put a configuration in force; keep the last good one where it cannot be read."""
+        if not entry.value:
+            return
+        result = configuration_of(entry)
+        if not isinstance(result, Success):
+            LOG.error("configuration.unreadable", fault=result.failure().message)
+            return
+        configuration = result.unwrap()
+        known = self.table.configuration.version if self.table else 0
+        if configuration.version < known:
+            LOG.error("configuration.older", version=configuration.version, known=known)
+            return
+        self.table = table_of(configuration)
+        LOG.info("configuration.taken", version=configuration.version, revision=entry.version)
+
+    def take_backend(self, entry: KeyValueEntry, now: float) -> None:
+        """Take the registration of a backend, or its end."""
+        identity = entry.key.removeprefix(BACKEND_PREFIX)
+        if not entry.value:
+            self.end_backend(identity, now)
+            return
+        result = backend_of(entry)
+        if not isinstance(result, Success):
+            LOG.warning("backend.unreadable", fault=result.failure().message, key=entry.key)
+            self.drop(identity)
+            return
+        self.put(result.unwrap(), now)
+
+    def put(self, backend: Backend, now: float) -> None:
+        """Take a readable registration."""
+        known = self.backends.get(backend.identity)
+        if known is None or known.backend.born_unix_ms != backend.born_unix_ms:
+            self.drop(backend.identity)
+            known = self.backends[backend.identity] = BackendView(backend)
+            LOG.info(
+                "backend.heard",
+                backend=backend.identity,
+                service=backend.service,
+                revision=backend.revision,
+            )
+        elif backend.is_leaving and not known.backend.is_leaving:
+            LOG.info("backend.leaving", backend=backend.identity, revision=backend.revision)
+        known.backend = backend
+        known.gone_at = 0.0
+        self.arrange()
+
+    def end_backend(self, identity: str, now: float) -> None:
+        """Take the end of a registration; one that may be back after an outage stays a while."""
+        view = self.backends.get(identity)
+        if view is None:
+            return
+        if now - self.store_lost_at < OUTAGE_MEMORY_SECONDS and self.store_lost_at:
+            view.gone_at = now
+            LOG.info("backend.lapsed", backend=identity)
+            return
+        LOG.info("backend.gone", backend=identity)
+        self.drop(identity)
+
+    def drop(self, identity: str) -> None:
+        """Forget a backend."""
+        if self.backends.pop(identity, None) is not None:
+            self.arrange()
+
+    def arrange(self) -> None:
+        """Sort the backends by service."""
+        self.by_service = {}
+        for view in self.backends.values():
+            self.by_service.setdefault(view.backend.service, []).append(view)
+
+    def take_version(self, entry: KeyValueEntry, now: float) -> None:
+        """Take a named version of weights."""
+        if not entry.value:
+            return
+        result = named_version_of(entry)
+        if not isinstance(result, Success):
+            LOG.warning("version.unreadable", fault=result.failure().message)
+            return
+        named = result.unwrap()
+        known = self.versions.get(named.model)
+        if known is None or named.version > known.named.version:
+            self.versions[named.model] = HeardVersion(named, now)
+            LOG.info("version.named", model=named.model, version=named.version)
+
+    def usable(self, service: str, now: float) -> list[BackendView]:
+        """Return the backends of a service that may get new work."""
+        found = []
+        for view in self.by_service.get(service, ()):
+            if view.gone_at and now - view.gone_at > LAPSE_SECONDS:
+                continue
+            if not view.backend.is_leaving:
+                found.append(view)
+        return found
+
+    def required_version(self, model: str, bound_seconds: float, now: float) -> int:
+        """Return the version that a request must run on; 0 where any will do.
+
+        Args:
+          model: Model that the request names.
+          bound_seconds: Time after its naming from which nothing older may begin.
+          now: Present time, monotonic, in seconds.
+        """
+        heard = self.versions.get(model)
+        if heard is None or now - heard.heard_at < bound_seconds:
+            return 0
+        return heard.named.version
+
+    def is_loaded(self) -> bool:
+        """Return True where requests can be served: routes and a backend are known."""
+        return self.table is not None and bool(self.backends)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes in force."""
+        return self.table.configuration.routes if self.table else ()
--- /dev/null
+++ b/verbenaward/direct/front.py
@@ -0,0 +1,198 @@
+"""HTTP interface of an entry process towards callers."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from .. import metrics
+from ..data import Refusal, Verdict
+from ..platform.request_headers import CallerHeaders, read_caller_headers
+from ..requests.refusals import not_run
+from .fleet import Fleet
+from .forwarding import Forwarder, is_stream
+from .poison import fingerprint_of
+from .records import RefusedError, Request, WholeAnswer
+from .routes import RouteTable
+from .streams import BrokenOffError, CallerGoneError, StreamForwarder
+
+DEFAULT_DEADLINE_SECONDS = 60.0
+MARGIN_SECONDS = 0.01
+"""The answer leaves this much before the caller does."""
+SLOWEST_BODY_SECONDS = 10.0
+START_WAIT_SECONDS = 0.5
+"""When callers should come back to a process that knows no configuration yet."""
+
+
+class Front:
+    """Takes requests of callers and answers them.
+
+    Attributes:
+      fleet: Configuration and backends.
+      forwarder: Runs requests.
+      streams: Runs streams.
+      in_flight: Requests that are being answered.
+      leaving: True once the process has been told to end.
+      closed: True once it takes no more requests.
+    """
+
+    def __init__(self, fleet: Fleet, forwarder: Forwarder) -> None:
+        self.fleet = fleet
+        self.forwarder = forwarder
+        self.streams = StreamForwarder(forwarder)
+        self.in_flight = 0
+        self.leaving = False
+        self.closed = False
+
+    async def handle(self, caller: web.Request) -> web.StreamResponse:
+        """Answer a request of a caller."""
+        self.in_flight += 1
+        try:
+            response = await self.answer(caller)
+        except RefusedError as error:
+            response = refusal_response(error.refusal)
+        except (BrokenOffError, CallerGoneError):
+            cut_off(caller)
+            raise asyncio.CancelledError from None
+        finally:
+            self.in_flight -= 1
+        if self.leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    async def answer(self, caller: web.Request) -> web.StreamResponse:
+        """Find the route of a request and run it.
+
+        Raises:
+          RefusedError: It gets no answer of a backend.
+        """
+        received_at = time.monotonic()
+        body = await self.read_body(caller)
+        if self.closed:
+            raise RefusedError(not_run(503, "leaving", "this process ends", 0.01))
+        request = self.request_of(caller, body, received_at)
+        labels = (metrics.WORKSPACES.bounded(request.workspace), request.route.kind.value)
+        started = time.monotonic()
+        verdict = Verdict.RAN.value
+        try:
+            if is_stream(request):
+                result = await self.streams.run(request, caller)
+            else:
+                result = await self.forwarder.run(request)
+        except RefusedError as error:
+            verdict = error.refusal.verdict.value
+            raise
+        finally:
+            metrics.REQUESTS.labels(*labels, verdict).inc()
+            metrics.ANSWER_SECONDS.labels(*labels).observe(time.monotonic() - started)
+        if isinstance(result, WholeAnswer):
+            return web.Response(status=result.status, headers=result.headers, body=result.body)
+        return result
+
+    async def read_body(self, caller: web.Request) -> bytes:
+        """Return the body of a request.
+
+        Raises:
+          RefusedError: It is too large or too slow.
+        """
+        if not caller.body_exists:
+            return b""
+        table = self.fleet.table
+        limit = table.configuration.limits.max_body_bytes if table else 4 * 1024 * 1024
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(SLOWEST_BODY_SECONDS):
+                async for part in caller.content.iter_any():
+                    parts.append(part)
+                    size += len(part)
+                    if size > limit:
+                        raise RefusedError(not_run(413, "too-large", f"over {limit} bytes"))
+        except TimeoutError:
+            raise RefusedError(not_run(408, "slow-caller", "the body was too slow")) from None
+        return b"".join(parts)
+
+    def request_of(self, caller: web.Request, body: bytes, received_at: float) -> Request:
+        """Return the request with its route and workspace.
+
+        Raises:
+          RefusedError: Nobody may run it.
+        """
+        table = self.fleet.table
+        if table is None:
+            message = "no configuration is known yet"
+            raise RefusedError(not_run(503, "starting", message, START_WAIT_SECONDS))
+        raw_path = path_of(caller)
+        route = table.find(caller.headers.get("Host", ""), raw_path.partition("?")[0])
+        if route is None:
+            raise RefusedError(not_run(404, "no-route", "no route has this host and path"))
+        said = read_caller_headers(caller.headers)
+        workspace, priority = workspace_of(table, said, route.is_public)
+        service = self.forwarder.placer.service_of(route.shares)
+        declared = table.services.get(service)
+        return Request(
+            headers=caller.headers,
+            said=said,
+            method=caller.method,
+            raw_path=raw_path,
+            body=body,
+            route=route,
+            service=service,
+            engine=declared.engine if declared else None,
+            workspace=workspace,
+            priority=route.priority if priority is None else priority,
+            received_at=received_at,
+            deadline=received_at + seconds_left(said, route.timeout_seconds),
+            fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
+        )
+
+
+def path_of(caller: web.Request) -> str:
+    """Return path and query as they came; without scheme and host where those were sent."""
+    raw = caller.raw_path
+    if raw.startswith("/"):
+        return raw
+    _, _, rest = raw.partition("://")
+    slash = rest.find("/")
+    return rest[slash:] if slash >= 0 else "/"
+
+
+def workspace_of(table: RouteTable, said: CallerHeaders, is_public: bool) -> tuple[str, int | None]:
+    """Return the workspace of a request and its priority.
+
+    Raises:
+      RefusedError: The key is not known.
+    """
+    if not table.configuration.workspaces:
+        return "", None
+    found = table.workspaces.get(said.key)
+    if found is not None:
+        return found.name, found.priority
+    if is_public:
+        return "", None
+    raise RefusedError(not_run(401, "unknown-key", "the key belongs to no workspace"))
+
+
+def seconds_left(said: CallerHeaders, timeout_seconds: float) -> float:
+    """Return how long a request may take, by its caller and its route."""
+    left = said.deadline_seconds
+    if left is None:
+        left = DEFAULT_DEADLINE_SECONDS
+    if timeout_seconds:
+        left = min(left, timeout_seconds)
+    return max(0.0, left - MARGIN_SECONDS)
+
+
+def refusal_response(refusal: Refusal) -> web.Response:
+    """Return the response of a refusal."""
+    headers = {"X-Reason": refusal.reason, "X-Verdict": refusal.verdict.value}
+    if refusal.retry_after_seconds > 0:
+        headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
+    text = f"{refusal.verdict.value}: {refusal.message}\n"
+    return web.Response(status=refusal.status, headers=headers, text=text)
+
+
+def cut_off(caller: web.Request) -> None:
+    """Close the connection of a caller so that its answer does not look complete."""
+    if caller.transport is not None:
+        caller.transport.abort()
--- /dev/null
+++ b/verbenaward/direct/placing.py
@@ -0,0 +1,167 @@
+"""Which backend gets a request, and whether it gets one at all.
+
+Answers the load of a burst: where every engine would give the first event later than it is
+worth waiting for, a request is refused at once, so that those that were taken stay on time.
+"""
+
+import random
+from dataclasses import dataclass
+
+from ..data import Refusal, ServiceShare, Verdict
+from ..requests.refusals import not_run
+from .backends import BackendView, first_event_seconds
+from .fleet import Fleet
+from .records import Request
+
+VERSION_GUARD_SECONDS = 1.5
+"""A request may wait at a backend; the newest weights are asked for this much earlier."""
+NEAR_SECONDS = 0.012
+"""Backends that differ by less are alike; one of them is drawn."""
+FAILURE_SECONDS = 0.5
+"""Expected delay of a backend that fails all requests, over one that fails none."""
+LATE_TARGETS = 1.5
+"""A request that is late already may wait this many times its target."""
+MINIMUM_RETRY_AFTER_SECONDS = 0.05
+LONGEST_RETRY_AFTER_SECONDS = 2.0
+RETRY_SPREAD = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A backend for a request.
+
+    Attributes:
+      view: The backend.
+      expected_seconds: Expected time to the answer or the first event.
+      version: Version of the weights that it must hold; 0 for any.
+    """
+
+    view: BackendView
+    expected_seconds: float
+    version: int
+
+
+class Placer:
+    """Chooses backends.
+
+    Attributes:
+      fleet: Backends.
+      zone: Availability zone of this process.
+      regions: Region of each zone.
+      version_seconds: Bound on requests that begin on older weights; 0 for none.
+    """
+
+    def __init__(
+        self, fleet: Fleet, zone: str, regions: dict[str, str], version_seconds: float
+    ) -> None:
+        self.fleet = fleet
+        self.zone = zone
+        self.regions = regions
+        self.version_seconds = version_seconds
+        self.rng = random.Random()
+        self.longest_deadline: dict[str, float] = {}
+
+    def choose(self, request: Request, tried: set[str], now: float) -> Choice | None:
+        """Return the backend that should give the first event soonest.
+
+        Args:
+          request: The request.
+          tried: Backends that failed this request.
+          now: Present time, monotonic, in seconds.
+        """
+        version = self.required_version(request, now)
+        views = [
+            view for view in self.fleet.usable(request.service, now) if fits(view, request, version)
+        ]
+        fresh = [view for view in views if view.backend.identity not in tried] or views
+        awake = [view for view in fresh if view.passed_over_until <= now] or fresh
+        if not awake:
+            return None
+        rated = [(self.expected_seconds(view, request, now), view) for view in awake]
+        best = min(seconds for seconds, _ in rated)
+        near = [item for item in rated if item[0] <= best + NEAR_SECONDS]
+        seconds, view = self.rng.choice(near)
+        return Choice(view, seconds, version)
+
+    def required_version(self, request: Request, now: float) -> int:
+        """Return the version of the weights that a request must run on; 0 for any."""
+        if not request.said.model or not self.version_seconds:
+            return 0
+        bound = max(0.0, self.version_seconds - VERSION_GUARD_SECONDS)
+        return self.fleet.required_version(request.said.model, bound, now)
+
+    def expected_seconds(self, view: BackendView, request: Request, now: float) -> float:
+        """Return the expected time to the answer or the first event at a backend."""
+        distance = self.distance_seconds(view)
+        doubt = FAILURE_SECONDS * view.failure_share
+        if request.engine is None:
+            load = view.all_running(now) / max(1, view.backend.slots)
+            return distance + doubt + 0.02 * load
+        prompt = request.said.prompt_tokens
+        return distance + doubt + first_event_seconds(view, request.engine, prompt, now)
+
+    def distance_seconds(self, view: BackendView) -> float:
+        """Return a usual round trip to a backend."""
+        if view.backend.zone == self.zone:
+            return 0.001
+        here, there = self.regions.get(self.zone), self.regions.get(view.backend.zone)
+        return 0.004 if here == there else 0.007
+
+    def refusal(self, request: Request, choice: Choice | None, now: float) -> Refusal | None:
+        """Return why a request should not be sent to its best backend, or None.
+
+        Args:
+          request: The request.
+          choice: Its best backend; None where there is none.
+          now: Present time, monotonic, in seconds.
+        """
+        if choice is None:
+            return self.come_back("no-backend", "no backend can take it now", 0.3)
+        if request.engine is None or not request.route.target_seconds:
+            return None
+        allowed = self.allowed_seconds(request, now)
+        if choice.expected_seconds <= allowed:
+            return None
+        wait = choice.expected_seconds - allowed
+        return self.come_back("overload", "all backends have more than they can do", wait)
+
+    def allowed_seconds(self, request: Request, now: float) -> float:
+        """Return how long a request may wait for its first event and be worth it."""
+        target = request.route.target_seconds
+        left = target - self.age_seconds(request) - (now - request.received_at)
+        return left if left > target / 2 else target * LATE_TARGETS
+
+    def age_seconds(self, request: Request) -> float:
+        """Return how long ago the caller first asked, as far as its deadline tells."""
+        said = request.said.deadline_seconds
+        if said is None:
+            return 0.0
+        longest = max(said, self.longest_deadline.get(request.route.name, 0.0))
+        self.longest_deadline[request.route.name] = longest
+        return longest - said
+
+    def come_back(self, reason: str, message: str, wait_seconds: float) -> Refusal:
+        """Return a refusal that says when there should be room; callers are spread out."""
+        wait = min(LONGEST_RETRY_AFTER_SECONDS, max(MINIMUM_RETRY_AFTER_SECONDS, wait_seconds))
+        spread = wait * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        return not_run(503, reason, message, spread)
+
+    def service_of(self, shares: tuple[ServiceShare, ...]) -> str:
+        """Return the service of a request, drawn by weight."""
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        return self.rng.choices(shares, weights)[0].service
+
+
+def fits(view: BackendView, request: Request, version: int) -> bool:
+    """Return True where a backend holds the weights that a request needs."""
+    if not request.said.model or view.backend.weights is None:
+        return True
+    held = view.version_of(request.said.model)
+    return held > 0 and held >= version
+
+
+def may_have_run(status: int, reason: str, message: str) -> Refusal:
+    """Return the refusal of a request that may have run."""
+    return Refusal(Verdict.MAY_HAVE_RUN, status, reason, message)
--- /dev/null
+++ b/verbenaward/direct/role.py
@@ -0,0 +1,293 @@
+"""The entry role where backends are reached at their own addresses: wiring and tasks."""
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+from returns.result import Success
+
+from ..configuration.settings import host_of, port_of
+from ..knowledge.follower import PeerFollower, StoreFollower
+from ..knowledge.items import Changes, ItemView
+from ..logs import get_logger
+from ..platform.key_value import ADAPTERS, KeyValueEntry, LeasingService
+from ..platform.names import DIRECTORY_PATH, ENTRY_PREFIX, EVERYTHING, READINESS_PATH
+from ..schema.messages import Pulse, StoredItem, StoredItems
+from ..schema.settings import DirectSettings, Settings
+from ..sockets import careful_socket
+from ..wire.codec import MalformedMessageError, decode, encode
+from .addresses import addresses_for
+from .budget import SharedBudget
+from .chunks import ChunkRelay
+from .decisions import DecisionLog
+from .entries import Entries
+from .fleet import Fleet
+from .forwarding import Forwarder
+from .front import Front
+from .placing import Placer
+from .poison import Crashes
+from .sending import backend_session
+
+LOG = get_logger(__name__)
+LEASE_SECONDS = 6.0
+RENEW_SECONDS = 2.0
+ITEMS_PATH = "/items/{revision}"
+ASK_SECONDS = 0.6
+NOTICE_SECONDS = 3.0
+"""Time after the order to stop in which requests are still taken: callers keep addresses."""
+LAST_SECONDS = 0.5
+"""Part of the grace that is left for ending the process."""
+DRAIN_POLL_SECONDS = 0.02
+KEEPALIVE_SECONDS = 75.0
+BACKLOG = 512
+HEADER_BYTES = 16 * 1024
+STORE_SHARE_SECONDS = 0.5
+
+
+def platform_session() -> aiohttp.ClientSession:
+    """Return the HTTP client for the store, the origin and other processes."""
+    connector = aiohttp.TCPConnector(limit=0, socket_factory=careful_socket, keepalive_timeout=10)
+    return aiohttp.ClientSession(connector=connector)
+
+
+class DirectEntryRole:
+    """An entry process.
+
+    Attributes:
+      settings: Settings of the process.
+      view: Items of the store.
+      fleet: What they mean.
+      entries: The other entry processes.
+      front: Takes requests.
+    """
+
+    def __init__(self, settings: Settings, direct: DirectSettings) -> None:
+        self.settings = settings
+        self.direct = direct
+        self.session = platform_session()
+        self.backends = backend_session()
+        self.store = leasing_store(settings, self.session)
+        self.view = ItemView()
+        self.fleet = Fleet(self.view)
+        self.crashes = Crashes()
+        self.follower = StoreFollower(self.store, EVERYTHING, self.view)
+        self.peer_follower = PeerFollower(self.view, self.follower, self.ask_peers)
+        self.entries = Entries(
+            settings,
+            self.view,
+            self.fleet,
+            self.crashes,
+            self.is_ready,
+            self.peer_follower.note_revision,
+        )
+        self.budget = SharedBudget(
+            direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds
+        )
+        placer = Placer(self.fleet, settings.zone, direct.zones, direct.version_seconds)
+        self.front = Front(
+            self.fleet,
+            Forwarder(
+                self.backends,
+                placer,
+                self.budget,
+                self.crashes,
+                DecisionLog(),
+                self.entries.note_change,
+            ),
+        )
+        self.relay = ChunkRelay(settings, self.fleet, self.entries, self.session)
+        self.runners: list[web.AppRunner] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and start all tasks."""
+        await self.entries.open()
+        await self.listen(self.direct.front, self.front_application())
+        await self.listen(self.direct.readiness, self.readiness_application())
+        await self.listen(self.direct.directory, self.directory_application())
+        await self.listen(self.settings.listen, self.control_application())
+        for work in (
+            self.follower.run(),
+            self.peer_follower.run(),
+            self.entries.run(),
+            self.keep_registered(),
+            self.watch_health(),
+        ):
+            self.tasks.append(asyncio.create_task(work))
+
+    async def listen(self, address: str, application: web.Application) -> None:
+        """Serve an application at an address."""
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner, host_of(address), port_of(address), backlog=BACKLOG, reuse_address=True
+        )
+        await site.start()
+        self.runners.append(runner)
+
+    def front_application(self) -> web.Application:
+        """Return the application that callers use."""
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self.front.handle)
+        return application
+
+    def readiness_application(self) -> web.Application:
+        """Return the application of the readiness check."""
+        application = web.Application()
+        application.router.add_get(READINESS_PATH, self.answer_readiness)
+        return application
+
+    def directory_application(self) -> web.Application:
+        """Return the application that names entry addresses."""
+        application = web.Application()
+        application.router.add_get(DIRECTORY_PATH, self.answer_addresses)
+        return application
+
+    def control_application(self) -> web.Application:
+        """Return the application that other processes use."""
+        application = web.Application()
+        application.router.add_get(ITEMS_PATH, self.answer_items)
+        application.router.add_get("/metrics", answer_metrics)
+        self.relay.add_routes(application)
+        return application
+
+    def is_ready(self) -> bool:
+        """Return True where this process can serve requests."""
+        return self.fleet.is_loaded() and not self.front.leaving
+
+    async def answer_readiness(self, request: web.Request) -> web.Response:
+        """Answer the readiness check."""
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def answer_addresses(self, request: web.Request) -> web.Response:
+        """Answer which addresses a caller should use, and for how long."""
+        pulses = self.entries.ready_peers(time.monotonic())
+        if self.is_ready():
+            pulses.append(self.own_pulse())
+        zone = request.query.get("zone", "")
+        addresses = addresses_for(pulses, zone, self.direct.zones)
+        if not addresses:
+            return web.Response(status=503)
+        ttl = self.direct.address_ttl_seconds
+        return web.json_response({"addresses": list(addresses), "ttl_s": ttl})
+
+    def own_pulse(self) -> Pulse:
+        """Return what the directory needs to know of this process."""
+        return Pulse(
+            vm=self.settings.vm, zone=self.settings.zone, front=self.direct.front, ready=True
+        )
+
+    async def answer_items(self, request: web.Request) -> web.Response:
+        """Hand on what this process knows of the store after a revision."""
+        try:
+            revision = int(request.match_info["revision"])
+        except ValueError:
+            return web.Response(status=400)
+        changes = self.view.changes_after(revision)
+        items = tuple(
+            StoredItem(entry.key, entry.value, entry.version, not entry.value)
+            for entry in changes.entries
+        )
+        message = StoredItems(changes.revision, changes.complete, items)
+        return web.Response(body=encode(message))
+
+    async def ask_peers(self, revision: int) -> Changes | None:
+        """Return what another entry process knows after a revision; None where nobody answers."""
+        for control in self.entries.ahead(revision, time.monotonic())[:3]:
+            changes = await self.ask_peer(control, revision)
+            if changes is not None:
+                return changes
+        return None
+
+    async def ask_peer(self, control: str, revision: int) -> Changes | None:
+        """Return what one entry process knows after a revision."""
+        timeout = aiohttp.ClientTimeout(total=ASK_SECONDS)
+        try:
+            async with self.session.get(
+                f"http://{control}/items/{revision}", timeout=timeout
+            ) as response:
+                message = decode(StoredItems, await response.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, MalformedMessageError) as error:
+            LOG.warning("peer.failed", peer=control, error=f"{type(error).__name__} {error}"[:150])
+            return None
+        entries = tuple(
+            KeyValueEntry(item.key, item.value, item.revision) for item in message.items
+        )
+        return Changes(message.revision, message.complete, entries)
+
+    async def keep_registered(self) -> None:
+        """Keep the record of this process in the store until it leaves."""
+        key = ENTRY_PREFIX + self.settings.listen
+        value = self.entries.own_record()
+        while not self.front.leaving:
+            result = await self.store.hold(key, value, LEASE_SECONDS)
+            pause = RENEW_SECONDS if isinstance(result, Success) else STORE_SHARE_SECONDS
+            await asyncio.sleep(pause)
+
+    async def watch_health(self) -> None:
+        """Keep the derived figures up to date."""
+        while True:
+            now = time.monotonic()
+            if not self.follower.reachable:
+                self.fleet.store_lost_at = now
+            alive = sum(peer.is_alive(now) for peer in self.entries.peers.values())
+            self.budget.note_entries(alive + 1)
+            await asyncio.sleep(0.1)
+
+    async def drain(self) -> None:
+        """Leave: take requests for as long as callers keep addresses, then end the running ones."""
+        if self.front.leaving:
+            return
+        started = time.monotonic()
+        self.front.leaving = True
+        self.entries.leaving = True
+        self.entries.note_change()
+        LOG.info("entry.leaving", in_flight=self.front.in_flight)
+        await self.store.release(ENTRY_PREFIX + self.settings.listen)
+        await asyncio.sleep(max(0.0, started + NOTICE_SECONDS - time.monotonic()))
+        self.front.closed = True
+        for site in list(self.runners[0].sites):
+            await site.stop()
+        last = started + self.direct.grace_seconds - LAST_SECONDS
+        while self.front.in_flight and time.monotonic() < last:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        LOG.info("entry.left", in_flight=self.front.in_flight)
+
+    async def close(self) -> None:
+        """End all tasks and connections."""
+        for task in self.tasks:
+            task.cancel()
+        for runner in self.runners:
+            await runner.cleanup()
+        self.entries.close()
+        await self.backends.close()
+        await self.session.close()
+
+
+async def answer_metrics(request: web.Request) -> web.Response:
+    """Answer the metrics of the process."""
+    from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+    return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+def leasing_store(settings: Settings, session: aiohttp.ClientSession) -> LeasingService:
+    """Return the store with leases that the settings name.
+
+    Raises:
+      ValueError: The adapter has no leases.
+    """
+    adapter = ADAPTERS.find(settings.platform.key_value_adapter)
+    store = adapter(session, settings.platform.key_value)
+    if not hasattr(store, "hold"):
+        raise ValueError("the adapter of the key-value service has no leases")
+    return store
--- /dev/null
+++ b/verbenaward/direct/sending.py
@@ -0,0 +1,150 @@
+"""One attempt of a request at one backend."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+from yarl import URL
+
+from ..platform.request_headers import (
+    SendOrder,
+    belongs_to,
+    headers_for_backend,
+    headers_for_caller,
+    is_signed,
+    says_full,
+    says_not_run,
+)
+from ..sockets import careful_socket
+from .backends import BackendView
+from .records import FailedAttempt, Failure, Request, WholeAnswer
+
+CONNECT_SECONDS = 0.4
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+LARGEST_HEADER_BYTES = 64 * 1024
+
+
+def backend_session() -> aiohttp.ClientSession:
+    """Return the HTTP client for backends.
+
+    Each request has a connection of its own: bytes that a backend sends after an answer can
+    then belong to no other request, and no connection is closed while a request crosses.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=careful_socket, use_dns_cache=False
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        max_line_size=LARGEST_HEADER_BYTES,
+        max_field_size=LARGEST_HEADER_BYTES,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+    )
+
+
+@contextlib.asynccontextmanager
+async def opened(
+    session: aiohttp.ClientSession, request: Request, view: BackendView, order: SendOrder
+) -> AsyncIterator[Result[aiohttp.ClientResponse, FailedAttempt]]:
+    """Send a request and yield the beginning of its answer.
+
+    The connection is closed at the end, so a backend sees at once that nobody waits.
+
+    Args:
+      session: Client for backends.
+      request: The request.
+      view: Backend that gets it.
+      order: What the backend is told.
+    """
+    try:
+        response = await session.request(
+            request.method,
+            URL(f"http://{view.backend.address}{request.raw_path}", encoded=True),
+            headers=headers_for_backend(request.headers, order),
+            data=request.body or None,
+            allow_redirects=False,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        yield Failed(FailedAttempt(Failure.UNREACHABLE, False, str(error)))
+        return
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        yield Failed(FailedAttempt(Failure.BROKEN, True, f"{type(error).__name__} {error}"))
+        return
+    try:
+        yield judged(request, response)
+    finally:
+        response.close()
+
+
+def judged(
+    request: Request, response: aiohttp.ClientResponse
+) -> Result[aiohttp.ClientResponse, FailedAttempt]:
+    """Return an answer that belongs to the request and may be passed on."""
+    status, headers = response.status, response.headers
+    if not belongs_to(headers, request.said.request_id):
+        message = "the answer belongs to another request"
+        return Failed(FailedAttempt(Failure.BROKEN, True, message))
+    if says_full(status, headers):
+        return Failed(FailedAttempt(Failure.FULL, False, "the backend has no room"))
+    if says_not_run(status, headers):
+        message = f"the backend did not run it: status {status}"
+        return Failed(FailedAttempt(Failure.NOT_RUN, False, message))
+    if not is_signed(headers):
+        message = f"the answer is not signed: status {status}"
+        return Failed(FailedAttempt(Failure.BROKEN, True, message))
+    return Success(response)
+
+
+async def send_whole(
+    session: aiohttp.ClientSession,
+    request: Request,
+    view: BackendView,
+    order: SendOrder,
+    wait_seconds: float,
+) -> Result[WholeAnswer, FailedAttempt]:
+    """Send a request and return its whole answer.
+
+    Args:
+      session: Client for backends.
+      request: The request.
+      view: Backend that gets it.
+      order: What the backend is told.
+      wait_seconds: Longest wait for the whole answer.
+    """
+    try:
+        async with asyncio.timeout(wait_seconds):
+            async with opened(session, request, view, order) as result:
+                if not isinstance(result, Success):
+                    return result
+                return await read_whole(result.unwrap())
+    except TimeoutError:
+        message = f"no answer within {wait_seconds:.3f} s"
+        return Failed(FailedAttempt(Failure.SILENT, True, message))
+
+
+async def read_whole(response: aiohttp.ClientResponse) -> Result[WholeAnswer, FailedAttempt]:
+    """Read the body of an answer; one that was cut off is no answer."""
+    protocol = response.connection.protocol if response.connection else None
+    try:
+        body = await response.read()
+    except (aiohttp.ClientError, OSError) as error:
+        return Failed(FailedAttempt(Failure.BROKEN, True, f"{type(error).__name__} {error}"))
+    if was_reset(protocol):
+        return Failed(FailedAttempt(Failure.BROKEN, True, "the connection was reset"))
+    headers = headers_for_caller(response.headers)
+    return Success(WholeAnswer(response.status, headers, body))
+
+
+def was_reset(protocol: ResponseHandler | None) -> bool:
+    """Return True where a connection did not end cleanly.
+
+    An answer without a length ends with its connection, and the parser takes a reset for
+    such an end.
+    """
+    return protocol is not None and isinstance(protocol.exception(), aiohttp.ClientOSError)
--- /dev/null
+++ b/verbenaward/filling/filler.py
@@ -0,0 +1,255 @@
+"""Fills the engine on this VM: fetches, checks, stages and orders."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import aiohttp
+from returns.result import Success
+
+from .. import metrics
+from ..data import HeldWeights
+from ..direct.chunks import DIGEST_BYTES, holder_order
+from ..direct.entries import zone_of_record
+from ..direct.fleet import Fleet
+from ..knowledge.items import ItemView
+from ..logs import get_logger
+from ..platform.names import ENTRY_PREFIX
+from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
+from ..schema.settings import DirectSettings, Settings
+from .plan import wanted_version
+
+LOG = get_logger(__name__)
+POLL_SECONDS = 0.25
+FETCHES = 4
+FETCH_SECONDS = 2.5
+FETCH_ATTEMPTS = 5
+PAUSE_SECONDS = 0.1
+BUSY_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Digests:
+    """Digests of the chunks of one version, in order."""
+
+    weights: HeldWeights
+    digests: tuple[bytes, ...]
+
+
+class Filler:
+    """Keeps one engine at the version that is wanted.
+
+    Attributes:
+      engine: The engine.
+      staged: Chunks that were staged and checked, by index, with their digests.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        direct: DirectSettings,
+        view: ItemView,
+        fleet: Fleet,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.settings = settings
+        self.direct = direct
+        self.view = view
+        self.fleet = fleet
+        self.session = session
+        self.engine = LocalEngine(session, direct.engine)
+        self.digests: Digests | None = None
+        self.staged: dict[int, bytes] = {}
+        self.staged_model = ""
+
+    async def run(self) -> None:
+        """Fill the engine until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def step(self) -> None:
+        """Bring the engine one version further where it lacks one."""
+        result = await self.engine.report()
+        if not isinstance(result, Success):
+            return
+        report = result.unwrap()
+        target = self.target()
+        if target is None or holds(report, target):
+            return
+        if not await self.stage(target):
+            return
+        await self.load(target)
+
+    def target(self) -> HeldWeights | None:
+        """Return the weights that the engine should hold."""
+        table = self.fleet.table
+        declared = table.services.get(self.direct.service) if table else None
+        if declared is None or declared.engine is None:
+            return None
+        named = {model: heard.named.version for model, heard in self.fleet.versions.items()}
+        others = [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
+        for model in declared.engine.models:
+            version = wanted_version(named, model, others)
+            if version:
+                return HeldWeights(model, version)
+        return None
+
+    async def stage(self, target: HeldWeights) -> bool:
+        """Fetch and stage the chunks that are missing; False where that did not end well."""
+        digests = await self.digests_of(target)
+        if digests is None:
+            return False
+        if self.staged_model != target.model:
+            self.staged, self.staged_model = {}, target.model
+        missing = [
+            index for index, digest in enumerate(digests.digests)
+            if self.staged.get(index) != digest
+        ]  # fmt: skip
+        if not missing:
+            return True
+        started = time.monotonic()
+        queue = iter(missing)
+        done = await asyncio.gather(
+            *(self.stage_from(queue, target, digests) for _ in range(FETCHES))
+        )
+        if all(done):
+            took = round(time.monotonic() - started, 3)
+            LOG.info("weights.staged", version=target.version, chunks=len(missing), seconds=took)
+        return all(done)
+
+    async def stage_from(self, queue: Iterator[int], target: HeldWeights, digests: Digests) -> bool:
+        """Stage chunks of a queue until it is empty or a newer version is wanted."""
+        for index in queue:
+            if self.target() != target:
+                return False
+            if not await self.stage_chunk(target, index, digests.digests[index]):
+                return False
+        return True
+
+    async def stage_chunk(self, target: HeldWeights, index: int, digest: bytes) -> bool:
+        """Stage one chunk: the one that lies there already, or one that is fetched."""
+        lying = await self.engine.staged_chunk(target.model, index)
+        if isinstance(lying, Success) and sha256(lying.unwrap()) == digest:
+            self.staged[index] = digest
+            return True
+        chunk = await self.fetch(f"/weights/{target.model}/{target.version}/{index}", digest)
+        if chunk is None:
+            return False
+        self.staged.pop(index, None)
+        result = await self.engine.put_chunk(target.model, index, chunk)
+        if not isinstance(result, Success):
+            LOG.warning("weights.unstaged", index=index, error=result.failure()[:150])
+            return False
+        self.staged[index] = digest
+        return True
+
+    async def digests_of(self, target: HeldWeights) -> Digests | None:
+        """Return the digests of a version."""
+        if self.digests is not None and self.digests.weights == target:
+            return self.digests
+        body = await self.fetch(f"/weights/{target.model}/{target.version}", b"")
+        if body is None or not body or len(body) % DIGEST_BYTES:
+            return None
+        parts = tuple(
+            body[start : start + DIGEST_BYTES] for start in range(0, len(body), DIGEST_BYTES)
+        )
+        self.digests = Digests(target, parts)
+        return self.digests
+
+    async def fetch(self, path: str, digest: bytes) -> bytes | None:
+        """Return a checked chunk from an entry process, or a manifest; None for none."""
+        for attempt in range(FETCH_ATTEMPTS):
+            holders = self.holders(path)
+            if holders:
+                holder = holders[attempt % len(holders)]
+                body = await self.ask(f"http://{holder}{path}")
+                if body is not None and (not digest or sha256(body) == digest):
+                    return body
+            await asyncio.sleep(PAUSE_SECONDS)
+        return None
+
+    def holders(self, key: str) -> list[str]:
+        """Return the entry processes to ask, the best one first."""
+        controls = {}
+        for entry in self.view.under(ENTRY_PREFIX):
+            control = entry.key.removeprefix(ENTRY_PREFIX)
+            controls[control] = zone_of_record(entry.value)
+        return holder_order(controls, self.settings.zone, self.direct.zones, key)
+
+    async def ask(self, url: str) -> bytes | None:
+        """Return the body of an answer; None for none."""
+        timeout = aiohttp.ClientTimeout(total=FETCH_SECONDS)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                body = await response.read()
+                return body if response.status == 200 else None
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
+            return None
+
+    async def load(self, target: HeldWeights) -> None:
+        """Check what is staged once more and order the engine to load it.
+
+        The engine takes what lies there when it accepts the order; chunks may have rotted.
+        """
+        before = await self.engine.report()
+        if not isinstance(before, Success):
+            return
+        report = before.unwrap()
+        if report.is_busy or holds(report, target):
+            await asyncio.sleep(BUSY_SECONDS)
+            return
+        assert self.digests is not None
+        if not await self.is_whole(target, self.digests):
+            return
+        if self.target() != target:
+            return
+        result = await self.engine.start(target.model, target.version, report.orders)
+        outcome = result.value_or(OrderOutcome.UNKNOWN)
+        metrics.ORDERS.labels("start", outcome.value).inc()
+        LOG.info(
+            "engine.ordered",
+            version=target.version,
+            orders=report.orders,
+            outcome=outcome.value,
+            running=report.running,
+        )
+        await self.wait_for_order(target)
+
+    async def is_whole(self, target: HeldWeights, digests: Digests) -> bool:
+        """Return True where every staged chunk is the one it should be, just now."""
+        whole = True
+        for index, digest in enumerate(digests.digests):
+            lying = await self.engine.staged_chunk(target.model, index)
+            if not isinstance(lying, Success) or sha256(lying.unwrap()) != digest:
+                LOG.warning("weights.spoilt", index=index, version=target.version)
+                self.staged.pop(index, None)
+                whole = False
+        return whole
+
+    async def wait_for_order(self, target: HeldWeights) -> None:
+        """Wait while an order is in progress, as long as nothing newer is wanted."""
+        while self.target() == target:
+            result = await self.engine.report()
+            if not isinstance(result, Success):
+                return
+            report = result.unwrap()
+            if holds(report, target) or not report.is_busy:
+                LOG.info("engine.holds", weights=[item.version for item in report.weights])
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+
+def holds(report: EngineReport, target: HeldWeights) -> bool:
+    """Return True where an engine holds the wanted weights or newer ones."""
+    return any(
+        item.model == target.model and item.version >= target.version for item in report.weights
+    )
+
+
+def sha256(body: bytes) -> bytes:
+    """Return the digest of a chunk."""
+    return hashlib.sha256(body).digest()
--- a/verbenaward/platform/key_value.py
+++ b/verbenaward/platform/key_value.py
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyValueEntry:
-    """One key with its value and the revision of its last change."""
+    """One key with its value and the revision of its last change; deleted where empty."""
 
     key: str
     value: bytes
@@ -92,6 +92,18 @@
         ...
 
 
+class LeasingService(KeyValueService, Protocol):
+    """A key-value service with leases that a process renews."""
+
+    async def hold(self, key: str, value: bytes, ttl_seconds: float) -> Result[int, KeyValueError]:
+        """Keep a key of this process alive; write it where its lease has ended."""
+        ...
+
+    async def release(self, key: str) -> Result[int, KeyValueError]:
+        """Remove a key of this process."""
+        ...
+
+
 ADAPTERS: Registry[Callable[[aiohttp.ClientSession, str], KeyValueService]] = Registry(
     "key-value adapter"
 )
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -158,3 +158,48 @@
     files: tuple[TableFile, ...] = ()
     hashes: bytes = b""
 
+
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """Message BackendLoad."""
+
+    backend: int = 0
+    running: int = 0
+    prompt_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """Message Pulse."""
+
+    vm: str = ""
+    zone: str = ""
+    front: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    ready: bool = False
+    leaving: bool = False
+    revision: int = 0
+    loads: tuple[BackendLoad, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    entries: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """Message StoredItem."""
+
+    key: str = ""
+    value: bytes = b""
+    revision: int = 0
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItems:
+    """Message StoredItems."""
+
+    revision: int = 0
+    complete: bool = False
+    items: tuple[StoredItem, ...] = ()
+
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -63,6 +63,28 @@
     policy: str = 'auto'
 
 
+@dataclass(frozen=True)
+class DirectSettings:
+    """
+    Entry processes that send straight to backends, and endpoint processes that only fill the engine beside them.
+    """
+
+    front: Address = '0.0.0.0:0'
+    readiness: Address = '0.0.0.0:0'
+    directory: Address = '0.0.0.0:0'
+    engine: Address = '0.0.0.0:0'
+    service: str = ''
+    zones: dict[str, str] = field(default_factory=dict)
+    address_ttl_seconds: float = 2
+    leave_seconds: float = 2
+    grace_seconds: float = 8
+    version_seconds: float = 8
+    retry_ratio: float = 0.2
+    retry_extra: float = 30
+    retry_window_seconds: float = 10
+    pulse_bytes_per_second: int = 6000
+
+
 @dataclass(frozen=True)
 class MembershipSettings:
     """
@@ -111,4 +133,5 @@
     entry: EntrySettings = field(default_factory=lambda: EntrySettings())
     links: LinkSettings = field(default_factory=lambda: LinkSettings())
     membership: MembershipSettings = field(default_factory=lambda: MembershipSettings())
+    direct: DirectSettings | None = None
     shutdown_seconds: float = 60
--- /dev/null
+++ b/verbenaward/service.py
@@ -0,0 +1,108 @@
+"""Runs a role whose processes stand before every backend, as an aiomisc service."""
+
+import logging
+import sys
+
+import aiomisc
+import structlog
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from .admin import AdminInterface, Role
+from .configuration.settings import host_of, port_of
+from .control import ControlPlane, build_control
+from .endpoint.role import EndpointRole
+from .entry.role import EntryRole
+from .logs import get_logger
+from .schema.settings import Settings
+
+LOG = get_logger(__name__)
+BACKLOG = 1024
+CONTROL_PREFIX = "/control/"
+MAXIMUM_HEADER_BYTES = 16 * 1024
+
+
+class DaemonService(aiomisc.Service):
+    """Runs one role until the process is told to end."""
+
+    settings: Settings
+
+    async def start(self) -> None:
+        """Listen and start the tasks of the role."""
+        structlog.contextvars.bind_contextvars(vm=self.settings.vm, role=self.settings.role)
+        self.drained = False
+        self.control = build_control(self.settings)
+        self.role = build_role(self.control)
+        self.runner = web.AppRunner(
+            self.build_application(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAXIMUM_HEADER_BYTES,
+            max_field_size=MAXIMUM_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        await self.runner.setup()
+        host, port = host_of(self.settings.listen), port_of(self.settings.listen)
+        await web.TCPSite(self.runner, host, port, backlog=BACKLOG, reuse_address=True).start()
+        self.role.start()
+        LOG.info("daemon.started", listen=self.settings.listen)
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application of the process."""
+        app = web.Application(client_max_size=self.settings.entry.max_body_bytes)
+        self.control.server.add_routes(app)
+        self.role.add_routes(app)
+        AdminInterface(self.control, self.role, self.drain_once).add_routes(app)
+        app.router.add_get("/metrics", serve_metrics)
+        app.on_response_prepare.append(drop_needless_headers)
+        return app
+
+    async def drain_once(self) -> None:
+        """Drain the role; the second call returns at once."""
+        if not self.drained:
+            self.drained = True
+            await self.role.drain()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain, then stop."""
+        await self.drain_once()
+        await self.runner.cleanup()
+        await self.control.close()
+        LOG.info("daemon.stopped")
+
+
+def build_role(control: ControlPlane) -> Role:
+    """Return the role that the settings name."""
+    if control.settings.role == "entry":
+        return EntryRole(control)
+    if control.settings.endpoint is None:
+        raise ValueError("the endpoint role needs endpoint settings")
+    return EndpointRole(control, control.settings.endpoint)
+
+
+async def drop_needless_headers(request: web.Request, response: web.StreamResponse) -> None:
+    """Leave out headers that control messages do not need."""
+    if request.path.startswith(CONTROL_PREFIX):
+        for name in ("Date", "Server", "Content-Type"):
+            response.headers.popall(name, None)
+
+
+async def serve_metrics(request: web.Request) -> web.Response:
+    """Answer the metrics of the process."""
+    return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+def run(settings: Settings) -> None:
+    """Run a daemon until it is told to end.
+
+    Args:
+      settings: Checked settings.
+    """
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    service = DaemonService(settings=settings)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        shutdown_timeout=settings.shutdown_seconds + settings.entry.address_ttl_seconds,
+    ) as loop:
+        loop.run_forever()
