--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -11,6 +11,10 @@
 LONGEST_SUSPECT_SECONDS = 6.0
 FULL_SECONDS = 0.15
 """Time for which a backend that said it is full is passed over."""
+LOADING_LOAD = 0.75
+"""Part of its places below which a backend that refuses must have another reason."""
+LOADING_SECONDS = 0.6
+"""Time for which such a backend is passed over."""
 REMOTE_SECONDS = 1.5
 """Age at which what another entry process said about its load counts no more."""
 FAILURE_SMOOTHING = 0.2
@@ -106,8 +110,10 @@
         self.passed_over_until = max(self.passed_over_until, now + pause)
 
     def note_full(self, now: float) -> None:
-        """Learn that it had no room."""
-        self.passed_over_until = max(self.passed_over_until, now + FULL_SECONDS)
+        """Learn that it had no room; one with free places loads weights, which takes longer."""
+        is_loading = self.all_running(now) < LOADING_LOAD * self.backend.slots
+        pause = LOADING_SECONDS if is_loading else FULL_SECONDS
+        self.passed_over_until = max(self.passed_over_until, now + pause)
 
     def version_of(self, model: str) -> int:
         """Return the version of a model that it holds; 0 for none."""
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -33,6 +33,9 @@
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
+SLICE_BYTES = 8192
+AHEAD = 1
+RATE_QUERY = "rate"
 
 Key = tuple[str, int, int]
 MANIFEST_INDEX = -1
@@ -69,10 +72,44 @@
             index = int(request.match_info.get("index", MANIFEST_INDEX))
         except ValueError:
             return web.Response(status=400)
-        body = await self.get((request.match_info["model"], version, index))
+        model = request.match_info["model"]
+        body = await self.get((model, version, index))
         if body is None:
             return web.Response(status=503)
-        return web.Response(body=body)
+        self.read_ahead(model, version, index)
+        rate = rate_of(request)
+        if not rate:
+            return web.Response(body=body)
+        return await self.serve_slowly(request, body, rate)
+
+    async def serve_slowly(
+        self, request: web.Request, body: bytes, rate: float
+    ) -> web.StreamResponse:
+        """Send a body in slices at a rate, so that no queue grows before a thin link.
+
+        Args:
+          request: Request of an endpoint process.
+          body: What it gets.
+          rate: Bytes a second.
+        """
+        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+        await response.prepare(request)
+        started = time.monotonic()
+        for start in range(0, len(body), SLICE_BYTES):
+            due = started + start / rate
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            await response.write(body[start : start + SLICE_BYTES])
+        await response.write_eof()
+        return response
+
+    def read_ahead(self, model: str, version: int, index: int) -> None:
+        """Fetch the next chunks: endpoints ask for them in order."""
+        digests = self.memory.get((model, version, MANIFEST_INDEX))
+        count = len(digests) // DIGEST_BYTES if digests else 0
+        for following in range(index + 1, min(index + 1 + AHEAD, count)):
+            key = (model, version, following)
+            if key not in self.memory:
+                self.start(key)
 
     async def get(self, key: Key) -> bytes | None:
         """Return a checked chunk, or the digests of a version; None where it is not to be had."""
@@ -80,11 +117,15 @@
         if known is not None:
             self.memory.move_to_end(key)
             return known
+        return await asyncio.shield(self.start(key))
+
+    def start(self, key: Key) -> asyncio.Task[bytes | None]:
+        """Return the task that fetches a chunk."""
         task = self.fetching.get(key)
         if task is None:
             task = self.fetching[key] = asyncio.create_task(self.fetch(key))
             task.add_done_callback(lambda _: self.fetching.pop(key, None))
-        return await asyncio.shield(task)
+        return task
 
     async def fetch(self, key: Key) -> bytes | None:
         """Fetch a chunk and keep it."""
@@ -196,6 +237,15 @@
             self.size -= len(dropped)
 
 
+def rate_of(request: web.Request) -> float:
+    """Return the rate in bytes a second that a request asks for; 0 for none."""
+    try:
+        rate = float(request.query.get(RATE_QUERY, "0"))
+    except ValueError:
+        return 0.0
+    return rate if 0 < rate < float("inf") else 0.0
+
+
 def digests_of(manifest: WeightsManifest, model: str, version: int) -> Result[bytes, str]:
     """Return the digests of the manifest that was asked for, in order."""
     if (manifest.model, manifest.version) != (model, version):
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -13,7 +13,7 @@
 from .fleet import Fleet
 from .records import Request
 
-VERSION_GUARD_SECONDS = 1.5
+VERSION_GUARD_SECONDS = 0.7
 """A request may wait at a backend; the newest weights are asked for this much earlier."""
 NEAR_SECONDS = 0.012
 """Backends that differ by less are alike; one of them is drawn."""
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -11,7 +11,7 @@
 
 from .. import metrics
 from ..data import HeldWeights
-from ..direct.chunks import DIGEST_BYTES, holder_order
+from ..direct.chunks import DIGEST_BYTES, RATE_QUERY, holder_order
 from ..direct.entries import zone_of_record
 from ..direct.fleet import Fleet
 from ..knowledge.items import ItemView
@@ -19,12 +19,19 @@
 from ..platform.names import ENTRY_PREFIX
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
 from ..schema.settings import DirectSettings, Settings
-from .plan import wanted_version
+from .plan import load_delay_seconds, wanted_version
 
 LOG = get_logger(__name__)
 POLL_SECONDS = 0.25
-FETCHES = 4
+FETCHES = 2
+"""Chunks on their way: one is staged while the next one comes."""
 FETCH_SECONDS = 2.5
+STAGING_SHARE = 0.58
+"""Part of the time bound of a version after which its engines begin to load."""
+LOADING_SHARE = 0.3
+"""Part of the time bound over which they take their turns."""
+BITS = 8
+MEGA = 1_000_000
 FETCH_ATTEMPTS = 5
 PAUSE_SECONDS = 0.1
 BUSY_SECONDS = 0.05
@@ -63,6 +70,7 @@
         self.digests: Digests | None = None
         self.staged: dict[int, bytes] = {}
         self.staged_model = ""
+        self.link = asyncio.Lock()
 
     async def run(self) -> None:
         """Fill the engine until cancelled."""
@@ -81,7 +89,9 @@
             return
         if not await self.stage(target):
             return
-        await self.load(target)
+        await self.wait_for_turn(target, report)
+        if self.target() == target:
+            await self.load(target)
 
     def target(self) -> HeldWeights | None:
         """Return the weights that the engine should hold."""
@@ -179,17 +189,45 @@
             controls[control] = zone_of_record(entry.value)
         return holder_order(controls, self.settings.zone, self.direct.zones, key)
 
+    def rate(self) -> float:
+        """Return the bytes a second that weights may take of the link; 0 for no limit.
+
+        Requests to the engine share the link. Chunks come one by one, and the pause between two
+        leaves room for them.
+        """
+        return self.direct.link_megabits_per_second * MEGA / BITS
+
     async def ask(self, url: str) -> bytes | None:
         """Return the body of an answer; None for none."""
         timeout = aiohttp.ClientTimeout(total=FETCH_SECONDS)
+        query = {RATE_QUERY: f"{self.rate():.0f}"} if self.rate() else {}
         try:
-            async with self.session.get(url, timeout=timeout) as response:
+            async with (
+                self.link,
+                self.session.get(url, params=query, timeout=timeout) as response,
+            ):
                 body = await response.read()
                 return body if response.status == 200 else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
             return None
 
+    async def wait_for_turn(self, target: HeldWeights, report: EngineReport) -> None:
+        """Wait until it is this engine's turn to stop serving older weights."""
+        heard = self.fleet.versions.get(target.model)
+        if heard is None or not report.weights:
+            return
+        bound = self.direct.version_seconds
+        serving = [
+            view.backend.address
+            for view in self.fleet.by_service.get(self.direct.service, ())
+            if view.backend.weights
+        ]
+        delay = load_delay_seconds(self.direct.engine, serving, LOADING_SHARE * bound)
+        turn = heard.heard_at + STAGING_SHARE * bound + delay
+        while time.monotonic() < turn and self.target() == target:
+            await asyncio.sleep(min(POLL_SECONDS, max(0.0, turn - time.monotonic())))
+
     async def load(self, target: HeldWeights) -> None:
         """Check what is staged once more and order the engine to load it.
 
--- a/verbenaward/filling/plan.py
+++ b/verbenaward/filling/plan.py
@@ -1,20 +1,6 @@
 """Which weights an engine should hold, and when it is told to load them."""
 
-from dataclasses import dataclass
-
-from ..data import Backend, HeldWeights
-
-WAVES = 2
-WAVE_SECONDS = 1.3
-"""Time in which an engine ends what it runs and loads what is staged."""
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """Weights that an engine should hold, and the rank of its VM among those that load them."""
-
-    weights: HeldWeights
-    wave: int
+from ..data import Backend
 
 
 def wanted_version(named: dict[str, int], model: str, others: list[Backend]) -> int:
@@ -33,23 +19,16 @@
     return max(held, default=0)
 
 
-def wave_of(address: str, serving: list[str]) -> int:
-    """Return the wave in which an engine loads: those that serve do not all stop at once.
+def load_delay_seconds(address: str, serving: list[str], window_seconds: float) -> float:
+    """Return how long an engine that serves older weights waits before it loads newer ones.
+
+    An engine takes nothing new while it ends what it runs and loads. Those of a service take
+    their turns over the window, so that they do not all stop at once.
 
     Args:
       address: Address of the engine.
-      serving: Addresses of all engines that serve older weights.
+      serving: Addresses of all engines of the service that serve.
+      window_seconds: Time in which all should begin.
     """
     order = sorted({*serving, address})
-    return order.index(address) % WAVES
-
-
-def load_at(named_at: float, wave: int, is_serving: bool) -> float:
-    """Return the earliest time at which an engine is told to load.
-
-    Args:
-      named_at: When the version was named, monotonic.
-      wave: Wave of the engine.
-      is_serving: False where it holds nothing, and so loses nothing.
-    """
-    return named_at if not is_serving else named_at + wave * WAVE_SECONDS
+    return window_seconds * order.index(address) / len(order)
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -74,6 +74,7 @@
     directory: Address = '0.0.0.0:0'
     engine: Address = '0.0.0.0:0'
     service: str = ''
+    link_megabits_per_second: float = 0
     zones: dict[str, str] = field(default_factory=dict)
     address_ttl_seconds: float = 2
     leave_seconds: float = 2
