Few processes watch the store, versions keep their own bounds

Watches are 1.2 s long, 0.1 s while the store is lost. So that this costs fewer calls, the first entry process of each zone watches and pulses tell the rest; endpoints listen to entries. Ruled out: lost events in the view (the 410 came first at 13.19 s).

--- a/verbenaward/direct/addresses.py
+++ b/verbenaward/direct/addresses.py
@@ -4,7 +4,7 @@
 
 from ..schema.messages import Pulse
 
-ENOUGH = 3
+ENOUGH = 2
 """Addresses that are enough: callers pick one at random and go on to another if it fails."""
 MAXIMUM_ADDRESSES = 64
 
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -30,6 +30,12 @@
 QUICKEST_PULSE_SECONDS = 0.02
 DATAGRAM_OVERHEAD_BYTES = 28
 NAMED_ENTRIES = 8
+LONGEST_AGE_MS = 3_600_000
+MILLISECONDS = 1000
+WATCHERS = 3
+"""Entry processes that watch the store; the others hear from them."""
+UNCHECKED_SECONDS = 2.2
+"""Time without a word of the store after which a process watches by itself."""
 MOST_TARGETS = 16
 """Entry processes that get one pulse, drawn anew each time."""
 
@@ -81,6 +87,7 @@
       is_ready: Tells whether this process takes requests.
       leaving: True once this process has been told to end.
       heard_revision: Called with the revision that another process knows.
+      checked_at: Tells when the store last answered this process.
     """
 
     def __init__(
@@ -91,6 +98,7 @@
         crashes: Crashes,
         is_ready: Callable[[], bool],
         heard_revision: Callable[[int], None],
+        checked_at: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.view = view
@@ -98,6 +106,7 @@
         self.crashes = crashes
         self.is_ready = is_ready
         self.heard_revision = heard_revision
+        self.checked_at = checked_at
         self.leaving = False
         self.peers: dict[str, EntryPeer] = {}
         self.incarnation = time.time_ns()
@@ -214,6 +223,7 @@
             ),
             crashes=self.crashes.to_tell(now),
             entries=tuple(named) if self.sequence % 16 == 1 else (),
+            checked_ms=min(LONGEST_AGE_MS, int((now - self.checked_at()) * MILLISECONDS)),
         )
 
     def take(self, payload: bytes, source: tuple[str, int], now: float) -> None:
@@ -274,6 +284,34 @@
             if peer.pulse is not None and peer.is_alive(now) and peer.pulse.ready
         ]
 
+    def is_watcher(self) -> bool:
+        """Return True where this process watches the store, for itself and others.
+
+        The first entry process of each availability zone does, up to a few; and every one while
+        none of them says that the store answers.
+        """
+        now = time.monotonic()
+        alive = [
+            (peer.pulse.zone, peer.pulse.vm)
+            for peer in self.peers.values()
+            if peer.pulse is not None and peer.is_alive(now) and not peer.pulse.leaving
+        ]
+        own = (self.settings.zone, self.settings.vm)
+        first: dict[str, tuple[str, str]] = {}
+        for zone, vm in sorted([*alive, own]):
+            first.setdefault(zone, (zone, vm))
+        chosen = list(first.values())[:WATCHERS]
+        return own in chosen or self.seconds_unchecked(now) > UNCHECKED_SECONDS
+
+    def seconds_unchecked(self, now: float) -> float:
+        """Return how long ago the store last answered one of the other processes."""
+        ages = [
+            now - peer.heard_at + peer.pulse.checked_ms / MILLISECONDS
+            for peer in self.peers.values()
+            if peer.pulse is not None and peer.is_alive(now)
+        ]
+        return min(ages, default=LONGEST_AGE_MS / MILLISECONDS)
+
     def ahead(self, revision: int, now: float) -> list[str]:
         """Return the control addresses of processes that know more than a revision."""
         found = [
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -17,6 +17,9 @@
 LAPSE_SECONDS = 2.0
 """Time for which a backend stays in use whose registration lapsed in an outage of the store."""
 OUTAGE_MEMORY_SECONDS = 3.0
+START_AGE_SECONDS = 5.3
+"""Age that a version has at least which a new process finds; when it was named is unknown."""
+KEPT_VERSIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,18 +34,20 @@
     """Configuration, backends and versions of weights, as this process believes them.
 
     Attributes:
+      view: Items of the store.
       table: Routes in force; None before a configuration is known.
       backends: Views by identity.
       by_service: Views by service.
-      versions: Named version of each model.
+      versions: Named versions of each model, the newest last.
       store_lost_at: When a call to the store last failed; 0 for never.
     """
 
     def __init__(self, view: ItemView) -> None:
+        self.view = view
         self.table: RouteTable | None = None
         self.backends: dict[str, BackendView] = {}
         self.by_service: dict[str, list[BackendView]] = {}
-        self.versions: dict[str, HeardVersion] = {}
+        self.versions: dict[str, list[HeardVersion]] = {}
         self.store_lost_at = 0.0
         view.listeners.append(self.take)
 
@@ -139,10 +144,13 @@
             LOG.warning("version.unreadable", fault=result.failure().message)
             return
         named = result.unwrap()
-        known = self.versions.get(named.model)
-        if known is None or named.version > known.named.version:
-            self.versions[named.model] = HeardVersion(named, now)
-            LOG.info("version.named", model=named.model, version=named.version)
+        known = self.versions.setdefault(named.model, [])
+        if known and named.version <= known[-1].named.version:
+            return
+        heard_at = now if self.view.revision else now - START_AGE_SECONDS
+        known.append(HeardVersion(named, heard_at))
+        del known[:-KEPT_VERSIONS]
+        LOG.info("version.named", model=named.model, version=named.version)
 
     def usable(self, service: str, now: float) -> list[BackendView]:
         """Return the backends of a service that may get new work."""
@@ -162,10 +170,19 @@
           bound_seconds: Time after its naming from which nothing older may begin.
           now: Present time, monotonic, in seconds.
         """
-        heard = self.versions.get(model)
-        if heard is None or now - heard.heard_at < bound_seconds:
-            return 0
-        return heard.named.version
+        named = self.versions.get(model, ())
+        due = [item.named.version for item in named if now - item.heard_at >= bound_seconds]
+        return max(due, default=0)
+
+    def newest_version(self, model: str) -> int:
+        """Return the newest named version of a model; 0 for none."""
+        named = self.versions.get(model)
+        return named[-1].named.version if named else 0
+
+    def first_above(self, model: str, version: int) -> HeardVersion | None:
+        """Return the named version that was heard first among those above a version."""
+        newer = [item for item in self.versions.get(model, ()) if item.named.version > version]
+        return min(newer, key=lambda item: item.heard_at, default=None)
 
     def is_loaded(self) -> bool:
         """Return True where requests can be served: routes and a backend are known."""
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -21,8 +21,8 @@
 from .sending import send_whole
 
 POLL_SECONDS = 0.02
-WAIT_TARGETS = 0.9
-"""A request waits for a backend for at most this many times its target."""
+PATIENCE_TARGETS = 0.125
+"""Part of its target for which a request waits for a backend before it is refused."""
 RESERVE_SECONDS = 0.02
 FIRST_TRY_SHARE = 0.4
 """Part of the time left that the first of two tries of an idempotent request may take."""
@@ -128,7 +128,7 @@
 
     def patience_seconds(self, request: Request) -> float:
         """Return how long a request may wait for a backend."""
-        return WAIT_TARGETS * (request.route.target_seconds or 0.1)
+        return PATIENCE_TARGETS * (request.route.target_seconds or 0.1)
 
     def check_poison(self, request: Request, progress: Progress, now: float) -> None:
         """Refuse a request that has crashed backends before."""
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -19,6 +19,8 @@
 """Backends that differ by less are alike; one of them is drawn."""
 FAILURE_SECONDS = 0.5
 """Expected delay of a backend that fails all requests, over one that fails none."""
+REGION_SECONDS = 0.03
+"""Cost of another region: a round trip, and the narrow link between them."""
 LATE_TARGETS = 1.5
 """A request that is late already may wait this many times its target."""
 MINIMUM_RETRY_AFTER_SECONDS = 0.05
@@ -33,7 +35,7 @@
     Attributes:
       view: The backend.
       expected_seconds: Expected time to the answer or the first event.
-      version: Version of the weights that it must hold; 0 for any.
+      version: Version of the weights that it is believed to hold; 0 where any will do.
     """
 
     view: BackendView
@@ -81,7 +83,8 @@
         best = min(seconds for seconds, _ in rated)
         near = [item for item in rated if item[0] <= best + NEAR_SECONDS]
         seconds, view = self.rng.choice(near)
-        return Choice(view, seconds, version)
+        held = view.version_of(request.said.model) if version else 0
+        return Choice(view, seconds, held)
 
     def required_version(self, request: Request, now: float) -> int:
         """Return the version of the weights that a request must run on; 0 for any."""
@@ -105,7 +108,7 @@
         if view.backend.zone == self.zone:
             return 0.001
         here, there = self.regions.get(self.zone), self.regions.get(view.backend.zone)
-        return 0.004 if here == there else 0.007
+        return 0.004 if here == there else REGION_SECONDS
 
     def refusal(self, request: Request, choice: Choice | None, now: float) -> Refusal | None:
         """Return why a request should not be sent to its best backend, or None.
@@ -116,7 +119,7 @@
           now: Present time, monotonic, in seconds.
         """
         if choice is None:
-            return self.come_back("no-backend", "no backend can take it now", 0.3)
+            return self.come_back("no-backend", "no backend can take it now", 0.8)
         if request.engine is None or not request.route.target_seconds:
             return None
         allowed = self.allowed_seconds(request, now)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -9,14 +9,15 @@
 
 from ..configuration.settings import host_of, port_of
 from ..knowledge.follower import PeerFollower, StoreFollower
+from ..knowledge.handing_on import ITEMS_PATH, WAIT_QUERY, ask_entry, message_of
 from ..knowledge.items import Changes, ItemView
 from ..logs import get_logger
-from ..platform.key_value import ADAPTERS, KeyValueEntry, LeasingService
+from ..platform.key_value import ADAPTERS, LeasingService
 from ..platform.names import DIRECTORY_PATH, ENTRY_PREFIX, EVERYTHING, READINESS_PATH
-from ..schema.messages import Pulse, StoredItem, StoredItems
+from ..schema.messages import Pulse
 from ..schema.settings import DirectSettings, Settings
 from ..sockets import careful_socket
-from ..wire.codec import MalformedMessageError, decode, encode
+from ..wire.codec import encode
 from .addresses import addresses_for
 from .budget import SharedBudget
 from .chunks import ChunkRelay
@@ -32,8 +33,10 @@
 LOG = get_logger(__name__)
 LEASE_SECONDS = 6.0
 RENEW_SECONDS = 2.0
-ITEMS_PATH = "/items/{revision}"
-ASK_SECONDS = 0.6
+WAIT_STEP_SECONDS = 0.03
+LONGEST_WAIT_SECONDS = 10.0
+FRESH_SECONDS = 3.5
+"""Age of the store's last answer up to which others may rely on what a process knows."""
 NOTICE_SECONDS = 3.0
 """Time after the order to stop in which requests are still taken: callers keep addresses."""
 LAST_SECONDS = 0.5
@@ -71,7 +74,9 @@
         self.view = ItemView()
         self.fleet = Fleet(self.view)
         self.crashes = Crashes()
-        self.follower = StoreFollower(self.store, EVERYTHING, self.view)
+        self.follower = StoreFollower(
+            self.store, EVERYTHING, self.view, lambda: self.entries.is_watcher()
+        )
         self.peer_follower = PeerFollower(self.view, self.follower, self.ask_peers)
         self.entries = Entries(
             settings,
@@ -80,6 +85,7 @@
             self.crashes,
             self.is_ready,
             self.peer_follower.note_revision,
+            lambda: self.follower.checked_at,
         )
         self.budget = SharedBudget(
             direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds
@@ -187,43 +193,36 @@
         )
 
     async def answer_items(self, request: web.Request) -> web.Response:
-        """Hand on what this process knows of the store after a revision."""
+        """Hand on what this process knows of the store after a revision.
+
+        The caller may name how long it waits for something new. An answer is given only while
+        this process or another one hears from the store.
+        """
         try:
             revision = int(request.match_info["revision"])
+            wait_seconds = float(request.query.get(WAIT_QUERY, "0"))
         except ValueError:
             return web.Response(status=400)
-        changes = self.view.changes_after(revision)
-        items = tuple(
-            StoredItem(entry.key, entry.value, entry.version, not entry.value)
-            for entry in changes.entries
-        )
-        message = StoredItems(changes.revision, changes.complete, items)
-        return web.Response(body=encode(message))
+        until = time.monotonic() + min(LONGEST_WAIT_SECONDS, wait_seconds)
+        while self.view.revision <= revision and time.monotonic() < until:
+            await asyncio.sleep(WAIT_STEP_SECONDS)
+        if wait_seconds and not self.hears_from_store(time.monotonic()):
+            return web.Response(status=503)
+        return web.Response(body=encode(message_of(self.view.changes_after(revision))))
+
+    def hears_from_store(self, now: float) -> bool:
+        """Return True where what this process knows is fresh."""
+        own = now - self.follower.checked_at
+        return min(own, self.entries.seconds_unchecked(now)) < FRESH_SECONDS
 
     async def ask_peers(self, revision: int) -> Changes | None:
         """Return what another entry process knows after a revision; None where nobody answers."""
         for control in self.entries.ahead(revision, time.monotonic())[:3]:
-            changes = await self.ask_peer(control, revision)
+            changes = await ask_entry(self.session, control, revision, 0.0)
             if changes is not None:
                 return changes
         return None
 
-    async def ask_peer(self, control: str, revision: int) -> Changes | None:
-        """Return what one entry process knows after a revision."""
-        timeout = aiohttp.ClientTimeout(total=ASK_SECONDS)
-        try:
-            async with self.session.get(
-                f"http://{control}/items/{revision}", timeout=timeout
-            ) as response:
-                message = decode(StoredItems, await response.read())
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, MalformedMessageError) as error:
-            LOG.warning("peer.failed", peer=control, error=f"{type(error).__name__} {error}"[:150])
-            return None
-        entries = tuple(
-            KeyValueEntry(item.key, item.value, item.revision) for item in message.items
-        )
-        return Changes(message.revision, message.complete, entries)
-
     async def keep_registered(self) -> None:
         """Keep the record of this process in the store until it leaves."""
         key = ENTRY_PREFIX + self.settings.listen
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -99,7 +99,7 @@
         declared = table.services.get(self.direct.service) if table else None
         if declared is None or declared.engine is None:
             return None
-        named = {model: heard.named.version for model, heard in self.fleet.versions.items()}
+        named = {model: self.fleet.newest_version(model) for model in self.fleet.versions}
         others = [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
         for model in declared.engine.models:
             version = wanted_version(named, model, others)
@@ -183,10 +183,10 @@
 
     def holders(self, key: str) -> list[str]:
         """Return the entry processes to ask, the best one first."""
-        controls = {}
-        for entry in self.view.under(ENTRY_PREFIX):
-            control = entry.key.removeprefix(ENTRY_PREFIX)
-            controls[control] = zone_of_record(entry.value)
+        controls = {
+            entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
+            for entry in self.view.under(ENTRY_PREFIX)
+        }
         return holder_order(controls, self.settings.zone, self.direct.zones, key)
 
     def rate(self) -> float:
@@ -214,7 +214,8 @@
 
     async def wait_for_turn(self, target: HeldWeights, report: EngineReport) -> None:
         """Wait until it is this engine's turn to stop serving older weights."""
-        heard = self.fleet.versions.get(target.model)
+        held = max((item.version for item in report.weights), default=0)
+        heard = self.fleet.first_above(target.model, held)
         if heard is None or not report.weights:
             return
         bound = self.direct.version_seconds
--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -12,6 +12,7 @@
 from ..platform.names import EVERYTHING
 from ..schema.settings import DirectSettings, Settings
 from .filler import Filler
+from .listening import EntryListener
 
 
 class FillingRole:
@@ -27,7 +28,8 @@
         self.session = platform_session()
         view = ItemView()
         store = leasing_store(settings, self.session)
-        self.follower = StoreFollower(store, EVERYTHING, view)
+        self.listener = EntryListener(settings, direct, view, self.session)
+        self.follower = StoreFollower(store, EVERYTHING, view, self.listener.is_deaf)
         self.filler = Filler(settings, direct, view, Fleet(view), self.session)
         self.tasks: list[asyncio.Task[None]] = []
         self.runner = web.AppRunner(web.Application(), access_log=None)
@@ -38,7 +40,7 @@
         await self.runner.setup()
         listen = self.settings.listen
         await web.TCPSite(self.runner, host_of(listen), port_of(listen)).start()
-        for work in (self.follower.run(), self.filler.run()):
+        for work in (self.follower.run(), self.listener.run(), self.filler.run()):
             self.tasks.append(asyncio.create_task(work))
 
     async def drain(self) -> None:
--- a/verbenaward/knowledge/follower.py
+++ b/verbenaward/knowledge/follower.py
@@ -12,8 +12,11 @@
 from .items import Changes, ItemView
 
 LOG = get_logger(__name__)
-WATCH_SECONDS = 8.0
-"""Longest watch. One that went silent is found sooner, by what the other processes know."""
+WATCH_SECONDS = 1.2
+"""Longest watch. A watch may fall silent without a sign, on all processes at once."""
+LOST_WATCH_SECONDS = 0.1
+"""Longest watch while the store does not answer."""
+IDLE_SECONDS = 0.1
 FIRST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.8
 LAG_SECONDS = 0.12
@@ -30,15 +33,25 @@
       store: The store.
       prefix: Keys that are followed.
       view: What is known.
+      is_watcher: Tells whether this process watches the store, or hears from those that do.
       reachable: False while the last call to the store failed.
+      checked_at: When the store last answered, monotonic; 0 for never.
       failures: Failed calls in a row.
     """
 
-    def __init__(self, store: KeyValueService, prefix: str, view: ItemView) -> None:
+    def __init__(
+        self,
+        store: KeyValueService,
+        prefix: str,
+        view: ItemView,
+        is_watcher: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.store = store
         self.prefix = prefix
         self.view = view
+        self.is_watcher = is_watcher
         self.reachable = True
+        self.checked_at = 0.0
         self.failures = 0
         self.must_read = True
         self.rng = random.Random()
@@ -47,6 +60,9 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
+            if self.view.revision and not self.is_watcher():
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
             result = await self.step()
             if isinstance(result, Success):
                 self.note_success()
@@ -71,9 +87,8 @@
     async def watch(self) -> Result[KeyValueSnapshot, KeyValueError]:
         """Wait for changes; end early where the watch turned out to be silent."""
         self.restart.clear()
-        watching = asyncio.ensure_future(
-            self.store.watch(self.prefix, self.view.revision, WATCH_SECONDS)
-        )
+        seconds = WATCH_SECONDS if self.reachable else LOST_WATCH_SECONDS
+        watching = asyncio.ensure_future(self.store.watch(self.prefix, self.view.revision, seconds))
         silent = asyncio.ensure_future(self.restart.wait())
         try:
             await asyncio.wait({watching, silent}, return_when=asyncio.FIRST_COMPLETED)
@@ -90,6 +105,7 @@
             LOG.info("store.found", revision=self.view.revision)
         self.reachable = True
         self.failures = 0
+        self.checked_at = time.monotonic()
 
     def note_failure(self, error: KeyValueError) -> None:
         """Note a failed call; a history that was dropped is read anew."""
@@ -134,7 +150,8 @@
         while True:
             await self.heard.wait()
             self.heard.clear()
-            if self.follower.reachable and self.view.revision:
+            follower = self.follower
+            if follower.reachable and self.view.revision and follower.is_watcher():
                 await asyncio.sleep(LAG_SECONDS)
             if self.newest <= self.view.revision:
                 continue
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -18,7 +18,7 @@
 )
 
 CALL_TIMEOUT_SECONDS = 1.0
-WATCH_SLACK_SECONDS = 1.0
+WATCH_SLACK_SECONDS = 0.6
 FAILURE_BY_STATUS = {
     410: KeyValueFailure.COMPACTED,
     412: KeyValueFailure.CONFLICT,
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -131,6 +131,7 @@
   loads @8 :List(BackendLoad);
   crashes @9 :List(Crash);
   entries @10 :List(Text);  # addresses of other entry processes
+  checkedMs @11 :UInt32;    # age of the last answer of the store to this process
 }
 
 # One item of the platform's store, as an entry process hands it on.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -183,6 +183,7 @@
     loads: tuple[BackendLoad, ...] = ()
     crashes: tuple[Crash, ...] = ()
     entries: tuple[str, ...] = ()
+    checked_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
