--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -33,7 +33,7 @@
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
-SLICE_BYTES = 8192
+SLICE_BYTES = 4096
 AHEAD = 1
 RATE_QUERY = "rate"
 
@@ -59,13 +59,38 @@
         self.size = 0
         self.fetching: dict[Key, asyncio.Task[bytes | None]] = {}
         self.draws = asyncio.Semaphore(ORIGIN_DRAWS)
+        self.ahead: set[asyncio.Task[None]] = set()
+        fleet.version_listeners.append(self.note_version)
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes to an application."""
         app.router.add_get(MANIFEST_PATH, self.serve)
         app.router.add_get(CHUNK_PATH, self.serve)
 
-    async def serve(self, request: web.Request) -> web.Response:
+    def note_version(self, model: str, version: int) -> None:
+        """Draw the chunks of a named version whose home this process is, before anyone asks."""
+        task = asyncio.create_task(self.draw_own(model, version))
+        self.ahead.add(task)
+        task.add_done_callback(self.ahead.discard)
+
+    async def draw_own(self, model: str, version: int) -> None:
+        """Draw the chunks of a version whose home this process is."""
+        origin = self.origin()
+        if origin is None or not self.is_near(origin):
+            return
+        digests = await self.get((model, version, MANIFEST_INDEX))
+        for index in range(len(digests or b"") // DIGEST_BYTES):
+            key = (model, version, index)
+            if self.home_of(key, origin, 0) == self.settings.listen:
+                await self.get(key)
+
+    def is_near(self, origin: ServiceDeclaration) -> bool:
+        """Return True where this process is in the region of the origin."""
+        direct = self.settings.direct
+        assert direct is not None
+        return direct.zones.get(self.settings.zone) == direct.zones.get(origin.zone)
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
         """Answer a chunk or a manifest, as the digests in order."""
         try:
             version = int(request.match_info["version"])
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -1,5 +1,6 @@
 """The state that an entry process derives from the items of the store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from returns.result import Success
@@ -39,6 +40,7 @@
       backends: Views by identity.
       by_service: Views by service.
       versions: Named versions of each model, the newest last.
+      version_listeners: Called with each version that is named while this process runs.
       store_lost_at: When a call to the store last failed; 0 for never.
     """
 
@@ -48,6 +50,7 @@
         self.backends: dict[str, BackendView] = {}
         self.by_service: dict[str, list[BackendView]] = {}
         self.versions: dict[str, list[HeardVersion]] = {}
+        self.version_listeners: list[Callable[[str, int], None]] = []
         self.store_lost_at = 0.0
         view.listeners.append(self.take)
 
@@ -151,6 +154,8 @@
         known.append(HeardVersion(named, heard_at))
         del known[:-KEPT_VERSIONS]
         LOG.info("version.named", model=named.model, version=named.version)
+        for listener in self.version_listeners if self.view.revision else ():
+            listener(named.model, named.version)
 
     def usable(self, service: str, now: float) -> list[BackendView]:
         """Return the backends of a service that may get new work."""
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -19,17 +19,19 @@
 from ..platform.names import ENTRY_PREFIX
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
 from ..schema.settings import DirectSettings, Settings
-from .plan import load_delay_seconds, wanted_version
+from .plan import Overtaken, goes_on, load_delay_seconds, wanted_version
 
 LOG = get_logger(__name__)
-POLL_SECONDS = 0.25
-FETCHES = 2
-"""Chunks on their way: one is staged while the next one comes."""
+POLL_SECONDS = 0.1
+FETCHES = 3
+"""Chunks on their way; each comes at its part of the link's rate."""
 FETCH_SECONDS = 2.5
 STAGING_SHARE = 0.58
 """Part of the time bound of a version after which its engines begin to load."""
 LOADING_SHARE = 0.3
 """Part of the time bound over which they take their turns."""
+STAGING_OVERHEAD = 1.15
+"""Time to stage a version, over the time that its bytes take on the link."""
 BITS = 8
 MEGA = 1_000_000
 FETCH_ATTEMPTS = 5
@@ -50,6 +52,8 @@
 
     Attributes:
       engine: The engine.
+      goal: Weights that are staged and loaded next.
+      overtaken_by: Newest version for which it was decided whether the goal is given up.
       staged: Chunks that were staged and checked, by index, with their digests.
     """
 
@@ -70,7 +74,8 @@
         self.digests: Digests | None = None
         self.staged: dict[int, bytes] = {}
         self.staged_model = ""
-        self.link = asyncio.Lock()
+        self.goal: HeldWeights | None = None
+        self.overtaken_by: HeldWeights | None = None
 
     async def run(self) -> None:
         """Fill the engine until cancelled."""
@@ -85,7 +90,10 @@
             return
         report = result.unwrap()
         target = self.target()
-        if target is None or holds(report, target):
+        if target is None:
+            return
+        if holds(report, target):
+            self.goal = None
             return
         if not await self.stage(target):
             return
@@ -94,7 +102,51 @@
             await self.load(target)
 
     def target(self) -> HeldWeights | None:
-        """Return the weights that the engine should hold."""
+        """Return the weights that the engine should hold next."""
+        newest = self.newest()
+        goal = self.goal
+        if newest is None or goal is None or goal.model != newest.model:
+            self.goal = newest
+        elif goal.version < newest.version and self.overtaken_by != newest:
+            self.overtaken_by = newest
+            if not self.goes_on(goal, newest):
+                self.goal = newest
+            LOG.info("version.overtaken", goal=self.goal, newest=newest.version)
+        return self.goal
+
+    def goes_on(self, goal: HeldWeights, newest: HeldWeights) -> bool:
+        """Return True where the goal is still taken though a newer version was named."""
+        heard = self.fleet.first_above(newest.model, newest.version - 1)
+        if heard is None or self.digests is None or self.digests.weights != goal:
+            return False
+        digests = self.digests.digests
+        done = sum(self.staged.get(index) == digest for index, digest in enumerate(digests))
+        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
+        engine = declared.engine if declared else None
+        if engine is None or not self.rate():
+            return False
+        now = time.monotonic()
+        size = engine.chunk_bytes * engine.chunk_count
+        serving = self.serving()
+        overtaken = Overtaken(
+            done / len(digests),
+            heard.heard_at,
+            STAGING_OVERHEAD * size / self.rate(),
+            self.direct.version_seconds,
+            sorted({*serving, self.direct.engine}).index(self.direct.engine),
+        )
+        return goes_on(overtaken, now)
+
+    def serving(self) -> list[str]:
+        """Return the addresses of the engines of the service that serve."""
+        return [
+            view.backend.address
+            for view in self.fleet.by_service.get(self.direct.service, ())
+            if view.backend.weights
+        ]
+
+    def newest(self) -> HeldWeights | None:
+        """Return the newest weights that are named, or that the others hold."""
         table = self.fleet.table
         declared = table.services.get(self.direct.service) if table else None
         if declared is None or declared.engine is None:
@@ -192,20 +244,16 @@
     def rate(self) -> float:
         """Return the bytes a second that weights may take of the link; 0 for no limit.
 
-        Requests to the engine share the link. Chunks come one by one, and the pause between two
-        leaves room for them.
+        Requests to the engine share the link. Weights come in slices, so that these pass between.
         """
         return self.direct.link_megabits_per_second * MEGA / BITS
 
     async def ask(self, url: str) -> bytes | None:
         """Return the body of an answer; None for none."""
         timeout = aiohttp.ClientTimeout(total=FETCH_SECONDS)
-        query = {RATE_QUERY: f"{self.rate():.0f}"} if self.rate() else {}
+        query = {RATE_QUERY: f"{self.rate() / FETCHES:.0f}"} if self.rate() else {}
         try:
-            async with (
-                self.link,
-                self.session.get(url, params=query, timeout=timeout) as response,
-            ):
+            async with self.session.get(url, params=query, timeout=timeout) as response:
                 body = await response.read()
                 return body if response.status == 200 else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
@@ -219,12 +267,10 @@
         if heard is None or not report.weights:
             return
         bound = self.direct.version_seconds
-        serving = [
-            view.backend.address
-            for view in self.fleet.by_service.get(self.direct.service, ())
-            if view.backend.weights
-        ]
-        delay = load_delay_seconds(self.direct.engine, serving, LOADING_SHARE * bound)
+        window = LOADING_SHARE * bound
+        if self.newest() != target:
+            window /= 2
+        delay = load_delay_seconds(self.direct.engine, self.serving(), window)
         turn = heard.heard_at + STAGING_SHARE * bound + delay
         while time.monotonic() < turn and self.target() == target:
             await asyncio.sleep(min(POLL_SECONDS, max(0.0, turn - time.monotonic())))
@@ -256,7 +302,8 @@
             outcome=outcome.value,
             running=report.running,
         )
-        await self.wait_for_order(target)
+        if outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE):
+            self.goal = None
 
     async def is_whole(self, target: HeldWeights, digests: Digests) -> bool:
         """Return True where every staged chunk is the one it should be, just now."""
@@ -269,18 +316,6 @@
                 whole = False
         return whole
 
-    async def wait_for_order(self, target: HeldWeights) -> None:
-        """Wait while an order is in progress, as long as nothing newer is wanted."""
-        while self.target() == target:
-            result = await self.engine.report()
-            if not isinstance(result, Success):
-                return
-            report = result.unwrap()
-            if holds(report, target) or not report.is_busy:
-                LOG.info("engine.holds", weights=[item.version for item in report.weights])
-                return
-            await asyncio.sleep(POLL_SECONDS)
-
 
 def holds(report: EngineReport, target: HeldWeights) -> bool:
     """Return True where an engine holds the wanted weights or newer ones."""
--- a/verbenaward/filling/plan.py
+++ b/verbenaward/filling/plan.py
@@ -1,7 +1,12 @@
 """Which weights an engine should hold, and when it is told to load them."""
 
+from dataclasses import dataclass
+
 from ..data import Backend
 
+IN_TIME_SHARE = 0.85
+"""Part of the time bound within which a version should be staged."""
+
 
 def wanted_version(named: dict[str, int], model: str, others: list[Backend]) -> int:
     """Return the version of a model that an engine should hold; 0 where none is known.
@@ -32,3 +37,38 @@
     """
     order = sorted({*serving, address})
     return window_seconds * order.index(address) / len(order)
+
+
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """A version that is being staged when a newer one is named.
+
+    Attributes:
+      staged_share: Part of its chunks that are staged.
+      newer_heard_at: When the newer version was heard, monotonic.
+      staging_seconds: Time to stage a whole version.
+      bound_seconds: Time bound of a version.
+      rank: Place of the engine among those that serve.
+    """
+
+    staged_share: float
+    newer_heard_at: float
+    staging_seconds: float
+    bound_seconds: float
+    rank: int
+
+
+def goes_on(overtaken: Overtaken, now: float) -> bool:
+    """Return True where an engine still takes a version that a newer one has overtaken.
+
+    If all gave it up, none would hold a version that may serve between the bound of the older
+    and the arrival of the newer one. If both can be had in time, all go on; else every second.
+
+    Args:
+      overtaken: What is known when the newer version is heard.
+      now: Present time, monotonic, in seconds.
+    """
+    rest = (1.0 - overtaken.staged_share) * overtaken.staging_seconds
+    newer_staged_at = now + rest + overtaken.staging_seconds
+    in_time = overtaken.newer_heard_at + IN_TIME_SHARE * overtaken.bound_seconds
+    return newer_staged_at <= in_time or overtaken.rank % 2 == 0
--- a/verbenaward/platform/weights.py
+++ b/verbenaward/platform/weights.py
@@ -22,6 +22,7 @@
 
 LOCAL_SECONDS = 1.0
 MANIFEST_SECONDS = 2.0
+CONNECT_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +88,7 @@
     body: bytes | None = None,
 ) -> Result[tuple[int, bytes], str]:
     """Make one call and return its status and whole body."""
-    timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+    timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_SECONDS)
     try:
         async with session.request(
             method, url, params=query, data=body, timeout=timeout
