Endpoints tell entries when their engine loads; a stream's silence is counted from its last event

Cause: during a load an engine refuses everything; 344 of 2,327 arrivals were refused and used up the budget of repeats. Second cause: the limit for the first event was not moved once no repeat was left, so running streams were cut 2.1 s after their start (41 cut answers).

--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -13,6 +13,8 @@
 """Time for which a backend that said it is full is passed over."""
 LOADING_LOAD = 0.75
 """Part of its places below which a backend that refuses must have another reason."""
+LONGEST_LOADING_SECONDS = 4.0
+"""Time after which a backend that was said to load is asked again."""
 LOADING_SECONDS = 0.6
 """Time for which such a backend is passed over."""
 REMOTE_SECONDS = 1.5
@@ -47,6 +49,7 @@
       prompt_tokens: Prompt tokens of those that have no first event yet.
       remote: Load of other entry processes by their name.
       passed_over_until: Time until which it gets nothing unless no other is left.
+      loading_until: Time until which it takes nothing because it loads other weights.
       failures_in_a_row: Attempts since the last good one that found it dead or silent.
       failure_share: Smoothed share of attempts that failed.
       slowness: Smoothed ratio of the time to the first event to the expected one.
@@ -58,6 +61,7 @@
     prompt_tokens: int = 0
     remote: dict[str, RemoteLoad] = field(default_factory=dict)
     passed_over_until: float = 0.0
+    loading_until: float = 0.0
     failures_in_a_row: int = 0
     failure_share: float = 0.0
     slowness: float = 1.0
@@ -109,6 +113,10 @@
         self.failures_in_a_row += 1
         self.passed_over_until = max(self.passed_over_until, now + pause)
 
+    def note_loading(self, now: float) -> None:
+        """Learn that it ends what it runs and then loads other weights."""
+        self.loading_until = now + LONGEST_LOADING_SECONDS
+
     def note_full(self, now: float) -> None:
         """Learn that it had no room; one with free places loads weights, which takes longer."""
         is_loading = self.all_running(now) < LOADING_LOAD * self.backend.slots
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -233,6 +233,9 @@
         except MalformedMessageError as error:
             LOG.warning("pulse.malformed", source=source[0], error=str(error)[:100])
             return
+        if pulse.loading:
+            self.fleet.note_loading(pulse.loading, now)
+            return
         peer = self.peer(f"{source[0]}:{source[1]}")
         if peer is None:
             return
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -111,10 +111,19 @@
             )
         elif backend.is_leaving and not known.backend.is_leaving:
             LOG.info("backend.leaving", backend=backend.identity, revision=backend.revision)
+        if known.backend.weights != backend.weights:
+            known.loading_until = 0.0
         known.backend = backend
         known.gone_at = 0.0
         self.arrange()
 
+    def note_loading(self, address: str, now: float) -> None:
+        """Note that a backend takes nothing until it holds other weights."""
+        for view in self.backends.values():
+            if view.backend.address == address:
+                view.note_loading(now)
+                LOG.info("backend.loading", backend=view.backend.identity)
+
     def end_backend(self, identity: str, now: float) -> None:
         """Take the end of a registration; one that may be back after an outage stays a while."""
         view = self.backends.get(identity)
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -73,7 +73,9 @@
         """
         version = self.required_version(request, now)
         views = [
-            view for view in self.fleet.usable(request.service, now) if fits(view, request, version)
+            view
+            for view in self.fleet.usable(request.service, now)
+            if fits(view, request, version) and view.loading_until <= now
         ]
         fresh = [view for view in views if view.backend.identity not in tried] or views
         awake = [view for view in fresh if view.passed_over_until <= now] or fresh
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -199,8 +199,8 @@
             async for piece in answer.content.iter_any():
                 if await delivery.pass_on(piece):
                     reading.first_event()
-                    if self.may_go_elsewhere(request, progress):
-                        limit.reschedule(now_of_loop() + STALL_SECONDS)
+                    may_go = self.may_go_elsewhere(request, progress)
+                    limit.reschedule(now_of_loop() + STALL_SECONDS if may_go else None)
         except (aiohttp.ClientError, OSError) as error:
             return FailedAttempt(Failure.BROKEN, True, f"{type(error).__name__} {error}")
         if was_reset(protocol) or delivery.rest:
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -1,7 +1,9 @@
 """Fills the engine on this VM: fetches, checks, stages and orders."""
 
 import asyncio
+import contextlib
 import hashlib
+import socket
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -10,6 +12,7 @@
 from returns.result import Success
 
 from .. import metrics
+from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
 from ..direct.chunks import DIGEST_BYTES, RATE_QUERY, holder_order
 from ..direct.entries import zone_of_record
@@ -18,18 +21,23 @@
 from ..logs import get_logger
 from ..platform.names import ENTRY_PREFIX
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
+from ..schema.messages import Pulse
 from ..schema.settings import DirectSettings, Settings
-from .plan import Overtaken, goes_on, load_delay_seconds, wanted_version
+from ..wire.codec import encode
+from .plan import (
+    STAGING_SHARE,
+    Overtaken,
+    goes_on,
+    load_delay_seconds,
+    loading_window_seconds,
+    wanted_version,
+)
 
 LOG = get_logger(__name__)
 POLL_SECONDS = 0.1
 FETCHES = 3
 """Chunks on their way; each comes at its part of the link's rate."""
 FETCH_SECONDS = 2.5
-STAGING_SHARE = 0.58
-"""Part of the time bound of a version after which its engines begin to load."""
-LOADING_SHARE = 0.3
-"""Part of the time bound over which they take their turns."""
 STAGING_OVERHEAD = 1.15
 """Time to stage a version, over the time that its bytes take on the link."""
 BITS = 8
@@ -121,21 +129,26 @@
             return False
         digests = self.digests.digests
         done = sum(self.staged.get(index) == digest for index, digest in enumerate(digests))
-        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
-        engine = declared.engine if declared else None
-        if engine is None or not self.rate():
+        staging = self.staging_seconds()
+        if not staging:
             return False
-        now = time.monotonic()
-        size = engine.chunk_bytes * engine.chunk_count
         serving = self.serving()
         overtaken = Overtaken(
             done / len(digests),
             heard.heard_at,
-            STAGING_OVERHEAD * size / self.rate(),
+            staging,
             self.direct.version_seconds,
             sorted({*serving, self.direct.engine}).index(self.direct.engine),
         )
-        return goes_on(overtaken, now)
+        return goes_on(overtaken, time.monotonic())
+
+    def staging_seconds(self) -> float:
+        """Return the time to stage a whole version; 0 where it is unknown."""
+        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
+        engine = declared.engine if declared else None
+        if engine is None or not self.rate():
+            return 0.0
+        return STAGING_OVERHEAD * engine.chunk_bytes * engine.chunk_count / self.rate()
 
     def serving(self) -> list[str]:
         """Return the addresses of the engines of the service that serve."""
@@ -267,9 +280,10 @@
         if heard is None or not report.weights:
             return
         bound = self.direct.version_seconds
-        window = LOADING_SHARE * bound
-        if self.newest() != target:
-            window /= 2
+        newer = self.fleet.first_above(target.model, target.version)
+        window = loading_window_seconds(
+            heard.heard_at, newer.heard_at if newer else None, self.staging_seconds(), bound
+        )
         delay = load_delay_seconds(self.direct.engine, self.serving(), window)
         turn = heard.heard_at + STAGING_SHARE * bound + delay
         while time.monotonic() < turn and self.target() == target:
@@ -304,6 +318,16 @@
         )
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE):
             self.goal = None
+            self.tell_loading(target)
+
+    def tell_loading(self, target: HeldWeights) -> None:
+        """Tell the entry processes that the engine takes nothing until it holds the weights."""
+        notice = encode(Pulse(vm=self.settings.vm, loading=self.direct.engine))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
+            made.setblocking(False)
+            for control in self.holders(target.model):
+                with contextlib.suppress(OSError):
+                    made.sendto(notice, (host_of(control), port_of(control)))
 
     async def is_whole(self, target: HeldWeights, digests: Digests) -> bool:
         """Return True where every staged chunk is the one it should be, just now."""
--- a/verbenaward/filling/plan.py
+++ b/verbenaward/filling/plan.py
@@ -4,6 +4,12 @@
 
 from ..data import Backend
 
+STAGING_SHARE = 0.58
+"""Part of the time bound of a version after which its engines begin to load."""
+LOADING_SHARE = 0.3
+"""Part of the time bound over which they take their turns."""
+NEWER_SHARE = 0.9
+"""Part of the time bound within which the last engine should have staged a newer version."""
 IN_TIME_SHARE = 0.85
 """Part of the time bound within which a version should be staged."""
 
@@ -72,3 +78,22 @@
     newer_staged_at = now + rest + overtaken.staging_seconds
     in_time = overtaken.newer_heard_at + IN_TIME_SHARE * overtaken.bound_seconds
     return newer_staged_at <= in_time or overtaken.rank % 2 == 0
+
+
+def loading_window_seconds(
+    first_heard_at: float, newer_heard_at: float | None, staging_seconds: float, bound: float
+) -> float:
+    """Return the time over which the engines of a service take their turns.
+
+    Args:
+      first_heard_at: When the version that they load was heard, monotonic.
+      newer_heard_at: When a newer one was heard that must be staged afterwards; None for none.
+      staging_seconds: Time to stage a whole version.
+      bound: Time bound of a version.
+    """
+    window = LOADING_SHARE * bound
+    if newer_heard_at is None:
+        return window
+    start = first_heard_at + STAGING_SHARE * bound
+    last = newer_heard_at + NEWER_SHARE * bound - staging_seconds
+    return max(0.0, min(window, last - start))
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -132,6 +132,7 @@
   crashes @9 :List(Crash);
   entries @10 :List(Text);  # addresses of other entry processes
   checkedMs @11 :UInt32;    # age of the last answer of the store to this process
+  loading @12 :Text;        # from an endpoint: address of its engine, which takes nothing now
 }
 
 # One item of the platform's store, as an entry process hands it on.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -184,6 +184,7 @@
     crashes: tuple[Crash, ...] = ()
     entries: tuple[str, ...] = ()
     checked_ms: int = 0
+    loading: str = ""
 
 
 @dataclass(frozen=True, slots=True)
