--- a/verbenaward/configuration/documents.py
+++ b/verbenaward/configuration/documents.py
@@ -6,15 +6,16 @@
 from dataclasses import dataclass
 from functools import cache
 from pathlib import Path
-from typing import Any, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
-import json5
-import jsonschema
 import msgspec
 
 from .. import schema
 from ..data import Fault
 
+if TYPE_CHECKING:
+    from jsonschema import Draft202012Validator, ValidationError
+
 DocumentType = TypeVar("DocumentType")
 Rules = Callable[[str, Any], tuple[Fault, ...]]
 
@@ -115,6 +116,8 @@
     try:
         return json.loads(text, object_pairs_hook=unique_pairs)
     except json.JSONDecodeError:
+        import json5
+
         return json5.loads(text, allow_duplicate_keys=False)
 
 
@@ -140,7 +143,7 @@
     return tuple(fault_of(source, text, error) for error in errors)
 
 
-def fault_of(source: str, text: str, error: jsonschema.ValidationError) -> Fault:
+def fault_of(source: str, text: str, error: "ValidationError") -> Fault:
     """Return the fault of one schema error."""
     keys = [str(part) for part in error.absolute_path]
     line = line_of(text, keys)
@@ -171,7 +174,9 @@
 
 
 @cache
-def validator(schema_name: str) -> jsonschema.Draft202012Validator:
-    """Return the validator of a schema."""
+def validator(schema_name: str) -> "Draft202012Validator":
+    """Return the validator of a schema; imported here, as few processes meet a fault."""
+    from jsonschema import Draft202012Validator
+
     path = SCHEMA_FOLDER / f"{schema_name}.schema.json"
-    return jsonschema.Draft202012Validator(json.loads(path.read_text()))
+    return Draft202012Validator(json.loads(path.read_text()))
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -1,10 +1,13 @@
-"""The daemon: one process with one role."""
+"""The daemon: one process with one role.
 
+Its one argument is read with the standard library: the command line tool's libraries would cost
+each process more memory than all of its state.
+"""
+
+import argparse
+import os
 import sys
 from pathlib import Path
-from typing import Annotated
-
-import typer
 
 from .configuration.settings import load_settings
 from .data import Fault
@@ -12,23 +15,32 @@
 from .schema.settings import Settings
 
 EXIT_BAD_SETTINGS = 2
-
-application = typer.Typer(add_completion=False)
+SETTINGS_VARIABLE = "VERBENAWARD_BOOT"
+"""Environment variable that names the settings where the command line does not."""
+LEVELS = ("debug", "info", "warning", "error", "critical")
+
+
+def main(arguments: list[str]) -> int:
+    """Run a daemon and return its exit status."""
+    given = parser().parse_args(arguments)
+    if not given.settings_file:
+        parser().error(f"name the settings, or set {SETTINGS_VARIABLE}")
+    path = Path(given.settings_file)
+    checked = load_settings(path)
+    if checked.value is None:
+        sys.stderr.write(faults_page(path, checked.faults))
+        return EXIT_BAD_SETTINGS
+    run(checked.value, given.log_level)
+    return 0
 
 
-@application.command()
-def main(
-    settings_file: Annotated[
-        Path, typer.Argument(help="Settings: JSON with comments.", envvar="VERBENAWARD_BOOT")
-    ],
-    log_level: Annotated[str, typer.Option(help="Lowest level that is logged.")] = "info",
-) -> None:
-    """Run a verbenaward daemon."""
-    checked = load_settings(settings_file)
-    if checked.value is None:
-        sys.stderr.write(faults_page(settings_file, checked.faults))
-        raise typer.Exit(EXIT_BAD_SETTINGS)
-    run(checked.value, log_level)
+def parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    made = argparse.ArgumentParser(prog="verbenaward", description="Run a verbenaward daemon.")
+    default = os.environ.get(SETTINGS_VARIABLE, "")
+    made.add_argument("settings_file", nargs="?", default=default, help="JSON with comments")
+    made.add_argument("--log-level", choices=LEVELS, default="info", help="lowest level logged")
+    return made
 
 
 def faults_page(path: Path, faults: tuple[Fault, ...]) -> str:
@@ -51,7 +63,7 @@
     """
     configure_logs(log_level)
     if settings.direct is not None:
-        from .direct.service import run as run_direct
+        from .direct_service import run as run_direct
 
         run_direct(settings, settings.direct.grace_seconds)
         return
@@ -62,7 +74,7 @@
 
 def run_from_command_line() -> None:
     """Entry point of the program."""
-    application()
+    sys.exit(main(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -142,7 +142,8 @@
         if known is not None:
             self.memory.move_to_end(key)
             return known
-        return await asyncio.shield(self.start(key))
+        body: bytes | None = await asyncio.shield(self.start(key))
+        return body
 
     def start(self, key: Key) -> asyncio.Task[bytes | None]:
         """Return the task that fetches a chunk."""
@@ -160,7 +161,7 @@
         for attempt in range(ATTEMPTS):
             result = await self.fetch_once(key, attempt)
             if isinstance(result, Success):
-                body = result.unwrap()
+                body: bytes = result.unwrap()
                 if not digest or hashlib.sha256(body).digest() == digest:
                     self.keep(key, body)
                     return body
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -19,7 +19,7 @@
 """Backends that differ by less are alike; one of them is drawn."""
 FAILURE_SECONDS = 0.5
 """Expected delay of a backend that fails all requests, over one that fails none."""
-REGION_SECONDS = 0.03
+REGION_SECONDS = 0.08
 """Cost of another region: a round trip, and the narrow link between them."""
 LATE_TARGETS = 1.5
 """A request that is late already may wait this many times its target."""
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -287,6 +287,6 @@
     """
     adapter = ADAPTERS.find(settings.platform.key_value_adapter)
     store = adapter(session, settings.platform.key_value)
-    if not hasattr(store, "hold"):
+    if not isinstance(store, LeasingService):
         raise ValueError("the adapter of the key-value service has no leases")
     return store
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -121,7 +121,7 @@
         async with asyncio.timeout(wait_seconds):
             async with opened(session, request, view, order) as result:
                 if not isinstance(result, Success):
-                    return result
+                    return Failed(result.failure())
                 return await read_whole(result.unwrap())
     except TimeoutError:
         message = f"no answer within {wait_seconds:.3f} s"
--- a/verbenaward/direct/service.py
+++ b/verbenaward/direct_service.py
@@ -6,8 +6,8 @@
 import aiomisc
 import structlog
 
-from ..logs import get_logger
-from ..schema.settings import DirectSettings, Settings
+from .logs import get_logger
+from .schema.settings import DirectSettings, Settings
 
 LOG = get_logger(__name__)
 CLEANUP_SECONDS = 1.0
@@ -32,10 +32,10 @@
 def build_role(settings: Settings, direct: DirectSettings) -> DirectRole:
     """Return the role that the settings name; only what it needs is imported."""
     if settings.role == "entry":
-        from .role import DirectEntryRole
+        from .direct.role import DirectEntryRole
 
         return DirectEntryRole(settings, direct)
-    from ..filling.role import FillingRole
+    from .filling.role import FillingRole
 
     return FillingRole(settings, direct)
 
--- a/verbenaward/knowledge/follower.py
+++ b/verbenaward/knowledge/follower.py
@@ -118,7 +118,7 @@
 
     def pause_seconds(self) -> float:
         """Return how long to wait after a failed call."""
-        pause = FIRST_PAUSE_SECONDS * 2 ** min(self.failures - 1, 8)
+        pause = FIRST_PAUSE_SECONDS * float(2 ** min(self.failures - 1, 8))
         return min(LONGEST_PAUSE_SECONDS, pause) * self.rng.uniform(0.5, 1.0)
 
 
--- a/verbenaward/platform/key_value.py
+++ b/verbenaward/platform/key_value.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import aiohttp
 from returns.result import Result
@@ -92,6 +92,7 @@
         ...
 
 
+@runtime_checkable
 class LeasingService(KeyValueService, Protocol):
     """A key-value service with leases that a process renews."""
 
