A region asks one entry process for a run of chunks

Cause: the entry process that served a chunk read the next one ahead, which another one served: each chunk crossed the region link twice.

--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -34,7 +34,9 @@
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
 SLICE_BYTES = 4096
-AHEAD = 1
+AHEAD = 2
+RUN = 16
+"""Chunks in order that the endpoints of a region ask the same entry process for."""
 RATE_QUERY = "rate"
 
 Key = tuple[str, int, int]
@@ -131,7 +133,8 @@
         """Fetch the next chunks: endpoints ask for them in order."""
         digests = self.memory.get((model, version, MANIFEST_INDEX))
         count = len(digests) // DIGEST_BYTES if digests else 0
-        for following in range(index + 1, min(index + 1 + AHEAD, count)):
+        end_of_run = (index // RUN + 1) * RUN
+        for following in range(index + 1, min(index + 1 + AHEAD, end_of_run, count)):
             key = (model, version, following)
             if key not in self.memory:
                 self.start(key)
@@ -281,6 +284,11 @@
     return Success(b"".join(manifest.digests))
 
 
+def run_name(model: str, version: int, index: int) -> str:
+    """Return the name of the run of chunks that a chunk belongs to."""
+    return f"{model}/{version}/{index // RUN}"
+
+
 def holder_order(
     controls: dict[str, str], own_zone: str, regions: dict[str, str], key: str
 ) -> list[str]:
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -14,7 +14,7 @@
 from .. import metrics
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
-from ..direct.chunks import DIGEST_BYTES, RATE_QUERY, holder_order
+from ..direct.chunks import DIGEST_BYTES, RATE_QUERY, holder_order, run_name
 from ..direct.entries import zone_of_record
 from ..direct.fleet import Fleet
 from ..knowledge.items import ItemView
@@ -210,7 +210,8 @@
         if isinstance(lying, Success) and sha256(lying.unwrap()) == digest:
             self.staged[index] = digest
             return True
-        chunk = await self.fetch(f"/weights/{target.model}/{target.version}/{index}", digest)
+        path = f"/weights/{target.model}/{target.version}/{index}"
+        chunk = await self.fetch(path, digest, run_name(target.model, target.version, index))
         if chunk is None:
             return False
         self.staged.pop(index, None)
@@ -225,7 +226,8 @@
         """Return the digests of a version."""
         if self.digests is not None and self.digests.weights == target:
             return self.digests
-        body = await self.fetch(f"/weights/{target.model}/{target.version}", b"")
+        path = f"/weights/{target.model}/{target.version}"
+        body = await self.fetch(path, b"", run_name(target.model, target.version, 0))
         if body is None or not body or len(body) % DIGEST_BYTES:
             return None
         parts = tuple(
@@ -234,10 +236,16 @@
         self.digests = Digests(target, parts)
         return self.digests
 
-    async def fetch(self, path: str, digest: bytes) -> bytes | None:
-        """Return a checked chunk from an entry process, or a manifest; None for none."""
+    async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
+        """Return a checked chunk from an entry process, or a manifest; None for none.
+
+        Args:
+          path: Path of the chunk at entry processes.
+          digest: Its digest; empty for a manifest.
+          run: Name of its run, which the same entry process hands to the whole region.
+        """
         for attempt in range(FETCH_ATTEMPTS):
-            holders = self.holders(path)
+            holders = self.holders(run)
             if holders:
                 holder = holders[attempt % len(holders)]
                 body = await self.ask(f"http://{holder}{path}")
