--- /dev/null
+++ b/standins/users_backend.py
@@ -0,0 +1,247 @@
+"""Stand-ins of the users' backends: a plain service, an engine, and the origin of weights."""
+
+import asyncio
+import hashlib
+import json
+import random
+import socket
+import struct
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+EVENTS = 12
+WORK_SECONDS = 0.005
+
+
+class UsersBackend:
+    """A backend with faults that tests switch on.
+
+    Attributes:
+      identity: Its name in the store.
+      address: Where it listens.
+      mode: "ok", "full", "hang", "reset", "cut" (a stream breaks off in an event), "foreign"
+        (the answer belongs to another request), "short" (the body is cut off), "failing" (500),
+        "unframed-reset" (no length, then a reset), "slow".
+      runs: How often each attempt of a caller began to run.
+      seen: Headers of the last request.
+      version: Version of the weights that it holds; 0 for none.
+      staged: Staged chunks by model and index.
+      orders: Orders that it accepted.
+    """
+
+    def __init__(self, identity: str, service: str, zone: str, version: int = 1) -> None:
+        self.identity = identity
+        self.service = service
+        self.zone = zone
+        self.address = ""
+        self.mode = "ok"
+        self.runs: Counter[str] = Counter()
+        self.cancelled: list[str] = []
+        self.seen: dict[str, str] = {}
+        self.bodies: list[bytes] = []
+        self.version = version
+        self.model = "model"
+        self.staged: dict[int, bytes] = {}
+        self.orders = 0
+        self.busy = False
+
+    def application(self) -> web.Application:
+        """Return the application of the backend."""
+        app = web.Application(client_max_size=8 * 1024 * 1024)
+        app.router.add_get("/report", self.report)
+        app.router.add_post("/order", self.order)
+        app.router.add_put("/stage-put/{model}", self.stage_put)
+        app.router.add_get("/stage-get/{model}", self.stage_get)
+        app.router.add_route("*", "/{path:.*}", self.serve)
+        return app
+
+    def registration(self, state: str = "ready") -> bytes:
+        """Return what the backend writes to the store."""
+        body: dict[str, Any] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": self.orders,
+            "born": 1,
+        }
+        if self.service == "engines":
+            body["model_list"] = self.models()
+        return json.dumps(body).encode()
+
+    def models(self) -> list[dict[str, Any]]:
+        """Return the weights that it holds."""
+        if not self.version:
+            return []
+        return [{"name": self.model, "version": self.version, "lora_adapters": []}]
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Answer a request as the mode says."""
+        attempt = request.headers.get("X-Attempt-Id", "")
+        self.seen = dict(request.headers)
+        expected = request.headers.get("X-Expect-Instance", self.identity)
+        version = request.headers.get("X-Expect-Version", str(self.version))
+        if expected != self.identity or version != str(self.version):
+            return web.Response(status=421)
+        if self.mode == "full":
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        self.bodies.append(await request.read())
+        self.runs[attempt] += 1
+        try:
+            return await self.run(request, attempt)
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+
+    async def run(self, request: web.Request, attempt: str) -> web.StreamResponse:
+        """Run a request."""
+        if self.mode == "hang":
+            await asyncio.sleep(3600)
+        if self.mode == "reset":
+            cut(request)
+        await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
+        named = "another" if self.mode == "foreign" else attempt
+        headers = {"X-Attempt-Id": named, "X-Server-Signature": f"{self.identity}.{attempt}"}
+        if request.path.startswith("/stream"):
+            return await self.stream(request, headers)
+        if self.mode == "failing":
+            return web.Response(status=500, headers=headers, text="failed")
+        body = f"{self.identity} ran {attempt}".encode() * 40
+        if self.mode in ("short", "unframed-reset"):
+            return await self.broken_body(request, headers, body)
+        return web.Response(headers=headers, body=body)
+
+    async def broken_body(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        """Send half of a body and break off."""
+        assert request.transport is not None
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        length = f"Content-Length: {len(body)}\r\n" if self.mode == "short" else ""
+        head = f"HTTP/1.1 200 OK\r\n{lines}{length}Connection: close\r\n\r\n"
+        request.transport.write(head.encode() + body[: len(body) // 2])  # type: ignore[attr-defined]
+        await asyncio.sleep(0.02)
+        cut(request)
+        raise AssertionError
+
+    async def stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
+        """Send events after the one that the caller has."""
+        response = web.StreamResponse(
+            headers={**headers, "Content-Type": "text/event-stream", "X-Weight-Versions": "1"}
+        )
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for index in range(first, EVENTS + 1):
+            event = f"id: {index}\ndata: piece {index}\n\n".encode()
+            if self.mode == "cut" and index == EVENTS // 2:
+                await response.write(event[:6])
+                await asyncio.sleep(0.01)
+                cut(request)
+            await response.write(event)
+            await asyncio.sleep(0.15 if self.mode == "slow" else WORK_SECONDS)
+        await response.write_eof()
+        return response
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Answer the state of the engine."""
+        return web.json_response(
+            {
+                "model_list": self.models(),
+                "busy": self.busy,
+                "sequence": self.orders,
+                "active_requests": 0,
+                "queued_requests": 0,
+            }
+        )
+
+    async def stage_put(self, request: web.Request) -> web.Response:
+        """Stage a chunk."""
+        self.staged[int(request.query["sample_count"])] = await request.read()
+        return web.Response()
+
+    async def stage_get(self, request: web.Request) -> web.Response:
+        """Answer a staged chunk."""
+        chunk = self.staged.get(int(request.query["sample_count"]))
+        return web.Response(status=404) if chunk is None else web.Response(body=chunk)
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Load what is staged at this moment."""
+        body = await request.json()
+        if body.get("precondition", self.orders) != self.orders or self.busy:
+            return web.Response(status=409)
+        self.orders += 1
+        self.loaded = dict(self.staged)
+        self.version = body["version"]
+        return web.Response(status=202)
+
+
+class UsersOrigin:
+    """The origin of weights.
+
+    Attributes:
+      versions: Chunks of each version.
+      spoil: Chunks that are still handed out spoilt, by index.
+      sent: Chunks that it sent, by version and index.
+    """
+
+    def __init__(self) -> None:
+        self.versions: dict[int, list[bytes]] = {}
+        self.spoil: set[int] = set()
+        self.sent: Counter[tuple[int, int]] = Counter()
+        self.address = ""
+
+    def add(self, version: int, chunks: int, size: int) -> None:
+        """Make a version."""
+        rng = random.Random(version)
+        self.versions[version] = [rng.randbytes(size) for _ in range(chunks)]
+
+    def application(self) -> web.Application:
+        """Return the application of the origin."""
+        app = web.Application()
+        app.router.add_get("/manifest/{model}", self.manifest)
+        app.router.add_get("/piece/{model}", self.piece)
+        return app
+
+    async def manifest(self, request: web.Request) -> web.Response:
+        """Answer the digests of a version."""
+        version = int(request.query["version"])
+        if version not in self.versions:
+            return web.Response(status=410)
+        digests = [hashlib.sha256(chunk).hexdigest() for chunk in self.versions[version]]
+        return web.json_response(
+            {
+                "model_name": request.match_info["model"],
+                "version": version,
+                "chunk_size_bytes": len(self.versions[version][0]),
+                "layers": 16,
+                "chunk_hashes": digests,
+            }
+        )
+
+    async def piece(self, request: web.Request) -> web.Response:
+        """Answer a chunk, once spoilt where that is wanted."""
+        version, index = int(request.query["version"]), int(request.query["sample_count"])
+        self.sent[version, index] += 1
+        chunk = self.versions[version][index]
+        if index in self.spoil:
+            self.spoil.discard(index)
+            chunk = bytes(len(chunk))
+        return web.Response(body=chunk)
+
+
+def cut(request: web.Request) -> None:
+    """Reset the connection of a request.
+
+    Raises:
+      CancelledError: Always, to end the handler.
+    """
+    if request.transport is not None:
+        made = request.transport.get_extra_info("socket")
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.transport.abort()
+    raise asyncio.CancelledError
--- /dev/null
+++ b/standins/users_platform.py
@@ -0,0 +1,221 @@
+"""The users' platform on loopback, with our own processes in the same loop."""
+
+import json
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from verbenaward.direct.role import DirectEntryRole
+from verbenaward.filling.role import FillingRole
+from verbenaward.schema.settings import DirectSettings, PlatformSettings, Settings
+
+from .users_backend import UsersBackend, UsersOrigin
+from .users_store import UsersStore
+
+HOST = "shop.example"
+KEY = "key-of-one"
+ZONES = {"zone-a": "region-a", "zone-b": "region-b"}
+CHUNKS = 6
+CHUNK_BYTES = 3000
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as made:
+        made.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{made.getsockname()[1]}"
+
+
+class UsersPlatform:
+    """Store, origin, backends, and our entry and endpoint processes.
+
+    Attributes:
+      store: The store.
+      origin: The origin of weights.
+      backends: Backends by identity.
+      entries: Our entry processes.
+      endpoints: Our endpoint processes.
+    """
+
+    def __init__(self) -> None:
+        self.store = UsersStore()
+        self.origin = UsersOrigin()
+        self.backends: dict[str, UsersBackend] = {}
+        self.entries: list[DirectEntryRole] = []
+        self.endpoints: list[FillingRole] = []
+        self.runners: list[web.AppRunner] = []
+        self.store_address = free_address()
+        self.version = 0
+        self.route_changes: dict[str, dict[str, Any]] = {}
+        self.keys = [KEY]
+        self.direct: dict[str, Any] = {}
+
+    async def start(self) -> None:
+        """Start the store and the origin."""
+        await self.listen(self.store.application(), self.store_address)
+        self.origin.add(1, CHUNKS, CHUNK_BYTES)
+        self.origin.address = free_address()
+        await self.listen(self.origin.application(), self.origin.address)
+
+    async def listen(self, app: web.Application, address: str) -> None:
+        """Serve an application."""
+        runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+        self.runners.append(runner)
+
+    async def add_backend(
+        self, identity: str, service: str, zone: str = "zone-a", version: int = 1
+    ) -> UsersBackend:
+        """Start a backend and register it."""
+        backend = UsersBackend(identity, service, zone, version)
+        backend.address = free_address()
+        await self.listen(backend.application(), backend.address)
+        self.backends[identity] = backend
+        self.register(backend)
+        return backend
+
+    def register(self, backend: UsersBackend, state: str = "ready") -> None:
+        """Write the registration of a backend."""
+        self.store.put(f"servers/{backend.identity}", backend.registration(state))
+
+    def configure(self) -> None:
+        """Write the configuration."""
+        self.version += 3
+        self.store.put("op/config", json.dumps(self.configuration()).encode())
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the configuration."""
+        routes = {
+            "book": {"path_prefix": "/book/", "kind": "non_idempotent", "service": "plain"},
+            "look": {
+                "path_prefix": "/look/",
+                "kind": "idempotent",
+                "service": "plain",
+                "max_attempts": 2,
+            },
+            "stream": {
+                "path_prefix": "/stream/",
+                "kind": "streaming",
+                "service": "engines",
+                "max_attempts": 2,
+                "stream_resumption": True,
+                "gap_target_ms": 400,
+            },
+            "once": {"path_prefix": "/stream/once/", "kind": "streaming", "service": "engines"},
+        }
+        common = {"hostname": HOST, "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1}
+        engine = {
+            "slots": 4,
+            "step_ms": 8.0,
+            "per_seq_ms": 0.04,
+            "read_per_s": 19000.0,
+            "step_size": 5,
+            "model_list": [{"name": "model"}],
+            "usual": {"prompt": 900, "answer": 90},
+            "chunk_count": CHUNKS,
+            "chunk_size_bytes": CHUNK_BYTES,
+        }
+        return {
+            "version": self.version,
+            "routes": [
+                {"name": name, **common, **route, **self.route_changes.get(name, {})}
+                for name, route in routes.items()
+                if self.route_changes.get(name, {}) is not None
+            ],
+            "services": [
+                {"name": "plain", "health_path": "/healthz", "connection_limit": 50},
+                {"name": "engines", "health_path": "/healthz", "inference_engine": engine},
+                {"name": "files", "origin_server": self.origin.address, "zone": "zone-a"},
+            ],
+            "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+            "tenants": [{"name": "one", "api_keys": self.keys, "priority": 1}],
+        }
+
+    async def add_entry(self, zone: str = "zone-a") -> DirectEntryRole:
+        """Start one of our entry processes."""
+        settings = Settings(
+            format=1,
+            role="entry",
+            vm=f"entry-{len(self.entries)}",
+            region=ZONES[zone],
+            zone=zone,
+            listen=free_address(),
+            platform=PlatformSettings(f"http://{self.store_address}", "leased"),
+            direct=DirectSettings(
+                front=free_address(),
+                readiness=free_address(),
+                directory=free_address(),
+                zones=ZONES,
+                pulse_bytes_per_second=100_000,
+                **self.direct,
+            ),
+        )
+        assert settings.direct is not None
+        role = DirectEntryRole(settings, settings.direct)
+        await role.start()
+        self.entries.append(role)
+        return role
+
+    async def add_endpoint(self, backend: UsersBackend) -> FillingRole:
+        """Start one of our endpoint processes beside a backend."""
+        settings = Settings(
+            format=1,
+            role="endpoint",
+            vm=f"endpoint-{backend.identity}",
+            region=ZONES[backend.zone],
+            zone=backend.zone,
+            listen=free_address(),
+            platform=PlatformSettings(f"http://{self.store_address}", "leased"),
+            direct=DirectSettings(
+                engine=backend.address,
+                service=backend.service,
+                zones=ZONES,
+                link_megabits_per_second=20.0,
+                **self.direct,
+            ),
+        )
+        assert settings.direct is not None
+        role = FillingRole(settings, settings.direct)
+        await role.start()
+        self.endpoints.append(role)
+        return role
+
+    async def stop(self) -> None:
+        """End everything."""
+        for role in (*self.entries, *self.endpoints):
+            await role.close()
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    attempt: str,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+) -> tuple[int, dict[str, str], bytes]:
+    """Send a request as a caller does; status 0 where the connection ended without an answer."""
+    method = "POST" if path.startswith(("/book", "/stream")) else "GET"
+    sent = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": "3000",
+        "Authorization": f"Bearer {KEY}",
+        **({"X-Model": "model", "X-Token-Usage": "300,60"} if "/stream" in path else {}),
+        **(headers or {}),
+    }
+    try:
+        async with session.request(
+            method, f"http://{address}{path}", headers=sent, data=body or None
+        ) as response:
+            return response.status, dict(response.headers), await response.read()
+    except (aiohttp.ClientError, OSError):
+        return 0, {}, b""
--- /dev/null
+++ b/tests/direct/decisions.feature
@@ -0,0 +1,40 @@
+Feature: Decisions of entry processes
+  Played without a network.
+
+  Scenario: All entry processes together stay within the bound of repeats
+    When any number of entry processes repeat as often as they may
+    Then no window has more repeats than the bound allows
+
+  Scenario: Requests go where the first event comes soonest
+    When a burst of 300 requests is placed on engines of different speed
+    Then no engine expects its next first event twice as late as another
+
+  Scenario: What cannot be on time is refused, what can be is taken
+    Given engines that are all full
+    When a request is placed
+    Then it is refused with a time to come back
+
+  Scenario: Each named version binds from its own time on
+    Given a version named 9 s ago and a newer one named 2 s ago
+    When the version that a request needs is asked for
+    Then it is the older of the two
+
+  Scenario: A request that has no engine with the needed weights is refused
+    Given a version named 9 s ago and a newer one named 2 s ago
+    And engines that hold the version before both
+    When a request is placed
+    Then it is refused with a time to come back
+
+  Scenario: The first entry process of each zone watches the store
+    When 3 entry processes in 2 zones hear each other
+    Then 2 of them watch the store
+    And all watch once nobody has heard from the store
+
+  Scenario: Callers get addresses of their zone, and others where those are few
+    When callers of a zone with 2 entry processes and of one with none ask
+    Then the first get the 2 and the second get all
+
+  Scenario: Lines about decisions are bounded, and dropped ones are counted
+    When 1000 lines are wanted within a second
+    Then at most 70 are written
+    And the next line says how many were dropped
--- /dev/null
+++ b/tests/filling/filling.feature
@@ -0,0 +1,33 @@
+Feature: Endpoint processes fill the engine beside them
+
+  Scenario: A joined engine is filled, and each chunk is drawn from the origin once
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And an empty engine with its endpoint process
+    Then the empty engine holds version 1 within 5 seconds
+    And the engine took only whole chunks of version 1
+    And the origin sent each chunk of version 1 at most once
+
+  Scenario: A spoilt chunk of the origin is never staged
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the origin spoils chunk 2 once
+    And an empty engine with its endpoint process
+    Then the empty engine holds version 1 within 5 seconds
+    And the engine took only whole chunks of version 1
+
+  Scenario: A chunk that rots before the order is staged anew
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And an empty engine with its endpoint process that holds rotten chunks
+    Then the empty engine holds version 1 within 5 seconds
+    And the engine took only whole chunks of version 1
+
+  Scenario: Engines take their turns within the bound
+    When turns are dealt to any number of engines
+    Then all begin within the window and not two at the same time
+
+  Scenario: An overtaken version is taken where both can be had, else by every second engine
+    When a newer version is named at any time while the older one is staged
+    Then some engine goes on
+    And all go on where both can be staged in time
--- /dev/null
+++ b/tests/steps/platform_decisions.py
@@ -0,0 +1,428 @@
+"""Steps on decisions, without a network."""
+
+import json
+import random
+import re
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
+from returns.result import Failure, Success
+
+import verbenaward
+from verbenaward.data import Backend, EngineModel, Fault, HeldWeights, Route, RouteKind
+from verbenaward.direct.addresses import addresses_for
+from verbenaward.direct.backends import first_event_seconds
+from verbenaward.direct.budget import SharedBudget
+from verbenaward.direct.decisions import LineBudget
+from verbenaward.direct.entries import Entries
+from verbenaward.direct.fleet import Fleet, HeardVersion
+from verbenaward.direct.placing import Placer
+from verbenaward.direct.poison import Crashes
+from verbenaward.direct.records import Request
+from verbenaward.filling.plan import (
+    IN_TIME_SHARE,
+    Overtaken,
+    goes_on,
+    load_delay_seconds,
+    loading_window_seconds,
+)
+from verbenaward.knowledge.items import Changes, ItemView
+from verbenaward.platform.declarations import backend_of, configuration_of, named_version_of
+from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.request_headers import CallerHeaders
+from verbenaward.schema.messages import Pulse
+from verbenaward.schema.settings import DirectSettings, PlatformSettings, Settings
+from verbenaward.wire.codec import encode
+
+NOW = 1000.0
+ENGINE = EngineModel(16, 0.00887, 0.00004, 19100.0, 5, 977.0, 94.0, ("model",), 48, 49152)
+ROUTE = Route("r", "h", "/", RouteKind.STREAMING, (), 6.0, 0.5, 0.4, 1, 2, False, True)
+
+
+def request_of(prompt=900):
+    said = CallerHeaders("a", 6.0, "", "model", prompt, 100, "")
+    headers = CIMultiDictProxy(CIMultiDict())
+    return Request(
+        headers, said, "POST", "/", b"", ROUTE, "engines", ENGINE, "one", 1, NOW, NOW + 6, b"f"
+    )
+
+
+def fleet_of(count, version=1):
+    fleet = Fleet(ItemView())
+    for index in range(count):
+        held = (HeldWeights("model", version),)
+        backend = Backend(f"e-{index}", "engines", "h:1", "zone-a", 16, False, held, 0, 1)
+        fleet.put(backend, NOW)
+    return fleet
+
+
+def placer_of(fleet):
+    return Placer(fleet, "zone-a", {"zone-a": "region-a"}, 8.0)
+
+
+@when("any number of entry processes repeat as often as they may")
+def repeat_often(context):
+    @for_all(
+        st.integers(1, 24),
+        st.lists(st.tuples(st.integers(0, 23), st.integers(0, 60)), max_size=120),
+        st.integers(0, 10_000),
+    )
+    def check(entries, steps, seed):
+        rng = random.Random(seed)
+        budgets = [SharedBudget(0.2, 100.0, 10.0) for _ in range(entries)]
+        for budget in budgets:
+            budget.note_entries(entries)
+        now, requests, repeats = 0.0, [], []
+        for entry, wanted in steps:
+            now += rng.random()
+            budget = budgets[entry % entries]
+            for _ in range(rng.randrange(5)):
+                budget.note_request("s", now)
+                requests.append(now)
+            repeats += [now for _ in range(wanted) if budget.spend("s", now)]
+            in_window = sum(now - 10.0 < at for at in repeats)
+            allowed = 0.2 * sum(now - 10.0 < at for at in requests) + 100.0
+            assert in_window <= allowed, (in_window, allowed)
+
+    context.check = check
+
+
+@then("no window has more repeats than the bound allows")
+def bound_kept(context):
+    context.check()
+
+
+@when("a burst of {count:d} requests is placed on engines of different speed")
+def burst(context, count):
+    context.fleet = fleet_of(10)
+    for index, view in enumerate(context.fleet.backends.values()):
+        view.slowness = 1.0 + 0.1 * index
+    placer = placer_of(context.fleet)
+    for _ in range(count):
+        placer.choose(request_of(), set(), NOW).view.note_started(900)
+
+
+@then("no engine expects its next first event twice as late as another")
+def even(context):
+    expected = [
+        first_event_seconds(view, ENGINE, 900, NOW) for view in context.fleet.backends.values()
+    ]
+    assert max(expected) < 2 * min(expected), expected
+
+
+@given("engines that are all full")
+def full(context):
+    context.fleet = fleet_of(3)
+    for view in context.fleet.backends.values():
+        for _ in range(24):
+            view.note_started(900)
+
+
+@given("a version named 9 s ago and a newer one named 2 s ago")
+def two_versions(context):
+    context.fleet = fleet_of(3)
+    context.fleet.versions["model"] = [
+        HeardVersion(SimpleNamespace(model="model", version=2), NOW - 9),
+        HeardVersion(SimpleNamespace(model="model", version=3), NOW - 2),
+    ]
+
+
+@given("engines that hold the version before both")
+def old_engines(context):
+    assert all(view.version_of("model") == 1 for view in context.fleet.backends.values())
+
+
+@when("the version that a request needs is asked for")
+def needed(context):
+    context.version = placer_of(context.fleet).required_version(request_of(), NOW)
+
+
+@then("it is the older of the two")
+def older(context):
+    assert context.version == 2
+
+
+@when("a request is placed")
+def place(context):
+    placer = placer_of(context.fleet)
+    choice = placer.choose(request_of(), set(), NOW)
+    context.refusal = placer.refusal(request_of(), choice, NOW)
+
+
+@then("it is refused with a time to come back")
+def refused(context):
+    assert context.refusal is not None
+    assert context.refusal.status == 503 and context.refusal.retry_after_seconds > 0
+
+
+def entries_of(vm, zone, port, checked_at):
+    settings = Settings(
+        1,
+        "entry",
+        vm,
+        zone,
+        zone,
+        f"127.0.0.1:{port}",
+        PlatformSettings("http://h", "leased"),
+        direct=DirectSettings(front=f"127.0.0.1:{port + 100}"),
+    )
+    view = ItemView()
+    return Entries(
+        settings, view, Fleet(view), Crashes(), lambda: True, lambda _: None, lambda: checked_at
+    )
+
+
+@when("{count:d} entry processes in 2 zones hear each other")
+def hear(context, count):
+    def made(checked_at):
+        zones = ("zone-a", "zone-a", "zone-b")
+        found = [
+            entries_of(f"entry-{index}", zones[index], 9000 + index, checked_at)
+            for index in range(count)
+        ]
+
+        now = time.monotonic()
+        for sender in found:
+            pulse = encode(sender.pulse(now))
+            port = int(sender.settings.listen.rpartition(":")[2])
+            for taker in found:
+                taker.take(pulse, ("127.0.0.1", port), now)
+        return found
+
+    async def make():
+        return made(time.monotonic()), made(time.monotonic() - 60)
+
+    context.fresh, context.stale = context.loop.run_until_complete(make())
+
+
+@then("{count:d} of them watch the store")
+def watchers(context, count):
+    assert sum(entries.is_watcher() for entries in context.fresh) == count
+
+
+@then("all watch once nobody has heard from the store")
+def all_watch(context):
+    assert all(entries.is_watcher() for entries in context.stale)
+
+
+@when("callers of a zone with 2 entry processes and of one with none ask")
+def addresses(context):
+    pulses = [
+        Pulse(vm=f"e-{index}", zone=zone, front=f"h:{index}")
+        for index, zone in enumerate(("zone-a", "zone-a", "zone-b"))
+    ]
+    context.near = addresses_for(pulses, "zone-a", {})
+    context.far = addresses_for(pulses, "zone-c", {})
+
+
+@then("the first get the 2 and the second get all")
+def addresses_given(context):
+    assert set(context.near) == {"h:0", "h:1"} and len(context.far) == 3
+
+
+@when("{count:d} lines are wanted within a second")
+def lines(context, count):
+    budget = LineBudget(60.0, filled_at=NOW - 1.0)
+    context.written = sum(budget.take(NOW + index / count / 10) for index in range(count))
+    context.budget, context.wanted = budget, count
+
+
+@then("at most {count:d} are written")
+def at_most(context, count):
+    assert 0 < context.written <= count
+
+
+@then("the next line says how many were dropped")
+def dropped(context):
+    assert context.budget.dropped == context.wanted - context.written
+
+
+def histories():
+    keys = st.sampled_from(["a", "b", "c", "d"])
+    return st.lists(st.tuples(keys, st.booleans()), min_size=1, max_size=30)
+
+
+def entries_in(history):
+    return [
+        KeyValueEntry(key, b"" if gone else f"{index}".encode(), index + 2)
+        for index, (key, gone) in enumerate(history)
+    ]
+
+
+def state_at(entries, revision):
+    state = {}
+    for entry in entries:
+        if entry.version <= revision:
+            state[entry.key] = entry
+    return state
+
+
+@when("histories of the store are told in any order, late, twice and in part")
+def told_in_any_order(context):
+    @for_all(histories(), st.lists(st.tuples(st.integers(0, 40), st.booleans()), max_size=20))
+    def check(history, tellings):
+        entries = entries_in(history)
+        view, newest = ItemView(), 0
+        for revision, complete in tellings:
+            revision = min(revision, len(entries) + 1)
+            state = state_at(entries, revision)
+            if complete:
+                told = tuple(entry for entry in state.values() if entry.value)
+            else:
+                told = tuple(entry for entry in entries if entry.version <= revision)
+            view.take(Changes(revision, complete, told), 0.0)
+            newest = max(newest, revision)
+            expected = {k: e.value for k, e in state_at(entries, newest).items() if e.value}
+            known = {k: e.value for k, e in view.items.items() if e.value}
+            assert known == expected, (known, expected)
+            assert view.revision == newest
+
+    context.check = check
+
+
+@then("each key has the newest item that was told")
+def newest_item(context):
+    context.check()
+
+
+@when("two processes hear different parts and hand on to each other")
+def hand_on(context):
+    @for_all(histories(), st.integers(0, 31), st.integers(0, 31))
+    def check(history, first, second):
+        entries = entries_in(history)
+        views = []
+        for revision in (first, second):
+            view = ItemView()
+            revision = min(revision, len(entries) + 1)
+            state = tuple(e for e in state_at(entries, revision).values() if e.value)
+            if revision:
+                view.take(Changes(revision, True, state), 0.0)
+            views.append(view)
+        one, two = views
+        two.take(one.changes_after(two.revision), 0.0)
+        one.take(two.changes_after(one.revision), 0.0)
+        values = [{k: e.value for k, e in view.items.items() if e.value} for view in views]
+        assert values[0] == values[1] and one.revision == two.revision
+
+    context.check = check
+
+
+@then("both know everything up to the higher revision")
+def know_the_same(context):
+    context.check()
+
+
+@when("a complete reading comes late")
+def late_reading(context):
+    view = ItemView()
+    view.take(Changes(5, False, (KeyValueEntry("old", b"1", 3), KeyValueEntry("new", b"1", 5))), 0)
+    view.take(Changes(4, True, ()), 0)
+    context.view = view
+
+
+@then("keys that were removed are gone")
+def removed_gone(context):
+    assert not context.view.items["old"].value
+
+
+@then("a key that was written after it stays")
+def newer_stays(context):
+    assert context.view.items["new"].value
+
+
+@when("turns are dealt to any number of engines")
+def turns(context):
+    @for_all(st.integers(1, 60), st.floats(0.1, 10.0))
+    def check(count, window):
+        serving = [f"10.0.0.{index}:80" for index in range(count)]
+        delays = [load_delay_seconds(address, serving, window) for address in serving]
+        assert len(set(delays)) == count
+        assert min(delays) == 0.0 and max(delays) < window
+        assert loading_window_seconds(0.0, None, 5.0, 8.0) + 0.58 * 8.0 < 8.0
+
+    context.check = check
+
+
+@then("all begin within the window and not two at the same time")
+def turns_kept(context):
+    context.check()
+
+
+@when("a newer version is named at any time while the older one is staged")
+def overtaken(context):
+    context.cases = [
+        (share / 10, [goes_on(Overtaken(share / 10, 0.0, 4.5, 8.0, rank), 0.0) for rank in (0, 1)])
+        for share in range(11)
+    ]
+
+
+@then("some engine goes on")
+def some_go_on(context):
+    assert all(any(decided) for _, decided in context.cases)
+
+
+@then("all go on where both can be staged in time")
+def all_go_on(context):
+    for share, decided in context.cases:
+        in_time = (1 - share) * 4.5 + 4.5 <= IN_TIME_SHARE * 8.0
+        assert all(decided) == in_time, (share, decided)
+
+
+WIRE_NAMES = (
+    r"X-Attempt-Id|X-Deadline-Ms|X-Server-Signature|X-Tenant|X-Expect|X-Not-Executed|X-Weight-Versions"
+    r"|X-Request-Priority|X-Token-Usage|X-Prompt-Prefix|X-Model|kv-(key|txn|watch|range|lease|keep)"
+    r"|stage-(put|get)|op/config|op/version|servers/|path_prefix|max_attempts|chunk_hashes"
+    r"|sample_count|model_name|switch_mode|inference_engine|target_latency_ms|\bapi_keys\b"
+)
+
+
+@when("the modules outside the platform folder are read")
+def read_modules(context):
+    root = Path(verbenaward.__file__).parent
+    context.found = [
+        (path.relative_to(root), match.group())
+        for path in root.rglob("*.py")
+        if path.relative_to(root).parts[0] != "platform"
+        for match in re.finditer(WIRE_NAMES, path.read_text())
+    ]
+
+
+@then("none holds a header, path, key or field of the users' platform")
+def no_names(context):
+    own = {"X-Deadline-Ms"}  # a header of our own interface has the same name
+    assert not [item for item in context.found if item[1] not in own], context.found
+
+
+@when("any bytes and any JSON are decoded as registration, configuration and version")
+def decode_anything(context):
+    leaves = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
+    names = st.sampled_from(
+        ["service", "address", "zone", "slots", "state", "version", "routes", "services", "x"]
+    )
+    values = st.recursive(
+        leaves,
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(names, inner),
+        max_leaves=8,
+    )
+    anything = st.binary(max_size=40) | values.map(lambda value: json.dumps(value).encode())
+
+    @for_all(anything)
+    def check(value):
+        entry = KeyValueEntry("servers/x", value, 7)
+        for decode in (backend_of, configuration_of, named_version_of):
+            result = decode(entry)
+            assert isinstance(result, Success) or (
+                isinstance(result, Failure) and isinstance(result.failure(), Fault)
+            )
+
+    context.check = check
+
+
+@then("each is a record or a typed fault")
+def typed(context):
+    context.check()
--- /dev/null
+++ b/tests/steps/platform_running.py
@@ -0,0 +1,481 @@
+"""Steps on the stand-in of the users' platform."""
+
+import asyncio
+import time
+
+import aiohttp
+from behave import given, then, when
+
+from standins.users_backend import EVENTS
+from standins.users_platform import HOST, KEY, UsersPlatform, ask
+from verbenaward.schema.messages import Pulse
+from verbenaward.wire.codec import encode
+
+READY_SECONDS = 5.0
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+async def until(condition, seconds=READY_SECONDS):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
+def call(context, path, attempt="a-1", headers=None, body=b"", entry=0):
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            address = context.platform.entries[entry].direct.front
+            return await ask(session, address, path, attempt, headers, body)
+
+    return run(context, send())
+
+
+def plain(context):
+    return [item for item in context.platform.backends.values() if item.service == "plain"]
+
+
+def engines(context):
+    return [item for item in context.platform.backends.values() if item.service == "engines"]
+
+
+@given("the users' platform with two plain backends and two engines")
+def start_platform(context):
+    context.platform = UsersPlatform()
+
+    async def start():
+        await context.platform.start()
+        for name, service in (("p-1", "plain"), ("p-2", "plain")):
+            await context.platform.add_backend(name, service)
+        for name, zone in (("e-1", "zone-a"), ("e-2", "zone-b")):
+            await context.platform.add_backend(name, "engines", zone)
+        context.platform.configure()
+
+    context.add_cleanup(lambda: run(context, context.platform.stop()))
+    run(context, start())
+
+
+@given("one entry process that is ready")
+def one_entry(context):
+    start_entries(context, 1)
+
+
+@given("two entry processes that are ready")
+def two_entries(context):
+    start_entries(context, 2)
+
+
+def start_entries(context, count):
+    async def start():
+        for zone in ("zone-a", "zone-b")[:count]:
+            await context.platform.add_entry(zone)
+        assert await until(lambda: all(role.is_ready() for role in context.platform.entries))
+        heard = count - 1
+        assert await until(
+            lambda: all(
+                len(role.entries.ready_peers(time.monotonic())) == heard
+                for role in context.platform.entries
+            )
+        )
+
+    run(context, start())
+
+
+@given('all plain backends are "{mode}"')
+def all_plain(context, mode):
+    for backend in plain(context):
+        backend.mode = mode
+
+
+@given('one plain backend is "{mode}"')
+def one_plain(context, mode):
+    context.bad = plain(context)[0]
+    context.bad.mode = mode
+
+
+@given('all engines are "{mode}"')
+def all_engines(context, mode):
+    for backend in engines(context):
+        backend.mode = mode
+
+
+@given('one engine is "{mode}"')
+def one_engine(context, mode):
+    context.bad = engines(context)[0]
+    context.bad.mode = mode
+
+
+@given("the budget of repeats is used up")
+def no_budget(context):
+    for role in context.platform.entries:
+        role.budget.extra = 0.0
+        role.budget.ratio = 0.0
+
+
+@given("the route of bookings has {ms:d} ms")
+def short_route(context, ms):
+    context.platform.route_changes["book"] = {"timeout_ms": ms}
+    context.platform.configure()
+    role = context.platform.entries[0]
+    version = context.platform.version
+    assert run(context, until(lambda: role.fleet.table.configuration.version == version))
+
+
+@when("a caller looks something up")
+def look(context):
+    context.answer = call(context, "/look/x?y=%20z")
+
+
+@when("a caller looks something up and names a workspace, a backend and a version itself")
+def look_smuggling(context):
+    forged = {"X-Tenant": "other", "X-Expect-Instance": "p-9", "X-Expect-Version": "7"}
+    context.answer = call(context, "/look/x", headers=forged)
+
+
+@when("a caller looks something up until that backend was met")
+def look_until_met(context):
+    for index in range(40):
+        context.answer = call(context, f"/look/{index}", f"a-{index}")
+        if context.answer[0] != 200 or context.bad.seen:
+            return
+    raise AssertionError("the backend was never met")
+
+
+@when("callers look something up {count:d} times")
+def look_often(context, count):
+    for index in range(count):
+        assert call(context, f"/look/{index}", f"a-{index}")[0] == 200
+
+
+@when("a caller books something")
+def book(context):
+    started = time.monotonic()
+    context.answer = call(context, "/book/bed", "booking", body=b"bed 7")
+    context.took = time.monotonic() - started
+
+
+@when("a caller books with a body over the limit")
+def book_large(context):
+    context.answer = call(context, "/book/bed", body=bytes(100_001))
+
+
+@when("a caller books something and leaves")
+def book_and_leave(context):
+    async def leave():
+        async with aiohttp.ClientSession() as session:
+            address = context.platform.entries[0].direct.front
+            task = asyncio.create_task(ask(session, address, "/book/bed", "left", body=b"x"))
+            assert await until(lambda: any(item.runs["left"] for item in plain(context)))
+            task.cancel()
+            context.ended = await until(
+                lambda: any("left" in item.cancelled for item in plain(context)), 0.5
+            )
+
+    run(context, leave())
+
+
+@then("the backend's work ends within half a second")
+def work_ended(context):
+    assert context.ended
+
+
+@when("the same look-up is sent again and again")
+def look_again(context):
+    for index in range(8):
+        call(context, "/look/poison", f"a-{index}")
+
+
+@then("it reached backends at most {count:d} times")
+def reached(context, count):
+    total = sum(sum(item.runs.values()) for item in plain(context))
+    assert 0 < total <= count, total
+
+
+@when("a caller uses an unknown key, an unknown host and an unknown path")
+def unknown(context):
+    context.statuses = [
+        call(context, "/look/x", headers={"Authorization": "Bearer nobody"})[0],
+        call(context, "/look/x", headers={"Host": "other.example"})[0],
+        call(context, "/elsewhere/x")[0],
+    ]
+
+
+@then("the statuses are 401, 404 and 404")
+def statuses(context):
+    assert context.statuses == [401, 404, 404], context.statuses
+
+
+@then("no backend ran anything")
+def nothing_ran(context):
+    assert not any(item.runs for item in context.platform.backends.values())
+
+
+@then("it gets the whole answer of a backend")
+def whole_answer(context):
+    status, headers, body = context.answer
+    assert status == 200, context.answer
+    identity = headers["X-Server-Signature"].partition(".")[0]
+    attempt = headers["X-Attempt-Id"]
+    assert body == f"{identity} ran {attempt}".encode() * 40
+
+
+@then("the backend was told the workspace, its own identity and at most the time of the caller")
+def told(context):
+    seen = next(item for item in plain(context) if item.seen)
+    assert seen.seen["X-Tenant"] == "one"
+    assert seen.seen["X-Expect-Instance"] == seen.identity
+    assert "X-Expect-Version" not in seen.seen
+    assert 0 < int(seen.seen["X-Deadline-Ms"]) <= 3000
+    assert seen.seen["Host"] == HOST
+
+
+@then("the backend did not get the key")
+def no_key(context):
+    assert not any(KEY in str(item.seen) for item in plain(context))
+
+
+@then("the status is {status:d}")
+def status_is(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@then("the booking ran {count:d} times")
+def ran(context, count):
+    assert sum(item.runs["booking"] for item in plain(context)) == count
+
+
+@then("the answer says when to come back")
+def come_back(context):
+    assert 0 < float(context.answer[1]["Retry-After"]) < 5
+
+
+@then("the answer came within {ms:d} ms")
+def came(context, ms):
+    assert context.took < ms / 1000, context.took
+
+
+@when("a caller opens a stream")
+def open_stream(context):
+    context.answers = [call(context, "/stream/x")]
+
+
+@when("a caller opens a stream that may not be resumed")
+def open_once(context):
+    context.answer = call(context, "/stream/once/x")
+
+
+@when("callers open streams until that engine was met")
+def streams_until_met(context):
+    context.answers = []
+    for index in range(40):
+        context.answers.append(call(context, f"/stream/{index}", f"s-{index}"))
+        if context.bad.runs:
+            return
+    raise AssertionError("the engine was never met")
+
+
+@when("callers open {count:d} streams")
+def streams(context, count):
+    for index in range(count):
+        assert call(context, f"/stream/{index}", f"s-{index}")[0] == 200
+
+
+@then("it gets all events in order, once each")
+@then("each gets all events in order, once each")
+def all_events(context):
+    expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, EVENTS + 1)).encode()
+    for status, _, body in context.answers:
+        assert status == 200 and body == expected, body
+
+
+@then("the connection ends without a complete answer")
+def no_answer(context):
+    assert context.answer[0] == 0, context.answer
+
+
+@when("an endpoint process says that one engine loads")
+def engine_loads(context):
+    context.bad = engines(context)[0]
+    entries = context.platform.entries[0].entries
+    notice = encode(Pulse(vm="endpoint", loading=context.bad.address))
+    entries.take(notice, ("127.0.0.1", 1), time.monotonic())
+
+
+@when("one plain backend says that it leaves")
+def backend_leaves(context):
+    context.bad = plain(context)[0]
+    context.platform.register(context.bad, "draining")
+    role = context.platform.entries[0]
+    assert run(
+        context, until(lambda: role.fleet.backends[context.bad.identity].backend.is_leaving, 2.0)
+    )
+
+
+@then("that engine ran nothing")
+@then("that backend ran nothing")
+def bad_ran_nothing(context):
+    assert not context.bad.runs
+
+
+@given('the store is "{mode}"')
+def store_mode(context, mode):
+    context.platform.store.mode = mode
+
+
+@when("an entry process starts")
+def entry_starts(context):
+    async def start():
+        await context.platform.add_entry()
+        await asyncio.sleep(0.5)
+
+    run(context, start())
+
+
+@then("it is not ready and refuses with 503")
+def not_ready(context):
+    assert not context.platform.entries[0].is_ready()
+    status, headers, _ = call(context, "/look/x")
+    assert status == 503 and float(headers["Retry-After"]) > 0
+
+
+@when("the second process is turned away by the store")
+def turn_away(context):
+    follower = context.platform.entries[1].follower
+    follower.store.url = "http://127.0.0.1:9"
+
+
+@when("the key is taken away")
+def revoke(context):
+    context.platform.keys = ["another"]
+    context.platform.configure()
+
+
+@then("both refuse the key within {seconds:d} seconds")
+@then("the process refuses the key within {seconds:d} seconds")
+def refuse_key(context, seconds):
+    deadline = time.monotonic() + seconds
+    waiting = set(range(len(context.platform.entries)))
+    while waiting and time.monotonic() < deadline:
+        waiting = {index for index in waiting if call(context, "/look/x", entry=index)[0] != 401}
+        run(context, asyncio.sleep(0.05))
+    assert not waiting, waiting
+
+
+@when("watches hear nothing while the key is taken away, and the history is forgotten")
+def deaf(context):
+    store = context.platform.store
+    store.deaf = True
+    revoke(context)
+    run(context, asyncio.sleep(0.3))
+    store.forget()
+    store.deaf = False
+
+
+@when("the store holds a configuration that cannot be read")
+def unreadable(context):
+    context.platform.store.put("op/config", b'{"version": 99, "routes": [{}]}')
+    run(context, asyncio.sleep(0.3))
+
+
+@when("another writer registers backends that cannot be read")
+def other_writer(context):
+    values = (b"\xff\x00", b"[]", b'{"service": "plain"}', b'{"service": 3, "address": []}')
+    for index, value in enumerate(values):
+        context.platform.store.put(f"servers/x-{index}", value)
+    broken = plain(context)[0].registration().replace(b'"ready"', b'"unheard-of"')
+    context.platform.store.put("servers/x-9", broken)
+    run(context, asyncio.sleep(0.3))
+    known = context.platform.entries[0].fleet.backends
+    assert not any(identity.startswith("x-") for identity in known)
+
+
+@when("the store goes down, and all registrations have lapsed when it returns")
+def lapse(context):
+    store = context.platform.store
+    store.mode = "reset"
+    run(context, asyncio.sleep(1.6))
+    for key in [key for key in store.items if key.startswith("servers/")]:
+        store.remove(key)
+    store.forget()
+    store.mode = "ok"
+    role = context.platform.entries[0]
+    assert run(context, until(lambda: all(v.gone_at for v in role.fleet.backends.values())))
+
+
+@when("the first process is told to end while a slow stream runs")
+def end_first(context):
+    for backend in engines(context):
+        backend.mode = "slow"
+
+    async def end():
+        async with aiohttp.ClientSession() as session:
+            first, second = context.platform.entries
+            stream = asyncio.create_task(ask(session, first.direct.front, "/stream/x", "s-1"))
+            assert await until(lambda: any(item.runs for item in engines(context)))
+            draining = asyncio.create_task(first.drain())
+            assert await until(lambda: not second.entries.ready_peers(time.monotonic()), 2.0)
+            url = f"http://{second.direct.directory}/resolve?name={HOST}&zone=zone-a"
+            async with session.get(url) as response:
+                context.named = (await response.json())["addresses"]
+            context.answers = [await stream]
+            await draining
+
+    run(context, end())
+
+
+@then("the directory of the second names only the second")
+def named(context):
+    assert context.named == [context.platform.entries[1].direct.front], context.named
+
+
+@then("the stream has all events in order, once each")
+def stream_whole(context):
+    all_events(context)
+
+
+@given("the origin spoils chunk {index:d} once")
+def spoil(context, index):
+    context.platform.origin.spoil.add(index)
+
+
+@given("an empty engine with its endpoint process")
+def empty_engine(context):
+    fill(context, {})
+
+
+@given("an empty engine with its endpoint process that holds rotten chunks")
+def rotten_engine(context):
+    chunks = context.platform.origin.versions[1]
+    fill(context, {1: bytes(len(chunks[1])), 3: chunks[3][:-1] + b"x"})
+
+
+def fill(context, staged):
+    async def start():
+        backend = await context.platform.add_backend("e-9", "engines", version=0)
+        backend.staged = staged
+        context.empty = backend
+        await context.platform.add_endpoint(backend)
+
+    run(context, start())
+
+
+@then("the empty engine holds version 1 within {seconds:d} seconds")
+def engine_holds(context, seconds):
+    assert run(context, until(lambda: context.empty.version == 1, seconds))
+
+
+@then("the engine took only whole chunks of version 1")
+def whole_chunks(context):
+    assert context.empty.orders == 1
+    assert context.empty.loaded == dict(enumerate(context.platform.origin.versions[1]))
+
+
+@then("the origin sent each chunk of version 1 at most once")
+def sent_once(context):
+    sent = context.platform.origin.sent
+    assert set(sent.values()) == {1} and len(sent) == len(context.platform.origin.versions[1])
