Above seventeen entry processes the lease says who is there

Cause: a pulse goes to sixteen processes; with more of them one that was not drawn for 1.2 s would be named to no caller. Not measured: no site here has so many.

--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -77,6 +77,18 @@
         """Return True where it was heard lately."""
         return self.pulse is not None and now - self.heard_at < ALIVE_SECONDS
 
+    def is_named(self, now: float, many: bool) -> bool:
+        """Return True where callers may be sent to it.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+          many: True where there are more entry processes than get each pulse. One that was not
+            heard lately counts as long as its lease in the store lives.
+        """
+        if self.pulse is None or not self.pulse.ready:
+            return False
+        return self.is_alive(now) or (many and self.registered)
+
 
 class Entries:
     """Sends pulses to the other entry processes and takes theirs.
@@ -281,10 +293,11 @@
 
     def ready_peers(self, now: float) -> list[Pulse]:
         """Return the last messages of the entry processes that take requests."""
+        many = len(self.peers) > MOST_TARGETS
         return [
             peer.pulse
             for peer in self.peers.values()
-            if peer.pulse is not None and peer.is_alive(now) and peer.pulse.ready
+            if peer.pulse is not None and peer.is_named(now, many)
         ]
 
     def is_watcher(self) -> bool:
