A version that neighbours hold comes from them; a backend that turned out to be another gets nothing

Entries now ask near endpoints that hold the version, then the home, far endpoints, the origin; manifests of held versions are known beforehand. Cause 2: after the final fault 256 of 296 refused arrivals were 421: workers were back under new ids, their old entries not yet gone; each refusal used up a repeat.

--- a/standins/users_backend.py
+++ b/standins/users_backend.py
@@ -187,6 +187,7 @@
       versions: Chunks of each version.
       spoil: Chunks that are still handed out spoilt, by index.
       sent: Chunks that it sent, by version and index.
+      gone: It hands out no chunk.
     """
 
     def __init__(self) -> None:
@@ -194,6 +195,7 @@
         self.spoil: set[int] = set()
         self.sent: Counter[tuple[int, int]] = Counter()
         self.address = ""
+        self.gone = False
 
     def add(self, version: int, chunks: int, size: int) -> None:
         """Make a version."""
@@ -226,6 +228,8 @@
     async def piece(self, request: web.Request) -> web.Response:
         """Answer a chunk, once spoilt where that is wanted."""
         version, index = int(request.query["version"]), int(request.query["sample_count"])
+        if self.gone:
+            return web.Response(status=503)
         self.sent[version, index] += 1
         chunk = self.versions[version][index]
         if index in self.spoil:
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -21,11 +21,11 @@
 CHUNK_BYTES = 3000
 
 
-def free_address() -> str:
+def free_address(host: str = "127.0.0.1") -> str:
     """Return a loopback address whose port is free now."""
     with socket.socket() as made:
-        made.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{made.getsockname()[1]}"
+        made.bind((host, 0))
+        return f"{host}:{made.getsockname()[1]}"
 
 
 class UsersPlatform:
@@ -51,6 +51,13 @@
         self.route_changes: dict[str, dict[str, Any]] = {}
         self.keys = [KEY]
         self.direct: dict[str, Any] = {}
+        self.control_port = free_address("0.0.0.0").rpartition(":")[2]
+        self.hosts = 0
+
+    def next_host(self) -> str:
+        """Return the loopback address of another VM."""
+        self.hosts += 1
+        return f"127.0.1.{self.hosts}"
 
     async def start(self) -> None:
         """Start the store and the origin."""
@@ -74,7 +81,7 @@
     ) -> UsersBackend:
         """Start a backend and register it."""
         backend = UsersBackend(identity, service, zone, version)
-        backend.address = free_address()
+        backend.address = free_address(self.next_host())
         await self.listen(backend.application(), backend.address)
         self.backends[identity] = backend
         self.register(backend)
@@ -145,7 +152,7 @@
             vm=f"entry-{len(self.entries)}",
             region=ZONES[zone],
             zone=zone,
-            listen=free_address(),
+            listen=f"{self.next_host()}:{self.control_port}",
             platform=PlatformSettings(f"http://{self.store_address}", "leased"),
             direct=DirectSettings(
                 front=free_address(),
@@ -170,7 +177,7 @@
             vm=f"endpoint-{backend.identity}",
             region=ZONES[backend.zone],
             zone=backend.zone,
-            listen=free_address(),
+            listen=f"{backend.address.rpartition(':')[0]}:{self.control_port}",
             platform=PlatformSettings(f"http://{self.store_address}", "leased"),
             direct=DirectSettings(
                 engine=backend.address,
--- a/tests/filling/filling.feature
+++ b/tests/filling/filling.feature
@@ -8,6 +8,15 @@
     And the engine took only whole chunks of version 1
     And the origin sent each chunk of version 1 at most once
 
+  Scenario: A joined engine is filled from its neighbours while the origin is away
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the engines have endpoint processes and staged chunks
+    And the manifest is known and the origin goes away
+    And an empty engine with its endpoint process
+    Then the empty engine holds version 1 within 5 seconds
+    And the engine took only whole chunks of version 1
+
   Scenario: A spoilt chunk of the origin is never staged
     Given the users' platform with two plain backends and two engines
     And one entry process that is ready
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -443,6 +443,25 @@
     context.platform.origin.spoil.add(index)
 
 
+@given("the engines have endpoint processes and staged chunks")
+def beside_engines(context):
+    async def start():
+        for backend in engines(context):
+            backend.staged = dict(enumerate(context.platform.origin.versions[1]))
+            await context.platform.add_endpoint(backend)
+        assert await until(lambda: all(role.filler.held for role in context.platform.endpoints))
+
+    run(context, start())
+
+
+@given("the manifest is known and the origin goes away")
+def origin_away(context):
+    relay = context.platform.entries[0].relay
+    assert run(context, until(lambda: ("model", 1, -1) in relay.memory))
+    context.platform.origin.versions = {1: context.platform.origin.versions[1]}
+    context.platform.origin.gone = True
+
+
 @given("an empty engine with its endpoint process")
 def empty_engine(context):
     fill(context, {})
--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -13,6 +13,8 @@
 """Time for which a backend that said it is full is passed over."""
 LOADING_LOAD = 0.75
 """Part of its places below which a backend that refuses must have another reason."""
+MISDIRECTED_SECONDS = 1.0
+"""Time for which a backend gets nothing that turned out to be another one."""
 LONGEST_LOADING_SECONDS = 4.0
 """Time after which a backend that was said to load is asked again."""
 LOADING_SECONDS = 0.6
@@ -49,7 +51,7 @@
       prompt_tokens: Prompt tokens of those that have no first event yet.
       remote: Load of other entry processes by their name.
       passed_over_until: Time until which it gets nothing unless no other is left.
-      loading_until: Time until which it takes nothing because it loads other weights.
+      loading_until: Time until which it gets nothing: it loads, or another one is there.
       failures_in_a_row: Attempts since the last good one that found it dead or silent.
       failure_share: Smoothed share of attempts that failed.
       slowness: Smoothed ratio of the time to the first event to the expected one.
@@ -117,6 +119,10 @@
         """Learn that it ends what it runs and then loads other weights."""
         self.loading_until = now + LONGEST_LOADING_SECONDS
 
+    def note_misdirected(self, now: float) -> None:
+        """Learn that another incarnation, or other weights, are at its address by now."""
+        self.loading_until = max(self.loading_until, now + MISDIRECTED_SECONDS)
+
     def note_full(self, now: float) -> None:
         """Learn that it had no room; one with free places loads weights, which takes longer."""
         is_loading = self.all_running(now) < LOADING_LOAD * self.backend.slots
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -1,6 +1,7 @@
 """Chunks of weights that entry processes draw from the origin and hand on.
 
-Entry VMs have wide links and endpoint VMs thin ones. Each chunk has one home, by rendezvous
+Entry VMs have wide links and endpoint VMs thin ones. A version that engines near by hold comes
+from the endpoint processes beside them. Otherwise each chunk has one home, by rendezvous
 hashing over the entry processes in the region of the origin; it alone draws from the origin.
 In every other region one entry process fetches from the home and serves the region.
 """
@@ -15,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import metrics
+from ..configuration.settings import host_of, port_of
 from ..data import ServiceDeclaration
 from ..logs import get_logger
 from ..membership.ring import rendezvous_order
@@ -29,7 +31,7 @@
 ORIGIN_SECONDS = 3.0
 PEER_SECONDS = 1.5
 ORIGIN_DRAWS = 3
-ATTEMPTS = 4
+ATTEMPTS = 5
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
@@ -75,6 +77,17 @@
         self.ahead.add(task)
         task.add_done_callback(self.ahead.discard)
 
+    def know_held(self) -> None:
+        """Fetch the manifests of the versions that backends hold, while they can be had."""
+        held = {
+            (item.model, item.version)
+            for view in self.fleet.backends.values()
+            for item in view.backend.weights or ()
+        }
+        for model, version in held:
+            if (model, version, MANIFEST_INDEX) not in self.memory:
+                self.start((model, version, MANIFEST_INDEX))
+
     async def draw_own(self, model: str, version: int) -> None:
         """Draw the chunks of a version whose home this process is."""
         origin = self.origin()
@@ -83,7 +96,7 @@
         digests = await self.get((model, version, MANIFEST_INDEX))
         for index in range(len(digests or b"") // DIGEST_BYTES):
             key = (model, version, index)
-            if self.home_of(key, origin, 0) == self.settings.listen:
+            if self.home_of(key, origin) == self.settings.listen:
                 await self.get(key)
 
     def is_near(self, origin: ServiceDeclaration) -> bool:
@@ -107,27 +120,7 @@
         rate = rate_of(request)
         if not rate:
             return web.Response(body=body)
-        return await self.serve_slowly(request, body, rate)
-
-    async def serve_slowly(
-        self, request: web.Request, body: bytes, rate: float
-    ) -> web.StreamResponse:
-        """Send a body in slices at a rate, so that no queue grows before a thin link.
-
-        Args:
-          request: Request of an endpoint process.
-          body: What it gets.
-          rate: Bytes a second.
-        """
-        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
-        await response.prepare(request)
-        started = time.monotonic()
-        for start in range(0, len(body), SLICE_BYTES):
-            due = started + start / rate
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            await response.write(body[start : start + SLICE_BYTES])
-        await response.write_eof()
-        return response
+        return await send_slowly(request, body, rate)
 
     def read_ahead(self, model: str, version: int, index: int) -> None:
         """Fetch the next chunks: endpoints ask for them in order."""
@@ -186,16 +179,39 @@
         return digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES]
 
     async def fetch_once(self, key: Key, attempt: int) -> Result[bytes, str]:
-        """Ask the home of a chunk, or the origin where this process is the home."""
+        """Ask the source of one attempt: near engines, the home, far engines, the origin."""
         origin = self.origin()
         if origin is None:
             return Failure("no origin is declared")
-        home = self.home_of(key, origin, attempt)
-        if home == self.settings.listen:
+        near, far = self.holders_of(key)
+        home = self.home_of(key, origin)
+        sources = [*near[:1], home, *near[1:2], *far[:1]]
+        source = sources[attempt] if attempt < len(sources) else self.settings.listen
+        if source == self.settings.listen:
             return await self.draw(key, origin)
         model, version, index = key
-        path = f"/weights/{model}/{version}" + ("" if index == MANIFEST_INDEX else f"/{index}")
-        return await self.ask(f"http://{home}{path}")
+        folder = "weights" if source == home else "staged"
+        path = f"/{folder}/{model}/{version}" + ("" if index == MANIFEST_INDEX else f"/{index}")
+        return await self.ask(f"http://{source}{path}")
+
+    def holders_of(self, key: Key) -> tuple[list[str], list[str]]:
+        """Return endpoint processes, near and far ones, whose engines hold a version whole."""
+        model, version, index = key
+        if index == MANIFEST_INDEX:
+            return [], []
+        direct = self.settings.direct
+        assert direct is not None
+        region = direct.zones.get(self.settings.zone)
+        port = port_of(self.settings.listen)
+        near: list[str] = []
+        far: list[str] = []
+        for view in self.fleet.backends.values():
+            if view.version_of(model) == version and not view.backend.is_leaving:
+                control = f"{host_of(view.backend.address)}:{port}"
+                is_near = direct.zones.get(view.backend.zone) == region
+                (near if is_near else far).append(control)
+        name = f"{model}/{version}/{index}"
+        return rendezvous_order(name, near), rendezvous_order(name, far)
 
     def origin(self) -> ServiceDeclaration | None:
         """Return the service that is the origin of weights."""
@@ -204,13 +220,8 @@
             return None
         return next((item for item in table.configuration.services if item.origin), None)
 
-    def home_of(self, key: Key, origin: ServiceDeclaration, attempt: int) -> str:
-        """Return the control address of the entry process that draws a chunk.
-
-        Further attempts go to the next processes in order, the last to the origin itself.
-        """
-        if attempt == ATTEMPTS - 1:
-            return self.settings.listen
+    def home_of(self, key: Key, origin: ServiceDeclaration) -> str:
+        """Return the control address of the entry process that draws a chunk."""
         direct = self.settings.direct
         assert direct is not None
         region = direct.zones.get(origin.zone, "")
@@ -228,7 +239,7 @@
         if not homes:
             return self.settings.listen
         order = rendezvous_order(f"{key[0]}/{key[1]}/{key[2]}", homes)
-        return order[attempt % len(order)]
+        return order[0]
 
     async def draw(self, key: Key, origin: ServiceDeclaration) -> Result[bytes, str]:
         """Draw a chunk or a manifest from the origin."""
@@ -266,6 +277,25 @@
             self.size -= len(dropped)
 
 
+async def send_slowly(request: web.Request, body: bytes, rate: float) -> web.StreamResponse:
+    """Send a body in slices at a rate, so that no queue grows before a thin link.
+
+    Args:
+      request: Request of another process.
+      body: What it gets.
+      rate: Bytes a second.
+    """
+    response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+    await response.prepare(request)
+    started = time.monotonic()
+    for start in range(0, len(body), SLICE_BYTES):
+        due = started + start / rate
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        await response.write(body[start : start + SLICE_BYTES])
+    await response.write_eof()
+    return response
+
+
 def rate_of(request: web.Request) -> float:
     """Return the rate in bytes a second that a request asks for; 0 for none."""
     try:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -237,6 +237,8 @@
         progress.tried.add(view.backend.identity)
         if failed.failure is Failure.FULL:
             view.note_full(now)
+        elif failed.failure is Failure.NOT_RUN and not failed.may_have_run:
+            view.note_misdirected(now)
         elif failed.failure in (Failure.UNREACHABLE, Failure.SILENT):
             view.note_silent(now)
         else:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -240,6 +240,7 @@
                 self.fleet.store_lost_at = now
             alive = sum(peer.is_alive(now) for peer in self.entries.peers.values())
             self.budget.note_entries(alive + 1)
+            self.relay.know_held()
             await asyncio.sleep(0.1)
 
     async def drain(self) -> None:
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -62,6 +62,7 @@
       engine: The engine.
       goal: Weights that are staged and loaded next.
       overtaken_by: Newest version for which it was decided whether the goal is given up.
+      held: Weights that the engine holds, as it last said.
       staged: Chunks that were staged and checked, by index, with their digests.
     """
 
@@ -84,6 +85,7 @@
         self.staged_model = ""
         self.goal: HeldWeights | None = None
         self.overtaken_by: HeldWeights | None = None
+        self.held: tuple[HeldWeights, ...] = ()
 
     async def run(self) -> None:
         """Fill the engine until cancelled."""
@@ -97,6 +99,7 @@
         if not isinstance(result, Success):
             return
         report = result.unwrap()
+        self.held = report.weights
         target = self.target()
         if target is None:
             return
@@ -337,6 +340,13 @@
                 with contextlib.suppress(OSError):
                     made.sendto(notice, (host_of(control), port_of(control)))
 
+    async def staged_chunk(self, weights: HeldWeights, index: int) -> bytes | None:
+        """Return a chunk of the version that the engine holds, while no other one is staged."""
+        if weights not in self.held or self.goal not in (None, weights):
+            return None
+        result = await self.engine.staged_chunk(weights.model, index)
+        return result.value_or(None)
+
     async def is_whole(self, target: HeldWeights, digests: Digests) -> bool:
         """Return True where every staged chunk is the one it should be, just now."""
         whole = True
--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -5,15 +5,19 @@
 from aiohttp import web
 
 from ..configuration.settings import host_of, port_of
+from ..data import HeldWeights
+from ..direct.chunks import send_slowly
 from ..direct.fleet import Fleet
 from ..direct.role import answer_metrics, leasing_store, platform_session
 from ..knowledge.follower import StoreFollower
 from ..knowledge.items import ItemView
 from ..platform.names import EVERYTHING
 from ..schema.settings import DirectSettings, Settings
-from .filler import Filler
+from .filler import FETCHES, Filler
 from .listening import EntryListener
 
+STAGED_PATH = "/staged/{model}/{version}/{index}"
+
 
 class FillingRole:
     """An endpoint process that takes no requests.
@@ -37,12 +41,26 @@
     async def start(self) -> None:
         """Start all tasks."""
         self.runner.app.router.add_get("/metrics", answer_metrics)
+        self.runner.app.router.add_get(STAGED_PATH, self.answer_staged)
         await self.runner.setup()
         listen = self.settings.listen
         await web.TCPSite(self.runner, host_of(listen), port_of(listen)).start()
         for work in (self.follower.run(), self.listener.run(), self.filler.run()):
             self.tasks.append(asyncio.create_task(work))
 
+    async def answer_staged(self, request: web.Request) -> web.StreamResponse:
+        """Hand a chunk on that lies beside the engine; whoever gets it checks it."""
+        try:
+            version, index = int(request.match_info["version"]), int(request.match_info["index"])
+        except ValueError:
+            return web.Response(status=400)
+        weights = HeldWeights(request.match_info["model"], version)
+        chunk = await self.filler.staged_chunk(weights, index)
+        if chunk is None:
+            return web.Response(status=404)
+        rate = self.filler.rate() / FETCHES
+        return await send_slowly(request, chunk, rate) if rate else web.Response(body=chunk)
+
     async def drain(self) -> None:
         """Leave at once: no request waits for this process."""
 
