Prompts are read in passes; long prompts are not refused first

Cause: the estimate counted one pass however many tokens waited, so that under load more was taken than could be on time; and a long prompt's own reading counted against it, so that long ones were refused first.

--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -40,7 +40,7 @@
 from verbenaward.wire.codec import encode
 
 NOW = 1000.0
-ENGINE = EngineModel(16, 0.00887, 0.00004, 19100.0, 5, 977.0, 94.0, ("model",), 48, 49152)
+ENGINE = EngineModel(16, 0.00887, 0.00004, 19100.0, 2048, 5, 977.0, 94.0, ("model",), 48, 49152)
 ROUTE = Route("r", "h", "/", RouteKind.STREAMING, (), 6.0, 0.5, 0.4, 1, 2, False, True)
 
 
--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -158,6 +158,7 @@
       step_seconds: Time of a token step with nothing to do.
       sequence_seconds: What each running request adds to it.
       read_tokens_per_second: Rate at which prompts are read.
+      read_tokens_per_pass: Most prompt tokens that are read in one pass.
       steps_per_event: Token steps of a pass, which is one event of a stream.
       usual_prompt_tokens: Mean prompt.
       usual_answer_tokens: Mean answer.
@@ -170,6 +171,7 @@
     step_seconds: float
     sequence_seconds: float
     read_tokens_per_second: float
+    read_tokens_per_pass: int
     steps_per_event: int
     usual_prompt_tokens: float
     usual_answer_tokens: float
--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -1,5 +1,6 @@
 """What an entry process believes about backends."""
 
+import math
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -140,8 +141,9 @@
 ) -> float:
     """Return when the first event of a request may be expected at a backend.
 
-    The engine reads prompts between passes of token steps. A request waits for a place if all
-    are taken, then for the pass in progress, then until all prompts before its own are read.
+    The engine reads a part of the prompts in each pass, between token steps. A request waits for
+    a place if all are taken, then for the pass in progress, then until all prompts before its own
+    are read.
 
     Args:
       view: The backend.
@@ -154,9 +156,10 @@
     busy = min(running, places)
     step = engine.step_seconds + engine.sequence_seconds * busy
     one_pass = step * engine.steps_per_event
-    reading = (view.all_prompt_tokens(now) + prompt_tokens) / engine.read_tokens_per_second
+    tokens = view.all_prompt_tokens(now) + prompt_tokens
+    passes = math.ceil(tokens / engine.read_tokens_per_pass) + (0.5 if running else 0.0)
     waiting = max(0, running + 1 - places)
-    seconds = reading + one_pass * (1.5 if running else 1.0)
+    seconds = tokens / engine.read_tokens_per_second + one_pass * passes
     if waiting:
         seconds += waiting * residence_seconds(engine, places) / places
     return seconds * view.slowness
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -15,7 +15,7 @@
 from .backends import BackendView
 from .budget import SharedBudget
 from .decisions import DecisionLog
-from .placing import Choice, Placer, may_have_run
+from .placing import Choice, Placer, may_have_run, rank_of
 from .poison import Crashes
 from .records import FailedAttempt, Failure, RefusedError, Request, WholeAnswer
 from .sending import send_whole
@@ -192,6 +192,7 @@
             remaining_seconds=request.deadline - now,
             workspace=request.workspace,
             version=choice.version,
+            priority=rank_of(request, self.placer.age_seconds(request)),
         )
 
     def wait_seconds(self, request: Request, progress: Progress, now: float) -> float:
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass
 
-from ..data import Refusal, ServiceShare, Verdict
+from ..data import EngineModel, Refusal, ServiceShare, Verdict
 from ..requests.refusals import not_run
 from .backends import BackendView, first_event_seconds
 from .fleet import Fleet
@@ -23,6 +23,10 @@
 """Cost of another region: a round trip, and the narrow link between them."""
 LATE_TARGETS = 1.5
 """A request that is late already may wait this many times its target."""
+LONG_PROMPT = 2.0
+"""A prompt of this many times the usual length goes first at a full engine."""
+LONG_RANK = 4
+LATE_RANK = 7
 MINIMUM_RETRY_AFTER_SECONDS = 0.05
 LONGEST_RETRY_AFTER_SECONDS = 2.0
 RETRY_SPREAD = 0.5
@@ -125,9 +129,10 @@
         if request.engine is None or not request.route.target_seconds:
             return None
         allowed = self.allowed_seconds(request, now)
-        if choice.expected_seconds <= allowed:
+        expected = choice.expected_seconds - own_reading_seconds(request, request.engine)
+        if expected <= allowed:
             return None
-        wait = choice.expected_seconds - allowed
+        wait = expected - allowed
         return self.come_back("overload", "all backends have more than they can do", wait)
 
     def allowed_seconds(self, request: Request, now: float) -> float:
@@ -159,6 +164,29 @@
         return self.rng.choices(shares, weights)[0].service
 
 
+def own_reading_seconds(request: Request, engine: EngineModel) -> float:
+    """Return what the request's own prompt takes beyond a usual one, which is not held against it.
+
+    Else long prompts would be refused first, and short ones last.
+    """
+    beyond = request.said.prompt_tokens - engine.usual_prompt_tokens
+    return beyond / engine.read_tokens_per_second
+
+
+def rank_of(request: Request, age_seconds: float) -> int | None:
+    """Return the rank of a request in the queue of an engine; None for the usual one.
+
+    Long prompts go first, as they need the most of their time; what is late already goes last.
+    """
+    if request.engine is None:
+        return None
+    if age_seconds > request.route.target_seconds:
+        return LATE_RANK
+    if request.said.prompt_tokens > LONG_PROMPT * request.engine.usual_prompt_tokens:
+        return LONG_RANK
+    return None
+
+
 def fits(view: BackendView, request: Request, version: int) -> bool:
     """Return True where a backend holds the weights that a request needs."""
     if not request.said.model or view.backend.weights is None:
--- a/verbenaward/filling/plan.py
+++ b/verbenaward/filling/plan.py
@@ -6,7 +6,7 @@
 
 STAGING_SHARE = 0.58
 """Part of the time bound of a version after which its engines begin to load."""
-LOADING_SHARE = 0.3
+LOADING_SHARE = 0.32
 """Part of the time bound over which they take their turns."""
 NEWER_SHARE = 0.9
 """Part of the time bound within which the last engine should have staged a newer version."""
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -23,6 +23,7 @@
 from .names import BACKEND_PREFIX
 
 MILLISECONDS = 1000.0
+USUAL_PASS_TOKENS = 2048
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -88,6 +89,7 @@
         step_seconds=float(item["step_ms"]) / MILLISECONDS,
         sequence_seconds=float(item.get("per_seq_ms") or 0) / MILLISECONDS,
         read_tokens_per_second=float(item["read_per_s"]),
+        read_tokens_per_pass=max(1, int(item.get("chunk") or USUAL_PASS_TOKENS)),
         steps_per_event=max(1, int(item.get("step_size") or 1)),
         usual_prompt_tokens=float(usual.get("prompt") or 1000),
         usual_answer_tokens=float(usual.get("answer") or 100),
