Neighbours hand chunks on one at a time, at 0.4 of their link

Cause: chunks for others filled the uplinks over which streams go; an event 120 ms late makes its stream late.

--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -13,9 +13,11 @@
 from ..knowledge.items import ItemView
 from ..platform.names import EVERYTHING
 from ..schema.settings import DirectSettings, Settings
-from .filler import FETCHES, Filler
+from .filler import Filler
 from .listening import EntryListener
 
+UPLOAD_SHARE = 0.4
+"""Part of the link that chunks for others may take; the engine's streams go over it too."""
 STAGED_PATH = "/staged/{model}/{version}/{index}"
 
 
@@ -35,6 +37,7 @@
         self.listener = EntryListener(settings, direct, view, self.session)
         self.follower = StoreFollower(store, EVERYTHING, view, self.listener.is_deaf)
         self.filler = Filler(settings, direct, view, Fleet(view), self.session)
+        self.uploads = asyncio.Semaphore(1)
         self.tasks: list[asyncio.Task[None]] = []
         self.runner = web.AppRunner(web.Application(), access_log=None)
 
@@ -58,8 +61,11 @@
         chunk = await self.filler.staged_chunk(weights, index)
         if chunk is None:
             return web.Response(status=404)
-        rate = self.filler.rate() / FETCHES
-        return await send_slowly(request, chunk, rate) if rate else web.Response(body=chunk)
+        rate = UPLOAD_SHARE * self.filler.rate()
+        if not rate:
+            return web.Response(body=chunk)
+        async with self.uploads:
+            return await send_slowly(request, chunk, rate)
 
     async def drain(self) -> None:
         """Leave at once: no request waits for this process."""
