Clocks that are put back, keys that are gone, and a store that few can hear

Cause 1: pulses were ordered by the time of the sender's start; after a start with the time of day put back its pulses would be passed over for good (clock_step may come; found by reading). Cause 2: deleted keys were kept without bound. Cause 3: processes that do not watch noticed after 2.2 s that nobody hears the store, over the 2 s of a configuration; now 1.6 s. Tests for the first two fail without it.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -38,3 +38,7 @@
     When 1000 lines are wanted within a second
     Then at most 70 are written
     And the next line says how many were dropped
+
+  Scenario: An entry process that starts again with its clock put back is heard
+    When an entry process is heard, falls silent and starts again with an older time
+    Then its new pulses count once the old ones have stopped
--- a/tests/knowledge/items.feature
+++ b/tests/knowledge/items.feature
@@ -12,3 +12,8 @@
     When a complete reading comes late
     Then keys that were removed are gone
     And a key that was written after it stays
+
+  Scenario: Of keys that are gone no more is kept than is handed on
+    When 10000 keys are written and removed, one after the other
+    Then at most 5000 are remembered
+    And an old reading brings none of them back
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -426,3 +426,51 @@
 @then("each is a record or a typed fault")
 def typed(context):
     context.check()
+
+
+@when("10000 keys are written and removed, one after the other")
+def many_keys(context):
+    view = ItemView()
+    for index in range(10_000):
+        key = f"key-{index}"
+        written = KeyValueEntry(key, b"1", 2 * index + 2)
+        removed = KeyValueEntry(key, b"", 2 * index + 3)
+        view.take(Changes(removed.version, False, (written, removed)), 0.0)
+    context.view = view
+
+
+@then("at most {count:d} are remembered")
+def remembered(context, count):
+    assert len(context.view.items) <= count
+
+
+@then("an old reading brings none of them back")
+def none_back(context):
+    old = (KeyValueEntry("key-1", b"1", 4), KeyValueEntry("key-9999", b"1", 20_000))
+    context.view.take(Changes(20_000, True, old), 0.0)
+    assert not any(entry.value for entry in context.view.items.values())
+
+
+@when("an entry process is heard, falls silent and starts again with an older time")
+def start_again(context):
+    async def make():
+        taker = entries_of("taker", "zone-a", 9100, NOW)
+        before = entries_of("other", "zone-a", 9101, NOW)
+        after = entries_of("other", "zone-a", 9101, NOW)
+        after.incarnation = before.incarnation - 1_000_000
+        source = ("127.0.0.1", 9101)
+        first = encode(before.pulse(NOW))
+        taker.take(first, source, NOW)
+        taker.take(encode(after.pulse(NOW)), source, NOW + 0.1)
+        context.too_early = taker.peers["127.0.0.1:9101"].pulse.incarnation
+        taker.take(encode(after.pulse(NOW)), source, NOW + 1.0)
+        context.replaced = taker.peers["127.0.0.1:9101"].pulse.incarnation
+        context.before, context.after = before.incarnation, after.incarnation
+
+    context.loop.run_until_complete(make())
+
+
+@then("its new pulses count once the old ones have stopped")
+def new_pulses(context):
+    assert context.too_early == context.before
+    assert context.replaced == context.after
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -26,6 +26,7 @@
 ALIVE_SECONDS = 1.2
 """Silence after which an entry process is not named to callers any more."""
 FORGET_SECONDS = 30.0
+REPLACED_SECONDS = 0.5
 IDLE_PULSE_SECONDS = 0.3
 QUICKEST_PULSE_SECONDS = 0.02
 DATAGRAM_OVERHEAD_BYTES = 28
@@ -34,7 +35,7 @@
 MILLISECONDS = 1000
 WATCHERS = 3
 """Entry processes that watch the store; the others hear from them."""
-UNCHECKED_SECONDS = 2.2
+UNCHECKED_SECONDS = 1.6
 """Time without a word of the store after which a process watches by itself."""
 MOST_TARGETS = 16
 """Entry processes that get one pulse, drawn anew each time."""
@@ -253,7 +254,7 @@
             return
         known = peer.pulse
         if known is not None:
-            if (pulse.incarnation, pulse.sequence) <= (known.incarnation, known.sequence):
+            if is_older(pulse, known, now - peer.heard_at):
                 return
             if known.ready != pulse.ready:
                 LOG.info("entry.changed", entry=pulse.vm, ready=pulse.ready)
@@ -339,6 +340,17 @@
         return found
 
 
+def is_older(pulse: Pulse, known: Pulse, silent_seconds: float) -> bool:
+    """Return True where a pulse was overtaken by one that is known.
+
+    A process that starts again may have a clock that was put back: once the one that is known
+    has fallen silent, any other incarnation is the newer one.
+    """
+    if pulse.incarnation == known.incarnation:
+        return pulse.sequence <= known.sequence
+    return pulse.incarnation < known.incarnation and silent_seconds < REPLACED_SECONDS
+
+
 class PulseProtocol(asyncio.DatagramProtocol):
     """Hands datagrams on."""
 
--- a/verbenaward/knowledge/follower.py
+++ b/verbenaward/knowledge/follower.py
@@ -12,7 +12,7 @@
 from .items import Changes, ItemView
 
 LOG = get_logger(__name__)
-WATCH_SECONDS = 1.2
+WATCH_SECONDS = 1.0
 """Longest watch. A watch may fall silent without a sign, on all processes at once."""
 LOST_WATCH_SECONDS = 0.1
 """Longest watch while the store does not answer."""
--- a/verbenaward/knowledge/items.py
+++ b/verbenaward/knowledge/items.py
@@ -69,9 +69,13 @@
         return taken
 
     def take_entry(self, entry: KeyValueEntry, now: float) -> bool:
-        """Take one item; False where it is not newer."""
+        """Take one item; False where it is not newer.
+
+        Everything up to the revision of the view is known, so an unknown key was deleted by then.
+        """
         known = self.items.get(entry.key)
-        if known is not None and known.version >= entry.version:
+        newest = self.revision if known is None else known.version
+        if newest >= entry.version:
             return False
         self.items[entry.key] = entry
         self.remember(entry)
@@ -96,7 +100,10 @@
     def remember(self, entry: KeyValueEntry) -> None:
         """Keep a change to be handed on."""
         if len(self.log) == LOG_LENGTH:
-            self.log_floor = max(self.log_floor, self.log[0].version)
+            oldest = self.log.popleft()
+            self.log_floor = max(self.log_floor, oldest.version)
+            if not oldest.value and self.items.get(oldest.key) is oldest:
+                del self.items[oldest.key]
         self.log.append(entry)
 
     def changes_after(self, revision: int) -> Changes:
