--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -42,3 +42,8 @@
   Scenario: An entry process that starts again with its clock put back is heard
     When an entry process is heard, falls silent and starts again with an older time
     Then its new pulses count once the old ones have stopped
+
+  Scenario: A reader of the log that does not keep up costs lines, never time
+    When 2000 lines are written to a pipe that nobody reads, and then it is read
+    Then writing took less than a second
+    And the next line says how many were lost
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -1,6 +1,7 @@
 """Steps on decisions, without a network."""
 
 import json
+import os
 import random
 import re
 import time
@@ -32,6 +33,7 @@
     loading_window_seconds,
 )
 from verbenaward.knowledge.items import Changes, ItemView
+from verbenaward.logs import DROPPED_KEY, LineWriter
 from verbenaward.platform.declarations import backend_of, configuration_of, named_version_of
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.request_headers import CallerHeaders
@@ -474,3 +476,29 @@
 def new_pulses(context):
     assert context.too_early == context.before
     assert context.replaced == context.after
+
+
+@when("2000 lines are written to a pipe that nobody reads, and then it is read")
+def full_pipe(context):
+    reading, writing = os.pipe()
+    writer = LineWriter(writing)
+    started = time.monotonic()
+    for _ in range(2000):
+        writer.msg(json.dumps({"text": "x" * 200}))
+    context.took = time.monotonic() - started
+    context.lost = writer.lost
+    os.read(reading, 1 << 20)
+    writer.msg(json.dumps({"text": "after"}))
+    context.after = json.loads(os.read(reading, 1 << 20).splitlines()[-1])
+    os.close(reading)
+    os.close(writing)
+
+
+@then("writing took less than a second")
+def quick(context):
+    assert context.took < 1.0
+
+
+@then("the next line says how many were lost")
+def lost_lines(context):
+    assert context.lost > 0 and context.after[DROPPED_KEY] == context.lost
--- a/verbenaward/direct/decisions.py
+++ b/verbenaward/direct/decisions.py
@@ -117,6 +117,11 @@
         """Note that the caller left."""
         self.write(self.usual, "request.cancelled", request)
 
-    def answered(self, request: Request, status: int, sends: int) -> None:
-        """Note that an answer was passed on."""
-        self.write(self.usual, "request.answered", request, status=status, sends=sends)
+    def answered(
+        self, request: Request, status: int, sends: int, first_seconds: float = 0.0
+    ) -> None:
+        """Note that an answer was passed on, and when its first event was."""
+        first_ms = round(first_seconds * 1000)
+        self.write(
+            self.usual, "request.answered", request, status=status, sends=sends, first_ms=first_ms
+        )
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -12,7 +12,7 @@
 from .fleet import Fleet
 from .forwarding import Forwarder, is_stream
 from .poison import fingerprint_of
-from .records import RefusedError, Request, WholeAnswer
+from .records import RefusedError, Request, WholeAnswer, labels_of
 from .routes import RouteTable
 from .streams import BrokenOffError, CallerGoneError, StreamForwarder
 
@@ -71,7 +71,7 @@
         if self.closed:
             raise RefusedError(not_run(503, "leaving", "this process ends", 0.01))
         request = self.request_of(caller, body, received_at)
-        labels = (metrics.WORKSPACES.bounded(request.workspace), request.route.kind.value)
+        labels = labels_of(request)
         started = time.monotonic()
         verdict = Verdict.RAN.value
         try:
--- a/verbenaward/direct/records.py
+++ b/verbenaward/direct/records.py
@@ -5,6 +5,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from .. import metrics
 from ..data import EngineModel, Refusal, Route
 from ..platform.request_headers import CallerHeaders
 
@@ -44,6 +45,11 @@
     fingerprint: bytes
 
 
+def labels_of(request: Request) -> tuple[str, str]:
+    """Return workspace and class of a request, as the metrics name them."""
+    return metrics.WORKSPACES.bounded(request.workspace), request.route.kind.value
+
+
 class Failure(StrEnum):
     """Why an attempt gave no answer."""
 
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -11,11 +11,19 @@
 from multidict import CIMultiDict
 from returns.result import Success
 
+from .. import metrics
 from ..platform.request_headers import SendOrder, headers_for_caller
 from ..requests.events import EVENT_END
 from .forwarding import RESERVE_SECONDS, Forwarder, Progress
 from .placing import Choice
-from .records import FailedAttempt, Failure, RefusedError, Request, WholeAnswer
+from .records import (
+    FailedAttempt,
+    Failure,
+    RefusedError,
+    Request,
+    WholeAnswer,
+    labels_of,
+)
 from .sending import opened, read_whole, was_reset
 
 ID_FIELD = b"id:"
@@ -213,7 +221,7 @@
             raise CallerGoneError(str(error)) from error
         reading.choice.view.note_good()
         self.forwarder.crashes.note_survived(request.fingerprint)
-        self.forwarder.log.answered(request, OK, progress.sends + 1)
+        self.forwarder.log.answered(request, OK, progress.sends + 1, reading.first_seconds)
         return delivery.response
 
     async def no_stream(
@@ -252,6 +260,8 @@
     ) -> None:
         self.forwarder = forwarder
         self.choice = choice
+        self.request = request
+        self.first_seconds = 0.0
         self.tokens = request.said.prompt_tokens
         self.started_at = started_at
         self.is_reading = True
@@ -263,7 +273,10 @@
         if not self.is_reading:
             return
         self.stop_reading()
-        took = time.monotonic() - self.started_at
+        now = time.monotonic()
+        took = now - self.started_at
+        self.first_seconds = now - self.request.received_at
+        metrics.FIRST_TOKEN_SECONDS.labels(*labels_of(self.request)).observe(self.first_seconds)
         expected = self.choice.expected_seconds / self.choice.view.slowness
         self.choice.view.note_slowness(took / max(expected, 0.02))
         self.forwarder.load_changed()
--- a/verbenaward/logs.py
+++ b/verbenaward/logs.py
@@ -1,10 +1,56 @@
-"""Structured logs: one JSON object a line, written for changes of state."""
+"""Structured logs: one JSON object a line.
+
+A line is written at once or not at all: a reader that does not keep up costs lines, never time.
+"""
 
 import logging
+import os
 import sys
+from typing import Any
 
 import structlog
 
+DROPPED_KEY = "lines_lost"
+
+
+class LineWriter:
+    """Writes lines to a descriptor that never blocks.
+
+    Attributes:
+      descriptor: Where lines go.
+      lost: Lines that could not be written since the last one that was.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.lost = 0
+        os.set_blocking(descriptor, False)
+
+    def msg(self, message: str) -> None:
+        """Write a line, or count it as lost."""
+        if self.lost:
+            message = f'{message[:-1]}, "{DROPPED_KEY}": {self.lost}}}'
+        try:
+            os.write(self.descriptor, message.encode() + b"\n")
+        except OSError:
+            self.lost += 1
+        else:
+            self.lost = 0
+
+    log = debug = info = warn = warning = msg
+    fatal = failure = err = error = critical = exception = msg
+
+
+class LineWriterFactory:
+    """Hands the one writer of the process to all loggers."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.writer = LineWriter(descriptor)
+
+    def __call__(self, *arguments: Any) -> LineWriter:
+        """Return the writer."""
+        return self.writer
+
 
 def configure_logs(level: str = "info") -> None:
     """Write JSON lines to standard error.
@@ -21,7 +67,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=LineWriterFactory(sys.stderr.fileno()),
         cache_logger_on_first_use=True,
     )
 
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .. import metrics
 from .key_value import (
     ADAPTERS,
     KeyValueEntry,
@@ -165,7 +166,21 @@
         body: Any = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Result[Any, KeyValueError]:
-        """Make one call and map its failures."""
+        """Make one call and count it."""
+        result = await self.send(method, path, query, body, timeout_seconds)
+        outcome = "answered" if isinstance(result, Success) else result.failure().failure.value
+        metrics.KEY_VALUE_CALLS.labels(path.split("/")[1], outcome).inc()
+        return result
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        body: Any,
+        timeout_seconds: float,
+    ) -> Result[Any, KeyValueError]:
+        """Send one call and map its failures."""
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         try:
             async with self.session.request(
