--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: setup
 	$(PYTHON) -m bench.demo
+	$(PYTHON) -m bench.demo_platform
 
 test: setup
 	$(PYTHON) -m tests.run
