Large modules are split; unsigned answers, attempts and smuggled requests have tests

Moved without a change: entry_peers, pacing, runs, fetching; the setting leave_seconds, which nothing read, is gone.

--- a/bench/demo_platform.py
+++ b/bench/demo_platform.py
@@ -11,6 +11,7 @@
 
 from standins.users_backend import UsersBackend
 from standins.users_platform import CHUNK_BYTES, CHUNKS, UsersPlatform, ask
+from verbenaward.logs import configure_logs
 
 ENGINES = 4
 ROUNDS = 60
@@ -23,6 +24,7 @@
 
 async def main() -> int:
     """Run the demo and return the exit status."""
+    configure_logs("critical")
     platform = UsersPlatform()
     try:
         await build(platform)
--- a/standins/users_backend.py
+++ b/standins/users_backend.py
@@ -23,7 +23,7 @@
       address: Where it listens.
       mode: "ok", "full", "hang", "reset", "cut" (a stream breaks off in an event), "foreign"
         (the answer belongs to another request), "short" (the body is cut off), "failing" (500),
-        "unframed-reset" (no length, then a reset), "slow".
+        "unframed-reset" (no length, then a reset), "unsigned", "slow".
       runs: How often each attempt of a caller began to run.
       seen: Headers of the last request.
       version: Version of the weights that it holds; 0 for none.
@@ -107,6 +107,8 @@
         await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
         named = "another" if self.mode == "foreign" else attempt
         headers = {"X-Attempt-Id": named, "X-Server-Signature": f"{self.identity}.{attempt}"}
+        if self.mode == "unsigned":
+            del headers["X-Server-Signature"]
         if request.path.startswith("/stream"):
             return await self.stream(request, headers)
         if self.mode == "failing":
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -28,6 +28,7 @@
       | short          | 502    | 1    |
       | foreign        | 502    | 1    |
       | unframed-reset | 502    | 1    |
+      | unsigned       | 502    | 1    |
       | failing        | 500    | 1    |
       | full           | 503    | 0    |
 
@@ -50,6 +51,7 @@
       | failing        |
       | full           |
       | unframed-reset |
+      | unsigned       |
 
   Scenario: A booking is not sent twice after an answer that was lost
     Given all plain backends are "reset"
@@ -111,3 +113,20 @@
     When one plain backend says that it leaves
     And callers look something up 12 times
     Then that backend ran nothing
+
+  Scenario: A look-up runs at no more backends than its route allows
+    Given three more plain backends
+    And all plain backends are "short"
+    When a caller looks something up
+    Then the status is 502
+    And the look-up ran at 2 backends
+
+  Scenario Outline: A request with <fault> is refused and nothing of it runs
+    When raw bytes with <fault> are sent
+    Then the answer is a 400 and no backend ran anything
+
+    Examples:
+      | fault               |
+      | two lengths         |
+      | length and chunks   |
+      | a broken chunk size |
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -498,3 +498,48 @@
 def sent_once(context):
     sent = context.platform.origin.sent
     assert set(sent.values()) == {1} and len(sent) == len(context.platform.origin.versions[1])
+
+
+@given("three more plain backends")
+def more_backends(context):
+    async def start():
+        for index in range(3, 6):
+            await context.platform.add_backend(f"p-{index}", "plain")
+        fleet = context.platform.entries[0].fleet
+        assert await until(lambda: len(fleet.by_service["plain"]) == 5)
+
+    run(context, start())
+
+
+@then("the look-up ran at {count:d} backends")
+def ran_at(context, count):
+    assert sum(bool(item.runs) for item in plain(context)) == count
+
+
+RAW = {
+    "two lengths": "Content-Length: 3\r\nContent-Length: 40\r\n\r\nabc",
+    "length and chunks": "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a broken chunk size": "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+}
+
+
+@when("raw bytes with {fault} are sent")
+def send_raw(context, fault):
+    async def send():
+        host, _, port = context.platform.entries[0].direct.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"POST /book/bed HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: raw\r\n"
+        key = f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 2000\r\n"
+        hidden = "GET /look/hidden HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: hidden\r\n\r\n"
+        writer.write((head + key + RAW[fault] + hidden).encode())
+        async with asyncio.timeout(5):
+            context.raw = await reader.read(200)
+        writer.close()
+
+    run(context, send())
+
+
+@then("the answer is a 400 and no backend ran anything")
+def raw_refused(context):
+    assert context.raw.split(b" ")[1] == b"400", context.raw
+    nothing_ran(context)
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -24,6 +24,8 @@
 from ..schema.settings import Settings
 from .entries import Entries
 from .fleet import Fleet
+from .pacing import rate_of, send_slowly
+from .runs import RUN
 
 LOG = get_logger(__name__)
 CHUNK_PATH = "/weights/{model}/{version}/{index}"
@@ -35,11 +37,7 @@
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
-SLICE_BYTES = 4096
 AHEAD = 2
-RUN = 16
-"""Chunks in order that the endpoints of a region ask the same entry process for."""
-RATE_QUERY = "rate"
 
 Key = tuple[str, int, int]
 MANIFEST_INDEX = -1
@@ -277,34 +275,6 @@
             self.size -= len(dropped)
 
 
-async def send_slowly(request: web.Request, body: bytes, rate: float) -> web.StreamResponse:
-    """Send a body in slices at a rate, so that no queue grows before a thin link.
-
-    Args:
-      request: Request of another process.
-      body: What it gets.
-      rate: Bytes a second.
-    """
-    response = web.StreamResponse(headers={"Content-Length": str(len(body))})
-    await response.prepare(request)
-    started = time.monotonic()
-    for start in range(0, len(body), SLICE_BYTES):
-        due = started + start / rate
-        await asyncio.sleep(max(0.0, due - time.monotonic()))
-        await response.write(body[start : start + SLICE_BYTES])
-    await response.write_eof()
-    return response
-
-
-def rate_of(request: web.Request) -> float:
-    """Return the rate in bytes a second that a request asks for; 0 for none."""
-    try:
-        rate = float(request.query.get(RATE_QUERY, "0"))
-    except ValueError:
-        return 0.0
-    return rate if 0 < rate < float("inf") else 0.0
-
-
 def digests_of(manifest: WeightsManifest, model: str, version: int) -> Result[bytes, str]:
     """Return the digests of the manifest that was asked for, in order."""
     if (manifest.model, manifest.version) != (model, version):
@@ -312,29 +282,3 @@
     if not manifest.digests or any(len(item) != DIGEST_BYTES for item in manifest.digests):
         return Failure("the manifest has no digests")
     return Success(b"".join(manifest.digests))
-
-
-def run_name(model: str, version: int, index: int) -> str:
-    """Return the name of the run of chunks that a chunk belongs to."""
-    return f"{model}/{version}/{index // RUN}"
-
-
-def holder_order(
-    controls: dict[str, str], own_zone: str, regions: dict[str, str], key: str
-) -> list[str]:
-    """Return entry processes in the order in which an endpoint asks them for a chunk.
-
-    Args:
-      controls: Availability zone of each control address.
-      own_zone: Zone of the endpoint.
-      regions: Region of each zone.
-      key: Name of the chunk.
-    """
-
-    def distance(control: str) -> int:
-        zone = controls[control]
-        if regions.get(zone) != regions.get(own_zone):
-            return 2
-        return int(zone != own_zone)
-
-    return sorted(rendezvous_order(key, controls), key=distance)
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -6,7 +6,6 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -19,14 +18,12 @@
 from ..schema.settings import Settings
 from ..wire.codec import MalformedMessageError, decode, encode
 from .backends import RemoteLoad, identity_hash
+from .entry_peers import EntryPeer, EntryRecord, is_older
 from .fleet import Fleet
 from .poison import Crashes
 
 LOG = get_logger(__name__)
-ALIVE_SECONDS = 1.2
-"""Silence after which an entry process is not named to callers any more."""
 FORGET_SECONDS = 30.0
-REPLACED_SECONDS = 0.5
 IDLE_PULSE_SECONDS = 0.3
 QUICKEST_PULSE_SECONDS = 0.02
 DATAGRAM_OVERHEAD_BYTES = 28
@@ -41,56 +38,6 @@
 """Entry processes that get one pulse, drawn anew each time."""
 
 
-class EntryRecord(msgspec.Struct, frozen=True):
-    """What an entry process writes about itself to the store."""
-
-    vm: str
-    zone: str
-    front: str
-    control: str
-
-
-def zone_of_record(value: bytes) -> str:
-    """Return the availability zone in the record of an entry process; empty where unreadable."""
-    try:
-        return msgspec.json.decode(value, type=EntryRecord).zone
-    except msgspec.DecodeError:
-        return ""
-
-
-@dataclass(slots=True)
-class EntryPeer:
-    """Another entry process.
-
-    Attributes:
-      control: Address for other processes.
-      registered: True while the store names it.
-      pulse: Its last message; None before the first.
-      heard_at: When that came.
-    """
-
-    control: str
-    registered: bool = False
-    pulse: Pulse | None = None
-    heard_at: float = 0.0
-
-    def is_alive(self, now: float) -> bool:
-        """Return True where it was heard lately."""
-        return self.pulse is not None and now - self.heard_at < ALIVE_SECONDS
-
-    def is_named(self, now: float, many: bool) -> bool:
-        """Return True where callers may be sent to it.
-
-        Args:
-          now: Present time, monotonic, in seconds.
-          many: True where there are more entry processes than get each pulse. One that was not
-            heard lately counts as long as its lease in the store lives.
-        """
-        if self.pulse is None or not self.pulse.ready:
-            return False
-        return self.is_alive(now) or (many and self.registered)
-
-
 class Entries:
     """Sends pulses to the other entry processes and takes theirs.
 
@@ -340,17 +287,6 @@
         return found
 
 
-def is_older(pulse: Pulse, known: Pulse, silent_seconds: float) -> bool:
-    """Return True where a pulse was overtaken by one that is known.
-
-    A process that starts again may have a clock that was put back: once the one that is known
-    has fallen silent, any other incarnation is the newer one.
-    """
-    if pulse.incarnation == known.incarnation:
-        return pulse.sequence <= known.sequence
-    return pulse.incarnation < known.incarnation and silent_seconds < REPLACED_SECONDS
-
-
 class PulseProtocol(asyncio.DatagramProtocol):
     """Hands datagrams on."""
 
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import hashlib
 import socket
 import time
 from collections.abc import Iterator
@@ -14,16 +13,16 @@
 from .. import metrics
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
-from ..direct.chunks import DIGEST_BYTES, RATE_QUERY, holder_order, run_name
-from ..direct.entries import zone_of_record
+from ..direct.chunks import DIGEST_BYTES
 from ..direct.fleet import Fleet
+from ..direct.runs import run_name
 from ..knowledge.items import ItemView
 from ..logs import get_logger
-from ..platform.names import ENTRY_PREFIX
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
 from ..schema.messages import Pulse
 from ..schema.settings import DirectSettings, Settings
 from ..wire.codec import encode
+from .fetching import FETCHES, ChunkFetcher, sha256
 from .plan import (
     STAGING_SHARE,
     Overtaken,
@@ -35,15 +34,8 @@
 
 LOG = get_logger(__name__)
 POLL_SECONDS = 0.1
-FETCHES = 3
-"""Chunks on their way; each comes at its part of the link's rate."""
-FETCH_SECONDS = 2.5
 STAGING_OVERHEAD = 1.15
 """Time to stage a version, over the time that its bytes take on the link."""
-BITS = 8
-MEGA = 1_000_000
-FETCH_ATTEMPTS = 5
-PAUSE_SECONDS = 0.1
 BUSY_SECONDS = 0.05
 
 
@@ -80,6 +72,7 @@
         self.fleet = fleet
         self.session = session
         self.engine = LocalEngine(session, direct.engine)
+        self.fetcher = ChunkFetcher(settings, direct, view, session)
         self.digests: Digests | None = None
         self.staged: dict[int, bytes] = {}
         self.staged_model = ""
@@ -149,9 +142,9 @@
         """Return the time to stage a whole version; 0 where it is unknown."""
         declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
         engine = declared.engine if declared else None
-        if engine is None or not self.rate():
+        if engine is None or not self.fetcher.rate():
             return 0.0
-        return STAGING_OVERHEAD * engine.chunk_bytes * engine.chunk_count / self.rate()
+        return STAGING_OVERHEAD * engine.chunk_bytes * engine.chunk_count / self.fetcher.rate()
 
     def serving(self) -> list[str]:
         """Return the addresses of the engines of the service that serve."""
@@ -214,7 +207,9 @@
             self.staged[index] = digest
             return True
         path = f"/weights/{target.model}/{target.version}/{index}"
-        chunk = await self.fetch(path, digest, run_name(target.model, target.version, index))
+        chunk = await self.fetcher.fetch(
+            path, digest, run_name(target.model, target.version, index)
+        )
         if chunk is None:
             return False
         self.staged.pop(index, None)
@@ -230,7 +225,7 @@
         if self.digests is not None and self.digests.weights == target:
             return self.digests
         path = f"/weights/{target.model}/{target.version}"
-        body = await self.fetch(path, b"", run_name(target.model, target.version, 0))
+        body = await self.fetcher.fetch(path, b"", run_name(target.model, target.version, 0))
         if body is None or not body or len(body) % DIGEST_BYTES:
             return None
         parts = tuple(
@@ -239,51 +234,6 @@
         self.digests = Digests(target, parts)
         return self.digests
 
-    async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
-        """Return a checked chunk from an entry process, or a manifest; None for none.
-
-        Args:
-          path: Path of the chunk at entry processes.
-          digest: Its digest; empty for a manifest.
-          run: Name of its run, which the same entry process hands to the whole region.
-        """
-        for attempt in range(FETCH_ATTEMPTS):
-            holders = self.holders(run)
-            if holders:
-                holder = holders[attempt % len(holders)]
-                body = await self.ask(f"http://{holder}{path}")
-                if body is not None and (not digest or sha256(body) == digest):
-                    return body
-            await asyncio.sleep(PAUSE_SECONDS)
-        return None
-
-    def holders(self, key: str) -> list[str]:
-        """Return the entry processes to ask, the best one first."""
-        controls = {
-            entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
-            for entry in self.view.under(ENTRY_PREFIX)
-        }
-        return holder_order(controls, self.settings.zone, self.direct.zones, key)
-
-    def rate(self) -> float:
-        """Return the bytes a second that weights may take of the link; 0 for no limit.
-
-        Requests to the engine share the link. Weights come in slices, so that these pass between.
-        """
-        return self.direct.link_megabits_per_second * MEGA / BITS
-
-    async def ask(self, url: str) -> bytes | None:
-        """Return the body of an answer; None for none."""
-        timeout = aiohttp.ClientTimeout(total=FETCH_SECONDS)
-        query = {RATE_QUERY: f"{self.rate() / FETCHES:.0f}"} if self.rate() else {}
-        try:
-            async with self.session.get(url, params=query, timeout=timeout) as response:
-                body = await response.read()
-                return body if response.status == 200 else None
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
-            return None
-
     async def wait_for_turn(self, target: HeldWeights, report: EngineReport) -> None:
         """Wait until it is this engine's turn to stop serving older weights."""
         held = max((item.version for item in report.weights), default=0)
@@ -336,7 +286,7 @@
         notice = encode(Pulse(vm=self.settings.vm, loading=self.direct.engine))
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as made:
             made.setblocking(False)
-            for control in self.holders(target.model):
+            for control in self.fetcher.holders(target.model):
                 with contextlib.suppress(OSError):
                     made.sendto(notice, (host_of(control), port_of(control)))
 
@@ -364,8 +314,3 @@
     return any(
         item.model == target.model and item.version >= target.version for item in report.weights
     )
-
-
-def sha256(body: bytes) -> bytes:
-    """Return the digest of a chunk."""
-    return hashlib.sha256(body).digest()
--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -6,8 +6,8 @@
 
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
-from ..direct.chunks import send_slowly
 from ..direct.fleet import Fleet
+from ..direct.pacing import send_slowly
 from ..direct.role import answer_metrics, leasing_store, platform_session
 from ..knowledge.follower import StoreFollower
 from ..knowledge.items import ItemView
@@ -61,7 +61,7 @@
         chunk = await self.filler.staged_chunk(weights, index)
         if chunk is None:
             return web.Response(status=404)
-        rate = UPLOAD_SHARE * self.filler.rate()
+        rate = UPLOAD_SHARE * self.filler.fetcher.rate()
         if not rate:
             return web.Response(body=chunk)
         async with self.uploads:
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -77,7 +77,6 @@
     link_megabits_per_second: float = 0
     zones: dict[str, str] = field(default_factory=dict)
     address_ttl_seconds: float = 2
-    leave_seconds: float = 2
     grace_seconds: float = 8
     version_seconds: float = 8
     retry_ratio: float = 0.2
