A request does not wait at an engine past the bound of its weights

A request sent 0.72 s before the bound waited 0.86 s at a full engine and began on older weights. The margin was a constant of 0.7 s. Ruled out: a late hearing (the versions were known on time; the guard held from 7.3 s on). Now each backend is judged at the latest time at which it would begin: twice the expected time and 0.5 s. The scenario fails without it.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -47,3 +47,9 @@
     When 2000 lines are written to a pipe that nobody reads, and then it is read
     Then writing took less than a second
     And the next line says how many were lost
+
+  Scenario: A request does not wait at an engine past the time at which its weights are too old
+    Given a version named 7 s ago that no engine holds yet
+    And one engine that is full and one that is idle
+    When requests are placed until both would be taken
+    Then the full engine is passed over while the idle one is taken
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -502,3 +502,31 @@
 @then("the next line says how many were lost")
 def lost_lines(context):
     assert context.lost > 0 and context.after[DROPPED_KEY] == context.lost
+
+
+@given("a version named 7 s ago that no engine holds yet")
+def nearly_due(context):
+    context.fleet = fleet_of(2)
+    context.fleet.versions["model"] = [
+        HeardVersion(SimpleNamespace(model="model", version=2), NOW - 7)
+    ]
+
+
+@given("one engine that is full and one that is idle")
+def full_and_idle(context):
+    context.full, context.idle = context.fleet.backends.values()
+    for _ in range(18):
+        context.full.note_started(100)
+
+
+@when("requests are placed until both would be taken")
+def place_both(context):
+    placer = placer_of(context.fleet)
+    context.first = placer.choose(request_of(), set(), NOW)
+    context.second = placer.choose(request_of(), {context.idle.backend.identity}, NOW)
+
+
+@then("the full engine is passed over while the idle one is taken")
+def passed_over(context):
+    assert context.first.view is context.idle
+    assert context.second is None or context.second.view is context.idle
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -13,8 +13,9 @@
 from .fleet import Fleet
 from .records import Request
 
-VERSION_GUARD_SECONDS = 0.7
-"""A request may wait at a backend; the newest weights are asked for this much earlier."""
+START_SLACK_SECONDS = 0.5
+START_FACTOR = 2.0
+"""A request may begin to run as late as this many times the expected time, and the slack."""
 NEAR_SECONDS = 0.012
 """Backends that differ by less are alike; one of them is drawn."""
 FAILURE_SECONDS = 0.5
@@ -75,29 +76,39 @@
           tried: Backends that failed this request.
           now: Present time, monotonic, in seconds.
         """
-        version = self.required_version(request, now)
-        views = [
-            view
-            for view in self.fleet.usable(request.service, now)
-            if fits(view, request, version) and view.loading_until <= now
-        ]
-        fresh = [view for view in views if view.backend.identity not in tried] or views
-        awake = [view for view in fresh if view.passed_over_until <= now] or fresh
+        rated = self.rated(request, now)
+        fresh = [item for item in rated if item.view.backend.identity not in tried] or rated
+        awake = [item for item in fresh if item.view.passed_over_until <= now] or fresh
         if not awake:
             return None
-        rated = [(self.expected_seconds(view, request, now), view) for view in awake]
-        best = min(seconds for seconds, _ in rated)
-        near = [item for item in rated if item[0] <= best + NEAR_SECONDS]
-        seconds, view = self.rng.choice(near)
-        held = view.version_of(request.said.model) if version else 0
-        return Choice(view, seconds, held)
-
-    def required_version(self, request: Request, now: float) -> int:
-        """Return the version of the weights that a request must run on; 0 for any."""
+        best = min(item.expected_seconds for item in awake)
+        near = [item for item in awake if item.expected_seconds <= best + NEAR_SECONDS]
+        return self.rng.choice(near)
+
+    def rated(self, request: Request, now: float) -> list[Choice]:
+        """Return the backends that may run a request, with the time that each would take."""
+        found = []
+        for view in self.fleet.usable(request.service, now):
+            if view.loading_until > now:
+                continue
+            seconds = self.expected_seconds(view, request, now)
+            latest_start = now + START_SLACK_SECONDS + START_FACTOR * seconds
+            version = self.required_version(request, latest_start)
+            if fits(view, request, version):
+                held = view.version_of(request.said.model) if version else 0
+                found.append(Choice(view, seconds, held))
+        return found
+
+    def required_version(self, request: Request, at: float) -> int:
+        """Return the version of the weights that a request must run on; 0 for any.
+
+        Args:
+          request: The request.
+          at: Time at which it may begin to run, monotonic, in seconds.
+        """
         if not request.said.model or not self.version_seconds:
             return 0
-        bound = max(0.0, self.version_seconds - VERSION_GUARD_SECONDS)
-        return self.fleet.required_version(request.said.model, bound, now)
+        return self.fleet.required_version(request.said.model, self.version_seconds, at)
 
     def expected_seconds(self, view: BackendView, request: Request, now: float) -> float:
         """Return the expected time to the answer or the first event at a backend."""
