--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,20 @@
 import asyncio
 import sys
 
-from . import config, footprint, once, recover, requests, spread, tokens, update
+from . import config, direct_hop, footprint, once, recover, requests, spread, tokens, update
 from .registry import BENCHES, print_result, raise_file_limit
 
-__all__ = ["config", "footprint", "once", "recover", "requests", "spread", "tokens", "update"]
+__all__ = [
+    "config",
+    "direct_hop",
+    "footprint",
+    "once",
+    "recover",
+    "requests",
+    "spread",
+    "tokens",
+    "update",
+]
 
 
 def main() -> None:
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -34,7 +34,11 @@
     await runner.setup()
     await web.TCPSite(runner, host, port, backlog=1024).start()
     print("ready", flush=True)
-    await asyncio.Event().wait()
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+        await session.close()
 
 
 if __name__ == "__main__":
