Two scenarios that could not fail now do

The slow stream passed without its mend, as no repeat was left from the start on; the silent watch passed with 8 s watches, as the stand-in ended waiting watches at once. The budget now ends in mid-stream and the stand-in's watches stay silent.

--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -21,7 +21,7 @@
       floor: Changes up to it are forgotten.
       leases: End of each lease, monotonic, and its length.
       mode: "ok", "down" (503), "limited" (429), "reset", "silent" or "nonsense".
-      deaf: Watches hear nothing.
+      deaf: Watches hear nothing, and those that wait stay silent until their time is over.
       lose_answers: Writes take effect and are not answered.
       calls: Calls so far.
     """
@@ -119,7 +119,12 @@
         """Answer what changed after a revision, waiting for it."""
         prefix, after = request.query["path_prefix"], int(request.query["after"])
         until = time.monotonic() + int(request.query["wait_timeout_ms"]) / 1000
+        is_silent = False
         while True:
+            is_silent = is_silent or self.deaf
+            if is_silent and time.monotonic() < until:
+                await asyncio.sleep(WATCH_POLL_SECONDS)
+                continue
             if after < self.floor:
                 return web.Response(status=410)
             events = [
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -100,8 +100,7 @@
 
   Scenario: A slow stream is not cut off when no repeat is left
     Given all engines are "slow"
-    And the budget of repeats is used up
-    When a caller opens a stream
+    When a caller opens a stream and the last repeats are used up meanwhile
     Then it gets all events in order, once each
 
   Scenario: An engine that loads weights gets nothing
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -110,11 +110,18 @@
     context.bad.mode = mode
 
 
-@given("the budget of repeats is used up")
-def no_budget(context):
-    for role in context.platform.entries:
-        role.budget.extra = 0.0
-        role.budget.ratio = 0.0
+@when("a caller opens a stream and the last repeats are used up meanwhile")
+def budget_ends(context):
+    role = context.platform.entries[0]
+
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            task = asyncio.create_task(ask(session, role.direct.front, "/stream/x", "a-1"))
+            await asyncio.sleep(0.2)
+            role.budget.extra = role.budget.ratio = 0.0
+            context.answers = [await task]
+
+    run(context, send())
 
 
 @given("the route of bookings has {ms:d} ms")
