Loads are told at once within a region; engines of other regions cost more

Cause: each entry process told its load to all others every 0.23 s (230 bytes to 8 others at 8,000 B/s), so several sent to the same engine at once.

Change: whole pulses go to all about every 0.6 s and at once with news; within the region the loads that changed follow in small datagrams. An engine in another region costs 0.25 s in the choice, its real distance in what is expected. Bench `policies` plays all policies.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,18 @@
 import asyncio
 import sys
 
-from . import config, direct_hop, footprint, once, recover, requests, spread, tokens, update
+from . import (
+    config,
+    direct_hop,
+    footprint,
+    once,
+    policies,
+    recover,
+    requests,
+    spread,
+    tokens,
+    update,
+)
 from .registry import BENCHES, print_result, raise_file_limit
 
 __all__ = [
@@ -11,6 +22,7 @@
     "direct_hop",
     "footprint",
     "once",
+    "policies",
     "recover",
     "requests",
     "spread",
--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -63,3 +63,15 @@
       | tokens | engine                |
       | 10     | the engine that loads |
       | 260    | the other engine      |
+
+  Scenario: Entry processes of a region hear of each other's sends at once
+    Given three entry processes of one region and one of another that hear each other
+    When one of the three sends a request to a backend
+    Then the other two know of it, and the one of the other region does not yet
+    When its request has ended
+    Then none of them counts it any more
+
+  Scenario: Pulses keep to their rate
+    Given three entry processes of one region and one of another that hear each other
+    When one of them sends pulses as often as it may for 10 s while its load changes
+    Then they take no more than the allowed rate
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -165,7 +165,7 @@
     assert context.refusal.status == 503 and context.refusal.retry_after_seconds > 0
 
 
-def entries_of(vm, zone, port, checked_at):
+def entries_of(vm, zone, port, checked_at, zones=None):
     settings = Settings(
         1,
         "entry",
@@ -174,7 +174,7 @@
         zone,
         f"127.0.0.1:{port}",
         PlatformSettings("http://h", "leased"),
-        direct=DirectSettings(front=f"127.0.0.1:{port + 100}"),
+        direct=DirectSettings(front=f"127.0.0.1:{port + 100}", zones=zones or {}),
     )
     view = ItemView()
     return Entries(
@@ -205,6 +205,84 @@
     context.fresh, context.stale = context.loop.run_until_complete(make())
 
 
+@given("three entry processes of one region and one of another that hear each other")
+def regions_hear(context):
+    zones = {"zone-a": "region-a", "zone-b": "region-b"}
+
+    async def make():
+        context.entries = [
+            entries_of(f"entry-{index}", zone, 9200 + index, time.monotonic(), zones)
+            for index, zone in enumerate(("zone-a", "zone-a", "zone-a", "zone-b"))
+        ]
+        context.sent = []
+        for sender in context.entries:
+            sender.transport = SimpleNamespace(
+                sendto=lambda data, to, me=sender: context.sent.append((me, data, to[1]))
+            )
+            for taker in context.entries:
+                taker.fleet.put(fleet_of(1).backends["e-0"].backend, NOW)
+                port = int(sender.settings.listen.rpartition(":")[2])
+                taker.take(encode(sender.pulse(NOW)), ("127.0.0.1", port), NOW)
+
+    context.loop.run_until_complete(make())
+
+
+def deliver(context):
+    for sender, data, port in context.sent:
+        own = int(sender.settings.listen.rpartition(":")[2])
+        context.entries[port - 9200].take(data, ("127.0.0.1", own), NOW + 0.01)
+
+
+@when("one of the three sends a request to a backend")
+def send_one(context):
+    context.entries[0].fleet.backends["e-0"].note_started(500)
+    context.entries[0].send_loads(NOW)
+    deliver(context)
+
+
+@then("the other two know of it, and the one of the other region does not yet")
+def know_of_it(context):
+    known = [entries.fleet.backends["e-0"].all_running(NOW) for entries in context.entries]
+    assert known == [1, 1, 1, 0], known
+
+
+@when("its request has ended")
+def send_end(context):
+    context.sent.clear()
+    view = context.entries[0].fleet.backends["e-0"]
+    view.note_read(500)
+    view.note_ended()
+    context.entries[0].send_loads(NOW)
+    deliver(context)
+
+
+@then("none of them counts it any more")
+def none_counts(context):
+    known = [entries.fleet.backends["e-0"].all_running(NOW) for entries in context.entries]
+    assert known == [0, 0, 0, 0], known
+
+
+@when("one of them sends pulses as often as it may for {seconds:d} s while its load changes")
+def pulses_for(context, seconds):
+    sender = context.entries[0]
+    step = 0.01
+    for index in range(round(seconds / step)):
+        now = NOW + index * step
+        sender.fleet.backends["e-0"].running = index % 7
+        if sender.is_whole_due(now):
+            sender.send_whole(now)
+        elif now >= sender.next_loads_at:
+            sender.send_loads(now)
+    context.seconds = seconds
+
+
+@then("they take no more than the allowed rate")
+def within_rate(context):
+    total = sum(len(data) + 28 for _, data, _ in context.sent)
+    rate = context.entries[0].rate()
+    assert 0.5 * rate < total / context.seconds <= rate, (total / context.seconds, rate)
+
+
 @then("{count:d} of them watch the store")
 def watchers(context, count):
     assert sum(entries.is_watcher() for entries in context.fresh) == count
--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -20,7 +20,7 @@
 """Time after which a backend that was said to load is asked again."""
 LOADING_SECONDS = 0.6
 """Time for which such a backend is passed over."""
-REMOTE_SECONDS = 1.5
+REMOTE_SECONDS = 2.0
 """Age at which what another entry process said about its load counts no more."""
 FAILURE_SMOOTHING = 0.2
 SLOWNESS_SMOOTHING = 0.15
@@ -58,6 +58,7 @@
       failure_share: Smoothed share of attempts that failed.
       slowness: Smoothed ratio of the time to the first event to the expected one.
       gone_at: When its registration lapsed in an outage of the store; 0 while it stands.
+      short_name: Its name in messages about load.
     """
 
     backend: Backend
@@ -71,6 +72,11 @@
     failure_share: float = 0.0
     slowness: float = 1.0
     gone_at: float = 0.0
+    short_name: int = 0
+
+    def __post_init__(self) -> None:
+        """Derive the short name."""
+        self.short_name = identity_hash(self.backend.identity)
 
     def all_running(self, now: float) -> int:
         """Return the requests of all entry processes that it has."""
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import socket
 import time
@@ -17,7 +18,7 @@
 from ..schema.messages import BackendLoad, Pulse
 from ..schema.settings import Settings
 from ..wire.codec import MalformedMessageError, decode, encode
-from .backends import RemoteLoad, identity_hash
+from .backends import RemoteLoad
 from .entry_peers import EntryPeer, EntryRecord, is_older
 from .fleet import Fleet
 from .poison import Crashes
@@ -25,7 +26,13 @@
 LOG = get_logger(__name__)
 FORGET_SECONDS = 30.0
 IDLE_PULSE_SECONDS = 0.3
-QUICKEST_PULSE_SECONDS = 0.02
+"""Shortest time between two whole pulses, but for news."""
+LONGEST_PULSE_SECONDS = 1.0
+NEWS_SECONDS = 0.05
+"""Shortest time between two whole pulses that carry news."""
+QUICKEST_LOADS_SECONDS = 0.02
+LOADS_SHARE = 0.5
+"""Part of the allowed rate that partial pulses may take; whole ones have the rest."""
 DATAGRAM_OVERHEAD_BYTES = 28
 NAMED_ENTRIES = 8
 LONGEST_AGE_MS = 3_600_000
@@ -73,8 +80,12 @@
         self.sequence = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.changed = asyncio.Event()
+        self.has_news = False
         self.rng = random.Random()
-        self.pulse_bytes = 200
+        self.next_whole_at = 0.0
+        self.next_loads_at = 0.0
+        self.told_loads: dict[int, BackendLoad] = {}
+        self.told_revision = 0
         port = port_of(settings.listen)
         for seed in settings.seeds:
             self.peer(f"{host_of(seed)}:{port}")
@@ -87,7 +98,8 @@
         return self.peers.setdefault(control, EntryPeer(control))
 
     def take_item(self, entry: KeyValueEntry, now: float) -> None:
-        """Take the record of an entry process from the store."""
+        """Take the record of an entry process from the store; others may hear of any item."""
+        self.changed.set()
         if not entry.key.startswith(ENTRY_PREFIX):
             return
         control = entry.key.removeprefix(ENTRY_PREFIX)
@@ -129,36 +141,97 @@
         """Note that the own load has changed."""
         self.changed.set()
 
+    def note_news(self) -> None:
+        """Note that all other entry processes should hear of this one at once."""
+        self.has_news = True
+        self.changed.set()
+
     async def run(self) -> None:
-        """Send pulses until cancelled: after each change, and when nothing changes."""
+        """Send pulses until cancelled.
+
+        Those in the region hear of each change of load at once, within the allowed rate: they
+        send to the same backends. All hear a whole pulse now and then, and when there is news.
+        """
         while True:
+            now = time.monotonic()
+            pause = max(NEWS_SECONDS, self.next_whole_at - now)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(IDLE_PULSE_SECONDS):
+                async with asyncio.timeout(pause):
                     await self.changed.wait()
+            now = time.monotonic()
             self.changed.clear()
-            self.send(time.monotonic())
-            await asyncio.sleep(self.gap_seconds())
+            if self.is_whole_due(now):
+                self.send_whole(now)
+            elif now >= self.next_loads_at:
+                self.send_loads(now)
+            else:
+                await asyncio.sleep(self.next_loads_at - now)
+                self.changed.set()
+                continue
+            await asyncio.sleep(QUICKEST_LOADS_SECONDS)
+
+    def is_whole_due(self, now: float) -> bool:
+        """Return True where the next pulse is a whole one."""
+        has_news = self.has_news or (self.view.revision > self.told_revision and self.is_watcher())
+        return now >= self.next_whole_at or has_news
 
-    def gap_seconds(self) -> float:
-        """Return the time between two pulses that keeps to the allowed rate."""
+    def rate(self) -> float:
+        """Return the bytes a second that pulses may take."""
         direct = self.settings.direct
         assert direct is not None
-        targets = min(MOST_TARGETS, max(1, len(self.peers)))
-        rate = direct.pulse_bytes_per_second
-        return max(QUICKEST_PULSE_SECONDS, targets * self.pulse_bytes / rate)
+        return direct.pulse_bytes_per_second
 
-    def send(self, now: float) -> None:
-        """Send one pulse to the other entry processes."""
+    def send_whole(self, now: float) -> None:
+        """Send a whole pulse to the other entry processes."""
         self.forget(now)
-        if self.transport is None or not self.peers:
-            return
-        payload = encode(self.pulse(now))
-        self.pulse_bytes = len(payload) + DATAGRAM_OVERHEAD_BYTES
+        self.has_news = False
+        self.told_revision = self.view.revision
         targets = list(self.peers)
         if len(targets) > MOST_TARGETS:
             targets = self.rng.sample(targets, MOST_TARGETS)
+        pulse = self.pulse(now)
+        self.told_loads = {load.backend: load for load in pulse.loads}
+        sent = self.send(pulse, targets)
+        owed = max(now, self.next_whole_at) + sent / (self.rate() * (1 - LOADS_SHARE))
+        self.next_whole_at = max(now + IDLE_PULSE_SECONDS, min(owed, now + LONGEST_PULSE_SECONDS))
+
+    def send_loads(self, now: float) -> None:
+        """Send the loads that have changed to the entry processes of the region."""
+        loads = {load.backend: load for load in self.loads()}
+        changed = [load for name, load in loads.items() if self.told_loads.get(name) != load]
+        ended = [BackendLoad(name) for name in self.told_loads if name not in loads]
+        self.told_loads = loads
+        near = [peer.control for peer in self.peers.values() if peer.is_near]
+        if not near or not (changed or ended):
+            return
+        if len(near) > MOST_TARGETS:
+            near = self.rng.sample(near, MOST_TARGETS)
+        self.sequence += 1
+        partial = Pulse(
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            loads=(*changed, *ended),
+            partial=True,
+        )
+        sent = self.send(partial, near)
+        self.next_loads_at = now + sent / (self.rate() * LOADS_SHARE)
+
+    def send(self, pulse: Pulse, targets: list[str]) -> int:
+        """Send a pulse and return the bytes that it took on the network."""
+        if self.transport is None:
+            return 0
+        payload = encode(pulse)
         for control in targets:
             self.transport.sendto(payload, (host_of(control), port_of(control)))
+        return len(targets) * (len(payload) + DATAGRAM_OVERHEAD_BYTES)
+
+    def loads(self) -> tuple[BackendLoad, ...]:
+        """Return what this process has in flight at backends."""
+        return tuple(
+            BackendLoad(view.short_name, view.running, max(0, view.prompt_tokens))
+            for view in self.fleet.backends.values()
+            if view.running
+        )
 
     def pulse(self, now: float) -> Pulse:
         """Return the message of this moment."""
@@ -176,11 +249,7 @@
             ready=self.is_ready() and not self.leaving,
             leaving=self.leaving,
             revision=self.view.revision,
-            loads=tuple(
-                BackendLoad(identity_hash(identity), view.running, max(0, view.prompt_tokens))
-                for identity, view in self.fleet.backends.items()
-                if view.running
-            ),
+            loads=self.loads(),
             crashes=self.crashes.to_tell(now),
             entries=tuple(named) if self.sequence % 16 == 1 else (),
             checked_ms=min(LONGEST_AGE_MS, int((now - self.checked_at()) * MILLISECONDS)),
@@ -200,6 +269,9 @@
         if peer is None:
             return
         known = peer.pulse
+        if pulse.partial:
+            self.take_partial(peer, pulse, now)
+            return
         if known is not None:
             if is_older(pulse, known, now - peer.heard_at):
                 return
@@ -209,17 +281,38 @@
             LOG.info("entry.heard", entry=pulse.vm, ready=pulse.ready)
         peer.pulse = pulse
         peer.heard_at = now
+        peer.is_near = self.region_of(pulse.zone) == self.region_of(self.settings.zone)
         for control in pulse.entries:
             self.peer(control)
         self.crashes.take(pulse.crashes, now)
         self.take_loads(pulse, now)
         self.heard_revision(pulse.revision)
 
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone; the zone itself where the settings do not say."""
+        direct = self.settings.direct
+        return direct.zones.get(zone, zone) if direct else zone
+
+    def take_partial(self, peer: EntryPeer, pulse: Pulse, now: float) -> None:
+        """Take the changed loads of an entry process that is known."""
+        known = peer.pulse
+        if known is None or known.incarnation != pulse.incarnation:
+            return
+        if pulse.sequence <= known.sequence:
+            return
+        peer.pulse = dataclasses.replace(known, sequence=pulse.sequence)
+        peer.heard_at = now
+        loads = {load.backend: load for load in pulse.loads}
+        for view in self.fleet.backends.values():
+            load = loads.get(view.short_name)
+            if load is not None:
+                view.remote[known.vm] = RemoteLoad(load.running, load.prompt_tokens, now)
+
     def take_loads(self, pulse: Pulse, now: float) -> None:
         """Take the load that another entry process has put on backends."""
         loads = {load.backend: load for load in pulse.loads}
-        for identity, view in self.fleet.backends.items():
-            load = loads.get(identity_hash(identity))
+        for view in self.fleet.backends.values():
+            load = loads.get(view.short_name)
             if load is not None:
                 view.remote[pulse.vm] = RemoteLoad(load.running, load.prompt_tokens, now)
             else:
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -8,6 +8,8 @@
 
 ALIVE_SECONDS = 1.2
 """Silence after which an entry process is not named to callers any more."""
+FAR_ALIVE_SECONDS = 2.4
+"""The same for one in another region, which is heard less often."""
 REPLACED_SECONDS = 0.5
 
 
@@ -36,17 +38,20 @@
       control: Address for other processes.
       registered: True while the store names it.
       pulse: Its last message; None before the first.
-      heard_at: When that came.
+      heard_at: When it was last heard.
+      is_near: True where it is in the region of this process.
     """
 
     control: str
     registered: bool = False
     pulse: Pulse | None = None
     heard_at: float = 0.0
+    is_near: bool = False
 
     def is_alive(self, now: float) -> bool:
         """Return True where it was heard lately."""
-        return self.pulse is not None and now - self.heard_at < ALIVE_SECONDS
+        longest = ALIVE_SECONDS if self.is_near else FAR_ALIVE_SECONDS
+        return self.pulse is not None and now - self.heard_at < longest
 
     def is_named(self, now: float, many: bool) -> bool:
         """Return True where callers may be sent to it.
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -20,8 +20,11 @@
 """Backends that differ by less are alike; one of them is drawn."""
 FAILURE_SECONDS = 0.5
 """Expected delay of a backend that fails all requests, over one that fails none."""
-REGION_SECONDS = 0.08
-"""Cost of another region: a round trip, and the narrow link between them."""
+REGION_SECONDS = 0.006
+"""Usual round trip to another region."""
+FAR_COST_SECONDS = 0.25
+"""Cost of another region: the load that its entry processes put on backends is heard late, and
+the link between them is narrow."""
 OVERRUN_SHARE = 0.25
 """What counts of the time for which a stream holds up an engine that is about to load."""
 LATE_TARGETS = 1.5
@@ -101,7 +104,8 @@
             if fits(view, request, version):
                 held = view.version_of(request.said.model) if version else 0
                 overrun = overrun_seconds(view, request, seconds, now)
-                found.append(Choice(view, seconds, held, seconds + OVERRUN_SHARE * overrun))
+                cost = seconds + OVERRUN_SHARE * overrun + self.far_cost_seconds(view)
+                found.append(Choice(view, seconds, held, cost))
         return found
 
     def required_version(self, request: Request, at: float) -> int:
@@ -125,6 +129,11 @@
         prompt = request.said.prompt_tokens
         return distance + doubt + first_event_seconds(view, request.engine, prompt, now)
 
+    def far_cost_seconds(self, view: BackendView) -> float:
+        """Return what speaks against a backend because it is in another region."""
+        here, there = self.regions.get(self.zone), self.regions.get(view.backend.zone)
+        return 0.0 if here == there else FAR_COST_SECONDS
+
     def distance_seconds(self, view: BackendView) -> float:
         """Return a usual round trip to a backend."""
         if view.backend.zone == self.zone:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -250,7 +250,7 @@
         started = time.monotonic()
         self.front.leaving = True
         self.entries.leaving = True
-        self.entries.note_change()
+        self.entries.note_news()
         LOG.info("entry.leaving", in_flight=self.front.in_flight)
         await self.store.release(ENTRY_PREFIX + self.settings.listen)
         await asyncio.sleep(max(0.0, started + NOTICE_SECONDS - time.monotonic()))
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -118,7 +118,8 @@
   promptTokens @2 :UInt32;  # prompt tokens of those without a first event
 }
 
-# Sent by entry processes to each other, as one datagram.
+# Sent by entry processes to each other, as one datagram. A partial one names no process and
+# holds only the loads that have changed; it counts beside the last whole one.
 struct Pulse {
   vm @0 :Text;
   zone @1 :Text;
@@ -134,6 +135,7 @@
   checkedMs @11 :UInt32;    # age of the last answer of the store to this process
   loading @12 :Text;        # from an endpoint: address of its engine, which loads weights
   loadingInMs @13 :UInt32;  # when it begins to; 0 where it takes nothing from now on
+  partial @14 :Bool;
 }
 
 # One item of the platform's store, as an entry process hands it on.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -186,6 +186,7 @@
     checked_ms: int = 0
     loading: str = ""
     loading_in_ms: int = 0
+    partial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
