Callers that are less patient are not taken for ones that come back; late ones return after a burst

Cause: how long a request is under way was worked out from the time that its caller still waits, against the longest seen on the route. Refused callers came back after 0.05 to 0.2 s, in the same burst, and took the places of those that could still be on time.

Change: only a caller with under 0.85 of the longest time seen lately counts as come back; late ones are admitted up to 0.75 of the target; a refused caller returns after 1.2 to 3 s. The line of a refusal names the time allowed and the caller's; the present time is an argument of Entries.is_watcher.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -45,8 +45,17 @@
 NEAR_PULSE_SECONDS = 0.05
 FAR_PULSE_SECONDS = 0.6
 DEADLINE_SECONDS = 6.0
+LEAST_PATIENCE = 0.85
+"""Part of the deadline that the least patient callers wait."""
 WARM_SECONDS = 3.0
+BURST_FROM_SECONDS = 5.0
+BURST_UNTIL_SECONDS = 8.0
 FULL_SECONDS = 0.15
+MINIMUM_LEFT_SECONDS = 0.1
+LATE_SHARE = 0.25
+"""What a late answer is worth, of one on time."""
+REFUSED_AGAIN_SHARE = 0.3
+"""What it costs callers to come back when they were told, and to be refused again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +185,7 @@
       far_seconds: Time between two pulses to other regions.
       slow: Pace of the first engine.
       swap_seconds: Time over which all engines load once; 0 for none.
+      burst: How many times the load comes in a burst of a few seconds; 1 for none.
       seed: Seed of all draws.
     """
 
@@ -188,6 +198,7 @@
     far_seconds: float = FAR_PULSE_SECONDS
     slow: float = 1.0
     swap_seconds: float = 0.0
+    burst: float = 1.0
     seed: int = 1
 
 
@@ -267,7 +278,8 @@
         ends_at = WARM_SECONDS + self.setting.seconds
         at = 0.0
         while at < ends_at:
-            at += self.rng.expovariate(rate)
+            is_burst = BURST_FROM_SECONDS <= at < BURST_UNTIL_SECONDS
+            at += self.rng.expovariate(rate * (self.setting.burst if is_burst else 1.0))
             self.clock.after(at, self.arrive)
         for entry in self.entries if self.setting.near_seconds else ():
             phase = self.rng.random()
@@ -337,6 +349,7 @@
         self.events = events
         self.asked_at = asked_at
         self.comebacks = 0
+        self.patience = DEADLINE_SECONDS * play.rng.uniform(LEAST_PATIENCE, 1.0)
         self.last_event_at = 0.0
         self.first_at = 0.0
         self.longest_pause = 0.0
@@ -344,7 +357,7 @@
     def request(self, now: float) -> Request:
         """Return the request as an entry process sees it."""
         tokens = self.events * ENGINE.steps_per_event
-        left = DEADLINE_SECONDS - (now - self.asked_at)
+        left = self.patience - (now - self.asked_at)
         hint = max(1, int(tokens * self.play.rng.lognormvariate(0.0, 0.5)))
         said = CallerHeaders("a", left, "", "model", self.prompt, tokens, "", hint)
         headers = CIMultiDictProxy(CIMultiDict())
@@ -364,8 +377,7 @@
             play.refusals.append((clock.now - now, come_back))
             self.refused(come_back)
             return
-        age = now - self.asked_at
-        rank = rank_of(request, age)
+        rank = rank_of(request, self.comebacks > 0)
         distance = NEAR_SECONDS if view.backend.zone == entry.zone else FAR_SECONDS
         view.note_started(self.prompt)
         is_reading = [True]
@@ -403,10 +415,14 @@
 
     def refused(self, come_back: float) -> None:
         """Come back once, where there is time."""
-        left = DEADLINE_SECONDS - (self.play.clock.now - self.asked_at)
-        if self.comebacks or come_back > left / 3:
+        left = self.patience - (self.play.clock.now - self.asked_at)
+        if self.comebacks:
+            self.count(-REFUSED_AGAIN_SHARE, "refused")
+            return
+        if left < MINIMUM_LEFT_SECONDS:
             self.count(0.0, "refused")
             return
+        come_back = min(come_back, left / 3)
         self.comebacks += 1
         self.play.clock.after(come_back + 2 * NEAR_SECONDS, self.send)
 
@@ -415,7 +431,7 @@
         first = self.first_at - self.asked_at
         self.play.tally.first_events.append(first)
         on_time = first <= self.kind.route.target_seconds and self.longest_pause <= 0.4
-        self.count(1.0 if on_time else 0.25, "on-time" if on_time else "late")
+        self.count(1.0 if on_time else LATE_SHARE, "on-time" if on_time else "late")
 
     def count(self, share: float, outcome: str) -> None:
         """Count what became of the request, if it came in the time that counts."""
--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -75,3 +75,13 @@
     Given three entry processes of one region and one of another that hear each other
     When one of them sends pulses as often as it may for 10 s while its load changes
     Then they take no more than the allowed rate
+
+  Scenario: An impatient caller is not taken for one that comes back
+    Given callers that wait between 5.2 s and 6 s for an answer
+    When each asks for the first time, and comes back 1.2 s later
+    Then none counts as come back the first time, and all do the second time
+
+  Scenario: What callers once waited at most is forgotten
+    Given callers that wait between 5.2 s and 6 s for an answer
+    When they wait between 2.6 s and 3 s from then on
+    Then none counts as come back after 60 s
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -22,6 +22,7 @@
 from verbenaward.direct.decisions import LineBudget
 from verbenaward.direct.entries import Entries
 from verbenaward.direct.fleet import Fleet, HeardVersion
+from verbenaward.direct.patience import Patience
 from verbenaward.direct.placing import Placer
 from verbenaward.direct.poison import Crashes
 from verbenaward.direct.records import Request
@@ -191,7 +192,7 @@
             for index in range(count)
         ]
 
-        now = time.monotonic()
+        now = NOW
         for sender in found:
             pulse = encode(sender.pulse(now))
             port = int(sender.settings.listen.rpartition(":")[2])
@@ -200,7 +201,7 @@
         return found
 
     async def make():
-        return made(time.monotonic()), made(time.monotonic() - 60)
+        return made(NOW), made(NOW - 60)
 
     context.fresh, context.stale = context.loop.run_until_complete(make())
 
@@ -211,7 +212,7 @@
 
     async def make():
         context.entries = [
-            entries_of(f"entry-{index}", zone, 9200 + index, time.monotonic(), zones)
+            entries_of(f"entry-{index}", zone, 9200 + index, NOW, zones)
             for index, zone in enumerate(("zone-a", "zone-a", "zone-a", "zone-b"))
         ]
         context.sent = []
@@ -285,12 +286,12 @@
 
 @then("{count:d} of them watch the store")
 def watchers(context, count):
-    assert sum(entries.is_watcher() for entries in context.fresh) == count
+    assert sum(entries.is_watcher(NOW) for entries in context.fresh) == count
 
 
 @then("all watch once nobody has heard from the store")
 def all_watch(context):
-    assert all(entries.is_watcher() for entries in context.stale)
+    assert all(entries.is_watcher(NOW) for entries in context.stale)
 
 
 @when("callers of a zone with 2 entry processes and of one with none ask")
@@ -499,6 +500,43 @@
         assert all(decided) == in_time, (share, decided)
 
 
+@given("callers that wait between {least:g} s and {most:g} s for an answer")
+def patient_callers(context, least, most):
+    rng = random.Random(1)
+    context.patience = Patience()
+    context.waits = [most] + [rng.uniform(least, most) for _ in range(200)]
+
+
+@when("each asks for the first time, and comes back {seconds:g} s later")
+def ask_twice(context, seconds):
+    judge = context.patience.has_come_back
+    context.first = [judge("r", wait, NOW) for wait in context.waits]
+    context.second = [judge("r", wait - seconds, NOW + seconds) for wait in context.waits]
+
+
+@then("none counts as come back the first time, and all do the second time")
+def told_apart(context):
+    assert not any(context.first) and all(context.second)
+
+
+@when("they wait between {least:g} s and {most:g} s from then on")
+def change_waits(context, least, most):
+    rng = random.Random(2)
+    context.judged = []
+    for wait in context.waits:
+        context.patience.has_come_back("r", wait, NOW)
+    for index in range(1000):
+        now = NOW + index / 10
+        judged = context.patience.has_come_back("r", rng.uniform(least, most), now)
+        context.judged.append((now, judged))
+
+
+@then("none counts as come back after {seconds:g} s")
+def forgotten(context, seconds):
+    late = [judged for now, judged in context.judged if now > NOW + seconds + 1]
+    assert late and not any(late)
+
+
 WIRE_NAMES = (
     r"X-Attempt-Id|X-Deadline-Ms|X-Server-Signature|X-Tenant|X-Expect|X-Not-Executed|X-Weight-Versions"
     r"|X-Request-Priority|X-Token-Usage|X-Prompt-Prefix|X-Model|kv-(key|txn|watch|range|lease|keep)"
--- a/verbenaward/direct/decisions.py
+++ b/verbenaward/direct/decisions.py
@@ -79,10 +79,17 @@
             expected_ms=round(choice.expected_seconds * 1000),
             version=choice.version,
             sends=sends,
+            caller_ms=round((request.said.deadline_seconds or 0.0) * 1000),
         )
 
-    def refused(self, request: Request, refusal: Refusal, choice: Choice | None) -> None:
-        """Note that a request ends with a refusal."""
+    def refused(
+        self,
+        request: Request,
+        refusal: Refusal,
+        choice: Choice | None,
+        allowed_seconds: float | None = None,
+    ) -> None:
+        """Note that a request ends with a refusal, and what the time to it was held against."""
         expected = round(choice.expected_seconds * 1000) if choice else None
         self.write(
             self.failures,
@@ -94,6 +101,8 @@
             status=refusal.status,
             message=refusal.message,
             expected_ms=expected,
+            allowed_ms=None if allowed_seconds is None else round(allowed_seconds * 1000),
+            caller_ms=round((request.said.deadline_seconds or 0.0) * 1000),
             retry_after=round(refusal.retry_after_seconds, 3),
         )
 
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -172,7 +172,9 @@
 
     def is_whole_due(self, now: float) -> bool:
         """Return True where the next pulse is a whole one."""
-        has_news = self.has_news or (self.view.revision > self.told_revision and self.is_watcher())
+        has_news = self.has_news or (
+            self.view.revision > self.told_revision and self.is_watcher(now)
+        )
         return now >= self.next_whole_at or has_news
 
     def rate(self) -> float:
@@ -341,13 +343,15 @@
             if peer.pulse is not None and peer.is_named(now, many)
         ]
 
-    def is_watcher(self) -> bool:
+    def is_watcher(self, now: float) -> bool:
         """Return True where this process watches the store, for itself and others.
 
         The first entry process of each availability zone does, up to a few; and every one while
         none of them says that the store answers.
+
+        Args:
+          now: Present time, monotonic, in seconds.
         """
-        now = time.monotonic()
         alive = [
             (peer.pulse.zone, peer.pulse.vm)
             for peer in self.peers.values()
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -117,7 +117,8 @@
             now = time.monotonic()
         refusal = None if progress.runs else self.placer.refusal(request, choice, now)
         if refusal is not None:
-            self.log.refused(request, refusal, choice)
+            allowed = self.placer.allowed_seconds(request, now) if choice else None
+            self.log.refused(request, refusal, choice, allowed)
             raise RefusedError(refusal)
         if choice is None or now + RESERVE_SECONDS >= request.deadline:
             self.give_up(request, progress, "no backend is left to try")
@@ -192,7 +193,7 @@
             remaining_seconds=request.deadline - now,
             workspace=request.workspace,
             version=choice.version,
-            priority=rank_of(request, self.placer.age_seconds(request)),
+            priority=rank_of(request, self.placer.is_late(request, now)),
         )
 
     def wait_seconds(self, request: Request, progress: Progress, now: float) -> float:
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -11,6 +11,7 @@
 from ..requests.refusals import not_run
 from .backends import BackendView, first_event_seconds, residence_seconds
 from .fleet import Fleet
+from .patience import Patience
 from .records import Request
 
 START_SLACK_SECONDS = 0.5
@@ -27,8 +28,9 @@
 the link between them is narrow."""
 OVERRUN_SHARE = 0.25
 """What counts of the time for which a stream holds up an engine that is about to load."""
-LATE_TARGETS = 1.5
-"""A request that is late already may wait this many times its target."""
+LATE_TARGETS = 0.75
+"""A request that is late already may wait this many times its target; one that is not yet late
+would otherwise be refused in its place."""
 LONG_PROMPT = 2.0
 """A prompt of this many times the usual length goes first at a full engine."""
 LONG_RANK = 4
@@ -36,6 +38,10 @@
 MINIMUM_RETRY_AFTER_SECONDS = 0.05
 LONGEST_RETRY_AFTER_SECONDS = 2.0
 RETRY_SPREAD = 0.5
+BURST_SECONDS = 1.2
+"""Shortest time after which a caller should come back that engines have no room for: it will be
+late in any case, and would take the place of one that is not."""
+BURST_SPREAD = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +79,7 @@
         self.regions = regions
         self.version_seconds = version_seconds
         self.rng = random.Random()
-        self.longest_deadline: dict[str, float] = {}
+        self.patience = Patience()
 
     def choose(self, request: Request, tried: set[str], now: float) -> Choice | None:
         """Return the backend that should give the first event soonest.
@@ -157,29 +163,30 @@
         expected = choice.expected_seconds - own_reading_seconds(request, request.engine)
         if expected <= allowed:
             return None
-        wait = expected - allowed
-        return self.come_back("overload", "all backends have more than they can do", wait)
+        wait = max(BURST_SECONDS, expected - allowed)
+        message = "all backends have more than they can do"
+        return self.come_back("overload", message, wait, BURST_SPREAD)
 
     def allowed_seconds(self, request: Request, now: float) -> float:
         """Return how long a request may wait for its first event and be worth it."""
         target = request.route.target_seconds
-        left = target - self.age_seconds(request) - (now - request.received_at)
-        return left if left > target / 2 else target * LATE_TARGETS
-
-    def age_seconds(self, request: Request) -> float:
-        """Return how long ago the caller first asked, as far as its deadline tells."""
+        if self.is_late(request, now):
+            return target * LATE_TARGETS
+        return target - (now - request.received_at)
+
+    def is_late(self, request: Request, now: float) -> bool:
+        """Return True where a request cannot be answered within its target any more."""
+        if now - request.received_at > request.route.target_seconds / 2:
+            return True
         said = request.said.deadline_seconds
-        if said is None:
-            return 0.0
-        longest = max(said, self.longest_deadline.get(request.route.name, 0.0))
-        self.longest_deadline[request.route.name] = longest
-        return longest - said
+        return self.patience.has_come_back(request.route.name, said, now)
 
-    def come_back(self, reason: str, message: str, wait_seconds: float) -> Refusal:
+    def come_back(
+        self, reason: str, message: str, wait_seconds: float, spread: float = RETRY_SPREAD
+    ) -> Refusal:
         """Return a refusal that says when there should be room; callers are spread out."""
         wait = min(LONGEST_RETRY_AFTER_SECONDS, max(MINIMUM_RETRY_AFTER_SECONDS, wait_seconds))
-        spread = wait * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
-        return not_run(503, reason, message, spread)
+        return not_run(503, reason, message, wait * self.rng.uniform(1.0, 1.0 + spread))
 
     def service_of(self, shares: tuple[ServiceShare, ...]) -> str:
         """Return the service of a request, drawn by weight."""
@@ -198,14 +205,14 @@
     return beyond / engine.read_tokens_per_second
 
 
-def rank_of(request: Request, age_seconds: float) -> int | None:
+def rank_of(request: Request, is_late: bool) -> int | None:
     """Return the rank of a request in the queue of an engine; None for the usual one.
 
     Long prompts go first, as they need the most of their time; what is late already goes last.
     """
     if request.engine is None:
         return None
-    if age_seconds > request.route.target_seconds:
+    if is_late:
         return LATE_RANK
     if request.said.prompt_tokens > LONG_PROMPT * request.engine.usual_prompt_tokens:
         return LONG_RANK
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -75,7 +75,7 @@
         self.fleet = Fleet(self.view)
         self.crashes = Crashes()
         self.follower = StoreFollower(
-            self.store, EVERYTHING, self.view, lambda: self.entries.is_watcher()
+            self.store, EVERYTHING, self.view, lambda: self.entries.is_watcher(time.monotonic())
         )
         self.peer_follower = PeerFollower(self.view, self.follower, self.ask_peers)
         self.entries = Entries(
