--- a/tests/filling/filling.feature
+++ b/tests/filling/filling.feature
@@ -57,3 +57,8 @@
     When a newer version is named at any time while the older one is staged
     Then some engine goes on
     And all go on where both can be staged in time
+
+  Scenario: Endpoints of a region spread over its entry processes from the first chunk on
+    When 9 endpoints of a region with 12 entry processes fetch 48 chunks
+    Then each fetches every chunk once
+    And no entry process is asked by more than 4 of them for their first chunk
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -5,6 +5,7 @@
 import random
 import re
 import time
+from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -26,6 +27,7 @@
 from verbenaward.direct.placing import Placer
 from verbenaward.direct.poison import Crashes
 from verbenaward.direct.records import Request
+from verbenaward.direct.runs import chunk_order, holder_order, run_name
 from verbenaward.filling.plan import (
     IN_TIME_SHARE,
     Overtaken,
@@ -449,6 +451,29 @@
     assert all(len(set(ordered[index : index + 3])) == 3 for index in range(10)), ordered
 
 
+@when("{count:d} endpoints of a region with {entries:d} entry processes fetch {chunks:d} chunks")
+def fetch_in_order(context, count, entries, chunks):
+    controls = {f"10.0.0.{index}:7700": "zone-a" for index in range(entries)}
+    context.orders = [
+        chunk_order(range(chunks), f"side-zone-a-{number}") for number in range(count)
+    ]
+    context.asked = Counter(
+        holder_order(controls, "zone-a", {}, run_name("model", 2, order[0]))[0]
+        for order in context.orders
+    )
+    context.chunks = chunks
+
+
+@then("each fetches every chunk once")
+def every_chunk(context):
+    assert all(sorted(order) == list(range(context.chunks)) for order in context.orders)
+
+
+@then("no entry process is asked by more than {count:d} of them for their first chunk")
+def spread_over(context, count):
+    assert max(context.asked.values()) <= count, context.asked
+
+
 @given("one engine that loads other weights in {seconds:g} s and one with more to do")
 def about_to_load(context, seconds):
     context.fleet = fleet_of(2)
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -36,12 +36,13 @@
 MANIFEST_PATH = "/weights/{model}/{version}"
 ORIGIN_SECONDS = 3.0
 PEER_SECONDS = 1.5
-ORIGIN_DRAWS = 3
+ORIGIN_DRAWS = 1
+"""Draws of one process at a time: the first chunks should be there before the last ones."""
 ATTEMPTS = 5
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
 DIGEST_BYTES = 32
-AHEAD = 2
+AHEAD = RUN - 1
 
 Key = tuple[str, int, int]
 MANIFEST_INDEX = -1
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -12,7 +12,7 @@
 from ..data import HeldWeights
 from ..direct.chunks import DIGEST_BYTES
 from ..direct.fleet import Fleet
-from ..direct.runs import run_name
+from ..direct.runs import chunk_order, run_name
 from ..knowledge.digests import known_digests
 from ..knowledge.items import ItemView
 from ..logs import get_logger
@@ -174,7 +174,7 @@
         if not missing:
             return True
         started = time.monotonic()
-        queue = iter(missing)
+        queue = iter(chunk_order(missing, self.settings.vm))
         done = await asyncio.gather(
             *(self.stage_from(queue, target, digests) for _ in range(FETCHES))
         )
