--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -20,7 +20,7 @@
 from .. import metrics
 from ..configuration.settings import host_of, port_of
 from ..data import ServiceDeclaration
-from ..knowledge.digests import keep_digests, known_digests
+from ..knowledge.digests import DIGEST_BYTES, keep_digests, known_digests
 from ..logs import get_logger
 from ..membership.ring import rendezvous_order
 from ..platform.key_value import KeyValueService
@@ -41,7 +41,6 @@
 ATTEMPTS = 5
 PAUSE_SECONDS = 0.05
 MEMORY_BYTES = 12 * 1024 * 1024
-DIGEST_BYTES = 32
 AHEAD = RUN - 1
 
 Key = tuple[str, int, int]
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-import aiohttp
 from aiohttp import web
 from returns.result import Success
 
@@ -12,11 +11,10 @@
 from ..knowledge.handing_on import ITEMS_PATH, WAIT_QUERY, ask_entry, message_of
 from ..knowledge.items import Changes, ItemView
 from ..logs import get_logger
-from ..platform.key_value import ADAPTERS, LeasingService
 from ..platform.names import DIRECTORY_PATH, ENTRY_PREFIX, EVERYTHING, READINESS_PATH
 from ..schema.messages import Pulse
 from ..schema.settings import DirectSettings, Settings
-from ..sockets import careful_socket
+from ..shared_calls import answer_metrics, leasing_store, platform_session
 from ..wire.codec import encode
 from .addresses import addresses_for
 from .budget import SharedBudget
@@ -48,12 +46,6 @@
 STORE_SHARE_SECONDS = 0.5
 
 
-def platform_session() -> aiohttp.ClientSession:
-    """Return the HTTP client for the store, the origin and other processes."""
-    connector = aiohttp.TCPConnector(limit=0, socket_factory=careful_socket, keepalive_timeout=10)
-    return aiohttp.ClientSession(connector=connector)
-
-
 class DirectEntryRole:
     """An entry process.
 
@@ -271,23 +263,3 @@
         self.entries.close()
         await self.backends.close()
         await self.session.close()
-
-
-async def answer_metrics(request: web.Request) -> web.Response:
-    """Answer the metrics of the process."""
-    from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
-    return web.Response(body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST})
-
-
-def leasing_store(settings: Settings, session: aiohttp.ClientSession) -> LeasingService:
-    """Return the store with leases that the settings name.
-
-    Raises:
-      ValueError: The adapter has no leases.
-    """
-    adapter = ADAPTERS.find(settings.platform.key_value_adapter)
-    store = adapter(session, settings.platform.key_value)
-    if not isinstance(store, LeasingService):
-        raise ValueError("the adapter of the key-value service has no leases")
-    return store
--- a/verbenaward/filling/filler.py
+++ b/verbenaward/filling/filler.py
@@ -10,10 +10,9 @@
 
 from .. import metrics
 from ..data import HeldWeights
-from ..direct.chunks import DIGEST_BYTES
 from ..direct.fleet import Fleet
 from ..direct.runs import chunk_order, run_name
-from ..knowledge.digests import known_digests
+from ..knowledge.digests import DIGEST_BYTES, known_digests
 from ..knowledge.items import ItemView
 from ..logs import get_logger
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -8,11 +8,11 @@
 from ..data import HeldWeights
 from ..direct.fleet import Fleet
 from ..direct.pacing import send_slowly
-from ..direct.role import answer_metrics, leasing_store, platform_session
 from ..knowledge.follower import StoreFollower
 from ..knowledge.items import ItemView
 from ..platform.names import EVERYTHING
 from ..schema.settings import DirectSettings, Settings
+from ..shared_calls import answer_metrics, leasing_store, platform_session
 from .filler import Filler
 from .listening import EntryListener
 
--- a/verbenaward/knowledge/digests.py
+++ b/verbenaward/knowledge/digests.py
@@ -12,6 +12,7 @@
 from .items import ItemView
 
 LOG = get_logger(__name__)
+DIGEST_BYTES = 32
 LARGEST_BYTES = 64 * 1024
 """Digests of larger versions are not kept in the store: every process reads all of it."""
 KEPT_VERSIONS = 3
