Cells of entry processes; later incarnations end earlier ones; explain, checked lines, settings at SIGHUP

verbenactl explain and logs check read log lines against one schema of events; what is turned away before a route is found has a line; SIGHUP takes changed settings, faulty ones change nothing.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -15,6 +15,7 @@
 from standins.engine_model import USUAL_RANK, Clock, EngineModelStandIn, Job
 from verbenaward.data import Backend, EngineModel, HeldWeights, Route, RouteKind
 from verbenaward.direct.backends import BackendView, RemoteLoad
+from verbenaward.direct.cells import Cell, cell_of
 from verbenaward.direct.fleet import Fleet
 from verbenaward.direct.placing import Placer, rank_of
 from verbenaward.direct.records import Request
@@ -99,16 +100,17 @@
         ...
 
 
-POLICIES: Registry[Callable[[Fleet, str, random.Random], Policy]] = Registry("policy")
+POLICIES: Registry[Callable[[Fleet, str, random.Random, Cell], Policy]] = Registry("policy")
 
 
 @POLICIES.register("placer")
 class PlacerPolicy:
     """The placing of the product."""
 
-    def __init__(self, fleet: Fleet, zone: str, rng: random.Random) -> None:
+    def __init__(self, fleet: Fleet, zone: str, rng: random.Random, cell: Cell) -> None:
         self.placer = Placer(fleet, zone, REGIONS, 8.0)
         self.placer.rng = rng
+        self.placer.cell = cell
 
     def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
         """Choose as an entry process does."""
@@ -123,7 +125,7 @@
 class LeastRunningPolicy:
     """The backend with the fewest requests; refused where all places are taken twice."""
 
-    def __init__(self, fleet: Fleet, zone: str, rng: random.Random) -> None:
+    def __init__(self, fleet: Fleet, zone: str, rng: random.Random, cell: Cell) -> None:
         self.fleet = fleet
 
     def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
@@ -139,7 +141,7 @@
 class RandomPolicy:
     """Any backend."""
 
-    def __init__(self, fleet: Fleet, zone: str, rng: random.Random) -> None:
+    def __init__(self, fleet: Fleet, zone: str, rng: random.Random, cell: Cell) -> None:
         self.fleet = fleet
         self.rng = rng
 
@@ -214,14 +216,28 @@
 
     Attributes:
       zone: Its availability zone.
+      name: Its name.
       fleet: What it believes about backends.
+      cell: The entry processes that hear of each other at once.
       policy: Decides.
     """
 
-    def __init__(self, setting: Setting, zone: str, rng: random.Random, fleet: Fleet) -> None:
-        self.zone = zone
+    def __init__(self, setting: Setting, number: int, rng: random.Random, fleet: Fleet) -> None:
+        self.zone = ZONES[number % len(ZONES)]
+        self.name = f"entry-{number}"
         self.fleet = fleet
-        self.policy = POLICIES.find(setting.policy)(self.fleet, zone, rng)
+        near = [
+            f"entry-{other}"
+            for other in range(setting.entries)
+            if other % len(ZONES) == number % len(ZONES)
+        ]
+        engines = [
+            view.backend.address
+            for view in fleet.backends.values()
+            if view.backend.zone == self.zone
+        ]
+        self.cell = cell_of(self.name, near, engines)
+        self.policy = POLICIES.find(setting.policy)(self.fleet, self.zone, rng, self.cell)
 
 
 def fleet_of(count: int) -> Fleet:
@@ -261,7 +277,7 @@
         self.entries = [
             Entry(
                 setting,
-                ZONES[index % len(ZONES)],
+                index,
                 self.rng,
                 fleet_of(setting.engines) if setting.near_seconds else shared,
             )
@@ -321,7 +337,7 @@
         """Have entry processes hear the load that another one puts on backends."""
         setting = self.setting
         for taker in self.entries:
-            if taker is sender or (taker.zone == sender.zone) != is_near:
+            if taker is sender or (taker.name in sender.cell.members) != is_near:
                 continue
             for identity, view in sender.fleet.backends.items():
                 load = RemoteLoad(view.running, view.prompt_tokens, self.clock.now)
--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -85,3 +85,17 @@
     Given callers that wait between 5.2 s and 6 s for an answer
     When they wait between 2.6 s and 3 s from then on
     Then none counts as come back after 60 s
+
+  Scenario: Entry processes of a large region are dealt into cells
+    When any entry processes and engines of a region are dealt into cells
+    Then members of a cell agree, and each engine is preferred by one cell
+
+  Scenario: What one entry process finds gone, the others do not try
+    Given three entry processes of one region and one of another that hear each other
+    When one of the three finds that a backend is another one than it was
+    Then the other two pass it over as well
+
+  Scenario: A later incarnation at an address ends the earlier one, and no late word brings it back
+    Given a backend whose successor registered at its address
+    When its own registration is written once more, late
+    Then only the successor is used
--- a/tests/direct/load.feature
+++ b/tests/direct/load.feature
@@ -12,6 +12,10 @@
       | 0.5  |
       | 0.8  |
 
+  Scenario: Many entry processes serve as well as few
+    When 45 entry processes and 27 engines play a load of 0.8 with pulses at their allowed rate
+    Then callers get at least 0.9 of what is owed
+
   Scenario: Engines load newer weights in turns while callers are served
     When all engines load once within 2.8 s at a load of 0.6
     Then callers get at least 0.9 of what is owed
--- /dev/null
+++ b/tests/steps/operating.py
@@ -0,0 +1,166 @@
+"""Steps on operating the direct mode: settings, log lines, explanations."""
+
+import json
+import re
+import tempfile
+from pathlib import Path
+from types import SimpleNamespace
+
+from behave import given, then, when
+from typer.testing import CliRunner
+
+import verbenaward
+from verbenaward.configuration.settings import load_settings
+from verbenaward.ctl.main import application
+from verbenaward.ctl.stories import line_faults
+from verbenaward.direct_service import DirectService
+from verbenaward.events import EVENTS
+
+SETTINGS = {
+    "format": 1,
+    "role": "entry",
+    "vm": "entry-1",
+    "region": "norte",
+    "zone": "norte-a",
+    "listen": "127.0.0.1:7999",
+    "platform": {"key_value": "http://127.0.0.1:1", "key_value_adapter": "leased"},
+    "direct": {"front": "127.0.0.1:8999", "version_seconds": 8, "retry_extra": 100},
+}
+FAULTS = {
+    "cannot be read": lambda: "{",
+    "names another vm": lambda: json.dumps({**SETTINGS, "vm": "entry-2"}),
+    "lacks its section": lambda: json.dumps(
+        {name: value for name, value in SETTINGS.items() if name != "direct"}
+    ),
+}
+
+
+@given("a daemon of the direct mode with its file of settings")
+def daemon(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = Path(folder.name) / "entry.json"
+    context.file.write_text(json.dumps(SETTINGS))
+    settings = load_settings(context.file).value
+    assert settings is not None
+    context.taken = []
+    context.service = DirectService(settings=settings, settings_file=context.file)
+    context.service.role = SimpleNamespace(
+        reload=lambda settings, direct: context.taken.append(direct)
+    )
+
+
+@when("the bound of versions and the extra repeats change in the file and it is told")
+def change(context):
+    direct = {**SETTINGS["direct"], "version_seconds": 9.5, "retry_extra": 240}
+    context.file.write_text(json.dumps({**SETTINGS, "direct": direct}))
+    context.service.reload()
+
+
+@then("they are in force")
+def in_force(context):
+    (direct,) = context.taken
+    assert (direct.version_seconds, direct.retry_extra) == (9.5, 240)
+    assert context.service.settings.direct == direct
+
+
+@when("the file is changed so that it {fault} and it is told")
+def spoil(context, fault):
+    context.before = context.service.settings
+    context.file.write_text(FAULTS[fault]())
+    context.service.reload()
+
+
+@then("what was in force before still is")
+def unchanged(context):
+    assert not context.taken and context.service.settings is context.before
+
+
+@when("the events that the modules write are read")
+def written_events(context):
+    root = Path(verbenaward.__file__).parent
+    folders = ("direct", "knowledge", "filling")
+    files = [path for folder in folders for path in (root / folder).glob("*.py")]
+    texts = [path.read_text() for path in (*files, root / "direct_service.py")]
+    context.events = {
+        name
+        for text in texts
+        for name in re.findall(r'^\s+"([a-z]+\.[a-z-]+)",$|LOG\.\w+\(\s*"([a-z.-]+)"', text, re.M)
+        for name in name
+        if name
+    }
+
+
+@then("they are those of the schema")
+def same_events(context):
+    inline = {"request.resumed", "request.cancelled", "request.answered"}
+    assert context.events | inline == set(EVENTS), context.events ^ set(EVENTS)
+
+
+def line(second, vm, event, **values):
+    at = f"2026-12-04T10:00:{second:06.3f}+00:00"
+    return json.dumps({"timestamp": at, "vm": vm, "event": event, **values})
+
+
+@given("the logs of two processes with a refused and an answered request and a cut line")
+def logs(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    one, two = Path(folder.name) / "one.log", Path(folder.name) / "two.log"
+    refused = {"request": "r-1", "route": "chat", "reason": "overload", "verdict": "not-run"}
+    sent = {"route": "chat", "registered": 5, "running": 3, "expected_ms": 90, "version": 1}
+    one.write_text(
+        "\n".join(
+            (
+                line(2.5, "entry-1", "request.refused", **refused, status=503, message="full",
+                     retry_after=1.2, expected_ms=620, allowed_ms=404),
+                line(1.0, "entry-1", "request.sent", request="r-2", backend="e-1", sends=0, **sent),
+                line(1.1, "entry-1", "request.failed", request="r-2", backend="e-1",
+                     failure="broken", may_have_run=True, message="reset"),
+                line(1.4, "entry-1", "request.answered", request="r-2", status=200, sends=2,
+                     first_ms=300),
+                line(1.2, "entry-1", "backend.gone"),
+                '{"timestamp": "2026-12-04T10:00:',
+            )
+        )
+        + "\n"
+    )  # fmt: skip
+    two.write_text(
+        "12:00 entry-2 "
+        + line(2.0, "entry-2", "request.sent", request="r-1", backend="e-2", sends=0, **sent)
+        + "\n"
+    )
+    context.logs = [one, two]
+
+
+@when("the {which} request is explained")
+def explain(context, which):
+    request = {"refused": "r-1", "answered": "r-2"}[which]
+    command = ["explain", request, *map(str, context.logs), "--json"]
+    result = CliRunner().invoke(application, command)
+    assert result.exit_code == 0, result.output
+    context.told = json.loads(result.output)
+
+
+@then("its lines come in order and the cause names the times that were held against each other")
+def refused_cause(context):
+    assert [line["event"] for line in context.told["lines"]] == ["request.sent", "request.refused"]
+    assert "620 ms" in context.told["cause"] and "404 ms" in context.told["cause"]
+
+
+@then("the cause names the backend that failed before")
+def answered_cause(context):
+    assert "e-1" in context.told["cause"] and "reset" in context.told["cause"]
+
+
+@when("the logs are checked")
+def check(context):
+    context.faults = list(line_faults(context.logs))
+
+
+@then("the cut line and the line without its fields are found")
+def found(context):
+    assert [fault.message for fault in context.faults] == [
+        "lacks backend",
+        "is no line of a daemon, or was cut",
+    ]
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -6,6 +6,7 @@
 import re
 import time
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -20,6 +21,7 @@
 from verbenaward.direct.addresses import addresses_for
 from verbenaward.direct.backends import first_event_seconds
 from verbenaward.direct.budget import SharedBudget
+from verbenaward.direct.cells import LEAST_BACKENDS, cell_of
 from verbenaward.direct.decisions import LineBudget
 from verbenaward.direct.entries import Entries
 from verbenaward.direct.fleet import Fleet, HeardVersion
@@ -226,6 +228,8 @@
                 taker.fleet.put(fleet_of(1).backends["e-0"].backend, NOW)
                 port = int(sender.settings.listen.rpartition(":")[2])
                 taker.take(encode(sender.pulse(NOW)), ("127.0.0.1", port), NOW)
+        for entries in context.entries:
+            entries.arrange_cell(NOW)
 
     context.loop.run_until_complete(make())
 
@@ -562,6 +566,67 @@
     assert late and not any(late)
 
 
+@when("any entry processes and engines of a region are dealt into cells")
+def deal_cells(context):
+    @for_all(st.integers(1, 60), st.integers(0, 60))
+    def check(members, engines):
+        names = [f"entry-{index}" for index in range(members)]
+        addresses = [f"10.0.0.{index}:80" for index in range(engines)]
+        cells = {name: cell_of(name, names, addresses) for name in names}
+        assert all(name in cell.members for name, cell in cells.items())
+        assert all(cells[other] == cell for cell in cells.values() for other in cell.members)
+        preferred = [cell.backends for cell in set(cells.values())]
+        if len(preferred) > 1:
+            assert all(len(backends) >= LEAST_BACKENDS for backends in preferred)
+            assert sum(map(len, preferred)) == len(addresses)
+            assert frozenset().union(*preferred) == set(addresses)
+        else:
+            assert not preferred[0]
+
+    context.check = check
+
+
+@then("members of a cell agree, and each engine is preferred by one cell")
+def cells_agree(context):
+    context.check()
+
+
+@when("one of the three finds that a backend is another one than it was")
+def find_gone(context):
+    sender = context.entries[0]
+    sender.fleet.backends["e-0"].note_misdirected(NOW)
+    sender.fleet.backends["e-0"].note_started(10)
+    sender.send_loads(NOW)
+    deliver(context)
+
+
+@then("the other two pass it over as well")
+def pass_over(context):
+    held = [entries.fleet.backends["e-0"].loading_until > NOW for entries in context.entries]
+    assert held == [True, True, True, False], held
+
+
+@given("a backend whose successor registered at its address")
+def successor(context):
+    context.fleet = fleet_of(1)
+    first = context.fleet.backends["e-0"].backend
+    context.old = replace(first, born_unix_ms=1000)
+    context.new = replace(first, identity="e-0-again", born_unix_ms=2000)
+    context.fleet.put(context.old, NOW)
+    context.fleet.put(context.new, NOW)
+
+
+@when("its own registration is written once more, late")
+def late_registration(context):
+    context.fleet.put(replace(context.old, revision=9), NOW + 1)
+
+
+@then("only the successor is used")
+def only_successor(context):
+    usable = context.fleet.usable("engines", NOW + 1)
+    assert [view.backend.identity for view in usable] == ["e-0-again"]
+
+
 WIRE_NAMES = (
     r"X-Attempt-Id|X-Deadline-Ms|X-Server-Signature|X-Tenant|X-Expect|X-Not-Executed|X-Weight-Versions"
     r"|X-Request-Priority|X-Token-Usage|X-Prompt-Prefix|X-Model|kv-(key|txn|watch|range|lease|keep)"
--- a/tests/steps/played_load.py
+++ b/tests/steps/played_load.py
@@ -44,6 +44,23 @@
     ]
 
 
+@when(
+    "{entries:d} entry processes and {engines:d} engines play a load of {load:g} with pulses at "
+    "their allowed rate"
+)
+def play_many(context, entries, engines, load):
+    configure_logs("critical")
+    setting = Setting(
+        load=load,
+        entries=entries,
+        engines=engines,
+        seconds=6.0,
+        near_seconds=0.1,
+        far_seconds=2.0,
+    )
+    context.own = [played(setting)]
+
+
 @then("callers get at least {share:g} of what is owed")
 def share_of_owed(context, share):
     own = mean([row["worth"] for row in context.own])
--- a/verbenaward/ctl/main.py
+++ b/verbenaward/ctl/main.py
@@ -13,6 +13,7 @@
 from ..configuration.settings import load_settings
 from .build import build_artifact, publish
 from .commands_config import config_commands
+from .commands_logs import explain_command, logs_commands
 from .commands_release import apply_command, release_commands
 from .commands_status import drain_command, status_command
 from .options import JsonOption
@@ -25,9 +26,11 @@
 )
 application.add_typer(release_commands, name="release")
 application.add_typer(config_commands, name="config")
+application.add_typer(logs_commands, name="logs")
 application.command("apply")(apply_command)
 application.command("status")(status_command)
 application.command("drain")(drain_command)
+application.command("explain")(explain_command)
 
 
 @application.command("manifest")
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -30,7 +30,7 @@
     if checked.value is None:
         sys.stderr.write(faults_page(path, checked.faults))
         return EXIT_BAD_SETTINGS
-    run(checked.value, given.log_level)
+    run(checked.value, path, given.log_level)
     return 0
 
 
@@ -54,18 +54,19 @@
     return "\n".join(lines) + "\n"
 
 
-def run(settings: Settings, log_level: str) -> None:
+def run(settings: Settings, settings_file: Path, log_level: str) -> None:
     """Run a daemon until it is told to end; only what its role needs is imported.
 
     Args:
       settings: Checked settings.
+      settings_file: Where they came from.
       log_level: Lowest level that is logged.
     """
     configure_logs(log_level)
     if settings.direct is not None:
         from .direct_service import run as run_direct
 
-        run_direct(settings, settings.direct.grace_seconds)
+        run_direct(settings, settings_file, settings.direct.grace_seconds)
         return
     from .service import run as run_before_backends
 
--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -15,7 +15,11 @@
 LOADING_LOAD = 0.75
 """Part of its places below which a backend that refuses must have another reason."""
 MISDIRECTED_SECONDS = 1.0
-"""Time for which a backend gets nothing that turned out to be another one."""
+"""Time for which a backend gets nothing that turned out to be another one; twice that for each
+time that it is found again."""
+LONGEST_MISDIRECTED_SECONDS = 4.0
+OTHER_WEIGHTS_SECONDS = 0.4
+"""Time for which a backend gets nothing that has just loaded weights; it registers them at once."""
 LONGEST_LOADING_SECONDS = 4.0
 """Time after which a backend that was said to load is asked again."""
 LOADING_SECONDS = 0.6
@@ -53,6 +57,8 @@
       remote: Load of other entry processes by their name.
       passed_over_until: Time until which it gets nothing unless no other is left.
       loading_until: Time until which it gets nothing: it loads, or another one is there.
+      misdirected_until: Time until which it is held to be another one than it was.
+      misdirections: How often it was found so since its last good answer.
       loads_at: When it will begin to load other weights and take nothing; past where unknown.
       failures_in_a_row: Attempts since the last good one that found it dead or silent.
       failure_share: Smoothed share of attempts that failed.
@@ -67,6 +73,8 @@
     remote: dict[str, RemoteLoad] = field(default_factory=dict)
     passed_over_until: float = 0.0
     loading_until: float = 0.0
+    misdirected_until: float = 0.0
+    misdirections: int = 0
     loads_at: float = 0.0
     failures_in_a_row: int = 0
     failure_share: float = 0.0
@@ -106,6 +114,7 @@
     def note_good(self) -> None:
         """Learn from an answer."""
         self.failures_in_a_row = 0
+        self.misdirections = 0
         self.failure_share *= 1 - FAILURE_SMOOTHING
 
     def note_slowness(self, ratio: float) -> None:
@@ -129,8 +138,15 @@
         self.loading_until = now + LONGEST_LOADING_SECONDS
 
     def note_misdirected(self, now: float) -> None:
-        """Learn that another incarnation, or other weights, are at its address by now."""
-        self.loading_until = max(self.loading_until, now + MISDIRECTED_SECONDS)
+        """Learn that another incarnation is at its address by now."""
+        pause = min(LONGEST_MISDIRECTED_SECONDS, MISDIRECTED_SECONDS * 2**self.misdirections)
+        self.misdirections += 1
+        self.misdirected_until = now + pause
+        self.loading_until = max(self.loading_until, self.misdirected_until)
+
+    def note_other_weights(self, now: float) -> None:
+        """Learn that it is another incarnation or holds other weights; its word will come."""
+        self.loading_until = max(self.loading_until, now + OTHER_WEIGHTS_SECONDS)
 
     def note_full(self, now: float) -> None:
         """Learn that it had no room; one with free places loads weights, which takes longer."""
--- a/verbenaward/direct/decisions.py
+++ b/verbenaward/direct/decisions.py
@@ -55,15 +55,29 @@
         self.failures = LineBudget(FAILURE_LINES_PER_SECOND)
 
     def write(self, budget: LineBudget, event: str, request: Request, **values: Any) -> None:
-        """Write a line where the budget allows one."""
-        now = time.monotonic()
-        if not budget.take(now):
+        """Write a line about a request where the budget allows one."""
+        held = round((time.monotonic() - request.received_at) * 1000, 1)
+        self.write_line(budget, event, request=request.said.request_id, held_ms=held, **values)
+
+    def write_line(self, budget: LineBudget, event: str, **values: Any) -> None:
+        """Write a line where the budget allows one, and how many were dropped before it."""
+        if not budget.take(time.monotonic()):
             return
         if budget.dropped:
             values["dropped"] = budget.dropped
             budget.dropped = 0
-        held = round((now - request.received_at) * 1000, 1)
-        LOG.info(event, request=request.said.request_id, held_ms=held, **values)
+        LOG.info(event, **values)
+
+    def turned_away(self, request_id: str, refusal: Refusal) -> None:
+        """Note that a request ends before a backend is looked for."""
+        self.write_line(
+            self.failures,
+            "request.turned-away",
+            request=request_id,
+            reason=refusal.reason,
+            status=refusal.status,
+            message=refusal.message,
+        )
 
     def sent(self, request: Request, choice: Choice, sends: int) -> None:
         """Note that a request was sent to a backend."""
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -19,6 +19,7 @@
 from ..schema.settings import Settings
 from ..wire.codec import MalformedMessageError, decode, encode
 from .backends import RemoteLoad
+from .cells import Cell, cell_of
 from .entry_peers import EntryPeer, EntryRecord, is_older
 from .fleet import Fleet
 from .poison import Crashes
@@ -41,6 +42,8 @@
 """Entry processes that watch the store; the others hear from them."""
 UNCHECKED_SECONDS = 1.6
 """Time without a word of the store after which a process watches by itself."""
+MANY_UNCHECKED_SECONDS = 3.5
+"""The same where a word takes several pulses to come round."""
 MOST_TARGETS = 16
 """Entry processes that get one pulse, drawn anew each time."""
 
@@ -53,6 +56,7 @@
       peers: Other entry processes by their control address.
       is_ready: Tells whether this process takes requests.
       leaving: True once this process has been told to end.
+      cell: Those that hear of each change of load at once, and their engines.
       heard_revision: Called with the revision that another process knows.
       checked_at: Tells when the store last answered this process.
     """
@@ -75,6 +79,7 @@
         self.heard_revision = heard_revision
         self.checked_at = checked_at
         self.leaving = False
+        self.cell = Cell()
         self.peers: dict[str, EntryPeer] = {}
         self.incarnation = time.time_ns()
         self.sequence = 0
@@ -149,7 +154,7 @@
     async def run(self) -> None:
         """Send pulses until cancelled.
 
-        Those in the region hear of each change of load at once, within the allowed rate: they
+        Those of the cell hear of each change of load at once, within the allowed rate: they
         send to the same backends. All hear a whole pulse now and then, and when there is news.
         """
         while True:
@@ -189,7 +194,7 @@
         self.has_news = False
         self.told_revision = self.view.revision
         targets = list(self.peers)
-        if len(targets) > MOST_TARGETS:
+        if self.are_many:
             targets = self.rng.sample(targets, MOST_TARGETS)
         pulse = self.pulse(now)
         self.told_loads = {load.backend: load for load in pulse.loads}
@@ -198,7 +203,7 @@
         self.next_whole_at = max(now + IDLE_PULSE_SECONDS, min(owed, now + LONGEST_PULSE_SECONDS))
 
     def send_loads(self, now: float) -> None:
-        """Send the loads that have changed to the entry processes of the region."""
+        """Send the loads that have changed to the entry processes of the cell."""
         loads = {load.backend: load for load in self.loads()}
         changed = [load for name, load in loads.items() if self.told_loads.get(name) != load]
         ended = [BackendLoad(name) for name in self.told_loads if name not in loads]
@@ -206,14 +211,13 @@
         near = [peer.control for peer in self.peers.values() if peer.is_near]
         if not near or not (changed or ended):
             return
-        if len(near) > MOST_TARGETS:
-            near = self.rng.sample(near, MOST_TARGETS)
         self.sequence += 1
         partial = Pulse(
             incarnation=self.incarnation,
             sequence=self.sequence,
             loads=(*changed, *ended),
             partial=True,
+            misdirected=self.misdirected(now),
         )
         sent = self.send(partial, near)
         self.next_loads_at = now + sent / (self.rate() * LOADS_SHARE)
@@ -253,8 +257,9 @@
             revision=self.view.revision,
             loads=self.loads(),
             crashes=self.crashes.to_tell(now),
+            misdirected=self.misdirected(now),
             entries=tuple(named) if self.sequence % 16 == 1 else (),
-            checked_ms=min(LONGEST_AGE_MS, int((now - self.checked_at()) * MILLISECONDS)),
+            checked_ms=min(LONGEST_AGE_MS, int(self.seconds_since_check(now) * MILLISECONDS)),
         )
 
     def take(self, payload: bytes, source: tuple[str, int], now: float) -> None:
@@ -283,18 +288,46 @@
             LOG.info("entry.heard", entry=pulse.vm, ready=pulse.ready)
         peer.pulse = pulse
         peer.heard_at = now
-        peer.is_near = self.region_of(pulse.zone) == self.region_of(self.settings.zone)
         for control in pulse.entries:
             self.peer(control)
         self.crashes.take(pulse.crashes, now)
+        self.fleet.note_misdirected(pulse.misdirected, now)
         self.take_loads(pulse, now)
         self.heard_revision(pulse.revision)
 
+    def misdirected(self, now: float) -> tuple[int, ...]:
+        """Return the backends that turned out to be others than they were."""
+        return tuple(
+            view.short_name for view in self.fleet.backends.values() if view.misdirected_until > now
+        )
+
     def region_of(self, zone: str) -> str:
         """Return the region of a zone; the zone itself where the settings do not say."""
         direct = self.settings.direct
         return direct.zones.get(zone, zone) if direct else zone
 
+    def arrange_cell(self, now: float) -> None:
+        """Deal the entry processes and engines of the region into cells.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+        """
+        region = self.region_of(self.settings.zone)
+        members = [
+            pulse.vm for pulse in self.ready_peers(now) if self.region_of(pulse.zone) == region
+        ]
+        engines = [
+            view.backend.address
+            for view in self.fleet.backends.values()
+            if view.backend.weights is not None and self.region_of(view.backend.zone) == region
+        ]
+        cell = cell_of(self.settings.vm, members, engines)
+        if cell.members != self.cell.members:
+            LOG.info("cell.changed", members=len(cell.members), backends=len(cell.backends))
+        self.cell = cell
+        for peer in self.peers.values():
+            peer.is_near = peer.pulse is not None and peer.pulse.vm in cell.members
+
     def take_partial(self, peer: EntryPeer, pulse: Pulse, now: float) -> None:
         """Take the changed loads of an entry process that is known."""
         known = peer.pulse
@@ -304,6 +337,7 @@
             return
         peer.pulse = dataclasses.replace(known, sequence=pulse.sequence)
         peer.heard_at = now
+        self.fleet.note_misdirected(pulse.misdirected, now)
         loads = {load.backend: load for load in pulse.loads}
         for view in self.fleet.backends.values():
             load = loads.get(view.short_name)
@@ -336,11 +370,10 @@
 
     def ready_peers(self, now: float) -> list[Pulse]:
         """Return the last messages of the entry processes that take requests."""
-        many = len(self.peers) > MOST_TARGETS
         return [
             peer.pulse
             for peer in self.peers.values()
-            if peer.pulse is not None and peer.is_named(now, many)
+            if peer.pulse is not None and peer.is_named(now, self.are_many)
         ]
 
     def is_watcher(self, now: float) -> bool:
@@ -355,14 +388,28 @@
         alive = [
             (peer.pulse.zone, peer.pulse.vm)
             for peer in self.peers.values()
-            if peer.pulse is not None and peer.is_alive(now) and not peer.pulse.leaving
+            if peer.pulse is not None and not peer.pulse.leaving and self.is_present(peer, now)
         ]
         own = (self.settings.zone, self.settings.vm)
         first: dict[str, tuple[str, str]] = {}
         for zone, vm in sorted([*alive, own]):
             first.setdefault(zone, (zone, vm))
         chosen = list(first.values())[:WATCHERS]
-        return own in chosen or self.seconds_unchecked(now) > UNCHECKED_SECONDS
+        longest = MANY_UNCHECKED_SECONDS if self.are_many else UNCHECKED_SECONDS
+        return own in chosen or self.seconds_unchecked(now) > longest
+
+    @property
+    def are_many(self) -> bool:
+        """Return True where there are more entry processes than get each pulse."""
+        return len(self.peers) > MOST_TARGETS
+
+    def is_present(self, peer: EntryPeer, now: float) -> bool:
+        """Return True where an entry process is there, as far as pulses or its lease tell."""
+        return peer.is_alive(now) or (self.are_many and peer.registered)
+
+    def seconds_since_check(self, now: float) -> float:
+        """Return how long ago the store last answered this process or one that it heard."""
+        return min(now - self.checked_at(), self.seconds_unchecked(now))
 
     def seconds_unchecked(self, now: float) -> float:
         """Return how long ago the store last answered one of the other processes."""
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -9,7 +9,7 @@
 ALIVE_SECONDS = 1.2
 """Silence after which an entry process is not named to callers any more."""
 FAR_ALIVE_SECONDS = 2.4
-"""The same for one in another region, which is heard less often."""
+"""The same for one of another cell, which is heard less often."""
 REPLACED_SECONDS = 0.5
 
 
@@ -39,7 +39,7 @@
       registered: True while the store names it.
       pulse: Its last message; None before the first.
       heard_at: When it was last heard.
-      is_near: True where it is in the region of this process.
+      is_near: True where it is of the cell of this process.
     """
 
     control: str
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -98,7 +98,14 @@
         self.put(result.unwrap(), now)
 
     def put(self, backend: Backend, now: float) -> None:
-        """Take a readable registration."""
+        """Take a readable registration; one whose address has a later incarnation names nobody."""
+        for view in self.at_address(backend):
+            if view.backend.born_unix_ms > backend.born_unix_ms > 0:
+                self.drop(backend.identity)
+                return
+            if 0 < view.backend.born_unix_ms < backend.born_unix_ms:
+                LOG.info("backend.gone", backend=view.backend.identity)
+                self.drop(view.backend.identity)
         known = self.backends.get(backend.identity)
         if known is None or known.backend.born_unix_ms != backend.born_unix_ms:
             self.drop(backend.identity)
@@ -117,6 +124,20 @@
         known.gone_at = 0.0
         self.arrange()
 
+    def at_address(self, backend: Backend) -> list[BackendView]:
+        """Return the other incarnations that are known at the address of a backend."""
+        return [
+            view
+            for view in self.backends.values()
+            if view.backend.address == backend.address and view.backend.identity != backend.identity
+        ]
+
+    def note_misdirected(self, short_names: tuple[int, ...], now: float) -> None:
+        """Take what another entry process found: these backends are not what they were."""
+        for view in self.backends.values() if short_names else ():
+            if view.short_name in short_names and view.loading_until <= now:
+                view.note_misdirected(now)
+
     def note_loading(self, address: str, in_seconds: float, now: float) -> None:
         """Note that a backend will take nothing until it holds other weights.
 
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -183,7 +183,7 @@
             self.load_changed()
         if isinstance(result, Success):
             return self.judge_answer(request, progress, view, result.unwrap())
-        self.note_failure(request, progress, view, result.failure())
+        self.note_failure(request, progress, choice, result.failure())
         return self.after_failure(request, progress, result.failure())
 
     def order_of(self, request: Request, choice: Choice, now: float) -> SendOrder:
@@ -231,16 +231,20 @@
         return None
 
     def note_failure(
-        self, request: Request, progress: Progress, view: BackendView, failed: FailedAttempt
+        self, request: Request, progress: Progress, choice: Choice, failed: FailedAttempt
     ) -> None:
         """Learn from a failed send."""
+        view = choice.view
         now = time.monotonic()
         self.log.failed(request, view, failed)
         progress.tried.add(view.backend.identity)
         if failed.failure is Failure.FULL:
             view.note_full(now)
         elif failed.failure is Failure.NOT_RUN and not failed.may_have_run:
-            view.note_misdirected(now)
+            if choice.version:
+                view.note_other_weights(now)
+            else:
+                view.note_misdirected(now)
         elif failed.failure in (Failure.UNREACHABLE, Failure.SILENT):
             view.note_silent(now)
         else:
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -66,11 +66,7 @@
         Raises:
           RefusedError: It gets no answer of a backend.
         """
-        received_at = time.monotonic()
-        body = await self.read_body(caller)
-        if self.closed:
-            raise RefusedError(not_run(503, "leaving", "this process ends", 0.01))
-        request = self.request_of(caller, body, received_at)
+        request = await self.taken(caller)
         labels = labels_of(request)
         started = time.monotonic()
         verdict = Verdict.RAN.value
@@ -89,6 +85,23 @@
             return web.Response(status=result.status, headers=result.headers, body=result.body)
         return result
 
+    async def taken(self, caller: web.Request) -> Request:
+        """Read a request and find its route and workspace.
+
+        Raises:
+          RefusedError: It is turned away.
+        """
+        received_at = time.monotonic()
+        try:
+            body = await self.read_body(caller)
+            if self.closed:
+                raise RefusedError(not_run(503, "leaving", "this process ends", 0.01))
+            return self.request_of(caller, body, received_at)
+        except RefusedError as error:
+            request_id = read_caller_headers(caller.headers).request_id
+            self.forwarder.log.turned_away(request_id, error.refusal)
+            raise
+
     async def read_body(self, caller: web.Request) -> bytes:
         """Return the body of a request.
 
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -10,6 +10,7 @@
 from ..data import EngineModel, Refusal, ServiceShare, Verdict
 from ..requests.refusals import not_run
 from .backends import BackendView, first_event_seconds, residence_seconds
+from .cells import Cell
 from .fleet import Fleet
 from .patience import Patience
 from .records import Request
@@ -23,9 +24,11 @@
 """Expected delay of a backend that fails all requests, over one that fails none."""
 REGION_SECONDS = 0.006
 """Usual round trip to another region."""
-FAR_COST_SECONDS = 0.25
+FAR_COST_SECONDS = 0.3
 """Cost of another region: the load that its entry processes put on backends is heard late, and
 the link between them is narrow."""
+CELL_COST_SECONDS = 0.25
+"""Cost of an engine that the entry processes of another cell prefer, for the same reason."""
 OVERRUN_SHARE = 0.25
 """What counts of the time for which a stream holds up an engine that is about to load."""
 LATE_TARGETS = 0.75
@@ -69,6 +72,7 @@
       zone: Availability zone of this process.
       regions: Region of each zone.
       version_seconds: Bound on requests that begin on older weights; 0 for none.
+      cell: The entry processes that tell this one at once what they send, and their engines.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self.version_seconds = version_seconds
         self.rng = random.Random()
         self.patience = Patience()
+        self.cell = Cell()
 
     def choose(self, request: Request, tried: set[str], now: float) -> Choice | None:
         """Return the backend that should give the first event soonest.
@@ -136,9 +141,14 @@
         return distance + doubt + first_event_seconds(view, request.engine, prompt, now)
 
     def far_cost_seconds(self, view: BackendView) -> float:
-        """Return what speaks against a backend because it is in another region."""
+        """Return what speaks against a backend because others know its load better."""
         here, there = self.regions.get(self.zone), self.regions.get(view.backend.zone)
-        return 0.0 if here == there else FAR_COST_SECONDS
+        if here != there:
+            return FAR_COST_SECONDS
+        preferred = self.cell.backends
+        if not preferred or view.backend.weights is None or view.backend.address in preferred:
+            return 0.0
+        return CELL_COST_SECONDS
 
     def distance_seconds(self, view: BackendView) -> float:
         """Return a usual round trip to a backend."""
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -44,6 +44,7 @@
 BACKLOG = 512
 HEADER_BYTES = 16 * 1024
 STORE_SHARE_SECONDS = 0.5
+CELL_SECONDS = 0.5
 
 
 class DirectEntryRole:
@@ -111,6 +112,7 @@
             self.entries.run(),
             self.keep_registered(),
             self.watch_health(),
+            self.keep_cell(),
         ):
             self.tasks.append(asyncio.create_task(work))
 
@@ -235,6 +237,23 @@
             self.relay.know_held()
             await asyncio.sleep(0.1)
 
+    async def keep_cell(self) -> None:
+        """Keep the cell of this process up to date."""
+        while True:
+            self.entries.arrange_cell(time.monotonic())
+            self.front.forwarder.placer.cell = self.entries.cell
+            await asyncio.sleep(CELL_SECONDS)
+
+    def reload(self, settings: Settings, direct: DirectSettings) -> None:
+        """Take settings that have changed; addresses stay until the next start."""
+        self.settings, self.direct = settings, direct
+        self.entries.settings = self.relay.settings = settings
+        placer = self.front.forwarder.placer
+        placer.zone, placer.regions = settings.zone, direct.zones
+        placer.version_seconds = direct.version_seconds
+        self.budget.ratio, self.budget.extra = direct.retry_ratio, direct.retry_extra
+        self.budget.window_seconds = direct.retry_window_seconds
+
     async def drain(self) -> None:
         """Leave: take requests for as long as callers keep addresses, then end the running ones."""
         if self.front.leaving:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -149,7 +149,7 @@
             result = await self.attempt(request, progress, choice, delivery)
             if not isinstance(result, FailedAttempt):
                 return result
-            forwarder.note_failure(request, progress, choice.view, result)
+            forwarder.note_failure(request, progress, choice, result)
             kept = forwarder.after_failure(request, progress, result)
             if kept is not None:
                 return kept
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -1,16 +1,19 @@
 """Runs a role that reaches backends at their own addresses, as an aiomisc service."""
 
 import signal
+from pathlib import Path
 from typing import Protocol
 
 import aiomisc
 import structlog
 
+from .configuration.settings import load_settings
 from .logs import get_logger
 from .schema.settings import DirectSettings, Settings
 
 LOG = get_logger(__name__)
 CLEANUP_SECONDS = 1.0
+MOST_FAULTS = 10
 
 
 class DirectRole(Protocol):
@@ -20,6 +23,10 @@
         """Listen and start all tasks."""
         ...
 
+    def reload(self, settings: Settings, direct: DirectSettings) -> None:
+        """Take settings that have changed, as far as that is possible without a restart."""
+        ...
+
     async def drain(self) -> None:
         """Take nothing new and end what runs."""
         ...
@@ -44,6 +51,7 @@
     """Runs one role until the process is told to end."""
 
     settings: Settings
+    settings_file: Path
 
     async def start(self) -> None:
         """Start the role."""
@@ -51,11 +59,27 @@
         direct = self.settings.direct
         if direct is None:
             raise ValueError("the settings have no section for backends at their own addresses")
-        self.loop.add_signal_handler(signal.SIGHUP, note_reload)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.role = build_role(self.settings, direct)
         await self.role.start()
         LOG.info("daemon.started", role=self.settings.role, listen=self.settings.listen)
 
+    def reload(self) -> None:
+        """Read the settings again; with a fault in them, those that are in force stay so."""
+        checked = load_settings(self.settings_file)
+        settings = checked.value
+        if settings is None or settings.direct is None:
+            faults = [f"{fault.path}: {fault.message}" for fault in checked.faults]
+            LOG.error("daemon.reload", outcome="unreadable", faults=faults[:MOST_FAULTS])
+            return
+        fixed = (self.settings.role, self.settings.vm, self.settings.listen)
+        if (settings.role, settings.vm, settings.listen) != fixed:
+            LOG.error("daemon.reload", outcome="needs a restart")
+            return
+        self.settings = settings
+        self.role.reload(settings, settings.direct)
+        LOG.info("daemon.reload", outcome="taken")
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain, then stop."""
         await self.role.drain()
@@ -63,19 +87,15 @@
         LOG.info("daemon.stopped")
 
 
-def note_reload() -> None:
-    """Note that the settings have changed; what a process does with them stands at its start."""
-    LOG.info("daemon.reload")
-
-
-def run(settings: Settings, grace_seconds: float) -> None:
+def run(settings: Settings, settings_file: Path, grace_seconds: float) -> None:
     """Run a daemon until it is told to end.
 
     Args:
       settings: Checked settings.
+      settings_file: Where they came from; they are read again when they have changed.
       grace_seconds: Time between the order to stop and the end.
     """
-    service = DirectService(settings=settings)
+    service = DirectService(settings=settings, settings_file=settings_file)
     with aiomisc.entrypoint(
         service,
         log_config=False,
--- a/verbenaward/filling/role.py
+++ b/verbenaward/filling/role.py
@@ -67,6 +67,12 @@
         async with self.uploads:
             return await send_slowly(request, chunk, rate)
 
+    def reload(self, settings: Settings, direct: DirectSettings) -> None:
+        """Take settings that have changed; addresses stay until the next start."""
+        self.settings = settings
+        for part in (self.listener, self.filler, self.filler.fetcher):
+            part.settings, part.direct = settings, direct
+
     async def drain(self) -> None:
         """Leave at once: no request waits for this process."""
 
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -136,6 +136,7 @@
   loading @12 :Text;        # from an endpoint: address of its engine, which loads weights
   loadingInMs @13 :UInt32;  # when it begins to; 0 where it takes nothing from now on
   partial @14 :Bool;
+  misdirected @15 :List(UInt32);  # backends that are not what they were, as in BackendLoad
 }
 
 # One item of the platform's store, as an entry process hands it on.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -187,6 +187,7 @@
     loading: str = ""
     loading_in_ms: int = 0
     partial: bool = False
+    misdirected: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
