A version that a process finds at its start binds within 2.7 s, however long the bound

The entry process had just started; it held what it found to be 5.3 s old, which leaves 2.7 s of a bound of 8 s but 4.4 s of this site's 9.7 s, longer than the 3 to 4 s after which it is held to its bounds again.

Ruled out: a late word (version 2 was named 12 s before).

Change: such a version binds 2.7 s after the start whatever the bound. On the sites with 8 s nothing changes. The new scenario fails at 9.7 and 60 s without it.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -19,6 +19,17 @@
     When the version that a request needs is asked for
     Then it is the older of the two
 
+  Scenario Outline: A version that a process finds at its start binds soon, however long the bound
+    Given a process that finds a named version in the store at its start
+    When requests come under a bound of <bound> s
+    Then they need the version after 3 s
+
+    Examples:
+      | bound |
+      | 8     |
+      | 9.7   |
+      | 60    |
+
   Scenario: A request that has no engine with the needed weights is refused
     Given a version named 9 s ago and a newer one named 2 s ago
     And engines that hold the version before both
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -147,6 +147,26 @@
     assert all(view.version_of("model") == 1 for view in context.fleet.backends.values())
 
 
+@given("a process that finds a named version in the store at its start")
+def found_version(context):
+    view = ItemView()
+    context.fleet = Fleet(view)
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    view.take(Changes(7, True, (KeyValueEntry("op/version/model", value, 5),)), NOW)
+
+
+@when("requests come under a bound of {bound:g} s")
+def under_bound(context, bound):
+    context.needed = [
+        context.fleet.required_version("model", bound, NOW + after) for after in (0.0, 3.0)
+    ]
+
+
+@then("they need the version after 3 s")
+def needed_soon(context):
+    assert context.needed == [0, 2], context.needed
+
+
 @when("the version that a request needs is asked for")
 def needed(context):
     context.version = placer_of(context.fleet).required_version(request_of(), NOW)
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -1,5 +1,6 @@
 """The state that an entry process derives from the items of the store."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -19,16 +20,25 @@
 """Time for which a backend stays in use whose registration lapsed in an outage of the store."""
 OUTAGE_MEMORY_SECONDS = 3.0
 START_AGE_SECONDS = 5.3
-"""Age that a version has at least which a new process finds; when it was named is unknown."""
+"""Age that a version is held to have which a new process finds; when it was named is unknown."""
+START_DUE_SECONDS = 2.7
+"""Time after which such a version binds, however long the bound: it may be due already."""
 KEPT_VERSIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
 class HeardVersion:
-    """A named version of weights and when it was heard."""
+    """A named version of weights.
+
+    Attributes:
+      named: The version.
+      heard_at: When it was heard, or is held to have been, monotonic.
+      binds_at: When it binds at the latest, monotonic; never for one that was heard at once.
+    """
 
     named: NamedVersion
     heard_at: float
+    binds_at: float = math.inf
 
 
 class Fleet:
@@ -190,8 +200,10 @@
         known = self.versions.setdefault(named.model, [])
         if known and named.version <= known[-1].named.version:
             return
-        heard_at = now if self.view.revision else now - START_AGE_SECONDS
-        known.append(HeardVersion(named, heard_at))
+        if self.view.revision:
+            known.append(HeardVersion(named, now))
+        else:
+            known.append(HeardVersion(named, now - START_AGE_SECONDS, now + START_DUE_SECONDS))
         del known[:-KEPT_VERSIONS]
         LOG.info("version.named", model=named.model, version=named.version)
         for listener in self.version_listeners if self.view.revision else ():
@@ -216,7 +228,11 @@
           now: Present time, monotonic, in seconds.
         """
         named = self.versions.get(model, ())
-        due = [item.named.version for item in named if now - item.heard_at >= bound_seconds]
+        due = [
+            item.named.version
+            for item in named
+            if now >= min(item.heard_at + bound_seconds, item.binds_at)
+        ]
         return max(due, default=0)
 
     def newest_version(self, model: str) -> int:
