Steps on decisions and the bench of policies are split by matter

Steps are now by what they are about (decisions, pulses, plans of filling, items); what they share is in tests/direct_fakes.py; policies and the play are modules of their own. Moves only: the assertions before and after are the same lines (compared), the product is unchanged.

--- /dev/null
+++ b/tests/direct_fakes.py
@@ -0,0 +1,57 @@
+"""What steps on the direct mode share: requests, fleets and entry processes without a network."""
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from verbenaward.data import Backend, EngineModel, HeldWeights, Route, RouteKind
+from verbenaward.direct.entries import Entries
+from verbenaward.direct.fleet import Fleet
+from verbenaward.direct.placing import Placer
+from verbenaward.direct.poison import Crashes
+from verbenaward.direct.records import Request
+from verbenaward.knowledge.items import ItemView
+from verbenaward.platform.request_headers import CallerHeaders
+from verbenaward.schema.settings import DirectSettings, PlatformSettings, Settings
+
+NOW = 1000.0
+ENGINE = EngineModel(16, 0.00887, 0.00004, 19100.0, 2048, 5, 977.0, 94.0, ("model",), 48, 49152)
+ROUTE = Route("r", "h", "/", RouteKind.STREAMING, (), 6.0, 0.5, 0.4, 1, 2, False, True)
+
+
+def request_of(prompt=900, answer=100, hint=0):
+    said = CallerHeaders("a", 6.0, "", "model", prompt, answer, "", hint)
+    headers = CIMultiDictProxy(CIMultiDict())
+    return Request(
+        headers, said, "POST", "/", b"", ROUTE, "engines", ENGINE, "one", 1, NOW, NOW + 6, b"f"
+    )
+
+
+def fleet_of(count, version=1):
+    fleet = Fleet(ItemView())
+    for index in range(count):
+        held = (HeldWeights("model", version),)
+        backend = Backend(
+            f"e-{index}", "engines", f"h:{index + 1}", "zone-a", 16, False, held, 0, 1
+        )
+        fleet.put(backend, NOW)
+    return fleet
+
+
+def placer_of(fleet):
+    return Placer(fleet, "zone-a", {"zone-a": "region-a"}, 8.0)
+
+
+def entries_of(vm, zone, port, checked_at, zones=None):
+    settings = Settings(
+        1,
+        "entry",
+        vm,
+        zone,
+        zone,
+        f"127.0.0.1:{port}",
+        PlatformSettings("http://h", "leased"),
+        direct=DirectSettings(front=f"127.0.0.1:{port + 100}", zones=zones or {}),
+    )
+    view = ItemView()
+    return Entries(
+        settings, view, Fleet(view), Crashes(), lambda: True, lambda _: None, lambda: checked_at
+    )
--- /dev/null
+++ b/tests/steps/entry_pulses.py
@@ -0,0 +1,206 @@
+"""Steps on entry processes that tell each other what they know and send."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from tests.direct_fakes import NOW, entries_of, fleet_of
+from verbenaward.direct.addresses import addresses_for
+from verbenaward.direct.cells import LEAST_BACKENDS, cell_of
+from verbenaward.schema.messages import Pulse
+from verbenaward.wire.codec import encode
+
+
+@when("{count:d} entry processes in 2 zones hear each other")
+def hear(context, count):
+    def made(checked_at):
+        zones = ("zone-a", "zone-a", "zone-b")
+        found = [
+            entries_of(f"entry-{index}", zones[index], 9000 + index, checked_at)
+            for index in range(count)
+        ]
+
+        now = NOW
+        for sender in found:
+            pulse = encode(sender.pulse(now))
+            port = int(sender.settings.listen.rpartition(":")[2])
+            for taker in found:
+                taker.take(pulse, ("127.0.0.1", port), now)
+        return found
+
+    async def make():
+        return made(NOW), made(NOW - 60)
+
+    context.fresh, context.stale = context.loop.run_until_complete(make())
+
+
+@given("three entry processes of one region and one of another that hear each other")
+def regions_hear(context):
+    zones = {"zone-a": "region-a", "zone-b": "region-b"}
+
+    async def make():
+        context.entries = [
+            entries_of(f"entry-{index}", zone, 9200 + index, NOW, zones)
+            for index, zone in enumerate(("zone-a", "zone-a", "zone-a", "zone-b"))
+        ]
+        context.sent = []
+        for sender in context.entries:
+            sender.transport = SimpleNamespace(
+                sendto=lambda data, to, me=sender: context.sent.append((me, data, to[1]))
+            )
+            for taker in context.entries:
+                taker.fleet.put(fleet_of(1).backends["e-0"].backend, NOW)
+                port = int(sender.settings.listen.rpartition(":")[2])
+                taker.take(encode(sender.pulse(NOW)), ("127.0.0.1", port), NOW)
+        for entries in context.entries:
+            entries.arrange_cell(NOW)
+
+    context.loop.run_until_complete(make())
+
+
+def deliver(context):
+    for sender, data, port in context.sent:
+        own = int(sender.settings.listen.rpartition(":")[2])
+        context.entries[port - 9200].take(data, ("127.0.0.1", own), NOW + 0.01)
+
+
+@when("one of the three sends a request to a backend")
+def send_one(context):
+    context.entries[0].fleet.backends["e-0"].note_started(500)
+    context.entries[0].send_loads(NOW)
+    deliver(context)
+
+
+@then("the other two know of it, and the one of the other region does not yet")
+def know_of_it(context):
+    known = [entries.fleet.backends["e-0"].all_running(NOW) for entries in context.entries]
+    assert known == [1, 1, 1, 0], known
+
+
+@when("its request has ended")
+def send_end(context):
+    context.sent.clear()
+    view = context.entries[0].fleet.backends["e-0"]
+    view.note_read(500)
+    view.note_ended()
+    context.entries[0].send_loads(NOW)
+    deliver(context)
+
+
+@then("none of them counts it any more")
+def none_counts(context):
+    known = [entries.fleet.backends["e-0"].all_running(NOW) for entries in context.entries]
+    assert known == [0, 0, 0, 0], known
+
+
+@when("one of them sends pulses as often as it may for {seconds:d} s while its load changes")
+def pulses_for(context, seconds):
+    sender = context.entries[0]
+    step = 0.01
+    for index in range(round(seconds / step)):
+        now = NOW + index * step
+        sender.fleet.backends["e-0"].running = index % 7
+        if sender.is_whole_due(now):
+            sender.send_whole(now)
+        elif now >= sender.next_loads_at:
+            sender.send_loads(now)
+    context.seconds = seconds
+
+
+@then("they take no more than the allowed rate")
+def within_rate(context):
+    total = sum(len(data) + 28 for _, data, _ in context.sent)
+    rate = context.entries[0].rate()
+    assert 0.5 * rate < total / context.seconds <= rate, (total / context.seconds, rate)
+
+
+@then("{count:d} of them watch the store")
+def watchers(context, count):
+    assert sum(entries.is_watcher(NOW) for entries in context.fresh) == count
+
+
+@then("all watch once nobody has heard from the store")
+def all_watch(context):
+    assert all(entries.is_watcher(NOW) for entries in context.stale)
+
+
+@when("callers of a zone with 2 entry processes and of one with none ask")
+def addresses(context):
+    pulses = [
+        Pulse(vm=f"e-{index}", zone=zone, front=f"h:{index}")
+        for index, zone in enumerate(("zone-a", "zone-a", "zone-b"))
+    ]
+    context.near = addresses_for(pulses, "zone-a", {})
+    context.far = addresses_for(pulses, "zone-c", {})
+
+
+@then("the first get the 2 and the second get all")
+def addresses_given(context):
+    assert set(context.near) == {"h:0", "h:1"} and len(context.far) == 3
+
+
+@when("any entry processes and engines of a region are dealt into cells")
+def deal_cells(context):
+    @for_all(st.integers(1, 60), st.integers(0, 60))
+    def check(members, engines):
+        names = [f"entry-{index}" for index in range(members)]
+        addresses = [f"10.0.0.{index}:80" for index in range(engines)]
+        cells = {name: cell_of(name, names, addresses) for name in names}
+        assert all(name in cell.members for name, cell in cells.items())
+        assert all(cells[other] == cell for cell in cells.values() for other in cell.members)
+        preferred = [cell.backends for cell in set(cells.values())]
+        if len(preferred) > 1:
+            assert all(len(backends) >= LEAST_BACKENDS for backends in preferred)
+            assert sum(map(len, preferred)) == len(addresses)
+            assert frozenset().union(*preferred) == set(addresses)
+        else:
+            assert not preferred[0]
+
+    context.check = check
+
+
+@then("members of a cell agree, and each engine is preferred by one cell")
+def cells_agree(context):
+    context.check()
+
+
+@when("one of the three finds that a backend is another one than it was")
+def find_gone(context):
+    sender = context.entries[0]
+    sender.fleet.backends["e-0"].note_misdirected(NOW)
+    sender.fleet.backends["e-0"].note_started(10)
+    sender.send_loads(NOW)
+    deliver(context)
+
+
+@then("the other two pass it over as well")
+def pass_over(context):
+    held = [entries.fleet.backends["e-0"].loading_until > NOW for entries in context.entries]
+    assert held == [True, True, True, False], held
+
+
+@when("an entry process is heard, falls silent and starts again with an older time")
+def start_again(context):
+    async def make():
+        taker = entries_of("taker", "zone-a", 9100, NOW)
+        before = entries_of("other", "zone-a", 9101, NOW)
+        after = entries_of("other", "zone-a", 9101, NOW)
+        after.incarnation = before.incarnation - 1_000_000
+        source = ("127.0.0.1", 9101)
+        first = encode(before.pulse(NOW))
+        taker.take(first, source, NOW)
+        taker.take(encode(after.pulse(NOW)), source, NOW + 0.1)
+        context.too_early = taker.peers["127.0.0.1:9101"].pulse.incarnation
+        taker.take(encode(after.pulse(NOW)), source, NOW + 1.0)
+        context.replaced = taker.peers["127.0.0.1:9101"].pulse.incarnation
+        context.before, context.after = before.incarnation, after.incarnation
+
+    context.loop.run_until_complete(make())
+
+
+@then("its new pulses count once the old ones have stopped")
+def new_pulses(context):
+    assert context.too_early == context.before
+    assert context.replaced == context.after
--- a/tests/steps/played_load.py
+++ b/tests/steps/played_load.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from bench.policies import Play, Setting, played
+from bench.policy_play import Play, Setting, played
 from verbenaward.logs import configure_logs
 
 SEEDS = (1, 2, 3)
