Partial pulses do not renew the store's word; sends end before weights are too old; narrow links

Cause: a partial pulse renewed the time at which a peer was heard, and with it the age of the store's last answer in that peer's last whole pulse, so nobody ever held the store to be unchecked. Beside it, a peer that fell silent left the cell and was then allowed twice the silence. Now the time of the store's word is kept by itself, and a silent peer keeps its place.

Now bodies that come slower than asked for lower the rate that is asked for, and an engine that owes a first event is expected to be at least that late.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -110,3 +110,27 @@
     Given a backend whose successor registered at its address
     When its own registration is written once more, late
     Then only the successor is used
+
+  Scenario: Watchers that the store does not answer are not relied on while their loads are heard
+    Given three entry processes of one region and one of another that hear each other
+    When the store answers none of them, though their loads go on being told
+    Then the second watches the store itself within 2 s
+
+  Scenario: An entry process that fell silent is not taken for alive again
+    Given three entry processes of one region and one of another that hear each other
+    When one of the three falls silent
+    Then it is held to be gone after 1.2 s, once and for all
+
+  Scenario Outline: A send is ended before the weights of its backend are too old to begin on
+    Given a backend whose weights may not begin anything <seconds> s from now
+    When a request that is expected to begin in time is sent there
+    Then <what>
+
+    Examples:
+      | seconds | what                                                   |
+      | 2       | the send is ended before, though it may not be repeated |
+
+  Scenario: A backend whose first events stay away gets nothing more
+    Given two idle backends, one of which owes a first event since 1 s
+    When a request is placed
+    Then it goes to the one that owes nothing
--- a/tests/filling/filling.feature
+++ b/tests/filling/filling.feature
@@ -62,3 +62,7 @@
     When 9 endpoints of a region with 12 entry processes fetch 48 chunks
     Then each fetches every chunk once
     And no entry process is asked by more than 4 of them for their first chunk
+
+  Scenario: Weights leave a link that has become narrow to requests
+    Given chunks that are fetched over a link of a quarter of its rate
+    Then they are asked for at no more than that, and at the full rate once it is back
--- a/tests/steps/entry_pulses.py
+++ b/tests/steps/entry_pulses.py
@@ -204,3 +204,40 @@
 def new_pulses(context):
     assert context.too_early == context.before
     assert context.replaced == context.after
+
+
+@when("the store answers none of them, though their loads go on being told")
+def store_silent(context):
+    context.watching = {}
+    one, two = context.entries[0], context.entries[1]
+    for index in range(1, 40):
+        now = NOW + index * 0.1
+        context.sent.clear()
+        one.fleet.backends["e-0"].running = index % 5
+        one.send_loads(now)
+        for _, data, port in context.sent:
+            if port == 9201:
+                two.take(data, ("127.0.0.1", 9200), now)
+        two.arrange_cell(now)
+        context.watching[round(index * 0.1, 1)] = two.is_watcher(now)
+
+
+@then("the second watches the store itself within {seconds:g} s")
+def watches_itself(context, seconds):
+    assert all(watching for at, watching in context.watching.items() if at >= seconds)
+
+
+@when("one of the three falls silent")
+def fall_silent(context):
+    first = context.entries[0]
+    peer = first.peers["127.0.0.1:9201"]
+    context.named = []
+    for index in range(40):
+        now = NOW + index * 0.1
+        first.arrange_cell(now)
+        context.named.append((index * 0.1, peer.is_alive(now)))
+
+
+@then("it is held to be gone after {seconds:g} s, once and for all")
+def gone_for_all(context, seconds):
+    assert [alive for _, alive in context.named] == [at < seconds for at, _ in context.named]
--- a/tests/steps/filling_plan.py
+++ b/tests/steps/filling_plan.py
@@ -2,12 +2,13 @@
 
 from collections import Counter
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
 from tests.direct_fakes import NOW
 from verbenaward.direct.runs import chunk_order, holder_order, run_name
+from verbenaward.filling.fetching import SLOW_RATIO, ChunkFetcher
 from verbenaward.filling.plan import (
     IN_TIME_SHARE,
     Overtaken,
@@ -94,3 +95,23 @@
     for share, decided in context.cases:
         in_time = (1 - share) * 4.5 + 4.5 <= IN_TIME_SHARE * 8.0
         assert all(decided) == in_time, (share, decided)
+
+
+@given("chunks that are fetched over a link of a quarter of its rate")
+def narrow_link(context):
+    context.fetcher = ChunkFetcher(None, None, None, None)
+    context.shares = []
+    for _ in range(20):
+        share = context.fetcher.share
+        took = max(1.0, share / 0.25)  # as the link gives no more than a quarter
+        context.fetcher.note_body(1.0, took, share)
+        context.shares.append(context.fetcher.share)
+
+
+@then("they are asked for at no more than that, and at the full rate once it is back")
+def as_the_link_allows(context):
+    assert max(context.shares[5:]) <= 0.25 * SLOW_RATIO, context.shares
+    assert min(context.shares) > 0.1, context.shares
+    for _ in range(30):
+        context.fetcher.note_body(1.0, 1.0, context.fetcher.share)
+    assert context.fetcher.share == 1.0
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -16,7 +16,9 @@
 from verbenaward.direct.budget import SharedBudget
 from verbenaward.direct.decisions import LineBudget
 from verbenaward.direct.fleet import Fleet, HeardVersion
+from verbenaward.direct.forwarding import Progress
 from verbenaward.direct.patience import Patience
+from verbenaward.direct.streams import StreamForwarder
 from verbenaward.knowledge.items import Changes, ItemView
 from verbenaward.logs import DROPPED_KEY, LineWriter
 from verbenaward.platform.key_value import KeyValueEntry
@@ -285,3 +287,47 @@
 def passed_over(context):
     assert context.first.view is context.idle
     assert context.second is None or context.second.view is context.idle
+
+
+@given("a backend whose weights may not begin anything {seconds:g} s from now")
+def soon_outdated(context, seconds):
+    context.fleet = fleet_of(1)
+    heard = NOW + seconds - 8.0
+    context.fleet.versions["model"] = [
+        HeardVersion(SimpleNamespace(model="model", version=2), heard)
+    ]
+
+
+@when("a request that is expected to begin in time is sent there")
+def send_in_time(context):
+    placer = placer_of(context.fleet)
+    forwarder = SimpleNamespace(
+        may_repeat=lambda request, progress: False, has_budget=lambda service, now: False
+    )
+    choice = placer.choose(request_of(), set(), NOW)
+    context.wait = StreamForwarder(forwarder).first_event_wait(
+        request_of(), Progress(), choice, NOW
+    )
+
+
+@then("the send is ended before, though it may not be repeated")
+def ended_before(context):
+    assert context.wait is not None and 0 < context.wait < 2.0, context.wait
+
+
+@then("nothing ends the wait for its first event")
+def nothing_ends(context):
+    assert context.wait is None
+
+
+@given("two idle backends, one of which owes a first event since {seconds:g} s")
+def owes_event(context, seconds):
+    context.fleet = fleet_of(2)
+    context.owing, context.other = context.fleet.backends.values()
+    context.owing.waiting[1] = NOW - seconds
+    context.other.note_started(2000)
+
+
+@then("it goes to the one that owes nothing")
+def to_the_other(context):
+    assert placer_of(context.fleet).choose(request_of(), set(), NOW).view is context.other
--- a/verbenaward/direct/backends.py
+++ b/verbenaward/direct/backends.py
@@ -64,6 +64,7 @@
       failure_share: Smoothed share of attempts that failed.
       slowness: Smoothed ratio of the time to the first event to the expected one.
       gone_at: When its registration lapsed in an outage of the store; 0 while it stands.
+      waiting: Start of each own request that has no first event yet and should have one soon.
       short_name: Its name in messages about load.
     """
 
@@ -80,6 +81,7 @@
     failure_share: float = 0.0
     slowness: float = 1.0
     gone_at: float = 0.0
+    waiting: dict[int, float] = field(default_factory=dict)
     short_name: int = 0
 
     def __post_init__(self) -> None:
@@ -103,6 +105,14 @@
         self.running += 1
         self.prompt_tokens += prompt_tokens
 
+    def longest_wait(self, now: float) -> float:
+        """Return for how long a request has been waiting for its first event; 0 for none.
+
+        A backend that fell silent, or whose link has become narrow, is known by it long before
+        it answers.
+        """
+        return now - min(self.waiting.values(), default=now)
+
     def note_read(self, prompt_tokens: int) -> None:
         """Count a prompt that has been read, or will not be."""
         self.prompt_tokens -= prompt_tokens
--- a/verbenaward/direct/entries.py
+++ b/verbenaward/direct/entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import random
 import socket
 import time
@@ -259,7 +260,7 @@
             crashes=self.crashes.to_tell(now),
             misdirected=self.misdirected(now),
             entries=tuple(named) if self.sequence % 16 == 1 else (),
-            checked_ms=min(LONGEST_AGE_MS, int(self.seconds_since_check(now) * MILLISECONDS)),
+            checked_ms=min(LONGEST_AGE_MS, math.ceil(self.seconds_since_check(now) * MILLISECONDS)),
         )
 
     def take(self, payload: bytes, source: tuple[str, int], now: float) -> None:
@@ -288,6 +289,7 @@
             LOG.info("entry.heard", entry=pulse.vm, ready=pulse.ready)
         peer.pulse = pulse
         peer.heard_at = now
+        peer.checked_at = now - pulse.checked_ms / MILLISECONDS
         for control in pulse.entries:
             self.peer(control)
         self.crashes.take(pulse.crashes, now)
@@ -326,7 +328,9 @@
             LOG.info("cell.changed", members=len(cell.members), backends=len(cell.backends))
         self.cell = cell
         for peer in self.peers.values():
-            peer.is_near = peer.pulse is not None and peer.pulse.vm in cell.members
+            # One that fell silent keeps its place, else its silence would be allowed for longer.
+            if peer.pulse is not None and peer.is_alive(now):
+                peer.is_near = peer.pulse.vm in cell.members
 
     def take_partial(self, peer: EntryPeer, pulse: Pulse, now: float) -> None:
         """Take the changed loads of an entry process that is known."""
@@ -413,11 +417,7 @@
 
     def seconds_unchecked(self, now: float) -> float:
         """Return how long ago the store last answered one of the other processes."""
-        ages = [
-            now - peer.heard_at + peer.pulse.checked_ms / MILLISECONDS
-            for peer in self.peers.values()
-            if peer.pulse is not None and peer.is_alive(now)
-        ]
+        ages = [now - peer.checked_at for peer in self.peers.values() if peer.is_alive(now)]
         return min(ages, default=LONGEST_AGE_MS / MILLISECONDS)
 
     def ahead(self, revision: int, now: float) -> list[str]:
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -39,6 +39,7 @@
       registered: True while the store names it.
       pulse: Its last message; None before the first.
       heard_at: When it was last heard.
+      checked_at: When the store last answered it or one that it heard, by its last whole pulse.
       is_near: True where it is of the cell of this process.
     """
 
@@ -46,6 +47,7 @@
     registered: bool = False
     pulse: Pulse | None = None
     heard_at: float = 0.0
+    checked_at: float = 0.0
     is_near: bool = False
 
     def is_alive(self, now: float) -> bool:
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -40,6 +40,10 @@
     heard_at: float
     binds_at: float = math.inf
 
+    def due_at(self, bound_seconds: float) -> float:
+        """Return the time from which nothing older may begin, monotonic."""
+        return min(self.heard_at + bound_seconds, self.binds_at)
+
 
 class Fleet:
     """Configuration, backends and versions of weights, as this process believes them.
@@ -228,13 +232,20 @@
           now: Present time, monotonic, in seconds.
         """
         named = self.versions.get(model, ())
-        due = [
-            item.named.version
-            for item in named
-            if now >= min(item.heard_at + bound_seconds, item.binds_at)
-        ]
+        due = [item.named.version for item in named if now >= item.due_at(bound_seconds)]
         return max(due, default=0)
 
+    def outdated_at(self, model: str, version: int, bound_seconds: float) -> float:
+        """Return the time from which a version may not begin any more; never for the newest.
+
+        Args:
+          model: Name of the model.
+          version: Version that a backend holds.
+          bound_seconds: Time after its naming from which nothing older may begin.
+        """
+        newer = [item for item in self.versions.get(model, ()) if item.named.version > version]
+        return min((item.due_at(bound_seconds) for item in newer), default=math.inf)
+
     def newest_version(self, model: str) -> int:
         """Return the newest named version of a model; 0 for none."""
         named = self.versions.get(model)
--- a/verbenaward/direct/placing.py
+++ b/verbenaward/direct/placing.py
@@ -4,6 +4,7 @@
 worth waiting for, a request is refused at once, so that those that were taken stay on time.
 """
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -56,12 +57,15 @@
       expected_seconds: Expected time to the answer or the first event.
       version: Version of the weights that it is believed to hold; 0 where any will do.
       cost_seconds: Expected time, and what the request costs those that come after it.
+      begin_by: Time by which the request must have begun there, as its weights will then be too
+        old, monotonic; never where they will not.
     """
 
     view: BackendView
     expected_seconds: float
     version: int
     cost_seconds: float
+    begin_by: float = math.inf
 
 
 class Placer:
@@ -116,7 +120,7 @@
                 held = view.version_of(request.said.model) if version else 0
                 overrun = overrun_seconds(view, request, seconds, now)
                 cost = seconds + OVERRUN_SHARE * overrun + self.far_cost_seconds(view)
-                found.append(Choice(view, seconds, held, cost))
+                found.append(Choice(view, seconds, held, cost, self.begin_by(view, request)))
         return found
 
     def required_version(self, request: Request, at: float) -> int:
@@ -130,6 +134,13 @@
             return 0
         return self.fleet.required_version(request.said.model, self.version_seconds, at)
 
+    def begin_by(self, view: BackendView, request: Request) -> float:
+        """Return the time by which a request must have begun at a backend, monotonic."""
+        if not request.said.model or not self.version_seconds or view.backend.weights is None:
+            return math.inf
+        held = view.version_of(request.said.model)
+        return self.fleet.outdated_at(request.said.model, held, self.version_seconds)
+
     def expected_seconds(self, view: BackendView, request: Request, now: float) -> float:
         """Return the expected time to the answer or the first event at a backend."""
         distance = self.distance_seconds(view)
@@ -138,7 +149,8 @@
             load = view.all_running(now) / max(1, view.backend.slots)
             return distance + doubt + 0.02 * load
         prompt = request.said.prompt_tokens
-        return distance + doubt + first_event_seconds(view, request.engine, prompt, now)
+        seconds = first_event_seconds(view, request.engine, prompt, now)
+        return distance + doubt + max(seconds, view.longest_wait(now))
 
     def far_cost_seconds(self, view: BackendView) -> float:
         """Return what speaks against a backend because others know its load better."""
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -32,6 +33,9 @@
 """Silence after which a stream that may be resumed goes on elsewhere."""
 FIRST_EVENT_SECONDS = 1.5
 FIRST_EVENT_FACTOR = 4.0
+BEGIN_MARGIN_SECONDS = 0.3
+"""Time before its weights are too old at which a backend is told that nobody waits: the word
+may cross a slow link."""
 LARGEST_EVENT_BYTES = 1024 * 1024
 
 
@@ -171,11 +175,9 @@
         try:
             async with contextlib.AsyncExitStack() as stack:
                 limit = await stack.enter_async_context(asyncio.timeout(None))
-                if self.may_go_elsewhere(request, progress):
-                    patience = max(
-                        FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * choice.expected_seconds
-                    )
-                    limit.reschedule(now_of_loop() + patience)
+                wait = self.first_event_wait(request, progress, choice, now)
+                if wait is not None:
+                    limit.reschedule(now_of_loop() + wait)
                 result = await stack.enter_async_context(
                     opened(forwarder.session, request, view, order)
                 )
@@ -190,6 +192,21 @@
         finally:
             reading.end()
 
+    def first_event_wait(
+        self, request: Request, progress: Progress, choice: Choice, now: float
+    ) -> float | None:
+        """Return how long the first event of a send may take; None for as long as it likes.
+
+        Where the backend's weights are soon too old to begin on, the send is ended before: the
+        backend then drops the request instead of beginning it late.
+        """
+        waits = []
+        if self.may_go_elsewhere(request, progress):
+            waits.append(max(FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * choice.expected_seconds))
+        if choice.begin_by < math.inf:
+            waits.append(max(0.0, choice.begin_by - BEGIN_MARGIN_SECONDS - now))
+        return min(waits, default=None)
+
     async def pass_events(
         self,
         request: Request,
@@ -266,6 +283,8 @@
         self.started_at = started_at
         self.is_reading = True
         choice.view.note_started(self.tokens)
+        if not forwarder.placer.is_late(request, started_at):
+            choice.view.waiting[id(self)] = started_at
         forwarder.load_changed()
 
     def first_event(self) -> None:
@@ -285,6 +304,7 @@
         """Count the prompt no more."""
         if self.is_reading:
             self.is_reading = False
+            self.choice.view.waiting.pop(id(self), None)
             self.choice.view.note_read(self.tokens)
 
     def end(self) -> None:
--- a/verbenaward/filling/fetching.py
+++ b/verbenaward/filling/fetching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import time
 
 import aiohttp
 
@@ -19,6 +20,11 @@
 FETCH_SECONDS = 2.5
 FETCH_ATTEMPTS = 5
 PAUSE_SECONDS = 0.1
+SLOW_RATIO = 1.6
+"""Time for a body over the expected one, from which the link is held to be narrower."""
+LEAST_SHARE = 0.1
+EASING = 0.9
+RECOVERY = 1.1
 BITS = 8
 MEGA = 1_000_000
 
@@ -31,6 +37,8 @@
       direct: Their section for backends at their own addresses.
       view: Items of the store, which name the entry processes.
       session: HTTP client.
+      share: Part of the link's rate that is asked for: less where bodies come slower than they
+        should, as what is asked for beyond the link's real rate queues up before requests.
     """
 
     def __init__(
@@ -44,6 +52,7 @@
         self.direct = direct
         self.view = view
         self.session = session
+        self.share = 1.0
 
     async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
         """Return a checked chunk from an entry process, or a manifest; None for none.
@@ -81,15 +90,36 @@
     async def ask(self, url: str) -> bytes | None:
         """Return the body of an answer; None for none."""
         timeout = aiohttp.ClientTimeout(total=FETCH_SECONDS)
-        query = {RATE_QUERY: f"{self.rate() / FETCHES:.0f}"} if self.rate() else {}
+        share = self.share
+        rate = share * self.rate() / FETCHES
+        query = {RATE_QUERY: f"{rate:.0f}"} if rate else {}
         try:
             async with self.session.get(url, params=query, timeout=timeout) as response:
+                began = time.monotonic()
                 body = await response.read()
-                return body if response.status == 200 else None
+                if response.status != 200:
+                    return None
+                if rate:
+                    self.note_body(len(body) / rate, time.monotonic() - began, share)
+                return body
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
             return None
 
+    def note_body(self, expected_seconds: float, took_seconds: float, share: float) -> None:
+        """Learn from a body how much of the link's rate is there.
+
+        Args:
+          expected_seconds: Time that it should have taken at the rate that was asked for.
+          took_seconds: Time from its first byte to its last one.
+          share: Part of the link's rate that was asked for.
+        """
+        if expected_seconds <= 0 or took_seconds < SLOW_RATIO * expected_seconds:
+            self.share = min(1.0, self.share * RECOVERY)
+            return
+        real = EASING * share * expected_seconds / took_seconds
+        self.share = max(LEAST_SHARE, min(self.share, real))
+
 
 def sha256(body: bytes) -> bytes:
     """Return the digest of a chunk."""
