Weights ask for no more than a narrow link gives, on the whole

Change: a body that takes 1.3 times (was 1.6) the expected time lowers the rate to 0.7 (0.9) of what came; it rises by 1.05 (1.1).

--- a/verbenaward/filling/fetching.py
+++ b/verbenaward/filling/fetching.py
@@ -20,11 +20,11 @@
 FETCH_SECONDS = 2.5
 FETCH_ATTEMPTS = 5
 PAUSE_SECONDS = 0.1
-SLOW_RATIO = 1.6
+SLOW_RATIO = 1.3
 """Time for a body over the expected one, from which the link is held to be narrower."""
 LEAST_SHARE = 0.1
-EASING = 0.9
-RECOVERY = 1.1
+EASING = 0.7
+RECOVERY = 1.05
 BITS = 8
 MEGA = 1_000_000
 
