Lines and a counter that tell late hearing from a late start

version.named now carries the revision and unheard_ms, request.sent carries start_within_ms, and request.late-start with the counter verbenaward_late_starts_total report a first event from weights older than required. No decision changes. A scenario plays first events of three versions.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -130,3 +130,8 @@
     Given two backends, one of which has delayed a first event for 1 s
     When a request is placed
     Then it goes to the backend without a delay
+
+  Scenario: A first event from weights that are too old is logged and counted
+    Given a target version set 9 s ago and a newer one set 2 s ago
+    When first events come from versions 1, 2 and 3
+    Then only that of version 1 is logged and counted
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -18,8 +18,9 @@
 from verbenaward.direct.fleet import Fleet, LearnedVersion
 from verbenaward.direct.forwarding import Progress
 from verbenaward.direct.request_log import LineRateLimit
-from verbenaward.direct.streams import StreamForwarder
+from verbenaward.direct.streams import StreamAttempt, StreamForwarder
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
+from verbenaward.metrics import sample_sum
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.replica.store_replica import Changes, StoreReplica
 
@@ -333,3 +334,23 @@
 @then("it goes to the backend without a delay")
 def to_the_other(context):
     assert placer_of(context.fleet).choose(request_of(), set(), NOW).view is context.other
+
+
+@when("first events come from versions 1, 2 and 3")
+def first_events(context):
+    context.logged = []
+    log = SimpleNamespace(
+        late_start=lambda request, view, version, required: context.logged.append(version)
+    )
+    placer = placer_of(context.fleet)
+    forwarder = SimpleNamespace(placer=placer, log=log, load_changed=lambda: None)
+    choice = placer.candidates(request_of(), NOW - 60)[0]
+    context.counted = sample_sum("verbenaward_late_starts_total")
+    for version in (1, 2, 3):
+        StreamAttempt(forwarder, choice, request_of(), NOW).report_late_start(version, NOW)
+    context.counted = sample_sum("verbenaward_late_starts_total") - context.counted
+
+
+@then("only that of version 1 is logged and counted")
+def only_too_old(context):
+    assert context.logged == [1] and context.counted == 1, (context.logged, context.counted)
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -27,6 +27,7 @@
 MAXIMUM_DELAY_AT_START_SECONDS = 2.7
 """Longest time after the start until such a version is required, whatever `version_seconds` is: it
 may be due already."""
+MILLISECONDS_PER_SECOND = 1000
 KEPT_VERSIONS = 16
 """Target versions that are remembered for each model."""
 
@@ -227,7 +228,13 @@
                 )
             )
         del known[:-KEPT_VERSIONS]
-        LOG.info("version.named", model=target.model, version=target.version)
+        LOG.info(
+            "version.named",
+            model=target.model,
+            version=target.version,
+            revision=entry.revision,
+            unheard_ms=round((now - self.replica.updated_at) * MILLISECONDS_PER_SECOND),
+        )
         for listener in self.version_listeners if self.replica.revision else ():
             listener(target.model, target.version)
 
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -4,6 +4,7 @@
 their own, so that usual lines do not displace them.
 """
 
+import math
 import time
 from dataclasses import dataclass
 from typing import Any
@@ -94,6 +95,7 @@
             running=choice.view.all_running(now),
             expected_ms=round(choice.expected_seconds * 1000),
             version=choice.version,
+            start_within_ms=milliseconds_until(choice.start_deadline, now),
             sends=sends,
             caller_ms=round((request.parsed_headers.deadline_seconds or 0.0) * 1000),
         )
@@ -138,6 +140,17 @@
         """Log that a stream resumes at another backend, and after which event."""
         self.write(self.failures, "request.resumed", request, after=after, reason=reason)
 
+    def late_start(self, request: Request, view: BackendView, version: int, required: int) -> None:
+        """Log that the first event came from weights that are too old by now."""
+        self.write(
+            self.failures,
+            "request.late-start",
+            request,
+            backend=view.backend.identity,
+            version=version,
+            required=required,
+        )
+
     def cancelled(self, request: Request) -> None:
         """Log that the caller closed its connection."""
         self.write(self.usual, "request.cancelled", request)
@@ -150,3 +163,8 @@
         self.write(
             self.usual, "request.answered", request, status=status, sends=sends, first_ms=first_ms
         )
+
+
+def milliseconds_until(deadline: float, now: float) -> int | None:
+    """Return the time until a deadline, for a log line; None if there is no deadline."""
+    return round((deadline - now) * 1000) if deadline < math.inf else None
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -16,7 +16,7 @@
 from returns.result import Success
 
 from .. import metrics
-from ..platform.request_headers import BackendHeaders, headers_for_caller
+from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
 from ..requests.events import EVENT_END
 from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
 from .placement import Choice
@@ -234,7 +234,7 @@
         try:
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece):
-                    attempt.on_event()
+                    attempt.on_event(weights_version(answer.headers))
                     can_fail_over = self.may_fail_over(request, progress)
                     limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
         except (aiohttp.ClientError, OSError) as error:
@@ -299,12 +299,17 @@
             choice.view.awaiting_first_event[id(self)] = started_at
         forwarder.load_changed()
 
-    def on_event(self) -> None:
-        """Record an event; the first one ends the prefill and updates the backend's slowness."""
+    def on_event(self, version: int) -> None:
+        """Record an event; the first one ends the prefill and updates the backend's slowness.
+
+        Args:
+          version: Version of the weights from which it comes; 0 if unknown.
+        """
         if not self.awaits_first_event:
             return
         self.end_prefill()
         now = time.monotonic()
+        self.report_late_start(version, now)
         took = now - self.started_at
         self.first_seconds = now - self.request.received_at
         metrics.FIRST_TOKEN_SECONDS.labels(*labels_of(self.request)).observe(self.first_seconds)
@@ -313,6 +318,13 @@
         self.choice.view.record_slowness(took / max(expected, 0.02))
         self.forwarder.load_changed()
 
+    def report_late_start(self, version: int, now: float) -> None:
+        """Log and count a first event from weights that are older than required by now."""
+        required = self.forwarder.placer.required_version(self.request, now)
+        if 0 < version < required:
+            metrics.LATE_STARTS.inc()
+            self.forwarder.log.late_start(self.request, self.choice.view, version, required)
+
     def end_prefill(self) -> None:
         """Stop counting the prompt as load of the backend."""
         if self.awaits_first_event:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -46,6 +46,11 @@
         "answered with {status} after {sends} attempts; first event after {first_ms} ms",
         "status", "sends", "first_ms",
     ),
+    "request.late-start": kind(
+        "the first event came from weights of version {version} of {backend}, though version "
+        "{required} is required",
+        "backend", "version", "required",
+    ),
     "request.cancelled": kind("the caller disconnected"),
 }  # fmt: skip
 
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -45,6 +45,9 @@
 )  # fmt: skip
 WEIGHT_BYTES = Counter("verbenaward_weight_bytes_total", "Bytes of weights", ["source"])
 CHUNKS = Counter("verbenaward_chunks_total", "Chunks by outcome", ["outcome"])
+LATE_STARTS = Counter(
+    "verbenaward_late_starts_total", "First events from weights older than required"
+)
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -162,6 +162,12 @@
     return status == UNAVAILABLE and names.NOT_RUN in headers
 
 
+def weights_version(headers: CIMultiDictProxy[str]) -> int:
+    """Return the version of the weights from which an answer comes; 0 if it does not say."""
+    value = headers.get(names.WEIGHTS_VERSION, "")
+    return int(value) if value.isdecimal() else 0
+
+
 def has_signature(headers: CIMultiDictProxy[str]) -> bool:
     """Return True if the answer carries the signature header of a backend."""
     return names.SIGNATURE in headers
