--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -135,3 +135,8 @@
     Given a target version set 9 s ago and a newer one set 2 s ago
     When first events come from versions 1, 2 and 3
     Then only that of version 1 is logged and counted
+
+  Scenario: An entry process that lacks a peer's changes does not broadcast that its replica is current
+    Given an entry process whose own last answer from the store is 10 s old
+    When a peer broadcasts a newer revision that the store has just confirmed
+    Then its next broadcast says that its replica is at least 10 s old
--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -48,3 +48,14 @@
     When the first process is told to stop while a slow stream runs
     Then the directory of the second lists only the second
     And the stream has all events in order, once each
+
+  Scenario Outline: A target version that is learned late from <source> is required from its bound on
+    Given two entry processes that are ready
+    And target versions are required 3 s after they were set
+    When a target version is set while the second process hears nothing, and <source> tells it 1.5 s later
+    Then from 3 s after it was set the second process starts nothing on older weights
+
+    Examples: late
+      | source    |
+      | the store |
+      | its peer  |
--- a/tests/replica/items.feature
+++ b/tests/replica/items.feature
@@ -17,3 +17,8 @@
     When 10000 keys are written and deleted, one after the other
     Then at most 5000 tombstones are kept
     And an older snapshot restores none of the keys
+
+  Scenario: A watch that is restarted for changes from a peer is no answer from the store
+    Given a follower whose store has stopped answering
+    When its watch is restarted for changes from a peer
+    Then it does not count as an answer from the store
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -1,6 +1,7 @@
 """Steps on the stand-in of the users' platform."""
 
 import asyncio
+import json
 import time
 
 import aiohttp
@@ -11,6 +12,7 @@
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
+from verbenaward.replica.follower import MAXIMUM_WATCH_SECONDS
 from verbenaward.replica.store_replica import Changes, StoreReplica
 from verbenaward.schema.messages import Pulse
 from verbenaward.wire.codec import encode
@@ -612,3 +614,39 @@
 def raw_refused(context):
     assert context.raw.split(b" ")[1] == b"400", context.raw
     nothing_ran(context)
+
+
+@given("target versions are required {seconds:g} s after they were set")
+def version_bound(context, seconds):
+    for role in context.platform.entries:
+        role.front.forwarder.placer.version_seconds = seconds
+
+
+@when(
+    "a target version is set while the second process hears nothing, and {source} tells it "
+    "{seconds:g} s later"
+)
+def version_learned_late(context, source, seconds):
+    role = context.platform.entries[1]
+    receive, url = role.exchange.receive, role.follower.store.url
+    role.exchange.receive = lambda payload, origin, now: None
+    role.follower.store.url = "http://127.0.0.1:9"
+    run(context, asyncio.sleep(MAXIMUM_WATCH_SECONDS + 0.1))
+    context.set_at = time.monotonic()
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    context.platform.store.put("op/version/model", value)
+    run(context, asyncio.sleep(seconds))
+    assert not role.fleet.versions
+    if source == "the store":
+        role.follower.store.url = url
+    else:
+        role.exchange.receive = receive
+    assert run(context, until(lambda: role.fleet.versions, 1.4))
+
+
+@then("from {seconds:g} s after it was set the second process starts nothing on older weights")
+def nothing_on_old_weights(context, seconds):
+    run(context, asyncio.sleep(context.set_at + seconds - time.monotonic()))
+    context.answer = call(context, "/stream/x", headers={"X-Model": "model"}, entry=1)
+    assert context.answer[0] == 503, context.answer
+    assert not any(item.run_counts for item in engines(context))
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -3,11 +3,13 @@
 They also check that the platform's names stand in no module outside the platform package.
 """
 
+import asyncio
 import json
 import re
 from pathlib import Path
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 from returns.result import Failure, Success
@@ -20,6 +22,7 @@
     parse_target_version,
 )
 from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.replica.follower import StoreFollower
 from verbenaward.replica.store_replica import Changes, StoreReplica
 
 
@@ -201,3 +204,32 @@
     old = (KeyValueEntry("key-1", b"1", 4), KeyValueEntry("key-9999", b"1", 20_000))
     context.replica.apply(Changes(20_000, True, old), 0.0)
     assert not any(entry.value for entry in context.replica.entries.values())
+
+
+@given("a follower whose store has stopped answering")
+def follower_without_answers(context):
+    async def watch(prefix, after, seconds):
+        await asyncio.sleep(60)
+
+    replica = StoreReplica()
+    replica.apply(Changes(5, True, ()), 0.0)
+    context.follower = StoreFollower(SimpleNamespace(watch=watch), "", replica)
+    context.follower.needs_snapshot = False
+
+
+@when("its watch is restarted for changes from a peer")
+def watch_restarted(context):
+    async def restart():
+        following = asyncio.create_task(context.follower.run())
+        await asyncio.sleep(0.05)
+        context.follower.restart_watch.set()
+        await asyncio.sleep(0.05)
+        following.cancel()
+        await asyncio.sleep(0)
+
+    context.loop.run_until_complete(restart())
+
+
+@then("it does not count as an answer from the store")
+def no_answer_counted(context):
+    assert context.follower.store_answered_at == 0.0
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -9,6 +9,7 @@
 from tests.direct_fakes import NOW, exchange_of, fleet_of
 from verbenaward.direct.addresses import addresses_for
 from verbenaward.direct.peer_groups import MINIMUM_BACKENDS, peer_group_of
+from verbenaward.replica.store_replica import Changes
 from verbenaward.schema.messages import Pulse
 from verbenaward.wire.codec import encode
 
@@ -243,3 +244,26 @@
 @then("it counts as gone after {seconds:g} s and never as alive again")
 def gone_for_good(context, seconds):
     assert [alive for _, alive in context.liveness] == [at < seconds for at, _ in context.liveness]
+
+
+@given("an entry process whose own last answer from the store is {seconds:g} s old")
+def long_unanswered(context, seconds):
+    async def make():
+        context.receiver = exchange_of("receiver", "zone-a", 9100, NOW - seconds)
+        context.peer = exchange_of("peer", "zone-a", 9101, NOW)
+
+    context.loop.run_until_complete(make())
+    context.receiver.replica.apply(Changes(5, True, ()), NOW - seconds)
+    context.peer.replica.apply(Changes(7, True, ()), NOW)
+
+
+@when("a peer broadcasts a newer revision that the store has just confirmed")
+def newer_revision(context):
+    payload = encode(context.peer.full_broadcast(NOW))
+    context.receiver.receive(payload, ("127.0.0.1", 9101), NOW)
+
+
+@then("its next broadcast says that its replica is at least {seconds:g} s old")
+def says_old(context, seconds):
+    checked_ms = context.receiver.full_broadcast(NOW).checked_ms
+    assert checked_ms >= seconds * 1000, checked_ms
