Count the bound of a target version from its acknowledgement, not from hearing of it

What callers saw: work began on an old version of the weights after the bound, by as much as the process that sent it had heard late of the new one.

Cause: LearnedVersion counted from the moment at which this process applied the change. A process that was cut off, or was told by a peer, started the whole bound anew.

Change: a replica knows since when it is complete (current_at): the time at which a call to the store was sent, or the whole duration of a watch without changes. A change that it lacked was acknowledged after that, whenever and from whomever it arrives (KeyValueEntry.acknowledged_after); between processes the times travel as ages, and count from the request that fetched them. Why this works: each of these is a lower bound of the acknowledgement, so the bound can end early by the age of the knowledge, but never late. The schedule by which engines load counts from the same time. Versions that are found at a start keep their assumed age.

--- a/tests/replica/items.feature
+++ b/tests/replica/items.feature
@@ -22,3 +22,7 @@
     Given a follower whose store has stopped answering
     When its watch is restarted for changes from a peer
     Then it does not count as an answer from the store
+
+  Scenario: The assumed time of a change is never later than its acknowledgement, however it arrives
+    When changes reach processes by watches and from each other, with any delays
+    Then no change is assumed to be younger than it is, and no replica to be more current
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -21,9 +21,13 @@
     parse_configuration,
     parse_target_version,
 )
-from verbenaward.platform.key_value import KeyValueEntry
-from verbenaward.replica.follower import StoreFollower
+from verbenaward.platform.key_value import KeyValueEntry, KeyValueSnapshot
+from verbenaward.replica.follower import StoreFollower, changes_of_watch
+from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
+from verbenaward.schema.messages import StoredItems
+from verbenaward.wire.codec import decode as decode_message
+from verbenaward.wire.codec import encode
 
 
 def histories():
@@ -233,3 +237,56 @@
 @then("it does not count as an answer from the store")
 def no_answer_counted(context):
     assert context.follower.store_answered_at == 0.0
+
+
+def delays():
+    return st.floats(0.0, 5.0)
+
+
+@when("changes reach processes by watches and from each other, with any delays")
+def arrive_with_delays(context):
+    process = st.integers(0, 2)
+    step = st.tuples(
+        process, process, st.sets(st.sampled_from(["before", "after"])), *[delays()] * 4
+    )
+
+    @for_all(st.lists(step, min_size=1, max_size=25))
+    def check(steps):
+        now, acknowledged_at, written = 0.0, {}, []
+        replicas = [StoreReplica() for _ in range(3)]
+
+        def write(at):
+            written.append(KeyValueEntry("abc"[len(written) % 3], b"1", len(written) + 1))
+            acknowledged_at[len(written)] = at
+
+        for receiver, sender, writes, before, there, held, back in steps:
+            asked_at = now + before
+            came_at = asked_at + there
+            sent_at = came_at + held
+            now = sent_at + back
+            if "before" in writes:
+                write(sent_at)
+            replica = replicas[receiver]
+            if receiver == sender:
+                found = tuple(item for item in written if item.revision > replica.revision)
+                read = KeyValueSnapshot(len(written), found)
+                changes = changes_of_watch(read, asked_at, held, now)
+            else:
+                known = replicas[sender].changes_after(replica.revision)
+                message = changes_to_message(known, came_at, sent_at)
+                received = decode_message(StoredItems, encode(message))
+                changes = changes_from_message(received, asked_at)
+            if "after" in writes:
+                write(sent_at + back / 2)
+            replica.apply(changes, now)
+            for entry in replica.entries.values():
+                assert entry.acknowledged_after <= acknowledged_at[entry.revision] + 1e-6
+            missing = [at for known, at in acknowledged_at.items() if known > replica.revision]
+            assert replica.current_at <= min(missing, default=now) + 1e-6
+
+    context.check = check
+
+
+@then("no change is assumed to be younger than it is, and no replica to be more current")
+def never_too_young(context):
+    context.check()
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -34,22 +34,22 @@
 
 @dataclass(frozen=True, slots=True)
 class LearnedVersion:
-    """A target version of weights, and when this process learned of it.
+    """A target version of weights, and when it may have been set.
 
     Attributes:
       target: The version.
-      learned_at: When it was learned, or is assumed to have been, monotonic.
-      required_by: Latest time from which it is required, monotonic; infinite for a version that
-        was set while this process ran.
+      set_after: Earliest time at which it can have been set, or is assumed to have been, monotonic.
+      required_by: Latest time from which it is required, monotonic; infinite if `set_after` is not
+        assumed.
     """
 
     target: TargetVersion
-    learned_at: float
+    set_after: float
     required_by: float = math.inf
 
     def required_from(self, version_seconds: float) -> float:
         """Return the time from which no request may start on older weights, monotonic."""
-        return min(self.learned_at + version_seconds, self.required_by)
+        return min(self.set_after + version_seconds, self.required_by)
 
 
 class Fleet:
@@ -219,14 +219,7 @@
         known = self.versions.setdefault(target.model, [])
         if known and target.version <= known[-1].target.version:
             return
-        if self.replica.revision:
-            known.append(LearnedVersion(target, now))
-        else:
-            known.append(
-                LearnedVersion(
-                    target, now - ASSUMED_AGE_AT_START_SECONDS, now + MAXIMUM_DELAY_AT_START_SECONDS
-                )
-            )
+        known.append(learned_version(target, entry.acknowledged_after, now))
         del known[:-KEPT_VERSIONS]
         LOG.info(
             "version.named",
@@ -281,9 +274,9 @@
         return learned[-1].target.version if learned else 0
 
     def first_newer_version(self, model: str, version: int) -> LearnedVersion | None:
-        """Return the version learned first among those newer than a version; None for none."""
+        """Return the version set first among those newer than a version; None for none."""
         newer = [item for item in self.versions.get(model, ()) if item.target.version > version]
-        return min(newer, key=lambda item: item.learned_at, default=None)
+        return min(newer, key=lambda item: item.set_after, default=None)
 
     def can_serve(self) -> bool:
         """Return True if a configuration and at least one backend are known."""
@@ -292,3 +285,19 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the routes in force."""
         return self.table.configuration.routes if self.table else ()
+
+
+def learned_version(target: TargetVersion, acknowledged_after: float, now: float) -> LearnedVersion:
+    """Return a target version with the time from which its bound counts.
+
+    Args:
+      target: The version.
+      acknowledged_after: Earliest time at which the store can have acknowledged it, monotonic;
+        minus infinity for a version found at the start.
+      now: Present time, monotonic, in seconds.
+    """
+    if acknowledged_after > -math.inf:
+        return LearnedVersion(target, acknowledged_after)
+    return LearnedVersion(
+        target, now - ASSUMED_AGE_AT_START_SECONDS, now + MAXIMUM_DELAY_AT_START_SECONDS
+    )
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -205,12 +205,15 @@
             wait_seconds = float(request.query.get(WAIT_QUERY, "0"))
         except ValueError:
             return web.Response(status=400)
-        until = time.monotonic() + min(MAXIMUM_LONG_POLL_SECONDS, wait_seconds)
+        received_at = time.monotonic()
+        until = received_at + min(MAXIMUM_LONG_POLL_SECONDS, wait_seconds)
         while self.replica.revision <= revision and time.monotonic() < until:
             await asyncio.sleep(LONG_POLL_STEP_SECONDS)
         if wait_seconds and not self.is_replica_fresh(time.monotonic()):
             return web.Response(status=503)
-        return web.Response(body=encode(changes_to_message(self.replica.changes_after(revision))))
+        changes = self.replica.changes_after(revision)
+        message = changes_to_message(changes, received_at, time.monotonic())
+        return web.Response(body=encode(message))
 
     def is_replica_fresh(self, now: float) -> bool:
         """Return True if the store has recently answered this process or a peer."""
--- a/verbenaward/platform/key_value.py
+++ b/verbenaward/platform/key_value.py
@@ -1,5 +1,6 @@
 """Port to the platform's key-value service."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -45,11 +46,14 @@
       key: The key.
       value: Value; empty if the key was deleted.
       revision: Revision of the last change of the key, for compare-and-swap.
+      acknowledged_after: Time, monotonic, that was not later than the acknowledgement of that
+        change; minus infinity if unknown.
     """
 
     key: str
     value: bytes
     revision: int
+    acknowledged_after: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -76,35 +76,36 @@
             self.record_failure(result.failure())
             await asyncio.sleep(self.backoff_seconds())
 
-    async def step(self) -> Result[KeyValueSnapshot, KeyValueError]:
+    async def step(self) -> Result[Changes, KeyValueError]:
         """Read a snapshot or watch for the next changes, and apply what was received."""
-        if self.needs_snapshot:
-            result = await self.store.read_prefix(self.prefix)
-            is_snapshot = True
-        else:
-            result = await self.watch()
-            is_snapshot = False
+        result = await (self.read_all() if self.needs_snapshot else self.watch())
         if isinstance(result, Success):
-            snapshot = result.unwrap()
-            self.replica.apply(
-                Changes(snapshot.revision, is_snapshot, snapshot.entries), time.monotonic()
-            )
+            self.replica.apply(result.unwrap(), time.monotonic())
             self.needs_snapshot = False
         return result
 
-    async def watch(self) -> Result[KeyValueSnapshot, KeyValueError]:
+    async def read_all(self) -> Result[Changes, KeyValueError]:
+        """Read a snapshot of all keys."""
+        called_at = time.monotonic()
+        result = await self.store.read_prefix(self.prefix)
+        return result.map(lambda read: Changes(read.revision, True, read.entries, called_at))
+
+    async def watch(self) -> Result[Changes, KeyValueError]:
         """Wait for changes; return none early if `restart_watch` is set."""
         self.restart_watch.clear()
         seconds = MAXIMUM_WATCH_SECONDS if self.reachable else UNREACHABLE_WATCH_SECONDS
+        called_at = time.monotonic()
         watching = asyncio.ensure_future(
             self.store.watch(self.prefix, self.replica.revision, seconds)
         )
         restarted = asyncio.ensure_future(self.restart_watch.wait())
         try:
             await asyncio.wait({watching, restarted}, return_when=asyncio.FIRST_COMPLETED)
-            if watching.done():
-                return watching.result()
-            return Success(KeyValueSnapshot(self.replica.revision, ()))
+            if not watching.done():
+                return Success(Changes(self.replica.revision, False, ()))
+            return watching.result().map(
+                lambda read: changes_of_watch(read, called_at, seconds, time.monotonic())
+            )
         finally:
             watching.cancel()
             restarted.cancel()
@@ -135,6 +136,25 @@
         return min(MAXIMUM_BACKOFF_SECONDS, backoff) * self.rng.uniform(0.5, 1.0)
 
 
+def changes_of_watch(
+    read: KeyValueSnapshot, called_at: float, seconds: float, now: float
+) -> Changes:
+    """Return the changes that a watch has delivered.
+
+    The store answers a watch without changes after its whole duration, else at an unknown time
+    after the call.
+
+    Args:
+      read: What the watch returned.
+      called_at: When the watch was begun, monotonic, in seconds.
+      seconds: Duration after which the store ends it.
+      now: Present time, monotonic, in seconds.
+    """
+    ended_at = called_at + seconds
+    current_at = ended_at if not read.entries and now >= ended_at else called_at
+    return Changes(read.revision, False, read.entries, current_at)
+
+
 class PeerFetcher:
     """Fetches changes from processes whose replicas are ahead of this one.
 
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -1,6 +1,8 @@
 """Transfer of store changes from entry processes to other processes, over HTTP."""
 
 import asyncio
+import math
+import time
 
 import aiohttp
 
@@ -16,21 +18,62 @@
 FETCH_TIMEOUT_SECONDS = 0.6
 """Time for a fetch, beyond the time that the entry process may wait for changes."""
 HTTP_OK = 200
+MILLISECONDS_PER_SECOND = 1000
+MAXIMUM_AGE_MS = 2**32 - 1
+"""Largest age that the wire format can carry."""
 
 
-def changes_to_message(changes: Changes) -> StoredItems:
-    """Return changes as a wire message, in which a flag marks tombstones."""
+def changes_to_message(changes: Changes, received_at: float, now: float) -> StoredItems:
+    """Return changes as a wire message, in which a flag marks tombstones and times become ages.
+
+    Args:
+      changes: The changes.
+      received_at: When the request for them was received, monotonic, in seconds.
+      now: Present time, monotonic, in seconds.
+    """
     items = tuple(
-        StoredItem(entry.key, entry.value, entry.revision, not entry.value)
+        StoredItem(
+            entry.key,
+            entry.value,
+            entry.revision,
+            not entry.value,
+            age_ms(entry.acknowledged_after, now),
+        )
         for entry in changes.entries
     )
-    return StoredItems(changes.revision, changes.is_snapshot, items)
+    held_ms = math.floor((now - received_at) * MILLISECONDS_PER_SECOND)
+    current_ms = age_ms(changes.current_at, now)
+    return StoredItems(changes.revision, changes.is_snapshot, items, current_ms, held_ms)
+
+
+def changes_from_message(message: StoredItems, requested_at: float) -> Changes:
+    """Return the changes that a received message holds.
+
+    The message was sent no earlier than its request and the time for which it was held there, so
+    times derived from that are never too late, however long the message was under way.
+
+    Args:
+      message: The message.
+      requested_at: When it was requested, monotonic, in seconds.
+    """
+    sent_at = requested_at + message.held_ms / MILLISECONDS_PER_SECOND
+    entries = tuple(
+        KeyValueEntry(item.key, item.value, item.revision, time_of_age(item.age_ms, sent_at))
+        for item in message.items
+    )
+    current_at = time_of_age(message.age_ms, sent_at)
+    return Changes(message.revision, message.complete, entries, current_at)
+
+
+def age_ms(at: float, now: float) -> int:
+    """Return the age of a time in whole milliseconds, at least 1; 0 if it is unknown or too old."""
+    age = (now - at) * MILLISECONDS_PER_SECOND
+    return max(1, math.ceil(age)) if age < MAXIMUM_AGE_MS else 0
 
 
-def changes_from_message(message: StoredItems) -> Changes:
-    """Return the changes that a received message holds."""
-    entries = tuple(KeyValueEntry(item.key, item.value, item.revision) for item in message.items)
-    return Changes(message.revision, message.complete, entries)
+def time_of_age(age: int, sent_at: float) -> float:
+    """Return the time that had an age, in milliseconds, when a message was sent, monotonic."""
+    return sent_at - age / MILLISECONDS_PER_SECOND if age else -math.inf
 
 
 async def fetch_changes(
@@ -48,11 +91,12 @@
     timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS + wait_seconds)
     url = f"http://{control}{ITEMS_PATH.format(revision=revision)}"
     query = {WAIT_QUERY: str(wait_seconds)} if wait_seconds else {}
+    requested_at = time.monotonic()
     try:
         async with session.get(url, params=query, timeout=timeout) as response:
             body = await response.read()
             return (
-                changes_from_message(decode(StoredItems, body))
+                changes_from_message(decode(StoredItems, body), requested_at)
                 if response.status == HTTP_OK
                 else None
             )
--- a/verbenaward/replica/store_replica.py
+++ b/verbenaward/replica/store_replica.py
@@ -5,6 +5,8 @@
 A deleted key leaves a tombstone: an entry with an empty value.
 """
 
+import dataclasses
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -25,11 +27,14 @@
       revision: Every change up to this revision of the store is included.
       is_snapshot: True for a snapshot, in which a missing key does not exist.
       entries: Last change of each key; a tombstone has an empty value.
+      current_at: Every change that the store acknowledged before this time is included, monotonic;
+        minus infinity if unknown.
     """
 
     revision: int
     is_snapshot: bool
     entries: tuple[KeyValueEntry, ...]
+    current_at: float = -math.inf
 
 
 class StoreReplica:
@@ -38,6 +43,8 @@
     Attributes:
       entries: Last known entry of each key, tombstones included.
       revision: Every change up to this revision is included; 0 before the first read.
+      current_at: Every change that the store acknowledged before this time is included, monotonic;
+        minus infinity before the first read.
       updated_at: When changes, possibly none, were last received; monotonic, 0 for never.
       listeners: Called with each entry that is applied and the present time.
       change_log: Recent changes in the order in which they were applied.
@@ -47,6 +54,7 @@
     def __init__(self) -> None:
         self.entries: dict[str, KeyValueEntry] = {}
         self.revision = 0
+        self.current_at = -math.inf
         self.updated_at = 0.0
         self.listeners: list[Listener] = []
         self.change_log: deque[KeyValueEntry] = deque(maxlen=CHANGE_LOG_LENGTH)
@@ -68,6 +76,7 @@
             if not self.revision:
                 self.change_log_floor = changes.revision
         self.revision = max(self.revision, changes.revision)
+        self.current_at = max(self.current_at, changes.current_at)
         self.updated_at = now
         return applied
 
@@ -75,12 +84,15 @@
         """Apply one entry and call the listeners; return False if it is not newer.
 
         A key without an entry did not exist at the replica's revision, so an entry for it that is
-        not newer than that revision is stale.
+        not newer than that revision is stale. A change that the replica lacked was not yet
+        acknowledged at `current_at`, whenever and from whomever it is received.
         """
         held = self.entries.get(entry.key)
         held_revision = self.revision if held is None else held.revision
         if held_revision >= entry.revision:
             return False
+        acknowledged_after = max(entry.acknowledged_after, self.current_at)
+        entry = dataclasses.replace(entry, acknowledged_after=acknowledged_after)
         self.entries[entry.key] = entry
         self.record_change(entry)
         for listener in self.listeners:
@@ -117,9 +129,9 @@
         """Return a delta since a revision, or a snapshot if the log does not reach back to it."""
         if revision < self.change_log_floor or not revision:
             entries = tuple(entry for entry in self.entries.values() if entry.value)
-            return Changes(self.revision, True, entries)
+            return Changes(self.revision, True, entries, self.current_at)
         newer = {entry.key: entry for entry in self.change_log if entry.revision > revision}
-        return Changes(self.revision, False, tuple(newer.values()))
+        return Changes(self.revision, False, tuple(newer.values()), self.current_at)
 
     def entries_with_prefix(self, prefix: str) -> Iterable[KeyValueEntry]:
         """Return the entries of existing keys that start with a prefix."""
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -156,6 +156,7 @@
   value @1 :Data;
   revision @2 :UInt64;
   deleted @3 :Bool;
+  ageMs @4 :UInt32;         # the store acknowledged the change at most this long ago; 0 if unknown
 }
 
 # Changes of the store after a revision, or its whole content.
@@ -163,4 +164,6 @@
   revision @0 :UInt64;
   complete @1 :Bool;        # true if keys that are not listed do not exist
   items @2 :List(StoredItem);
+  ageMs @3 :UInt32;         # all changes that the store acknowledged until then are included; 0 if unknown
+  heldMs @4 :UInt32;        # time from the request to this answer at the sender
 }
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -198,6 +198,7 @@
     value: bytes = b""
     revision: int = 0
     deleted: bool = False
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,4 +208,6 @@
     revision: int = 0
     complete: bool = False
     items: tuple[StoredItem, ...] = ()
+    age_ms: int = 0
+    held_ms: int = 0
 
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -132,7 +132,7 @@
             return False
         superseded = SupersededVersion(
             staged / len(digests),
-            newer.learned_at,
+            newer.set_after,
             staging,
             self.direct.version_seconds,
             load_order(self.zones_of_serving()).index(self.direct.engine),
@@ -251,8 +251,8 @@
             return None
         newer = self.fleet.first_newer_version(wanted.model, wanted.version)
         schedule = LoadSchedule(
-            learned.learned_at,
-            newer.learned_at if newer else None,
+            learned.set_after,
+            newer.set_after if newer else None,
             self.staging_seconds(),
             self.direct.version_seconds,
         )
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -75,7 +75,7 @@
 
     Attributes:
       staged_share: Share of its chunks that are staged, from 0 to 1.
-      newer_learned_at: When this process learned of the newer version, monotonic.
+      newer_set_after: Earliest time at which the newer version can have been set, monotonic.
       staging_seconds: Time to stage a whole version.
       version_seconds: Time after a target version is set from which no request may start on older
         weights.
@@ -83,7 +83,7 @@
     """
 
     staged_share: float
-    newer_learned_at: float
+    newer_set_after: float
     staging_seconds: float
     version_seconds: float
     rank: int
@@ -102,7 +102,7 @@
     """
     remaining = (1.0 - superseded.staged_share) * superseded.staging_seconds
     newer_staged_at = now + remaining + superseded.staging_seconds
-    in_time = superseded.newer_learned_at + BOTH_STAGED_SHARE * superseded.version_seconds
+    in_time = superseded.newer_set_after + BOTH_STAGED_SHARE * superseded.version_seconds
     return newer_staged_at <= in_time or superseded.rank % 2 == 0
 
 
@@ -111,16 +111,16 @@
     """Staged rollout of a version: when the first and the last engine of a service load it.
 
     Attributes:
-      learned_at: When this process learned of the version, monotonic.
-      newer_learned_at: When it learned of a newer version, which is staged after this one; None
-        for none.
+      set_after: Earliest time at which the version can have been set, monotonic.
+      newer_set_after: The same for a newer version, which is staged after this one; None for
+        none.
       staging_seconds: Time to stage a whole version; 0 if it is unknown.
       version_seconds: Time after a target version is set from which no request may start on older
         weights.
     """
 
-    learned_at: float
-    newer_learned_at: float | None
+    set_after: float
+    newer_set_after: float | None
     staging_seconds: float
     version_seconds: float
 
@@ -128,7 +128,7 @@
     def first_load_at(self) -> float:
         """Return when the first engine begins to load: as soon as a version can be staged."""
         staging = self.staging_seconds or ASSUMED_STAGING_SHARE * self.version_seconds
-        return self.learned_at + min(staging, LAST_LOAD_SHARE * self.version_seconds)
+        return self.set_after + min(staging, LAST_LOAD_SHARE * self.version_seconds)
 
     @property
     def window_seconds(self) -> float:
@@ -136,8 +136,8 @@
 
         It is shortened so that the last engine can still stage a newer version in time.
         """
-        last_load_at = self.learned_at + LAST_LOAD_SHARE * self.version_seconds
-        if self.newer_learned_at is not None:
-            newer_due = self.newer_learned_at + NEWER_STAGED_SHARE * self.version_seconds
+        last_load_at = self.set_after + LAST_LOAD_SHARE * self.version_seconds
+        if self.newer_set_after is not None:
+            newer_due = self.newer_set_after + NEWER_STAGED_SHARE * self.version_seconds
             last_load_at = min(last_load_at, newer_due - self.staging_seconds)
         return max(0.0, last_load_at - self.first_load_at)
