Do not take a watch that was restarted for an answer from the store

What callers saw: nothing by itself; it hid a store that did not answer. A process that gets changes from a peer restarts its watch, and each restart set store_answered_at and cleared the failure state. Its broadcasts then said that the store answers, and other processes did not watch it themselves.

Cause: StoreFollower.watch() returned an empty success for a restart, which run() recorded like an answer. Now it returns None, which run() passes over.

--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -38,8 +38,7 @@
       is_watcher: Returns True if this process has to watch the store itself, False if it gets
         the changes from processes that do.
       reachable: False from a failed call to the store until the next success.
-      store_answered_at: When the store last answered or a watch was restarted, monotonic; 0 for
-        never.
+      store_answered_at: When the store last answered, monotonic; 0 for never.
       failures: Consecutive failed calls.
       needs_snapshot: True if the next step has to read everything.
       restart_watch: Set to end the current watch and begin one at the replica's revision.
@@ -70,14 +69,20 @@
                 await asyncio.sleep(STANDBY_POLL_SECONDS)
                 continue
             result = await self.step()
+            if result is None:
+                continue
             if isinstance(result, Success):
                 self.record_success()
                 continue
             self.record_failure(result.failure())
             await asyncio.sleep(self.backoff_seconds())
 
-    async def step(self) -> Result[Changes, KeyValueError]:
-        """Read a snapshot or watch for the next changes, and apply what was received."""
+    async def step(self) -> Result[Changes, KeyValueError] | None:
+        """Read a snapshot or watch for the next changes, and apply what was received.
+
+        Returns:
+          What the store answered; None if the watch was restarted before that.
+        """
         result = await (self.read_all() if self.needs_snapshot else self.watch())
         if isinstance(result, Success):
             self.replica.apply(result.unwrap(), time.monotonic())
@@ -90,8 +95,8 @@
         result = await self.store.read_prefix(self.prefix)
         return result.map(lambda read: Changes(read.revision, True, read.entries, called_at))
 
-    async def watch(self) -> Result[Changes, KeyValueError]:
-        """Wait for changes; return none early if `restart_watch` is set."""
+    async def watch(self) -> Result[Changes, KeyValueError] | None:
+        """Wait for changes; return None if `restart_watch` is set before the store answers."""
         self.restart_watch.clear()
         seconds = MAXIMUM_WATCH_SECONDS if self.reachable else UNREACHABLE_WATCH_SECONDS
         called_at = time.monotonic()
@@ -102,7 +107,7 @@
         try:
             await asyncio.wait({watching, restarted}, return_when=asyncio.FIRST_COMPLETED)
             if not watching.done():
-                return Success(Changes(self.replica.revision, False, ()))
+                return None
             return watching.result().map(
                 lambda read: changes_of_watch(read, called_at, seconds, time.monotonic())
             )
@@ -111,10 +116,7 @@
             restarted.cancel()
 
     def record_success(self) -> None:
-        """Reset the failure state after a call that succeeded.
-
-        Also called after a restarted watch, although the store has not answered then.
-        """
+        """Reset the failure state after a call that succeeded."""
         if not self.reachable:
             LOG.info("store.found", revision=self.replica.revision)
         self.reachable = True
