Pass on how current a replica is only to processes that have its changes

What callers saw: a configuration or version that some processes learned seconds late, without watching the store themselves, as they believed that they were up to date.

Cause: a broadcast carried the age of the store's last answer to anyone, and a receiver took it over whatever the revision. A process at revision 5 that heard of a peer at revision 7 broadcast an age of 0 itself. The age travelled faster than the changes, and kept processes from watching.

Change: the age in a broadcast is that of the sender's replica, and a peer's age counts only if that peer has no change that this replica lacks. Why this works: what is compared with the limit is now a time up to which the own replica is complete.

--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -52,6 +52,7 @@
         direct=DirectSettings(front=f"127.0.0.1:{port + 100}", zones=zones or {}),
     )
     replica = StoreReplica()
+    replica.current_at = store_answered_at
     return StateExchange(
         settings,
         replica,
@@ -59,5 +60,4 @@
         CrashTracker(),
         lambda: True,
         lambda _: None,
-        lambda: store_answered_at,
     )
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import math
 import re
 from pathlib import Path
 from types import SimpleNamespace
@@ -219,6 +220,8 @@
     replica.apply(Changes(5, True, ()), 0.0)
     context.follower = StoreFollower(SimpleNamespace(watch=watch), "", replica)
     context.follower.needs_snapshot = False
+    context.follower.reachable = False
+    context.follower.failures = 3
 
 
 @when("its watch is restarted for changes from a peer")
@@ -236,7 +239,8 @@
 
 @then("it does not count as an answer from the store")
 def no_answer_counted(context):
-    assert context.follower.store_answered_at == 0.0
+    assert context.follower.replica.current_at == -math.inf
+    assert not context.follower.reachable and context.follower.failures == 3
 
 
 def delays():
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -48,8 +48,8 @@
       last_broadcast: Its last full broadcast, whose `sequence` is updated by each later load delta;
         None before the first.
       received_at: When its last message arrived, monotonic.
-      store_answered_at: When the store last answered it or one of its peers, according to its last
-        full broadcast, monotonic.
+      replica_current_at: When its replica was complete, up to the revision of its last full
+        broadcast, monotonic.
       in_group: True if it is in the peer group of this process.
     """
 
@@ -57,7 +57,7 @@
     registered: bool = False
     last_broadcast: Pulse | None = None
     received_at: float = 0.0
-    store_answered_at: float = 0.0
+    replica_current_at: float = 0.0
     in_group: bool = False
 
     def is_alive(self, now: float) -> bool:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -37,7 +37,7 @@
 """Interval at which a long poll looks for a newer revision."""
 MAXIMUM_LONG_POLL_SECONDS = 10.0
 FRESH_REPLICA_SECONDS = 3.5
-"""Age of the store's last answer up to which other processes may follow this one's replica."""
+"""Age of the replica up to which other processes may follow it."""
 ADDRESS_LINGER_SECONDS = 3.0
 """Time after the order to stop in which requests are still accepted: callers cache addresses."""
 EXIT_RESERVE_SECONDS = 0.5
@@ -86,7 +86,6 @@
             self.crashes,
             self.is_ready,
             self.peer_fetcher.observe_revision,
-            lambda: self.follower.store_answered_at,
         )
         self.budget = SharedRetryBudget(
             direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds
@@ -197,8 +196,8 @@
     async def answer_items(self, request: web.Request) -> web.Response:
         """Answer with the entries of the store that changed after a revision.
 
-        The requester may ask for a long poll. That is answered with 503 if neither this process
-        nor a peer has had a recent answer from the store, so that nobody follows a stale replica.
+        The requester may ask for a long poll. That is answered with 503 while the replica is
+        stale, so that nobody follows it.
         """
         try:
             revision = int(request.match_info["revision"])
@@ -216,9 +215,8 @@
         return web.Response(body=encode(message))
 
     def is_replica_fresh(self, now: float) -> bool:
-        """Return True if the store has recently answered this process or a peer."""
-        own = now - self.follower.store_answered_at
-        return min(own, self.exchange.seconds_since_peer_store_answer(now)) < FRESH_REPLICA_SECONDS
+        """Return True if the replica was lately known to be complete."""
+        return self.exchange.replica_age(now) < FRESH_REPLICA_SECONDS
 
     async def fetch_from_peers(self, revision: int) -> Changes | None:
         """Return the changes after a revision from a peer that is ahead; None if none answers."""
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -48,14 +48,13 @@
 GOSSIPED_PEERS = 8
 """Addresses of other peers in a full broadcast."""
 MAXIMUM_AGE_MS = 3_600_000
-"""Largest age of the last answer from the store that a broadcast carries; it also stands for "no
-live peer"."""
+"""Largest age of a replica that a broadcast carries; it also stands for "no live peer"."""
 MILLISECONDS_PER_SECOND = 1000
 WATCHERS = 3
 """Entry processes that watch the store; the others fetch changes from them."""
-MAXIMUM_STORE_AGE_SECONDS = 1.6
-"""If the store has answered no live peer for this long, a process watches the store itself."""
-MAXIMUM_SAMPLED_STORE_AGE_SECONDS = 3.5
+MAXIMUM_REPLICA_AGE_SECONDS = 1.6
+"""If no live peer confirms a replica that is younger, a process watches the store itself."""
+MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS = 3.5
 """The same if broadcasts go to a sample of the peers, as its time then spreads in several hops."""
 MAXIMUM_TARGETS = 16
 """Entry processes that receive one full broadcast, chosen at random each time."""
@@ -71,7 +70,6 @@
       leaving: True once this process has been told to stop.
       peer_group: Peers that receive load deltas, and the engines that they prefer.
       on_revision: Called with the store revision of each full broadcast received.
-      store_answered_at: Returns when the store last answered this process, monotonic.
       incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
       sequence: Number of the last message sent.
       is_urgent: True if a full broadcast is to be sent at once.
@@ -89,7 +87,6 @@
         crashes: CrashTracker,
         is_ready: Callable[[], bool],
         on_revision: Callable[[int], None],
-        store_answered_at: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.replica = replica
@@ -97,7 +94,6 @@
         self.crashes = crashes
         self.is_ready = is_ready
         self.on_revision = on_revision
-        self.store_answered_at = store_answered_at
         self.leaving = False
         self.peer_group = PeerGroup()
         self.peers: dict[str, EntryPeer] = {}
@@ -292,9 +288,8 @@
             misdirected=self.misdirected(now),
             # Not in every broadcast: one in 16 sequence numbers, load deltas counted.
             entries=tuple(gossiped) if self.sequence % 16 == 1 else (),
-            checked_ms=min(
-                MAXIMUM_AGE_MS,
-                math.ceil(self.seconds_since_store_answer(now) * MILLISECONDS_PER_SECOND),
+            checked_ms=math.ceil(
+                min(MAXIMUM_AGE_MS, self.replica_age(now) * MILLISECONDS_PER_SECOND)
             ),
         )
 
@@ -332,7 +327,7 @@
             LOG.info("entry.heard", entry=broadcast.vm, ready=broadcast.ready)
         peer.last_broadcast = broadcast
         peer.received_at = now
-        peer.store_answered_at = now - broadcast.checked_ms / MILLISECONDS_PER_SECOND
+        peer.replica_current_at = now - broadcast.checked_ms / MILLISECONDS_PER_SECOND
         for control in broadcast.entries:
             self.peer(control)
         self.crashes.merge(broadcast.crashes, now)
@@ -432,7 +427,7 @@
         """Return True if this process watches the store, for itself and its peers.
 
         The first entry process of each availability zone does, up to `WATCHERS`; every process
-        does while no peer reports a recent answer from the store.
+        does while no peer confirms that its replica is current.
 
         Args:
           now: Present time, monotonic, in seconds.
@@ -450,9 +445,9 @@
             first.setdefault(zone, (zone, vm))
         chosen = list(first.values())[:WATCHERS]
         longest = (
-            MAXIMUM_SAMPLED_STORE_AGE_SECONDS if self.is_sampled else MAXIMUM_STORE_AGE_SECONDS
+            MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS if self.is_sampled else MAXIMUM_REPLICA_AGE_SECONDS
         )
-        return own in chosen or self.seconds_since_peer_store_answer(now) > longest
+        return own in chosen or self.replica_age_by_peers(now) > longest
 
     @property
     def is_sampled(self) -> bool:
@@ -463,13 +458,22 @@
         """Return True if a peer is alive or, with sampled broadcasts, registered in the store."""
         return peer.is_alive(now) or (self.is_sampled and peer.registered)
 
-    def seconds_since_store_answer(self, now: float) -> float:
-        """Return the time since the store last answered this process or a live peer."""
-        return min(now - self.store_answered_at(), self.seconds_since_peer_store_answer(now))
+    def replica_age(self, now: float) -> float:
+        """Return the time since the replica was last known to be complete, in seconds."""
+        return min(now - self.replica.current_at, self.replica_age_by_peers(now))
 
-    def seconds_since_peer_store_answer(self, now: float) -> float:
-        """Return the time since the store last answered a live peer."""
-        ages = [now - peer.store_answered_at for peer in self.peers.values() if peer.is_alive(now)]
+    def replica_age_by_peers(self, now: float) -> float:
+        """Return the same as far as live peers have confirmed it.
+
+        A peer confirms it if its own replica was complete and has no change that this one lacks.
+        """
+        ages = [
+            now - peer.replica_current_at
+            for peer in self.peers.values()
+            if peer.last_broadcast is not None
+            and peer.last_broadcast.revision <= self.replica.revision
+            and peer.is_alive(now)
+        ]
         return min(ages, default=MAXIMUM_AGE_MS / MILLISECONDS_PER_SECOND)
 
     def peers_ahead_of(self, revision: int, now: float) -> list[str]:
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -38,7 +38,6 @@
       is_watcher: Returns True if this process has to watch the store itself, False if it gets
         the changes from processes that do.
       reachable: False from a failed call to the store until the next success.
-      store_answered_at: When the store last answered, monotonic; 0 for never.
       failures: Consecutive failed calls.
       needs_snapshot: True if the next step has to read everything.
       restart_watch: Set to end the current watch and begin one at the replica's revision.
@@ -56,7 +55,6 @@
         self.replica = replica
         self.is_watcher = is_watcher
         self.reachable = True
-        self.store_answered_at = 0.0
         self.failures = 0
         self.needs_snapshot = True
         self.rng = random.Random()
@@ -121,7 +119,6 @@
             LOG.info("store.found", revision=self.replica.revision)
         self.reachable = True
         self.failures = 0
-        self.store_answered_at = time.monotonic()
 
     def record_failure(self, error: KeyValueError) -> None:
         """Count a failed call; if the store has compacted its history, read a snapshot next."""
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -143,7 +143,7 @@
   loads @8 :List(BackendLoad);
   crashes @9 :List(Crash);
   entries @10 :List(Text);  # addresses of other entry processes
-  checkedMs @11 :UInt32;    # time since the store last answered the sender
+  checkedMs @11 :UInt32;    # age of the sender's replica: it has all that the store acknowledged until then
   loading @12 :Text;        # set by an endpoint process: address of its engine that loads weights
   loadingInMs @13 :UInt32;  # time until it starts to load; 0 if it accepts no requests now
   partial @14 :Bool;
