Let other entry processes watch the store as soon as the watchers lose it

Cause: three processes watch the store.

Change: a broadcast says whether its sender has lost the store (storeLost); such a process is passed over in the choice of watchers, and tells those that take its place first. Processes that cannot tell, as they are cut off themselves, are replaced when a replica is 2 s old (3.5 s before, in large deployments), which a watch of 0.5 s (1 s before) keeps clear of the usual age. Why this works: the choice now depends on who can reach the store, not on who would if it could.

Measured: "A change is in force in time though all that watch the store ..." plays 41 entry processes in simulated time, eight starts each.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -140,3 +140,19 @@
     Given an entry process whose own last answer from the store is 10 s old
     When a peer broadcasts a newer revision that the store has just confirmed
     Then its next broadcast says that its replica is at least 10 s old
+
+  Scenario: If the processes that watch the store lose it, the next of their zones watch it
+    Given three entry processes of one region and one of another that exchange broadcasts
+    When the first of each zone loses the store and broadcasts that
+    Then the second of the zone with three watches the store at once
+
+  Scenario Outline: A change is in force in time though all that watch the store <fault>
+    Given 41 entry processes in 4 zones that broadcast to samples of their peers
+    When all that watch the store <fault>, and a change is made
+    Then every other process has the change within <seconds> s
+
+    Examples: large
+      | fault                        | seconds |
+      | are turned away by it        | 2       |
+      | hear nothing from it         | 2       |
+      | are cut off from all others  | 3       |
--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -60,4 +60,5 @@
         CrashTracker(),
         lambda: True,
         lambda _: None,
+        lambda: False,
     )
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from tests.direct_fakes import NOW, exchange_of, fleet_of
+from tests.simulated_entries import SimulatedEntries
 from verbenaward.direct.addresses import addresses_for
 from verbenaward.direct.peer_groups import MINIMUM_BACKENDS, peer_group_of
 from verbenaward.replica.store_replica import Changes
@@ -267,3 +268,45 @@
 def says_old(context, seconds):
     checked_ms = context.receiver.full_broadcast(NOW).checked_ms
     assert checked_ms >= seconds * 1000, checked_ms
+
+
+@when("the first of each zone loses the store and broadcasts that")
+def first_loses_store(context):
+    for exchange in (context.entries[0], context.entries[3]):
+        exchange.is_store_lost = lambda: True
+        port = int(exchange.settings.listen.rpartition(":")[2])
+        for receiver in context.entries:
+            receiver.receive(encode(exchange.full_broadcast(NOW)), ("127.0.0.1", port), NOW)
+
+
+@then("the second of the zone with three watches the store at once")
+def second_watches(context):
+    assert [exchange.is_watcher(NOW) for exchange in context.entries] == [True, True, False, True]
+
+
+@given("{count:d} entry processes in {zones:d} zones that broadcast to samples of their peers")
+def sampled_entries(context, count, zones):
+    async def make():
+        return SimulatedEntries(count, zones)
+
+    context.simulate = lambda: context.loop.run_until_complete(make())
+
+
+@when("all that watch the store {fault}, and a change is made")
+def lose_store(context, fault):
+    context.lags = []
+    for trial in range(8):
+        simulation = context.simulate()
+        simulation.run_until(4.0 + trial / 8)
+        for entry in simulation.watchers():
+            entry.fault = fault
+        simulation.change()
+        changed_at = simulation.now
+        while simulation.lagging() and simulation.now < changed_at + 6:
+            simulation.run_until(simulation.now + 0.02)
+        context.lags.append(round(simulation.now - changed_at, 2))
+
+
+@then("every other process has the change within {seconds:g} s")
+def all_have_change(context, seconds):
+    assert max(context.lags) <= seconds, context.lags
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -12,6 +12,8 @@
 """The same for a peer of another group, which sends to this process less often."""
 REPLACED_SECONDS = 0.5
 """Time without a broadcast after which any other incarnation replaces the known one."""
+WATCHERS = 3
+"""Entry processes that watch the store; the others fetch changes from them."""
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
@@ -92,3 +94,20 @@
     if broadcast.incarnation == previous.incarnation:
         return broadcast.sequence <= previous.sequence
     return broadcast.incarnation < previous.incarnation and silent_seconds < REPLACED_SECONDS
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Watcher:
+    """An entry process that can watch the store: its zone, VM and control address."""
+
+    zone: str
+    vm: str
+    control: str
+
+
+def chosen_watchers(possible: list[Watcher]) -> list[Watcher]:
+    """Return the first of each availability zone, up to `WATCHERS`."""
+    first: dict[str, Watcher] = {}
+    for watcher in sorted(possible):
+        first.setdefault(watcher.zone, watcher)
+    return list(first.values())[:WATCHERS]
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -77,6 +77,7 @@
             ALL_KEYS_PREFIX,
             self.replica,
             lambda: self.exchange.is_watcher(time.monotonic()),
+            lambda: self.exchange.request_full_broadcast(),
         )
         self.peer_fetcher = PeerFetcher(self.replica, self.follower, self.fetch_from_peers)
         self.exchange = StateExchange(
@@ -86,6 +87,7 @@
             self.crashes,
             self.is_ready,
             self.peer_fetcher.observe_revision,
+            lambda: not self.follower.reachable,
         )
         self.budget = SharedRetryBudget(
             direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -26,7 +26,7 @@
 from ..wire.codec import MalformedMessageError, decode, encode
 from .backends import RemoteLoad
 from .crash_tracker import CrashTracker
-from .entry_peers import EntryPeer, EntryRecord, is_older
+from .entry_peers import EntryPeer, EntryRecord, Watcher, chosen_watchers, is_older
 from .fleet import Fleet
 from .peer_groups import PeerGroup, peer_group_of
 
@@ -50,11 +50,9 @@
 MAXIMUM_AGE_MS = 3_600_000
 """Largest age of a replica that a broadcast carries; it also stands for "no live peer"."""
 MILLISECONDS_PER_SECOND = 1000
-WATCHERS = 3
-"""Entry processes that watch the store; the others fetch changes from them."""
 MAXIMUM_REPLICA_AGE_SECONDS = 1.6
 """If no live peer confirms a replica that is younger, a process watches the store itself."""
-MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS = 3.5
+MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS = 2.0
 """The same if broadcasts go to a sample of the peers, as its time then spreads in several hops."""
 MAXIMUM_TARGETS = 16
 """Entry processes that receive one full broadcast, chosen at random each time."""
@@ -70,6 +68,7 @@
       leaving: True once this process has been told to stop.
       peer_group: Peers that receive load deltas, and the engines that they prefer.
       on_revision: Called with the store revision of each full broadcast received.
+      is_store_lost: Returns True if this process's last call to the store failed.
       incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
       sequence: Number of the last message sent.
       is_urgent: True if a full broadcast is to be sent at once.
@@ -87,6 +86,7 @@
         crashes: CrashTracker,
         is_ready: Callable[[], bool],
         on_revision: Callable[[int], None],
+        is_store_lost: Callable[[], bool],
     ) -> None:
         self.settings = settings
         self.replica = replica
@@ -94,6 +94,7 @@
         self.crashes = crashes
         self.is_ready = is_ready
         self.on_revision = on_revision
+        self.is_store_lost = is_store_lost
         self.leaving = False
         self.peer_group = PeerGroup()
         self.peers: dict[str, EntryPeer] = {}
@@ -214,13 +215,19 @@
         return direct.pulse_bytes_per_second
 
     def send_full(self, now: float) -> None:
-        """Send a full broadcast to the peers, or to a sample of them."""
+        """Send a full broadcast to the peers, or to a sample of them.
+
+        If the store is lost, the sample includes the peers that watch it in place of this process.
+        """
         self.forget_peers(now)
         self.is_urgent = False
         self.sent_revision = self.replica.revision
         targets = list(self.peers)
         if self.is_sampled:
             targets = self.rng.sample(targets, MAXIMUM_TARGETS)
+            if self.is_store_lost():
+                watchers = chosen_watchers(self.possible_watchers(now))
+                targets += [one.control for one in watchers if one.control not in targets]
         broadcast = self.full_broadcast(now)
         self.sent_loads = {load.backend: load for load in broadcast.loads}
         sent = self.send(broadcast, targets)
@@ -291,6 +298,7 @@
             checked_ms=math.ceil(
                 min(MAXIMUM_AGE_MS, self.replica_age(now) * MILLISECONDS_PER_SECOND)
             ),
+            store_lost=self.is_store_lost(),
         )
 
     def receive(self, payload: bytes, source: tuple[str, int], now: float) -> None:
@@ -426,28 +434,30 @@
     def is_watcher(self, now: float) -> bool:
         """Return True if this process watches the store, for itself and its peers.
 
-        The first entry process of each availability zone does, up to `WATCHERS`; every process
-        does while no peer confirms that its replica is current.
+        The first entry process of each availability zone that has not lost it does, up to
+        `WATCHERS`; every process does while no peer confirms that its replica is current.
 
         Args:
           now: Present time, monotonic, in seconds.
         """
-        alive = [
-            (peer.last_broadcast.zone, peer.last_broadcast.vm)
+        own = Watcher(self.settings.zone, self.settings.vm, self.settings.listen)
+        if own in chosen_watchers([*self.possible_watchers(now), own]):
+            return True
+        longest = (
+            MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS if self.is_sampled else MAXIMUM_REPLICA_AGE_SECONDS
+        )
+        return self.replica_age_by_peers(now) > longest
+
+    def possible_watchers(self, now: float) -> list[Watcher]:
+        """Return the peers that can watch the store."""
+        return [
+            Watcher(peer.last_broadcast.zone, peer.last_broadcast.vm, peer.control)
             for peer in self.peers.values()
             if peer.last_broadcast is not None
             and not peer.last_broadcast.leaving
+            and not peer.last_broadcast.store_lost
             and self.is_present(peer, now)
         ]
-        own = (self.settings.zone, self.settings.vm)
-        first: dict[str, tuple[str, str]] = {}
-        for zone, vm in sorted([*alive, own]):
-            first.setdefault(zone, (zone, vm))
-        chosen = list(first.values())[:WATCHERS]
-        longest = (
-            MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS if self.is_sampled else MAXIMUM_REPLICA_AGE_SECONDS
-        )
-        return own in chosen or self.replica_age_by_peers(now) > longest
 
     @property
     def is_sampled(self) -> bool:
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -12,7 +12,7 @@
 from .store_replica import Changes, StoreReplica
 
 LOG = get_logger(__name__)
-MAXIMUM_WATCH_SECONDS = 1.0
+MAXIMUM_WATCH_SECONDS = 0.5
 """Longest watch. A watch can stall without an error, in all processes at once."""
 UNREACHABLE_WATCH_SECONDS = 0.1
 """Longest watch while the last call to the store failed."""
@@ -37,6 +37,7 @@
       replica: Local replica of the store.
       is_watcher: Returns True if this process has to watch the store itself, False if it gets
         the changes from processes that do.
+      on_reachable_changed: Called when the store is lost and when it is found again.
       reachable: False from a failed call to the store until the next success.
       failures: Consecutive failed calls.
       needs_snapshot: True if the next step has to read everything.
@@ -49,11 +50,13 @@
         prefix: str,
         replica: StoreReplica,
         is_watcher: Callable[[], bool] = lambda: True,
+        on_reachable_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self.store = store
         self.prefix = prefix
         self.replica = replica
         self.is_watcher = is_watcher
+        self.on_reachable_changed = on_reachable_changed
         self.reachable = True
         self.failures = 0
         self.needs_snapshot = True
@@ -115,10 +118,10 @@
 
     def record_success(self) -> None:
         """Reset the failure state after a call that succeeded."""
+        self.failures = 0
         if not self.reachable:
             LOG.info("store.found", revision=self.replica.revision)
-        self.reachable = True
-        self.failures = 0
+            self.set_reachable(True)
 
     def record_failure(self, error: KeyValueError) -> None:
         """Count a failed call; if the store has compacted its history, read a snapshot next."""
@@ -127,7 +130,12 @@
             self.needs_snapshot = True
         if self.reachable:
             LOG.warning("store.lost", error=error.message, revision=self.replica.revision)
-        self.reachable = False
+            self.set_reachable(False)
+
+    def set_reachable(self, reachable: bool) -> None:
+        """Record whether the store answers."""
+        self.reachable = reachable
+        self.on_reachable_changed()
 
     def backoff_seconds(self) -> float:
         """Return the pause after a failed call: exponential backoff with jitter."""
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -148,6 +148,7 @@
   loadingInMs @13 :UInt32;  # time until it starts to load; 0 if it accepts no requests now
   partial @14 :Bool;
   misdirected @15 :List(UInt32);  # backends with another incarnation at their address, as in BackendLoad
+  storeLost @16 :Bool;      # the sender's last call to the store failed
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -188,6 +188,7 @@
     loading_in_ms: int = 0
     partial: bool = False
     misdirected: tuple[int, ...] = ()
+    store_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
