Count the time for which a machine is suspended

A process that knows of a target version and is suspended for the whole bound starts work on older weights when it resumes.

Cause: all times of the direct mode were of the monotonic clock, which stands still while a machine is suspended, while the operator's bound goes on.

Change: direct/, replica/ and weight_loading/ take the time from clock.now(), which reads CLOCK_BOOTTIME. Timers of the event loop stay relative. Why this works: both sides of each comparison are of one clock that counts the suspension.

--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -59,3 +59,8 @@
       | source    |
       | the store |
       | its peer  |
+
+  Scenario: The time for which a machine is suspended counts towards the bound of a target version
+    Given one entry process that is ready
+    When a target version is set and the machine is suspended for the whole bound
+    Then the process starts nothing on older weights
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import time
+from unittest import mock
 
 import aiohttp
 from behave import given, then, when
 
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
+from verbenaward import clock
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
@@ -25,8 +27,8 @@
 
 
 async def until(condition, seconds=READY_SECONDS):
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
+    deadline = clock.now() + seconds
+    while clock.now() < deadline:
         if condition():
             return True
         await asyncio.sleep(0.02)
@@ -84,7 +86,7 @@
         peers = count - 1
         assert await until(
             lambda: all(
-                len(role.exchange.ready_peers(time.monotonic())) == peers
+                len(role.exchange.ready_peers(clock.now())) == peers
                 for role in context.platform.entries
             )
         )
@@ -167,9 +169,9 @@
 
 @when("a caller books something")
 def book(context):
-    started = time.monotonic()
+    started = clock.now()
     context.answer = call(context, "/book/bed", "booking", body=b"bed 7")
-    context.took = time.monotonic() - started
+    context.took = clock.now() - started
 
 
 @when("a caller books with a body over the limit")
@@ -320,7 +322,7 @@
     context.bad = engines(context)[0]
     exchange = context.platform.entries[0].exchange
     notice = encode(Pulse(vm="endpoint", loading=context.bad.address))
-    exchange.receive(notice, ("127.0.0.1", 1), time.monotonic())
+    exchange.receive(notice, ("127.0.0.1", 1), clock.now())
 
 
 @when("one plain backend registers as draining")
@@ -375,9 +377,9 @@
 @then("both refuse the key within {seconds:d} seconds")
 @then("the process refuses the key within {seconds:d} seconds")
 def refuse_key(context, seconds):
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     waiting = set(range(len(context.platform.entries)))
-    while waiting and time.monotonic() < deadline:
+    while waiting and clock.now() < deadline:
         waiting = {index for index in waiting if call(context, "/look/x", entry=index)[0] != 401}
         run(context, asyncio.sleep(0.05))
     assert not waiting, waiting
@@ -437,7 +439,7 @@
             )
             assert await until(lambda: any(item.run_counts for item in engines(context)))
             draining = asyncio.create_task(first.drain())
-            assert await until(lambda: not second.exchange.ready_peers(time.monotonic()), 2.0)
+            assert await until(lambda: not second.exchange.ready_peers(clock.now()), 2.0)
             url = f"http://{second.direct.directory}/resolve?name={CALLER_HOST}&zone=zone-a"
             async with session.get(url) as response:
                 context.listed = (await response.json())["addresses"]
@@ -632,7 +634,7 @@
     role.exchange.receive = lambda payload, origin, now: None
     role.follower.store.url = "http://127.0.0.1:9"
     run(context, asyncio.sleep(MAXIMUM_WATCH_SECONDS + 0.1))
-    context.set_at = time.monotonic()
+    context.set_at = clock.now()
     value = json.dumps({"model_name": "model", "version": 2}).encode()
     context.platform.store.put("op/version/model", value)
     run(context, asyncio.sleep(seconds))
@@ -646,7 +648,30 @@
 
 @then("from {seconds:g} s after it was set the second process starts nothing on older weights")
 def nothing_on_old_weights(context, seconds):
-    run(context, asyncio.sleep(context.set_at + seconds - time.monotonic()))
-    context.answer = call(context, "/stream/x", headers={"X-Model": "model"}, entry=1)
+    run(context, asyncio.sleep(context.set_at + seconds - clock.now()))
+    refuses_old_weights(context, 1)
+
+
+@when("a target version is set and the machine is suspended for the whole bound")
+def suspended(context):
+    role = context.platform.entries[0]
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    context.platform.store.put("op/version/model", value)
+    assert run(context, until(lambda: role.fleet.versions))
+    seconds = role.direct.version_seconds
+    read = time.clock_gettime
+    # The boot-time clock counts a suspension, the monotonic clock does not.
+    suspension = mock.patch("time.clock_gettime", lambda clock: read(clock) + seconds)
+    suspension.start()
+    context.add_cleanup(suspension.stop)
+
+
+@then("the process starts nothing on older weights")
+def nothing_on_older_weights(context):
+    refuses_old_weights(context, 0)
+
+
+def refuses_old_weights(context, entry):
+    context.answer = call(context, "/stream/x", headers={"X-Model": "model"}, entry=entry)
     assert context.answer[0] == 503, context.answer
     assert not any(item.run_counts for item in engines(context))
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import hashlib
-import time
 from collections import OrderedDict
 from collections.abc import Coroutine
 from typing import Any
@@ -17,7 +16,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..configuration.settings import host_of, port_of
 from ..data import ServiceDeclaration
 from ..logs import get_logger
@@ -255,7 +254,7 @@
         direct = self.settings.direct
         assert direct is not None
         region = direct.zones.get(origin.zone, "")
-        now = time.monotonic()
+        now = clock.now()
         eligible = [
             peer.control
             for peer in self.exchange.peers.values()
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -1,13 +1,13 @@
 """Runs requests: chooses a backend, sends, and retries if that is allowed."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import aiohttp
 from returns.result import Success
 
+from .. import clock
 from ..data import RouteKind
 from ..platform.request_headers import BackendHeaders
 from ..requests.quarantine import QuarantineState
@@ -91,7 +91,7 @@
           RefusedError: No backend answered it.
         """
         progress = Progress()
-        self.budget.record_request(request.service, time.monotonic())
+        self.budget.record_request(request.service, clock.now())
         while True:
             try:
                 choice = await self.next_choice(request, progress)
@@ -112,7 +112,7 @@
         Raises:
           RefusedError: The request may not be sent, or not again.
         """
-        now = time.monotonic()
+        now = clock.now()
         self.refuse_poison(request, progress, now)
         wait_until = min(request.deadline, request.received_at + self.backend_wait_seconds(request))
         while True:
@@ -120,7 +120,7 @@
             if choice is not None or now >= wait_until:
                 break
             await asyncio.sleep(POLL_SECONDS)
-            now = time.monotonic()
+            now = clock.now()
         refusal = None if progress.runs else self.placer.refusal(request, choice, now)
         if refusal is not None:
             allowed = self.placer.allowed_seconds(request, now) if choice else None
@@ -174,7 +174,7 @@
           RefusedError: No retry may follow, and there is no answer to return.
         """
         view = choice.view
-        now = time.monotonic()
+        now = clock.now()
         self.log.sent(request, choice, progress.sends)
         view.record_started(0)
         self.load_changed()
@@ -233,7 +233,7 @@
             return answer
         view.record_failure()
         can_retry = self.may_retry(request, progress)
-        if not can_retry or not self.has_retry_budget(request, time.monotonic()):
+        if not can_retry or not self.has_retry_budget(request, clock.now()):
             self.log.answered(request, answer.status, progress.sends + 1)
             return answer
         progress.answer = answer
@@ -246,7 +246,7 @@
     ) -> None:
         """Record a failed send: at the backend, for the crash tracker and for the request."""
         view = choice.view
-        now = time.monotonic()
+        now = clock.now()
         self.log.failed(request, view, failed)
         progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
@@ -275,7 +275,7 @@
         Raises:
           RefusedError: No retry may follow, and there is no such answer.
         """
-        now = time.monotonic()
+        now = clock.now()
         if now + SEND_RESERVE_SECONDS >= request.deadline:
             return self.finish_timed_out(request, progress)
         exhausted = (
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -1,11 +1,10 @@
 """HTTP interface of an entry process for callers."""
 
 import asyncio
-import time
 
 from aiohttp import web
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
@@ -70,7 +69,7 @@
         """
         request = await self.accept(caller)
         labels = labels_of(request)
-        started = time.monotonic()
+        started = clock.now()
         verdict = Verdict.RAN.value
         try:
             if is_stream(request):
@@ -82,7 +81,7 @@
             raise
         finally:
             metrics.REQUESTS.labels(*labels, verdict).inc()
-            metrics.ANSWER_SECONDS.labels(*labels).observe(time.monotonic() - started)
+            metrics.ANSWER_SECONDS.labels(*labels).observe(clock.now() - started)
         if isinstance(result, WholeAnswer):
             return web.Response(status=result.status, headers=result.headers, body=result.body)
         return result
@@ -93,7 +92,7 @@
         Raises:
           RefusedError: It is refused before a backend is chosen.
         """
-        received_at = time.monotonic()
+        received_at = clock.now()
         try:
             body = await self.read_body(caller)
             if self.closed:
--- a/verbenaward/direct/pacing.py
+++ b/verbenaward/direct/pacing.py
@@ -1,10 +1,11 @@
 """Paces response bodies to a requested rate, so that no queue builds up before a slow link."""
 
 import asyncio
-import time
 
 from aiohttp import web
 
+from .. import clock
+
 SLICE_BYTES = 4096
 RATE_QUERY = "rate"
 """Query parameter with the rate that a caller asks for, in bytes a second."""
@@ -20,10 +21,10 @@
     """
     response = web.StreamResponse(headers={"Content-Length": str(len(body))})
     await response.prepare(request)
-    started = time.monotonic()
+    started = clock.now()
     for start in range(0, len(body), SLICE_BYTES):
         due = started + start / rate
-        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        await asyncio.sleep(max(0.0, due - clock.now()))
         await response.write(body[start : start + SLICE_BYTES])
     await response.write_eof()
     return response
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -5,10 +5,10 @@
 """
 
 import math
-import time
 from dataclasses import dataclass
 from typing import Any
 
+from .. import clock
 from ..data import Refusal
 from ..logs import get_logger
 from .backends import BackendView
@@ -57,14 +57,14 @@
 
     def write(self, limit: LineRateLimit, event: str, request: Request, **values: Any) -> None:
         """Write a line about a request, with its id and age, if the limit allows."""
-        held = round((time.monotonic() - request.received_at) * 1000, 1)
+        held = round((clock.now() - request.received_at) * 1000, 1)
         self.write_line(
             limit, event, request=request.parsed_headers.request_id, held_ms=held, **values
         )
 
     def write_line(self, limit: LineRateLimit, event: str, **values: Any) -> None:
         """Write a line, with the number of lines dropped before it, if the limit allows."""
-        if not limit.acquire(time.monotonic()):
+        if not limit.acquire(clock.now()):
             return
         if limit.dropped:
             values["dropped"] = limit.dropped
@@ -84,7 +84,7 @@
 
     def sent(self, request: Request, choice: Choice, sends: int) -> None:
         """Log that a request was sent to a backend."""
-        now = time.monotonic()
+        now = clock.now()
         self.write(
             self.usual,
             "request.sent",
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -1,11 +1,11 @@
 """The entry role of the direct mode: connects the modules of this package and runs their tasks."""
 
 import asyncio
-import time
 
 from aiohttp import web
 from returns.result import Success
 
+from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..logs import get_logger
@@ -76,7 +76,7 @@
             self.store,
             ALL_KEYS_PREFIX,
             self.replica,
-            lambda: self.exchange.is_watcher(time.monotonic()),
+            lambda: self.exchange.is_watcher(clock.now()),
             lambda: self.exchange.request_full_broadcast(),
         )
         self.peer_fetcher = PeerFetcher(self.replica, self.follower, self.fetch_from_peers)
@@ -179,7 +179,7 @@
 
     async def answer_addresses(self, request: web.Request) -> web.Response:
         """Answer with the addresses that a caller should use, and their time to live."""
-        entries = self.exchange.ready_peers(time.monotonic())
+        entries = self.exchange.ready_peers(clock.now())
         if self.is_ready():
             entries.append(self.own_state())
         zone = request.query.get("zone", "")
@@ -206,14 +206,14 @@
             wait_seconds = float(request.query.get(WAIT_QUERY, "0"))
         except ValueError:
             return web.Response(status=400)
-        received_at = time.monotonic()
+        received_at = clock.now()
         until = received_at + min(MAXIMUM_LONG_POLL_SECONDS, wait_seconds)
-        while self.replica.revision <= revision and time.monotonic() < until:
+        while self.replica.revision <= revision and clock.now() < until:
             await asyncio.sleep(LONG_POLL_STEP_SECONDS)
-        if wait_seconds and not self.is_replica_fresh(time.monotonic()):
+        if wait_seconds and not self.is_replica_fresh(clock.now()):
             return web.Response(status=503)
         changes = self.replica.changes_after(revision)
-        message = changes_to_message(changes, received_at, time.monotonic())
+        message = changes_to_message(changes, received_at, clock.now())
         return web.Response(body=encode(message))
 
     def is_replica_fresh(self, now: float) -> bool:
@@ -222,7 +222,7 @@
 
     async def fetch_from_peers(self, revision: int) -> Changes | None:
         """Return the changes after a revision from a peer that is ahead; None if none answers."""
-        for control in self.exchange.peers_ahead_of(revision, time.monotonic())[:3]:
+        for control in self.exchange.peers_ahead_of(revision, clock.now())[:3]:
             changes = await fetch_changes(self.session, control, revision, 0.0)
             if changes is not None:
                 return changes
@@ -244,7 +244,7 @@
         fetching missing digests.
         """
         while True:
-            now = time.monotonic()
+            now = clock.now()
             if not self.follower.reachable:
                 self.fleet.store_failed_at = now
             alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
@@ -255,7 +255,7 @@
     async def maintain_peer_group(self) -> None:
         """Periodically recompute the peer group and pass it to the placer."""
         while True:
-            self.exchange.update_peer_group(time.monotonic())
+            self.exchange.update_peer_group(clock.now())
             self.front.forwarder.placer.peer_group = self.exchange.peer_group
             await asyncio.sleep(PEER_GROUP_INTERVAL_SECONDS)
 
@@ -277,18 +277,18 @@
         """
         if self.front.leaving:
             return
-        started = time.monotonic()
+        started = clock.now()
         self.front.leaving = True
         self.exchange.leaving = True
         self.exchange.request_full_broadcast()
         LOG.info("entry.leaving", in_flight=self.front.in_flight)
         await self.store.end_lease(ENTRY_PREFIX + self.settings.listen)
-        await asyncio.sleep(max(0.0, started + ADDRESS_LINGER_SECONDS - time.monotonic()))
+        await asyncio.sleep(max(0.0, started + ADDRESS_LINGER_SECONDS - clock.now()))
         self.front.closed = True
         for site in list(self.runners[0].sites):
             await site.stop()
         last = started + self.direct.grace_seconds - EXIT_RESERVE_SECONDS
-        while self.front.in_flight and time.monotonic() < last:
+        while self.front.in_flight and clock.now() < last:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         LOG.info("entry.left", in_flight=self.front.in_flight)
 
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..logs import get_logger
 from ..platform.key_value import KeyValueEntry
@@ -180,12 +181,12 @@
         urgent.
         """
         while True:
-            now = time.monotonic()
+            now = clock.now()
             wait_seconds = max(MINIMUM_IDLE_WAIT_SECONDS, self.next_full_at - now)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_seconds):
                     await self.changed.wait()
-            now = time.monotonic()
+            now = clock.now()
             self.changed.clear()
             if self.is_full_due(now):
                 self.send_full(now)
@@ -507,7 +508,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Apply a datagram."""
-        self.exchange.receive(data, addr, time.monotonic())
+        self.exchange.receive(data, addr, clock.now())
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a refused datagram: the peer is down or restarting."""
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -7,7 +7,6 @@
 import contextlib
 import dataclasses
 import math
-import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -15,7 +14,7 @@
 from multidict import CIMultiDict
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
 from ..requests.events import EVENT_END
 from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
@@ -129,9 +128,9 @@
         forwarder = self.forwarder
         progress = Progress()
         delivery = Delivery(caller)
-        forwarder.budget.record_request(request.service, time.monotonic())
+        forwarder.budget.record_request(request.service, clock.now())
         try:
-            async with asyncio.timeout(request.deadline - time.monotonic()):
+            async with asyncio.timeout(request.deadline - clock.now()):
                 return await self.attempts(request, progress, delivery)
         except TimeoutError:
             if delivery.response is not None:
@@ -172,7 +171,7 @@
     ) -> web.StreamResponse | WholeAnswer | FailedAttempt:
         """Send a request once and forward the events of the answer."""
         forwarder, view = self.forwarder, choice.view
-        now = time.monotonic()
+        now = clock.now()
         values = forwarder.backend_headers_for(request, choice, now)
         if delivery.last_event_id:
             values = resumed_after(values, delivery.last_event_id)
@@ -273,7 +272,7 @@
     def may_fail_over(self, request: Request, progress: Progress) -> bool:
         """Return True if a stalled stream may fail over to another backend."""
         forwarder = self.forwarder
-        now = time.monotonic()
+        now = clock.now()
         return (
             forwarder.may_retry(request, progress)
             and forwarder.has_retry_budget(request, now)
@@ -308,7 +307,7 @@
         if not self.awaits_first_event:
             return
         self.end_prefill()
-        now = time.monotonic()
+        now = clock.now()
         self.report_late_start(version, now)
         took = now - self.started_at
         self.first_seconds = now - self.request.received_at
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 from returns.result import Result, Success
 
+from .. import clock
 from ..logs import get_logger
 from ..platform.key_value import KeyValueError, KeyValueFailure, KeyValueService, KeyValueSnapshot
 from .store_replica import Changes, StoreReplica
@@ -86,13 +86,13 @@
         """
         result = await (self.read_all() if self.needs_snapshot else self.watch())
         if isinstance(result, Success):
-            self.replica.apply(result.unwrap(), time.monotonic())
+            self.replica.apply(result.unwrap(), clock.now())
             self.needs_snapshot = False
         return result
 
     async def read_all(self) -> Result[Changes, KeyValueError]:
         """Read a snapshot of all keys."""
-        called_at = time.monotonic()
+        called_at = clock.now()
         result = await self.store.read_prefix(self.prefix)
         return result.map(lambda read: Changes(read.revision, True, read.entries, called_at))
 
@@ -100,7 +100,7 @@
         """Wait for changes; return None if `restart_watch` is set before the store answers."""
         self.restart_watch.clear()
         seconds = MAXIMUM_WATCH_SECONDS if self.reachable else UNREACHABLE_WATCH_SECONDS
-        called_at = time.monotonic()
+        called_at = clock.now()
         watching = asyncio.ensure_future(
             self.store.watch(self.prefix, self.replica.revision, seconds)
         )
@@ -110,7 +110,7 @@
             if not watching.done():
                 return None
             return watching.result().map(
-                lambda read: changes_of_watch(read, called_at, seconds, time.monotonic())
+                lambda read: changes_of_watch(read, called_at, seconds, clock.now())
             )
         finally:
             watching.cancel()
@@ -202,6 +202,6 @@
                 await asyncio.sleep(PEER_RETRY_SECONDS)
                 continue
             before = self.replica.revision
-            applied = self.replica.apply(changes, time.monotonic())
+            applied = self.replica.apply(changes, clock.now())
             LOG.info("peer.told", after=before, revision=self.replica.revision, items=applied)
             self.follower.restart_watch.set()
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import math
-import time
 
 import aiohttp
 
+from .. import clock
 from ..logs import get_logger
 from ..platform.key_value import KeyValueEntry
 from ..schema.messages import StoredItem, StoredItems
@@ -91,7 +91,7 @@
     timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS + wait_seconds)
     url = f"http://{control}{ITEMS_PATH.format(revision=revision)}"
     query = {WAIT_QUERY: str(wait_seconds)} if wait_seconds else {}
-    requested_at = time.monotonic()
+    requested_at = clock.now()
     try:
         async with session.get(url, params=query, timeout=timeout) as response:
             body = await response.read()
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -1,14 +1,13 @@
 """Loads weights into the engine on this VM: stages verified chunks, then orders the load."""
 
 import asyncio
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 import aiohttp
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import HeldWeights
 from ..direct.chunk_runs import chunk_order, chunk_run_name
 from ..direct.fleet import Fleet
@@ -137,7 +136,7 @@
             self.direct.version_seconds,
             load_order(self.zones_of_serving()).index(self.direct.engine),
         )
-        return continues_staging(superseded, time.monotonic())
+        return continues_staging(superseded, clock.now())
 
     def staging_seconds(self) -> float:
         """Return the time to stage a whole version; 0 if it is unknown."""
@@ -183,13 +182,13 @@
         ]  # fmt: skip
         if not missing:
             return True
-        started = time.monotonic()
+        started = clock.now()
         queue = iter(chunk_order(missing, self.settings.vm))
         results = await asyncio.gather(
             *(self.stage_queued(queue, wanted, digests) for _ in range(PARALLEL_FETCHES))
         )
         if all(results):
-            took = round(time.monotonic() - started, 3)
+            took = round(clock.now() - started, 3)
             LOG.info("weights.staged", version=wanted.version, chunks=len(missing), seconds=took)
         return all(results)
 
@@ -266,7 +265,7 @@
         scheduled_at = self.scheduled_at(wanted)
         if scheduled_at is None:
             return
-        now = time.monotonic()
+        now = clock.now()
         missing = sum(
             self.staged.get(index) != digest for index, digest in enumerate(digests.digests)
         )
@@ -278,7 +277,7 @@
         scheduled_at = self.scheduled_at(wanted)
         if scheduled_at is None:
             return
-        while (now := time.monotonic()) < scheduled_at and self.update_next_weights() == wanted:
+        while (now := clock.now()) < scheduled_at and self.update_next_weights() == wanted:
             self.notices.announce_planned_load(scheduled_at, now)
             await asyncio.sleep(min(POLL_SECONDS, scheduled_at - now))
 
--- a/verbenaward/weight_loading/entry_poller.py
+++ b/verbenaward/weight_loading/entry_poller.py
@@ -1,10 +1,10 @@
 """Receives the store's changes from entry processes by long polling."""
 
 import asyncio
-import time
 
 import aiohttp
 
+from .. import clock
 from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
 from ..platform.names import ENTRY_PREFIX
@@ -42,7 +42,7 @@
 
     def needs_store(self) -> bool:
         """Return True if no entry process answers, so that the store itself must be watched."""
-        return time.monotonic() - self.last_answer_at > ANSWER_TIMEOUT_SECONDS
+        return clock.now() - self.last_answer_at > ANSWER_TIMEOUT_SECONDS
 
     async def run(self) -> None:
         """Apply changes from entry processes until cancelled."""
@@ -59,7 +59,7 @@
                 self.position += 1
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            self.last_answer_at = time.monotonic()
+            self.last_answer_at = clock.now()
             self.replica.apply(changes, self.last_answer_at)
 
     def entries(self) -> list[str]:
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import hashlib
-import time
 
 import aiohttp
 
+from .. import clock
 from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
 from ..direct.pacing import RATE_QUERY
@@ -99,12 +99,12 @@
         query = {RATE_QUERY: f"{rate:.0f}"} if rate else {}
         try:
             async with self.session.get(url, params=query, timeout=timeout) as response:
-                began = time.monotonic()
+                began = clock.now()
                 body = await response.read()
                 if response.status != 200:
                     return None
                 if rate:
-                    self.update_share(len(body) / rate, time.monotonic() - began, share)
+                    self.update_share(len(body) / rate, clock.now() - began, share)
                 return body
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
