--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -219,14 +219,15 @@
         known = self.versions.setdefault(target.model, [])
         if known and target.version <= known[-1].target.version:
             return
-        known.append(learned_version(target, entry.acknowledged_after, now))
+        learned = learned_version(target, entry.acknowledged_after, now)
+        known.append(learned)
         del known[:-KEPT_VERSIONS]
         LOG.info(
             "version.named",
             model=target.model,
             version=target.version,
             revision=entry.revision,
-            unheard_ms=round((now - self.replica.updated_at) * MILLISECONDS_PER_SECOND),
+            age_ms=round((now - learned.set_after) * MILLISECONDS_PER_SECOND),
         )
         for listener in self.version_listeners if self.replica.revision else ():
             listener(target.model, target.version)
