store: a change that may still be accepted is not reported as failed

Seen by operators: release apply or a rollback would end with "failed" (exit as for a rejected change) although an earlier try without an answer took effect, or took effect later; whoever then applied again would get a conflict with the change that was said not to have been accepted. Cause: swap_head looked at the failure of its last try only, and a rate-limited try proves nothing about those before it. Change: it remembers whether any try may have taken effect, and then reads back as after an unanswered last try. Before: the new scenario failed with "ASSERT FAILED: ApplyResult(outcome=<ApplyOutcome.FAILED: 'failed'>, ... message='too many requests')". Why it works: FAILED now needs proof of no effect from every try; else the history decides between accepted and unknown.

--- a/tests/configuration/store.feature
+++ b/tests/configuration/store.feature
@@ -22,3 +22,8 @@
   Scenario: A different document with the revision in force is refused
     When a process is offered another document with the revision in force
     Then it keeps its own and counts the refusal
+
+  Scenario: A change that may still be accepted is not reported as failed after rate-limited tries
+    Given an empty key-value service
+    When the first try of a change is delayed without an answer and the others are rate-limited
+    Then the result is unknown, and the change is accepted later
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,6 +21,7 @@
 UNAVAILABLE = Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, "outage"))
 UNKNOWN = Failure(KeyValueError(KeyValueFailure.UNKNOWN, "answer lost"))
 CONFLICT = Failure(KeyValueError(KeyValueFailure.CONFLICT, "version conflict"))
+RATE_LIMITED = Failure(KeyValueError(KeyValueFailure.RATE_LIMITED, "too many requests"))
 POLL_SECONDS = 0.1
 
 
@@ -104,7 +105,8 @@
       world: State of the service.
       cut: True while this client cannot reach the service.
       lose: Faults of the next writes, in order. "before" loses the request, "after" loses the
-        answer, a float delays the effect by so many seconds and loses the answer.
+        answer, "limited" rejects the request, a float delays the effect by so many seconds and
+        loses the answer.
       late: Tasks of delayed writes.
     """
 
@@ -141,6 +143,8 @@
             return UNAVAILABLE
         if fate == "before":
             return UNKNOWN
+        if fate == "limited":
+            return RATE_LIMITED
         self.world.writes += 1
         result = self.world.cas(key, value, expected_version)
         return UNKNOWN if fate == "after" else result
--- a/tests/steps/configuration_store.py
+++ b/tests/steps/configuration_store.py
@@ -9,6 +9,7 @@
 from verbenaward import metrics
 from verbenaward.configuration.follower import ConfigurationFollower
 from verbenaward.configuration.store import (
+    WRITE_ATTEMPTS,
     ApplyOutcome,
     Head,
     Proposal,
@@ -146,3 +147,19 @@
 def check_kept(context):
     assert context.follower.configuration.write_id == "first"
     assert metrics.sample_sum("verbenaward_configuration_refused_total") == context.refused + 1
+
+
+@when("the first try of a change is delayed without an answer and the others are rate-limited")
+def delayed_then_limited(context):
+    recorded = ""
+    context.service.lose = [recorded, 0.1] + ["limited"] * (WRITE_ATTEMPTS - 1)
+    proposal = Proposal(manifest_named("w"), "op", "", "late")
+    context.applied = context.loop.run_until_complete(apply(context.service, proposal, 0.0))
+
+
+@then("the result is unknown, and the change is accepted later")
+def accepted_later(context):
+    assert context.applied.outcome is ApplyOutcome.UNKNOWN, context.applied
+    context.loop.run_until_complete(asyncio.gather(*context.service.late))
+    chain = context.loop.run_until_complete(accepted_chain(context.service)).unwrap()
+    assert [item.write_id for item in chain if item.revision] == ["late"]
--- a/verbenaward/configuration/store.py
+++ b/verbenaward/configuration/store.py
@@ -178,18 +178,18 @@
 ) -> ApplyResult:
     """Replace the head by compare-and-swap; a lost answer is resolved from the history."""
     payload = encode_configuration(candidate)
-    message = ""
+    may_take_effect = False
     for _ in range(WRITE_ATTEMPTS):
         written = await service.write(HEAD_KEY, payload, version)
         if isinstance(written, Success):
             return ApplyResult(ApplyOutcome.ACCEPTED, candidate)
         error = written.failure()
-        message = error.message
         if error.failure is KeyValueFailure.CONFLICT:
             return await resolve_conflict(service, candidate)
-    if error.failure in UNCERTAIN_FAILURES:
-        return await resolve_uncertain_write(service, candidate, message)
-    return ApplyResult(ApplyOutcome.FAILED, candidate, message)
+        may_take_effect = may_take_effect or error.failure in UNCERTAIN_FAILURES
+    if may_take_effect:
+        return await resolve_uncertain_write(service, candidate, error.message)
+    return ApplyResult(ApplyOutcome.FAILED, candidate, error.message)
 
 
 async def resolve_conflict(service: KeyValueService, candidate: Configuration) -> ApplyResult:
@@ -209,7 +209,7 @@
 async def resolve_uncertain_write(
     service: KeyValueService, candidate: Configuration, message: str
 ) -> ApplyResult:
-    """Read back whether a write took effect after no try got an answer."""
+    """Read back whether a write took effect after a try of it got no answer."""
     chain = await accepted_chain(service)
     accepted = chain.value_or(())
     if any(item.write_id == candidate.write_id for item in accepted):
