direct: a server error that is retried counts once, and is logged as a server error

Seen by operators: after one retried 500 of an engine its failure share rose to 0.36 instead of 0.2, so the placer kept away from it longer than from one that failed otherwise; the log said request.failed failure=not-run may_have_run=true, which contradicts itself, and logs explain repeated it. Cause: handle_answer recorded the failure for streams and other requests alike, and the stream then had it recorded once more by record_failure, under the kind NOT_RUN for want of a better one. Change: handle_answer returns a retried server error as a failed attempt of the new kind SERVER_ERROR and leaves the recording to record_failure, for streams and other requests. NOT_RUN now always is proof. A retried server error of a request that is no stream now has its request.failed line too; it had none. The callers get the same answers. Why it works: one function records each failed attempt, once. The stand-in's engines now answer 500 in the mode "failing"; they streamed before, and no scenario used that.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -123,10 +123,10 @@
         }
         if self.mode == "unsigned":
             del headers["X-Server-Signature"]
-        if request.path.startswith("/stream"):
-            return await self.stream(request, headers)
         if self.mode == "failing":
             return web.Response(status=500, headers=headers, text="failed")
+        if request.path.startswith("/stream"):
+            return await self.stream(request, headers)
         body = f"{self.identity} ran {attempt}".encode() * 40
         if self.mode in ("truncated", "unframed-reset"):
             return await self.broken_body(request, headers, body)
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -93,6 +93,14 @@
     When callers open streams until that engine was tried
     Then each gets all events in order, once each
 
+  Scenario: A server error that is retried counts once against its engine and is logged as such
+    Given one engine is "failing"
+    And the log lines about failed attempts are collected
+    When callers open streams until that engine was tried
+    Then each gets all events in order, once each
+    And the engine's failure share is that of one failure
+    And the failed attempt is logged as a server error that may have run
+
   Scenario: A stream that may not be resumed is aborted, and does not look complete
     Given all engines are "truncated-event"
     When a caller opens a stream that may not be resumed
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -8,6 +8,7 @@
 
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
+from verbenaward.direct.backends import FAILURE_SMOOTHING
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
@@ -292,6 +293,28 @@
     raise AssertionError("the engine was never tried")
 
 
+@given("the log lines about failed attempts are collected")
+def collect_failed(context):
+    context.failed_attempts = []
+    log = context.platform.entries[0].front.forwarder.log
+    log.failed = lambda request, view, failed: context.failed_attempts.append(
+        (view.backend.identity, failed)
+    )
+
+
+@then("the engine's failure share is that of one failure")
+def one_failure(context):
+    view = context.platform.entries[0].fleet.backends[context.bad.identity]
+    assert view.failure_share == FAILURE_SMOOTHING, view.failure_share
+
+
+@then("the failed attempt is logged as a server error that may have run")
+def logged_server_error(context):
+    ((identity, failed),) = context.failed_attempts
+    assert identity == context.bad.identity
+    assert (failed.failure, failed.may_have_run) == ("server-error", True), failed
+
+
 @when("callers open {count:d} streams")
 def streams(context, count):
     for index in range(count):
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from ..data import RouteKind
 from ..platform.request_headers import BackendHeaders
@@ -192,10 +192,12 @@
         finally:
             view.record_ended()
             self.load_changed()
-        if isinstance(result, Success):
-            return self.handle_answer(request, progress, view, result.unwrap())
-        self.record_failure(request, progress, choice, result.failure())
-        return self.after_failure(request, progress, result.failure())
+        handled = result.bind(lambda answer: self.handle_answer(request, progress, view, answer))
+        if isinstance(handled, Success):
+            answer: WholeAnswer = handled.unwrap()
+            return answer
+        self.record_failure(request, progress, choice, handled.failure())
+        return self.after_failure(request, progress, handled.failure())
 
     def backend_headers_for(self, request: Request, choice: Choice, now: float) -> BackendHeaders:
         """Return the values of the headers that this process sets on an attempt."""
@@ -224,22 +226,21 @@
 
     def handle_answer(
         self, request: Request, progress: Progress, view: BackendView, answer: WholeAnswer
-    ) -> WholeAnswer | None:
-        """Return the answer for the caller; None if a server error is retried instead."""
+    ) -> Result[WholeAnswer, FailedAttempt]:
+        """Return the answer for the caller, or a failed attempt if a server error is retried."""
         if answer.status < SERVER_ERROR:
             view.record_success()
             self.crashes.record_success(request.fingerprint)
             self.log.answered(request, answer.status, progress.sends + 1)
-            return answer
-        view.record_failure()
+            return Success(answer)
         can_retry = self.may_retry(request, progress)
         if not can_retry or not self.has_retry_budget(request, time.monotonic()):
+            view.record_failure()
             self.log.answered(request, answer.status, progress.sends + 1)
-            return answer
+            return Success(answer)
         progress.answer = answer
-        progress.runs += 1
-        progress.tried.add(view.backend.identity)
-        return None
+        message = f"status {answer.status}"
+        return Failure(FailedAttempt(FailureKind.SERVER_ERROR, True, message))
 
     def record_failure(
         self, request: Request, progress: Progress, choice: Choice, failed: FailedAttempt
@@ -251,7 +252,7 @@
         progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
             view.record_full(now)
-        elif failed.failure is FailureKind.NOT_RUN and not failed.may_have_run:
+        elif failed.failure is FailureKind.NOT_RUN:
             if choice.version:
                 view.record_weights_mismatch(now)
             else:
--- a/verbenaward/direct/request_types.py
+++ b/verbenaward/direct/request_types.py
@@ -54,10 +54,10 @@
 class FailureKind(StrEnum):
     """Why an attempt gave no usable answer.
 
-    UNREACHABLE: no connection. NOT_RUN: the backend proved that it did not run the request; for a
-    stream also a server error that is retried. FULL: it refused for lack of capacity. BROKEN: the
-    connection broke, or the answer was invalid. SILENT: no answer, or no event of a stream, in
-    time.
+    UNREACHABLE: no connection. NOT_RUN: the backend proved that it did not run the request. FULL:
+    it refused for lack of capacity. BROKEN: the connection broke, or the answer was invalid.
+    SILENT: no answer, or no event of a stream, in time. SERVER_ERROR: a server error that is
+    retried.
     """
 
     UNREACHABLE = "unreachable"
@@ -65,6 +65,7 @@
     FULL = "full"
     BROKEN = "broken"
     SILENT = "silent"
+    SERVER_ERROR = "server-error"
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -260,15 +260,11 @@
         answer: aiohttp.ClientResponse,
     ) -> WholeAnswer | FailedAttempt:
         """Return an answer that is not a stream; a server error may be retried instead."""
-        whole = await read_answer(answer)
-        if not isinstance(whole, Success):
-            return whole.failure()
-        handled = self.forwarder.handle_answer(request, progress, choice.view, whole.unwrap())
-        if handled is not None:
-            return handled
-        # handle_answer() has counted this run, and record_failure() counts it again.
-        progress.runs -= 1
-        return FailedAttempt(FailureKind.NOT_RUN, True, f"status {answer.status}")
+        read = await read_answer(answer)
+        handled = read.bind(
+            lambda whole: self.forwarder.handle_answer(request, progress, choice.view, whole)
+        )
+        return handled.unwrap() if isinstance(handled, Success) else handled.failure()
 
     def may_fail_over(self, request: Request, progress: Progress) -> bool:
         """Return True if a stalled stream may fail over to another backend."""
