direct_service: a reload says what is missing, and refuses settings that it cannot apply

Seen by operators: SIGHUP with a file that has no section direct was logged with an empty list of faults. With a changed front, directory, readiness or engine address, or another store, the log said "taken" although sockets and clients were still the former ones; an entry process also went on to announce the new front, at which nothing listens, to its peers and so to callers, until its restart. Found by reading, not reported. Cause: the faults of a file that is valid for the proxied mode are none; and only role, vm and listen were compared. Change: the missing section is a fault. All settings that are applied at the start only are compared, and the line "needs a restart" names those that differ in the new field "changed". Why it works: nothing of a file is applied unless all of what differs in it can be applied.

--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -9,12 +9,18 @@
     Given a daemon of the direct mode with its settings file
     When the file is changed so that it <fault> and the daemon reloads it
     Then the former settings are still in force
+    And the log line of the reload has the outcome "<outcome>" and names <setting>
 
     Examples:
-      | fault               |
-      | cannot be read      |
-      | names another vm    |
-      | lacks its section   |
+      | fault                     | outcome         | setting          |
+      | cannot be read            | unreadable      | JSON             |
+      | names another vm          | needs a restart | vm               |
+      | lacks its section         | unreadable      | direct           |
+      | names another store       | needs a restart | platform         |
+      | changes direct.front      | needs a restart | direct.front     |
+      | changes direct.readiness  | needs a restart | direct.readiness |
+      | changes direct.directory  | needs a restart | direct.directory |
+      | changes direct.engine     | needs a restart | direct.engine    |
 
   Scenario: The log events in the code are those of the schema
     When the log events are collected from the modules
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -5,11 +5,13 @@
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from typer.testing import CliRunner
 
 import verbenaward
+from verbenaward import direct_service
 from verbenaward.configuration.settings import load_settings
 from verbenaward.ctl.log_analysis import find_log_faults
 from verbenaward.ctl.main import application
@@ -26,12 +28,23 @@
     "platform": {"key_value": "http://127.0.0.1:1", "key_value_adapter": "leased"},
     "direct": {"front": "127.0.0.1:8999", "version_seconds": 8, "retry_extra": 100},
 }
+
+
+def settings_with(section, **values):
+    return json.dumps({**SETTINGS, section: {**SETTINGS[section], **values}})
+
+
 FAULTS = {
     "cannot be read": lambda: "{",
     "names another vm": lambda: json.dumps({**SETTINGS, "vm": "entry-2"}),
     "lacks its section": lambda: json.dumps(
         {name: value for name, value in SETTINGS.items() if name != "direct"}
     ),
+    "names another store": lambda: settings_with("platform", key_value="http://127.0.0.1:2"),
+    "changes direct.front": lambda: settings_with("direct", front="127.0.0.1:9000"),
+    "changes direct.readiness": lambda: settings_with("direct", readiness="127.0.0.1:9000"),
+    "changes direct.directory": lambda: settings_with("direct", directory="127.0.0.1:9000"),
+    "changes direct.engine": lambda: settings_with("direct", engine="127.0.0.1:9000"),
 }
 
 
@@ -68,7 +81,8 @@
 def break_settings(context, fault):
     context.before = context.service.settings
     context.file.write_text(FAULTS[fault]())
-    context.service.reload()
+    with mock.patch.object(direct_service, "LOG") as context.log:
+        context.service.reload()
 
 
 @then("the former settings are still in force")
@@ -76,6 +90,14 @@
     assert not context.applied and context.service.settings is context.before
 
 
+@then('the log line of the reload has the outcome "{outcome}" and names {setting}')
+def reload_logged(context, outcome, setting):
+    context.log.info.assert_not_called()
+    ((_, values),) = context.log.error.call_args_list
+    assert values.pop("outcome") == outcome
+    assert re.search(rf"\b{setting}\b", str(values)), values
+
+
 @when("the log events are collected from the modules")
 def written_events(context):
     root = Path(verbenaward.__file__).parent
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -4,6 +4,7 @@
 process only loads weights into the engine on its VM.
 """
 
+import operator
 import signal
 from pathlib import Path
 from typing import Protocol
@@ -12,6 +13,7 @@
 import structlog
 
 from .configuration.settings import load_settings
+from .data import Fault
 from .logs import get_logger
 from .schema.settings import DirectSettings, Settings
 
@@ -20,6 +22,10 @@
 """Time for closing connections after the grace period."""
 MAXIMUM_LOGGED_FAULTS = 10
 """Limit on the faults of a settings file in one log line."""
+FIXED_SETTINGS = ("role", "vm", "listen", "platform")
+"""Settings that are applied at the start only."""
+FIXED_DIRECT_SETTINGS = ("front", "readiness", "directory", "engine")
+"""Settings in the section direct that are applied at the start only."""
 
 
 class DirectRole(Protocol):
@@ -79,13 +85,16 @@
         """Read the settings file again; with an error in it the current settings stay in force."""
         checked = load_settings(self.settings_file)
         settings = checked.value
-        if settings is None or settings.direct is None:
-            faults = [f"{fault.path}: {fault.message}" for fault in checked.faults]
-            LOG.error("daemon.reload", outcome="unreadable", faults=faults[:MAXIMUM_LOGGED_FAULTS])
+        if settings is None:
+            log_unreadable(checked.faults)
             return
-        fixed = (self.settings.role, self.settings.vm, self.settings.listen)
-        if (settings.role, settings.vm, settings.listen) != fixed:
-            LOG.error("daemon.reload", outcome="needs a restart")
+        if settings.direct is None:
+            message = "is missing; this daemon runs in direct mode"
+            log_unreadable((Fault(str(self.settings_file), "direct", message),))
+            return
+        changed = changed_fixed_settings(self.settings, settings)
+        if changed:
+            LOG.error("daemon.reload", outcome="needs a restart", changed=changed)
             return
         self.settings = settings
         self.role.reload(settings, settings.direct)
@@ -98,6 +107,20 @@
         LOG.info("daemon.stopped")
 
 
+def changed_fixed_settings(current: Settings, new: Settings) -> list[str]:
+    """Return the names of the settings that differ and are applied at the start only."""
+    names = [*FIXED_SETTINGS, *(f"direct.{name}" for name in FIXED_DIRECT_SETTINGS)]
+    values_of = operator.attrgetter(*names)
+    pairs = zip(names, values_of(current), values_of(new), strict=True)
+    return [name for name, before, after in pairs if before != after]
+
+
+def log_unreadable(faults: tuple[Fault, ...]) -> None:
+    """Log that a settings file has faults and was not applied."""
+    texts = [f"{fault.path}: {fault.message}" for fault in faults[:MAXIMUM_LOGGED_FAULTS]]
+    LOG.error("daemon.reload", outcome="unreadable", faults=texts)
+
+
 def run(settings: Settings, settings_file: Path, grace_seconds: float) -> None:
     """Run a daemon until a signal stops it.
 
