direct: closing an entry process cancels its fetches of weights

Cause: DirectEntryRole.close cancels the tasks that it started itself, but those of the chunk relay are held by the relay. Change: ChunkRelay.close cancels its fetches and background tasks and waits for them; the role calls it after its listeners, whose handlers start fetches, and before the sessions that the fetches use. Before: the new scenario failed with "ASSERT FAILED: [<Task pending name='Task-36' coro=<ChunkRelay.fetch() running ...". Why it works: at that point nothing is left that could start a fetch, and each one running has ended. Measured: tests/weight_loading 12 passed, 0 failed, 0 skipped, three times; tests/direct 88 passed, 0 failed, 0 skipped.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -204,6 +204,7 @@
       corrupt_once: Indexes of chunks whose next response is corrupted, as zeros.
       sent_counts: Number of responses by version and index of the chunk.
       refuses_chunks: Whether requests for chunks get status 503; manifests are still served.
+      is_silent: Whether requests for manifests and chunks get no response.
     """
 
     def __init__(self) -> None:
@@ -212,6 +213,7 @@
         self.sent_counts: Counter[tuple[int, int]] = Counter()
         self.address = ""
         self.refuses_chunks = False
+        self.is_silent = False
 
     def add_version(self, version: int, chunks: int, size: int) -> None:
         """Add a version of pseudo-random chunks; size is the bytes of one chunk."""
@@ -227,6 +229,8 @@
 
     async def manifest(self, request: web.Request) -> web.Response:
         """Return the manifest of a version with the SHA-256 digest of each chunk."""
+        if self.is_silent:
+            await asyncio.sleep(3600)
         version = int(request.query["version"])
         if version not in self.versions:
             return web.Response(status=410)
@@ -244,6 +248,8 @@
     async def piece(self, request: web.Request) -> web.Response:
         """Return a chunk, corrupted if its index is in `corrupt_once`, which it then leaves."""
         version, index = int(request.query["version"]), int(request.query["sample_count"])
+        if self.is_silent:
+            await asyncio.sleep(3600)
         if self.refuses_chunks:
             return web.Response(status=503)
         self.sent_counts[version, index] += 1
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -478,6 +478,30 @@
     all_events(context)
 
 
+@given("the origin does not answer")
+def silent_origin(context):
+    context.platform.origin.is_silent = True
+
+
+@when("the entry process is closed while it fetches from the origin")
+def close_while_fetching(context):
+    role = context.platform.entries.pop()
+    relay = context.relay = role.relay
+
+    async def close():
+        relay.prefetch_version("model", 1)
+        assert await until(lambda: relay.fetching and relay.background_tasks)
+        await role.close()
+
+    run(context, close())
+
+
+@then("no fetch of weights is running")
+def no_fetch(context):
+    running = [*context.relay.fetching.values(), *context.relay.background_tasks]
+    assert not running, running
+
+
 @given("the origin corrupts chunk {index:d} once")
 def corrupt_chunk(context, index):
     context.platform.origin.corrupt_once.add(index)
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -26,6 +26,13 @@
     Then the empty engine holds version 1 within 5 seconds
     And the engine loaded only valid chunks of version 1
 
+  Scenario: An entry process that stops leaves no fetch of weights running
+    Given the users' platform with two plain backends and two engines
+    And the origin does not answer
+    And one entry process that is ready
+    When the entry process is closed while it fetches from the origin
+    Then no fetch of weights is running
+
   Scenario: Digests of old versions are removed from the store
     When the digests of 8 versions are kept, one after the other
     Then the store has those of the newest 3
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -306,6 +306,13 @@
         self.background_tasks.add(task)
         task.add_done_callback(self.background_tasks.discard)
 
+    async def close(self) -> None:
+        """Cancel all fetches and background tasks."""
+        running = [*self.fetching.values(), *self.background_tasks]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
     async def fetch_from_peer(self, url: str) -> Result[bytes, str]:
         """Fetch from another entry process or an endpoint process."""
         timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -295,6 +295,8 @@
             task.cancel()
         for runner in self.runners:
             await runner.cleanup()
+        # Handlers of the runners start fetches, and the fetches use the sessions.
+        await self.relay.close()
         self.exchange.close()
         await self.backend_session.close()
         await self.session.close()
