ctl: config wait without an answering entry process names no VM as lagging

Found by reading. Cause: wait_for_revision put the text in the place of VM names. Why it works: the outcome has a value of its own, so neither form of the output can take it for a name.

--- /dev/null
+++ b/tests/steps/ctl_commands.py
@@ -0,0 +1,29 @@
+"""Steps on the exit status and the messages of verbenactl."""
+
+from behave import then, when
+from typer.testing import CliRunner
+
+from verbenaward.ctl.main import application
+
+SILENT_ADDRESS = "127.0.0.1:9"
+
+
+def invoke(context, *arguments):
+    context.result = CliRunner().invoke(application, arguments)
+
+
+@when("an operator waits for a revision {form} and no entry process answers")
+def wait_without_entries(context, form):
+    options = ["--json"] if form == "as JSON" else []
+    invoke(context, "config", "wait", "7", "--entry", SILENT_ADDRESS, "--timeout", "0", *options)
+
+
+@then("the exit status is {status:d}")
+def exit_status(context, status):
+    assert context.result.exit_code == status, (context.result.exit_code, context.result.output)
+
+
+@then('the output says "{text}" but names no lagging VM')
+def says_without_lagging(context, text):
+    output = context.result.output
+    assert text in output and "not in force on" not in output and "lagging" not in output, output
--- a/verbenaward/ctl/commands_config.py
+++ b/verbenaward/ctl/commands_config.py
@@ -1,6 +1,6 @@
 """Commands about the configuration in force."""
 
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 import uvloop
@@ -23,6 +23,8 @@
 ) -> None:
     """Wait until a revision is in force on all VMs; list those that lag."""
     lagging = uvloop.run(wait_for_revision(entry, revision, timeout))
+    if lagging is None:
+        fail_without_entries()
     if as_json:
         print_json({"revision": revision, "lagging": lagging})
         raise typer.Exit(EXIT_FAILED if lagging else 0)
@@ -36,9 +38,18 @@
     """Show which revision is in force on each VM."""
     fleet = uvloop.run(load_fleet(entry))
     if not fleet.entries:
-        fail("no entry process answers", "check the addresses given with --entry", EXIT_UNREACHABLE)
+        fail_without_entries()
     revisions = revisions_in_force(fleet)
     if as_json:
         print_json(revisions)
         return
     print_table(("vm", "revision"), sorted(revisions.items()))
+
+
+def fail_without_entries() -> NoReturn:
+    """Exit because no entry process answers.
+
+    Raises:
+      typer.Exit: Always.
+    """
+    fail("no entry process answers", "check the addresses given with --entry", EXIT_UNREACHABLE)
--- a/verbenaward/ctl/status.py
+++ b/verbenaward/ctl/status.py
@@ -100,12 +100,12 @@
 
 async def wait_for_revision(
     seeds: Sequence[str], revision: int, timeout_seconds: float
-) -> tuple[str, ...]:
+) -> tuple[str, ...] | None:
     """Wait until a revision is in force everywhere.
 
     Returns:
-      VMs that still lag at the timeout, or one text if no entry process answers; empty if the
-      revision is in force everywhere.
+      VMs that still lag at the timeout; empty if the revision is in force everywhere. None if no
+      entry process answers at the timeout.
     """
     deadline = time.monotonic() + timeout_seconds
     while True:
@@ -114,7 +114,7 @@
         if fleet.entries and not lagging:
             return ()
         if time.monotonic() > deadline:
-            return lagging or ("no entry process answers",)
+            return lagging if fleet.entries else None
         await asyncio.sleep(WAIT_POLL_SECONDS)
 
 
