ctl: an unknown ID or revision is not blamed on the key-value service

Found by reading, not reported. Cause: "not found" came as the same kind of failure as a service that fails, and unwrap_or_exit takes each for the latter. Why it works: only what the service itself answered badly, or not at all, still reaches that hint.

--- a/tests/ctl/commands.feature
+++ b/tests/ctl/commands.feature
@@ -9,3 +9,14 @@
       | form    |
       | as text |
       | as JSON |
+
+  Scenario Outline: An unknown ID or revision is not blamed on the key-value service: <command>
+    When an operator runs "<command>" on a service that answers
+    Then the exit status is 1
+    And the output says "<message>" and suggests "<next>"
+
+    Examples:
+      | command                        | message                         | next                          |
+      | release unfinished --drop typo | no unfinished change has the ID | verbenactl release unfinished |
+      | release rollback 6             | revision 6 was never accepted   | verbenactl release history    |
+      | release diff 6                 | revision 6 was never accepted   | verbenactl release history    |
--- a/tests/steps/ctl_commands.py
+++ b/tests/steps/ctl_commands.py
@@ -1,8 +1,13 @@
 """Steps on the exit status and the messages of verbenactl."""
 
+import asyncio
+from unittest import mock
+
 from behave import then, when
 from typer.testing import CliRunner
 
+from tests.fakes import FakeKeyValues, KeyValueWorld
+from verbenaward.ctl import commands_release
 from verbenaward.ctl.main import application
 
 SILENT_ADDRESS = "127.0.0.1:9"
@@ -27,3 +32,18 @@
 def says_without_lagging(context, text):
     output = context.result.output
     assert text in output and "not in force on" not in output and "lagging" not in output, output
+
+
+@when('an operator runs "{command}" on a service that answers')
+def run_on_key_value(context, command):
+    def run_with_key_value(url, operation):
+        return asyncio.run(operation(FakeKeyValues(KeyValueWorld())))
+
+    with mock.patch.object(commands_release, "run_with_key_value", run_with_key_value):
+        invoke(context, *command.split(), "--key-value", SILENT_ADDRESS)
+
+
+@then('the output says "{message}" and suggests "{command}"')
+def says_and_suggests(context, message, command):
+    output = context.result.output
+    assert message in output and f"next: {command}" in output, output
--- a/verbenaward/ctl/apply.py
+++ b/verbenaward/ctl/apply.py
@@ -91,15 +91,15 @@
         await send_offer(session, entries, offer)
 
 
-async def find_revision(service: KeyValueService, revision: int) -> Result[Configuration, str]:
-    """Return the configuration of an accepted revision."""
+async def find_revision(
+    service: KeyValueService, revision: int
+) -> Result[Configuration | None, str]:
+    """Return the configuration of a revision; None if the revision was never accepted."""
     chain = await accepted_chain(service)
     if not isinstance(chain, Success):
         return Failure(chain.failure().message)
-    for configuration in chain.unwrap():
-        if configuration.revision == revision:
-            return Success(configuration)
-    return Failure(f"revision {revision} was never accepted")
+    accepted = chain.unwrap()
+    return Success(next((item for item in accepted if item.revision == revision), None))
 
 
 async def list_history(service: KeyValueService) -> Result[tuple[Configuration, ...], str]:
@@ -114,13 +114,13 @@
     return found.alt(lambda error: error.message)
 
 
-async def drop_proposal(service: KeyValueService, write_id: str) -> Result[int, str]:
-    """Remove an unfinished proposal from the history."""
+async def drop_proposal(service: KeyValueService, write_id: str) -> Result[bool, str]:
+    """Remove an unfinished proposal from the history; return False if none has the ID."""
     found = await unaccepted_proposals(service)
     if not isinstance(found, Success):
         return Failure(found.failure().message)
     for candidate in found.unwrap():
         if candidate.write_id == write_id:
             dropped = await discard_proposal(service, candidate)
-            return dropped.alt(lambda error: error.message)
-    return Failure(f"no unfinished change has the ID {write_id}")
+            return dropped.map(lambda _: True).alt(lambda error: error.message)
+    return Success(False)
--- a/verbenaward/ctl/commands_release.py
+++ b/verbenaward/ctl/commands_release.py
@@ -115,9 +115,7 @@
     author: options.AuthorOption = "unknown",
 ) -> None:
     """Apply the manifest of an earlier revision as a new revision."""
-    earlier = unwrap_or_exit(
-        run_with_key_value(key_value, lambda service: find_revision(service, revision))
-    )
+    earlier = revision_or_exit(key_value, revision)
     plan = unwrap_or_exit(
         run_with_key_value(key_value, lambda service: make_plan(service, earlier.manifest, True))
     )
@@ -162,15 +160,8 @@
     as_json: options.JsonOption = False,
 ) -> None:
     """Show the differences between two revisions."""
-    before = unwrap_or_exit(
-        run_with_key_value(key_value, lambda service: find_revision(service, revision))
-    )
-    if other:
-        after = unwrap_or_exit(
-            run_with_key_value(key_value, lambda service: find_revision(service, other))
-        )
-    else:
-        after = accepted_configuration(key_value)
+    before = revision_or_exit(key_value, revision)
+    after = revision_or_exit(key_value, other) if other else accepted_configuration(key_value)
     changes = differences(before.manifest, after.manifest)
     if as_json:
         print_json(changes)
@@ -189,9 +180,11 @@
     """List, accept or remove changes that were recorded but never accepted."""
     found = unwrap_or_exit(run_with_key_value(key_value, list_unfinished))
     if drop_id:
-        unwrap_or_exit(
+        dropped = unwrap_or_exit(
             run_with_key_value(key_value, lambda service: drop_proposal(service, drop_id))
         )
+        if not dropped:
+            fail_with_unknown_change(drop_id)
         typer.echo(f"removed {drop_id}")
     elif finish_id:
         accept_unfinished(found, finish_id, key_value, entry)
@@ -208,7 +201,7 @@
     """Apply the manifest of an unfinished change on top of the accepted configuration."""
     candidate = next((item for item in found if item.write_id == write_id), None)
     if candidate is None:
-        fail(f"no unfinished change has the ID {write_id}", "verbenactl release unfinished")
+        fail_with_unknown_change(write_id)
     manifest, author, commit = candidate.manifest, candidate.author, candidate.source_commit
     plan = unwrap_or_exit(
         run_with_key_value(key_value, lambda service: make_plan(service, manifest, True))
@@ -291,6 +284,25 @@
     return unwrap_or_exit(run_with_key_value(key_value, operation))
 
 
+def revision_or_exit(key_value: str, revision: int) -> Configuration:
+    """Return the configuration of a revision, or exit if it was never accepted or is unreadable."""
+    found = unwrap_or_exit(
+        run_with_key_value(key_value, lambda service: find_revision(service, revision))
+    )
+    if found is None:
+        fail(f"revision {revision} was never accepted", "verbenactl release history")
+    return found
+
+
+def fail_with_unknown_change(write_id: str) -> NoReturn:
+    """Print that no unfinished change has an ID, and exit.
+
+    Raises:
+      typer.Exit: Always.
+    """
+    fail(f"no unfinished change has the ID {write_id}", "verbenactl release unfinished")
+
+
 def unwrap_or_exit(result: Result[Value, str]) -> Value:
     """Return the value of a result, or exit with its error."""
     if isinstance(result, Success):
