ctl: logs check and explain know the log events of the proxied mode

Seen by operators: logs check on the logs of the proxied mode reported each line as an unknown event, up to its limit of 50 faults, so that a truncated line could not be found. Cause: the schema in events.py held the events of the direct mode only, though the command never said that it rejects others. Change: PROXIED_EVENTS holds the 22 events of the proxied mode. Two events had to be put right for the schema: an endpoint's drain lines now have in_flight as an entry's do (was running), and slots.holder_gone names the former holder in holder; it was written to vm, which says whose line it is. The test of the schema now covers the modules of both modes; that of the direct mode is unchanged. Before: the new scenarios failed with "ASSERT FAILED: [('configuration.in_force', 'unknown event'), ('request.failed', 'missing fields: backend, ...'), ('order.failed', 'unknown event'), ('drain.started', 'unknown event')]" and with the set of all 22 events that no schema held. Why it works: the scenario on the schema finds each event that a module writes and the schema lacks, or the reverse.

--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -22,10 +22,15 @@
       | changes direct.directory  | needs a restart | direct.directory |
       | changes direct.engine     | needs a restart | direct.engine    |
 
-  Scenario: The log events in the code are those of the schema
-    When the log events are collected from the modules
+  Scenario Outline: The log events in the code are those of the schema, in <mode> mode
+    When the log events are collected from the modules of <mode> mode
     Then they are those of the schema
 
+    Examples:
+      | mode    |
+      | direct  |
+      | proxied |
+
   Scenario: Requests are explained from the log lines of two processes
     Given the logs of two processes with a refused and an answered request and a truncated line
     When the refused request is explained
@@ -37,3 +42,8 @@
     Given the logs of two processes with a refused and an answered request and a truncated line
     When the logs are checked
     Then the truncated line and the line without its fields are found
+
+  Scenario: Log lines of the proxied mode are not taken for unknown events
+    Given a log of the proxied mode in which one line lacks a field
+    When the logs are checked
+    Then only the line without its field is found
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -16,7 +16,7 @@
 from verbenaward.ctl.log_analysis import find_log_faults
 from verbenaward.ctl.main import application
 from verbenaward.direct_service import DirectService
-from verbenaward.events import EVENTS
+from verbenaward.events import DIRECT_EVENTS, PROXIED_EVENTS
 
 SETTINGS = {
     "format": 1,
@@ -98,7 +98,7 @@
     assert re.search(rf"\b{setting}\b", str(values)), values
 
 
-@when("the log events are collected from the modules")
+@when("the log events are collected from the modules of direct mode")
 def written_events(context):
     root = Path(verbenaward.__file__).parent
     folders = ("direct", "replica", "weight_loading")
@@ -112,11 +112,26 @@
         if name
     }
 
+    context.events |= {"request.resumed", "request.cancelled", "request.answered"}
+    context.schema = DIRECT_EVENTS
+
+
+@when("the log events are collected from the modules of proxied mode")
+def written_proxied_events(context):
+    root = Path(verbenaward.__file__).parent
+    direct = ("direct", "replica", "weight_loading", "direct_service.py")
+    context.events = {
+        event
+        for path in root.rglob("*.py")
+        if path.relative_to(root).parts[0] not in direct
+        for event in re.findall(r'LOG\.\w+\(\s*"([^"]+)"', path.read_text())
+    }
+    context.schema = PROXIED_EVENTS
+
 
 @then("they are those of the schema")
 def events_match(context):
-    inline = {"request.resumed", "request.cancelled", "request.answered"}
-    assert context.events | inline == set(EVENTS), context.events ^ set(EVENTS)
+    assert context.events == set(context.schema), context.events ^ set(context.schema)
 
 
 def line(second, vm, event, **values):
@@ -189,3 +204,25 @@
         "missing fields: backend",
         "not a log line of a daemon, or truncated",
     ]
+
+
+@given("a log of the proxied mode in which one line lacks a field")
+def proxied_log(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    log = Path(folder.name) / "entry.log"
+    lines = (
+        line(1.0, "entry-1", "daemon.started", role="entry", listen="127.0.0.1:7999"),
+        line(1.1, "entry-1", "configuration.in_force", revision=7, source="watch"),
+        line(1.2, "entry-1", "request.failed", path="/v1/models", error="KeyError('x')"),
+        line(1.3, "engine-1", "order.failed", kind="load", error="timeout"),
+        line(1.4, "engine-1", "drain.started", in_flight=2),
+    )
+    log.write_text("\n".join(lines) + "\n")
+    context.logs = [log]
+
+
+@then("only the line without its field is found")
+def only_incomplete(context):
+    found = [(fault.path, fault.message) for fault in context.faults]
+    assert found == [("order.failed", "missing fields: release")], found
--- a/verbenaward/ctl/commands_logs.py
+++ b/verbenaward/ctl/commands_logs.py
@@ -62,7 +62,7 @@
 
 @logs_commands.command("check")
 def check_command(logs: LogsArgument, as_json: options.JsonOption = False) -> None:
-    """Check that each line of a direct-mode log can be parsed and has the fields of its event."""
+    """Check that each log line can be parsed and has the fields of its event."""
     require_files(logs)
     faults = list(itertools.islice(find_log_faults(logs), MAXIMUM_FAULTS))
     if as_json:
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..data import Fault
-from ..events import EVENTS, REQUEST_EVENTS, STATE_CHANGE_EVENTS
+from ..events import REQUEST_EVENTS, STATE_CHANGE_EVENTS, EventKind, kinds_of
 
 MAXIMUM_LINE_CHARACTERS = 64 * 1024
 """Longer lines are not parsed."""
@@ -31,7 +31,7 @@
     Attributes:
       at: Time of the line.
       vm: VM whose daemon wrote it.
-      event: Name of the event, a key of EVENTS.
+      event: Name of the event.
       values: All fields of the line.
     """
 
@@ -93,12 +93,28 @@
 
 def event_text(line: LogLine) -> str:
     """Return a readable text for a line; the name of the event if that is unknown."""
-    event_kind = EVENTS.get(line.event)
+    event_kind = kind_of(line)
     if event_kind is None:
         return line.event
     return event_kind.template.format_map(FieldsOrMissing(line.values))
 
 
+def kind_of(line: LogLine) -> EventKind | None:
+    """Return the kind of a line's event; None if the event is unknown.
+
+    An event of both modes has two kinds. The result is the one whose fields the line has, or that
+    of the direct mode if it has the fields of neither.
+    """
+    kinds = kinds_of(line.event)
+    complete = [kind for kind in kinds if not missing_fields(kind, line)]
+    return next(iter([*complete, *kinds]), None)
+
+
+def missing_fields(event_kind: EventKind, line: LogLine) -> list[str]:
+    """Return the required fields that a line lacks."""
+    return [name for name in event_kind.fields if name not in line.values]
+
+
 class FieldsOrMissing(dict[str, Any]):
     """Fields of a line, with a placeholder for those that it lacks."""
 
@@ -158,10 +174,10 @@
         if line is None:
             yield Fault(location, "", "not a log line of a daemon, or truncated")
             continue
-        event_kind = EVENTS.get(line.event)
+        event_kind = kind_of(line)
         if event_kind is None:
             yield Fault(location, line.event, "unknown event")
             continue
-        missing = [name for name in event_kind.fields if name not in line.values]
+        missing = missing_fields(event_kind, line)
         if missing:
             yield Fault(location, line.event, f"missing fields: {', '.join(missing)}")
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -195,7 +195,7 @@
             self.slot_manager.leaving = True
         self.control.own.update(status=MemberStatus.LEAVING)
         self.control.heartbeats.send_now()
-        LOG.info("drain.started", running=self.gate.running)
+        LOG.info("drain.started", in_flight=self.gate.running)
         limit = time.monotonic() + self.control.settings.shutdown_seconds
         await asyncio.sleep(ANNOUNCE_SECONDS)
         while time.monotonic() < limit and not self.gate.is_empty():
@@ -203,4 +203,4 @@
         if self.slot_manager is not None:
             await self.slot_manager.release(self.slot_manager.held_slots())
         await self.unpooled_session.close()
-        LOG.info("drain.ended", running=self.gate.running)
+        LOG.info("drain.ended", in_flight=self.gate.running)
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -1,4 +1,4 @@
-"""Log events of a daemon in direct mode: the required fields of each, and its explanation."""
+"""Log events of a daemon: the required fields of each, and its explanation."""
 
 from dataclasses import dataclass
 
@@ -114,4 +114,53 @@
     "weights.unstaged": kind("chunk {index} could not be staged: {error}", "index", "error"),
 }
 
-EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS}
+DIRECT_EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS}
+
+PROXIED_EVENTS = {
+    "chunk.corrupt": kind("{peer} sent chunk {chunk} with a wrong digest", "chunk", "peer"),
+    "claim.taken_by_other": kind("the claim {path} was taken by another writer", "path"),
+    "configuration.contradiction_refused": kind(
+        "another document with revision {revision} from {source} was refused",
+        "revision",
+        "offered_write_id",
+        "source",
+    ),
+    "configuration.in_force": kind(
+        "revision {revision} from {source} is in force", "revision", "source"
+    ),
+    "configuration.offer_malformed": kind(
+        "malformed configuration from {source}: {error}", "source", "error"
+    ),
+    "configuration.older_head_refused": kind(
+        "the key-value service holds revision {service_head}, older than {in_force} in force",
+        "in_force",
+        "service_head",
+    ),
+    "daemon.started": STATE_CHANGE_EVENTS["daemon.started"],
+    "daemon.stopped": STATE_CHANGE_EVENTS["daemon.stopped"],
+    "drain.ended": kind("drain ended with {in_flight} requests in flight", "in_flight"),
+    "drain.started": kind("drain started with {in_flight} requests in flight", "in_flight"),
+    "order.failed": kind(
+        "the engine did not carry out the order {kind}: {error}", "kind", "release", "error"
+    ),
+    "release.active": kind("the engine serves release {release}", "release"),
+    "release.failed": kind("release {release} failed: {error}", "release", "error"),
+    "release.held": kind(
+        "all chunks of release {release} are held after {seconds} s", "release", "seconds"
+    ),
+    "release.lost": kind("the engine no longer serves release {release}", "release"),
+    "release.too_large": kind(
+        "the release needs {needed} bytes, over the limit of {limit}", "needed", "limit"
+    ),
+    "release.wanted": kind("release {release} is wanted", "release"),
+    "request.failed": kind("internal error on {path}: {error}", "path", "error"),
+    "slots.holder_gone": kind("the slots of {holder} are free: its VM has ended", "holder"),
+    "slots.taken": kind("{slots} slots were taken, {held} are held", "slots", "held"),
+    "table.refused": kind("the chunk table {source} was refused: {message}", "source", "message"),
+    "task.failed": kind("a background task failed: {error}", "error"),
+}
+
+
+def kinds_of(event: str) -> tuple[EventKind, ...]:
+    """Return the kinds of log event with a name: at most one for each mode."""
+    return tuple(events[event] for events in (DIRECT_EVENTS, PROXIED_EVENTS) if event in events)
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -253,7 +253,7 @@
         for vm, incarnation in unconfirmed:
             if vm not in listed:
                 self.ended_at[vm, incarnation] = now
-                LOG.info("slots.holder_gone", vm=vm)
+                LOG.info("slots.holder_gone", holder=vm)
 
     async def uncertainty_end(self, former: SlotHolder) -> float:
         """Return until when callers may resend keys that a former holder may have run unclaimed.
