platform stand-in: the id of a lease is never granted twice

Seen by developers: two processes of a test can hold one lease, so that the end of one removes the registration of the other, and a scenario fails or passes for no reason of the code under test. Found by reading; no failed run is known to come from it. Cause: the id was computed from the number of leases and the revision, and that sum returns when a lease without a key ends. Change: ids count up. Why it works: the last id only grows.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -22,6 +22,7 @@
       history: Changes after `compacted_revision`, oldest first.
       compacted_revision: A watch from before this revision gets status 410.
       leases: Monotonic time of the end and time to live in seconds, by lease id.
+      last_lease: Id of the lease granted last; ids count up and are never reused.
       mode: "ok", "down" (503), "limited" (429), "reset" (the connection is aborted), "silent" (no
         response) or "nonsense" (invalid JSON).
       suppress_watch_events: Watches get no changes. One that waits while this is set responds only
@@ -36,6 +37,7 @@
         self.history: list[dict[str, Any]] = []
         self.compacted_revision = 0
         self.leases: dict[int, tuple[float, float]] = {}
+        self.last_lease = 1000
         self.mode = "ok"
         self.suppress_watch_events = False
         self.drop_responses = False
@@ -160,9 +162,9 @@
     async def grant_lease(self, request: web.Request) -> web.Response:
         """Grant a lease with a time to live."""
         seconds = (await request.json())["ttl_ms"] / 1000
-        lease = len(self.leases) + 1000 + self.revision
-        self.leases[lease] = (time.monotonic() + seconds, seconds)
-        return web.json_response({"lease_id": lease, "ttl_ms": int(seconds * 1000)})
+        self.last_lease += 1
+        self.leases[self.last_lease] = (time.monotonic() + seconds, seconds)
+        return web.json_response({"lease_id": self.last_lease, "ttl_ms": int(seconds * 1000)})
 
     async def renew_lease(self, request: web.Request) -> web.Response:
         """Renew a lease by its time to live."""
