platform stand-in: a transaction with an unknown lease changes nothing

Seen by developers: a rejected transaction of several rows left the rows before the one with the unknown lease in the store, where the platform's page says all-or-nothing; code that writes more than one row would be tested against a store that does not exist. Our adapter writes one row a transaction, so no scenario was affected. Found by reading. Cause: leases were checked row by row, between the writes. Change: all leases are checked before the first write. Before: the new scenario failed with "ASSERT FAILED: {'plain': (b'1', 2, 0)}", the row before the unknown lease. Why it works: after the two checks nothing in the handler can reject a well-formed transaction. Measured: tests/standins 2 passed, 0 failed, 0 skipped; tests/direct and tests/weight_loading 102 passed, 0 failed, 0 skipped.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -145,16 +145,19 @@
             await asyncio.sleep(WATCH_POLL_SECONDS)
 
     async def transaction(self, request: web.Request) -> web.Response:
-        """Apply writes and removals if every key has the expected revision, else 412."""
+        """Apply all writes and removals, or none.
+
+        The status is 412 if a key does not have the expected revision, and 404 if a lease does not
+        exist.
+        """
         body = await request.json()
         for row in body["precondition"]:
             if self.items.get(row["key"], (b"", 0, 0))[1] != row["revision"]:
                 return web.json_response({"entries": []}, status=412)
+        if not {row.get("lease_id", 0) for row in body["write"]} <= {0, *self.leases}:
+            return web.Response(status=404)
         for row in body["write"]:
-            lease = row.get("lease_id", 0)
-            if lease and lease not in self.leases:
-                return web.Response(status=404)
-            self.put(row["key"], base64.b64decode(row["data"]), lease)
+            self.put(row["key"], base64.b64decode(row["data"]), row.get("lease_id", 0))
         for key in body["remove"]:
             self.remove(key)
         return web.json_response({"revision": self.revision})
--- a/tests/standins/platform_store.feature
+++ b/tests/standins/platform_store.feature
@@ -4,3 +4,8 @@
     Given a store that has granted two leases
     When the first lease ends and another is granted
     Then its id is not that of the second
+
+  Scenario: A transaction that names an unknown lease changes nothing
+    Given a store that has granted two leases
+    When a transaction writes one key without a lease and one under an unknown lease
+    Then it is rejected with 404 and the store holds neither key
--- a/tests/steps/standins_platform_store.py
+++ b/tests/steps/standins_platform_store.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from standins.platform import PlatformStandIn
-from verbenaward.platform.leased_store import LeasedStore
+from verbenaward.platform.leased_store import LeasedStore, write_row
 
 
 def use_store(context, work):
@@ -40,3 +40,16 @@
 @then("its id is not that of the second")
 def other_id(context):
     assert context.third != context.second, (context.first, context.second, context.third)
+
+
+@when("a transaction writes one key without a lease and one under an unknown lease")
+def write_under_unknown_lease(context):
+    rows = [write_row("plain", b"1", 0), write_row("leased", b"2", context.second + 1)]
+    transaction = {"precondition": [], "write": rows, "remove": []}
+    context.committed = use_store(context, lambda store: store.commit(transaction))
+
+
+@then("it is rejected with 404 and the store holds neither key")
+def nothing_written(context):
+    assert "404" in context.committed.failure().message, context.committed
+    assert not context.platform.store.items, context.platform.store.items
