tests: commands of verbenactl run in a thread of their own

Seen by developers: in the whole run of the state machine of tests/requests/at_most_once.feature ended with "RuntimeError: There is no current event loop in thread 'MainThread'" (188 passed, 1 failed, 0 skipped); alone it passed. It came again in a run of the folders up to that feature. Cause: the new steps of tests/ctl run commands in the test process. uvloop.run and asyncio.run end by setting the current event loop of their thread to none; OnceMachine.start_again, which comes later, relies on the one that asyncio makes by default. The steps of tests/ctl were wrong to leave that state behind. Change: the steps run each command in a thread.

--- a/tests/steps/ctl_commands.py
+++ b/tests/steps/ctl_commands.py
@@ -1,6 +1,7 @@
 """Steps on the exit status and the messages of verbenactl."""
 
 import asyncio
+from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
 
 from behave import then, when
@@ -14,7 +15,9 @@
 
 
 def invoke(context, *arguments):
-    context.result = CliRunner().invoke(application, arguments)
+    # In a thread, as a command ends by removing the current event loop of its thread.
+    with ThreadPoolExecutor() as executor:
+        context.result = executor.submit(CliRunner().invoke, application, arguments).result()
 
 
 @when("an operator waits for a revision {form} and no entry process answers")
