--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -22,6 +22,7 @@
       history: Changes after `compacted_revision`, oldest first.
       compacted_revision: A watch from before this revision gets status 410.
       leases: Monotonic time of the end and time to live in seconds, by lease id.
+      last_lease: Id of the lease granted last; ids count up and are never reused.
       mode: "ok", "down" (503), "limited" (429), "reset" (the connection is aborted), "silent" (no
         response) or "nonsense" (invalid JSON).
       suppress_watch_events: Watches get no changes. One that waits while this is set responds only
@@ -36,6 +37,7 @@
         self.history: list[dict[str, Any]] = []
         self.compacted_revision = 0
         self.leases: dict[int, tuple[float, float]] = {}
+        self.last_lease = 1000
         self.mode = "ok"
         self.suppress_watch_events = False
         self.drop_responses = False
@@ -143,16 +145,19 @@
             await asyncio.sleep(WATCH_POLL_SECONDS)
 
     async def transaction(self, request: web.Request) -> web.Response:
-        """Apply writes and removals if every key has the expected revision, else 412."""
+        """Apply all writes and removals, or none.
+
+        The status is 412 if a key does not have the expected revision, and 404 if a lease does not
+        exist.
+        """
         body = await request.json()
         for row in body["precondition"]:
             if self.items.get(row["key"], (b"", 0, 0))[1] != row["revision"]:
                 return web.json_response({"entries": []}, status=412)
+        if not {row.get("lease_id", 0) for row in body["write"]} <= {0, *self.leases}:
+            return web.Response(status=404)
         for row in body["write"]:
-            lease = row.get("lease_id", 0)
-            if lease and lease not in self.leases:
-                return web.Response(status=404)
-            self.put(row["key"], base64.b64decode(row["data"]), lease)
+            self.put(row["key"], base64.b64decode(row["data"]), row.get("lease_id", 0))
         for key in body["remove"]:
             self.remove(key)
         return web.json_response({"revision": self.revision})
@@ -160,9 +165,9 @@
     async def grant_lease(self, request: web.Request) -> web.Response:
         """Grant a lease with a time to live."""
         seconds = (await request.json())["ttl_ms"] / 1000
-        lease = len(self.leases) + 1000 + self.revision
-        self.leases[lease] = (time.monotonic() + seconds, seconds)
-        return web.json_response({"lease_id": lease, "ttl_ms": int(seconds * 1000)})
+        self.last_lease += 1
+        self.leases[self.last_lease] = (time.monotonic() + seconds, seconds)
+        return web.json_response({"lease_id": self.last_lease, "ttl_ms": int(seconds * 1000)})
 
     async def renew_lease(self, request: web.Request) -> web.Response:
         """Renew a lease by its time to live."""
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -5,16 +5,18 @@
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from typer.testing import CliRunner
 
 import verbenaward
+from verbenaward import direct_service
 from verbenaward.configuration.settings import load_settings
 from verbenaward.ctl.log_analysis import find_log_faults
 from verbenaward.ctl.main import application
 from verbenaward.direct_service import DirectService
-from verbenaward.events import EVENTS
+from verbenaward.events import DIRECT_EVENTS, PROXIED_EVENTS
 
 SETTINGS = {
     "format": 1,
@@ -26,12 +28,23 @@
     "platform": {"key_value": "http://127.0.0.1:1", "key_value_adapter": "leased"},
     "direct": {"front": "127.0.0.1:8999", "version_seconds": 8, "retry_extra": 100},
 }
+
+
+def settings_with(section, **values):
+    return json.dumps({**SETTINGS, section: {**SETTINGS[section], **values}})
+
+
 FAULTS = {
     "cannot be read": lambda: "{",
     "names another vm": lambda: json.dumps({**SETTINGS, "vm": "entry-2"}),
     "lacks its section": lambda: json.dumps(
         {name: value for name, value in SETTINGS.items() if name != "direct"}
     ),
+    "names another store": lambda: settings_with("platform", key_value="http://127.0.0.1:2"),
+    "changes direct.front": lambda: settings_with("direct", front="127.0.0.1:9000"),
+    "changes direct.readiness": lambda: settings_with("direct", readiness="127.0.0.1:9000"),
+    "changes direct.directory": lambda: settings_with("direct", directory="127.0.0.1:9000"),
+    "changes direct.engine": lambda: settings_with("direct", engine="127.0.0.1:9000"),
 }
 
 
@@ -68,7 +81,8 @@
 def break_settings(context, fault):
     context.before = context.service.settings
     context.file.write_text(FAULTS[fault]())
-    context.service.reload()
+    with mock.patch.object(direct_service, "LOG") as context.log:
+        context.service.reload()
 
 
 @then("the former settings are still in force")
@@ -76,7 +90,15 @@
     assert not context.applied and context.service.settings is context.before
 
 
-@when("the log events are collected from the modules")
+@then('the log line of the reload has the outcome "{outcome}" and names {setting}')
+def reload_logged(context, outcome, setting):
+    context.log.info.assert_not_called()
+    ((_, values),) = context.log.error.call_args_list
+    assert values.pop("outcome") == outcome
+    assert re.search(rf"\b{setting}\b", str(values)), values
+
+
+@when("the log events are collected from the modules of direct mode")
 def written_events(context):
     root = Path(verbenaward.__file__).parent
     folders = ("direct", "replica", "weight_loading")
@@ -90,11 +112,26 @@
         if name
     }
 
+    context.events |= {"request.resumed", "request.cancelled", "request.answered"}
+    context.schema = DIRECT_EVENTS
+
+
+@when("the log events are collected from the modules of proxied mode")
+def written_proxied_events(context):
+    root = Path(verbenaward.__file__).parent
+    direct = ("direct", "replica", "weight_loading", "direct_service.py")
+    context.events = {
+        event
+        for path in root.rglob("*.py")
+        if path.relative_to(root).parts[0] not in direct
+        for event in re.findall(r'LOG\.\w+\(\s*"([^"]+)"', path.read_text())
+    }
+    context.schema = PROXIED_EVENTS
+
 
 @then("they are those of the schema")
 def events_match(context):
-    inline = {"request.resumed", "request.cancelled", "request.answered"}
-    assert context.events | inline == set(EVENTS), context.events ^ set(EVENTS)
+    assert context.events == set(context.schema), context.events ^ set(context.schema)
 
 
 def line(second, vm, event, **values):
@@ -167,3 +204,25 @@
         "missing fields: backend",
         "not a log line of a daemon, or truncated",
     ]
+
+
+@given("a log of the proxied mode in which one line lacks a field")
+def proxied_log(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    log = Path(folder.name) / "entry.log"
+    lines = (
+        line(1.0, "entry-1", "daemon.started", role="entry", listen="127.0.0.1:7999"),
+        line(1.1, "entry-1", "configuration.in_force", revision=7, source="watch"),
+        line(1.2, "entry-1", "request.failed", path="/v1/models", error="KeyError('x')"),
+        line(1.3, "engine-1", "order.failed", kind="load", error="timeout"),
+        line(1.4, "engine-1", "drain.started", in_flight=2),
+    )
+    log.write_text("\n".join(lines) + "\n")
+    context.logs = [log]
+
+
+@then("only the line without its field is found")
+def only_incomplete(context):
+    found = [(fault.path, fault.message) for fault in context.faults]
+    assert found == [("order.failed", "missing fields: release")], found
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -1,6 +1,7 @@
 """Steps on the stand-in of the users' platform."""
 
 import asyncio
+import contextlib
 import json
 import time
 from unittest import mock
@@ -11,6 +12,7 @@
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
 from verbenaward import clock
+from verbenaward.direct.backends import FAILURE_SMOOTHING
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
@@ -296,6 +298,28 @@
     raise AssertionError("the engine was never tried")
 
 
+@given("the log lines about failed attempts are collected")
+def collect_failed(context):
+    context.failed_attempts = []
+    log = context.platform.entries[0].front.forwarder.log
+    log.failed = lambda request, view, failed: context.failed_attempts.append(
+        (view.backend.identity, failed)
+    )
+
+
+@then("the engine's failure share is that of one failure")
+def one_failure(context):
+    view = context.platform.entries[0].fleet.backends[context.bad.identity]
+    assert view.failure_share == FAILURE_SMOOTHING, view.failure_share
+
+
+@then("the failed attempt is logged as a server error that may have run")
+def logged_server_error(context):
+    ((identity, failed),) = context.failed_attempts
+    assert identity == context.bad.identity
+    assert (failed.failure, failed.may_have_run) == ("server-error", True), failed
+
+
 @when("callers open {count:d} streams")
 def streams(context, count):
     for index in range(count):
@@ -478,6 +502,30 @@
     all_events(context)
 
 
+@given("the origin does not answer")
+def silent_origin(context):
+    context.platform.origin.is_silent = True
+
+
+@when("the entry process is closed while it fetches from the origin")
+def close_while_fetching(context):
+    role = context.platform.entries.pop()
+    relay = context.relay = role.relay
+
+    async def close():
+        relay.prefetch_version("model", 1)
+        assert await until(lambda: relay.fetching and relay.background_tasks)
+        await role.close()
+
+    run(context, close())
+
+
+@then("no fetch of weights is running")
+def no_fetch(context):
+    running = [*context.relay.fetching.values(), *context.relay.background_tasks]
+    assert not running, running
+
+
 @given("the origin corrupts chunk {index:d} once")
 def corrupt_chunk(context, index):
     context.platform.origin.corrupt_once.add(index)
@@ -615,15 +663,48 @@
 }
 
 
+@given('the other engine is "{mode}"')
+def other_engine(context, mode):
+    (other,) = (item for item in engines(context) if item is not context.bad)
+    other.mode = mode
+
+
+async def open_raw(context, path):
+    """Connect as a caller and return the streams and the head of a request, without its end."""
+    host, _, port = context.platform.entries[0].direct.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST {path} HTTP/1.1\r\nHost: {CALLER_HOST}\r\nX-Attempt-Id: raw\r\n"
+    key = f"Authorization: Bearer {API_KEY}\r\nX-Deadline-Ms: 2000\r\n"
+    return reader, writer, head + key
+
+
+@when("a caller reads the raw bytes of a stream")
+def read_raw(context):
+    async def read():
+        reader, writer, head = await open_raw(context, "/stream/x")
+        writer.write((head + "X-Model: model\r\nX-Token-Usage: 300,60\r\n\r\n").encode())
+        context.raw = b""
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                while part := await reader.read(65536):
+                    context.raw += part
+        context.ended = reader.at_eof() or reader.exception() is not None
+        writer.close()
+
+    run(context, read())
+
+
+@then("they hold one status line and the connection ends")
+def one_status_line(context):
+    assert context.raw.count(b"HTTP/1.1 ") == 1 and context.ended, context.raw
+
+
 @when("raw bytes with {fault} are sent")
 def send_raw(context, fault):
     async def send():
-        host, _, port = context.platform.entries[0].direct.front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        head = f"POST /book/bed HTTP/1.1\r\nHost: {CALLER_HOST}\r\nX-Attempt-Id: raw\r\n"
-        key = f"Authorization: Bearer {API_KEY}\r\nX-Deadline-Ms: 2000\r\n"
+        reader, writer, head = await open_raw(context, "/book/bed")
         hidden = "GET /look/hidden HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: hidden\r\n\r\n"
-        writer.write((head + key + RAW[fault] + hidden).encode())
+        writer.write((head + RAW[fault] + hidden).encode())
         async with asyncio.timeout(5):
             context.raw = await reader.read(200)
         writer.close()
