Abort a stream that another backend answers with a server error

What callers saw: where one engine broke a stream and the next answered its resume with a 500, the status line, headers and body of that answer were written into the middle of the caller's chunked stream, and the connection stayed open until the caller's own timeout.

Cause: StreamForwarder.run returned the answer as if nothing had been sent, and the front answered a second time. Change: once a part of the stream was sent, such an answer aborts the caller's connection, as any other end of a stream that cannot be completed.

Evidence: "A server error at the resume of a stream is not written into the stream" was known red before (34 passed, 1 skipped) and passes now. Measured: tests/direct/requests.feature 35 passed, 0 failed, 0 skipped.

--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -131,7 +131,7 @@
         forwarder.budget.record_request(request.service, clock.now())
         try:
             async with asyncio.timeout(request.deadline - clock.now()):
-                return await self.attempts(request, progress, delivery)
+                result = await self.attempts(request, progress, delivery)
         except TimeoutError:
             if delivery.response is not None:
                 raise StreamCutError("the deadline has passed") from None
@@ -143,6 +143,9 @@
         except asyncio.CancelledError:
             forwarder.log.cancelled(request)
             raise
+        if isinstance(result, WholeAnswer) and delivery.response is not None:
+            raise StreamCutError(f"a backend answered with status {result.status}")
+        return result
 
     async def attempts(
         self, request: Request, progress: Progress, delivery: Delivery
