The slot table keeps the doubt about keys that ran without a claim

Cause: a process that acquired a slot without proof of all claims kept the doubt in its own memory, and only if its write of the table was answered. Its successor asked for proof about this process alone and forgot the holder before it. What callers saw: a key that ran without a claim in an outage ran again within the resend window, when the next holder crashed or drained too, or when the acquisition took effect late and its answer was lost. Evidence: found by reading; the three sequences are scenarios now. Change: SlotHolder.uncertain stands in the table, set by the write that acquires the slot and taken over by each later holder. The holder clears it once a whole resend window has passed since it learned that it holds the slot. A table without the mark is read as certain, as before. Cost: after a second take-over within the window keys without a claim are answered may-have-run for a whole window again, since the processes share no clock.

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -28,6 +28,23 @@
     Then the key ran once and the answer is may-have-run
     And a new key of the slot is answered may-have-run, and runs once the service is up again
 
+  Scenario: A key run without a claim two holders ago does not run again after the second one crashed
+    When a holder runs a key without a claim and crashes, and its successor crashes too
+    Then the key ran once and the answer is may-have-run
+
+  Scenario: A key run without a claim two holders ago does not run again after the second one drained
+    When a holder runs a key without a claim and crashes, and its successor drains
+    Then the key ran once and the answer is may-have-run
+
+  Scenario: A take-over that takes effect late, without an answer, still tells which slots are uncertain
+    When a holder runs a key without a claim and crashes, and the take-over takes effect late
+    Then the key ran once and the answer is may-have-run
+
+  Scenario: An uncertain slot opens once callers no longer resend
+    When a holder runs a key without a claim and crashes, and the resend window passes
+    Then the new holder runs a new key of the slot
+    And no slot is marked as uncertain
+
   Scenario: Suspicion does not free the slots of a live holder
     When a holder loses the key-value service, is suspected by the others and runs without claims
     Then only the holder runs the key, and no other process acquires its slot
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -19,7 +19,7 @@
 from verbenaward.requests.at_most_once import AtMostOnceRunner
 from verbenaward.requests.claims import ClaimTimes
 from verbenaward.requests.records import Answer
-from verbenaward.requests.slot_manager import SlotManager
+from verbenaward.requests.slot_manager import TABLE_PREFIX, SlotManager
 from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
 from verbenaward.schema.messages import Member, MemberKind, MemberStatus
 
@@ -213,7 +213,7 @@
 def takeover_of_unclaimed_key(context):
     machine = OnceMachine()
     context.add_cleanup(machine.teardown)
-    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder = holder_of_key(machine)
     machine.world.down = True
     machine.advance(8.0)
     machine.loop.run_until_complete(holder.send(KEYS[0]))
@@ -221,7 +221,7 @@
     machine.advance(3.0)
     machine.world.down = False
     machine.advance(12.0)
-    successor = next(item for item in machine.processes.values() if holds_key(item))
+    successor = holder_of_key(machine)
     context.answer = machine.loop.run_until_complete(successor.send(KEYS[0]))
     context.ledger = machine.ledger
 
@@ -260,7 +260,7 @@
     """Run the first key on its holder; return the machine and the holder."""
     context.machine = machine = OnceMachine()
     context.add_cleanup(machine.teardown)
-    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder = holder_of_key(machine)
     machine.send_everywhere(KEYS[0])
     machine.advance(1.0)
     assert machine.ledger == [KEYS[0]]
@@ -272,7 +272,7 @@
     machine = context.machine
     machine.toggle_outage()
     machine.wait(6.0)
-    context.successor = next(item for item in machine.processes.values() if holds_key(item))
+    context.successor = holder_of_key(machine)
     context.answer = machine.loop.run_until_complete(context.successor.send(KEYS[0]))
     context.ledger = list(machine.ledger)
 
@@ -302,11 +302,87 @@
     assert machine.ledger.count(key) == 1
 
 
+@when("a holder runs a key without a claim and crashes, and its successor crashes too")
+def second_crash(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.kill(holder_of_key(machine).own.member.vm)
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and its successor drains")
+def crash_and_drain(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.drain(holder_of_key(machine).own.member.vm)
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and the take-over takes effect late")
+def late_takeover(context):
+    machine = crash_after_unclaimed_run(context)
+    for process in machine.processes.values():
+        delay_table_writes(process.service)
+    machine.toggle_outage()
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and the resend window passes")
+def resend_window_passes(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    assert any(entry.uncertain for entry in holder_of_key(machine).keeper.table.holders)
+    machine.wait(TIMES.resend_window)
+    context.successor = holder_of_key(machine)
+
+
+@then("no slot is marked as uncertain")
+def check_no_uncertain_slot(context):
+    assert not any(entry.uncertain for entry in context.successor.keeper.table.holders)
+
+
+def crash_after_unclaimed_run(context):
+    """Run the first key without a claim on its holder, end the holder and return the machine."""
+    context.machine = machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    machine.toggle_outage()
+    machine.advance(8.0)
+    machine.loop.run_until_complete(holder.send(KEYS[0]))
+    assert machine.ledger == [KEYS[0]]
+    machine.kill(holder.own.member.vm)
+    machine.advance(3.0)
+    return machine
+
+
+def delay_table_writes(service):
+    """Let the writes of the slot table take effect late and lose their answers."""
+    write = service.write
+
+    async def write_late(key, value, expected_version, ttl_seconds=0.0):
+        if key.startswith(TABLE_PREFIX):
+            service.lose = [0.4]
+        return await write(key, value, expected_version, ttl_seconds)
+
+    service.write = write_late
+
+
+def send_to_new_holder(context):
+    """Send the first key to its new holder after the take-over."""
+    machine = context.machine
+    machine.wait(6.0)
+    context.answer = machine.loop.run_until_complete(holder_of_key(machine).send(KEYS[0]))
+    context.ledger = list(machine.ledger)
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
     context.add_cleanup(machine.teardown)
-    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder = holder_of_key(machine)
     holder.service.cut = True
     machine.accuse(holder.own.member.vm)
     machine.advance(8.0)
@@ -326,6 +402,10 @@
     return process.keeper.holds(slot_of("w", KEYS[0]))
 
 
+def holder_of_key(machine):
+    return next(item for item in machine.processes.values() if holds_key(item))
+
+
 @then("the key ran once and the answer is may-have-run")
 def check_unknown_outcome(context):
     assert context.ledger == [KEYS[0]], context.ledger
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -45,8 +45,6 @@
       table: Slot table as last read.
       version: Version of the table's key in the key-value service.
       table_loaded: True once the table was read.
-      uncertain_until: By slot, the time until which callers may resend keys that the former holder
-        may have run without a claim, monotonic.
       ended_at: By (VM, incarnation), the time at which a holder's process was known to have
         ended, monotonic.
       renewals: Number of renewals sent.
@@ -78,7 +76,6 @@
         self.table = SlotTable()
         self.version = 0
         self.table_loaded = False
-        self.uncertain_until: dict[int, float] = {}
         self.ended_at: dict[tuple[str, int], float] = {}
         self.renewals = 0
         self.renewal_version = 0
@@ -107,8 +104,9 @@
         return [slot for slot in range(SLOT_COUNT) if self.holds(slot)]
 
     def is_uncertain(self, slot: int, now: float) -> bool:
-        """Return True while a resent key may have run without a claim under the former holder."""
-        return now < self.uncertain_until.get(slot, 0.0)
+        """Return True while a resent key may have run without a claim under an earlier holder."""
+        is_marked = self.table.holders[slot].uncertain
+        return is_marked and not self.claims.tenures.is_past_resends(slot, now)
 
     async def follow_table(self) -> None:
         """Watch the slot table and keep the copy current, until cancelled."""
@@ -140,6 +138,7 @@
             return
         if not self.leaving and await self.renew():
             await self.acquire_free_slots()
+            await self.clear_uncertain_slots()
         await self.claims.read_former_claims()
 
     async def is_service_available(self) -> bool:
@@ -197,12 +196,8 @@
         wanted = [slot for slot in range(SLOT_COUNT) if self.should_acquire(slot)]
         if not wanted:
             return
-        uncertainty = {
-            slot: await self.uncertainty_end(self.table.holders[slot]) for slot in wanted
-        }
-        holder = SlotHolder(self.own.member.vm, self.own.member.incarnation)
-        if await self.write_table(dict.fromkeys(wanted, holder)):
-            self.uncertain_until.update(uncertainty)
+        changes = {slot: await self.successor_of(self.table.holders[slot]) for slot in wanted}
+        if await self.write_table(changes):
             LOG.info("slots.taken", slots=len(wanted), held=len(self.held_slots()))
 
     def should_acquire(self, slot: int) -> bool:
@@ -260,14 +255,32 @@
                 self.ended_at[vm, incarnation] = now
                 LOG.info("slots.holder_gone", vm=vm)
 
-    async def uncertainty_end(self, former: SlotHolder) -> float:
-        """Return until when callers may resend keys that a former holder may have run unclaimed.
+    async def successor_of(self, former: SlotHolder) -> SlotHolder:
+        """Return the entry with which this process takes over a slot from its former holder.
 
-        Returns:
-          Monotonic time, or 0 if the former holder certainly wrote a claim for each run.
+        The doubt of an earlier holder stays: the former one may not have held the slot for as
+        long as callers resend. It stands in the table, so that it counts as soon as the write
+        takes effect, even if its answer is lost.
         """
+        uncertain = former.uncertain or await self.may_have_run_unclaimed(former)
+        own = self.own.member
+        return SlotHolder(own.vm, own.incarnation, uncertain=uncertain)
+
+    async def clear_uncertain_slots(self) -> None:
+        """Clear the mark of the uncertain slots whose earlier keys callers no longer resend."""
+        now = time.monotonic()
+        changes = {
+            slot: dataclasses.replace(self.table.holders[slot], uncertain=False)
+            for slot in self.held_slots()
+            if self.table.holders[slot].uncertain and not self.is_uncertain(slot, now)
+        }
+        if changes:
+            await self.write_table(changes)
+
+    async def may_have_run_unclaimed(self, former: SlotHolder) -> bool:
+        """Return True unless a former holder certainly wrote a claim for each of its runs."""
         if not former.vm or former.released:
-            return 0.0
+            return False
         seen_ended_at = self.ended_at[former.vm, former.incarnation]
         read = await self.service.read(self.renewal_key(former.vm))
         entry = read.unwrap() if isinstance(read, Success) else None
@@ -276,9 +289,7 @@
             version = entry.revision
         own_writes = tuple(self.claims.own_writes)
         evidence = Evidence(version, seen_ended_at, own_writes)
-        if has_all_claims(evidence, self.times.outage_grace, self.times.write_delay):
-            return 0.0
-        return time.monotonic() + self.times.resend_window
+        return not has_all_claims(evidence, self.times.outage_grace, self.times.write_delay)
 
     async def write_table(self, changes: dict[int, SlotHolder]) -> bool:
         """Change holders in the table by compare-and-swap; return False if that failed."""
--- a/verbenaward/requests/slots.py
+++ b/verbenaward/requests/slots.py
@@ -25,11 +25,14 @@
       vm: VM of the holder; empty if the slot never had one.
       incarnation: Incarnation of the holder's process.
       released: True if the holder released the slot after writing all its claims.
+      uncertain: True while callers may resend keys that an earlier holder may have run without a
+        claim.
     """
 
     vm: str = ""
     incarnation: int = 0
     released: bool = False
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True)
