A slot is acquired on the table version on which it was decided

Cause: a process that acquires slots first reads the former holder's renewal, once a slot. The watch could read a newer table meanwhile; the compare-and-swap was then made on the newer version, with the slots of the older decision. What callers saw: two living processes held a slot. Cut off from the key-value service the first one ran a key without a claim, and the second one ran it as well. If the newer table came before the last of these reads, the lookup of the new holder's end failed with a KeyError, which ended the task that renews and acquires, for good. Evidence: found by reading; the new scenario plays both. Change: the decision, the evidence and the write use one copy of the table and its version; a newer table makes the write fail with a conflict, and the next round decides anew.

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -45,6 +45,16 @@
     Then the new holder runs a new key of the slot
     And no slot is marked as uncertain
 
+  Scenario Outline: A process does not take a slot from one that acquired it while the process looked for proof
+    When two processes decide to acquire slots, and the slower one sees the other's acquisition at its <read> read
+    Then the slower one does not hold the slot, and its key ran once
+    And the slower one still renews
+
+    Examples:
+      | read  |
+      | first |
+      | last  |
+
   Scenario: Suspicion does not free the slots of a live holder
     When a holder loses the key-value service, is suspected by the others and runs without claims
     Then only the holder runs the key, and no other process acquires its slot
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -19,7 +19,7 @@
 from verbenaward.requests.at_most_once import AtMostOnceRunner
 from verbenaward.requests.claims import ClaimTimes
 from verbenaward.requests.records import Answer
-from verbenaward.requests.slot_manager import TABLE_PREFIX, SlotManager
+from verbenaward.requests.slot_manager import RENEWAL_PREFIX, TABLE_PREFIX, SlotManager
 from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
 from verbenaward.schema.messages import Member, MemberKind, MemberStatus
 
@@ -378,6 +378,53 @@
     context.ledger = list(machine.ledger)
 
 
+@when(
+    "two processes decide to acquire slots, "
+    "and the slower one sees the other's acquisition at its {position} read"
+)
+def racing_takeovers(context, position):
+    machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    reads = 1 if position == "first" else len(holder.keeper.held_slots())
+    machine.kill(holder.own.member.vm)
+    context.faster, context.slower = faster, slower = machine.processes.values()
+    for process, other in ((faster, slower), (slower, faster)):
+        process.directory.mark(other.own.member.vm, MemberStatus.SUSPECT, time.monotonic())
+    faster.keeper.leaving = True
+    read = slower.service.read
+
+    async def read_slowly(key):
+        nonlocal reads
+        reads -= key.startswith(RENEWAL_PREFIX)
+        if reads == 0 and faster.keeper.leaving:
+            faster.keeper.leaving = False
+            await faster.keeper.run_round()
+            assert holds_key(faster)
+            await asyncio.sleep(0.3)
+            assert slower.keeper.version == faster.keeper.version
+            faster.service.cut = True
+        return await read(key)
+
+    slower.service.read = read_slowly
+    machine.advance(12.0)
+    for process in (faster, slower):
+        machine.loop.run_until_complete(process.send(KEYS[0]))
+    context.ledger = machine.ledger
+
+
+@then("the slower one does not hold the slot, and its key ran once")
+def check_one_acquisition(context):
+    assert context.faster.service.cut
+    assert context.ledger == [KEYS[0]], context.ledger
+    assert not holds_key(context.slower)
+
+
+@then("the slower one still renews")
+def check_renewals(context):
+    assert not any(task.done() for task in context.slower.tasks)
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -193,11 +193,14 @@
         if not self.table_loaded and not await self.refresh():
             return
         await self.find_ended_holders()
+        table = self.table
+        version = self.version
         wanted = [slot for slot in range(SLOT_COUNT) if self.should_acquire(slot)]
         if not wanted:
             return
-        changes = {slot: await self.successor_of(self.table.holders[slot]) for slot in wanted}
-        if await self.write_table(changes):
+        changes = {slot: await self.successor_of(table.holders[slot]) for slot in wanted}
+        # The table may have been read again since; the evidence is about the holders of this one.
+        if await self.write_table(table, version, changes):
             LOG.info("slots.taken", slots=len(wanted), held=len(self.held_slots()))
 
     def should_acquire(self, slot: int) -> bool:
@@ -275,7 +278,7 @@
             if self.table.holders[slot].uncertain and not self.is_uncertain(slot, now)
         }
         if changes:
-            await self.write_table(changes)
+            await self.write_table(self.table, self.version, changes)
 
     async def may_have_run_unclaimed(self, former: SlotHolder) -> bool:
         """Return True unless a former holder certainly wrote a claim for each of its runs."""
@@ -291,14 +294,25 @@
         evidence = Evidence(version, seen_ended_at, own_writes)
         return not has_all_claims(evidence, self.times.outage_grace, self.times.write_delay)
 
-    async def write_table(self, changes: dict[int, SlotHolder]) -> bool:
-        """Change holders in the table by compare-and-swap; return False if that failed."""
-        holders = list(self.table.holders)
+    async def write_table(
+        self, table: SlotTable, version: int, changes: dict[int, SlotHolder]
+    ) -> bool:
+        """Change holders in the table by compare-and-swap.
+
+        Args:
+          table: The table on which the changes were decided.
+          version: Its version, which the stored table must still have.
+          changes: New holders by slot.
+
+        Returns:
+          True if the changes are in the table.
+        """
+        holders = list(table.holders)
         for slot, holder in changes.items():
             holders[slot] = holder
         payload = encode_table(SlotTable(tuple(holders)))
         sent_at = time.monotonic()
-        result = await self.service.write(self.table_key, payload, self.version)
+        result = await self.service.write(self.table_key, payload, version)
         metrics.KEY_VALUE_CALLS.labels("slots", outcome_of(result)).inc()
         if isinstance(result, Success):
             self.claims.record_write(result.unwrap(), sent_at)
@@ -314,4 +328,4 @@
             for slot in slots
             if self.holds(slot)
         }
-        return not changes or await self.write_table(changes)
+        return not changes or await self.write_table(self.table, self.version, changes)
