Pending claims are written by one task at a time

Cause: a renewal round and a drain may write the pending claims at once. Each tried the first one and then removed whatever was first by then, so one could remove a claim whose write by the other had failed. What callers saw: a key that ran without a claim in an outage got none after it. The slot was then renewed or released as if all claims existed, and the next holder could run the key again. Evidence: found by reading. In the new scenario two keys run in an outage and two flushes meet with one write lost; on the code before this change one of two claims is stored and none is pending (16 scenarios passed, 1 failed). Change: ClaimWriter.flush holds a lock while it writes. Nothing is awaited between its return and the sending of a renewal, as before. Measured: tests/requests 34 passed, 0 failed, 0 skipped.

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -69,6 +69,11 @@
     When the key-value service goes down and a new key arrives
     Then it runs after the outage grace, and its claim is written once the service is up again
 
+  Scenario: A renewal round and a drain that write the pending claims at once lose none
+    Given a process that holds all slots
+    When two keys run in an outage, and both write the claims after it with one write lost
+    Then each key that ran has a claim in the end
+
   Scenario: A key reused for a different request is refused
     Given a process that holds all slots
     When a key arrives again with a different request
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -542,6 +542,30 @@
     assert len(claims) == 1
 
 
+@when("two keys run in an outage, and both write the claims after it with one write lost")
+def concurrent_flushes(context):
+    keeper = context.process.keeper
+
+    async def run():
+        context.world.down = True
+        await asyncio.sleep(TIMES.outage_grace + 1.0)
+        await asyncio.gather(*(context.process.send(key) for key in KEYS[:2]))
+        assert len(keeper.claims.pending) == 2
+        context.world.down = False
+        context.process.service.lose = ["", "", "before"]
+        return await asyncio.gather(keeper.claims.flush(), keeper.claims.flush())
+
+    context.flushed = context.virtual_loop.run_until_complete(run())
+
+
+@then("each key that ran has a claim in the end")
+def check_claims_of_all(context):
+    context.virtual_loop.run_until_complete(asyncio.sleep(3.0))
+    assert sorted(context.ledger) == KEYS[:2]
+    claims = [key for key in context.world.stored if key.startswith("verbenaward/claims/")]
+    assert len(claims) == 2, claims
+
+
 @when("a key arrives again with a different request")
 def reused_key(context):
     async def run():
--- a/verbenaward/requests/claims.py
+++ b/verbenaward/requests/claims.py
@@ -75,6 +75,7 @@
       last_success: Time of the last successful call, monotonic.
       last_renewal_sent: Time at which the last renewal was sent, monotonic.
       pending: Key-value keys of the claims that are not written yet, oldest first.
+      flush_lock: Held while pending claims are written.
       own_writes: Last successful writes of this process, oldest first.
     """
 
@@ -89,6 +90,7 @@
         self.last_success = now
         self.last_renewal_sent = now
         self.pending: deque[str] = deque()
+        self.flush_lock = asyncio.Lock()
         self.own_writes: deque[OwnWrite] = deque(maxlen=MAXIMUM_OWN_WRITES)
 
     def prefix_of(self, slot: int) -> str:
@@ -178,14 +180,15 @@
 
     async def flush(self) -> bool:
         """Write all pending claims; return False if the key-value service fails."""
-        while self.pending:
-            outcome = await self.try_claim(self.pending[0])
-            if outcome is ClaimOutcome.NO_SERVICE:
-                return False
-            if outcome is ClaimOutcome.TAKEN:
-                LOG.error("claim.taken_by_other", path=self.pending[0])
-            self.pending.popleft()
-        return True
+        async with self.flush_lock:
+            while self.pending:
+                outcome = await self.try_claim(self.pending[0])
+                if outcome is ClaimOutcome.NO_SERVICE:
+                    return False
+                if outcome is ClaimOutcome.TAKEN:
+                    LOG.error("claim.taken_by_other", path=self.pending[0])
+                self.pending.popleft()
+            return True
 
 
 def claim_name(key: str) -> str:
