A process that has begun to release a slot runs no more keys in it

Cause: a process saw its release only when it read the table again. If the release took effect, its answer was lost and the key-value service failed then, the process still took itself for the holder. A key that had waited for its claim since before the drain ran without one after the outage grace. What callers saw: the key ran again at the next holder, which relies on a release having left no key without a claim. Evidence: found by reading. Change: SlotManager.release notes the slots as given up before it writes; holds() is false for them from then on, so a waiting key is refused as not run. A release that fails isn't taken back: the process is leaving and refuses new keys anyway.

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -55,6 +55,10 @@
       | first |
       | last  |
 
+  Scenario: A holder whose release took effect without an answer runs no key that waits for its claim
+    When a holder releases its slots, the answer is lost, and a key waits for the key-value service
+    Then the key ran once and its new holder ran it
+
   Scenario: Suspicion does not free the slots of a live holder
     When a holder loses the key-value service, is suspected by the others and runs without claims
     Then only the holder runs the key, and no other process acquires its slot
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -13,11 +13,11 @@
 )
 from returns.result import Success
 
-from tests.fakes import UNAVAILABLE, FakeKeyValues, FakeVmList, KeyValueWorld, virtual_loop
+from tests.fakes import UNAVAILABLE, UNKNOWN, FakeKeyValues, FakeVmList, KeyValueWorld, virtual_loop
 from verbenaward.data import Load, Verdict
 from verbenaward.membership.directory import Directory
 from verbenaward.requests.at_most_once import AtMostOnceRunner
-from verbenaward.requests.claims import ClaimTimes
+from verbenaward.requests.claims import CLAIM_PREFIX, ClaimTimes
 from verbenaward.requests.records import Answer
 from verbenaward.requests.slot_manager import RENEWAL_PREFIX, TABLE_PREFIX, SlotManager
 from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
@@ -425,6 +425,47 @@
     assert not any(task.done() for task in context.slower.tasks)
 
 
+@when("a holder releases its slots, the answer is lost, and a key waits for the key-value service")
+def lost_release(context):
+    machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    cut_after_table_write(holder.service)
+    waiting = machine.loop.create_task(holder.send(KEYS[0]))
+    machine.advance(0.2)
+    holder.keeper.leaving = True
+    machine.loop.run_until_complete(holder.keeper.release(holder.keeper.held_slots()))
+    machine.advance(9.0)
+    assert waiting.done()
+    machine.kill(holder.own.member.vm)
+    machine.wait(3.0)
+    context.successor = holder_of_key(machine)
+    context.answer = machine.loop.run_until_complete(context.successor.send(KEYS[0]))
+    context.ledger = machine.ledger
+
+
+def cut_after_table_write(service):
+    """Refuse claims; let the next write of the slot table take effect, then cut the client off."""
+    write = service.write
+
+    async def write_and_cut(key, value, expected_version, ttl_seconds=0.0):
+        if key.startswith(CLAIM_PREFIX):
+            return UNAVAILABLE
+        result = await write(key, value, expected_version, ttl_seconds)
+        if not key.startswith(TABLE_PREFIX):
+            return result
+        service.cut = True
+        return UNKNOWN
+
+    service.write = write_and_cut
+
+
+@then("the key ran once and its new holder ran it")
+def check_new_holder_ran(context):
+    assert context.ledger == [KEYS[0]], context.ledger
+    assert context.answer.unwrap().vm == context.successor.own.member.vm
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -52,6 +52,7 @@
       claims: Writer of claims.
       key_records: Outcomes of the keys that this process ran.
       leaving: True once the process shuts down and takes no more slots or keys.
+      given_up: Slots whose release has begun, whether or not it has taken effect.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self.renewals = 0
         self.renewal_version = 0
         self.leaving = False
+        self.given_up: set[int] = set()
 
     @property
     def table_key(self) -> str:
@@ -91,7 +93,11 @@
         return f"{RENEWAL_PREFIX}/{self.own.member.role}/{vm}"
 
     def holds(self, slot: int) -> bool:
-        """Return True if this process holds a slot and has not released it."""
+        """Return True if this process may run the keys of a slot."""
+        return slot not in self.given_up and self.is_holder(slot)
+
+    def is_holder(self, slot: int) -> bool:
+        """Return True if the table names this process as holder and the slot isn't released."""
         holder = self.table.holders[slot]
         is_own = (holder.vm, holder.incarnation) == (
             self.own.member.vm,
@@ -320,12 +326,16 @@
         return all(self.table.holders[slot] == holder for slot, holder in changes.items())
 
     async def release(self, slots: list[int]) -> bool:
-        """Release slots after writing all pending claims; return False if a write failed."""
+        """Release slots after writing all pending claims; return False if a write failed.
+
+        No key runs in them from now on: the release may take effect although its answer is lost.
+        """
+        self.given_up.update(slots)
         if not await self.claims.flush():
             return False
         changes = {
             slot: dataclasses.replace(self.table.holders[slot], released=True)
             for slot in slots
-            if self.holds(slot)
+            if self.is_holder(slot)
         }
         return not changes or await self.write_table(self.table, self.version, changes)
