Reading the former claims counts as an answer of the key-value service

Cause: the range reads of the claims did not move the time of the last successful call. In a slow key-value service with many slots to read, a holder could go on without claims although the service answered. What callers saw: nothing that is known; found by reading. A run without a claim makes the slot uncertain if its holder ends then. Change: a successful range read counts like any other successful call. It only makes the start of runs without claims later.

--- a/verbenaward/requests/claims.py
+++ b/verbenaward/requests/claims.py
@@ -165,6 +165,7 @@
             metrics.KEY_VALUE_CALLS.labels("claims", outcome_of(read)).inc()
             if not isinstance(read, Success):
                 return
+            self.last_success = time.monotonic()
             names = frozenset(
                 entry.key.removeprefix(prefix)
                 for entry in read.unwrap().entries
