A holder of an uncertain slot doesn't say not-run of a key that it can't claim

Cause: the refusal of a key that could not be claimed by its deadline was decided before the check of the slot's uncertainty. What callers saw: a key that the former holder ran without a claim was resent with a deadline shorter than the outage grace, while the key-value service was away again, and was answered not-run. Evidence: found by reading. The new scenario fails on the code before this change at the verdict (18 scenarios passed, 1 failed).

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -40,6 +40,10 @@
     When a holder runs a key without a claim and crashes, and the take-over takes effect late
     Then the key ran once and the answer is may-have-run
 
+  Scenario: A holder that can't claim a key in an uncertain slot doesn't say that the key did not run
+    When a holder runs a key without a claim and crashes, and its successor cannot claim the key
+    Then the key ran once and the answer is may-have-run
+
   Scenario: An uncertain slot opens once callers no longer resend
     When a holder runs a key without a claim and crashes, and the resend window passes
     Then the new holder runs a new key of the slot
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -61,7 +61,7 @@
             asyncio.ensure_future(self.keeper.run_renewals()),
         ]
 
-    async def send(self, key, fingerprint=b"f", on_run=lambda: None):
+    async def send(self, key, fingerprint=b"f", on_run=lambda: None, seconds=8.0):
         async def work():
             if self.tasks is None:
                 await asyncio.Event().wait()
@@ -70,7 +70,7 @@
             await asyncio.sleep(0.2)
             return Success(Answer(200, "", key.encode(), self.own.member.vm, "", Load()))
 
-        return await self.runner.run("w", key, fingerprint, time.monotonic() + 8.0, work)
+        return await self.runner.run("w", key, fingerprint, time.monotonic() + seconds, work)
 
     def end(self):
         for task in self.tasks or ():
@@ -329,6 +329,18 @@
     send_to_new_holder(context)
 
 
+@when("a holder runs a key without a claim and crashes, and its successor cannot claim the key")
+def successor_without_service(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.toggle_outage()
+    process = holder_of_key(machine)
+    work = process.send(KEYS[0], seconds=TIMES.outage_grace / 2)
+    context.answer = machine.loop.run_until_complete(work)
+    context.ledger = machine.ledger
+
+
 @when("a holder runs a key without a claim and crashes, and the resend window passes")
 def resend_window_passes(context):
     machine = crash_after_unclaimed_run(context)
--- a/verbenaward/requests/at_most_once.py
+++ b/verbenaward/requests/at_most_once.py
@@ -86,9 +86,10 @@
     def outage_refusal(self, slot: int) -> Refusal:
         """Return the refusal of a key that could not be claimed before its deadline.
 
-        A former holder may have run the key if its claims were not read yet.
+        A former holder may have run the key if its claims were not read yet, or if it may have
+        run keys without claims.
         """
-        if self.slot_manager.claims.tenures.knows_former_claims(slot, time.monotonic()):
+        if self.slot_manager.knows_former_runs(slot, time.monotonic()):
             message = "the key-value service did not answer"
             return not_run(503, OUTAGE_REASON, message, RETRY_AFTER_SECONDS)
         message = "a former holder may have run the key; the key-value service did not answer"
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -114,6 +114,11 @@
         is_marked = self.table.holders[slot].uncertain
         return is_marked and not self.claims.tenures.is_past_resends(slot, now)
 
+    def knows_former_runs(self, slot: int, now: float) -> bool:
+        """Return True if the former holders ran no resent key but those whose claims are known."""
+        knows_claims = self.claims.tenures.knows_former_claims(slot, now)
+        return knows_claims and not self.is_uncertain(slot, now)
+
     async def follow_table(self) -> None:
         """Watch the slot table and keep the copy current, until cancelled."""
         after = 0
