Tenures without their claims are listed with their slots

Reading the former claims looked the tenure up again by its time after the read. The tenure object itself is enough: one that has ended meanwhile is no longer in the table of tenures.

--- a/verbenaward/requests/claims.py
+++ b/verbenaward/requests/claims.py
@@ -157,22 +157,20 @@
 
     async def read_former_claims(self) -> None:
         """Read the claims of the former holders of the held slots, unless they are known."""
-        self.tenures.drop_old_claims(time.monotonic())
-        for slot in self.tenures.slots_without_claims(time.monotonic()):
-            tenure = self.tenures.by_slot.get(slot)
+        now = time.monotonic()
+        self.tenures.drop_old_claims(now)
+        for slot, tenure in self.tenures.without_claims(now):
             prefix = self.prefix_of(slot)
             read = await self.service.read_prefix(prefix)
             metrics.KEY_VALUE_CALLS.labels("claims", outcome_of(read)).inc()
             if not isinstance(read, Success):
                 return
             self.last_success = time.monotonic()
-            names = frozenset(
+            tenure.former_claims = frozenset(
                 entry.key.removeprefix(prefix)
                 for entry in read.unwrap().entries
                 if msgspec.json.decode(entry.value, type=Claim) != self.owner
             )
-            if tenure is not None:
-                self.tenures.set_former_claims(slot, tenure.since, names)
 
     def record_write(self, version: int, sent_at: float) -> None:
         """Record a successful write."""
--- a/verbenaward/requests/tenures.py
+++ b/verbenaward/requests/tenures.py
@@ -61,15 +61,13 @@
         tenure = self.by_slot.get(slot)
         return tenure is not None and name in (tenure.former_claims or ())
 
-    def slots_without_claims(self, now: float) -> list[int]:
-        """Return the slots whose former claims are still to be read."""
-        return [slot for slot in self.by_slot if not self.knows_former_claims(slot, now)]
-
-    def set_former_claims(self, slot: int, since: float, names: frozenset[str]) -> None:
-        """Store the claims read for the tenure that began at a time, if it has not ended since."""
-        tenure = self.by_slot.get(slot)
-        if tenure is not None and tenure.since == since:
-            tenure.former_claims = names
+    def without_claims(self, now: float) -> list[tuple[int, Tenure]]:
+        """Return the slots whose former claims are still to be read, with their tenures."""
+        return [
+            (slot, tenure)
+            for slot, tenure in self.by_slot.items()
+            if not self.knows_former_claims(slot, now)
+        ]
 
     def drop_old_claims(self, now: float) -> None:
         """Free the memory of claims whose keys callers no longer resend."""
