--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -13,13 +13,13 @@
 )
 from returns.result import Success
 
-from tests.fakes import FakeKeyValues, FakeVmList, KeyValueWorld, virtual_loop
+from tests.fakes import UNAVAILABLE, UNKNOWN, FakeKeyValues, FakeVmList, KeyValueWorld, virtual_loop
 from verbenaward.data import Load, Verdict
 from verbenaward.membership.directory import Directory
 from verbenaward.requests.at_most_once import AtMostOnceRunner
-from verbenaward.requests.claims import ClaimTimes
+from verbenaward.requests.claims import CLAIM_PREFIX, ClaimTimes
 from verbenaward.requests.records import Answer
-from verbenaward.requests.slot_manager import SlotManager
+from verbenaward.requests.slot_manager import RENEWAL_PREFIX, TABLE_PREFIX, SlotManager
 from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
 from verbenaward.schema.messages import Member, MemberKind, MemberStatus
 
@@ -61,7 +61,7 @@
             asyncio.ensure_future(self.keeper.run_renewals()),
         ]
 
-    async def send(self, key, fingerprint=b"f", on_run=lambda: None):
+    async def send(self, key, fingerprint=b"f", on_run=lambda: None, seconds=8.0):
         async def work():
             if self.tasks is None:
                 await asyncio.Event().wait()
@@ -70,7 +70,7 @@
             await asyncio.sleep(0.2)
             return Success(Answer(200, "", key.encode(), self.own.member.vm, "", Load()))
 
-        return await self.runner.run("w", key, fingerprint, time.monotonic() + 8.0, work)
+        return await self.runner.run("w", key, fingerprint, time.monotonic() + seconds, work)
 
     def end(self):
         for task in self.tasks or ():
@@ -78,8 +78,6 @@
         self.tasks = None
 
 
-# Hypothesis derives its examples from the source text of this class: a change of the text changes
-# the examples, which can then reach the open fault that KNOWN-RED.txt describes.
 class OnceMachine(RuleBasedStateMachine):
     """Three VMs, one service, callers that resend."""
 
@@ -215,7 +213,7 @@
 def takeover_of_unclaimed_key(context):
     machine = OnceMachine()
     context.add_cleanup(machine.teardown)
-    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder = holder_of_key(machine)
     machine.world.down = True
     machine.advance(8.0)
     machine.loop.run_until_complete(holder.send(KEYS[0]))
@@ -223,16 +221,268 @@
     machine.advance(3.0)
     machine.world.down = False
     machine.advance(12.0)
-    successor = next(item for item in machine.processes.values() if holds_key(item))
+    successor = holder_of_key(machine)
     context.answer = machine.loop.run_until_complete(successor.send(KEYS[0]))
     context.ledger = machine.ledger
 
 
+@when("a holder runs a key and crashes, and the key-value service fails after the take-over")
+def outage_after_crash(context):
+    machine, holder = run_first_key(context)
+    machine.kill(holder.own.member.vm)
+    machine.wait(6.0)
+    send_in_outage(context)
+
+
+@when("a holder runs a key and drains, and the key-value service fails after the take-over")
+def outage_after_drain(context):
+    machine, holder = run_first_key(context)
+    machine.drain(holder.own.member.vm)
+    machine.wait(6.0)
+    send_in_outage(context)
+
+
+@when("a holder runs a key and crashes, and the new one cannot read its claims in an outage")
+def outage_before_claims_are_read(context):
+    machine, holder = run_first_key(context)
+    machine.kill(holder.own.member.vm)
+    for process in machine.processes.values():
+        process.service.read_prefix = refuse_read_prefix
+    machine.wait(6.0)
+    send_in_outage(context)
+
+
+async def refuse_read_prefix(prefix):
+    return UNAVAILABLE
+
+
+def run_first_key(context):
+    """Run the first key on its holder; return the machine and the holder."""
+    context.machine = machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    machine.send_everywhere(KEYS[0])
+    machine.advance(1.0)
+    assert machine.ledger == [KEYS[0]]
+    return machine, holder
+
+
+def send_in_outage(context):
+    """Send the first key to its new holder after the outage grace."""
+    machine = context.machine
+    machine.toggle_outage()
+    machine.wait(6.0)
+    context.successor = holder_of_key(machine)
+    context.answer = machine.loop.run_until_complete(context.successor.send(KEYS[0]))
+    context.ledger = list(machine.ledger)
+
+
+def new_key_of_slot():
+    """Return an unused key of the slot of the first key."""
+    slot = slot_of("w", KEYS[0])
+    return next(key for key in map("new-{}".format, range(10_000)) if slot_of("w", key) == slot)
+
+
+@then("the new holder runs a new key of the slot")
+def check_new_key_runs(context):
+    answer = context.machine.loop.run_until_complete(context.successor.send(new_key_of_slot()))
+    assert isinstance(answer, Success), answer
+
+
+@then("a new key of the slot is answered may-have-run, and runs once the service is up again")
+def check_new_key_waits(context):
+    machine, key = context.machine, new_key_of_slot()
+    answer = machine.loop.run_until_complete(context.successor.send(key))
+    assert answer.failure().verdict is Verdict.MAY_HAVE_RUN, answer
+    assert key not in machine.ledger
+    machine.toggle_outage()
+    machine.wait(3.0)
+    answer = machine.loop.run_until_complete(context.successor.send(key))
+    assert isinstance(answer, Success), answer
+    assert machine.ledger.count(key) == 1
+
+
+@when("a holder runs a key without a claim and crashes, and its successor crashes too")
+def second_crash(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.kill(holder_of_key(machine).own.member.vm)
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and its successor drains")
+def crash_and_drain(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.drain(holder_of_key(machine).own.member.vm)
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and the take-over takes effect late")
+def late_takeover(context):
+    machine = crash_after_unclaimed_run(context)
+    for process in machine.processes.values():
+        delay_table_writes(process.service)
+    machine.toggle_outage()
+    send_to_new_holder(context)
+
+
+@when("a holder runs a key without a claim and crashes, and its successor cannot claim the key")
+def successor_without_service(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    machine.toggle_outage()
+    process = holder_of_key(machine)
+    work = process.send(KEYS[0], seconds=TIMES.outage_grace / 2)
+    context.answer = machine.loop.run_until_complete(work)
+    context.ledger = machine.ledger
+
+
+@when("a holder runs a key without a claim and crashes, and the resend window passes")
+def resend_window_passes(context):
+    machine = crash_after_unclaimed_run(context)
+    machine.toggle_outage()
+    machine.wait(6.0)
+    assert any(entry.uncertain for entry in holder_of_key(machine).keeper.table.holders)
+    machine.wait(TIMES.resend_window)
+    context.successor = holder_of_key(machine)
+
+
+@then("no slot is marked as uncertain")
+def check_no_uncertain_slot(context):
+    assert not any(entry.uncertain for entry in context.successor.keeper.table.holders)
+
+
+def crash_after_unclaimed_run(context):
+    """Run the first key without a claim on its holder, end the holder and return the machine."""
+    context.machine = machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    machine.toggle_outage()
+    machine.advance(8.0)
+    machine.loop.run_until_complete(holder.send(KEYS[0]))
+    assert machine.ledger == [KEYS[0]]
+    machine.kill(holder.own.member.vm)
+    machine.advance(3.0)
+    return machine
+
+
+def delay_table_writes(service):
+    """Let the writes of the slot table take effect late and lose their answers."""
+    write = service.write
+
+    async def write_late(key, value, expected_version, ttl_seconds=0.0):
+        if key.startswith(TABLE_PREFIX):
+            service.lose = [0.4]
+        return await write(key, value, expected_version, ttl_seconds)
+
+    service.write = write_late
+
+
+def send_to_new_holder(context):
+    """Send the first key to its new holder after the take-over."""
+    machine = context.machine
+    machine.wait(6.0)
+    context.answer = machine.loop.run_until_complete(holder_of_key(machine).send(KEYS[0]))
+    context.ledger = list(machine.ledger)
+
+
+@when(
+    "two processes decide to acquire slots, "
+    "and the slower one sees the other's acquisition at its {position} read"
+)
+def racing_takeovers(context, position):
+    machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    reads = 1 if position == "first" else len(holder.keeper.held_slots())
+    machine.kill(holder.own.member.vm)
+    context.faster, context.slower = faster, slower = machine.processes.values()
+    for process, other in ((faster, slower), (slower, faster)):
+        process.directory.mark(other.own.member.vm, MemberStatus.SUSPECT, time.monotonic())
+    faster.keeper.leaving = True
+    read = slower.service.read
+
+    async def read_slowly(key):
+        nonlocal reads
+        reads -= key.startswith(RENEWAL_PREFIX)
+        if reads == 0 and faster.keeper.leaving:
+            faster.keeper.leaving = False
+            await faster.keeper.run_round()
+            assert holds_key(faster)
+            await asyncio.sleep(0.3)
+            assert slower.keeper.version == faster.keeper.version
+            faster.service.cut = True
+        return await read(key)
+
+    slower.service.read = read_slowly
+    machine.advance(12.0)
+    for process in (faster, slower):
+        machine.loop.run_until_complete(process.send(KEYS[0]))
+    context.ledger = machine.ledger
+
+
+@then("the slower one does not hold the slot, and its key ran once")
+def check_one_acquisition(context):
+    assert context.faster.service.cut
+    assert context.ledger == [KEYS[0]], context.ledger
+    assert not holds_key(context.slower)
+
+
+@then("the slower one still renews")
+def check_renewals(context):
+    assert not any(task.done() for task in context.slower.tasks)
+
+
+@when("a holder releases its slots, the answer is lost, and a key waits for the key-value service")
+def lost_release(context):
+    machine = OnceMachine()
+    context.add_cleanup(machine.teardown)
+    holder = holder_of_key(machine)
+    cut_after_table_write(holder.service)
+    waiting = machine.loop.create_task(holder.send(KEYS[0]))
+    machine.advance(0.2)
+    holder.keeper.leaving = True
+    machine.loop.run_until_complete(holder.keeper.release(holder.keeper.held_slots()))
+    machine.advance(9.0)
+    assert waiting.done()
+    machine.kill(holder.own.member.vm)
+    machine.wait(3.0)
+    context.successor = holder_of_key(machine)
+    context.answer = machine.loop.run_until_complete(context.successor.send(KEYS[0]))
+    context.ledger = machine.ledger
+
+
+def cut_after_table_write(service):
+    """Refuse claims; let the next write of the slot table take effect, then cut the client off."""
+    write = service.write
+
+    async def write_and_cut(key, value, expected_version, ttl_seconds=0.0):
+        if key.startswith(CLAIM_PREFIX):
+            return UNAVAILABLE
+        result = await write(key, value, expected_version, ttl_seconds)
+        if not key.startswith(TABLE_PREFIX):
+            return result
+        service.cut = True
+        return UNKNOWN
+
+    service.write = write_and_cut
+
+
+@then("the key ran once and its new holder ran it")
+def check_new_holder_ran(context):
+    assert context.ledger == [KEYS[0]], context.ledger
+    assert context.answer.unwrap().vm == context.successor.own.member.vm
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
     context.add_cleanup(machine.teardown)
-    holder = next(item for item in machine.processes.values() if holds_key(item))
+    holder = holder_of_key(machine)
     holder.service.cut = True
     machine.accuse(holder.own.member.vm)
     machine.advance(8.0)
@@ -252,9 +502,13 @@
     return process.keeper.holds(slot_of("w", KEYS[0]))
 
 
+def holder_of_key(machine):
+    return next(item for item in machine.processes.values() if holds_key(item))
+
+
 @then("the key ran once and the answer is may-have-run")
 def check_unknown_outcome(context):
-    assert context.ledger == [KEYS[0]]
+    assert context.ledger == [KEYS[0]], context.ledger
     assert context.answer.failure().verdict is Verdict.MAY_HAVE_RUN
 
 
@@ -341,6 +595,30 @@
     assert len(claims) == 1
 
 
+@when("two keys run in an outage, and both write the claims after it with one write lost")
+def concurrent_flushes(context):
+    keeper = context.process.keeper
+
+    async def run():
+        context.world.down = True
+        await asyncio.sleep(TIMES.outage_grace + 1.0)
+        await asyncio.gather(*(context.process.send(key) for key in KEYS[:2]))
+        assert len(keeper.claims.pending) == 2
+        context.world.down = False
+        context.process.service.lose = ["", "", "before"]
+        return await asyncio.gather(keeper.claims.flush(), keeper.claims.flush())
+
+    context.flushed = context.virtual_loop.run_until_complete(run())
+
+
+@then("each key that ran has a claim in the end")
+def check_claims_of_all(context):
+    context.virtual_loop.run_until_complete(asyncio.sleep(3.0))
+    assert sorted(context.ledger) == KEYS[:2]
+    claims = [key for key in context.world.stored if key.startswith("verbenaward/claims/")]
+    assert len(claims) == 2, claims
+
+
 @when("a key arrives again with a different request")
 def reused_key(context):
     async def run():
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -14,7 +14,7 @@
 from ..platform.key_value import KeyValueService
 from ..platform.vm_list import VmList
 from ..schema.messages import Member, MemberStatus
-from .claims import Claim, ClaimTimes, ClaimWriter
+from .claims import Claim, ClaimTimes, ClaimWriter, outcome_of
 from .keys import KeyRecords
 from .slots import (
     SLOT_COUNT,
@@ -45,8 +45,6 @@
       table: Slot table as last read.
       version: Version of the table's key in the key-value service.
       table_loaded: True once the table was read.
-      uncertain_until: By slot, the time until which callers may resend keys that the former holder
-        may have run without a claim, monotonic.
       ended_at: By (VM, incarnation), the time at which a holder's process was known to have
         ended, monotonic.
       renewals: Number of renewals sent.
@@ -54,6 +52,7 @@
       claims: Writer of claims.
       key_records: Outcomes of the keys that this process ran.
       leaving: True once the process shuts down and takes no more slots or keys.
+      given_up: Slots whose release has begun, whether or not it has taken effect.
     """
 
     def __init__(
@@ -78,11 +77,11 @@
         self.table = SlotTable()
         self.version = 0
         self.table_loaded = False
-        self.uncertain_until: dict[int, float] = {}
         self.ended_at: dict[tuple[str, int], float] = {}
         self.renewals = 0
         self.renewal_version = 0
         self.leaving = False
+        self.given_up: set[int] = set()
 
     @property
     def table_key(self) -> str:
@@ -94,7 +93,11 @@
         return f"{RENEWAL_PREFIX}/{self.own.member.role}/{vm}"
 
     def holds(self, slot: int) -> bool:
-        """Return True if this process holds a slot and has not released it."""
+        """Return True if this process may run the keys of a slot."""
+        return slot not in self.given_up and self.is_holder(slot)
+
+    def is_holder(self, slot: int) -> bool:
+        """Return True if the table names this process as holder and the slot isn't released."""
         holder = self.table.holders[slot]
         is_own = (holder.vm, holder.incarnation) == (
             self.own.member.vm,
@@ -107,8 +110,14 @@
         return [slot for slot in range(SLOT_COUNT) if self.holds(slot)]
 
     def is_uncertain(self, slot: int, now: float) -> bool:
-        """Return True while a resent key may have run without a claim under the former holder."""
-        return now < self.uncertain_until.get(slot, 0.0)
+        """Return True while a resent key may have run without a claim under an earlier holder."""
+        is_marked = self.table.holders[slot].uncertain
+        return is_marked and not self.claims.tenures.is_past_resends(slot, now)
+
+    def knows_former_runs(self, slot: int, now: float) -> bool:
+        """Return True if the former holders ran no resent key but those whose claims are known."""
+        knows_claims = self.claims.tenures.knows_former_claims(slot, now)
+        return knows_claims and not self.is_uncertain(slot, now)
 
     async def follow_table(self) -> None:
         """Watch the slot table and keep the copy current, until cancelled."""
@@ -130,13 +139,18 @@
             await asyncio.sleep(self.times.renewal_interval)
 
     async def run_round(self) -> None:
-        """Check the key-value service, write pending claims, renew, and acquire free slots."""
+        """Check the key-value service, write pending claims, renew, and acquire free slots.
+
+        The claims of the former holders are read in the same round.
+        """
         if not await self.is_service_available():
             return
         if not await self.claims.flush():
             return
         if not self.leaving and await self.renew():
             await self.acquire_free_slots()
+            await self.clear_uncertain_slots()
+        await self.claims.read_former_claims()
 
     async def is_service_available(self) -> bool:
         """Return True if the key-value service answers; after a failed call, test it by a read."""
@@ -160,6 +174,7 @@
             self.table = decode_table(entry.value if entry else b"")
             self.version = entry.revision if entry else 0
             self.table_loaded = True
+        self.claims.tenures.update(self.held_slots(), time.monotonic())
         return True
 
     async def renew(self) -> bool:
@@ -189,15 +204,14 @@
         if not self.table_loaded and not await self.refresh():
             return
         await self.find_ended_holders()
+        table = self.table
+        version = self.version
         wanted = [slot for slot in range(SLOT_COUNT) if self.should_acquire(slot)]
         if not wanted:
             return
-        uncertainty = {
-            slot: await self.uncertainty_end(self.table.holders[slot]) for slot in wanted
-        }
-        holder = SlotHolder(self.own.member.vm, self.own.member.incarnation)
-        if await self.write_table(dict.fromkeys(wanted, holder)):
-            self.uncertain_until.update(uncertainty)
+        changes = {slot: await self.successor_of(table.holders[slot]) for slot in wanted}
+        # The table may have been read again since; the evidence is about the holders of this one.
+        if await self.write_table(table, version, changes):
             LOG.info("slots.taken", slots=len(wanted), held=len(self.held_slots()))
 
     def should_acquire(self, slot: int) -> bool:
@@ -255,14 +269,32 @@
                 self.ended_at[vm, incarnation] = now
                 LOG.info("slots.holder_gone", holder=vm)
 
-    async def uncertainty_end(self, former: SlotHolder) -> float:
-        """Return until when callers may resend keys that a former holder may have run unclaimed.
+    async def successor_of(self, former: SlotHolder) -> SlotHolder:
+        """Return the entry with which this process takes over a slot from its former holder.
 
-        Returns:
-          Monotonic time, or 0 if the former holder certainly wrote a claim for each run.
+        The doubt of an earlier holder stays: the former one may not have held the slot for as
+        long as callers resend. It stands in the table, so that it counts as soon as the write
+        takes effect, even if its answer is lost.
         """
+        uncertain = former.uncertain or await self.may_have_run_unclaimed(former)
+        own = self.own.member
+        return SlotHolder(own.vm, own.incarnation, uncertain=uncertain)
+
+    async def clear_uncertain_slots(self) -> None:
+        """Clear the mark of the uncertain slots whose earlier keys callers no longer resend."""
+        now = time.monotonic()
+        changes = {
+            slot: dataclasses.replace(self.table.holders[slot], uncertain=False)
+            for slot in self.held_slots()
+            if self.table.holders[slot].uncertain and not self.is_uncertain(slot, now)
+        }
+        if changes:
+            await self.write_table(self.table, self.version, changes)
+
+    async def may_have_run_unclaimed(self, former: SlotHolder) -> bool:
+        """Return True unless a former holder certainly wrote a claim for each of its runs."""
         if not former.vm or former.released:
-            return 0.0
+            return False
         seen_ended_at = self.ended_at[former.vm, former.incarnation]
         read = await self.service.read(self.renewal_key(former.vm))
         entry = read.unwrap() if isinstance(read, Success) else None
@@ -271,18 +303,27 @@
             version = entry.revision
         own_writes = tuple(self.claims.own_writes)
         evidence = Evidence(version, seen_ended_at, own_writes)
-        if has_all_claims(evidence, self.times.outage_grace, self.times.write_delay):
-            return 0.0
-        return time.monotonic() + self.times.resend_window
+        return not has_all_claims(evidence, self.times.outage_grace, self.times.write_delay)
+
+    async def write_table(
+        self, table: SlotTable, version: int, changes: dict[int, SlotHolder]
+    ) -> bool:
+        """Change holders in the table by compare-and-swap.
 
-    async def write_table(self, changes: dict[int, SlotHolder]) -> bool:
-        """Change holders in the table by compare-and-swap; return False if that failed."""
-        holders = list(self.table.holders)
+        Args:
+          table: The table on which the changes were decided.
+          version: Its version, which the stored table must still have.
+          changes: New holders by slot.
+
+        Returns:
+          True if the changes are in the table.
+        """
+        holders = list(table.holders)
         for slot, holder in changes.items():
             holders[slot] = holder
         payload = encode_table(SlotTable(tuple(holders)))
         sent_at = time.monotonic()
-        result = await self.service.write(self.table_key, payload, self.version)
+        result = await self.service.write(self.table_key, payload, version)
         metrics.KEY_VALUE_CALLS.labels("slots", outcome_of(result)).inc()
         if isinstance(result, Success):
             self.claims.record_write(result.unwrap(), sent_at)
@@ -290,17 +331,16 @@
         return all(self.table.holders[slot] == holder for slot, holder in changes.items())
 
     async def release(self, slots: list[int]) -> bool:
-        """Release slots after writing all pending claims; return False if a write failed."""
+        """Release slots after writing all pending claims; return False if a write failed.
+
+        No key runs in them from now on: the release may take effect although its answer is lost.
+        """
+        self.given_up.update(slots)
         if not await self.claims.flush():
             return False
         changes = {
             slot: dataclasses.replace(self.table.holders[slot], released=True)
             for slot in slots
-            if self.holds(slot)
+            if self.is_holder(slot)
         }
-        return not changes or await self.write_table(changes)
-
-
-def outcome_of(result: object) -> str:
-    """Return the metric label for the outcome of a key-value call."""
-    return "ok" if isinstance(result, Success) else "failed"
+        return not changes or await self.write_table(self.table, self.version, changes)
