Set the start deadline of waiting streams again when a target version is learned

What callers would see: work begins on old weights after the bound, where a process hears so late that less than a request's deadline is left: the stream was sent before, without a start deadline, and nothing cancels it while it waits in the engine's queue.

Cause: the start deadline of a send was taken when it was sent. Change: when a target version is learned, each send that still waits for its first event gets its start deadline again, and is cancelled 0.3 s before it like any other.

--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -41,6 +41,7 @@
         self.fleet = fleet
         self.forwarder = forwarder
         self.streams = StreamForwarder(forwarder)
+        fleet.version_listeners.append(lambda *_: self.streams.limit_waiting(clock.now()))
         self.in_flight = 0
         self.leaving = False
         self.closed = False
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -110,10 +110,17 @@
 
     Attributes:
       forwarder: Retry rules that streams share with other requests.
+      waiting: Sends that wait for their first event.
     """
 
     def __init__(self, forwarder: Forwarder) -> None:
         self.forwarder = forwarder
+        self.waiting: set[StreamAttempt] = set()
+
+    def limit_waiting(self, now: float) -> None:
+        """Set the start deadlines of all waiting sends again: a target version has been learned."""
+        for attempt in self.waiting:
+            attempt.limit_start(now)
 
     async def run(self, request: Request, caller: web.Request) -> web.StreamResponse | WholeAnswer:
         """Run a request and forward its stream to the caller.
@@ -187,6 +194,8 @@
                 timeout = self.first_event_timeout(request, progress, choice, now)
                 if timeout is not None:
                     limit.reschedule(loop_time() + timeout)
+                attempt.limit = limit
+                self.waiting.add(attempt)
                 result = await stack.enter_async_context(
                     send_request(forwarder.session, request, view, values)
                 )
@@ -201,6 +210,7 @@
         except TimeoutError:
             return FailedAttempt(FailureKind.SILENT, True, "the backend stopped sending events")
         finally:
+            self.waiting.discard(attempt)
             attempt.end()
 
     def first_event_timeout(
@@ -292,11 +302,26 @@
         self.tokens = request.parsed_headers.prompt_tokens
         self.started_at = started_at
         self.awaits_first_event = True
+        self.limit: asyncio.Timeout | None = None
         choice.view.record_started(self.tokens)
         if not forwarder.placer.is_late(request, started_at):
             choice.view.awaiting_first_event[id(self)] = started_at
         forwarder.load_changed()
 
+    def limit_start(self, now: float) -> None:
+        """Cancel the send before its start deadline, if that has become earlier.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+        """
+        deadline = self.forwarder.placer.start_deadline(self.choice.view, self.request)
+        if not self.awaits_first_event or self.limit is None or deadline == math.inf:
+            return
+        cancel_at = loop_time() + max(0.0, deadline - START_MARGIN_SECONDS - now)
+        when = self.limit.when()
+        if when is None or cancel_at < when:
+            self.limit.reschedule(cancel_at)
+
     def on_event(self, version: int) -> None:
         """Record an event; the first one ends the prefill and updates the backend's slowness.
 
