Count a version that is heard of after an outage of the store from the end of the outage

Cause: the replica is complete only up to the last answer, and the store may have acknowledged the version at any time since. Change: a store that answers none of the entry processes acknowledges nothing, so the time of the last sign of that counts too. A process takes it so if its own calls fail, it hears more than half of its peers, and none of them has a replica younger than 2.5 s; the bound then counts from 2.5 s before. Who hears fewer may be cut off with them and stays with the last answer. Open: a store that turns away every entry process and still takes the operator's changes.

Evidence: "A version heard of after an outage counts from its end only if the store was down for all" plays a real outage, a part of the peers and a peer with an answer.

--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -1,5 +1,6 @@
 """Steps on state broadcasts between entry processes."""
 
+import json
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -10,6 +11,8 @@
 from tests.simulated_entries import SimulatedEntries
 from verbenaward.direct.addresses import addresses_for
 from verbenaward.direct.peer_groups import MINIMUM_BACKENDS, peer_group_of
+from verbenaward.direct.state_exchange import STORE_DOWN_SECONDS
+from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.replica.store_replica import Changes
 from verbenaward.requests.quarantine import QuarantineState
 from verbenaward.schema.messages import Pulse
@@ -340,3 +343,42 @@
     ]
     known = states.count(QuarantineState.POISON)
     assert known == len(states), (known, len(states))
+
+
+@given(
+    "{count:d} entry processes in {zones:d} zones of which one has had no answer for "
+    "{seconds:g} s, and that hears {heard} of the others"
+)
+def process_in_outage(context, count, zones, seconds, heard):
+    async def make():
+        return [
+            exchange_of(f"entry-{index}", f"zone-{index % zones}", 9000 + index, NOW - seconds)
+            for index in range(count)
+        ]
+
+    context.process, *others = context.loop.run_until_complete(make())
+    for other in others:
+        context.process.peer(other.settings.listen)
+    context.others = others if heard == "all" else others[: int(heard)]
+
+
+@when("the others {state}, and a target version is set as the store answers again")
+def version_after_outage(context, state):
+    process = context.process
+    process.is_store_lost = lambda: True
+    for index, other in enumerate(context.others):
+        if state == "have had an answer 1 s ago":
+            other.replica.current_at = NOW - 1
+        source = ("127.0.0.1", 9001 + index)
+        process.receive(encode(other.full_broadcast(NOW)), source, NOW)
+    if process.is_store_down(NOW):
+        process.replica.outage_until = NOW - STORE_DOWN_SECONDS
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    entry = KeyValueEntry("op/version/model", value, 9)
+    process.replica.apply(Changes(9, False, (entry,), NOW), NOW)
+
+
+@then("that process takes the version to be at most {seconds:g} s old")
+def assumed_age(context, seconds):
+    learned = context.process.fleet.versions["model"][-1]
+    assert seconds - 1 <= NOW - learned.set_after <= seconds, NOW - learned.set_after
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -221,11 +221,11 @@
         if known and target.version <= known[-1].target.version:
             return
         newest = known[-1].target.version if known else 0
-        current_at = self.replica.current_at
-        if target.version - 1 > newest and entry.acknowledged_after > current_at:
+        complete_until = self.replica.complete_until
+        if target.version - 1 > newest and entry.acknowledged_after > complete_until:
             # A version between them may have been set at any time since then.
             replaced = dataclasses.replace(target, version=target.version - 1)
-            known.append(learned_version(replaced, current_at, now))
+            known.append(learned_version(replaced, complete_until, now))
         learned = learned_version(target, entry.acknowledged_after, now)
         known.append(learned)
         del known[:-KEPT_VERSIONS]
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -55,6 +55,9 @@
 """If no live peer confirms a replica that is younger, a process watches the store itself."""
 MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS = 2.0
 """The same if broadcasts go to a sample of the peers, as its time then spreads in several hops."""
+STORE_DOWN_SECONDS = 2.5
+"""If the replicas of all live peers are older, the store is down; one of them may have reached it
+again for as long without this process knowing."""
 MAXIMUM_TARGETS = 16
 """Entry processes that receive one full broadcast, chosen at random each time."""
 
@@ -469,6 +472,16 @@
         """Return True if a peer is alive or, with sampled broadcasts, registered in the store."""
         return peer.is_alive(now) or (self.is_sampled and peer.registered)
 
+    def is_store_down(self, now: float) -> bool:
+        """Return True if the store answers no entry process, as far as this one can tell.
+
+        A process that hears only a part of its peers may be cut off together with them.
+        """
+        alive = [peer for peer in self.peers.values() if peer.is_alive(now)]
+        if not self.is_store_lost() or 2 * len(alive) <= len(self.peers):
+            return False
+        return all(now - peer.replica_current_at > STORE_DOWN_SECONDS for peer in alive)
+
     def replica_age(self, now: float) -> float:
         """Return the time since the replica was last known to be complete, in seconds."""
         return min(now - self.replica.current_at, self.replica_age_by_peers(now))
--- a/verbenaward/replica/store_replica.py
+++ b/verbenaward/replica/store_replica.py
@@ -45,6 +45,8 @@
       revision: Every change up to this revision is included; 0 before the first read.
       current_at: Every change that the store acknowledged before this time is included, monotonic;
         minus infinity before the first read.
+      outage_until: Latest time at which the store was down for all, monotonic; minus infinity for
+        none. It acknowledges nothing in an outage, so changes heard of later came after it.
       updated_at: When changes, possibly none, were last received; monotonic, 0 for never.
       listeners: Called with each entry that is applied and the present time.
       change_log: Recent changes in the order in which they were applied.
@@ -55,11 +57,17 @@
         self.entries: dict[str, KeyValueEntry] = {}
         self.revision = 0
         self.current_at = -math.inf
+        self.outage_until = -math.inf
         self.updated_at = 0.0
         self.listeners: list[Listener] = []
         self.change_log: deque[KeyValueEntry] = deque(maxlen=CHANGE_LOG_LENGTH)
         self.change_log_floor = 0
 
+    @property
+    def complete_until(self) -> float:
+        """Latest time before which no change was acknowledged that is missing here, monotonic."""
+        return max(self.current_at, self.outage_until)
+
     def apply(self, changes: Changes, now: float) -> int:
         """Apply the entries that are newer than the ones held here.
 
@@ -85,13 +93,13 @@
 
         A key without an entry did not exist at the replica's revision, so an entry for it that is
         not newer than that revision is stale. A change that the replica lacked was not yet
-        acknowledged at `current_at`, whenever and from whomever it is received.
+        acknowledged at `complete_until`, whenever and from whomever it is received.
         """
         held = self.entries.get(entry.key)
         held_revision = self.revision if held is None else held.revision
         if held_revision >= entry.revision:
             return False
-        acknowledged_after = max(entry.acknowledged_after, self.current_at)
+        acknowledged_after = max(entry.acknowledged_after, self.complete_until)
         entry = dataclasses.replace(entry, acknowledged_after=acknowledged_after)
         self.entries[entry.key] = entry
         self.record_change(entry)
