Pass the crashes of poison requests on

What callers would see: a request that crashes its backends reaches them again from processes that have not heard of it, past the 4 s in which all should refuse it.

Cause: a crash is sent by the process that saw it only, to a sample of its peers: 37 of 41 knew a poison request after 4 s. Change: a process that learns from others that a request is poison sends its crashes too, for 10 s from the first news, once a request, so that they do not go round. Requests with a single crash are not passed on: a crash of a full backend would fill the broadcasts.

Evidence: "A poison request is known to every entry process in time" was known red before and passes now.

--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -1,7 +1,7 @@
 """Poison requests: requests that crash the backends that run them.
 
-Each entry process records the crashes that it sees and sends the latest ones to its peers, so that
-all processes refuse a poison request.
+Each entry process records the crashes that it sees and sends the latest ones to its peers. A process
+that learns of a poison request passes its crashes on once, so that all processes refuse it.
 """
 
 import time
@@ -9,12 +9,17 @@
 
 from blake3 import blake3
 
-from ..requests.quarantine import CrashRegistry, QuarantineState, crash_of
+from ..requests.quarantine import (
+    RECORD_LIFETIME_SECONDS,
+    CrashRegistry,
+    QuarantineState,
+    crash_of,
+)
 from ..schema.messages import Crash
 
 FINGERPRINT_BYTES = 16
 MAXIMUM_BROADCAST_CRASHES = 16
-"""Own crashes that each full broadcast contains at most, the latest ones."""
+"""Own crashes, and as many of poison requests, that each full broadcast contains at most."""
 CRASH_BROADCAST_SECONDS = 10.0
 """Time for which a crash is sent to the other entry processes."""
 
@@ -31,11 +36,13 @@
     Attributes:
       crash_registry: Crashes by fingerprint, seen by this process or received from others.
       own_crashes: Latest crashes that this process saw, with the time of each.
+      poison_since: When this process learned from others that a request is poison, by fingerprint.
     """
 
     def __init__(self) -> None:
         self.crash_registry = CrashRegistry()
         self.own_crashes: deque[tuple[float, Crash]] = deque(maxlen=MAXIMUM_BROADCAST_CRASHES)
+        self.poison_since: dict[bytes, float] = {}
 
     def quarantine_state_of(self, fingerprint: bytes, now: float) -> QuarantineState:
         """Return whether a request is quarantined or poison because backends crashed with it."""
@@ -54,12 +61,37 @@
     def merge(self, crashes: tuple[Crash, ...], now: float) -> None:
         """Add the crashes that another entry process has broadcast."""
         for crash in crashes:
-            self.crash_registry.record(crash, now)
+            is_new = self.crash_registry.record(crash, now)
+            if (
+                is_new
+                and self.quarantine_state_of(crash.fingerprint, now) is QuarantineState.POISON
+            ):
+                self.poison_since.setdefault(crash.fingerprint, now)
 
     def recent_crashes(self, now: float) -> tuple[Crash, ...]:
-        """Return the own crashes that the next full broadcast should contain."""
-        return tuple(
+        """Return the crashes that the next full broadcast should contain."""
+        own = [
             crash
             for noted_at, crash in self.own_crashes
             if now - noted_at < CRASH_BROADCAST_SECONDS
-        )
+        ]
+        return (*own, *self.crashes_to_pass_on(now))
+
+    def crashes_to_pass_on(self, now: float) -> list[Crash]:
+        """Return crashes of the requests that others have lately shown to be poison.
+
+        Each request is passed on for a limited time after the first news of it, so that it does
+        not go round for ever.
+        """
+        self.poison_since = {
+            fingerprint: since
+            for fingerprint, since in self.poison_since.items()
+            if now - since < RECORD_LIFETIME_SECONDS
+        }
+        crashes = [
+            crash
+            for fingerprint, since in self.poison_since.items()
+            if now - since < CRASH_BROADCAST_SECONDS
+            for crash in self.crash_registry.crashes_of(fingerprint)
+        ]
+        return crashes[-MAXIMUM_BROADCAST_CRASHES:]
