Do not take a store that has compacted its history for lost

What callers would see: nothing wrong; costs.

Cause: status 410 went the way of a failed call.

Evidence: "A store that has compacted its history is not taken for lost" failed before and passes now.

--- a/tests/replica/items.feature
+++ b/tests/replica/items.feature
@@ -26,3 +26,8 @@
   Scenario: The assumed time of a change is never later than its acknowledgement, however it arrives
     When changes reach processes by watches and from each other, with any delays
     Then no change is assumed to be younger than it is, and no replica to be more current
+
+  Scenario: A store that has compacted its history is not taken for lost
+    Given a follower whose store has compacted its history
+    When the follower watches
+    Then it reads a snapshot next and has not lost the store
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -22,7 +22,12 @@
     parse_configuration,
     parse_target_version,
 )
-from verbenaward.platform.key_value import KeyValueEntry, KeyValueSnapshot
+from verbenaward.platform.key_value import (
+    KeyValueEntry,
+    KeyValueError,
+    KeyValueFailure,
+    KeyValueSnapshot,
+)
 from verbenaward.replica.follower import StoreFollower, changes_of_watch
 from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
@@ -294,3 +299,39 @@
 @then("no change is assumed to be younger than it is, and no replica to be more current")
 def never_too_young(context):
     context.check()
+
+
+@given("a follower whose store has compacted its history")
+def follower_after_compaction(context):
+    async def watch(prefix, after, seconds):
+        return Failure(KeyValueError(KeyValueFailure.COMPACTED, "compacted"))
+
+    async def read_prefix(prefix):
+        context.reads += 1
+        return Success(KeyValueSnapshot(9, ()))
+
+    context.reads, context.reachable = 0, []
+    replica = StoreReplica()
+    replica.apply(Changes(5, True, ()), 0.0)
+    store = SimpleNamespace(watch=watch, read_prefix=read_prefix)
+    context.follower = StoreFollower(
+        store, "", replica, on_reachable_changed=lambda: context.reachable.append(False)
+    )
+    context.follower.needs_snapshot = False
+
+
+@when("the follower watches")
+def follower_watches(context):
+    async def follow():
+        following = asyncio.create_task(context.follower.run())
+        await asyncio.sleep(0.15)
+        following.cancel()
+        await asyncio.sleep(0)
+
+    context.loop.run_until_complete(follow())
+
+
+@then("it reads a snapshot next and has not lost the store")
+def snapshot_read(context):
+    assert context.reads > 0 and context.follower.replica.revision == 9
+    assert context.follower.reachable and not context.reachable
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -128,12 +128,14 @@
     def record_failure(self, error: KeyValueError) -> None:
         """Count a failed call; if the store has compacted its history, read a snapshot next.
 
-        The watches just before that may have ended without changes that were made meanwhile.
+        The watches just before that may have ended without changes that were made meanwhile. A
+        store that says so is not lost.
         """
-        self.failures += 1
         if error.failure is KeyValueFailure.COMPACTED:
             self.needs_snapshot = True
             self.replica.current_at -= STALLED_WATCH_SECONDS
+            return
+        self.failures += 1
         if self.reachable:
             LOG.warning("store.lost", error=error.message, revision=self.replica.revision)
             self.set_reachable(False)
@@ -145,7 +147,7 @@
 
     def backoff_seconds(self) -> float:
         """Return the pause after a failed call: exponential backoff with jitter."""
-        backoff = INITIAL_BACKOFF_SECONDS * float(2 ** min(self.failures - 1, 8))
+        backoff = INITIAL_BACKOFF_SECONDS * float(2 ** min(max(self.failures - 1, 0), 8))
         return min(MAXIMUM_BACKOFF_SECONDS, backoff) * self.rng.uniform(0.5, 1.0)
 
 
