Take changes from processes of an older version to be a few seconds old

What callers would see: in a rolling upgrade, refusals from the moment at which a target version is set. Processes of the older version send no ages, so a process that hears from them only never learns that its replica is complete, and takes the next version to be as old as its last own answer from the store.

Change: a change without an age, from a process that sends none, counts as 3.5 s old, the age up to which processes follow a replica; the older version counted it as new.

--- a/tests/replica/items.feature
+++ b/tests/replica/items.feature
@@ -31,3 +31,8 @@
     Given a follower whose store has compacted its history
     When the follower watches
     Then it reads a snapshot next and has not lost the store
+
+  Scenario: A change from a process of an older version, which sends no ages, is not taken to be ancient
+    Given a replica that was last complete 600 s ago
+    When a process of an older version sends it a change
+    Then the change is taken to be at most 4 s old
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Success
 
 import verbenaward
+from tests.direct_fakes import NOW
 from verbenaward.data import Fault
 from verbenaward.platform.declarations import (
     parse_backend,
@@ -31,7 +32,7 @@
 from verbenaward.replica.follower import StoreFollower, changes_of_watch
 from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
-from verbenaward.schema.messages import StoredItems
+from verbenaward.schema.messages import StoredItem, StoredItems
 from verbenaward.wire.codec import decode as decode_message
 from verbenaward.wire.codec import encode
 
@@ -335,3 +336,21 @@
 def snapshot_read(context):
     assert context.reads > 0 and context.follower.replica.revision == 9
     assert context.follower.reachable and not context.reachable
+
+
+@given("a replica that was last complete {seconds:g} s ago")
+def old_replica(context, seconds):
+    context.replica = StoreReplica()
+    context.replica.apply(Changes(5, True, (), NOW - seconds), NOW - seconds)
+
+
+@when("a process of an older version sends it a change")
+def change_without_age(context):
+    message = StoredItems(6, False, (StoredItem("key", b"1", 6),))
+    context.replica.apply(changes_from_message(message, NOW), NOW)
+
+
+@then("the change is taken to be at most {seconds:g} s old")
+def assumed_to_be_recent(context, seconds):
+    acknowledged_after = context.replica.entries["key"].acknowledged_after
+    assert 0 < NOW - acknowledged_after <= seconds, NOW - acknowledged_after
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -11,7 +11,13 @@
 from ..logs import get_logger
 from ..platform.names import ALL_KEYS_PREFIX, DIRECTORY_PATH, ENTRY_PREFIX, READINESS_PATH
 from ..replica.follower import PeerFetcher, StoreFollower
-from ..replica.peer_transfer import ITEMS_PATH, WAIT_QUERY, changes_to_message, fetch_changes
+from ..replica.peer_transfer import (
+    FRESH_REPLICA_SECONDS,
+    ITEMS_PATH,
+    WAIT_QUERY,
+    changes_to_message,
+    fetch_changes,
+)
 from ..replica.store_replica import Changes, StoreReplica
 from ..schema.messages import Pulse
 from ..schema.settings import DirectSettings, Settings
@@ -36,8 +42,6 @@
 LONG_POLL_STEP_SECONDS = 0.03
 """Interval at which a long poll looks for a newer revision."""
 MAXIMUM_LONG_POLL_SECONDS = 10.0
-FRESH_REPLICA_SECONDS = 3.5
-"""Age of the replica up to which other processes may follow it."""
 ADDRESS_LINGER_SECONDS = 3.0
 """Time after the order to stop in which requests are still accepted: callers cache addresses."""
 EXIT_RESERVE_SECONDS = 0.5
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -17,6 +17,8 @@
 WAIT_QUERY = "wait"
 FETCH_TIMEOUT_SECONDS = 0.6
 """Time for a fetch, beyond the time that the entry process may wait for changes."""
+FRESH_REPLICA_SECONDS = 3.5
+"""Age of a replica up to which other processes may follow it."""
 HTTP_OK = 200
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_AGE_MS = 2**32 - 1
@@ -52,16 +54,24 @@
     The message was sent no earlier than its request and the time for which it was held there, so
     times derived from that are never too late, however long the message was under way.
 
+    A process of an older version sends no ages. Its changes are taken to be as old as the oldest
+    replica that others follow, but those of a snapshot may be of any age.
+
     Args:
       message: The message.
       requested_at: When it was requested, monotonic, in seconds.
     """
     sent_at = requested_at + message.held_ms / MILLISECONDS_PER_SECOND
+    current_at = time_of_age(message.age_ms, sent_at)
+    unknown = -math.inf
+    if message.revision and not message.age_ms and not message.complete:
+        unknown = current_at = sent_at - FRESH_REPLICA_SECONDS
     entries = tuple(
-        KeyValueEntry(item.key, item.value, item.revision, time_of_age(item.age_ms, sent_at))
+        KeyValueEntry(
+            item.key, item.value, item.revision, max(unknown, time_of_age(item.age_ms, sent_at))
+        )
         for item in message.items
     )
-    current_at = time_of_age(message.age_ms, sent_at)
     return Changes(message.revision, message.complete, entries, current_at)
 
 
