Choose the watchers without sorting all peers

is_watcher() runs at each look of a process that stands by and for many broadcasts. The first of each zone is found in one pass.

--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -108,6 +108,8 @@
 def chosen_watchers(possible: list[Watcher]) -> list[Watcher]:
     """Return the first of each availability zone, up to `WATCHERS`."""
     first: dict[str, Watcher] = {}
-    for watcher in sorted(possible):
+    for watcher in possible:
+        if watcher < first.get(watcher.zone, watcher):
+            first[watcher.zone] = watcher
         first.setdefault(watcher.zone, watcher)
-    return list(first.values())[:WATCHERS]
+    return [first[zone] for zone in sorted(first)][:WATCHERS]
