Give hops 16 bits

The codec's scenarios generate integers of up to 16 bits, the least that the messages have; hops had 8 and they failed (value out of range: 256). Measured: tests/wire 2 passed, 0 failed.

--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -149,7 +149,7 @@
   partial @14 :Bool;
   misdirected @15 :List(UInt32);  # backends with another incarnation at their address, as in BackendLoad
   storeLost @16 :Bool;      # the sender's last call to the store failed
-  hops @17 :UInt8;          # processes that passed on checkedMs before the sender; 0 if it asked the store
+  hops @17 :UInt16;         # processes that passed on checkedMs before the sender; 0 if it asked the store
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
