Schedule loads from the hearing of a version to its bound

The age of a version when it is heard of, 0.33 to 0.52 s there, moved the whole schedule of loads back, so that the first engines were due before they had staged it and loaded together.

Change: the first engine loads when the version can be staged, counted from the hearing, the last one by the bound, counted from the acknowledgement.

The scenario on the schedule now draws the age of the version, from 0 to 12 s, besides.

--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -88,8 +88,8 @@
 def two_versions(context):
     context.fleet = fleet_of(3)
     context.fleet.versions["model"] = [
-        LearnedVersion(SimpleNamespace(model="model", version=2), NOW - 9),
-        LearnedVersion(SimpleNamespace(model="model", version=3), NOW - 2),
+        LearnedVersion(SimpleNamespace(model="model", version=2), NOW - 9, NOW - 9),
+        LearnedVersion(SimpleNamespace(model="model", version=3), NOW - 2, NOW - 2),
     ]
 
 
@@ -303,7 +303,7 @@
 def nearly_due(context):
     context.fleet = fleet_of(2)
     context.fleet.versions["model"] = [
-        LearnedVersion(SimpleNamespace(model="model", version=2), NOW - 7)
+        LearnedVersion(SimpleNamespace(model="model", version=2), NOW - 7, NOW - 7)
     ]
 
 
@@ -332,7 +332,7 @@
     context.fleet = fleet_of(1)
     heard = NOW + seconds - 8.0
     context.fleet.versions["model"] = [
-        LearnedVersion(SimpleNamespace(model="model", version=2), heard)
+        LearnedVersion(SimpleNamespace(model="model", version=2), heard, heard)
     ]
 
 
--- a/tests/steps/weight_loading_plan.py
+++ b/tests/steps/weight_loading_plan.py
@@ -10,7 +10,9 @@
 from verbenaward.direct.chunk_runs import chunk_order, chunk_run_name, entry_order
 from verbenaward.weight_loading.fetching import INCREASE_FACTOR, SLOW_RATIO, ChunkFetcher
 from verbenaward.weight_loading.plan import (
+    ASSUMED_STAGING_SHARE,
     BOTH_STAGED_SHARE,
+    LAST_LOAD_SHARE,
     LoadSchedule,
     SupersededVersion,
     continues_staging,
@@ -23,16 +25,21 @@
 def schedule_load(context):
     zone_lists = st.lists(st.sampled_from(["a", "b", "c"]), min_size=1, max_size=60)
 
-    @for_all(zone_lists, st.floats(0.0, 10.0), st.none() | st.floats(0.0, 8.0))
-    def check(zone_list, staging, newer_after):
+    ages = st.floats(0.0, 12.0)
+
+    @for_all(zone_lists, st.floats(0.0, 10.0), st.none() | st.floats(0.0, 8.0), ages)
+    def check(zone_list, staging, newer_after, age):
         newer = None if newer_after is None else NOW + newer_after
-        schedule = LoadSchedule(NOW, newer, staging, 8.0)
+        schedule = LoadSchedule(NOW, NOW - age, newer, staging, 8.0)
         assert (
-            NOW
+            NOW - age
             <= schedule.first_load_at
             <= schedule.first_load_at + schedule.window_seconds
-            < NOW + 8.0
+            < NOW - age + 8.0
         )
+        earliest_staged_at = NOW + (staging or ASSUMED_STAGING_SHARE * 8.0)
+        last_load_at = NOW - age + LAST_LOAD_SHARE * 8.0
+        assert schedule.first_load_at == min(earliest_staged_at, last_load_at)
         zones = {f"10.0.0.{index}:80": zone for index, zone in enumerate(zone_list)}
         delays = [load_delay_seconds(address, zones, 2.0) for address in zones]
         assert len(set(delays)) == len(zones)
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -39,12 +39,14 @@
 
     Attributes:
       target: The version.
+      learned_at: When this process learned of it, or is assumed to have, monotonic.
       set_after: Earliest time at which it can have been set, or is assumed to have been, monotonic.
       required_by: Latest time from which it is required, monotonic; infinite if `set_after` is not
         assumed.
     """
 
     target: TargetVersion
+    learned_at: float
     set_after: float
     required_by: float = math.inf
 
@@ -305,7 +307,6 @@
       now: Present time, monotonic, in seconds.
     """
     if acknowledged_after > -math.inf:
-        return LearnedVersion(target, acknowledged_after)
-    return LearnedVersion(
-        target, now - ASSUMED_AGE_AT_START_SECONDS, now + MAXIMUM_DELAY_AT_START_SECONDS
-    )
+        return LearnedVersion(target, now, acknowledged_after)
+    assumed = now - ASSUMED_AGE_AT_START_SECONDS
+    return LearnedVersion(target, assumed, assumed, now + MAXIMUM_DELAY_AT_START_SECONDS)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -250,6 +250,7 @@
             return None
         newer = self.fleet.first_newer_version(wanted.model, wanted.version)
         schedule = LoadSchedule(
+            learned.learned_at,
             learned.set_after,
             newer.set_after if newer else None,
             self.staging_seconds(),
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -111,6 +111,7 @@
     """Staged rollout of a version: when the first and the last engine of a service load it.
 
     Attributes:
+      learned_at: When this process learned of the version, monotonic.
       set_after: Earliest time at which the version can have been set, monotonic.
       newer_set_after: The same for a newer version, which is staged after this one; None for
         none.
@@ -119,6 +120,7 @@
         weights.
     """
 
+    learned_at: float
     set_after: float
     newer_set_after: float | None
     staging_seconds: float
@@ -128,7 +130,8 @@
     def first_load_at(self) -> float:
         """Return when the first engine begins to load: as soon as a version can be staged."""
         staging = self.staging_seconds or ASSUMED_STAGING_SHARE * self.version_seconds
-        return self.set_after + min(staging, LAST_LOAD_SHARE * self.version_seconds)
+        last_load_at = self.set_after + LAST_LOAD_SHARE * self.version_seconds
+        return min(self.learned_at + staging, last_load_at)
 
     @property
     def window_seconds(self) -> float:
