Count the time for which a machine is suspended in the proxied mode too

What callers would see: a key runs twice. A holder runs a key without a claim in an outage and crashes; the machine of its successor is suspended in the meantime. After it resumes, the successor takes the slots over as certain, and a resend of the key runs again.

Cause: all times of the proxied mode were of the monotonic clock, which stands still while a machine is suspended. The successor's own write before the former holder's last renewal looked recent, so the renewal passed for a proof that each key has a claim.

Change: configuration/, endpoint/, entry/, membership/, requests/ and weights/ take the time from clock.now(), as direct/, replica/ and weight_loading/ already do. The virtual event loop of the tests shows its time on the boot-time clock as well. Left on the loop's clock, each compared only with itself: the lag probe of weights/pacing.py, the deadline of weights/table_finder.py and the wait of ctl/status.py.

Why this works: the suspension lies between the time of the successor's write and the time at which it sees that the former holder has ended. Both are now of one clock that counts it, so the grace is seen to be over. A holder that resumes counts the suspension towards the grace too, as its successor does.

Not covered: records of keys and doubts about slots now expire by real time as well. A resend that waits in a suspended machine's socket for longer than the resend window can be read after they expired.

Evidence: "A successor that was suspended does not take old evidence for a proof of claims" failed before with ASSERT FAILED: (64, 64) (64 slots taken over, 64 of them certain) and passes now.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -50,9 +50,12 @@
 
 @contextlib.contextmanager
 def virtual_loop():
-    """Yield an event loop with virtual time; time.monotonic() returns that time."""
+    """Yield an event loop with virtual time, which the monotonic and boot-time clocks show."""
     clock = VirtualClock()
-    with mock.patch.object(time, "monotonic", clock):
+    with (
+        mock.patch.object(time, "monotonic", clock),
+        mock.patch.object(time, "clock_gettime", lambda _: clock()),
+    ):
         loop = asyncio.SelectorEventLoop(VirtualSelector(clock))
         loop.clock = clock
         try:
--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -36,6 +36,10 @@
     When a holder runs a key without a claim and crashes, and its successor drains
     Then the key ran once and the answer is may-have-run
 
+  Scenario: A successor that was suspended does not take old evidence for a proof of claims
+    When a successor is suspended after the former holder's last renewal, for longer than the grace
+    Then it takes over the slots as uncertain
+
   Scenario: A take-over that takes effect late, without an answer, still tells which slots are uncertain
     When a holder runs a key without a claim and crashes, and the take-over takes effect late
     Then the key ran once and the answer is may-have-run
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -1,5 +1,6 @@
 import asyncio
 import time
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import settings
@@ -14,13 +15,26 @@
 from returns.result import Success
 
 from tests.fakes import UNAVAILABLE, UNKNOWN, FakeKeyValues, FakeVmList, KeyValueWorld, virtual_loop
+from verbenaward import clock
 from verbenaward.data import Load, Verdict
 from verbenaward.membership.directory import Directory
 from verbenaward.requests.at_most_once import AtMostOnceRunner
 from verbenaward.requests.claims import CLAIM_PREFIX, ClaimTimes
 from verbenaward.requests.records import Answer
-from verbenaward.requests.slot_manager import RENEWAL_PREFIX, TABLE_PREFIX, SlotManager
-from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
+from verbenaward.requests.slot_manager import (
+    RENEWAL_PREFIX,
+    STARTUP_DELAY_SECONDS,
+    TABLE_PREFIX,
+    SlotManager,
+)
+from verbenaward.requests.slots import (
+    SLOT_COUNT,
+    Evidence,
+    OwnWrite,
+    SlotHolder,
+    has_all_claims,
+    slot_of,
+)
 from verbenaward.schema.messages import Member, MemberKind, MemberStatus
 
 TIMES = ClaimTimes(outage_grace=5.0, write_delay=1.0, renewal_interval=0.7, resend_window=60.0)
@@ -52,7 +66,7 @@
         self.directory = Directory(vm)
         self.service = FakeKeyValues(world)
         self.keeper = SlotManager(
-            self.service, vm_list, self.directory, self.own, TIMES, time.monotonic()
+            self.service, vm_list, self.directory, self.own, TIMES, clock.now()
         )
         self.runner = AtMostOnceRunner(self.keeper)
         self.ledger = ledger
@@ -70,7 +84,7 @@
             await asyncio.sleep(0.2)
             return Success(Answer(200, "", key.encode(), self.own.member.vm, "", Load()))
 
-        return await self.runner.run("w", key, fingerprint, time.monotonic() + seconds, work)
+        return await self.runner.run("w", key, fingerprint, clock.now() + seconds, work)
 
     def end(self):
         for task in self.tasks or ():
@@ -402,7 +416,7 @@
     machine.kill(holder.own.member.vm)
     context.faster, context.slower = faster, slower = machine.processes.values()
     for process, other in ((faster, slower), (slower, faster)):
-        process.directory.mark(other.own.member.vm, MemberStatus.SUSPECT, time.monotonic())
+        process.directory.mark(other.own.member.vm, MemberStatus.SUSPECT, clock.now())
     faster.keeper.leaving = True
     read = slower.service.read
 
@@ -478,6 +492,39 @@
     assert context.answer.unwrap().vm == context.successor.own.member.vm
 
 
+@when("a successor is suspended after the former holder's last renewal, for longer than the grace")
+def suspended_successor(context):
+    virtual = virtual_loop()
+    loop = virtual.__enter__()
+    context.add_cleanup(virtual.__exit__, None, None, None)
+    world, own = KeyValueWorld(), FakeOwnRecord("vm-1", 2)
+    managers = [
+        SlotManager(FakeKeyValues(world), None, Directory(vm), record, TIMES, clock.now())
+        for vm, record in (("vm-0", FakeOwnRecord("vm-0", 1)), ("vm-1", own))
+    ]
+    holder, context.successor = managers
+    loop.run_until_complete(asyncio.sleep(STARTUP_DELAY_SECONDS))
+    every_slot = dict.fromkeys(range(SLOT_COUNT), SlotHolder("vm-0", 1))
+    assert loop.run_until_complete(holder.write_table(holder.table, 0, every_slot))
+    for manager in (context.successor, holder):
+        assert loop.run_until_complete(manager.renew())
+    read = time.clock_gettime
+    # The boot-time clock counts a suspension, the monotonic clock does not.
+    suspension = mock.patch("time.clock_gettime", lambda clock_id: read(clock_id) + 10.0)
+    suspension.start()
+    context.add_cleanup(suspension.stop)
+    restarted = FakeOwnRecord("vm-0", 3).member
+    context.successor.directory.merge(restarted, clock.now())
+    loop.run_until_complete(context.successor.acquire_free_slots())
+
+
+@then("it takes over the slots as uncertain")
+def taken_over_as_uncertain(context):
+    slots = context.successor.held_slots()
+    certain = [slot for slot in slots if not context.successor.table.holders[slot].uncertain]
+    assert slots and not certain, (len(slots), len(certain))
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
--- a/tests/steps/requests_queueing.py
+++ b/tests/steps/requests_queueing.py
@@ -1,12 +1,12 @@
 import asyncio
 import random
-import time
 
 from behave import given, then, when
 from hypothesis import given as examples
 from hypothesis import strategies as st
 
 from tests.fakes import request_of, virtual_loop
+from verbenaward import clock
 from verbenaward.data import Refusal, Verdict
 from verbenaward.requests.budget import RetryBudget
 from verbenaward.requests.fair_queue import FairQueue
@@ -26,13 +26,13 @@
     order, refused = [], []
 
     async def one(workspace):
-        refusal = await queue.enter(request_of(workspace), time.monotonic())
+        refusal = await queue.enter(request_of(workspace), clock.now())
         if refusal is not None:
             refused.append((workspace, refusal))
             return
         order.append(workspace)
         await asyncio.sleep(0.01)
-        queue.leave(time.monotonic(), 0.01)
+        queue.leave(clock.now(), 0.01)
 
     await asyncio.gather(*(one(workspace) for workspace in arrivals))
     return order, refused
@@ -111,12 +111,12 @@
     queue = make_fair_queue(100, running, {})
 
     async def one(index):
-        refusal = await queue.enter(request_of(f"w{index % 3}"), time.monotonic())
+        refusal = await queue.enter(request_of(f"w{index % 3}"), clock.now())
         assert refusal is None
         try:
             await asyncio.sleep(0.01)
         finally:
-            queue.leave(time.monotonic())
+            queue.leave(clock.now())
 
     tasks = []
     for index, (steps, cancel) in enumerate(plan):
@@ -134,10 +134,10 @@
 def send_late_request(context, left, seconds):
     async def run():
         context.queue.run_seconds = seconds
-        await context.queue.enter(request_of("a"), time.monotonic())
-        started = time.monotonic()
+        await context.queue.enter(request_of("a"), clock.now())
+        started = clock.now()
         refusal = await context.queue.enter(request_of("b", started + left), started)
-        return refusal, time.monotonic() - started
+        return refusal, clock.now() - started
 
     with virtual_loop() as loop:
         context.refusal, context.waited = loop.run_until_complete(run())
--- a/tests/steps/requests_streams.py
+++ b/tests/steps/requests_streams.py
@@ -1,5 +1,4 @@
 import asyncio
-import time
 from types import SimpleNamespace
 
 import aiohttp
@@ -7,6 +6,7 @@
 from behave import given, then, when
 
 from tests.fakes import request_of
+from verbenaward import clock
 from verbenaward.data import Verdict
 from verbenaward.endpoint.admission import AdmissionGate
 from verbenaward.endpoint.backend import BackendCall, BackendClient
@@ -62,7 +62,7 @@
             )
             for address in (f"127.0.0.1:{port}", *addresses):
                 view = EndpointView(Member(vm="vm", address=address))
-                deadline = time.monotonic() + 5.0
+                deadline = clock.now() + 5.0
                 result = await StreamRelay(dispatcher).relay(
                     request_of("w", deadline), None, view, False, AttemptHistory(), progress
                 )
@@ -121,7 +121,7 @@
             run_handler = RunHandler(
                 "vm", backend, context.gate, str, False, None, lambda size: None, lambda: None
             )
-            call = BackendCall("r", "POST", "/", b"", "", 1, "", 0, time.monotonic() + 5.0)
+            call = BackendCall("r", "POST", "/", b"", "", 1, "", 0, clock.now() + 5.0)
             run_request = RunRequest(call, "w", "vm", "", False, True, False, False)
             return await run_handler.run_admitted(run_request)
 
--- a/verbenaward/clock.py
+++ b/verbenaward/clock.py
@@ -1,4 +1,4 @@
-"""Clock of the direct mode."""
+"""Clock of the times that the package calls monotonic."""
 
 import time
 
--- a/verbenaward/configuration/follower.py
+++ b/verbenaward/configuration/follower.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import aiohttp
 import msgspec
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import EMPTY_CONFIGURATION, Configuration
 from ..logs import get_logger
 from ..platform.key_value import KeyValueFailure, KeyValueService
@@ -121,7 +120,7 @@
 
     def apply_head(self, head: Head) -> None:
         """Offer the configuration of the service's head; log an older one, once per revision."""
-        now = time.monotonic()
+        now = clock.now()
         self.store_answered_at = now
         revision = head.configuration.revision
         if revision < self.configuration.revision and revision != self.service_head:
@@ -146,7 +145,7 @@
                 if result.failure().failure is not KeyValueFailure.COMPACTED:
                     await asyncio.sleep(RETRY_SECONDS)
                 return
-            self.store_answered_at = time.monotonic()
+            self.store_answered_at = clock.now()
             snapshot = result.unwrap()
             if snapshot.entries:
                 return
@@ -154,8 +153,8 @@
 
     async def wait_for_next_poll(self, is_watcher: Callable[[], bool]) -> None:
         """Wait until the next poll is due, or until this process becomes a watcher."""
-        until = time.monotonic() + IDLE_POLL_SECONDS
-        while time.monotonic() < until and not is_watcher():
+        until = clock.now() + IDLE_POLL_SECONDS
+        while clock.now() < until and not is_watcher():
             await asyncio.sleep(1.0)
 
     async def fetch_if_newer(
@@ -181,7 +180,7 @@
         except msgspec.DecodeError as error:
             LOG.error("configuration.offer_malformed", source=source, error=str(error))
             return
-        self.offer(configuration, time.monotonic(), source)
+        self.offer(configuration, clock.now(), source)
 
     async def handle_query(self, query: ConfigurationQuery) -> ConfigurationOffer:
         """Answer with the configuration in force; without the document if the sender has it."""
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -12,6 +11,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .. import clock
 from ..data import Load, Refusal
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED
@@ -71,7 +71,7 @@
     def open_call(self, call: BackendCall) -> aiohttp.client._RequestContextManager:
         """Return the context manager that sends a call and yields the response."""
         session = self.unpooled_session if call.idempotency_key else self.session
-        seconds = max(0.0, call.deadline - time.monotonic())
+        seconds = max(0.0, call.deadline - clock.now())
         timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
         return session.request(
             call.method,
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -1,11 +1,11 @@
 """The endpoint role: builds its components and runs its tasks."""
 
 import asyncio
-import time
 from typing import Any
 
 from aiohttp import web
 
+from .. import clock
 from ..control import ControlPlane, client_session
 from ..logs import get_logger
 from ..platform import engine as engines
@@ -107,7 +107,7 @@
             self.endpoint.engine_checks_fence,
             self.endpoint.order_timeout_seconds,
             lambda: control.own.member.incarnation,
-            time.monotonic(),
+            clock.now(),
         )
         self.deployer = ReleaseDeployer(context, finder, self.weight_server, orders)
         control.follower.listeners.append(self.deployer.apply_configuration)
@@ -128,7 +128,7 @@
             control.directory,
             control.own,
             times,
-            time.monotonic(),
+            clock.now(),
         )
 
     def add_routes(self, app: web.Application) -> None:
@@ -168,7 +168,7 @@
 
         Also reports the number of running requests to the lag throttle.
         """
-        self.upload.charge(size, time.monotonic())
+        self.upload.charge(size, clock.now())
         self.lag_throttle.live_requests = self.gate.running
 
     def handle_crash(self) -> None:
@@ -196,9 +196,9 @@
         self.control.own.update(status=MemberStatus.LEAVING)
         self.control.heartbeats.send_now()
         LOG.info("drain.started", in_flight=self.gate.running)
-        limit = time.monotonic() + self.control.settings.shutdown_seconds
+        limit = clock.now() + self.control.settings.shutdown_seconds
         await asyncio.sleep(ANNOUNCE_SECONDS)
-        while time.monotonic() < limit and not self.gate.is_empty():
+        while clock.now() < limit and not self.gate.is_empty():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         if self.slot_manager is not None:
             await self.slot_manager.release(self.slot_manager.held_slots())
--- a/verbenaward/endpoint/run_handler.py
+++ b/verbenaward/endpoint/run_handler.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +13,7 @@
 from blake3 import blake3
 from returns.result import Failure, Result, Success
 
+from .. import clock
 from ..data import Refusal, Verdict
 from ..requests import headers
 from ..requests.at_most_once import AtMostOnceRunner
@@ -93,7 +93,7 @@
         """Handle one /run request."""
         body = await request.read()
         try:
-            run_request = parse_run_request(request, body, time.monotonic())
+            run_request = parse_run_request(request, body, clock.now())
         except (ValueError, KeyError) as error:
             return response_of(
                 not_run(400, "malformed", f"a header is missing or malformed: {error}")
@@ -137,7 +137,7 @@
 
     async def admit(self, run_request: RunRequest) -> Refusal | None:
         """Wait for a slot, then check the release again: it may have changed during the wait."""
-        seconds = run_request.call.deadline - time.monotonic()
+        seconds = run_request.call.deadline - clock.now()
         refusal = await self.gate.enter(
             max(0.0, seconds), run_request.exclusive, run_request.no_wait
         )
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import random
-import time
 
 from aiohttp import web
 from returns.result import Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..membership.directory import Directory
 from ..requests import headers
@@ -90,7 +89,7 @@
             body,
             self.state.follower.configuration,
             self.settings.entry.default_deadline_seconds,
-            time.monotonic(),
+            clock.now(),
         )
         return await self.serve(parsed, request)
 
@@ -108,7 +107,7 @@
             body,
             self.state.follower.configuration,
             self.settings.entry.default_deadline_seconds,
-            time.monotonic(),
+            clock.now(),
         )
         return await self.serve(parsed, request)
 
@@ -144,12 +143,12 @@
         queue = self.queue_of(request.role)
         workspace = metrics.WORKSPACES.bounded(request.workspace)
         labels = (workspace, request.request_class)
-        refusal = await queue.enter(request, time.monotonic())
-        metrics.QUEUE_SECONDS.labels(*labels).observe(time.monotonic() - request.received_at)
+        refusal = await queue.enter(request, clock.now())
+        metrics.QUEUE_SECONDS.labels(*labels).observe(clock.now() - request.received_at)
         if refusal is not None:
             metrics.REQUESTS.labels(*labels, refusal.verdict.value).inc()
             return self.with_addresses(response_of(refusal, request.request_id))
-        started = time.monotonic()
+        started = clock.now()
         ran_seconds = None
         try:
             if request.stream:
@@ -157,13 +156,13 @@
             else:
                 response = self.answer(request, await self.dispatcher.run(request, queue))
             if response.headers.get(headers.VERDICT) == Verdict.RAN.value:
-                ran_seconds = time.monotonic() - started
+                ran_seconds = clock.now() - started
         except CallerGoneError:
             metrics.REQUESTS.labels(*labels, "caller-gone").inc()
             raise
         finally:
-            queue.leave(time.monotonic(), ran_seconds)
-        metrics.ANSWER_SECONDS.labels(*labels).observe(time.monotonic() - request.received_at)
+            queue.leave(clock.now(), ran_seconds)
+        metrics.ANSWER_SECONDS.labels(*labels).observe(clock.now() - request.received_at)
         verdict = response.headers.get(headers.VERDICT, Verdict.MAY_HAVE_RUN.value)
         metrics.REQUESTS.labels(*labels, verdict).inc()
         return response
--- a/verbenaward/entry/role.py
+++ b/verbenaward/entry/role.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import contextlib
-import time
 from collections import Counter
 from typing import Any
 
 from aiohttp import web
 
-from .. import metrics
+from .. import clock, metrics
 from ..control import ControlPlane
 from ..data import Configuration
 from ..logs import get_logger
@@ -95,7 +94,7 @@
     def start(self) -> None:
         """Start the background tasks of the role."""
         own = self.control.own.member
-        self.control.directory.merge(own, time.monotonic())
+        self.control.directory.merge(own, clock.now())
         self.control.start(self.control.heartbeats.run())
         self.control.start(self.gossiper.run_pushes())
         self.control.start(self.gossiper.run_anti_entropy())
@@ -110,8 +109,8 @@
         """
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            self.control.directory.merge(self.control.own.member, time.monotonic())
-            self.registrar.sweep(time.monotonic())
+            self.control.directory.merge(self.control.own.member, clock.now())
+            self.registrar.sweep(clock.now())
             self.count_members()
 
     def count_members(self) -> None:
@@ -174,14 +173,12 @@
         """
         self.state.leaving = True
         self.control.own.update(status=MemberStatus.LEAVING)
-        self.control.directory.merge(self.control.own.member, time.monotonic())
+        self.control.directory.merge(self.control.own.member, clock.now())
         self.control.heartbeats.send_now()
         LOG.info("drain.started", in_flight=self.front.in_flight)
-        cached_until = time.monotonic() + self.control.settings.entry.address_ttl_seconds
-        limit = time.monotonic() + self.control.settings.shutdown_seconds
+        cached_until = clock.now() + self.control.settings.entry.address_ttl_seconds
+        limit = clock.now() + self.control.settings.shutdown_seconds
         await asyncio.sleep(ANNOUNCE_SECONDS)
-        while time.monotonic() < limit and (
-            self.front.in_flight or time.monotonic() < cached_until
-        ):
+        while clock.now() < limit and (self.front.in_flight or clock.now() < cached_until):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         LOG.info("drain.ended", in_flight=self.front.in_flight)
--- a/verbenaward/membership/gossip.py
+++ b/verbenaward/membership/gossip.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
 from returns.result import Success
 
+from .. import clock
 from ..schema.messages import (
     Acknowledgement,
     Crash,
@@ -128,7 +128,7 @@
 
     async def handle_gossip(self, message: Gossip) -> Acknowledgement:
         """Merge the gossip of a peer; what was new here is queued for the next push."""
-        now = time.monotonic()
+        now = clock.now()
         for member in message.members:
             if member.vm != self.own.member.vm:
                 self.directory.merge(member, now)
@@ -151,7 +151,7 @@
         result = await call(self.session, address, summary, DirectoryBuckets)
         if not isinstance(result, Success):
             return
-        now = time.monotonic()
+        now = clock.now()
         for member in result.unwrap().members:
             if member.vm != self.own.member.vm:
                 self.directory.merge(member, now)
--- a/verbenaward/membership/heartbeat.py
+++ b/verbenaward/membership/heartbeat.py
@@ -1,13 +1,13 @@
 """Sends the heartbeats of a process to its registrars, in one task for each registrar."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import aiohttp
 from returns.result import Success
 
+from .. import clock
 from ..schema.messages import Heartbeat, HeartbeatReply, ShortHeartbeat
 from ..schema.settings import MembershipSettings
 from ..waiting import is_set_within
@@ -111,7 +111,7 @@
             result = await call(self.session, registrar.address, heartbeat, HeartbeatReply)
             if isinstance(result, Success):
                 reply = result.unwrap()
-                self.answered_at[registrar] = time.monotonic()
+                self.answered_at[registrar] = clock.now()
                 self.confirmed[registrar] = (reply.known_incarnation, reply.known_version)
                 await self.handle_reply(registrar, reply)
                 if heartbeat.want_members:
@@ -147,7 +147,7 @@
 
     async def handle_reply(self, registrar: HeartbeatTarget, reply: HeartbeatReply) -> None:
         """Merge the members of a reply, refute a false status and pass on the revision."""
-        now = time.monotonic()
+        now = clock.now()
         for member in reply.members:
             if member.vm != self.own.member.vm:
                 self.directory.merge(member, now)
@@ -164,7 +164,7 @@
     def is_unresponsive(self, registrar: HeartbeatTarget) -> bool:
         """Return True if a registrar has not replied for `suspect_seconds`."""
         last_answer_at = self.answered_at.get(registrar, 0.0)
-        return time.monotonic() - last_answer_at > self.settings.suspect_seconds
+        return clock.now() - last_answer_at > self.settings.suspect_seconds
 
     async def wait_for_next(self, registrar: HeartbeatTarget, answered: bool) -> None:
         """Wait until the next heartbeat is due or requested."""
--- a/verbenaward/membership/registrar.py
+++ b/verbenaward/membership/registrar.py
@@ -1,9 +1,9 @@
 """Receiving side of heartbeats on entry processes: replies and failure detection."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
+from .. import clock
 from ..schema.messages import (
     Heartbeat,
     HeartbeatReply,
@@ -62,7 +62,7 @@
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
         """Record a heartbeat with a full record and reply with the record known here."""
         member = heartbeat.member
-        self.directory.record_heartbeat(member, time.monotonic())
+        self.directory.record_heartbeat(member, clock.now())
         self.record_revision(member, member.revision)
         known = self.directory.members.get(member.vm, member)
         return self.reply_to(heartbeat, member, known)
@@ -79,7 +79,7 @@
                 incarnation=self.own.member.incarnation, revision=self.own.member.revision
             )
         if (known.incarnation, known.version) == (heartbeat.incarnation, heartbeat.version):
-            self.directory.last_heartbeat_at[heartbeat.vm] = time.monotonic()
+            self.directory.last_heartbeat_at[heartbeat.vm] = clock.now()
             self.record_revision(known, heartbeat.revision)
         return self.reply_to(heartbeat, known, known)
 
--- a/verbenaward/requests/at_most_once.py
+++ b/verbenaward/requests/at_most_once.py
@@ -1,11 +1,11 @@
 """Runs non-idempotent requests at most once, on the holder of their key's slot."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Result, Success
 
+from .. import clock
 from ..data import Refusal, Verdict
 from ..waiting import wait_at_most
 from .claims import ClaimOutcome
@@ -57,7 +57,7 @@
             return await self.answer_resend(record, fingerprint, deadline)
         if self.slot_manager.leaving:
             return Failure(not_run(503, "leaving", "this VM is leaving", RETRY_AFTER_SECONDS))
-        now = time.monotonic()
+        now = clock.now()
         if not self.slot_manager.key_records.has_room(now):
             return Failure(not_run(503, "keys-full", "too many keys", RETRY_AFTER_SECONDS))
         self.slot_manager.key_records.begin(name, fingerprint, slot, now)
@@ -65,7 +65,7 @@
             refusal = await self.claim_key(slot, name, deadline)
             result = Failure(refusal) if refusal else await work()
         except BaseException:
-            self.slot_manager.key_records.finish(name, None, time.monotonic())
+            self.slot_manager.key_records.finish(name, None, clock.now())
             raise
         self.record_result(name, result)
         return result
@@ -79,7 +79,7 @@
             return may_have_run("claimed", "a former holder of the key claimed it")
         if outcome is ClaimOutcome.NO_SERVICE:
             return self.outage_refusal(slot)
-        if self.slot_manager.is_uncertain(slot, time.monotonic()):
+        if self.slot_manager.is_uncertain(slot, clock.now()):
             return may_have_run("claimed", "a former holder may have run the key in an outage")
         return None
 
@@ -89,7 +89,7 @@
         A former holder may have run the key if its claims were not read yet, or if it may have
         run keys without claims.
         """
-        if self.slot_manager.knows_former_runs(slot, time.monotonic()):
+        if self.slot_manager.knows_former_runs(slot, clock.now()):
             message = "the key-value service did not answer"
             return not_run(503, OUTAGE_REASON, message, RETRY_AFTER_SECONDS)
         message = "a former holder may have run the key; the key-value service did not answer"
@@ -102,7 +102,7 @@
         if record.fingerprint != fingerprint:
             return Failure(not_run(422, "key-reused", "the key belongs to another request"))
         try:
-            await wait_at_most(record.finished.wait(), max(0.0, deadline - time.monotonic()))
+            await wait_at_most(record.finished.wait(), max(0.0, deadline - clock.now()))
         except asyncio.TimeoutError:
             return Failure(may_have_run("running", "the request is still running"))
         if record.status is KeyStatus.DONE and record.answer is not None:
@@ -113,7 +113,7 @@
 
     def record_result(self, name: str, result: Result[Answer, Refusal]) -> None:
         """Record the outcome of a run; a request that did not run may be sent again."""
-        now = time.monotonic()
+        now = clock.now()
         records = self.slot_manager.key_records
         if isinstance(result, Success):
             records.finish(name, result.unwrap(), now)
--- a/verbenaward/requests/attempt.py
+++ b/verbenaward/requests/attempt.py
@@ -1,13 +1,13 @@
 """One attempt to run a request on one endpoint."""
 
 import asyncio
-import time
 from collections.abc import Mapping
 
 import aiohttp
 from blake3 import blake3
 from returns.result import Failure, Result, Success
 
+from .. import clock
 from ..data import Refusal, Verdict
 from . import headers
 from .endpoints import EndpointView
@@ -86,7 +86,7 @@
     Returns:
       The answer, or the failure, which says whether the request may have run.
     """
-    now = time.monotonic()
+    now = clock.now()
     timeout = aiohttp.ClientTimeout(
         total=max(0.0, request.deadline - now) + RESPONSE_GRACE_SECONDS,
         sock_connect=CONNECT_TIMEOUT_SECONDS,
@@ -136,7 +136,7 @@
         message = "the answer belongs to another request or is corrupt"
         return Failure(AttemptFailure(may_have_run("crossed-answer", message), vm))
     load = parse_load(values.get(headers.LOAD, ""))
-    view.record_answer(load, time.monotonic())
+    view.record_answer(load, clock.now())
     verdict = verdict_of(values)
     release = values.get(headers.RELEASE, "")
     if verdict is Verdict.RAN:
--- a/verbenaward/requests/claims.py
+++ b/verbenaward/requests/claims.py
@@ -1,7 +1,6 @@
 """Claims of idempotency keys in the key-value service, written before a key runs."""
 
 import asyncio
-import time
 from collections import deque
 from dataclasses import dataclass
 from enum import StrEnum
@@ -10,7 +9,7 @@
 from blake3 import blake3
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..logs import get_logger
 from ..platform.key_value import KeyValueFailure, KeyValueService
 from .slots import OwnWrite, may_run_without_claim
@@ -121,7 +120,7 @@
         name = claim_name(key)
         path = self.prefix_of(slot) + name
         while True:
-            now = time.monotonic()
+            now = clock.now()
             if self.tenures.has_former_claim(slot, name):
                 return ClaimOutcome.TAKEN
             if self.may_skip_claims(now) and self.tenures.knows_former_claims(slot, now):
@@ -130,13 +129,13 @@
             outcome = await self.try_claim(path)
             if outcome is not ClaimOutcome.NO_SERVICE:
                 return outcome
-            if time.monotonic() + RETRY_SECONDS >= deadline:
+            if clock.now() + RETRY_SECONDS >= deadline:
                 return ClaimOutcome.NO_SERVICE
             await asyncio.sleep(RETRY_SECONDS)
 
     async def try_claim(self, path: str) -> ClaimOutcome:
         """Try once to write a claim; if it exists already, read whose it is."""
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         value = msgspec.json.encode(self.owner)
         result = await self.service.write(path, value, 0, 2 * self.times.resend_window)
         if isinstance(result, Success):
@@ -150,14 +149,14 @@
         read = await self.service.read(path)
         if not isinstance(read, Success):
             return ClaimOutcome.NO_SERVICE
-        self.last_success = time.monotonic()
+        self.last_success = clock.now()
         entry = read.unwrap()
         is_own = entry is not None and msgspec.json.decode(entry.value, type=Claim) == self.owner
         return ClaimOutcome.CLAIMED if is_own else ClaimOutcome.TAKEN
 
     async def read_former_claims(self) -> None:
         """Read the claims of the former holders of the held slots, unless they are known."""
-        now = time.monotonic()
+        now = clock.now()
         self.tenures.drop_old_claims(now)
         for slot, tenure in self.tenures.without_claims(now):
             prefix = self.prefix_of(slot)
@@ -165,7 +164,7 @@
             metrics.KEY_VALUE_CALLS.labels("claims", outcome_of(read)).inc()
             if not isinstance(read, Success):
                 return
-            self.last_success = time.monotonic()
+            self.last_success = clock.now()
             tenure.former_claims = frozenset(
                 entry.key.removeprefix(prefix)
                 for entry in read.unwrap().entries
@@ -174,7 +173,7 @@
 
     def record_write(self, version: int, sent_at: float) -> None:
         """Record a successful write."""
-        self.last_success = time.monotonic()
+        self.last_success = clock.now()
         self.own_writes.append(OwnWrite(version, sent_at))
 
     async def flush(self) -> bool:
--- a/verbenaward/requests/dispatch.py
+++ b/verbenaward/requests/dispatch.py
@@ -9,7 +9,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import Refusal
 from ..membership.ring import Ring, rendezvous_order
 from ..schema.messages import Crash
@@ -91,7 +91,7 @@
             failure = result.failure()
             self.apply_failure(request, view, failure, queue)
             history.record_failure(failure)
-            step = next_step(request, history, self.budget, time.monotonic())
+            step = next_step(request, history, self.budget, clock.now())
             if step is NextStep.GIVE_UP:
                 return Failure(history.final_refusal(failure.refusal))
             if step is NextStep.PAUSE:
@@ -129,7 +129,7 @@
         result: Result[object, AttemptFailure],
     ) -> None:
         """Report a crash, or clear a quarantined request that ran alone and was answered."""
-        now = time.monotonic()
+        now = clock.now()
         if not isinstance(result, Success) and result.failure().crashed:
             if await self.endpoint_survived(view, result.failure()):
                 return
@@ -158,7 +158,7 @@
     def is_quarantined(self, request: Request) -> bool:
         """Return True if the request crashed an endpoint and must therefore run alone."""
         return (
-            self.crash_registry.state_of(request.fingerprint, time.monotonic())
+            self.crash_registry.state_of(request.fingerprint, clock.now())
             is QuarantineState.QUARANTINED
         )
 
@@ -166,7 +166,7 @@
         self, request: Request, view: EndpointView, failure: AttemptFailure, queue: FairQueue
     ) -> None:
         """Update endpoint state, concurrency limit and slot holders from a failed attempt."""
-        now = time.monotonic()
+        now = clock.now()
         reason = failure.refusal.reason
         if reason in UNREACHABLE_REASONS:
             view.record_failure(now)
@@ -182,7 +182,7 @@
         self, request: Request, history: AttemptHistory
     ) -> Result[EndpointView, Refusal]:
         """Return the endpoint of the next attempt, waiting up to ENDPOINT_WAIT_SECONDS for one."""
-        now = time.monotonic()
+        now = clock.now()
         until = min(request.deadline, now + ENDPOINT_WAIT_SECONDS)
         while True:
             if self.crash_registry.state_of(request.fingerprint, now) is QuarantineState.POISON:
@@ -194,7 +194,7 @@
                 message = "no endpoint can run the request now"
                 return Failure(not_run(503, "no-endpoint", message, RETRY_AFTER_SECONDS))
             await asyncio.sleep(0.05)
-            now = time.monotonic()
+            now = clock.now()
 
     def choose(self, request: Request, history: AttemptHistory, now: float) -> EndpointView | None:
         """Return the endpoint of the next attempt, or None if none is usable.
--- a/verbenaward/requests/fair_queue.py
+++ b/verbenaward/requests/fair_queue.py
@@ -9,10 +9,10 @@
 import asyncio
 import heapq
 import itertools
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .. import clock
 from ..data import Refusal
 from ..waiting import wait_at_most
 from .limits import AdaptiveLimit
@@ -213,7 +213,7 @@
         """Remove a request whose caller disconnected, whether it was admitted or not."""
         was_admitted = queued.admission.done() and not queued.admission.cancelled()
         if was_admitted and queued.admission.result() is None:
-            self.leave(time.monotonic())
+            self.leave(clock.now())
         else:
             self.remove(queued)
 
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import dataclasses
-import time
 
 import msgspec
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..logs import get_logger
 from ..membership.directory import Directory
 from ..membership.own_record import OwnRecord
@@ -168,13 +167,13 @@
         metrics.KEY_VALUE_CALLS.labels("read", outcome_of(result)).inc()
         if not isinstance(result, Success):
             return False
-        self.claims.last_success = time.monotonic()
+        self.claims.last_success = clock.now()
         entry = result.unwrap()
         if entry is None or entry.revision >= self.version:
             self.table = decode_table(entry.value if entry else b"")
             self.version = entry.revision if entry else 0
             self.table_loaded = True
-        self.claims.tenures.update(self.held_slots(), time.monotonic())
+        self.claims.tenures.update(self.held_slots(), clock.now())
         return True
 
     async def renew(self) -> bool:
@@ -183,7 +182,7 @@
         self.renewals += 1
         # The vm field holds a counter, so that no two renewals have the same value.
         value = msgspec.json.encode(Claim(str(self.renewals), self.own.member.incarnation))
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         self.claims.last_renewal_sent = sent_at
         result = await self.service.write(key, value, self.renewal_version)
         metrics.KEY_VALUE_CALLS.labels("renewal", outcome_of(result)).inc()
@@ -199,7 +198,7 @@
 
     async def acquire_free_slots(self) -> None:
         """Acquire all free slots that this process should hold."""
-        if time.monotonic() - self.started_at < STARTUP_DELAY_SECONDS:
+        if clock.now() - self.started_at < STARTUP_DELAY_SECONDS:
             return
         if not self.table_loaded and not await self.refresh():
             return
@@ -235,7 +234,7 @@
         unconfirmed = []
         for vm, incarnation in holders - set(self.ended_at):
             if self.was_replaced(vm, incarnation):
-                self.ended_at[vm, incarnation] = time.monotonic()
+                self.ended_at[vm, incarnation] = clock.now()
             elif not self.looks_alive(vm, incarnation):
                 unconfirmed.append((vm, incarnation))
         if unconfirmed and self.vm_list is not None:
@@ -262,7 +261,7 @@
         result = await self.vm_list.read()
         if not isinstance(result, Success):
             return
-        now = time.monotonic()
+        now = clock.now()
         listed = {item.vm for item in result.unwrap()}
         for vm, incarnation in unconfirmed:
             if vm not in listed:
@@ -282,7 +281,7 @@
 
     async def clear_uncertain_slots(self) -> None:
         """Clear the mark of the uncertain slots whose earlier keys callers no longer resend."""
-        now = time.monotonic()
+        now = clock.now()
         changes = {
             slot: dataclasses.replace(self.table.holders[slot], uncertain=False)
             for slot in self.held_slots()
@@ -322,7 +321,7 @@
         for slot, holder in changes.items():
             holders[slot] = holder
         payload = encode_table(SlotTable(tuple(holders)))
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         result = await self.service.write(self.table_key, payload, version)
         metrics.KEY_VALUE_CALLS.labels("slots", outcome_of(result)).inc()
         if isinstance(result, Success):
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -1,14 +1,13 @@
 """Relays streamed answers to callers and resumes broken streams on other endpoints."""
 
 import asyncio
-import time
 from dataclasses import dataclass, field
 
 import aiohttp
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..data import Refusal, Verdict
 from . import headers
 from .attempt import (
@@ -94,7 +93,7 @@
             history.record_failure(failure)
             if progress.tokens:
                 history.may_have_run = True
-            step = next_step(request, history, self.dispatcher.budget, time.monotonic())
+            step = next_step(request, history, self.dispatcher.budget, clock.now())
             if step is NextStep.GIVE_UP:
                 return self.end_stream(
                     request, caller, history.final_refusal(failure.refusal), progress
@@ -145,7 +144,7 @@
     ) -> Result[web.StreamResponse, AttemptFailure]:
         """Relay the stream of one endpoint from the first event that the caller lacks."""
         progress.crashed = False
-        now = time.monotonic()
+        now = clock.now()
         timeout = aiohttp.ClientTimeout(
             total=max(0.0, request.deadline - now) + RESPONSE_GRACE_SECONDS,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
@@ -215,7 +214,7 @@
 
     def record_timing(self, request: Request, events: bytes, progress: StreamProgress) -> None:
         """Count token events and observe the first-token and between-token times."""
-        now = time.monotonic()
+        now = clock.now()
         count = events.count(EVENT_END) - events.count(DONE_EVENT)
         if progress.tokens == 0:
             waited = now - request.received_at
@@ -261,7 +260,7 @@
     if answer.headers.get(headers.REQUEST_ID) != request.request_id:
         refusal = may_have_run("crossed-answer", "the answer belongs to another request")
         return AttemptFailure(refusal, vm)
-    view.record_answer(parse_load(answer.headers.get(headers.LOAD, "")), time.monotonic())
+    view.record_answer(parse_load(answer.headers.get(headers.LOAD, "")), clock.now())
     verdict = verdict_of(answer.headers)
     if verdict is Verdict.RAN:
         return None
--- a/verbenaward/weights/orders.py
+++ b/verbenaward/weights/orders.py
@@ -1,12 +1,11 @@
 """Orders to the engine of this VM: sent one at a time, each confirmed by reading its state."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..logs import get_logger
 from ..platform.engine import Engine, EngineFile, EngineState, Order, OrderKind
 
@@ -60,7 +59,7 @@
     async def activate(self, release: str, files: tuple[EngineFile, ...]) -> None:
         """Make the engine serve a release; returns once its state confirms it."""
         async with self.lock:
-            await asyncio.sleep(max(0.0, self.not_before - time.monotonic()))
+            await asyncio.sleep(max(0.0, self.not_before - clock.now()))
             while not await self.try_activate(release, files):
                 await asyncio.sleep(RETRY_SECONDS)
 
--- a/verbenaward/weights/pacing.py
+++ b/verbenaward/weights/pacing.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from .. import clock
+
 BURST_SECONDS = 0.03
 """Idle time, at most, whose unused bytes may be sent in one burst."""
 LAG_PROBE_SECONDS = 0.05
@@ -52,7 +54,7 @@
 
     async def acquire(self, size: int) -> None:
         """Wait until background bytes may be sent."""
-        seconds = self.reserve(size, time.monotonic())
+        seconds = self.reserve(size, clock.now())
         if seconds > 0:
             await asyncio.sleep(seconds)
 
--- a/verbenaward/weights/sources.py
+++ b/verbenaward/weights/sources.py
@@ -1,11 +1,10 @@
 """Reads weights from their sources in order: the weight store first, then the origin."""
 
-import time
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..platform.sources import ByteRange, SourceError, WeightSource
 
 READ_TIMEOUT_SECONDS = 20.0
@@ -44,10 +43,10 @@
     async def read(self, wanted: ByteRange) -> Result[bytes, SourceError]:
         """Read a byte range from the first source that delivers it."""
         error = SourceError(
-            "all weight sources are in backoff", self.seconds_until_retry(time.monotonic())
+            "all weight sources are in backoff", self.seconds_until_retry(clock.now())
         )
         for state in self.states:
-            if state.backoff_until > time.monotonic():
+            if state.backoff_until > clock.now():
                 continue
             result = await state.source.read(wanted, READ_TIMEOUT_SECONDS)
             if isinstance(result, Success):
@@ -55,7 +54,7 @@
                 metrics.WEIGHT_BYTES.labels(state.name).inc(len(result.unwrap()))
                 return result
             error = result.failure()
-            self.record_failure(state, error, time.monotonic())
+            self.record_failure(state, error, clock.now())
         return Failure(error)
 
     def record_failure(self, state: SourceState, error: SourceError, now: float) -> None:
--- a/verbenaward/weights/transfer.py
+++ b/verbenaward/weights/transfer.py
@@ -1,12 +1,11 @@
 """Downloads all chunks of one chunk table, from peers and from the sources."""
 
 import asyncio
-import time
 
 import aiohttp
 from returns.result import Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..logs import get_logger
 from ..schema.messages import ChunksHeld, Member
 from ..waiting import is_set_within
@@ -63,7 +62,7 @@
     def __init__(
         self, context: WeightContext, table: LoadedChunkTable, reporter: AvailabilityReporter
     ) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self.context = context
         self.table = table
         self.reporter = reporter
@@ -112,7 +111,7 @@
     async def keep_refreshing_peers(self) -> None:
         """Refresh the peers from the membership directory until cancelled."""
         while True:
-            self.refresh_peers(time.monotonic())
+            self.refresh_peers(clock.now())
             await asyncio.sleep(PEER_REFRESH_SECONDS)
 
     def refresh_peers(self, now: float) -> None:
@@ -166,12 +165,12 @@
     async def read_reports(self, peer: Peer, channel: aiohttp.ClientWebSocketResponse) -> None:
         """Read reports from an open channel until it closes."""
         peer.connected = peer.was_connected = True
-        peer.last_report_at = time.monotonic()
+        peer.last_report_at = clock.now()
         async for message in channel:
             if message.type is not aiohttp.WSMsgType.BINARY:
                 return
             report = decode(ChunksHeld, message.data)
-            if self.peers.apply_report(peer, report, time.monotonic()):
+            if self.peers.apply_report(peer, report, clock.now()):
                 self.notify_workers()
 
     async def fetch_from_peers(self) -> None:
@@ -183,7 +182,7 @@
                 self.peers,
                 self.context.own.member.zone,
                 self.may_fetch,
-                time.monotonic(),
+                clock.now(),
                 self.context.rng,
             )
             if pick is None:
@@ -194,12 +193,12 @@
     def may_fetch(self, index: int, peer: Peer) -> bool:
         """Return True if the policy allows this VM to fetch a chunk from a peer now."""
         rank = self.ranks.peer_rank(self.policy, self.swarm, index, peer.member)
-        return rank == 0 or (rank != NEVER and rank <= self.allowed_rank(time.monotonic()))
+        return rank == 0 or (rank != NEVER and rank <= self.allowed_rank(clock.now()))
 
     async def fetch_from_peer(self, pick: Pick) -> None:
         """Fetch one chunk from a peer; a peer that fails gets no requests for a while."""
         chunk = self.table.chunks[pick.index]
-        self.in_flight.start(chunk.index, time.monotonic())
+        self.in_flight.start(chunk.index, clock.now())
         pick.peer.outstanding += 1
         try:
             payload = await self.read_from_peer(chunk, pick.peer)
@@ -208,10 +207,10 @@
             self.in_flight.finish(chunk.index)
         if payload == b"":
             metrics.CHUNKS.labels("busy").inc()
-            pick.peer.backoff_until = time.monotonic() + BUSY_BACKOFF_SECONDS
+            pick.peer.backoff_until = clock.now() + BUSY_BACKOFF_SECONDS
             return
         if payload is None:
-            self.peers.back_off(pick.peer, time.monotonic())
+            self.peers.back_off(pick.peer, clock.now())
             return
         is_far = pick.peer.member.region != self.context.own.member.region
         self.store_payload(chunk, payload, "far-peer" if is_far else "peer", pick.peer)
@@ -239,11 +238,11 @@
     async def read_from_sources(self) -> None:
         """Worker: read chunks from the sources until none is missing."""
         while self.missing:
-            chunk = self.next_source_chunk(time.monotonic())
+            chunk = self.next_source_chunk(clock.now())
             if chunk is None:
                 await self.wait_for_change()
                 continue
-            self.in_flight.start(chunk.index, time.monotonic())
+            self.in_flight.start(chunk.index, clock.now())
             try:
                 await self.read_chunk(chunk)
             finally:
@@ -317,11 +316,11 @@
             for index in self.indexes_by_hash[chunk.hash]:
                 self.missing.pop(index, None)
                 self.reporter.add(index)
-            self.last_stored_at = time.monotonic()
+            self.last_stored_at = clock.now()
             self.notify_workers()
         elif outcome is StoreOutcome.CORRUPT and peer is not None:
             LOG.warning("chunk.corrupt", chunk=chunk.index, peer=peer.member.vm)
-            self.peers.back_off(peer, time.monotonic())
+            self.peers.back_off(peer, clock.now())
 
     def notify_workers(self) -> None:
         """Make all waiting workers look for work again."""
