Send the versions that a newer one replaced, in place of guessing their time

What callers would see: refusals of a model's requests for seconds. Where two versions are set in quick succession, or a number is skipped, a process that hears of both from a peer took the one before to be as old as its own last contact, minutes in a quiet store, and required it at once.

Cause: a delta had the last change of each key only. Change: it also has the replaced ones of up to 256 bytes, in order, so that each version arrives with its own time; the guess is gone.

--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -1,6 +1,5 @@
 """Configuration, backends and weights versions, as derived from the entries of the store."""
 
-import dataclasses
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -222,12 +221,6 @@
         known = self.versions.setdefault(target.model, [])
         if known and target.version <= known[-1].target.version:
             return
-        newest = known[-1].target.version if known else 0
-        complete_until = self.replica.complete_until
-        if target.version - 1 > newest and entry.acknowledged_after > complete_until:
-            # A version between them may have been set at any time since then.
-            replaced = dataclasses.replace(target, version=target.version - 1)
-            known.append(learned_version(replaced, complete_until, now))
         learned = learned_version(target, entry.acknowledged_after, now)
         known.append(learned)
         del known[:-KEPT_VERSIONS]
--- a/verbenaward/replica/store_replica.py
+++ b/verbenaward/replica/store_replica.py
@@ -16,6 +16,9 @@
 CHANGE_LOG_LENGTH = 4096
 """Recent changes that can be sent as a delta; a process that lacks older ones gets a snapshot."""
 
+MAXIMUM_REPLACED_BYTES = 256
+"""Size up to which a delta contains a value that a later one in it replaces."""
+
 Listener = Callable[[KeyValueEntry, float], None]
 
 
@@ -26,7 +29,8 @@
     Attributes:
       revision: Every change up to this revision of the store is included.
       is_snapshot: True for a snapshot, in which a missing key does not exist.
-      entries: Last change of each key; a tombstone has an empty value.
+      entries: Last change of each key; a delta also has small ones that it replaced, the oldest
+        first. A tombstone has an empty value.
       current_at: Every change that the store acknowledged before this time is included, monotonic;
         minus infinity if unknown.
     """
@@ -37,6 +41,19 @@
     current_at: float = -math.inf
 
 
+def entries_of(changes: Changes) -> tuple[KeyValueEntry, ...]:
+    """Return the entries of changes with the times of the first changes that they may stand for.
+
+    A snapshot lacks the changes that were replaced before it, so the time of its last change of a
+    key says nothing about the one before.
+    """
+    if not changes.is_snapshot:
+        return changes.entries
+    return tuple(
+        dataclasses.replace(entry, acknowledged_after=-math.inf) for entry in changes.entries
+    )
+
+
 class StoreReplica:
     """Local replica of the key-value store.
 
@@ -78,7 +95,7 @@
         Returns:
           Number of entries that were applied.
         """
-        applied = sum(self.apply_entry(entry, now) for entry in changes.entries)
+        applied = sum(self.apply_entry(entry, now) for entry in entries_of(changes))
         if changes.is_snapshot:
             applied += self.delete_missing(changes, now)
             if not self.revision:
@@ -138,8 +155,14 @@
         if revision < self.change_log_floor or not revision:
             entries = tuple(entry for entry in self.entries.values() if entry.value)
             return Changes(self.revision, True, entries, self.current_at)
-        newer = {entry.key: entry for entry in self.change_log if entry.revision > revision}
-        return Changes(self.revision, False, tuple(newer.values()), self.current_at)
+        newer = [entry for entry in self.change_log if entry.revision > revision]
+        last = {entry.key: entry.revision for entry in newer}
+        entries = tuple(
+            entry
+            for entry in newer
+            if entry.revision == last[entry.key] or len(entry.value) <= MAXIMUM_REPLACED_BYTES
+        )
+        return Changes(self.revision, False, entries, self.current_at)
 
     def entries_with_prefix(self, prefix: str) -> Iterable[KeyValueEntry]:
         """Return the entries of existing keys that start with a prefix."""
