Take the store for down only on recent word from all availability zones

What callers would see: work begins on old weights after the bound, by the length of a partition in which the store was up for a part of the processes.

Cause: a process took the store for down if more than half of its peers had no answer. Two of three zones that are cut off together are more than half, and a load delta made an old word on the replica look recent. Change: only full broadcasts of the last 2.5 s count, there must be one from each zone that has entry processes, and the process itself must be watching without an answer.

Evidence: the example "two zones' of the" failed before (2.5 s in place of 12 s) and passes now.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -186,12 +186,13 @@
     Then all of them refuse it 4 s later
 
   Scenario Outline: A version heard of after an outage counts from its end only if the store was down for all
-    Given 9 entry processes in 3 zones of which one has had no answer for 12 s, and that hears <heard> of the others
+    Given 9 entry processes in 3 zones of which one has had no answer for 12 s, and that hears <heard> others
     When the others <state>, and a target version is set as the store answers again
     Then that process takes the version to be at most <seconds> s old
 
     Examples: outage
-      | heard | state                            | seconds |
-      | all   | have had no answer for 12 s      | 3       |
-      | 4     | have had no answer for 12 s      | 13      |
-      | all   | have had an answer 1 s ago       | 13      |
+      | heard             | state                       | seconds |
+      | all               | have had no answer for 12 s | 3       |
+      | 4                 | have had no answer for 12 s | 13      |
+      | two zones' of the | have had no answer for 12 s | 13      |
+      | all               | have had an answer 1 s ago  | 13      |
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -347,7 +347,7 @@
 
 @given(
     "{count:d} entry processes in {zones:d} zones of which one has had no answer for "
-    "{seconds:g} s, and that hears {heard} of the others"
+    "{seconds:g} s, and that hears {heard} others"
 )
 def process_in_outage(context, count, zones, seconds, heard):
     async def make():
@@ -358,19 +358,29 @@
 
     context.process, *others = context.loop.run_until_complete(make())
     for other in others:
-        context.process.peer(other.settings.listen)
-    context.others = others if heard == "all" else others[: int(heard)]
+        broadcast_to(context.process, other, NOW - seconds)
+    if heard == "all":
+        context.others = others
+    elif heard == "two zones' of the":
+        context.others = [other for other in others if other.settings.zone != "zone-1"]
+        assert 2 * len(context.others) > len(others)
+    else:
+        context.others = others[: int(heard)]
+
+
+def broadcast_to(receiver, sender, now):
+    source = ("127.0.0.1", int(sender.settings.listen.rpartition(":")[2]))
+    receiver.receive(encode(sender.full_broadcast(now)), source, now)
 
 
 @when("the others {state}, and a target version is set as the store answers again")
 def version_after_outage(context, state):
     process = context.process
     process.is_store_lost = lambda: True
-    for index, other in enumerate(context.others):
+    for other in context.others:
         if state == "have had an answer 1 s ago":
             other.replica.current_at = NOW - 1
-        source = ("127.0.0.1", 9001 + index)
-        process.receive(encode(other.full_broadcast(NOW)), source, NOW)
+        broadcast_to(process, other, NOW)
     if process.is_store_down(NOW):
         process.replica.outage_until = NOW - STORE_DOWN_SECONDS
     value = json.dumps({"model_name": "model", "version": 2}).encode()
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -50,6 +50,7 @@
       last_broadcast: Its last full broadcast, whose `sequence` is updated by each later load delta;
         None before the first.
       received_at: When its last message arrived, monotonic.
+      state_received_at: When its last full broadcast arrived, monotonic.
       replica_current_at: When its replica was complete, up to the revision of its last full
         broadcast, monotonic.
       in_group: True if it is in the peer group of this process.
@@ -59,6 +60,7 @@
     registered: bool = False
     last_broadcast: Pulse | None = None
     received_at: float = 0.0
+    state_received_at: float = 0.0
     replica_current_at: float = 0.0
     in_group: bool = False
 
@@ -80,6 +82,11 @@
         return self.is_alive(now) or (is_sampled and self.registered)
 
 
+def zones_of(peers: list[EntryPeer]) -> set[str]:
+    """Return the availability zones of peers that have broadcast."""
+    return {peer.last_broadcast.zone for peer in peers if peer.last_broadcast is not None}
+
+
 def is_older(broadcast: Pulse, previous: Pulse, silent_seconds: float) -> bool:
     """Return True if a broadcast is older than the last known one of the same peer.
 
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -244,15 +244,15 @@
     async def update_derived_state(self) -> None:
         """Every 0.1 s, update what is derived from the store and the peers.
 
-        Records the time while the store fails calls of this process or of all processes, updates
-        the number of entry processes and starts fetching missing digests.
+        Records outages of the store, tells the retry budget the number of entry processes and
+        starts fetching missing digests.
         """
         while True:
             now = clock.now()
             if not self.follower.reachable and self.exchange.is_watcher(now):
                 self.fleet.store_failed_at = now
-            if self.exchange.is_store_down(now):
-                self.replica.outage_until = now - STORE_DOWN_SECONDS
+                if self.exchange.is_store_down(now):
+                    self.replica.outage_until = now - STORE_DOWN_SECONDS
             alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -27,7 +27,14 @@
 from ..wire.codec import MalformedMessageError, decode, encode
 from .backends import RemoteLoad
 from .crash_tracker import CrashTracker
-from .entry_peers import EntryPeer, EntryRecord, Watcher, chosen_watchers, is_older
+from .entry_peers import (
+    EntryPeer,
+    EntryRecord,
+    Watcher,
+    chosen_watchers,
+    is_older,
+    zones_of,
+)
 from .fleet import Fleet
 from .peer_groups import PeerGroup, peer_group_of
 
@@ -343,6 +350,7 @@
             LOG.info("entry.heard", entry=broadcast.vm, ready=broadcast.ready)
         peer.last_broadcast = broadcast
         peer.received_at = now
+        peer.state_received_at = now
         peer.replica_current_at = now - broadcast.checked_ms / MILLISECONDS_PER_SECOND
         for control in broadcast.entries:
             self.peer(control)
@@ -479,12 +487,16 @@
     def is_store_down(self, now: float) -> bool:
         """Return True if the store answers no entry process, as far as this one can tell.
 
-        A process that hears only a part of its peers may be cut off together with them.
+        A process that hears only a part of its peers, or of the availability zones, may be cut off
+        together with them.
         """
-        alive = [peer for peer in self.peers.values() if peer.is_alive(now)]
-        if not self.is_store_lost() or 2 * len(alive) <= len(self.peers):
+        known = [peer for peer in self.peers.values() if peer.last_broadcast is not None]
+        heard = [peer for peer in known if now - peer.state_received_at < STORE_DOWN_SECONDS]
+        if not self.is_store_lost() or 2 * len(heard) <= len(self.peers):
             return False
-        return all(now - peer.replica_current_at > STORE_DOWN_SECONDS for peer in alive)
+        if zones_of(heard) != zones_of(known):
+            return False
+        return all(now - peer.replica_current_at > STORE_DOWN_SECONDS for peer in heard)
 
     def replica_age(self, now: float) -> float:
         """Return the time since the replica was last known to be complete, in seconds."""
