Cancel waiting streams at their start deadline also after a suspension

What callers would see: work begins on old weights, by the time for which the machine that sent it was suspended: the timer that cancels the send is the event loop's, which stands still meanwhile.

Change: the start deadlines of waiting streams are applied every 0.1 s, on the clock that counts the suspension; it only ever moves a timer forward.

Evidence: "A stream that waits while the machine is suspended for the whole bound is cancelled at once" failed before (nothing cancelled after 0.5 s) and passes now. Measured: the two scenarios on suspension passed.

--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -80,3 +80,8 @@
     And target versions are required 1 s after they were set
     When a target version is set while a stream waits for its first event
     Then the stream is cancelled at the engine within the bound
+
+  Scenario: A stream that waits while the machine is suspended for the whole bound is cancelled at once
+    Given one entry process that is ready
+    When the machine is suspended while a stream waits for its first event on older weights
+    Then the stream is cancelled at the engine within the bound
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -802,11 +802,39 @@
 
 @when("a target version is set and the machine is suspended for the whole bound")
 def suspended(context):
+    set_target_version(context)
+    suspend(context, context.platform.entries[0].direct.version_seconds)
+
+
+@when("the machine is suspended while a stream waits for its first event on older weights")
+def suspended_with_stream(context):
+    role = context.platform.entries[0]
+    for engine in engines(context):
+        engine.mode = "hang"
+    set_target_version(context)
+
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            sending = asyncio.create_task(
+                send_request(session, role.direct.front, "/stream/x", "a-1", {"X-Model": "model"})
+            )
+            assert await until(lambda: any(item.run_counts for item in engines(context)))
+            suspend(context, role.direct.version_seconds)
+            await asyncio.sleep(0.5)
+            context.cancelled = [name for item in engines(context) for name in item.cancelled]
+            sending.cancel()
+
+    run(context, send())
+
+
+def set_target_version(context):
     role = context.platform.entries[0]
     value = json.dumps({"model_name": "model", "version": 2}).encode()
     context.platform.store.put("op/version/model", value)
     assert run(context, until(lambda: role.fleet.versions))
-    seconds = role.direct.version_seconds
+
+
+def suspend(context, seconds):
     read = time.clock_gettime
     # The boot-time clock counts a suspension, the monotonic clock does not.
     suspension = mock.patch("time.clock_gettime", lambda clock: read(clock) + seconds)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -244,8 +244,8 @@
     async def update_derived_state(self) -> None:
         """Every 0.1 s, update what is derived from the store and the peers.
 
-        Records outages of the store, tells the retry budget the number of entry processes and
-        starts fetching missing digests.
+        Records outages of the store, applies the start deadlines of waiting streams, tells the
+        retry budget the number of entry processes and starts fetching missing digests.
         """
         while True:
             now = clock.now()
@@ -253,6 +253,8 @@
                 self.fleet.store_failed_at = now
                 if self.exchange.is_store_down(now):
                     self.replica.outage_until = now - STORE_DOWN_SECONDS
+            # Timers of the event loop stand still while the machine is suspended.
+            self.front.streams.limit_waiting(now)
             alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
