Say what the new times, ages and limits mean

Remarks of a reader who did not know the change: untrue or doubled sentences, a constant whose name stood twice with two values (MAXIMUM_WIRE_AGE_MS), an unnamed interval, a repeated expression in the schedule of loads. No behaviour changes.

--- a/verbenaward/clock.py
+++ b/verbenaward/clock.py
@@ -1,4 +1,4 @@
-"""Clock of the times that the package calls monotonic."""
+"""Clock of all times that docstrings call monotonic; it counts suspensions of the machine."""
 
 import time
 
@@ -6,7 +6,7 @@
 def now() -> float:
     """Return the time since the machine was booted, in seconds.
 
-    Unlike the monotonic clock it goes on while the machine is suspended, so a time limit that
-    others count too does not end late.
+    Unlike `time.monotonic` it counts the time for which the machine is suspended, so a time limit
+    that other machines also count does not end late.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -1,7 +1,8 @@
 """Poison requests: requests that crash the backends that run them.
 
 Each entry process records the crashes that it sees and sends the latest ones to its peers. A
-process that learns of a poison request passes its crashes on once, so that all refuse it.
+process that learns of a poison request passes its crashes on for a limited time, so that all
+refuse it.
 """
 
 import time
@@ -19,9 +20,9 @@
 
 FINGERPRINT_BYTES = 16
 MAXIMUM_BROADCAST_CRASHES = 16
-"""Own crashes, and as many of poison requests, that each full broadcast contains at most."""
+"""Limit on the own crashes in a full broadcast, and again on those of poison requests."""
 CRASH_BROADCAST_SECONDS = 10.0
-"""Time for which a crash is sent to the other entry processes."""
+"""Time for which a crash is sent, or passed on, to the other entry processes."""
 
 
 def fingerprint_of(method: str, raw_path: str, workspace: str, body: bytes) -> bytes:
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -22,11 +22,9 @@
 RECENT_OUTAGE_SECONDS = 3.0
 """Time after a failed call to the store in which a registration that ends is treated as lapsed."""
 ASSUMED_AGE_AT_START_SECONDS = 5.3
-"""Assumed age of a target version that a process finds at its start: when it was set is unknown.
-With the default `version_seconds` of 8 s such a version is required 2.7 s after the start."""
+"""Assumed age of a target version that a process finds at its start."""
 MAXIMUM_DELAY_AT_START_SECONDS = 2.7
-"""Longest time after the start until such a version is required, whatever `version_seconds` is: it
-may be due already."""
+"""Limit on the time after the start until such a version is required, as it may be due already."""
 MILLISECONDS_PER_SECOND = 1000
 KEPT_VERSIONS = 16
 """Target versions that are remembered for each model."""
@@ -38,10 +36,12 @@
 
     Attributes:
       target: The version.
-      learned_at: When this process learned of it, or is assumed to have, monotonic.
-      set_after: Earliest time at which it can have been set, or is assumed to have been, monotonic.
-      required_by: Latest time from which it is required, monotonic; infinite if `set_after` is not
-        assumed.
+      learned_at: When this process learned of it, monotonic; for a version found at the start, the
+        same assumed time as `set_after`.
+      set_after: Earliest time at which it can have been set, monotonic; assumed for a version found
+        at the start.
+      required_by: Limit on the time from which it is required, monotonic; infinite unless the
+        version was found at the start.
     """
 
     target: TargetVersion
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -52,6 +52,7 @@
 MAXIMUM_HEADER_BYTES = 16 * 1024
 REGISTRATION_RETRY_SECONDS = 0.5
 """Pause after a failed write of the registration."""
+DERIVED_STATE_INTERVAL_SECONDS = 0.1
 PEER_GROUP_INTERVAL_SECONDS = 0.5
 """Interval at which the peer group is recomputed."""
 
@@ -242,7 +243,7 @@
             await asyncio.sleep(pause)
 
     async def update_derived_state(self) -> None:
-        """Every 0.1 s, update what is derived from the store and the peers.
+        """Periodically update what is derived from the store and the peers.
 
         Records outages of the store, applies the start deadlines of waiting streams, tells the
         retry budget the number of entry processes and starts fetching missing digests.
@@ -258,7 +259,7 @@
             alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(DERIVED_STATE_INTERVAL_SECONDS)
 
     async def maintain_peer_group(self) -> None:
         """Periodically recompute the peer group and pass it to the placer."""
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -63,11 +63,11 @@
 MAXIMUM_SAMPLED_REPLICA_AGE_SECONDS = 2.0
 """The same if broadcasts go to a sample of the peers, as its time then spreads in several hops."""
 STORE_DOWN_SECONDS = 2.5
-"""If the replicas of all live peers are older, the store is down; one of them may have reached it
-again for as long without this process knowing."""
+"""Age over which the replicas of all peers show that the store is down; also the time for which the
+news of a recovery may be under way."""
 MAXIMUM_HOPS = 2
-"""Processes that may have passed on the age of a replica before the peer that reports it: the age
-lacks the way of each message, so it would hardly grow if it went round."""
+"""Processes that may have passed on the age of a replica before the peer that reports it. The age
+does not include network delays, so it could otherwise circulate."""
 MAXIMUM_TARGETS = 16
 """Entry processes that receive one full broadcast, chosen at random each time."""
 
@@ -450,8 +450,9 @@
     def is_watcher(self, now: float) -> bool:
         """Return True if this process watches the store, for itself and its peers.
 
-        The first entry process of each availability zone that has not lost it does, up to
-        `WATCHERS`; every process does while no peer confirms that its replica is current.
+        The first entry process of each availability zone does, up to `WATCHERS`. Peers that have
+        lost the store are passed over; this process is not, so that it keeps trying. Every process
+        does while no peer confirms that its replica is current.
 
         Args:
           now: Present time, monotonic, in seconds.
@@ -503,13 +504,13 @@
         return min(now - self.replica.current_at, self.replica_age_by_peers(now))
 
     def replica_age_by_peers(self, now: float) -> float:
-        """Return the same as far as live peers have confirmed it."""
+        """Return the age of this replica that live peers confirm, in seconds."""
         peer = self.youngest_confirmation(now)
         unconfirmed = MAXIMUM_AGE_MS / MILLISECONDS_PER_SECOND
         return now - peer.replica_current_at if peer is not None else unconfirmed
 
     def youngest_confirmation(self, now: float) -> EntryPeer | None:
-        """Return the live peer that has last known this replica to be complete; None for none.
+        """Return the live peer that confirms the youngest age of this replica; None for none.
 
         A peer confirms it if its own replica was complete and has no change that this one lacks.
         """
@@ -524,7 +525,7 @@
         return max(confirming, key=lambda peer: peer.replica_current_at, default=None)
 
     def hops(self, now: float) -> int:
-        """Return through how many processes the age of the replica has come to this one."""
+        """Return how many processes have passed on the age of this replica; 0 if it is its own."""
         peer = self.youngest_confirmation(now)
         if peer is None or self.replica.current_at >= peer.replica_current_at:
             return 0
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -110,7 +110,7 @@
 
     Attributes:
       forwarder: Retry rules that streams share with other requests.
-      waiting: Sends that wait for their first event.
+      waiting: Sends in progress; a start deadline applies to those without a first event.
     """
 
     def __init__(self, forwarder: Forwarder) -> None:
@@ -118,7 +118,7 @@
         self.waiting: set[StreamAttempt] = set()
 
     def limit_waiting(self, now: float) -> None:
-        """Set the start deadlines of all waiting sends again: a target version has been learned."""
+        """Apply the start deadlines anew to all sends that wait for their first event."""
         for attempt in self.waiting:
             attempt.limit_start(now)
 
@@ -290,7 +290,7 @@
 
 
 class StreamAttempt:
-    """Load accounting of one send of a stream, and the time to its first event."""
+    """One send of a stream: its load accounting, start deadline and time to the first event."""
 
     def __init__(
         self, forwarder: Forwarder, choice: Choice, request: Request, started_at: float
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -17,7 +17,8 @@
 UNREACHABLE_WATCH_SECONDS = 0.1
 """Longest watch while the last call to the store failed."""
 STALLED_WATCH_SECONDS = 2.0
-"""Time before the store drops its history in which watches may have withheld changes."""
+"""Time before a compaction of the store's history in which watches may have ended without the
+changes made meanwhile."""
 STANDBY_POLL_SECONDS = 0.1
 """Interval at which a process that does not watch checks whether it has to."""
 INITIAL_BACKOFF_SECONDS = 0.05
@@ -129,7 +130,7 @@
         """Count a failed call; if the store has compacted its history, read a snapshot next.
 
         The watches just before that may have ended without changes that were made meanwhile. A
-        store that says so is not lost.
+        store that reports a compaction is reachable.
         """
         if error.failure is KeyValueFailure.COMPACTED:
             self.needs_snapshot = True
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -21,7 +21,7 @@
 """Age of a replica up to which other processes may follow it."""
 HTTP_OK = 200
 MILLISECONDS_PER_SECOND = 1000
-MAXIMUM_AGE_MS = 2**32 - 1
+MAXIMUM_WIRE_AGE_MS = 2**32 - 1
 """Largest age that the wire format can carry."""
 
 
@@ -51,11 +51,11 @@
 def changes_from_message(message: StoredItems, requested_at: float) -> Changes:
     """Return the changes that a received message holds.
 
-    The message was sent no earlier than its request and the time for which it was held there, so
-    times derived from that are never too late, however long the message was under way.
+    The message was sent at least `held_ms` after it was requested, so times derived from that are
+    never too late, whatever the network delay.
 
-    A process of an older version sends no ages. Its changes are taken to be as old as the oldest
-    replica that others follow, but those of a snapshot may be of any age.
+    A process of an older version sends no ages. A delta from it is taken to be
+    `FRESH_REPLICA_SECONDS` old; the age of a snapshot stays unknown.
 
     Args:
       message: The message.
@@ -63,12 +63,12 @@
     """
     sent_at = requested_at + message.held_ms / MILLISECONDS_PER_SECOND
     current_at = time_of_age(message.age_ms, sent_at)
-    unknown = -math.inf
+    assumed = -math.inf
     if message.revision and not message.age_ms and not message.complete:
-        unknown = current_at = sent_at - FRESH_REPLICA_SECONDS
+        assumed = current_at = sent_at - FRESH_REPLICA_SECONDS
     entries = tuple(
         KeyValueEntry(
-            item.key, item.value, item.revision, max(unknown, time_of_age(item.age_ms, sent_at))
+            item.key, item.value, item.revision, max(assumed, time_of_age(item.age_ms, sent_at))
         )
         for item in message.items
     )
@@ -78,11 +78,11 @@
 def age_ms(at: float, now: float) -> int:
     """Return the age of a time in whole milliseconds, at least 1; 0 if it is unknown or too old."""
     age = (now - at) * MILLISECONDS_PER_SECOND
-    return max(1, math.ceil(age)) if age < MAXIMUM_AGE_MS else 0
+    return max(1, math.ceil(age)) if age < MAXIMUM_WIRE_AGE_MS else 0
 
 
 def time_of_age(age: int, sent_at: float) -> float:
-    """Return the time that had an age, in milliseconds, when a message was sent, monotonic."""
+    """Return the time that was `age` milliseconds before `sent_at`; minus infinity for age 0."""
     return sent_at - age / MILLISECONDS_PER_SECOND if age else -math.inf
 
 
--- a/verbenaward/replica/store_replica.py
+++ b/verbenaward/replica/store_replica.py
@@ -62,8 +62,8 @@
       revision: Every change up to this revision is included; 0 before the first read.
       current_at: Every change that the store acknowledged before this time is included, monotonic;
         minus infinity before the first read.
-      outage_until: Latest time at which the store was down for all, monotonic; minus infinity for
-        none. It acknowledges nothing in an outage, so changes heard of later came after it.
+      outage_until: Time up to which the store is known to have answered no process in its last
+        outage, monotonic; minus infinity for none. It acknowledges nothing in an outage.
       updated_at: When changes, possibly none, were last received; monotonic, 0 for never.
       listeners: Called with each entry that is applied and the present time.
       change_log: Recent changes in the order in which they were applied.
@@ -82,7 +82,7 @@
 
     @property
     def complete_until(self) -> float:
-        """Latest time before which no change was acknowledged that is missing here, monotonic."""
+        """Time before which every acknowledged change is included here, monotonic."""
         return max(self.current_at, self.outage_until)
 
     def apply(self, changes: Changes, now: float) -> int:
@@ -109,8 +109,8 @@
         """Apply one entry and call the listeners; return False if it is not newer.
 
         A key without an entry did not exist at the replica's revision, so an entry for it that is
-        not newer than that revision is stale. A change that the replica lacked was not yet
-        acknowledged at `complete_until`, whenever and from whomever it is received.
+        not newer than that revision is stale. A change that the replica lacked was acknowledged
+        after `complete_until`, whatever its source.
         """
         held = self.entries.get(entry.key)
         held_revision = self.revision if held is None else held.revision
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -114,7 +114,7 @@
         return is_marked and not self.claims.tenures.is_past_resends(slot, now)
 
     def knows_former_runs(self, slot: int, now: float) -> bool:
-        """Return True if the former holders ran no resent key but those whose claims are known."""
+        """Return True if the known claims cover every resent key that former holders ran."""
         knows_claims = self.claims.tenures.knows_former_claims(slot, now)
         return knows_claims and not self.is_uncertain(slot, now)
 
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -143,13 +143,13 @@
   loads @8 :List(BackendLoad);
   crashes @9 :List(Crash);
   entries @10 :List(Text);  # addresses of other entry processes
-  checkedMs @11 :UInt32;    # age of the sender's replica: it has all that the store acknowledged until then
+  checkedMs @11 :UInt32;    # age of the sender's replica: it has every change acknowledged earlier
   loading @12 :Text;        # set by an endpoint process: address of its engine that loads weights
   loadingInMs @13 :UInt32;  # time until it starts to load; 0 if it accepts no requests now
   partial @14 :Bool;
   misdirected @15 :List(UInt32);  # backends with another incarnation at their address, as in BackendLoad
   storeLost @16 :Bool;      # the sender's last call to the store failed
-  hops @17 :UInt16;         # processes that passed on checkedMs before the sender; 0 if it asked the store
+  hops @17 :UInt16;         # processes that passed on checkedMs before the sender; 0 if it is the sender's own
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
@@ -166,6 +166,6 @@
   revision @0 :UInt64;
   complete @1 :Bool;        # true if keys that are not listed do not exist
   items @2 :List(StoredItem);
-  ageMs @3 :UInt32;         # all changes that the store acknowledged until then are included; 0 if unknown
+  ageMs @3 :UInt32;         # age of the content: it has every change acknowledged earlier; 0 if unknown
   heldMs @4 :UInt32;        # time from the request to this answer at the sender
 }
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -128,10 +128,14 @@
 
     @property
     def first_load_at(self) -> float:
-        """Return when the first engine begins to load: as soon as a version can be staged."""
+        """Return when the first engine begins to load: once staged, but not after the last one."""
         staging = self.staging_seconds or ASSUMED_STAGING_SHARE * self.version_seconds
-        last_load_at = self.set_after + LAST_LOAD_SHARE * self.version_seconds
-        return min(self.learned_at + staging, last_load_at)
+        return min(self.learned_at + staging, self.last_load_at)
+
+    @property
+    def last_load_at(self) -> float:
+        """Return when the last engine begins to load, unless a newer version needs it earlier."""
+        return self.set_after + LAST_LOAD_SHARE * self.version_seconds
 
     @property
     def window_seconds(self) -> float:
@@ -139,7 +143,7 @@
 
         It is shortened so that the last engine can still stage a newer version in time.
         """
-        last_load_at = self.set_after + LAST_LOAD_SHARE * self.version_seconds
+        last_load_at = self.last_load_at
         if self.newer_set_after is not None:
             newer_due = self.newer_set_after + NEWER_STAGED_SHARE * self.version_seconds
             last_load_at = min(last_load_at, newer_due - self.staging_seconds)
