Require a version that was replaced before a process heard of it from its own bound on

What callers would see: work begins on version 1 after the bound of version 2, by as much as version 3 was set after version 2.

Cause: a peer passes on the last change of each key only. A process that hears of version 3 from a peer, but never of version 2, takes the peer's time of version 3, and nothing requires version 2.

Change: if a version was left out and a peer's time of the newer one is later than the time up to which the own replica is complete, the version before it is assumed to have been set at the latter. It costs nothing while versions are heard of one by one.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -30,6 +30,17 @@
       | 9.7   |
       | 60    |
 
+  Scenario Outline: A version that was replaced before a process heard of it is required all the same
+    Given a process that <knowledge>
+    And a peer that knows of a target version set 9 s ago and of a newer one set 2 s ago
+    When the peer tells it of its changes
+    Then weights older than both are too old <seconds> s later under a bound of 8 s
+
+    Examples: replaced
+      | knowledge                        | seconds |
+      | last heard of the store 10 s ago | 0       |
+      | has just started                 | 3       |
+
   Scenario: A request is refused if no engine holds the required weights
     Given a target version set 9 s ago and a newer one set 2 s ago
     And engines that hold an older version than both
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -22,6 +22,7 @@
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
 from verbenaward.metrics import sample_sum
 from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
 
 
@@ -117,6 +118,40 @@
     assert context.needed == [0, 2], context.needed
 
 
+@given("a process that last heard of the store 10 s ago")
+def process_out_of_date(context):
+    process_that_starts(context)
+    context.replica.apply(Changes(5, True, (), NOW - 10), NOW - 10)
+
+
+@given("a process that has just started")
+def process_that_starts(context):
+    context.replica = StoreReplica()
+    context.fleet = Fleet(context.replica)
+
+
+@given("a peer that knows of a target version set 9 s ago and of a newer one set 2 s ago")
+def peer_with_both(context):
+    context.peer = StoreReplica()
+    context.peer.apply(Changes(5, True, (), NOW - 9), NOW - 9)
+    for revision, version, current_at in ((6, 2, NOW - 2), (7, 3, NOW)):
+        value = json.dumps({"model_name": "model", "version": version}).encode()
+        entry = KeyValueEntry("op/version/model", value, revision)
+        context.peer.apply(Changes(revision, False, (entry,), current_at), current_at)
+
+
+@when("the peer tells it of its changes")
+def peer_tells(context):
+    message = changes_to_message(context.peer.changes_after(context.replica.revision), NOW, NOW)
+    context.replica.apply(changes_from_message(message, NOW), NOW)
+
+
+@then("weights older than both are too old {seconds:g} s later under a bound of {bound:g} s")
+def older_weights_too_old(context, seconds, bound):
+    required = context.fleet.required_version("model", bound, NOW + seconds)
+    assert required == 2, required
+
+
 @when("the version that a request requires is determined")
 def needed(context):
     context.version = placer_of(context.fleet).required_version(request_of(), NOW)
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -1,5 +1,6 @@
 """Configuration, backends and weights versions, as derived from the entries of the store."""
 
+import dataclasses
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -219,6 +220,12 @@
         known = self.versions.setdefault(target.model, [])
         if known and target.version <= known[-1].target.version:
             return
+        newest = known[-1].target.version if known else 0
+        current_at = self.replica.current_at
+        if target.version - 1 > newest and entry.acknowledged_after > current_at:
+            # A version between them may have been set at any time since then.
+            replaced = dataclasses.replace(target, version=target.version - 1)
+            known.append(learned_version(replaced, current_at, now))
         known.append(learned_version(target, entry.acknowledged_after, now))
         del known[:-KEPT_VERSIONS]
         LOG.info(
