Take a watch without changes as proof up to its call only

What callers would see: work begins on old weights up to 0.5 s after the bound, more than the 0.3 s by which sends are cancelled early.

Cause: a watch that ended without changes counted as complete up to the end of its duration. An empty answer that the store gave early and that was read late counted alike.

Change: every watch is complete up to its call. The bound can end earlier by the duration of a watch, 0.5 s.

Evidence: "A target version that a stalled watch withheld counts from its acknowledgement" failed before, with the history compacted during the stall, and passes now. A stall over several watches in a row would still be taken for silence of the store.

--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -64,3 +64,8 @@
     Given one entry process that is ready
     When a target version is set and the machine is suspended for the whole bound
     Then the process starts nothing on older weights
+
+  Scenario: A target version that a stalled watch withheld counts from its acknowledgement
+    Given one entry process that is ready
+    When watches deliver nothing while a target version is set, and the history is compacted
+    Then the process assumes that the version was set no later than it was
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -395,6 +395,25 @@
     store.suppress_watch_events = False
 
 
+@when("watches deliver nothing while a target version is set, and the history is compacted")
+def version_withheld(context):
+    store, role = context.platform.store, context.platform.entries[0]
+    store.suppress_watch_events = True
+    context.set_at = clock.now()
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    store.put("op/version/model", value)
+    run(context, asyncio.sleep(MAXIMUM_WATCH_SECONDS + 0.1))
+    store.compact_history()
+    store.suppress_watch_events = False
+    assert run(context, until(lambda: role.fleet.versions))
+
+
+@then("the process assumes that the version was set no later than it was")
+def not_set_later(context):
+    learned = context.platform.entries[0].fleet.versions["model"][-1]
+    assert learned.set_after <= context.set_at, learned.set_after - context.set_at
+
+
 @when("the store holds a malformed configuration")
 def unreadable(context):
     context.platform.store.put("op/config", b'{"version": 99, "routes": [{}]}')
--- a/tests/steps/replica_items.py
+++ b/tests/steps/replica_items.py
@@ -274,7 +274,7 @@
             if receiver == sender:
                 found = tuple(item for item in written if item.revision > replica.revision)
                 read = KeyValueSnapshot(len(written), found)
-                changes = changes_of_watch(read, asked_at, held, now)
+                changes = changes_of_watch(read, asked_at)
             else:
                 known = replicas[sender].changes_after(replica.revision)
                 message = changes_to_message(known, came_at, sent_at)
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -109,9 +109,7 @@
             await asyncio.wait({watching, restarted}, return_when=asyncio.FIRST_COMPLETED)
             if not watching.done():
                 return None
-            return watching.result().map(
-                lambda read: changes_of_watch(read, called_at, seconds, clock.now())
-            )
+            return watching.result().map(lambda read: changes_of_watch(read, called_at))
         finally:
             watching.cancel()
             restarted.cancel()
@@ -143,23 +141,16 @@
         return min(MAXIMUM_BACKOFF_SECONDS, backoff) * self.rng.uniform(0.5, 1.0)
 
 
-def changes_of_watch(
-    read: KeyValueSnapshot, called_at: float, seconds: float, now: float
-) -> Changes:
+def changes_of_watch(read: KeyValueSnapshot, called_at: float) -> Changes:
     """Return the changes that a watch has delivered.
 
-    The store answers a watch without changes after its whole duration, else at an unknown time
-    after the call.
+    They are complete up to the call only: a stalled watch ends without the changes made meanwhile.
 
     Args:
       read: What the watch returned.
       called_at: When the watch was begun, monotonic, in seconds.
-      seconds: Duration after which the store ends it.
-      now: Present time, monotonic, in seconds.
     """
-    ended_at = called_at + seconds
-    current_at = ended_at if not read.entries and now >= ended_at else called_at
-    return Changes(read.revision, False, read.entries, current_at)
+    return Changes(read.revision, False, read.entries, called_at)
 
 
 class PeerFetcher:
