Do not take a failed call of long ago for an outage of the store

What callers would see: requests go to a backend for 2 s after its registration has ended, on top of the time that the process takes to hear of that.

Cause: a process that watches the store for a while, as the one before it in its zone has lost it, may stop to watch right after a failed call. Its follower then stays unreachable, as no call follows, and update_derived_state recorded that as an outage that goes on. Every registration that ended from then on counted as lapsed. More processes watch for a while since the watchers are replaced at once.

Change: the state counts while this process watches.

Evidence: "A process that has stopped watching the store after a failed call does not keep backends that leave" failed before and passes now.

--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -43,6 +43,11 @@
     And a caller looks something up
     Then it gets the complete answer of a backend
 
+  Scenario: A process that has stopped watching the store after a failed call does not keep backends that leave
+    Given one entry process that is ready
+    When a call to the store fails, peers watch it from then on, and a backend leaves 4 s later
+    Then the process has removed the backend
+
   Scenario: A leaving process is not listed, and completes its requests
     Given two entry processes that are ready
     When the first process is told to stop while a slow stream runs
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -11,8 +11,9 @@
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
 from verbenaward import clock
+from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.leased_store import LeasedStore
-from verbenaward.platform.names import DIGESTS_PREFIX
+from verbenaward.platform.names import BACKEND_PREFIX, DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
 from verbenaward.replica.follower import MAXIMUM_WATCH_SECONDS
 from verbenaward.replica.store_replica import Changes, StoreReplica
@@ -395,6 +396,27 @@
     store.suppress_watch_events = False
 
 
+@when(
+    "a call to the store fails, peers watch it from then on, and a backend leaves "
+    "{seconds:d} s later"
+)
+def backend_leaves_later(context, seconds):
+    store, role = context.platform.store, context.platform.entries[0]
+    context.left = plain(context)[0].identity
+    store.mode = "down"
+    assert run(context, until(lambda: not role.follower.reachable))
+    role.exchange.is_watcher = lambda now: False
+    store.mode = "ok"
+    run(context, asyncio.sleep(seconds))
+    gone = KeyValueEntry(BACKEND_PREFIX + context.left, b"", role.replica.revision + 1)
+    role.replica.apply(Changes(gone.revision, False, (gone,), clock.now()), clock.now())
+
+
+@then("the process has removed the backend")
+def backend_removed(context):
+    assert context.left not in context.platform.entries[0].fleet.backends
+
+
 @when("watches deliver nothing while a target version is set, and the history is compacted")
 def version_withheld(context):
     store, role = context.platform.store, context.platform.entries[0]
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -240,12 +240,12 @@
     async def update_derived_state(self) -> None:
         """Every 0.1 s, update what is derived from the store and the peers.
 
-        Records the time while the store fails, updates the number of entry processes and starts
-        fetching missing digests.
+        Records the time while the store fails calls of this process, updates the number of entry
+        processes and starts fetching missing digests.
         """
         while True:
             now = clock.now()
-            if not self.follower.reachable:
+            if not self.follower.reachable and self.exchange.is_watcher(now):
                 self.fleet.store_failed_at = now
             alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
             self.budget.update_entry_count(alive + 1)
