Scenarios that fail: ages that lose the way at each hop, crashes passed on by none, a send that outlives its bound

Three further places of the direct mode in which a bound is counted from hearing: - replica_age_by_peers() takes a broadcast for as young as it says at its receipt. Each hop loses the way and the delay of the receiver's loop, and in a large fleet the best age spreads in many hops a second, so processes that all heard nothing keep each other current. - CrashTracker sends its own crashes only, to a sample of the peers. - The start deadline of a send is fixed when it is sent.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -167,3 +167,13 @@
       | are turned away by it        | 2       |
       | hear nothing from it         | 2       |
       | are cut off from all others  | 3       |
+
+  Scenario: Slow messages do not keep processes in the belief that their replica is current
+    Given 41 entry processes in 4 zones whose messages take 100 ms
+    When all that watch the store are cut off from all others, and a change is made
+    Then every other process has the change within 3 s
+
+  Scenario: A poison request is known to every entry process in time
+    Given 41 entry processes in 4 zones that broadcast to samples of their peers
+    When two of them see a backend crash with the same request
+    Then all of them refuse it 4 s later
--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -74,3 +74,9 @@
     Given one entry process that is ready
     When watches deliver nothing while a target version is set, and the history is compacted
     Then the process assumes that the version was set no later than it was
+
+  Scenario: A stream that waits at an engine does not begin there after a newer version is required
+    Given one entry process that is ready
+    And target versions are required 1 s after they were set
+    When a target version is set while a stream waits for its first event
+    Then the stream is cancelled at the engine within the bound
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -16,7 +16,7 @@
 from verbenaward.replica.store_replica import Changes
 
 DELAY_SECONDS = 0.002
-"""One-way delay of every message."""
+"""One-way delay of every message, unless a simulation sets another one."""
 TICK_SECONDS = 0.02
 """Interval at which a process looks for a broadcast that is due."""
 SILENCE_SECONDS = 0.6
@@ -56,7 +56,7 @@
             return
         source = ("127.0.0.1", int(self.exchange.settings.listen.rpartition(":")[2]))
         self.simulation.after(
-            DELAY_SECONDS,
+            self.simulation.delay,
             lambda: receiver.exchange.receive(payload, source, self.simulation.now),
         )
 
@@ -72,7 +72,7 @@
         if ahead and not self.is_fetching:
             self.is_fetching = True
             peer = self.simulation.entries[int(ahead[0].rpartition(":")[2]) - 9000]
-            self.simulation.after(4 * DELAY_SECONDS, lambda: self.fetch(peer))
+            self.simulation.after(4 * self.simulation.delay, lambda: self.fetch(peer))
 
     def fetch(self, peer):
         """Apply the changes that a peer has."""
@@ -97,7 +97,7 @@
         elif not self.fault and (now >= until or self.simulation.revision > self.replica.revision):
             self.succeed(called_at)
         else:
-            self.simulation.after(2 * DELAY_SECONDS, lambda: self.watch(called_at, until))
+            self.simulation.after(2 * self.simulation.delay, lambda: self.watch(called_at, until))
 
     def succeed(self, called_at):
         """Apply what the store answered, and watch again."""
@@ -106,7 +106,7 @@
         self.replica.apply(
             Changes(self.simulation.revision, False, known, called_at), self.simulation.now
         )
-        self.simulation.after(2 * DELAY_SECONDS, self.follow)
+        self.simulation.after(2 * self.simulation.delay, self.follow)
 
     def fail(self):
         """Record a failed call, and try again after the backoff."""
@@ -129,10 +129,12 @@
       entries: The processes.
       revision: Revision of the store.
       items: Its items.
+      delay: One-way delay of every message, in seconds.
     """
 
-    def __init__(self, count, zones):
+    def __init__(self, count, zones, delay=DELAY_SECONDS):
         self.now = 0.0
+        self.delay = delay
         self.events = []
         self.scheduled = 0
         self.revision = 1
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -687,6 +687,32 @@
     assert run(context, until(lambda: role.fleet.versions, 1.4))
 
 
+@when("a target version is set while a stream waits for its first event")
+def version_set_during_wait(context):
+    role = context.platform.entries[0]
+    for engine in engines(context):
+        engine.mode = "hang"
+
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            sending = asyncio.create_task(
+                send_request(session, role.direct.front, "/stream/x", "a-1")
+            )
+            await asyncio.sleep(0.1)
+            value = json.dumps({"model_name": "model", "version": 2}).encode()
+            context.platform.store.put("op/version/model", value)
+            await asyncio.sleep(role.front.forwarder.placer.version_seconds)
+            context.cancelled = [name for item in engines(context) for name in item.cancelled]
+            sending.cancel()
+
+    run(context, send())
+
+
+@then("the stream is cancelled at the engine within the bound")
+def stream_cancelled(context):
+    assert context.cancelled == ["a-1"], context.cancelled
+
+
 @then("from {seconds:g} s after it was set the second process starts nothing on older weights")
 def nothing_on_old_weights(context, seconds):
     run(context, asyncio.sleep(context.set_at + seconds - clock.now()))
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -11,6 +11,7 @@
 from verbenaward.direct.addresses import addresses_for
 from verbenaward.direct.peer_groups import MINIMUM_BACKENDS, peer_group_of
 from verbenaward.replica.store_replica import Changes
+from verbenaward.requests.quarantine import QuarantineState
 from verbenaward.schema.messages import Pulse
 from verbenaward.wire.codec import encode
 
@@ -292,6 +293,14 @@
     context.simulate = lambda: context.loop.run_until_complete(make())
 
 
+@given("{count:d} entry processes in {zones:d} zones whose messages take {milliseconds:d} ms")
+def slow_messages(context, count, zones, milliseconds):
+    async def make():
+        return SimulatedEntries(count, zones, milliseconds / 1000)
+
+    context.simulate = lambda: context.loop.run_until_complete(make())
+
+
 @when("all that watch the store {fault}, and a change is made")
 def lose_store(context, fault):
     context.lags = []
@@ -310,3 +319,24 @@
 @then("every other process has the change within {seconds:g} s")
 def all_have_change(context, seconds):
     assert max(context.lags) <= seconds, context.lags
+
+
+@when("two of them see a backend crash with the same request")
+def two_crashes(context):
+    context.simulation = context.simulate()
+    context.simulation.run_until(4.0)
+    for index in (0, 1):
+        crashes = context.simulation.entries[index].exchange.crashes
+        crashes.record_crash(b"request", f"backend-{index}", context.simulation.now)
+
+
+@then("all of them refuse it {seconds:g} s later")
+def all_refuse(context, seconds):
+    simulation = context.simulation
+    simulation.run_until(simulation.now + seconds)
+    states = [
+        entry.exchange.crashes.quarantine_state_of(b"request", simulation.now)
+        for entry in simulation.entries
+    ]
+    known = states.count(QuarantineState.POISON)
+    assert known == len(states), (known, len(states))
