Scenarios that fail: a slot handed on twice, and a successor that was suspended

A successor knows until when the keys of its former holder may be resent, but only in its own memory: if it releases the slot within that time, the next holder takes the release for a proof of claims. And the evidence of claims is timed by the monotonic clock, which stands still while a machine is suspended.

--- a/tests/requests/at_most_once.feature
+++ b/tests/requests/at_most_once.feature
@@ -13,6 +13,14 @@
     When a holder runs a key without a claim and crashes, and another process takes over its slot
     Then the key ran once and the answer is may-have-run
 
+  Scenario: A slot that is handed on twice does not run keys that may have run without a claim
+    When a holder runs a key without a claim and crashes, and its successor leaves soon after
+    Then the key ran once and the answer is may-have-run
+
+  Scenario: A successor that was suspended does not take old evidence for a proof of claims
+    When a successor is suspended after the former holder's last renewal, for longer than the grace
+    Then it takes over the slots as uncertain
+
   Scenario: Suspicion does not free the slots of a live holder
     When a holder loses the key-value service, is suspected by the others and runs without claims
     Then only the holder runs the key, and no other process acquires its slot
--- a/tests/steps/requests_at_most_once.py
+++ b/tests/steps/requests_at_most_once.py
@@ -1,5 +1,6 @@
 import asyncio
 import time
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import settings
@@ -20,7 +21,15 @@
 from verbenaward.requests.claims import ClaimTimes
 from verbenaward.requests.records import Answer
 from verbenaward.requests.slot_manager import SlotManager
-from verbenaward.requests.slots import Evidence, OwnWrite, has_all_claims, slot_of
+from verbenaward.requests.slots import (
+    SLOT_COUNT,
+    Evidence,
+    OwnWrite,
+    SlotHolder,
+    SlotTable,
+    has_all_claims,
+    slot_of,
+)
 from verbenaward.schema.messages import Member, MemberKind, MemberStatus
 
 TIMES = ClaimTimes(outage_grace=5.0, write_delay=1.0, renewal_interval=0.7, resend_window=60.0)
@@ -213,6 +222,20 @@
 
 @when("a holder runs a key without a claim and crashes, and another process takes over its slot")
 def takeover_of_unclaimed_key(context):
+    machine = unclaimed_run(context)
+    answer_resend(context, machine)
+
+
+@when("a holder runs a key without a claim and crashes, and its successor leaves soon after")
+def second_takeover_of_unclaimed_key(context):
+    machine = unclaimed_run(context)
+    successor = next(item for item in machine.processes.values() if holds_key(item))
+    machine.drain(successor.own.member.vm)
+    machine.advance(6.0)
+    answer_resend(context, machine)
+
+
+def unclaimed_run(context):
     machine = OnceMachine()
     context.add_cleanup(machine.teardown)
     holder = next(item for item in machine.processes.values() if holds_key(item))
@@ -223,11 +246,44 @@
     machine.advance(3.0)
     machine.world.down = False
     machine.advance(12.0)
-    successor = next(item for item in machine.processes.values() if holds_key(item))
-    context.answer = machine.loop.run_until_complete(successor.send(KEYS[0]))
+    return machine
+
+
+def answer_resend(context, machine):
+    holder = next(item for item in machine.processes.values() if holds_key(item))
+    context.answer = machine.loop.run_until_complete(holder.send(KEYS[0]))
     context.ledger = machine.ledger
 
 
+@when("a successor is suspended after the former holder's last renewal, for longer than the grace")
+def suspended_successor(context):
+    world, former = KeyValueWorld(), FakeOwnRecord("vm-0", 1)
+    managers = [
+        SlotManager(FakeKeyValues(world), None, Directory(vm), own, TIMES, time.monotonic())
+        for vm, own in (("vm-0", former), ("vm-1", FakeOwnRecord("vm-1", 2)))
+    ]
+    holder, successor = managers
+    for manager in (successor, holder):
+        context.loop.run_until_complete(manager.renew())
+    read = time.clock_gettime
+    # The boot-time clock counts a suspension, the monotonic clock does not.
+    suspension = mock.patch("time.clock_gettime", lambda clock: read(clock) + 10.0)
+    suspension.start()
+    context.add_cleanup(suspension.stop)
+    successor.directory.merge(FakeOwnRecord("vm-0", 3).member, time.monotonic())
+    slot_holder = SlotHolder("vm-0", 1)
+    successor.table = SlotTable((slot_holder,) * SLOT_COUNT)
+    context.loop.run_until_complete(successor.find_ended_holders())
+    context.uncertain_until = context.loop.run_until_complete(
+        successor.uncertainty_end(slot_holder)
+    )
+
+
+@then("it takes over the slots as uncertain")
+def taken_over_as_uncertain(context):
+    assert context.uncertain_until > 0.0
+
+
 @when("a holder loses the key-value service, is suspected by the others and runs without claims")
 def suspected_holder(context):
     machine = OnceMachine()
