Scenario that fails: all watchers of the configuration are turned away by the service

In proxied mode the three processes that watch the configuration are chosen by the ring, whether or not the service answers them; the others read the head every 30 s. The target is 12 s.

--- a/tests/configuration/store.feature
+++ b/tests/configuration/store.feature
@@ -22,3 +22,8 @@
   Scenario: A different document with the revision in force is refused
     When a process is offered another document with the revision in force
     Then it keeps its own and counts the refusal
+
+  Scenario: A change is in force in time though the processes that watch the service are turned away
+    Given 6 entry processes, of which the 3 that watch the service are turned away by it
+    When a change is accepted
+    Then every process has it in force within 12 s
--- a/tests/steps/configuration_store.py
+++ b/tests/steps/configuration_store.py
@@ -146,3 +146,47 @@
 def check_kept(context):
     assert context.follower.configuration.write_id == "first"
     assert metrics.sample_sum("verbenaward_configuration_refused_total") == context.refused + 1
+
+
+@given("6 entry processes, of which the 3 that watch the service are turned away by it")
+def watchers_turned_away(context):
+    virtual = virtual_loop()
+    context.virtual_loop = virtual.__enter__()
+    context.add_cleanup(lambda: virtual.__exit__(None, None, None))
+    context.world = KeyValueWorld()
+    context.followers = [ConfigurationFollower() for _ in range(6)]
+    context.following = []
+
+    async def start():
+        for index, follower in enumerate(context.followers):
+            service = FakeKeyValues(context.world)
+            watches = index < 3
+            following = follower.follow(service, lambda watches=watches: watches)
+            context.following.append(asyncio.ensure_future(following))
+            follower.listeners.append(tell_others(context.followers))
+            await asyncio.sleep(0.1)
+            service.cut = watches
+
+    context.virtual_loop.run_until_complete(start())
+
+
+def tell_others(followers):
+    def tell(configuration):
+        for follower in followers:
+            follower.offer(configuration, 0.0, "peer")
+
+    return tell
+
+
+@when("a change is accepted")
+def accept_change(context):
+    proposal = Proposal(manifest_named("w"), "op", "", "write")
+    service = FakeKeyValues(context.world)
+    context.virtual_loop.run_until_complete(apply(service, proposal, 0.0))
+
+
+@then("every process has it in force within {seconds:g} s")
+def in_force_within(context, seconds):
+    context.virtual_loop.run_until_complete(asyncio.sleep(seconds))
+    revisions = [follower.configuration.revision for follower in context.followers]
+    assert revisions == [1] * len(revisions), revisions
