--- a/standins/platform.py
+++ b/standins/platform.py
@@ -36,6 +36,14 @@
         return f"{host}:{probe.getsockname()[1]}"
 
 
+async def open_site(runner: web.AppRunner, address: str) -> web.TCPSite:
+    """Have a server listen at an address."""
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), reuse_address=True)
+    await site.start()
+    return site
+
+
 class PlatformStandIn:
     """A running platform with the entry and endpoint processes under test.
 
@@ -82,15 +90,15 @@
         self.origin.address = free_address()
         await self.listen(self.origin.application(), self.origin.address)
 
-    async def listen(self, app: web.Application, address: str) -> None:
-        """Serve an application at an address until the platform stops."""
+    async def listen(self, app: web.Application, address: str) -> web.AppRunner:
+        """Serve an application at an address until the platform stops, and return its server."""
         runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+        await open_site(runner, address)
         self.runners.append(runner)
+        return runner
 
     async def add_backend(
         self, identity: str, service: str, zone: str = "zone-a", version: int = 1
@@ -98,7 +106,9 @@
         """Start a backend on a host of its own and register it."""
         backend = PlatformBackendStandIn(identity, service, zone, version)
         backend.address = free_address(self.next_host())
-        await self.listen(backend.application(), backend.address)
+        runner = await self.listen(backend.application(), backend.address)
+        (backend.site,) = runner.sites
+        backend.open_site = lambda: open_site(runner, backend.address)
         self.backends[identity] = backend
         self.register(backend)
         return backend
@@ -219,6 +229,9 @@
         """Stop the entry and endpoint processes, then all servers."""
         for role in (*self.entries, *self.endpoints):
             await role.close()
+        for backend in self.backends.values():
+            if backend.restarting is not None:
+                backend.restarting.cancel()
         for runner in self.runners:
             await runner.cleanup()
 
@@ -230,13 +243,14 @@
     attempt: str,
     headers: dict[str, str] | None = None,
     body: bytes = b"",
+    method: str = "",
 ) -> tuple[int, dict[str, str], bytes]:
-    """Send a request as a caller.
+    """Send a request as a caller, by default with the method that is usual for its path.
 
     Returns:
       Status, headers and body; status 0 if the connection ended without a complete response.
     """
-    method = "POST" if path.startswith(("/book", "/stream")) else "GET"
+    method = method or ("POST" if path.startswith(("/book", "/stream")) else "GET")
     sent = {
         "Host": CALLER_HOST,
         "X-Attempt-Id": attempt,
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -1,6 +1,7 @@
 """Stand-ins for backends of the users' platform: plain service, engine, and origin of weights."""
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import random
@@ -8,6 +9,7 @@
 import struct
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
@@ -30,8 +32,15 @@
         reset), "truncated-event" (a stream is reset within an event), "trickling" (half of a
         stream, then a byte every 0.1 s), "wrong-attempt" (the response has the id of another
         attempt), "truncated" (half of the body, then a reset), "unframed-reset" (as "truncated",
-        without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow" or
-        "pausing" (as "full", with a Retry-After of `pause_seconds`).
+        without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow",
+        "pausing" (as "full", with a Retry-After of `pause_seconds`) or "crashing" (a request that
+        begins to run ends the process, see `crash`).
+      restart_seconds: Time after which it is back after a crash, in seconds.
+      crashes: Number of crashes so far.
+      active: Requests that run now.
+      site: Its listening socket; None while it has crashed.
+      open_site: Opens the listening socket; set by the platform.
+      restarting: Opens it again after the last crash.
       pause_seconds: Time for which it asks for no requests in mode "pausing", in seconds.
       says_leaving: Whether all its responses say that it leaves.
       heartbeats: Number of registrations so far.
@@ -71,6 +80,12 @@
         self.heartbeats = 1
         self.born_unix_ms = 1
         self.arrivals: list[float] = []
+        self.restart_seconds = 0.1
+        self.crashes = 0
+        self.active: list[web.Request] = []
+        self.site: web.TCPSite | None = None
+        self.open_site: Callable[[], Awaitable[web.TCPSite]] | None = None
+        self.restarting: asyncio.Task[None] | None = None
 
     def application(self) -> web.Application:
         """Build the HTTP application."""
@@ -128,11 +143,36 @@
             return web.Response(status=503, headers=headers)
         self.bodies.append(await request.read())
         self.run_counts[attempt] += 1
+        self.active.append(request)
         try:
             return await self.run(request, attempt)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
+        finally:
+            self.active = [item for item in self.active if item is not request]
+
+    async def crash(self) -> None:
+        """End as a process does: stop listening, reset all connections, and come back later.
+
+        Raises:
+          CancelledError: Always, to end the handler.
+        """
+        self.crashes += 1
+        site, self.site = self.site, None
+        if site is not None:
+            await site.stop()
+            self.restarting = asyncio.create_task(self.restart())
+        for request in self.active:
+            with contextlib.suppress(asyncio.CancelledError):
+                reset_connection(request)
+        raise asyncio.CancelledError
+
+    async def restart(self) -> None:
+        """Listen again after a crash."""
+        await asyncio.sleep(self.restart_seconds)
+        assert self.open_site is not None
+        self.site = await self.open_site()
 
     async def run(self, request: web.Request, attempt: str) -> web.StreamResponse:
         """Run a request and respond as the mode says."""
@@ -140,6 +180,8 @@
             await asyncio.sleep(3600)
         if self.mode == "reset":
             reset_connection(request)
+        if self.mode == "crashing":
+            await self.crash()
         await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
         answered_attempt = "another" if self.mode == "wrong-attempt" else attempt
         headers = {
--- /dev/null
+++ b/tests/direct/poison.feature
@@ -0,0 +1,47 @@
+Feature: Requests that crash the backends that run them
+
+  Scenario Outline: A <method> booking whose backend crashes runs once, and is not called "not run"
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And all plain backends are "crashing"
+    When a caller books something by <method>
+    Then the status is 502
+    And the booking ran 1 times
+
+    Examples: methods
+      | method  |
+      | POST    |
+      | PUT     |
+      | DELETE  |
+      | GET     |
+      | OPTIONS |
+
+  Scenario: A look-up that crashes its backends is sent twice in all, though they are back at once
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And all plain backends are "crashing"
+    When the same look-up is sent again and again, each time to running backends
+    Then 2 backends crashed
+
+  Scenario Outline: A process that starts <seconds> s after the crashes refuses a poison request in time
+    Given 9 entry processes in 3 zones that broadcast to samples of their peers
+    When two of them see a backend crash with the same request
+    And one of the others starts anew <seconds> s later
+    Then all of them refuse it 3 s later
+
+    Examples: starts
+      | seconds |
+      | 2       |
+      | 15      |
+      | 60      |
+
+  Scenario: Crashes with many other requests do not keep a poison request from the other processes
+    Given 41 entry processes in 4 zones that broadcast to samples of their peers
+    When two of them see a backend crash with the same request
+    And these two lose a backend with 40 other requests in the same moment
+    Then all of them refuse it 4 s later
+
+  Scenario: A request that was in flight several times at one lost backend is not refused
+    Given 9 entry processes in 3 zones that broadcast to samples of their peers
+    When two of them lose the same backend, each with two runs of the same request
+    Then none of them refuses it 4 s later
--- /dev/null
+++ b/tests/http_client.feature
@@ -0,0 +1,17 @@
+Feature: The HTTP client sends each call once
+
+  Scenario Outline: A lost <method> call to a backend of the proxied mode may have run
+    Given a server that ends with the first call that it reads
+    When the proxied mode sends a <method> call to it
+    Then the verdict is that it may have run, and the server read 1 calls
+
+    Examples: methods
+      | method |
+      | GET    |
+      | PUT    |
+      | POST   |
+
+  Scenario: A write that took effect though its answer was lost is not reported as a conflict
+    Given a key-value service that applies a write and loses its answer
+    When a key is written on the condition that it is new
+    Then the outcome is unknown, and the service read 1 calls
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -163,6 +163,16 @@
             action()
         self.now = end
 
+    def restart(self, index):
+        """Replace a process by a new one that has read the store and knows nothing else."""
+        old = self.entries[index]
+        old.fault = CUT_OFF
+        entry = self.entries[index] = SimulatedEntry(self, index, old.exchange.settings.zone)
+        entry.exchange.incarnation = old.exchange.incarnation + 1
+        entry.replica.apply(Changes(self.revision, True, tuple(self.items), self.now), self.now)
+        entry.broadcast()
+        entry.follow()
+
     def change(self):
         """Make a change in the store."""
         self.revision += 1
--- /dev/null
+++ b/tests/steps/poison.py
@@ -0,0 +1,80 @@
+"""Steps on requests that crash the backends that run them."""
+
+import asyncio
+import time
+
+import aiohttp
+from behave import then, when
+
+from standins.platform import send_request
+from tests.steps.platform_running import call, plain, run, until
+from verbenaward.requests.quarantine import QuarantineState
+
+
+@when("a caller books something by {method}")
+def book_by(context, method):
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            address = context.platform.entries[0].direct.front
+            return await send_request(
+                session, address, "/book/bed", "booking", body=b"bed 7", method=method
+            )
+
+    context.answer = run(context, send())
+
+
+@when("the same look-up is sent again and again, each time to running backends")
+def look_again_when_running(context):
+    for index in range(6):
+        call(context, "/look/poison", f"a-{index}")
+        assert run(context, until(lambda: all(item.site for item in plain(context))))
+        # A backend that could not be reached is avoided for a second.
+        run(context, asyncio.sleep(1.1))
+
+
+@then("{count:d} backends crashed")
+def crashed(context, count):
+    crashes = sum(item.crashes for item in plain(context))
+    assert crashes == count, crashes
+
+
+@when("one of the others starts anew {seconds:g} s later")
+def start_anew(context, seconds):
+    simulation = context.simulation
+    simulation.run_until(simulation.now + seconds)
+
+    async def restart():
+        simulation.restart(5)
+
+    run(context, restart())
+
+
+@when("these two lose a backend with {count:d} other requests in the same moment")
+def lose_backend(context, count):
+    for index in (0, 1):
+        crashes = context.simulation.entries[index].exchange.crashes
+        for number in range(count):
+            fingerprint = f"other-{index}-{number}".encode()
+            crashes.record_crash(fingerprint, f"lost-{index}", context.simulation.now)
+
+
+@when("two of them lose the same backend, each with two runs of the same request")
+def lose_shared_backend(context):
+    context.simulation = context.simulate()
+    context.simulation.run_until(4.0)
+    for index in (0, 1):
+        crashes = context.simulation.entries[index].exchange.crashes
+        for _ in range(2):
+            crashes.record_crash(b"request", "lost", context.simulation.now)
+            context.simulation.run_until(context.simulation.now + 0.01)
+            time.sleep(0.002)  # Crashes carry the time of day.
+
+
+@then("none of them refuses it {seconds:g} s later")
+def none_refuses(context, seconds):
+    simulation = context.simulation
+    simulation.run_until(simulation.now + seconds)
+    assert QuarantineState.POISON not in [
+        entry.exchange.crashes.quarantine_state_of(b"request", simulation.now)
+        for entry in simulation.entries
+    ]
