Send each call once: the HTTP client repeated calls that had run

Cause: aiohttp repeats GET, HEAD, OPTIONS, TRACE, PUT and DELETE by itself after a lost connection, on clients without pooling too. The second send met the closed port of the crashed backend, and 'cannot connect' was taken for proof that nothing ran.

Change: a middleware turns a lost connection into an error that aiohttp does not repeat. The end of a lease, which does no harm twice, is repeated by our own code.

Ruled out: the exchange of crashes between processes, as there was none to exchange; it has faults of its own, which stay in KNOWN-RED.txt for now.

--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -82,7 +82,7 @@
   Scenario: A request that crashed two backends is refused
     Given all plain backends are "reset"
     When the same look-up is sent again and again
-    Then it reached backends at most 4 times
+    Then it reached backends at most 2 times
 
   Scenario: A stream is forwarded event by event
     When a caller opens a stream
--- a/verbenaward/ctl/clients.py
+++ b/verbenaward/ctl/clients.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from ..data import Configuration
+from ..http_client import send_writes_once
 from ..platform.key_value import ADAPTERS, KeyValueService
 from ..schema.messages import Acknowledgement, ConfigurationOffer
 from ..wire.rpc import call
@@ -65,7 +66,7 @@
     """Run an async operation on the key-value service at a URL and return its result."""
 
     async def run() -> Value:
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(middlewares=(send_writes_once,)) as session:
             return await operation(ADAPTERS.find("http")(session, url))
 
     return uvloop.run(run())
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 from yarl import URL
 
+from ..http_client import send_once
 from ..platform.request_headers import (
     BackendHeaders,
     BackendNotice,
@@ -49,6 +50,7 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        middlewares=(send_once,),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -13,6 +13,7 @@
 
 from .. import clock
 from ..data import Load, Refusal
+from ..http_client import send_once
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED
 from ..requests.records import Answer
@@ -57,8 +58,8 @@
     Attributes:
       url: Base URL of the backend.
       session: HTTP client with a connection pool, for idempotent calls.
-      unpooled_session: HTTP client that opens a new connection for each call, because aiohttp
-        may resend a call whose pooled connection turns out to be closed.
+      unpooled_session: HTTP client that opens a new connection for each call: one whose pooled
+        connection turns out to be closed may have run and could not be sent again.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
             data=call_body(call),
             headers=call_headers(call),
             timeout=timeout,
+            middlewares=(send_once,),
         )
 
     async def run(self, call: BackendCall, vm: str, release: str) -> Result[Answer, Refusal]:
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -171,7 +171,11 @@
         lease = self.leases.pop(key, None)
         if lease is None or lease.era != self.era:
             return Success(0)
-        result = await self.call("DELETE", f"/kv-lease-end/{lease.id}")
+        path = f"/kv-lease-end/{lease.id}"
+        result = await self.call("DELETE", path)
+        if isinstance(result, Failure) and result.failure().failure is KeyValueFailure.UNKNOWN:
+            # To end a lease twice does no harm.
+            result = await self.call("DELETE", path)
         return result.map(lambda _: 0)
 
     async def grant_lease(self, ttl_seconds: float) -> Result[Lease, KeyValueError]:
