Evidence of crashes: what counts, and which process knows it

What callers would have seen: after a restart of an entry process, or with a rack lost in the same moment, a request that crashes its backends is sent on (BUDGET); and an innocent request that was twice in flight at one lost backend is refused for 600 s by all processes.

Cause: the exchange of crashes was an exchange of news. It told them for 10 s, the latest 16 of all requests, and took each report for a crash of its own, with the time of day as its identity.

Change: a record per key holds which incarnations of backends ended, when, and when the request had been sent there. Poison and quarantined keys are broadcast for as long as they are that, first, in turns, with ages in place of times. Several crashes at once only quarantine a key: one appointed process tries it, one request at a time. A crash after a send that followed the one before it makes it poison; an answer clears it, at all processes. The scenario of 41 processes now lets the second crash follow the first, which it did not say; two in the same moment have a scenario of their own.

Rolling upgrades: a build without this change learns no crashes of the new one, and the other way round; each still counts its own.

--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -45,3 +45,15 @@
     Given 9 entry processes in 3 zones that broadcast to samples of their peers
     When two of them lose the same backend, each with two runs of the same request
     Then none of them refuses it 4 s later
+
+  Scenario: What two backends that were lost at once had in flight is tried by one process alone
+    Given 9 entry processes in 3 zones that broadcast to samples of their peers
+    When two of them lose different backends in the same moment, each with that request
+    Then 1 s later one of them sends it, one at a time, and the others refuse it
+    And all send it 1 s after it was answered there
+
+  Scenario: What crashes a backend again when it is tried is poison
+    Given 9 entry processes in 3 zones that broadcast to samples of their peers
+    When two of them lose different backends in the same moment, each with that request
+    Then 1 s later one of them sends it, one at a time, and the others refuse it
+    And all refuse it 1 s after it crashed a backend there
--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -53,7 +53,7 @@
     )
     replica = StoreReplica()
     replica.current_at = store_answered_at
-    return StateExchange(
+    exchange = StateExchange(
         settings,
         replica,
         Fleet(replica),
@@ -62,3 +62,6 @@
         lambda *_: None,
         lambda: False,
     )
+    exchange.crashes.is_appointed = exchange.is_appointed
+    exchange.crashes.on_news = exchange.request_full_broadcast
+    return exchange
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -1,14 +1,12 @@
 """Steps on requests that crash the backends that run them."""
 
 import asyncio
-import time
 
 import aiohttp
 from behave import then, when
 
 from standins.platform import send_request
 from tests.steps.platform_running import call, plain, run, until
-from verbenaward.requests.quarantine import QuarantineState
 
 
 @when("a caller books something by {method}")
@@ -55,7 +53,8 @@
         crashes = context.simulation.entries[index].exchange.crashes
         for number in range(count):
             fingerprint = f"other-{index}-{number}".encode()
-            crashes.record_crash(fingerprint, f"lost-{index}", context.simulation.now)
+            now = context.simulation.now
+            crashes.record_crash(fingerprint, 100 + index, now - 0.1, now)
 
 
 @when("two of them lose the same backend, each with two runs of the same request")
@@ -65,16 +64,58 @@
     for index in (0, 1):
         crashes = context.simulation.entries[index].exchange.crashes
         for _ in range(2):
-            crashes.record_crash(b"request", "lost", context.simulation.now)
-            context.simulation.run_until(context.simulation.now + 0.01)
-            time.sleep(0.002)  # Crashes carry the time of day.
+            now = context.simulation.now
+            crashes.record_crash(b"request", 1, now - 0.1, now)
+            context.simulation.run_until(now + 0.01)
 
 
 @then("none of them refuses it {seconds:g} s later")
 def none_refuses(context, seconds):
     simulation = context.simulation
     simulation.run_until(simulation.now + seconds)
-    assert QuarantineState.POISON not in [
-        entry.exchange.crashes.quarantine_state_of(b"request", simulation.now)
+    assert len(admitting(simulation)) == len(simulation.entries)
+
+
+def admitting(simulation):
+    return [
+        entry
         for entry in simulation.entries
+        if entry.exchange.crashes.admits(b"request", simulation.now)
     ]
+
+
+@when("two of them lose different backends in the same moment, each with that request")
+def lose_two_backends(context):
+    context.simulation = context.simulate()
+    context.simulation.run_until(4.0)
+    for index in (0, 1):
+        crashes = context.simulation.entries[index].exchange.crashes
+        crashes.record_crash(b"request", index, 3.9, 4.0)
+
+
+@then("{seconds:g} s later one of them sends it, one at a time, and the others refuse it")
+def one_sends(context, seconds):
+    simulation = context.simulation
+    simulation.run_until(simulation.now + seconds)
+    (entry,) = admitting(simulation)
+    context.tries = entry.exchange.crashes
+    with context.tries.counted_run(b"request"):
+        assert not admitting(simulation)
+
+
+@then("all send it {seconds:g} s after it was answered there")
+def all_send(context, seconds):
+    simulation = context.simulation
+    context.tries.record_answered(b"request", simulation.now)
+    simulation.run_until(simulation.now + seconds)
+    assert len(admitting(simulation)) == len(simulation.entries)
+
+
+@then("all refuse it {seconds:g} s after it crashed a backend there")
+def all_refuse_again(context, seconds):
+    simulation = context.simulation
+    sent_at = simulation.now
+    simulation.run_until(sent_at + 0.1)
+    context.tries.record_crash(b"request", 2, sent_at, simulation.now)
+    simulation.run_until(simulation.now + seconds)
+    assert not admitting(simulation)
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -329,8 +329,11 @@
     context.simulation = context.simulate()
     context.simulation.run_until(4.0)
     for index in (0, 1):
+        sent_at = context.simulation.now
+        context.simulation.run_until(sent_at + 0.05)
         crashes = context.simulation.entries[index].exchange.crashes
-        crashes.record_crash(b"request", f"backend-{index}", context.simulation.now)
+        crashes.record_crash(b"request", index, sent_at, context.simulation.now)
+        context.simulation.run_until(context.simulation.now + 0.01)
 
 
 @then("all of them refuse it {seconds:g} s later")
@@ -338,11 +341,13 @@
     simulation = context.simulation
     simulation.run_until(simulation.now + seconds)
     states = [
-        entry.exchange.crashes.quarantine_state_of(b"request", simulation.now)
-        for entry in simulation.entries
+        entry.exchange.crashes.state_of(b"request", simulation.now) for entry in simulation.entries
     ]
     known = states.count(QuarantineState.POISON)
     assert known == len(states), (known, len(states))
+    assert not any(
+        entry.exchange.crashes.admits(b"request", simulation.now) for entry in simulation.entries
+    )
 
 
 @given(
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -10,7 +10,6 @@
 from .. import clock
 from ..data import RouteKind
 from ..platform.request_headers import BackendHeaders, BackendNotice
-from ..requests.quarantine import QuarantineState
 from ..requests.refusals import not_run
 from .backends import BackendView
 from .budget import SharedRetryBudget
@@ -43,12 +42,14 @@
       runs: Sends that may have run.
       not_run: Sends that certainly did not run.
       answer: Last server error of a backend, returned if no retry does better.
+      sent_at: Time of the last send, monotonic.
     """
 
     tried: set[str] = field(default_factory=set)
     runs: int = 0
     not_run: int = 0
     answer: WholeAnswer | None = None
+    sent_at: float = 0.0
 
     @property
     def sends(self) -> int:
@@ -113,9 +114,9 @@
           RefusedError: The request may not be sent, or not again.
         """
         now = clock.now()
-        self.refuse_poison(request, progress, now)
         wait_until = min(request.deadline, request.received_at + self.backend_wait_seconds(request))
         while True:
+            self.refuse_poison(request, progress, now)
             choice = self.placer.choose(request, progress.tried, now)
             if choice is not None or now >= wait_until:
                 break
@@ -145,7 +146,7 @@
         Raises:
           RefusedError: The request has crashed several backends.
         """
-        if self.crashes.quarantine_state_of(request.fingerprint, now) is not QuarantineState.POISON:
+        if self.crashes.admits(request.fingerprint, now):
             return
         if progress.runs:
             self.give_up(request, progress, "the request has crashed its backends")
@@ -179,19 +180,20 @@
           RefusedError: No retry may follow, and there is no answer to return.
         """
         view = choice.view
-        now = clock.now()
+        now = progress.sent_at = clock.now()
         self.log.sent(request, choice, progress.sends)
         view.record_started(0)
         self.load_changed()
         try:
-            result = await send_and_read(
-                self.session,
-                request,
-                view,
-                self.backend_headers_for(request, choice, now),
-                self.wait_seconds(request, progress, now),
-                self.record_notice,
-            )
+            with self.crashes.counted_run(request.fingerprint):
+                result = await send_and_read(
+                    self.session,
+                    request,
+                    view,
+                    self.backend_headers_for(request, choice, now),
+                    self.wait_seconds(request, progress, now),
+                    self.record_notice,
+                )
         except asyncio.CancelledError:
             self.log.cancelled(request)
             raise
@@ -240,7 +242,7 @@
         """Return the answer for the caller, or a failed attempt if a server error is retried."""
         if answer.status < SERVER_ERROR:
             view.record_success()
-            self.crashes.record_success(request.fingerprint)
+            self.crashes.record_answered(request.fingerprint, clock.now())
             self.log.answered(request, answer.status, progress.sends + 1)
             return Success(answer)
         can_retry = self.may_retry(request, progress)
@@ -272,7 +274,7 @@
         else:
             view.record_failure()
         if failed.failure is FailureKind.BROKEN:
-            self.crashes.record_crash(request.fingerprint, view.backend.identity, now)
+            self.crashes.record_crash(request.fingerprint, view.notices.name, progress.sent_at, now)
         if failed.may_have_run:
             progress.runs += 1
         else:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -82,7 +82,10 @@
         self.store = leasing_store(settings, self.session)
         self.replica = StoreReplica()
         self.fleet = Fleet(self.replica)
-        self.crashes = CrashTracker()
+        self.crashes = CrashTracker(
+            lambda key, now: self.exchange.is_appointed(key, now),
+            lambda: self.exchange.request_full_broadcast(),
+        )
         self.follower = StoreFollower(
             self.store,
             ALL_KEYS_PREFIX,
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 
 import msgspec
+from blake3 import blake3
 
 from .. import clock
 from ..configuration.settings import host_of, port_of
@@ -307,7 +308,7 @@
             leaving=self.leaving,
             revision=self.replica.revision,
             loads=self.loads(),
-            crashes=self.crashes.recent_crashes(now),
+            evidence=self.crashes.evidence_to_broadcast(now),
             misdirected=self.misdirected(now),
             # Not in every broadcast: one in 16 sequence numbers, load deltas counted.
             entries=tuple(gossiped) if self.sequence % 16 == 1 else (),
@@ -359,7 +360,7 @@
         peer.replica_current_at = now - broadcast.checked_ms / MILLISECONDS_PER_SECOND
         for control in broadcast.entries:
             self.peer(control)
-        self.crashes.merge(broadcast.crashes, now)
+        self.crashes.merge(broadcast.evidence, now)
         self.fleet.record_misdirected(broadcast.misdirected, now)
         self.fleet.notices.record_leaving_by_name(broadcast.departing)
         self.apply_loads(broadcast, now)
@@ -539,6 +540,20 @@
         assert peer.last_broadcast is not None
         return peer.last_broadcast.hops + 1
 
+    def is_appointed(self, key: bytes, now: float) -> bool:
+        """Return True if this process, of all that accept requests, tries what is quarantined.
+
+        Each key has a process of its own.
+
+        Args:
+          key: Key of the quarantined requests.
+          now: Present time, monotonic, in seconds.
+        """
+        others = [broadcast.vm for broadcast in self.ready_peers(now)]
+        return all(
+            appointment_rank(key, self.settings.vm) <= appointment_rank(key, vm) for vm in others
+        )
+
     def peers_ahead_of(self, position: Position, now: float) -> list[str]:
         """Return the control addresses of live peers that are ahead of a position, shuffled."""
         found = [
@@ -564,6 +579,11 @@
         return found
 
 
+def appointment_rank(key: bytes, vm: str) -> bytes:
+    """Return the rank of a process among those that could try a quarantined key; lowest first."""
+    return blake3(key + vm.encode()).digest()
+
+
 class BroadcastProtocol(asyncio.DatagramProtocol):
     """Passes received datagrams to the state exchange."""
 
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -181,7 +181,7 @@
     ) -> web.StreamResponse | WholeAnswer | FailedAttempt:
         """Send a request once and forward the events of the answer."""
         forwarder, view = self.forwarder, choice.view
-        now = clock.now()
+        now = progress.sent_at = clock.now()
         values = forwarder.backend_headers_for(request, choice, now)
         if delivery.last_event_id:
             values = resumed_after(values, delivery.last_event_id)
@@ -190,6 +190,7 @@
         attempt = StreamAttempt(forwarder, choice, request, now)
         try:
             async with contextlib.AsyncExitStack() as stack:
+                stack.enter_context(forwarder.crashes.counted_run(request.fingerprint))
                 limit = await stack.enter_async_context(asyncio.timeout(None))
                 timeout = self.first_event_timeout(request, progress, choice, now)
                 if timeout is not None:
@@ -260,7 +261,7 @@
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
         attempt.choice.view.record_success()
-        self.forwarder.crashes.record_success(request.fingerprint)
+        self.forwarder.crashes.record_answered(request.fingerprint, clock.now())
         self.forwarder.log.answered(request, OK, progress.sends + 1, attempt.first_seconds)
         return delivery.response
 
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -103,6 +103,12 @@
     "peer.kept": kind(
         "{items} items that the store has lost were received from another process", "era", "items"
     ),
+    "poison.changed": kind(
+        "requests with key {key} are now {state}, after {crashes} crashes",
+        "key",
+        "state",
+        "crashes",
+    ),
     "pulse.malformed": kind("malformed state broadcast from {source}: {error}", "source", "error"),
     "store.found": kind("the store answers again", "revision"),
     "store.lost": kind("the store does not answer: {error}", "error", "revision"),
--- a/verbenaward/requests/quarantine.py
+++ b/verbenaward/requests/quarantine.py
@@ -68,15 +68,6 @@
         is_poison = len(record.crashes) >= POISON_CRASHES
         return QuarantineState.POISON if is_poison else QuarantineState.QUARANTINED
 
-    def crashes_of(self, fingerprint: bytes) -> list[Crash]:
-        """Return the crashes of a fingerprint as messages."""
-        record = self.records.get(fingerprint)
-        identities = record.crashes if record is not None else ()
-        return [
-            Crash(fingerprint, vm, incarnation, at_unix_ms, False)
-            for vm, incarnation, at_unix_ms in identities
-        ]
-
     def record(self, crash: Crash, now: float) -> bool:
         """Record a crash or a clearance; return True if it was new."""
         record = self.records.get(crash.fingerprint)
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -128,6 +128,20 @@
   promptTokens @2 :UInt32;  # prompt tokens of those that have no first event yet
 }
 
+# Backend that crashed while it ran a request.
+struct CrashedBackend {
+  backend @0 :UInt32;       # hash of its id and start time
+  ageMs @1 :UInt32;         # time since the crash
+  sentMs @2 :UInt32;        # time since the request was sent to it
+}
+
+# What crashes of backends tell of a key, for example the fingerprint of a request.
+struct CrashEvidence {
+  key @0 :Data;
+  crashes @1 :List(CrashedBackend);
+  answeredMs @2 :UInt32;    # time since a request with the key was last answered; 0 for never
+}
+
 # State broadcast between entry processes, one UDP datagram each. A partial one has no `vm` and
 # holds only the loads that changed and `misdirected`; it updates the last full one. Endpoint
 # processes send one with only `vm`, `loading` and `loadingInMs`.
@@ -141,7 +155,7 @@
   leaving @6 :Bool;
   revision @7 :UInt64;      # the sender knows all changes of the store up to it
   loads @8 :List(BackendLoad);
-  crashes @9 :List(Crash);
+  crashes @9 :List(Crash);  # not used any more
   entries @10 :List(Text);  # addresses of other entry processes
   checkedMs @11 :UInt32;    # age of the sender's replica: it has every change acknowledged earlier
   loading @12 :Text;        # set by an endpoint process: address of its engine that loads weights
@@ -153,6 +167,7 @@
   era @19 :UInt32;          # era of the store to which the revision belongs; 0 if unknown
   kept @20 :UInt32;         # checksum of what the sender keeps from before a restore of the store
   hops @17 :UInt16;         # processes that passed on checkedMs before the sender; 0 if it is the sender's own
+  evidence @21 :List(CrashEvidence);
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -168,6 +168,24 @@
     prompt_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CrashedBackend:
+    """Message CrashedBackend, described in schema/messages.capnp."""
+
+    backend: int = 0
+    age_ms: int = 0
+    sent_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """Message CrashEvidence, described in schema/messages.capnp."""
+
+    key: bytes = b""
+    crashes: tuple[CrashedBackend, ...] = ()
+    answered_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Pulse:
     """Message Pulse, described in schema/messages.capnp."""
@@ -193,6 +211,7 @@
     departing: tuple[int, ...] = ()
     era: int = 0
     kept: int = 0
+    evidence: tuple[CrashEvidence, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
