--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -35,6 +35,7 @@
         without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow",
         "pausing" (as "full", with a Retry-After of `pause_seconds`) or "crashing" (a request that
         begins to run ends the process, see `crash`).
+      crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
       restart_seconds: Time after which it is back after a crash, in seconds.
       crashes: Number of crashes so far.
       active: Requests that run now.
@@ -80,6 +81,7 @@
         self.heartbeats = 1
         self.born_unix_ms = 1
         self.arrivals: list[float] = []
+        self.crashing_part = ""
         self.restart_seconds = 0.1
         self.crashes = 0
         self.active: list[web.Request] = []
@@ -218,6 +220,9 @@
             headers={**headers, "Content-Type": "text/event-stream", "X-Weight-Versions": "1"}
         )
         await response.prepare(request)
+        if self.crashing_part and self.crashing_part in parts_of(request):
+            await asyncio.sleep(WORK_SECONDS)
+            await self.crash()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for index in range(first, STREAM_EVENTS + 1):
             event = f"id: {index}\ndata: piece {index}\n\n".encode()
@@ -334,6 +339,12 @@
         return web.Response(body=chunk)
 
 
+def parts_of(request: web.Request) -> list[str]:
+    """Return the ids of the parts of a request's prompt, without the last, which is its own."""
+    entries = request.headers.get("X-Prompt-Prefix-Hash", "").split(",")
+    return [entry.partition(":")[0].strip() for entry in entries[:-1]]
+
+
 async def trickle(response: web.StreamResponse, data: bytes) -> None:
     """Send data byte by byte, ten a second."""
     for byte in data:
--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -57,3 +57,12 @@
     When two of them lose different backends in the same moment, each with that request
     Then 1 s later one of them sends it, one at a time, and the others refuse it
     And all refuse it 1 s after it crashed a backend there
+
+  Scenario: Requests whose prompts share a part that crashes engines are found, and their neighbours are not
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And engines that crash as they begin to answer on the part "bad"
+    When callers open 12 streams on the parts "first" and "bad", each to running engines
+    Then at most 5 engines crashed
+    And callers that open 6 streams on the parts "first" and "sound" get all events
+    And callers that open 6 streams on the parts "sound" and "first" get all events
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import aiohttp
-from behave import then, when
+from behave import given, then, when
 
 from standins.platform import send_request
-from tests.steps.platform_running import call, plain, run, until
+from standins.platform_backend import STREAM_EVENTS
+from tests.steps.platform_running import call, engines, plain, run, until
 
 
 @when("a caller books something by {method}")
@@ -119,3 +120,38 @@
     context.tries.record_crash(b"request", 2, sent_at, simulation.now)
     simulation.run_until(simulation.now + seconds)
     assert not admitting(simulation)
+
+
+@given('engines that crash as they begin to answer on the part "{part}"')
+def crashing_part(context, part):
+    for engine in engines(context):
+        engine.crashing_part = part
+
+
+def open_stream(context, parts, number):
+    prefix = ",".join(f"{part}:100" for part in (*parts, f"own{number}"))
+    headers = {"X-Prompt-Prefix-Hash": prefix}
+    body = f"prompt {number}".encode()
+    return call(context, "/stream/x", f"{parts}-{number}", headers=headers, body=body)
+
+
+@when('callers open {count:d} streams on the parts "{one}" and "{two}", each to running engines')
+def open_bad_streams(context, count, one, two):
+    for number in range(count):
+        open_stream(context, (one, two), number)
+        assert run(context, until(lambda: all(item.site for item in engines(context))))
+        # An engine that could not be reached is avoided for a second and a half.
+        run(context, asyncio.sleep(0.2))
+
+
+@then("at most {count:d} engines crashed")
+def engines_crashed(context, count):
+    crashes = sum(item.crashes for item in engines(context))
+    assert 0 < crashes <= count, crashes
+
+
+@then('callers that open {count:d} streams on the parts "{one}" and "{two}" get all events')
+def sound_streams(context, count, one, two):
+    for number in range(count):
+        status, _, body = open_stream(context, (one, two), number)
+        assert (status, body.count(b"data:")) == (200, STREAM_EVENTS), (number, status, body)
