Find a part of a prompt that crashes engines, and refuse what holds it

Cause: evidence on crashes was kept by whole request only, and no two of these requests are alike. Each crashed one engine, or two with its resume.

Change: the parts of a prompt, but for the last, are keys of the same evidence. A part is suspected if its answer had just begun when the engine ended; one whose answer has gone on for half a second, or ended, is cleared everywhere. What was answered before is proven: parts that never were are blamed first, and the crashes that such a part explains count against nothing else. Parts that were always together are poison together, and tried one by one alone. A proven part needs four rounds, as the weights that it meets may have changed.

Why it works: the sound neighbours of the part are answered in other requests, so they are proven, or are as soon as one of these is tried. Lost engines make many crashes but one round.

Simulated with 8 processes and 7 engines, random kills beside it: at most 3 sends later than 3 s after the fifth crash, sound streams sent in at least half of the cases from 6 s on, and all of them after kills without a bad part.

--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -140,6 +140,7 @@
   key @0 :Data;
   crashes @1 :List(CrashedBackend);
   answeredMs @2 :UInt32;    # time since a request with the key was last answered; 0 for never
+  isPart @3 :Bool;          # the key is that of a part of prompts, not of a whole request
 }
 
 # State broadcast between entry processes, one UDP datagram each. A partial one has no `vm` and
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -108,11 +108,18 @@
         backend.address = free_address(self.next_host())
         runner = await self.listen(backend.application(), backend.address)
         (backend.site,) = runner.sites
-        backend.open_site = lambda: open_site(runner, backend.address)
+        backend.open_site = lambda: self.reopen(backend, runner)
         self.backends[identity] = backend
         self.register(backend)
         return backend
 
+    async def reopen(self, backend: PlatformBackendStandIn, runner: web.AppRunner) -> web.TCPSite:
+        """Have a backend that has started again listen, and register it under its old id."""
+        backend.born_unix_ms += 1
+        site = await open_site(runner, backend.address)
+        self.register(backend)
+        return site
+
     def register(self, backend: PlatformBackendStandIn, state: str = "ready") -> None:
         """Write the registration of a backend to the store."""
         self.store.put(f"servers/{backend.identity}", backend.registration(state))
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -40,7 +40,7 @@
       crashes: Number of crashes so far.
       active: Requests that run now.
       site: Its listening socket; None while it has crashed.
-      open_site: Opens the listening socket; set by the platform.
+      open_site: Opens the listening socket and registers the backend; set by the platform.
       restarting: Opens it again after the last crash.
       pause_seconds: Time for which it asks for no requests in mode "pausing", in seconds.
       says_leaving: Whether all its responses say that it leaves.
--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -66,3 +66,20 @@
     Then at most 5 engines crashed
     And callers that open 6 streams on the parts "first" and "sound" get all events
     And callers that open 6 streams on the parts "sound" and "first" get all events
+
+  Scenario Outline: A bad part of a prompt reaches three engines at most once all can know it
+    Given 8 entry processes and 7 engines with sound streams on <parts> parts
+    When streams with a bad part come from 5 to 20 s, <kills>
+    Then at most 3 of them are sent later than 3 s after the fifth crash
+    And from 6 s after it, sound streams are sent at least half as often as they come
+
+    Examples: herds
+      | parts      | kills                          |
+      | shared     | and nothing else happens       |
+      | shared     | and engines are killed as well |
+      | all first  | and engines are killed as well |
+
+  Scenario: Engines that are killed do not make the parts of prompts poison
+    Given 8 entry processes and 7 engines with sound streams on shared parts
+    When engines are killed one by one, in a herd, and all at once
+    Then all sound streams are sent from 3 s after a kill on
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -7,6 +7,7 @@
 
 from standins.platform import send_request
 from standins.platform_backend import STREAM_EVENTS
+from tests.simulated_crashes import SimulatedCrashes
 from tests.steps.platform_running import call, engines, plain, run, until
 
 
@@ -81,7 +82,7 @@
     return [
         entry
         for entry in simulation.entries
-        if entry.exchange.crashes.admits(b"request", simulation.now)
+        if entry.exchange.crashes.admits((b"request",), simulation.now)
     ]
 
 
@@ -155,3 +156,90 @@
     for number in range(count):
         status, _, body = open_stream(context, (one, two), number)
         assert (status, body.count(b"data:")) == (200, STREAM_EVENTS), (number, status, body)
+
+
+SEEDS = 3
+"""Random histories of each example, unless `-D seeds=N -D first_seed=N` says otherwise."""
+
+
+@given("{entries:d} entry processes and {count:d} engines with sound streams on {kind} parts")
+def herd(context, entries, count, kind):
+    userdata = context.config.userdata
+    first = int(userdata.get("first_seed", 0))
+    seeds = range(first, first + int(userdata.get("seeds", SEEDS)))
+
+    async def make():
+        return [SimulatedCrashes(seed, count, entries) for seed in seeds]
+
+    def sound_parts(rng):
+        first = "first" if kind == "shared" else f"first-{rng.randrange(4)}"
+        return (first, f"other-{rng.randrange(12)}")
+
+    context.histories = run(context, make())
+    for history in context.histories:
+        history.arrivals(25.0, 24.0, sound_parts)
+
+
+def play(context, bad_until=0.0):
+    for history in context.histories:
+        if bad_until:
+            # Requests that come from the time on; the first part is shared with sound ones.
+            history.network.after(
+                5.0,
+                lambda history=history: history.arrivals(
+                    6.0, bad_until, lambda _: ("first", "bad")
+                ),
+            )
+        history.network.run_until(24.0)
+
+
+@when("streams with a bad part come from 5 to {until:g} s, and nothing else happens")
+def bad_alone(context, until):
+    play(context, until)
+
+
+@when("streams with a bad part come from 5 to {until:g} s, and engines are killed as well")
+def bad_and_kills(context, until):
+    for history in context.histories:
+        for _ in range(3):
+            history.kill(history.rng.uniform(1, 20), history.rng.choice((0.15, 0.5, 1.0)))
+    play(context, until)
+
+
+@when("engines are killed one by one, in a herd, and all at once")
+def kills_alone(context):
+    for history in context.histories:
+        for at in (3.0, 4.0, 5.0, 6.0):
+            history.kill(at, 0.2)
+        history.kill(12.0, 0.7)
+        history.kill(14.0, 0.7)
+        history.kill(19.0, 1.0)
+    play(context)
+
+
+@then("at most {count:d} of them are sent later than {seconds:g} s after the fifth crash")
+def few_sends(context, count, seconds):
+    for history in context.histories:
+        fifth = (*history.bad_crashes, *[1e9] * 5)[4]
+        late = [at for at in history.bad_sends if at > fifth + seconds]
+        assert len(late) <= count, (fifth, late, history.bad_crashes)
+
+
+@then("from {seconds:g} s after it, sound streams are sent at least half as often as they come")
+def sound_half(context, seconds):
+    for history in context.histories:
+        since = (*history.bad_crashes, *[1e9] * 5)[4]
+        since = min(since, max(history.bad_crashes)) + seconds
+        outcomes = [sent for at, sent in history.sound if at > since]
+        assert outcomes and 2 * sum(outcomes) >= len(outcomes), (since, len(outcomes))
+
+
+@then("all sound streams are sent from {seconds:g} s after a kill on")
+def all_sound(context, seconds):
+    for history in context.histories:
+        refused = [
+            at
+            for at, sent in history.sound
+            if not sent and all(not 0 <= at - kill < seconds for kill in history.kills)
+        ]
+        assert not refused, (refused, history.kills)
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -346,7 +346,7 @@
     known = states.count(QuarantineState.POISON)
     assert known == len(states), (known, len(states))
     assert not any(
-        entry.exchange.crashes.admits(b"request", simulation.now) for entry in simulation.entries
+        entry.exchange.crashes.admits((b"request",), simulation.now) for entry in simulation.entries
     )
 
 
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -1,13 +1,17 @@
 """Decides from crashes of backends whether what they ran is to blame.
 
-The evidence on one key, for example the fingerprint of a request, is the set of backends that
-crashed while they ran a request with that key, and the last proof that a backend can run it. Many
-requests are in flight at a backend that crashes, and many backends may be lost at once, so the
-number of crashes alone proves little: a request that is to blame also crashes backends to which it
-is sent after the first crash. Such crashes make a further round.
+A key stands for a whole request or for a part of a prompt. The evidence on it is the set of
+backends that crashed while they ran a request with the key, and the last proof that a backend can
+run one. Many requests are in flight at a backend that crashes, and many backends may be lost at
+once, so the number of crashes alone proves little. Three things separate what is to blame:
+
+- It also crashes backends to which it is sent after the first crash. Such crashes make a further
+  round.
+- It has not been answered. A key that has been, at some time, is proven: it needs more rounds.
+- A crash that a part to blame explains counts against no other key.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from ..requests.quarantine import QuarantineState
@@ -18,8 +22,8 @@
 MAXIMUM_TRIAL_SECONDS = 600.0
 RECORD_LIFETIME_SECONDS = 1200.0
 """Time after the last crash for which the evidence is kept; longer than any wait for a trial."""
-MAXIMUM_CRASHES = 8
-"""Crashes of a key that are kept; further ones would not change the decision."""
+MAXIMUM_CRASHES = 64
+"""Crashes of a key that are kept; one that is not can count against other keys."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +31,8 @@
     """How much evidence makes a key suspect or poison.
 
     Attributes:
-      suspect_crashes: Crashes, even if all at once, from which a key is quarantined.
+      suspect_crashes: Crashes, even if all at once, from which a key that was never answered is
+        quarantined.
       poison_crashes: Crashes from which a key is poison, if there were several rounds.
     """
 
@@ -37,8 +42,13 @@
 
 REQUEST_RULE = EvidenceRule(suspect_crashes=2, poison_crashes=2)
 """Rule for whole requests: an equal one is rarely in flight at two backends that end by chance."""
+PART_RULE = EvidenceRule(suspect_crashes=5, poison_crashes=3)
+"""Rule for parts of prompts: many requests with the same part are in flight at all times."""
 POISON_ROUNDS = 2
-"""Rounds of crashes from which a key may be poison."""
+"""Rounds of crashes from which a key that was never answered is poison."""
+PROVEN_POISON_ROUNDS = 4
+"""Rounds of crashes from which a key that was answered before is poison: its weights may have
+changed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,9 +85,8 @@
         if crash.backend in self.crashes or crash.at <= self.answered_at:
             return False
         if len(self.crashes) >= MAXIMUM_CRASHES:
-            # The oldest ones prove the first rounds, so one of the middle gives way.
-            oldest_first = sorted(self.crashes.values(), key=lambda item: item.at)
-            del self.crashes[oldest_first[MAXIMUM_CRASHES // 2].backend]
+            oldest = min(self.crashes.values(), key=lambda item: item.at)
+            del self.crashes[oldest.backend]
         self.crashes[crash.backend] = crash
         return True
 
@@ -93,20 +102,64 @@
         """Return the time of the last crash; 0 if there was none."""
         return max((crash.at for crash in self.crashes.values()), default=0.0)
 
-    def state(self, now: float) -> QuarantineState:
+    @property
+    def is_proven(self) -> bool:
+        """Return True if a backend has run a request with the key before."""
+        return self.answered_at > 0
+
+    def explains_crashes(self) -> bool:
+        """Return True if this is a part that is clearly to blame for its crashes."""
+        return (
+            self.rule is PART_RULE
+            and not self.is_proven
+            and len(self.crashes) >= self.rule.poison_crashes
+            and rounds_of(self.crashes.values()) >= POISON_ROUNDS
+        )
+
+    def explains(self, other: "CrashRecord") -> bool:
+        """Return True if half or more of the crashes of another key are also crashes of this."""
+        shared = self.crashes.keys() & other.crashes.keys()
+        return 2 * len(shared) >= len(other.crashes)
+
+    def state(self, explained: Container[int], now: float) -> QuarantineState:
         """Return what follows from the evidence.
 
         Args:
+          explained: Backends whose crashes are explained by another key.
           now: Present time, monotonic, in seconds.
         """
-        rounds = rounds_of(self.crashes.values())
-        if len(self.crashes) >= self.rule.poison_crashes and rounds >= POISON_ROUNDS:
+        if len(self.crashes) < self.rule.poison_crashes:
+            return QuarantineState.NONE
+        crashes = [crash for crash in self.crashes.values() if crash.backend not in explained]
+        if len(crashes) < self.rule.poison_crashes:
+            return QuarantineState.NONE
+        rounds = rounds_of(crashes)
+        if rounds >= (PROVEN_POISON_ROUNDS if self.is_proven else POISON_ROUNDS):
             if now - self.last_crash_at < trial_seconds(rounds):
                 return QuarantineState.POISON
             return QuarantineState.QUARANTINED
-        if len(self.crashes) >= self.rule.suspect_crashes:
-            return QuarantineState.QUARANTINED
-        return QuarantineState.NONE
+        is_suspect = not self.is_proven and len(crashes) >= self.rule.suspect_crashes
+        return (
+            QuarantineState.QUARANTINED
+            if is_suspect or rounds >= POISON_ROUNDS
+            else QuarantineState.NONE
+        )
+
+
+AGE_STEP_SECONDS = 0.002
+"""Error of the time between two events that other processes have reported: ages travel in whole
+milliseconds, and a retry follows a crash at once."""
+
+
+def blamed_keys(proven: dict[bytes, bool]) -> list[bytes]:
+    """Return the keys of a crashed request that may be to blame.
+
+    Args:
+      proven: For each key, whether a backend has run a request with it before. Those that were
+        never run are to blame first.
+    """
+    unproven = [key for key, is_proven in proven.items() if not is_proven]
+    return unproven or list(proven)
 
 
 def rounds_of(crashes: Iterable[BackendCrash]) -> int:
@@ -114,7 +167,7 @@
     rounds = 0
     last_at = float("-inf")
     for crash in sorted(crashes, key=lambda item: item.at):
-        if crash.sent_at > last_at:
+        if crash.sent_at >= last_at - AGE_STEP_SECONDS:
             rounds += 1
             last_at = crash.at
     return rounds
--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -1,13 +1,13 @@
-"""Poison requests: requests that crash the backends that run them.
+"""Poison requests, and poison parts of prompts: what crashes the backends that run it.
 
 Each entry process records the crashes that it sees and exchanges the evidence with its peers. All
-refuse a poison request. A quarantined one, for which the evidence is not clear, is sent by one
+refuse what is poison. What is quarantined, as the evidence on it is not clear, is sent by one
 appointed process only, one request at a time, until it crashes another backend or is answered.
 """
 
 import contextlib
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Collection, Iterator
 
 from blake3 import blake3
 
@@ -15,28 +15,48 @@
 from ..requests.quarantine import MAXIMUM_FINGERPRINTS, QuarantineState
 from ..schema.messages import CrashedBackend, CrashEvidence
 from .crash_evidence import (
+    PART_RULE,
     RECORD_LIFETIME_SECONDS,
     REQUEST_RULE,
     BackendCrash,
     CrashRecord,
     EvidenceRule,
+    blamed_keys,
 )
 
 LOG = get_logger(__name__)
 FINGERPRINT_BYTES = 16
 MAXIMUM_BROADCAST_RECORDS = 16
 """Limit on the records in a full broadcast; the next one contains those left out."""
+MAXIMUM_BROADCAST_PARTS = 12
+"""Limit on those of them that are about parts of prompts; more requests share these."""
+MAXIMUM_BROADCAST_CRASHES = 16
+"""Limit on the crashes of one record in a broadcast; the latest ones are sent."""
+MAXIMUM_ANSWERED_PARTS = 5_000
+"""Limit on the parts whose last answer is remembered; the one answered longest ago is dropped."""
 NEWS_SECONDS = 10.0
 """Time for which a crash or an answer is broadcast, if the key is neither quarantined nor poison.
 Each broadcast may reach only a sample of the peers."""
 ANSWER_STEP_SECONDS = 1.0
-"""A peer's last answer counts if it is later by this than the last one known: the reported age does
-not include network delays, so one answer that circulates would seem to get younger."""
+"""A peer's last answer counts if it clears crashes, or is later by this than the last one known.
+The reported age does not include network delays, so one that circulates seems to get younger."""
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_AGE_MS = 2**32 - 1
 """Largest age that a message holds."""
 
 
+def part_keys_of(service: str, parts: tuple[str, ...]) -> tuple[bytes, ...]:
+    """Return the keys of the parts of a prompt that may crash an engine.
+
+    The last part belongs to the request or its session; the evidence on the whole request covers
+    it.
+    """
+    return tuple(
+        blake3(f"{service}\0{part}".encode()).digest(length=FINGERPRINT_BYTES)
+        for part in parts[:-1]
+    )
+
+
 def fingerprint_of(method: str, raw_path: str, workspace: str, body: bytes) -> bytes:
     """Return the hash that identifies the content of a request; it does not cover its id."""
     text = f"{method}\0{raw_path}\0{workspace}\0".encode()
@@ -48,6 +68,8 @@
 
     Attributes:
       records: Evidence by key.
+      answered: When a backend last answered a request with each of the latest parts, monotonic.
+      explained: Backends whose crashes a part that is to blame explains.
       running: Requests of this process in flight by key, of those keys that have evidence.
       broadcast_at: When each record was last broadcast, monotonic.
       logged: Last state of each key that was logged.
@@ -63,6 +85,8 @@
         self.is_appointed = is_appointed
         self.on_news = on_news
         self.records: dict[bytes, CrashRecord] = {}
+        self.answered: OrderedDict[bytes, float] = OrderedDict()
+        self.explained: frozenset[int] = frozenset()
         self.running: Counter[bytes] = Counter()
         self.broadcast_at: dict[bytes, float] = {}
         self.logged: dict[bytes, QuarantineState] = {}
@@ -70,33 +94,63 @@
     def state_of(self, key: bytes, now: float) -> QuarantineState:
         """Return whether a key is quarantined or poison because backends crashed with it."""
         record = self.records.get(key)
-        return QuarantineState.NONE if record is None else record.state(now)
+        if record is None:
+            return QuarantineState.NONE
+        return record.state(() if record.explains_crashes() else self.explained, now)
 
-    def admits(self, key: bytes, now: float) -> bool:
-        """Return True if a request with a key may be sent.
+    def admits(self, keys: Collection[bytes], now: float) -> bool:
+        """Return True if a request may be sent.
 
         Args:
-          key: The key.
+          keys: Keys of the request.
           now: Present time, monotonic, in seconds.
         """
+        return all(self.admits_key(key, keys, now) for key in keys if key in self.records)
+
+    def admits_key(self, key: bytes, keys: Collection[bytes], now: float) -> bool:
+        """Return True if a request with several keys may be sent in spite of one of them."""
         state = self.state_of(key, now)
-        if state is QuarantineState.QUARANTINED:
-            return not self.running[key] and self.is_appointed(key, now)
-        return state is QuarantineState.NONE
+        if state is QuarantineState.NONE:
+            return True
+        if state is QuarantineState.POISON and self.rivals_of(key).issubset(keys):
+            return False
+        return not self.running[key] and self.is_appointed(key, now)
+
+    def rivals_of(self, key: bytes) -> frozenset[bytes]:
+        """Return the parts that explain the crashes of a part as well as it does itself.
+
+        They were in the same requests. Only a request that has them all is known to crash backends.
+        """
+        record = self.records[key]
+        if not record.explains_crashes():
+            return frozenset()
+        return frozenset(
+            other_key
+            for other_key, other in self.records.items()
+            if other.explains_crashes() and other.explains(record)
+        )
 
     @contextlib.contextmanager
-    def counted_run(self, key: bytes) -> Iterator[None]:
-        """Count a request as in flight while the context lasts, if its key has evidence."""
-        if key not in self.records:
-            yield
-            return
-        self.running[key] += 1
+    def counted_run(self, *keys: bytes) -> Iterator[None]:
+        """Count a request as in flight while the context lasts, for those keys with evidence."""
+        counted = [key for key in keys if key in self.records]
+        self.running.update(counted)
         try:
             yield
         finally:
-            self.running[key] -= 1
+            self.running.subtract(counted)
+            for key in counted:
+                if not self.running[key]:
+                    del self.running[key]
 
-    def record_crash(self, key: bytes, backend: int, sent_at: float, now: float) -> None:
+    def record_crash(
+        self,
+        key: bytes,
+        backend: int,
+        sent_at: float,
+        now: float,
+        rule: EvidenceRule = REQUEST_RULE,
+    ) -> None:
         """Record that a backend crashed while it may have run a request.
 
         Args:
@@ -104,24 +158,67 @@
           backend: Hash that names the incarnation of the backend.
           sent_at: When the request was sent to it, monotonic, in seconds.
           now: Present time, monotonic, in seconds.
+          rule: Rule that applies to the key.
         """
-        self.record_of(key, REQUEST_RULE, now).add(BackendCrash(backend, now, sent_at))
-        self.log_change(key, now)
-        self.on_news()
+        self.record_of(key, rule, now).add(BackendCrash(backend, now, sent_at))
+        self.record_news(key, now)
+
+    def record_part_crash(
+        self, parts: tuple[bytes, ...], backend: int, sent_at: float, now: float
+    ) -> None:
+        """Record that a backend crashed as it began to answer a request with parts.
+
+        Args:
+          parts: Keys of the parts.
+          backend: Hash that names the incarnation of the backend.
+          sent_at: When the request was sent to it, monotonic, in seconds.
+          now: Present time, monotonic, in seconds.
+        """
+        for key in blamed_keys({key: self.is_proven(key) for key in parts}):
+            self.record_crash(key, backend, sent_at, now, PART_RULE)
+
+    def is_proven(self, key: bytes) -> bool:
+        """Return True if a backend is known to have answered a request with a key."""
+        record = self.records.get(key)
+        return key in self.answered or (record is not None and record.is_proven)
+
+    def record_parts_answered(self, parts: tuple[bytes, ...], now: float) -> None:
+        """Record that a backend can answer a request with parts, so that these are proven."""
+        for key in parts:
+            self.answered[key] = now
+            self.answered.move_to_end(key)
+            self.record_answered(key, now)
+        while len(self.answered) > MAXIMUM_ANSWERED_PARTS:
+            self.answered.popitem(last=False)
 
     def record_answered(self, key: bytes, now: float) -> None:
-        """Record that a backend has answered a request with a key, so that this is not to blame."""
+        """Record that a backend can answer a request with a key, so that this is not to blame."""
         record = self.records.get(key)
         if record is not None and record.crashes:
             record.clear(now)
-            self.log_change(key, now)
-            self.on_news()
+            self.record_news(key, now)
+
+    def record_news(self, key: bytes, now: float) -> None:
+        """Record that this process has changed a record: it is broadcast first."""
+        self.broadcast_at.pop(key, None)
+        self.update_explained()
+        self.log_change(key, now)
+        self.on_news()
+
+    def update_explained(self) -> None:
+        """Determine the crashes that parts to blame explain, after a change of the evidence."""
+        self.explained = frozenset(
+            backend
+            for record in self.records.values()
+            if record.explains_crashes()
+            for backend in record.crashes
+        )
 
     def record_of(self, key: bytes, rule: EvidenceRule, now: float) -> CrashRecord:
         """Return the record of a key, added if new."""
         if key not in self.records:
             self.make_room(now)
-            self.records[key] = CrashRecord(rule)
+            self.records[key] = CrashRecord(rule, answered_at=self.answered.get(key, 0.0))
         return self.records[key]
 
     def make_room(self, now: float) -> None:
@@ -150,10 +247,14 @@
           received: The evidence, with ages in place of times.
           now: Present time, monotonic, in seconds.
         """
+        if not received:
+            return
         for evidence in received:
-            record = self.record_of(evidence.key, REQUEST_RULE, now)
+            rule = PART_RULE if evidence.is_part else REQUEST_RULE
+            record = self.record_of(evidence.key, rule, now)
             answered_at = now - evidence.answered_ms / MILLISECONDS_PER_SECOND
-            if evidence.answered_ms and answered_at >= record.answered_at + ANSWER_STEP_SECONDS:
+            is_later = answered_at >= record.answered_at + ANSWER_STEP_SECONDS
+            if evidence.answered_ms and (is_later or 0 < record.last_crash_at < answered_at):
                 record.clear(answered_at)
             for crash in evidence.crashes:
                 record.add(
@@ -163,24 +264,30 @@
                         now - crash.sent_ms / MILLISECONDS_PER_SECOND,
                     )
                 )
+        self.update_explained()
+        for evidence in received:
             self.log_change(evidence.key, now)
 
     def evidence_to_broadcast(self, now: float) -> tuple[CrashEvidence, ...]:
         """Return the evidence that the next full broadcast should contain.
 
         Records of quarantined and poison keys are always broadcast, as a process may have just
-        started; the others while they are new. If there are too many, they take turns.
+        started; the others while they are new. If there are too many, they take turns, those that
+        this process has changed first.
         """
-        for key in [key for key, record in self.records.items() if is_expired(record, now)]:
+        expired = [key for key, record in self.records.items() if is_expired(record, now)]
+        for key in expired:
             self.forget(key)
-        open_keys = [key for key in self.records if self.state_of(key, now) != QuarantineState.NONE]
-        new_keys = [
-            key
-            for key, record in self.records.items()
-            if key not in open_keys and now - newest_at(record) < NEWS_SECONDS
-        ]
-        chosen = [*self.longest_untold(open_keys), *self.longest_untold(new_keys)]
-        chosen = chosen[:MAXIMUM_BROADCAST_RECORDS]
+        if expired:
+            self.update_explained()
+        part_keys: list[bytes] = []
+        request_keys: list[bytes] = []
+        for key, record in self.records.items():
+            is_new = now - newest_at(record) < NEWS_SECONDS
+            if is_new or self.state_of(key, now) is not QuarantineState.NONE:
+                (part_keys if record.rule is PART_RULE else request_keys).append(key)
+        chosen = self.longest_untold(part_keys)[:MAXIMUM_BROADCAST_PARTS]
+        chosen += self.longest_untold(request_keys)[: MAXIMUM_BROADCAST_RECORDS - len(chosen)]
         self.broadcast_at.update(dict.fromkeys(chosen, now))
         return tuple(message_of(key, self.records[key], now) for key in chosen)
 
@@ -210,13 +317,15 @@
 
 def message_of(key: bytes, record: CrashRecord, now: float) -> CrashEvidence:
     """Return the message with the evidence on a key."""
+    newest = sorted(record.crashes.values(), key=lambda crash: crash.at)
     return CrashEvidence(
         key,
         tuple(
             CrashedBackend(crash.backend, age_ms(crash.at, now), age_ms(crash.sent_at, now))
-            for crash in record.crashes.values()
+            for crash in newest[-MAXIMUM_BROADCAST_CRASHES:]
         ),
         max(1, age_ms(record.answered_at, now)) if record.answered_at else 0,
+        record.rule is PART_RULE,
     )
 
 
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -29,6 +29,9 @@
 """Share of the remaining time that an attempt may take at least while a retry is still possible."""
 SERVER_ERROR = 500
 """HTTP status from which an answer counts as a failure of its backend."""
+ANSWER_START_SECONDS = 0.5
+"""Time from the head of an answer within which a backend crashes if a part of the prompt is to
+blame. An answer that goes on for longer clears its parts."""
 MAXIMUM_NOT_RUN_SENDS = 3
 """Sends of one request that may end with proof that it did not run."""
 
@@ -43,6 +46,7 @@
       not_run: Sends that certainly did not run.
       answer: Last server error of a backend, returned if no retry does better.
       sent_at: Time of the last send, monotonic.
+      answer_began_at: When the head of its answer came, monotonic; 0 while it has not.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -50,6 +54,16 @@
     not_run: int = 0
     answer: WholeAnswer | None = None
     sent_at: float = 0.0
+    answer_began_at: float = 0.0
+
+    def record_sent(self, now: float) -> None:
+        """Record that the request is being sent."""
+        self.sent_at = now
+        self.answer_began_at = 0.0
+
+    def has_outlived_start(self, now: float) -> bool:
+        """Return True if the backend has gone on with its answer for some time."""
+        return 0 < self.answer_began_at <= now - ANSWER_START_SECONDS
 
     @property
     def sends(self) -> int:
@@ -146,7 +160,7 @@
         Raises:
           RefusedError: The request has crashed several backends.
         """
-        if self.crashes.admits(request.fingerprint, now):
+        if self.crashes.admits(request.crash_keys, now):
             return
         if progress.runs:
             self.give_up(request, progress, "the request has crashed its backends")
@@ -180,12 +194,13 @@
           RefusedError: No retry may follow, and there is no answer to return.
         """
         view = choice.view
-        now = progress.sent_at = clock.now()
+        now = clock.now()
+        progress.record_sent(now)
         self.log.sent(request, choice, progress.sends)
         view.record_started(0)
         self.load_changed()
         try:
-            with self.crashes.counted_run(request.fingerprint):
+            with self.crashes.counted_run(*request.crash_keys):
                 result = await send_and_read(
                     self.session,
                     request,
@@ -242,7 +257,7 @@
         """Return the answer for the caller, or a failed attempt if a server error is retried."""
         if answer.status < SERVER_ERROR:
             view.record_success()
-            self.crashes.record_answered(request.fingerprint, clock.now())
+            self.record_answered(request, clock.now())
             self.log.answered(request, answer.status, progress.sends + 1)
             return Success(answer)
         can_retry = self.may_retry(request, progress)
@@ -274,12 +289,30 @@
         else:
             view.record_failure()
         if failed.failure is FailureKind.BROKEN:
-            self.crashes.record_crash(request.fingerprint, view.notices.name, progress.sent_at, now)
+            self.record_crash(request, progress, view, now)
         if failed.may_have_run:
             progress.runs += 1
         else:
             progress.not_run += 1
 
+    def record_crash(
+        self, request: Request, progress: Progress, view: BackendView, now: float
+    ) -> None:
+        """Record that a backend may have crashed by a request or by a part of its prompt.
+
+        A part is suspected only if the answer had just begun: requests that wait in the backend,
+        or whose answers have gone on for some time, are not the cause.
+        """
+        backend, sent_at = view.notices.name, progress.sent_at
+        self.crashes.record_crash(request.fingerprint, backend, sent_at, now)
+        if progress.answer_began_at and not progress.has_outlived_start(now):
+            self.crashes.record_part_crash(request.part_keys, backend, sent_at, now)
+
+    def record_answered(self, request: Request, now: float) -> None:
+        """Record that a backend has answered a request: neither it nor its parts are to blame."""
+        self.crashes.record_answered(request.fingerprint, now)
+        self.crashes.record_parts_answered(request.part_keys, now)
+
     def after_failure(
         self, request: Request, progress: Progress, failed: FailedAttempt
     ) -> WholeAnswer | None:
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -8,7 +8,7 @@
 from ..data import Refusal, Verdict
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
-from .crash_tracker import fingerprint_of
+from .crash_tracker import fingerprint_of, part_keys_of
 from .fleet import Fleet
 from .forwarding import Forwarder, is_stream
 from .request_types import RefusedError, Request, WholeAnswer, labels_of
@@ -164,6 +164,7 @@
             received_at=received_at,
             deadline=received_at + remaining_seconds(parsed_headers, route.timeout_seconds),
             fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
+            part_keys=part_keys_of(service, parsed_headers.prompt_parts),
         )
 
 
--- a/verbenaward/direct/request_types.py
+++ b/verbenaward/direct/request_types.py
@@ -29,6 +29,7 @@
       deadline: Time by which the answer must be sent, monotonic: shortly before the caller gives up
         or the timeout of the route ends, whichever is earlier.
       fingerprint: Hash of the content of the request, without its id.
+      part_keys: Hashes of the parts of its prompt that other requests may share.
     """
 
     headers: CIMultiDictProxy[str]
@@ -44,6 +45,12 @@
     received_at: float
     deadline: float
     fingerprint: bytes
+    part_keys: tuple[bytes, ...] = ()
+
+    @property
+    def crash_keys(self) -> tuple[bytes, ...]:
+        """Return all keys under which crashes with this request are recorded."""
+        return (self.fingerprint, *self.part_keys)
 
 
 def labels_of(request: Request) -> tuple[str, str]:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -181,7 +181,8 @@
     ) -> web.StreamResponse | WholeAnswer | FailedAttempt:
         """Send a request once and forward the events of the answer."""
         forwarder, view = self.forwarder, choice.view
-        now = progress.sent_at = clock.now()
+        now = clock.now()
+        progress.record_sent(now)
         values = forwarder.backend_headers_for(request, choice, now)
         if delivery.last_event_id:
             values = resumed_after(values, delivery.last_event_id)
@@ -190,7 +191,7 @@
         attempt = StreamAttempt(forwarder, choice, request, now)
         try:
             async with contextlib.AsyncExitStack() as stack:
-                stack.enter_context(forwarder.crashes.counted_run(request.fingerprint))
+                stack.enter_context(forwarder.crashes.counted_run(*request.crash_keys))
                 limit = await stack.enter_async_context(asyncio.timeout(None))
                 timeout = self.first_event_timeout(request, progress, choice, now)
                 if timeout is not None:
@@ -242,12 +243,14 @@
     ) -> web.StreamResponse | FailedAttempt:
         """Forward the events of an answer to the caller until the answer ends."""
         protocol = answer.connection.protocol if answer.connection else None
+        progress.answer_began_at = clock.now()
         if delivery.response is None:
             await delivery.open(headers_for_caller(answer.headers))
         try:
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece):
                     attempt.on_event(weights_version(answer.headers))
+                    self.clear_parts(request, progress)
                     can_fail_over = self.may_fail_over(request, progress)
                     limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
         except (aiohttp.ClientError, OSError) as error:
@@ -261,10 +264,16 @@
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
         attempt.choice.view.record_success()
-        self.forwarder.crashes.record_answered(request.fingerprint, clock.now())
+        self.forwarder.record_answered(request, clock.now())
         self.forwarder.log.answered(request, OK, progress.sends + 1, attempt.first_seconds)
         return delivery.response
 
+    def clear_parts(self, request: Request, progress: Progress) -> None:
+        """Clear the parts of a prompt once the answer has gone on for some time."""
+        now = clock.now()
+        if progress.has_outlived_start(now):
+            self.forwarder.crashes.record_parts_answered(request.part_keys, now)
+
     async def handle_non_stream(
         self,
         request: Request,
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -45,6 +45,7 @@
       prompt_tokens: Length of the prompt, in tokens; 0 if unknown.
       answer_tokens: Limit on the length of the answer, in tokens; 0 if unknown.
       last_event_id: Id of the last event that the caller received; empty for a new stream.
+      prompt_parts: Ids of the parts of the prompt, in order; empty if unknown.
       hinted_tokens: Estimate of the caller for the length of the answer, in tokens, which may
         be far off; 0 if unknown.
     """
@@ -57,6 +58,7 @@
     answer_tokens: int
     last_event_id: str
     hinted_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,9 +116,16 @@
         answer_tokens=int(parse_number(answer) or 0),
         last_event_id=headers.get(names.LAST_EVENT_ID, ""),
         hinted_tokens=int(parse_number(headers.get(names.LENGTH_HINT, "")) or 0),
+        prompt_parts=parse_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
 
+def parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Parse the ids in a list of prompt parts, each with its length in tokens: `id:tokens,...`."""
+    ids = (entry.partition(":")[0].strip().lower() for entry in text.split(","))
+    return tuple(part for part in ids if part)
+
+
 def parse_bearer_key(value: str) -> str:
     """Return the key in an Authorization header; empty if it uses another scheme."""
     return value[len(KEY_SCHEME) :].strip() if value.lower().startswith(KEY_SCHEME) else ""
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -184,6 +184,7 @@
     key: bytes = b""
     crashes: tuple[CrashedBackend, ...] = ()
     answered_ms: int = 0
+    is_part: bool = False
 
 
 @dataclass(frozen=True, slots=True)
