Count the limit on a version found at the start from the start

Change: the limit counts from the start of the process. A process that hears of it only after the limit has passed, as it was cut off, has 2.7 s from then on.

--- a/bench/placement_simulation.py
+++ b/bench/placement_simulation.py
@@ -189,7 +189,7 @@
 
 def initial_fleet(count: int) -> Fleet:
     """Return the initial view of the engines, all of which hold the weights."""
-    fleet = Fleet(StoreReplica())
+    fleet = Fleet(StoreReplica(), 0.0)
     for index in range(count):
         zone = ZONES[index % len(ZONES)]
         held = (HeldWeights("model", 1),)
--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -30,6 +30,20 @@
       | 9.7   |
       | 60    |
 
+  Scenario Outline: A version that a process finds late after its start is required no later
+    Given a process that finds a target version in the store <delay> s after its start
+    Then requests require the version <seconds> s after its start
+
+    Examples: late
+      | delay | seconds |
+      | 0     | 2.7     |
+      | 0.2   | 2.7     |
+      | 1.5   | 2.7     |
+
+  Scenario: A process that was cut off at its start requires a version soon after it hears of it
+    Given a process that finds a target version in the store 60 s after its start
+    Then requests require the version 62.7 s after its start
+
   Scenario Outline: A version that was replaced before a process heard of it is required all the same
     Given a process that <knowledge>
     And a peer that knows of a target version set 9 s ago and of a newer one set 2 s ago
--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -26,7 +26,7 @@
 
 
 def fleet_of(count, version=1):
-    fleet = Fleet(StoreReplica())
+    fleet = Fleet(StoreReplica(), NOW)
     for index in range(count):
         held = (HeldWeights("model", version),)
         backend = Backend(
@@ -56,7 +56,7 @@
     exchange = StateExchange(
         settings,
         replica,
-        Fleet(replica),
+        Fleet(replica, store_answered_at),
         CrashTracker(),
         lambda: True,
         lambda *_: None,
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -101,11 +101,29 @@
 @given("a process that finds a target version in the store at its start")
 def found_version(context):
     replica = StoreReplica()
-    context.fleet = Fleet(replica)
+    context.fleet = Fleet(replica, NOW)
     value = json.dumps({"model_name": "model", "version": 2}).encode()
     replica.apply(Changes(7, True, (KeyValueEntry("op/version/model", value, 5),)), NOW)
 
 
+@given("a process that finds a target version in the store {delay:g} s after its start")
+def found_version_late(context, delay):
+    replica = StoreReplica()
+    context.fleet = Fleet(replica, NOW)
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    entry = KeyValueEntry("op/version/model", value, 5)
+    replica.apply(Changes(7, True, (entry,)), NOW + delay)
+
+
+@then("requests require the version {seconds:g} s after its start")
+def needed_after_start(context, seconds):
+    needed = [
+        context.fleet.required_version("model", 60.0, NOW + seconds + after)
+        for after in (-0.01, 0.01)
+    ]
+    assert needed == [0, 2], needed
+
+
 @when("requests arrive under a bound of {bound:g} s")
 def under_bound(context, bound):
     context.needed = [
@@ -127,7 +145,7 @@
 @given("a process that has just started")
 def process_that_starts(context):
     context.replica = StoreReplica()
-    context.fleet = Fleet(context.replica)
+    context.fleet = Fleet(context.replica, NOW)
 
 
 @given("a peer that knows of a target version set 9 s ago and of a newer one set 2 s ago")
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -61,6 +61,7 @@
 
     Attributes:
       replica: Local replica of the key-value store.
+      started_at: When the process started, monotonic.
       table: Routes in force; None before a configuration is known.
       backends: Backends by identity.
       by_service: Backends by service.
@@ -71,8 +72,9 @@
       notices: What backends have said of themselves in their answers.
     """
 
-    def __init__(self, replica: StoreReplica) -> None:
+    def __init__(self, replica: StoreReplica, started_at: float) -> None:
         self.replica = replica
+        self.started_at = started_at
         self.table: RouteTable | None = None
         self.backends: dict[str, BackendView] = {}
         self.by_service: dict[str, list[BackendView]] = {}
@@ -249,7 +251,7 @@
         known = self.versions.setdefault(target.model, [])
         if known and target.version <= known[-1].target.version:
             return
-        learned = learned_version(target, entry.acknowledged_after, now)
+        learned = learned_version(target, entry.acknowledged_after, self.started_at, now)
         known.append(learned)
         del known[:-KEPT_VERSIONS]
         LOG.info(
@@ -329,16 +331,23 @@
         return self.table.configuration.routes if self.table else ()
 
 
-def learned_version(target: TargetVersion, acknowledged_after: float, now: float) -> LearnedVersion:
+def learned_version(
+    target: TargetVersion, acknowledged_after: float, started_at: float, now: float
+) -> LearnedVersion:
     """Return a target version with the time from which its bound counts.
 
     Args:
       target: The version.
       acknowledged_after: Earliest time at which the store can have acknowledged it, monotonic;
         minus infinity for a version found at the start.
+      started_at: When the process started, monotonic. The limit for a version found at the start
+        counts from then, unless it was found so late that the limit has passed.
       now: Present time, monotonic, in seconds.
     """
     if acknowledged_after > -math.inf:
         return LearnedVersion(target, now, acknowledged_after)
     assumed = now - ASSUMED_AGE_AT_START_SECONDS
-    return LearnedVersion(target, assumed, assumed, now + MAXIMUM_DELAY_AT_START_SECONDS)
+    required_by = started_at + MAXIMUM_DELAY_AT_START_SECONDS
+    if required_by < now:
+        required_by = now + MAXIMUM_DELAY_AT_START_SECONDS
+    return LearnedVersion(target, assumed, assumed, required_by)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -81,7 +81,7 @@
         self.backend_session = backend_session()
         self.store = leasing_store(settings, self.session)
         self.replica = StoreReplica()
-        self.fleet = Fleet(self.replica)
+        self.fleet = Fleet(self.replica, clock.now())
         self.crashes = CrashTracker(
             lambda key, now: self.exchange.is_appointed(key, now),
             lambda: self.exchange.request_full_broadcast(),
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
 from ..direct.fleet import Fleet
@@ -41,7 +42,8 @@
         self.follower = StoreFollower(
             store, ALL_KEYS_PREFIX, replica, self.entry_poller.needs_store
         )
-        self.engine_loader = EngineLoader(settings, direct, replica, Fleet(replica), self.session)
+        fleet = Fleet(replica, clock.now())
+        self.engine_loader = EngineLoader(settings, direct, replica, fleet, self.session)
         self.uploads = asyncio.Semaphore(1)
         self.tasks: list[asyncio.Task[None]] = []
         self.runner = web.AppRunner(web.Application(), access_log=None)
