Read answers without end up to 16 MiB, and don't take them for crashes

Cause: whole answers were read without a limit.

Change: an answer longer than 16 MiB is a failed attempt. It is of a kind of its own, 'invalid', with answers that belong to another request, have no signature or aren't HTTP: the backend lives on, so they are no evidence of a crash, which they were before. Heads and events had limits already.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -20,6 +20,23 @@
 """Time until a response or to the next event, unless the mode is "slow"."""
 
 
+ENDLESS_BLOCK_BYTES = 64 * 1024
+"""Bytes that a backend without end to its answer sends at a time."""
+ENDLESS = {
+    "endless-body": ("HTTP/1.1 200 OK\r\nSIGNATURE\r\n", "x"),
+    "endless-chunks": (
+        "HTTP/1.1 200 OK\r\nSIGNATURETransfer-Encoding: chunked\r\n\r\n",
+        "10\r\n0123456789abcdef\r\n",
+    ),
+    "endless-failure": ("HTTP/1.1 500 Failed\r\nSIGNATURE\r\n", "x"),
+    "endless-headers": ("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"),
+    "endless-header": ("HTTP/1.1 200 OK\r\nX-Long: ", "x"),
+    "endless-hints": ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "endless-noise": ("", "\x00noise"),
+}
+"""What backends send whose answers don't end, by mode: the beginning, and what they repeat."""
+
+
 class PlatformBackendStandIn:
     """HTTP backend, a plain service or an engine, whose mode selects a fault.
 
@@ -33,8 +50,9 @@
         stream, then a byte every 0.1 s), "wrong-attempt" (the response has the id of another
         attempt), "truncated" (half of the body, then a reset), "unframed-reset" (as "truncated",
         without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow",
-        "pausing" (as "full", with a Retry-After of `pause_seconds`) or "crashing" (a request that
-        begins to run ends the process, see `crash`).
+        "pausing" (as "full", with a Retry-After of `pause_seconds`), "crashing" (a request that
+        begins to run ends the process, see `crash`) or one of ENDLESS.
+      endless_bytes: Bytes sent in such a mode so far.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
       restart_seconds: Time after which it is back after a crash, in seconds.
       crashes: Number of crashes so far.
@@ -82,6 +100,7 @@
         self.born_unix_ms = 1
         self.arrivals: list[float] = []
         self.crashing_part = ""
+        self.endless_bytes = 0
         self.restart_seconds = 0.1
         self.crashes = 0
         self.active: list[web.Request] = []
@@ -184,6 +203,8 @@
             reset_connection(request)
         if self.mode == "crashing":
             await self.crash()
+        if self.mode in ENDLESS:
+            await self.send_without_end(request, attempt)
         await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
         answered_attempt = "another" if self.mode == "wrong-attempt" else attempt
         headers = {
@@ -201,6 +222,24 @@
             return await self.broken_body(request, headers, body)
         return web.Response(headers=headers, body=body)
 
+    async def send_without_end(self, request: web.Request, attempt: str) -> None:
+        """Send the beginning and then the repeated bytes of a mode until the caller closes.
+
+        Raises:
+          CancelledError: Always, to end the handler.
+        """
+        assert request.transport is not None
+        beginning, repeated = ENDLESS[self.mode]
+        signature = f"X-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
+        request.transport.write(beginning.replace("SIGNATURE", signature).encode())  # type: ignore[attr-defined]
+        block = repeated.encode() * (ENDLESS_BLOCK_BYTES // len(repeated))
+        while not request.transport.is_closing():
+            if request.transport.get_write_buffer_size() < len(block):  # type: ignore[attr-defined]
+                request.transport.write(block)  # type: ignore[attr-defined]
+                self.endless_bytes += len(block)
+            await asyncio.sleep(0)
+        raise asyncio.CancelledError
+
     async def broken_body(
         self, request: web.Request, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -154,3 +154,20 @@
       | two lengths         |
       | length and chunks   |
       | a broken chunk size |
+
+  Scenario Outline: An answer without end is neither kept in memory nor waited for: <mode>
+    Given all plain backends are "<mode>"
+    And all engines are "<mode>"
+    When a caller looks something up, and then opens a stream
+    Then neither gets a complete answer
+    And each came within 4.5 s, and the backends sent at most 64 MiB for it
+
+    Examples: endless
+      | mode            |
+      | endless-body    |
+      | endless-chunks  |
+      | endless-failure |
+      | endless-headers |
+      | endless-header  |
+      | endless-hints   |
+      | endless-noise   |
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -859,3 +859,29 @@
     context.answer = call(context, "/stream/x", headers={"X-Model": "model"}, entry=entry)
     assert context.answer[0] == 503, context.answer
     assert not any(item.run_counts for item in engines(context))
+
+
+@when("a caller looks something up, and then opens a stream")
+def look_and_stream(context):
+    context.outcomes = []
+    for path in ("/look/x", "/stream/x"):
+        before = sum(item.endless_bytes for item in context.platform.backends.values())
+        started = clock.now()
+        answer = call(context, path)
+        took = clock.now() - started
+        run(context, asyncio.sleep(0.2))
+        after = sum(item.endless_bytes for item in context.platform.backends.values())
+        context.outcomes.append((answer, took, after - before))
+
+
+@then("neither gets a complete answer")
+def both_fail(context):
+    assert all(answer[0] in (0, 502, 504) for answer, _, _ in context.outcomes), [
+        answer[:2] for answer, _, _ in context.outcomes
+    ]
+
+
+@then("each came within {seconds:g} s, and the backends sent at most {size:d} MiB for it")
+def bounded(context, seconds, size):
+    for _, took, sent in context.outcomes:
+        assert took <= seconds and sent <= size * 1024 * 1024, (took, sent)
--- a/verbenaward/direct/request_types.py
+++ b/verbenaward/direct/request_types.py
@@ -62,15 +62,16 @@
     """Why an attempt gave no usable answer.
 
     UNREACHABLE: no connection. NOT_RUN: the backend proved that it did not run the request. FULL:
-    it refused for lack of capacity. BROKEN: the connection broke, or the answer was invalid.
-    SILENT: no answer, or no event of a stream, in time. SERVER_ERROR: a server error that is
-    retried.
+    it refused for lack of capacity. BROKEN: the connection broke, as it does if the backend
+    crashes. INVALID: it sent what is no answer to the request, or one that is too long. SILENT: no
+    answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried.
     """
 
     UNREACHABLE = "unreachable"
     NOT_RUN = "not-run"
     FULL = "full"
     BROKEN = "broken"
+    INVALID = "invalid"
     SILENT = "silent"
     SERVER_ERROR = "server-error"
 
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -31,6 +31,8 @@
 for a pause must arrive within the half second that the backend allows for that."""
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """Headers that aiohttp would add by itself; a backend gets only what the caller has sent."""
+LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
+"""Longest body of an answer that is read whole: a process has some 300 MB for all its requests."""
 LARGEST_HEADER_BYTES = 64 * 1024
 """Longest status line or header field that a backend may send."""
 
@@ -90,7 +92,11 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         yield Failed(FailedAttempt(FailureKind.UNREACHABLE, False, str(error)))
         return
-    except (aiohttp.ClientError, OSError, ValueError) as error:
+    except (aiohttp.ClientResponseError, ValueError) as error:
+        # What came is not HTTP, or its head is too long.
+        yield Failed(FailedAttempt(FailureKind.INVALID, True, f"{type(error).__name__} {error}"))
+        return
+    except (aiohttp.ClientError, OSError) as error:
         yield Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
         return
     record_notice(view, read_backend_notice(response.status, response.headers))
@@ -107,7 +113,7 @@
     status, headers = response.status, response.headers
     if not answers_request(headers, request.parsed_headers.request_id):
         message = "the answer belongs to another request"
-        return Failed(FailedAttempt(FailureKind.BROKEN, True, message))
+        return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     if is_at_capacity(status, headers):
         return Failed(FailedAttempt(FailureKind.FULL, False, "the backend is full"))
     if proves_not_run(status, headers):
@@ -115,7 +121,7 @@
         return Failed(FailedAttempt(FailureKind.NOT_RUN, False, message))
     if not has_signature(headers):
         message = f"the answer has no signature header: status {status}"
-        return Failed(FailedAttempt(FailureKind.BROKEN, True, message))
+        return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     return Success(response)
 
 
@@ -149,16 +155,21 @@
 
 
 async def read_answer(response: aiohttp.ClientResponse) -> Result[WholeAnswer, FailedAttempt]:
-    """Read the body of an answer; a truncated body is a failed attempt."""
+    """Read the body of an answer; one that is truncated or too long is a failed attempt."""
     protocol = response.connection.protocol if response.connection else None
+    body = bytearray()
     try:
-        body = await response.read()
+        async for piece in response.content.iter_any():
+            body += piece
+            if len(body) > LARGEST_ANSWER_BYTES:
+                message = f"the answer is longer than {LARGEST_ANSWER_BYTES} bytes"
+                return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     except (aiohttp.ClientError, OSError) as error:
         return Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
     if was_reset(protocol):
         return Failed(FailedAttempt(FailureKind.BROKEN, True, "the connection was reset"))
     headers = headers_for_caller(response.headers)
-    return Success(WholeAnswer(response.status, headers, body))
+    return Success(WholeAnswer(response.status, headers, bytes(body)))
 
 
 def was_reset(protocol: ResponseHandler | None) -> bool:
