A request of a route without a target is not late from the start

Cause: half of a target of 0 s has always passed.

Change: the age counts only on a route with a target. The test runner now prints the errors of failed scenarios: one ended with an exception in a whole run, and nothing said with which; it stands in KNOWN-RED.txt.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -62,6 +62,10 @@
     When the peer tells it of its changes
     Then version 0 is required 2 s later under a bound of 8 s
 
+  Scenario: A request of a route without a target is not late from the start
+    When an engine request of a route without a target is ranked
+    Then it has the default rank
+
   Scenario: A request is refused if no engine holds the required weights
     Given a target version set 9 s ago and a newer one set 2 s ago
     And engines that hold an older version than both
--- a/tests/run.py
+++ b/tests/run.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from behave.configuration import Configuration
+from behave.model import Scenario
 from behave.model_type import Status
 from behave.runner import Runner
 
@@ -21,6 +22,13 @@
     return {line.removeprefix(PREFIX).strip() for line in lines if line.startswith(PREFIX)}
 
 
+def print_errors(scenario: Scenario) -> None:
+    """Print the errors of the failed steps of a scenario."""
+    for step in scenario.all_steps:
+        if step.error_message:
+            print(f"  {step.keyword} {step.name}\n{step.error_message}")
+
+
 def main() -> int:
     """Run the features and return the exit status."""
     arguments = sys.argv[1:] or [str(ROOT / "tests")]
@@ -39,6 +47,7 @@
             else:
                 failed += 1
                 print(f"failed: {feature.filename}: {scenario.name}")
+                print_errors(scenario)
     hook_failures = sum(feature.hook_failed for feature in runner.features)
     print(f"{passed} passed, {failed + hook_failures} failed, {red} skipped")
     return 1 if failed or hook_failures or broken or not passed else 0
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -17,6 +17,7 @@
 from verbenaward.direct.caller_retries import CallerRetryDetector
 from verbenaward.direct.fleet import Fleet, LearnedVersion
 from verbenaward.direct.forwarding import Progress
+from verbenaward.direct.placement import rank_of
 from verbenaward.direct.request_log import LineRateLimit
 from verbenaward.direct.streams import StreamAttempt, StreamForwarder
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
@@ -124,6 +125,19 @@
     assert needed == [0, 2], needed
 
 
+@when("an engine request of a route without a target is ranked")
+def rank_without_target(context):
+    request = request_of()
+    request = replace(request, route=replace(request.route, target_seconds=0.0))
+    placer = placer_of(fleet_of(1))
+    context.rank = rank_of(request, placer.is_late(request, NOW + 0.01))
+
+
+@then("it has the default rank")
+def default_rank(context):
+    assert context.rank is None, context.rank
+
+
 @when("requests arrive under a bound of {bound:g} s")
 def under_bound(context, bound):
     context.needed = [
--- a/verbenaward/direct/placement.py
+++ b/verbenaward/direct/placement.py
@@ -233,9 +233,10 @@
         """Return True if a request can hardly meet its target: half has passed, or it is a retry.
 
         Unless half the target has passed, the call also records the request's remaining time for
-        the detection of callers' retries. On a route without a target every request is late.
+        the detection of callers' retries.
         """
-        if now - request.received_at > request.route.target_seconds / 2:
+        target = request.route.target_seconds
+        if target and now - request.received_at > target / 2:
             return True
         remaining = request.parsed_headers.deadline_seconds
         return self.caller_retries.is_retry(request.route.name, remaining, now)
