--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -66,6 +66,11 @@
     When an engine request of a route without a target is ranked
     Then it has the default rank
 
+  Scenario: Each sixteenth full broadcast names other processes, however many load deltas are sent
+    Given an entry process that knows a live peer
+    When it sends 32 full broadcasts, and after each a load delta
+    Then two of the full ones name the peer
+
   Scenario: A request is refused if no engine holds the required weights
     Given a target version set 9 s ago and a newer one set 2 s ago
     And engines that hold an older version than both
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -397,3 +397,26 @@
 def assumed_age(context, seconds):
     learned = context.process.fleet.versions["model"][-1]
     assert seconds - 1 <= NOW - learned.set_after <= seconds, NOW - learned.set_after
+
+
+@given("an entry process that knows a live peer")
+def knows_peer(context):
+    async def make():
+        return exchange_of("sender", "zone-a", 9100, NOW), exchange_of("peer", "zone-a", 9101, NOW)
+
+    context.sender, peer = context.loop.run_until_complete(make())
+    context.sender.receive(encode(peer.full_broadcast(NOW)), ("127.0.0.1", 9101), NOW)
+
+
+@when("it sends {count:d} full broadcasts, and after each a load delta")
+def broadcasts_and_deltas(context, count):
+    context.broadcasts = []
+    for _ in range(count):
+        context.broadcasts.append(context.sender.full_broadcast(NOW))
+        context.sender.sequence += 1
+
+
+@then("two of the full ones name the peer")
+def named_twice(context):
+    named = [broadcast.entries for broadcast in context.broadcasts if broadcast.entries]
+    assert named == [("127.0.0.1:9101",)] * 2, named
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -55,6 +55,8 @@
 """Share of the allowed rate that load deltas may use; full broadcasts have the rest."""
 DATAGRAM_OVERHEAD_BYTES = 28
 """IP and UDP headers, which count towards the allowed rate."""
+GOSSIP_INTERVAL = 16
+"""Full broadcasts of which one names other peers."""
 GOSSIPED_PEERS = 8
 """Addresses of other peers in a full broadcast."""
 MAXIMUM_AGE_MS = 3_600_000
@@ -88,6 +90,7 @@
       is_store_lost: Returns True if this process's last call to the store failed.
       incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
       sequence: Number of the last message sent.
+      full_broadcasts: Number of full broadcasts among them.
       is_urgent: True if a full broadcast is to be sent at once.
       next_full_at: When the next periodic full broadcast is due, monotonic.
       next_delta_at: When the allowed rate permits the next load delta, monotonic.
@@ -117,6 +120,7 @@
         self.peers: dict[str, EntryPeer] = {}
         self.incarnation = time.time_ns()
         self.sequence = 0
+        self.full_broadcasts = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.changed = asyncio.Event()
         self.is_urgent = False
@@ -296,6 +300,7 @@
         direct = self.settings.direct
         assert direct is not None
         self.sequence += 1
+        self.full_broadcasts += 1
         alive = [peer.control for peer in self.peers.values() if peer.is_alive(now)]
         gossiped = alive if len(alive) <= GOSSIPED_PEERS else self.rng.sample(alive, GOSSIPED_PEERS)
         return Pulse(
@@ -310,8 +315,7 @@
             loads=self.loads(),
             evidence=self.crashes.evidence_to_broadcast(now),
             misdirected=self.misdirected(now),
-            # Not in every broadcast: one in 16 sequence numbers, load deltas counted.
-            entries=tuple(gossiped) if self.sequence % 16 == 1 else (),
+            entries=tuple(gossiped) if self.full_broadcasts % GOSSIP_INTERVAL == 1 else (),
             checked_ms=math.ceil(
                 min(MAXIMUM_AGE_MS, self.replica_age(now) * MILLISECONDS_PER_SECOND)
             ),
