End a quarantine that no caller has had tried

Cause: crashes that came all at once quarantined a key until it was answered.

Change: after 30 s without a further crash every process may send it again. If it is to blame, the next crash is a second round and makes it poison at once.

--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -52,6 +52,12 @@
     Then 1 s later one of them sends it, one at a time, and the others refuse it
     And all send it 1 s after it was answered there
 
+  Scenario: What two backends had in flight is sent by all again if no caller has had it tried
+    Given 9 entry processes in 3 zones that broadcast to samples of their peers
+    When two of them lose different backends in the same moment, each with that request
+    Then 1 s later one of them sends it, one at a time, and the others refuse it
+    And none of them refuses it 30 s later
+
   Scenario: What crashes a backend again when it is tried is poison
     Given 9 entry processes in 3 zones that broadcast to samples of their peers
     When two of them lose different backends in the same moment, each with that request
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -20,6 +20,9 @@
 """Time after the last crash for which a poison key is refused before it is tried again. Doubled for
 each further round of crashes."""
 MAXIMUM_TRIAL_SECONDS = 600.0
+SUSPECT_SECONDS = 30.0
+"""Time after crashes that came all at once for which a key is quarantined. Its callers may never
+ask the process that is to try it."""
 RECORD_LIFETIME_SECONDS = 1200.0
 """Time after the last crash for which the evidence is kept; longer than any wait for a trial."""
 MAXIMUM_CRASHES = 64
@@ -138,12 +141,12 @@
             if now - self.last_crash_at < trial_seconds(rounds):
                 return QuarantineState.POISON
             return QuarantineState.QUARANTINED
+        if rounds >= POISON_ROUNDS:
+            return QuarantineState.QUARANTINED
         is_suspect = not self.is_proven and len(crashes) >= self.rule.suspect_crashes
-        return (
-            QuarantineState.QUARANTINED
-            if is_suspect or rounds >= POISON_ROUNDS
-            else QuarantineState.NONE
-        )
+        if is_suspect and now - self.last_crash_at < SUSPECT_SECONDS:
+            return QuarantineState.QUARANTINED
+        return QuarantineState.NONE
 
 
 AGE_STEP_SECONDS = 0.002
