Let weak evidence of crashes end after 30 s, and say what is refused

What callers would have seen: requests whose prompts share a part that was answered before, refused for up to 20 minutes after engines were lost in two rounds, if no caller asks the process that may try it; and 'the request has crashed several backends' of a request that had not (read in the diff).

Cause: only crashes that came all at once stopped to count after 30 s.

Change: all evidence that quarantines stops to count then, but for the trial of what was poison. The refusal says that requests like this one have crashed backends. A table of the rule's outcomes is a scenario.

--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -89,3 +89,18 @@
     Given 8 entry processes and 7 engines with sound streams on shared parts
     When engines are killed one by one, in a herd, and all at once
     Then all sound streams are sent from 3 s after a kill on
+
+  Scenario Outline: A part <history> before <crashes> crashes in <rounds> rounds is <soon>, then <later>
+    Given a part of prompts that was <history>
+    When <crashes> engines crash with it in <rounds> rounds
+    Then it is "<soon>" 1 s later, "<later>" 31 s later and "<late>" 130 s later
+
+    Examples: evidence
+      | history        | crashes | rounds | soon        | later  | late        |
+      | never answered | 2       | 2      | none        | none   | none        |
+      | never answered | 3       | 1      | none        | none   | none        |
+      | never answered | 3       | 2      | poison      | poison | quarantined |
+      | never answered | 5       | 1      | quarantined | none   | none        |
+      | answered       | 5       | 1      | none        | none   | none        |
+      | answered       | 3       | 2      | quarantined | none   | none        |
+      | answered       | 4       | 4      | poison      | poison | poison      |
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -9,6 +9,7 @@
 from standins.platform_backend import STREAM_EVENTS
 from tests.simulated_crashes import SimulatedCrashes
 from tests.steps.platform_running import call, engines, plain, run, until
+from verbenaward.direct.crash_evidence import PART_RULE, BackendCrash, CrashRecord
 
 
 @when("a caller books something by {method}")
@@ -243,3 +244,22 @@
             if not sent and all(not 0 <= at - kill < seconds for kill in history.kills)
         ]
         assert not refused, (refused, history.kills)
+
+
+@given("a part of prompts that was {history}")
+def part_record(context, history):
+    context.record = CrashRecord(PART_RULE, answered_at=5.0 if history == "answered" else 0.0)
+
+
+@when("{crashes:d} engines crash with it in {rounds:d} rounds")
+def crash_in_rounds(context, crashes, rounds):
+    for number in range(crashes):
+        at = 10.0 + min(number, rounds - 1)
+        assert context.record.add(BackendCrash(number, at, at - 0.3))
+    context.last_at = 10.0 + rounds - 1
+
+
+@then('it is "{soon}" 1 s later, "{later}" 31 s later and "{late}" 130 s later')
+def states(context, soon, later, late):
+    states = [context.record.state((), context.last_at + after) for after in (1, 31, 130)]
+    assert states == [soon, later, late], states
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -21,13 +21,17 @@
 each further round of crashes."""
 MAXIMUM_TRIAL_SECONDS = 600.0
 SUSPECT_SECONDS = 30.0
-"""Time after crashes that came all at once for which a key is quarantined. Its callers may never
+"""Time after the last crash for which weak evidence keeps a key quarantined. Its callers may never
 ask the process that is to try it."""
 RECORD_LIFETIME_SECONDS = 1200.0
 """Time after the last crash for which the evidence is kept; longer than any wait for a trial."""
 MAXIMUM_CRASHES = 64
 """Crashes of a key that are kept; one that is not can count against other keys."""
 
+AGE_STEP_SECONDS = 0.002
+"""Error of the time between two events that other processes have reported: ages travel in whole
+milliseconds, and a retry follows a crash at once."""
+
 
 @dataclass(frozen=True, slots=True)
 class EvidenceRule:
@@ -141,19 +145,14 @@
             if now - self.last_crash_at < trial_seconds(rounds):
                 return QuarantineState.POISON
             return QuarantineState.QUARANTINED
-        if rounds >= POISON_ROUNDS:
-            return QuarantineState.QUARANTINED
-        is_suspect = not self.is_proven and len(crashes) >= self.rule.suspect_crashes
+        is_suspect = rounds >= POISON_ROUNDS or (
+            not self.is_proven and len(crashes) >= self.rule.suspect_crashes
+        )
         if is_suspect and now - self.last_crash_at < SUSPECT_SECONDS:
             return QuarantineState.QUARANTINED
         return QuarantineState.NONE
 
 
-AGE_STEP_SECONDS = 0.002
-"""Error of the time between two events that other processes have reported: ages travel in whole
-milliseconds, and a retry follows a crash at once."""
-
-
 def blamed_keys(proven: dict[bytes, bool]) -> list[bytes]:
     """Return the keys of a crashed request that may be to blame.
 
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -155,16 +155,17 @@
         return BACKEND_WAIT_TARGET_SHARE * (request.route.target_seconds or 0.1)
 
     def refuse_poison(self, request: Request, progress: Progress, now: float) -> None:
-        """Refuse a poison request.
+        """Refuse a request that is poison, or quarantined and not to be tried here and now.
 
         Raises:
-          RefusedError: The request has crashed several backends.
+          RefusedError: The request, or a part of its prompt, has crashed several backends.
         """
         if self.crashes.admits(request.crash_keys, now):
             return
         if progress.runs:
-            self.give_up(request, progress, "the request has crashed its backends")
-        refusal = not_run(503, "poison", "the request has crashed several backends", 1.0)
+            self.give_up(request, progress, "it, or a part of its prompt, crashes backends")
+        message = "requests like this one have crashed several backends"
+        refusal = not_run(503, "poison", message, 1.0)
         self.log.refused(request, refusal, None)
         raise RefusedError(refusal)
 
