--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -82,6 +82,18 @@
       | 3   |
       | 4   |
 
+  Scenario Outline: Two versions that follow each other leave a third of the engines in service
+    Given 14 engines that stage a version in 4.8 s and are out of service for 1.5 s to load it
+    When two versions are set <gap> s apart under a bound of 8 s
+    Then at least 35 in 100 of the engines serve at any time
+
+    Examples: stated
+      | gap |
+      | 1   |
+      | 2   |
+      | 3   |
+      | 4   |
+
   Scenario Outline: Endpoints do not wait for chunks that the origin sends last
     When <count> endpoints of a region fetch 48 chunks while the origin sends them
     Then no link is idle for more than 25 in 100 of the time that the chunks take on it
