An answer clears a part for the time at which it began

Cause: an answer counted for the time at which it was seen, so answers that had begun before the part turned bad cleared the first crashes.

Change: it counts for the time at which it began. With that alone its proven neighbour became poison too and sound streams were refused (the other check of the same scenario); so parts in the same crashes are tried apart whether they were answered before or not, as it was for parts that never were.

--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -84,6 +84,7 @@
       | shared     | and nothing else happens       |
       | shared     | and engines are killed as well |
       | all first  | and engines are killed as well |
+      | shared     | and before that with it while sound |
 
   Scenario: Engines that are killed do not make the parts of prompts poison
     Given 8 entry processes and 7 engines with sound streams on shared parts
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -37,7 +37,7 @@
 
     def __init__(self, entry, number, parts):
         self.entry = entry
-        self.is_bad = "bad" in parts
+        self.is_bad = "bad" in parts and number > 0
         self.progress = Progress()
         self.attempts = 0
         self.request = dataclasses.replace(
@@ -57,6 +57,7 @@
       bad_sends: Times at which a stream with the bad part was sent.
       sound: Time of arrival of each sound stream that found an engine up, and whether it was sent.
       kills: Times at which engines were killed.
+      turns_bad_at: Time from which the bad part crashes engines.
     """
 
     def __init__(self, seed, engines=7, entries=8):
@@ -65,6 +66,7 @@
         self.engines = [Engine(number) for number in range(engines)]
         self.bad_crashes, self.bad_sends, self.sound, self.kills = [], [], [], []
         self.streams = 0
+        self.turns_bad_at = 0.0
         for entry in self.network.entries:
             exchange = entry.exchange
             entry.forwarder = Forwarder(
@@ -90,7 +92,9 @@
         """Send a stream and wait for the next one."""
         self.streams += 1
         entry = self.rng.choice(self.network.entries)
-        flight = Flight(entry, self.streams, parts(self.rng))
+        # Before the part turns bad, streams with it are as sound as any; they have numbers below 0.
+        number = self.streams if self.now >= self.turns_bad_at else -self.streams
+        flight = Flight(entry, number, parts(self.rng))
         can_serve = any(engine.up for engine in self.engines)
         sent = self.send(flight)
         if not flight.is_bad and can_serve:
@@ -138,14 +142,15 @@
         if self.is_running(flight, engine, attempt):
             assert flight.progress.has_outlived_start(self.now)
             crashes = flight.entry.exchange.crashes
-            crashes.record_parts_answered(flight.request.part_keys, self.now)
+            began_at = flight.progress.answer_began_at
+            crashes.record_parts_answered(flight.request.part_keys, began_at, self.now)
 
     def end(self, flight, engine, attempt):
         """Have the answer end."""
         if self.is_running(flight, engine, attempt):
             engine.flights.remove(flight)
             flight.run.__exit__(None, None, None)
-            flight.entry.forwarder.record_answered(flight.request, self.now)
+            flight.entry.forwarder.record_answered(flight.request, flight.progress, self.now)
 
     def crash_by(self, flight, engine, attempt):
         """Crash an engine by a stream with the bad part."""
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -109,7 +109,7 @@
 @then("all send it {seconds:g} s after it was answered there")
 def all_send(context, seconds):
     simulation = context.simulation
-    context.tries.record_answered(b"request", simulation.now)
+    context.tries.record_answered(b"request", simulation.now, simulation.now)
     simulation.run_until(simulation.now + seconds)
     assert len(admitting(simulation)) == len(simulation.entries)
 
@@ -199,6 +199,14 @@
     play(context, until)
 
 
+@when("streams with a bad part come from 5 to {until:g} s, and before that with it while sound")
+def bad_after_sound(context, until):
+    for history in context.histories:
+        history.turns_bad_at = 5.0
+        history.arrivals(6.0, 5.0, lambda _: ("first", "bad"))
+    play(context, until)
+
+
 @when("streams with a bad part come from 5 to {until:g} s, and engines are killed as well")
 def bad_and_kills(context, until):
     for history in context.histories:
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -97,9 +97,9 @@
         self.crashes[crash.backend] = crash
         return True
 
-    def clear(self, now: float) -> None:
-        """Record that a backend can run it, which takes back the blame for earlier crashes."""
-        self.answered_at = max(self.answered_at, now)
+    def clear(self, answered_at: float) -> None:
+        """Record that a backend could run it, which takes back the blame for earlier crashes."""
+        self.answered_at = max(self.answered_at, answered_at)
         self.crashes = {
             name: crash for name, crash in self.crashes.items() if crash.at > self.answered_at
         }
@@ -114,15 +114,23 @@
         """Return True if a backend has run a request with the key before."""
         return self.answered_at > 0
 
-    def explains_crashes(self) -> bool:
-        """Return True if this is a part that is clearly to blame for its crashes."""
+    @property
+    def poison_rounds(self) -> int:
+        """Return the rounds of crashes from which the key is poison."""
+        return PROVEN_POISON_ROUNDS if self.is_proven else POISON_ROUNDS
+
+    def is_blamed_part(self) -> bool:
+        """Return True if this is a part with as many crashes as make it poison."""
         return (
             self.rule is PART_RULE
-            and not self.is_proven
             and len(self.crashes) >= self.rule.poison_crashes
-            and rounds_of(self.crashes.values()) >= POISON_ROUNDS
+            and rounds_of(self.crashes.values()) >= self.poison_rounds
         )
 
+    def explains_crashes(self) -> bool:
+        """Return True if this is a part that is clearly to blame for its crashes."""
+        return not self.is_proven and self.is_blamed_part()
+
     def explains(self, other: "CrashRecord") -> bool:
         """Return True if half or more of the crashes of another key are also crashes of this."""
         shared = self.crashes.keys() & other.crashes.keys()
@@ -141,7 +149,7 @@
         if len(crashes) < self.rule.poison_crashes:
             return QuarantineState.NONE
         rounds = rounds_of(crashes)
-        if rounds >= (PROVEN_POISON_ROUNDS if self.is_proven else POISON_ROUNDS):
+        if rounds >= self.poison_rounds:
             if now - self.last_crash_at < trial_seconds(rounds):
                 return QuarantineState.POISON
             return QuarantineState.QUARANTINED
--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -122,12 +122,12 @@
         They were in the same requests. Only a request that has them all is known to crash backends.
         """
         record = self.records[key]
-        if not record.explains_crashes():
+        if not record.is_blamed_part():
             return frozenset()
         return frozenset(
             other_key
             for other_key, other in self.records.items()
-            if other.explains_crashes() and other.explains(record)
+            if other.is_blamed_part() and other.explains(record)
         )
 
     @contextlib.contextmanager
@@ -182,20 +182,35 @@
         record = self.records.get(key)
         return key in self.answered or (record is not None and record.is_proven)
 
-    def record_parts_answered(self, parts: tuple[bytes, ...], now: float) -> None:
-        """Record that a backend can answer a request with parts, so that these are proven."""
+    def record_parts_answered(self, parts: tuple[bytes, ...], began_at: float, now: float) -> None:
+        """Record that a backend can answer a request with parts, so that these are proven.
+
+        Args:
+          parts: Keys of the parts.
+          began_at: When the answer began, monotonic, in seconds: a part may turn bad while answers
+            that have begun go on.
+          now: Present time, monotonic, in seconds.
+        """
         for key in parts:
-            self.answered[key] = now
+            self.answered[key] = max(began_at, self.answered.get(key, 0.0))
             self.answered.move_to_end(key)
-            self.record_answered(key, now)
+            self.record_answered(key, began_at, now)
         while len(self.answered) > MAXIMUM_ANSWERED_PARTS:
             self.answered.popitem(last=False)
 
-    def record_answered(self, key: bytes, now: float) -> None:
-        """Record that a backend can answer a request with a key, so that this is not to blame."""
+    def record_answered(self, key: bytes, answered_at: float, now: float) -> None:
+        """Record that a backend can answer a request with a key.
+
+        The key is not to blame for crashes before that.
+
+        Args:
+          key: Key of the request.
+          answered_at: Time for which that is shown, monotonic, in seconds.
+          now: Present time, monotonic, in seconds.
+        """
         record = self.records.get(key)
-        if record is not None and record.crashes:
-            record.clear(now)
+        if record is not None and record.crashes and answered_at > record.answered_at:
+            record.clear(answered_at)
             self.record_news(key, now)
 
     def record_news(self, key: bytes, now: float) -> None:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -258,7 +258,7 @@
         """Return the answer for the caller, or a failed attempt if a server error is retried."""
         if answer.status < SERVER_ERROR:
             view.record_success()
-            self.record_answered(request, clock.now())
+            self.record_answered(request, progress, clock.now())
             self.log.answered(request, answer.status, progress.sends + 1)
             return Success(answer)
         can_retry = self.may_retry(request, progress)
@@ -309,10 +309,11 @@
         if progress.answer_began_at and not progress.has_outlived_start(now):
             self.crashes.record_part_crash(request.part_keys, backend, sent_at, now)
 
-    def record_answered(self, request: Request, now: float) -> None:
+    def record_answered(self, request: Request, progress: Progress, now: float) -> None:
         """Record that a backend has answered a request: neither it nor its parts are to blame."""
-        self.crashes.record_answered(request.fingerprint, now)
-        self.crashes.record_parts_answered(request.part_keys, now)
+        began_at = progress.answer_began_at or progress.sent_at
+        self.crashes.record_answered(request.fingerprint, now, now)
+        self.crashes.record_parts_answered(request.part_keys, began_at, now)
 
     def after_failure(
         self, request: Request, progress: Progress, failed: FailedAttempt
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -264,7 +264,7 @@
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
         attempt.choice.view.record_success()
-        self.forwarder.record_answered(request, clock.now())
+        self.forwarder.record_answered(request, progress, clock.now())
         self.forwarder.log.answered(request, OK, progress.sends + 1, attempt.first_seconds)
         return delivery.response
 
@@ -272,7 +272,9 @@
         """Clear the parts of a prompt once the answer has gone on for some time."""
         now = clock.now()
         if progress.has_outlived_start(now):
-            self.forwarder.crashes.record_parts_answered(request.part_keys, now)
+            self.forwarder.crashes.record_parts_answered(
+                request.part_keys, progress.answer_began_at, now
+            )
 
     async def handle_non_stream(
         self,
