--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -18,8 +18,6 @@
 """Events of a complete stream."""
 WORK_SECONDS = 0.005
 """Time until a response or to the next event, unless the mode is "slow"."""
-
-
 ENDLESS_BLOCK_BYTES = 64 * 1024
 """Bytes that a backend without end to its answer sends at a time."""
 ENDLESS = {
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -33,11 +33,11 @@
 
 
 class Flight:
-    """One stream: its entry process, its parts and the state of its sends."""
+    """One stream: its entry process, its parts, whether it crashes engines, and its sends."""
 
-    def __init__(self, entry, number, parts):
+    def __init__(self, entry, number, parts, is_bad):
         self.entry = entry
-        self.is_bad = "bad" in parts and number > 0
+        self.is_bad = is_bad
         self.progress = Progress()
         self.attempts = 0
         self.request = dataclasses.replace(
@@ -46,7 +46,6 @@
             part_keys=part_keys_of("engines", (*parts, f"own-{number}")),
         )
         self.run = None
-        self.ended = False
 
 
 class SimulatedCrashes:
@@ -92,9 +91,9 @@
         """Send a stream and wait for the next one."""
         self.streams += 1
         entry = self.rng.choice(self.network.entries)
-        # Before the part turns bad, streams with it are as sound as any; they have numbers below 0.
-        number = self.streams if self.now >= self.turns_bad_at else -self.streams
-        flight = Flight(entry, number, parts(self.rng))
+        drawn = parts(self.rng)
+        is_bad = "bad" in drawn and self.now >= self.turns_bad_at
+        flight = Flight(entry, self.streams, drawn, is_bad)
         can_serve = any(engine.up for engine in self.engines)
         sent = self.send(flight)
         if not flight.is_bad and can_serve:
