--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -32,7 +32,7 @@
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """Headers that aiohttp would add by itself; a backend gets only what the caller has sent."""
 LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
-"""Longest body of an answer that is read whole: a process has some 300 MB for all its requests."""
+"""Longest body of an answer that is read whole; a process may read many at the same time."""
 LARGEST_HEADER_BYTES = 64 * 1024
 """Longest status line or header field that a backend may send."""
 
