Log the limits that backends name

Change: Server-Limit is read (one decimal number; anything else is ignored and logged once for each incarnation), kept by incarnation with the time for which it holds, and logged when it changes. Nothing acts on it yet.

--- a/tests/steps/backend_notices.py
+++ b/tests/steps/backend_notices.py
@@ -140,7 +140,7 @@
     context.fleet = fleet_of(2)
     context.seconds = seconds
     context.paused = next(iter(context.fleet.backends.values()))
-    context.fleet.record_notice(context.paused, BackendNotice(False, seconds), NOW, 0.0)
+    context.fleet.record_notice(context.paused, BackendNotice(False, seconds), NOW, NOW, 0.0)
 
 
 @when("another request of the process succeeds there")
@@ -150,7 +150,7 @@
 
 @when("a shorter pause is asked for")
 def shorter_pause(context):
-    context.fleet.record_notice(context.paused, BackendNotice(False, 0.1), NOW, 0.0)
+    context.fleet.record_notice(context.paused, BackendNotice(False, 0.1), NOW, NOW, 0.0)
 
 
 @then("the engine gets no request until the end of the pause")
@@ -197,7 +197,7 @@
 @when("a backend says to one of them that it leaves, and that one broadcasts")
 def leaving_told(context):
     first, second = context.entries
-    first.fleet.record_notice(first.fleet.backends["e-0"], BackendNotice(True, 0.0), NOW, 0.0)
+    first.fleet.record_notice(first.fleet.backends["e-0"], BackendNotice(True, 0.0), NOW, NOW, 0.0)
     second.receive(encode(first.full_broadcast(NOW)), ("127.0.0.1", 9400), NOW)
 
 
--- a/verbenaward/direct/backend_notices.py
+++ b/verbenaward/direct/backend_notices.py
@@ -1,4 +1,4 @@
-"""What backends have said of themselves in their answers: that they leave, or want a pause.
+"""What backends have said of themselves in their answers: leaving, a pause, a limit.
 
 A notice belongs to one incarnation of a backend and outlives its registration, which may end and
 come back while the incarnation lives.
@@ -6,10 +6,11 @@
 
 import zlib
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..data import Backend
 from ..platform.request_headers import BackendNotice
+from .known_limits import KnownLimit
 
 PAUSE_SPREAD = 0.25
 """Longest random extension of a pause, as a share of it. A backend asks all its callers for the
@@ -31,12 +32,16 @@
       is_leaving: True once it has said that it leaves; it never takes that back.
       heard_leaving_at: When this process heard that, monotonic; 0 if it has not.
       paused_until: Time until which it wants no requests of this process, monotonic.
+      limit: Limit on the requests of all processes together.
+      has_malformed_limit: True once it has named a limit that is not a number.
     """
 
     name: int
     is_leaving: bool = False
     heard_leaving_at: float = 0.0
     paused_until: float = 0.0
+    limit: KnownLimit = field(default_factory=KnownLimit)
+    has_malformed_limit: bool = False
 
     def admits(self, now: float) -> bool:
         """Return True if the incarnation may get requests of this process."""
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -173,13 +173,19 @@
                 view.record_misdirected(now)
 
     def record_notice(
-        self, view: BackendView, notice: BackendNotice, now: float, extension_share: float
+        self,
+        view: BackendView,
+        notice: BackendNotice,
+        sent_at: float,
+        now: float,
+        extension_share: float,
     ) -> None:
         """Record what a backend says of itself in an answer.
 
         Args:
           view: The backend.
           notice: What its answer says.
+          sent_at: When the request was sent, monotonic.
           now: Present time, monotonic, in seconds.
           extension_share: Random number from 0 to 1 that spreads the ends of pauses.
         """
@@ -191,6 +197,27 @@
         if notices.paused_until > max(now, paused_until):
             seconds = round(notices.paused_until - now, 3)
             LOG.info("backend.paused", backend=view.backend.identity, seconds=seconds)
+        self.record_limit(view, notice, sent_at, now)
+
+    def record_limit(
+        self, view: BackendView, notice: BackendNotice, sent_at: float, now: float
+    ) -> None:
+        """Record whether an answer names a limit; a malformed one changes nothing.
+
+        Args:
+          view: The backend.
+          notice: What its answer says.
+          sent_at: When the request was sent, monotonic.
+          now: Present time, monotonic, in seconds.
+        """
+        notices, identity = view.notices, view.backend.identity
+        if notice.malformed_limit and not notices.has_malformed_limit:
+            notices.has_malformed_limit = True
+            LOG.warning("backend.limit-unreadable", backend=identity, limit=notice.malformed_limit)
+        if notice.limit_per_second is None:
+            return
+        if notices.limit.record_answer(notice.limit_per_second, sent_at, now):
+            log_limit(identity, notices.limit.per_second)
 
     def record_loading(self, address: str, seconds_until_load: float, now: float) -> None:
         """Record that a backend is about to load other weights and accepts no requests meanwhile.
@@ -331,6 +358,14 @@
         return self.table.configuration.routes if self.table else ()
 
 
+def log_limit(identity: str, per_second: float) -> None:
+    """Log that the limit of a backend has changed."""
+    if per_second < math.inf:
+        LOG.info("backend.limited", backend=identity, per_second=per_second)
+    else:
+        LOG.info("backend.unlimited", backend=identity)
+
+
 def learned_version(
     target: TargetVersion, acknowledged_after: float, started_at: float, now: float
 ) -> LearnedVersion:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -223,9 +223,10 @@
         self.record_failure(request, progress, choice, handled.failure())
         return self.after_failure(request, progress, handled.failure())
 
-    def record_notice(self, view: BackendView, notice: BackendNotice) -> None:
-        """Record what a backend says of itself in an answer."""
-        self.placer.fleet.record_notice(view, notice, clock.now(), self.placer.rng.random())
+    def record_notice(self, view: BackendView, notice: BackendNotice, sent_at: float) -> None:
+        """Record what a backend says of itself in an answer to a request sent at `sent_at`."""
+        now = clock.now()
+        self.placer.fleet.record_notice(view, notice, sent_at, now, self.placer.rng.random())
 
     def backend_headers_for(self, request: Request, choice: Choice, now: float) -> BackendHeaders:
         """Return the values of the headers that this process sets on an attempt."""
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 from yarl import URL
 
+from .. import clock
 from ..http_client import send_once
 from ..platform.request_headers import (
     BackendHeaders,
@@ -37,8 +38,8 @@
 """Longest status line or header field that a backend may send."""
 
 
-RecordNotice = Callable[[BackendView, BackendNotice], None]
-"""Records what a backend says of itself in an answer."""
+RecordNotice = Callable[[BackendView, BackendNotice, float], None]
+"""Records what a backend says of itself in an answer to a request that was sent at a time."""
 
 
 def backend_session() -> aiohttp.ClientSession:
@@ -81,6 +82,7 @@
       values: Headers that are added for the backend.
       record_notice: Called with what the backend says of itself.
     """
+    sent_at = clock.now()
     try:
         response = await session.request(
             request.method,
@@ -99,7 +101,7 @@
     except (aiohttp.ClientError, OSError) as error:
         yield Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
         return
-    record_notice(view, read_backend_notice(response.status, response.headers))
+    record_notice(view, read_backend_notice(response.status, response.headers), sent_at)
     try:
         yield classify_response(request, response)
     finally:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -63,9 +63,16 @@
         "the registration of {backend} expired during an outage of the store", "backend"
     ),
     "backend.leaving": kind("{backend} is draining", "backend", "revision"),
+    "backend.limit-unreadable": kind(
+        "{backend} named a malformed limit, which is ignored: {limit}", "backend", "limit"
+    ),
+    "backend.limited": kind(
+        "{backend} takes {per_second} requests a second from all processes", "backend", "per_second"
+    ),
     "backend.loading": kind("{backend} loads weights and accepts no requests", "backend"),
     "backend.paused": kind("{backend} wants no requests for {seconds} s", "backend", "seconds"),
     "backend.said-leaving": kind("{backend} said in an answer that it leaves", "backend"),
+    "backend.unlimited": kind("{backend} names no limit any more", "backend"),
     "backend.unreadable": kind("malformed registration of a backend: {fault}", "fault", "key"),
     "cell.changed": kind("the peer group has {members} entry processes", "members", "backends"),
     "chunk.corrupt": kind("chunk {index} has the wrong digest", "model", "version", "index"),
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -1,5 +1,7 @@
 """HTTP headers of requests and answers on the users' platform."""
 
+import math
+import re
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -29,6 +31,7 @@
 )
 """Headers of a caller that are not forwarded; this process sets those that a backend needs."""
 KEY_SCHEME = "bearer "
+DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -90,17 +93,39 @@
     Attributes:
       is_leaving: True if it will stop.
       pause_seconds: Time for which it wants no requests of this process; 0 for none.
+      limit_per_second: Requests a second that it takes from all processes together; infinite if
+        it names no limit, None if the answer does not show whether it does.
+      malformed_limit: Its limit as it was sent, if that is not a number; else empty.
     """
 
     is_leaving: bool
     pause_seconds: float
+    limit_per_second: float | None = None
+    malformed_limit: str = ""
 
 
 def read_backend_notice(status: int, headers: CIMultiDictProxy[str]) -> BackendNotice:
     """Return what an answer says of its backend. Only a refusal (503) can ask for a pause."""
     is_leaving = headers.get(names.SERVER_LEAVING, "") == "1"
     pause = headers.get(names.RETRY_AFTER, "") if status == UNAVAILABLE else ""
-    return BackendNotice(is_leaving, parse_number(pause) or 0.0)
+    limits = headers.getall(names.SERVER_LIMIT, [])
+    limit = read_limit(status, limits)
+    malformed = ", ".join(limits) if limits and limit is None else ""
+    return BackendNotice(is_leaving, parse_number(pause) or 0.0, limit, malformed)
+
+
+def read_limit(status: int, values: list[str]) -> float | None:
+    """Return the limit that an answer names, in requests a second.
+
+    Returns:
+      Infinity if it names none. None if the header is malformed, or missing in an answer that may
+      come from another incarnation at the address.
+    """
+    if not values:
+        return None if status == MISDIRECTED else math.inf
+    if len(values) > 1 or not DECIMAL.fullmatch(values[0].strip()):
+        return None
+    return parse_number(values[0])
 
 
 def read_caller_headers(headers: CIMultiDictProxy[str]) -> CallerHeaders:
