--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -60,9 +60,12 @@
       restarting: Opens it again after the last crash.
       pause_seconds: Time for which it asks for no requests in mode "pausing", in seconds.
       says_leaving: Whether all its responses say that it leaves.
+      limit: Limit that all its responses name; empty for none.
       heartbeats: Number of registrations so far.
       born_unix_ms: Start time that it registers, in milliseconds since the epoch.
       arrivals: Times at which requests arrived, monotonic, whether they ran or not.
+      arrival_ids: Their attempt ids.
+      named_limits: Times at which responses began that name a limit, with their attempt ids.
       run_counts: Number of runs that began, by attempt id.
       cancelled: Ids of attempts that ended early, because the caller left or by a reset.
       last_headers: Headers of the last request.
@@ -94,9 +97,12 @@
         self.busy = False
         self.pause_seconds = 1.0
         self.says_leaving = False
+        self.limit = ""
         self.heartbeats = 1
         self.born_unix_ms = 1
         self.arrivals: list[float] = []
+        self.arrival_ids: list[str] = []
+        self.named_limits: list[tuple[float, str]] = []
         self.crashing_part = ""
         self.endless_bytes = 0
         self.restart_seconds = 0.1
@@ -114,13 +120,17 @@
         app.router.add_put("/stage-put/{model}", self.stage_put)
         app.router.add_get("/stage-get/{model}", self.stage_get)
         app.router.add_route("*", "/{path:.*}", self.serve)
-        app.on_response_prepare.append(self.add_leaving_header)
+        app.on_response_prepare.append(self.add_notices)
         return app
 
-    async def add_leaving_header(self, _: web.Request, response: web.StreamResponse) -> None:
-        """Say in a response that the backend leaves, if it does."""
+    async def add_notices(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Say in a response that the backend leaves, and name its limit, if it has one."""
         if self.says_leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.limit:
+            response.headers["Server-Limit"] = self.limit
+            attempt = request.headers.get("X-Attempt-Id", "")
+            self.named_limits.append((time.monotonic(), attempt))
 
     def registration(self, state: str = "ready") -> bytes:
         """Encode the registration that the backend writes to the store."""
@@ -151,6 +161,7 @@
         attempt = request.headers.get("X-Attempt-Id", "")
         self.last_headers = dict(request.headers)
         self.arrivals.append(time.monotonic())
+        self.arrival_ids.append(attempt)
         expected = request.headers.get("X-Expect-Instance", self.identity)
         version = request.headers.get("X-Expect-Version", str(self.version))
         if expected != self.identity or version != str(self.version):
