Have one entry process grant the sends to a backend that names a limit

Cause: nothing read the limit, so its backend was placed like any other. Evidence: first sends only, 13 of them from one process in 4 s, as many as the backends without a limit got. Change: the limit is known by incarnation with the time for which it holds, told in full broadcasts by those that have an answer of the backend itself, and owned by one process, appointed by hash, that grants the sends of all. All sends pass Forwarder.next_choice, where the grant is asked for, last. A process that gets none passes the backend over until it is time to ask again; if no other backend is left, the caller is refused at once with that time. The scenarios wait until the processes have been ready for 4 s, as none owns a limit before 3 s.

--- a/tests/direct/backend_limits.feature
+++ b/tests/direct/backend_limits.feature
@@ -4,6 +4,7 @@
   Background:
     Given the users' platform with two plain backends and two engines
     And two entry processes that are ready
+    And they have been ready for 4 s
 
   Scenario Outline: A backend that names a limit gets no more from all entry processes together
     Given one <kind> of backend names a limit of <limit> a second
--- /dev/null
+++ b/tests/direct/limit_owners.feature
@@ -0,0 +1,64 @@
+Feature: One entry process grants the sends to a backend that names a limit
+  Entry processes, their callers and the backend are simulated, without a network. In any 4 s the
+  backend may get 1.5 times its limit, and 5 requests, from the processes that have had its answer
+  half a second before; one that is cut off or restarted is not counted in that time.
+
+  Scenario Outline: <count> entry processes keep to a limit of <limit> and use it
+    Given <count> entry processes whose callers want <demand> requests a second of one backend
+    When it names a limit of <limit> a second for 20 s
+    Then it gets no more in any 4 s than its limit allows
+    And after 8 s at least 0.9 of the limit is used
+    And the owner is asked at most <questions> times a second
+
+    Examples:
+      | count | limit | demand | questions |
+      | 8     | 0     | 20     | 15        |
+      | 8     | 0.5   | 20     | 15        |
+      | 8     | 1     | 20     | 20        |
+      | 8     | 40    | 120    | 140       |
+      | 41    | 1     | 100    | 20        |
+      | 41    | 12.5  | 100    | 60        |
+      | 98    | 1     | 200    | 30        |
+
+  Scenario: A limit is used though one entry process has nearly all callers
+    Given 8 entry processes, one of which has 0.95 of the callers, who want 60 requests a second
+    When it names a limit of 20 a second for 20 s
+    Then it gets no more in any 4 s than its limit allows
+    And after 8 s at least 0.9 of the limit is used
+
+  Scenario Outline: The limit holds while the owner <fault>
+    Given <count> entry processes whose callers want 80 requests a second of one backend
+    And it names a limit of 10 a second
+    When the owner <fault>
+    Then it gets no more in any 4 s than its limit allows
+    And all agree on one owner 8 s later
+    And the limit is used again
+
+    Examples:
+      | count | fault                       |
+      | 8     | is killed and starts again  |
+      | 8     | is cut off for 3 s          |
+      | 8     | is cut off for 9 s          |
+      | 8     | leaves                      |
+      | 41    | is killed and starts again  |
+      | 41    | is cut off for 3 s          |
+
+  Scenario: The limit holds while one process after the other restarts
+    Given 8 entry processes whose callers want 80 requests a second of one backend
+    And it names a limit of 10 a second
+    When each of them restarts, 2 s after the one before
+    Then it gets no more in any 4 s than its limit allows
+    And all agree on one owner 8 s later
+    And the limit is used again
+
+  Scenario: A limit that rises, falls and ends is followed
+    Given 8 entry processes whose callers want 80 requests a second of one backend
+    And it names a limit of 2 a second
+    When its limit is 20 for 10 s, then 0 for 12 s, then none
+    Then each limit was kept from 2 s after its change
+    And 12 s after the end all processes send as they like
+
+  Scenario: A process that has had no answer of the backend learns its limit from its peers
+    Given 8 entry processes, one of which has 0.95 of the callers, who want 10 requests a second
+    When it names a limit of 1 a second for 4 s
+    Then every process knows the limit
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -75,6 +75,7 @@
                 exchange.crashes,
                 RequestLog(),
                 lambda: None,
+                entry.exchange.limits.admits,
             )
 
     @property
--- /dev/null
+++ b/tests/simulated_limits.py
@@ -0,0 +1,136 @@
+"""Entry processes that send to a backend which names a limit, in simulated time."""
+
+import math
+import random
+
+from tests.direct_fakes import fleet_of
+from tests.simulated_entries import CUT_OFF, SimulatedEntries
+from verbenaward.direct.limit_grants import REPLY_SECONDS, UNANSWERED_SECONDS
+from verbenaward.platform.request_headers import BackendNotice
+
+ANSWER_SECONDS = 0.03
+"""Time from a send to the head of the answer."""
+
+
+class SimulatedLimits:
+    """Processes, their callers and one backend.
+
+    Attributes:
+      network: The entry processes.
+      limit: Limit that the backend names; infinite for none.
+      arrivals: Time and process of each request that reached the backend.
+      told: Time at which each process first passed on an answer that names a limit.
+      questions: Number of questions to owners.
+      refused: Number of requests that found no send granted.
+    """
+
+    def __init__(self, count, limit, demand, seed, shares=None):
+        self.rng = random.Random(seed)
+        self.network = SimulatedEntries(count, 3)
+        self.limit = limit
+        self.demand = demand
+        self.shares = shares or [1 / count] * count
+        self.arrivals, self.told = [], {}
+        self.questions = self.refused = 0
+        for index in range(count):
+            self.know_backend(index)
+            self.schedule_caller(index)
+
+    def know_backend(self, index):
+        """Have a process know the backend, and make the random numbers of its owner repeatable."""
+        exchange = self.network.entries[index].exchange
+        backend = next(iter(fleet_of(1).backends.values())).backend
+        exchange.fleet.put(backend, self.network.now)
+        exchange.limits.limiters.rng = random.Random(self.rng.random())
+
+    def restart(self, index):
+        """Replace a process by a new one."""
+        self.network.restart(index)
+        self.know_backend(index)
+        self.told.pop(index, None)
+
+    def schedule_caller(self, index):
+        """Schedule the next request of the callers of a process."""
+        rate = self.demand * self.shares[index]
+        if rate:
+            pause = self.rng.expovariate(rate)
+            self.network.after(pause, lambda: self.on_request(index))
+
+    def on_request(self, index):
+        """Ask for a send, if the backend is not passed over now."""
+        self.schedule_caller(index)
+        now = self.network.now
+        notices = self.notices_of(index)
+        if not notices.admits(now):
+            self.refused += 1
+        elif not notices.limit.is_limited:
+            self.send(index)
+        else:
+            self.ask(index, notices)
+
+    def ask(self, index, notices):
+        """Ask the owner, as `LimitGrants.admits` does."""
+        grants = self.network.entries[index].exchange.limits
+        notices.awaits_grant = True
+        self.questions += 1
+
+        def on_reply(wait):
+            if not notices.awaits_grant:
+                return
+            notices.awaits_grant = False
+            notices.limited_until = self.network.now + wait
+            if wait and notices.limit.is_limited:
+                self.refused += 1
+            else:
+                self.send(index)
+
+        number = grants.ask(notices, self.network.now, on_reply)
+
+        def on_timeout():
+            if grants.pending.pop(number, None):
+                on_reply(UNANSWERED_SECONDS)
+
+        self.network.after(REPLY_SECONDS, on_timeout)
+
+    def send(self, index):
+        """Send a request; the head of the answer names the limit that holds then."""
+        sent_at = self.network.now
+        self.arrivals.append((sent_at, index))
+        entry = self.network.entries[index]
+
+        def answer():
+            if self.network.entries[index] is not entry:
+                return
+            now = self.network.now
+            if self.limit < math.inf:
+                self.told.setdefault(index, now)
+            notice = BackendNotice(False, 0.0, self.limit)
+            entry.exchange.fleet.record_notice(self.view_of(index), notice, sent_at, now, 0.0)
+
+        self.network.after(ANSWER_SECONDS, answer)
+
+    def view_of(self, index):
+        """Return the backend as a process sees it."""
+        return self.network.entries[index].exchange.fleet.backends["e-0"]
+
+    def notices_of(self, index):
+        """Return what a process knows of the backend's notices."""
+        return self.view_of(index).notices
+
+    def owners(self):
+        """Return the processes that the processes take for the owner, without those cut off."""
+        now = self.network.now
+        return {
+            entry.exchange.limits.owner(self.notices_of(index).name, now)
+            for index, entry in enumerate(self.network.entries)
+            if entry.fault != CUT_OFF
+        }
+
+    def owner_index(self):
+        """Return the index of the owner, on which all agree."""
+        (owner,) = self.owners()
+        return int(owner.rpartition(":")[2]) - 9000
+
+    def used(self, start, end):
+        """Return the requests that reached the backend in a time."""
+        return sum(start <= at < end for at, _ in self.arrivals)
--- a/tests/steps/backend_limits.py
+++ b/tests/steps/backend_limits.py
@@ -47,6 +47,11 @@
     ]
 
 
+@given("they have been ready for {seconds:g} s")
+def ready_for(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
 @given("one {kind} of backend names a limit of {limit:g} a second")
 def one_limited(context, kind, limit):
     context.kind = kind
--- /dev/null
+++ b/tests/steps/limit_owners.py
@@ -0,0 +1,200 @@
+"""Steps on the owners of limits, in simulated time."""
+
+import math
+
+from behave import given, then, when
+
+from tests.simulated_entries import CUT_OFF
+from tests.simulated_limits import SimulatedLimits
+from tests.steps.backend_limits import (
+    NOTICE_SECONDS,
+    WINDOW_SECONDS,
+    allowed_requests,
+    most_in_a_window,
+)
+
+SETTLED_AT = 6.0
+"""Time at which the limit begins, in simulated seconds."""
+SEED = 7
+
+
+@given("{count:d} entry processes whose callers want {demand:g} requests a second of one backend")
+def processes(context, count, demand):
+    start(context, count, demand, None)
+
+
+@given(
+    "{count:d} entry processes, one of which has {share:g} of the callers, "
+    "who want {demand:g} requests a second"
+)
+def uneven_processes(context, count, share, demand):
+    rest = (1 - share) / (count - 1)
+    start(context, count, demand, [share, *[rest] * (count - 1)])
+
+
+def start(context, count, demand, shares):
+    async def make():
+        return SimulatedLimits(count, math.inf, demand, SEED, shares)
+
+    context.simulation = context.loop.run_until_complete(make())
+    context.simulation.network.run_until(SETTLED_AT)
+    context.excused = []
+
+
+@given("it names a limit of {limit:g} a second")
+def names_limit(context, limit):
+    names_for(context, limit, 8.0)
+
+
+@when("it names a limit of {limit:g} a second for {seconds:g} s")
+def names_for(context, limit, seconds):
+    simulation = context.simulation
+    context.limit = simulation.limit = limit
+    context.started = simulation.network.now
+    simulation.network.run_until(context.started + seconds)
+
+
+def go_on(context, seconds):
+    network = context.simulation.network
+    network.run_until(network.now + seconds)
+
+
+def excuse(context, index, seconds):
+    now = context.simulation.network.now
+    context.excused.append((index, now, now + seconds))
+
+
+def restart_process(context, index, seconds):
+    entry = context.simulation.network.entries[index]
+    excuse(context, index, seconds)
+    entry.fault = CUT_OFF
+    go_on(context, seconds)
+    context.simulation.restart(index)
+
+
+@when("the owner is killed and starts again")
+def owner_killed(context):
+    restart_process(context, context.simulation.owner_index(), 1.0)
+    context.fault_ended = context.simulation.network.now
+    go_on(context, 8.0)
+
+
+@when("the owner is cut off for {seconds:g} s")
+def owner_cut_off(context, seconds):
+    entry = context.simulation.network.entries[context.simulation.owner_index()]
+    excuse(context, context.simulation.owner_index(), seconds + 3.0)
+    entry.fault = CUT_OFF
+    go_on(context, seconds)
+    entry.fault = ""
+    context.fault_ended = context.simulation.network.now
+    go_on(context, 8.0)
+
+
+@when("the owner leaves")
+def owner_leaves(context):
+    exchange = context.simulation.network.entries[context.simulation.owner_index()].exchange
+    exchange.leaving = True
+    exchange.request_full_broadcast()
+    context.fault_ended = context.simulation.network.now
+    go_on(context, 8.0)
+
+
+@when("each of them restarts, {pause:g} s after the one before")
+def restart_in_turn(context, pause):
+    for index in range(len(context.simulation.network.entries)):
+        restart_process(context, index, 1.0)
+        go_on(context, pause - 1.0)
+    context.fault_ended = context.simulation.network.now
+    go_on(context, 8.0)
+
+
+def counted(context):
+    simulation = context.simulation
+
+    def is_counted(at, index):
+        if any(one == index and start <= at < end for one, start, end in context.excused):
+            return False
+        return at >= simulation.told.get(index, math.inf) + NOTICE_SECONDS
+
+    return [at for at, index in simulation.arrivals if is_counted(at, index)]
+
+
+@then("it gets no more in any 4 s than its limit allows")
+def within(context):
+    most = most_in_a_window(counted(context))
+    assert most <= allowed_requests(context.limit), (most, allowed_requests(context.limit))
+
+
+@then("after {seconds:g} s at least {share:g} of the limit is used")
+def is_used(context, seconds, share):
+    start = context.started + seconds
+    end = context.simulation.network.now
+    used = context.simulation.used(start, end)
+    assert used >= math.floor(share * context.limit * (end - start)), (used, end - start)
+
+
+@then("the owner is asked at most {count:d} times a second")
+def asked(context, count):
+    simulation = context.simulation
+    seconds = simulation.network.now - context.started
+    assert simulation.questions <= count * seconds, simulation.questions / seconds
+
+
+@then("all agree on one owner {seconds:g} s later")
+def one_owner(context, seconds):
+    simulation = context.simulation
+    assert simulation.network.now == context.fault_ended + seconds
+    assert len(simulation.owners()) == 1, simulation.owners()
+
+
+@then("the limit is used again")
+def used_again(context):
+    now = context.simulation.network.now
+    go_on(context, 4.0)
+    used = context.simulation.used(now, now + 4.0)
+    assert used >= 0.9 * context.limit * 4.0, used
+
+
+@when("its limit is {first:g} for {one:g} s, then {second:g} for {two:g} s, then none")
+def changes(context, first, one, second, two):
+    simulation = context.simulation
+    context.phases = []
+    for limit, seconds in ((first, one), (second, two)):
+        simulation.limit = limit
+        start = simulation.network.now
+        go_on(context, seconds)
+        context.phases.append((limit, start, start + seconds))
+    simulation.limit = math.inf
+    context.ended = simulation.network.now
+
+
+@then("each limit was kept from {seconds:g} s after its change")
+def each_kept(context, seconds):
+    for limit, start, end in context.phases:
+        times = [at for at in counted(context) if start + seconds <= at < end]
+        most = most_in_a_window(times)
+        assert most <= allowed_requests(limit), (limit, most)
+        assert sum(start + WINDOW_SECONDS <= at for at in times) >= 0.9 * limit
+
+
+@then("{seconds:g} s after the end all processes send as they like")
+def unlimited(context, seconds):
+    go_on(context, seconds)
+    simulation = context.simulation
+    now = simulation.network.now
+    assert not any(
+        simulation.notices_of(index).limit.is_limited
+        for index in range(len(simulation.network.entries))
+    )
+    go_on(context, 2.0)
+    assert simulation.used(now, now + 2.0) >= 0.8 * simulation.demand * 2.0
+
+
+@then("every process knows the limit")
+def all_know(context):
+    simulation = context.simulation
+    limits = [
+        simulation.notices_of(index).limit.per_second
+        for index in range(len(simulation.network.entries))
+    ]
+    assert set(limits) == {context.limit}, limits
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -17,6 +17,7 @@
 REASON_TEXTS = {
     "overload": "the expected time to the first event was longer than allowed on every engine",
     "no-backend": "no backend was available: all were leaving, loading or without the weights",
+    "limited": "all backends had named limits, and these were used up",
     "no-room": "no backend that was tried had free capacity, or no retry was left",
     "poison": "identical requests have crashed several backends",
     "timeout": "the deadline of the caller or the timeout of the route passed",
--- a/verbenaward/direct/backend_notices.py
+++ b/verbenaward/direct/backend_notices.py
@@ -34,6 +34,8 @@
       paused_until: Time until which it wants no requests of this process, monotonic.
       limit: Limit on the requests of all processes together.
       has_malformed_limit: True once it has named a limit that is not a number.
+      limited_until: Time until which the owner of its limit grants this process no send, monotonic.
+      awaits_grant: True while the owner is being asked; one request asks at a time.
     """
 
     name: int
@@ -42,10 +44,16 @@
     paused_until: float = 0.0
     limit: KnownLimit = field(default_factory=KnownLimit)
     has_malformed_limit: bool = False
+    limited_until: float = 0.0
+    awaits_grant: bool = False
 
     def admits(self, now: float) -> bool:
         """Return True if the incarnation may get requests of this process."""
-        return not self.is_leaving and self.paused_until <= now
+        return not self.is_leaving and not self.awaits_grant and self.available_at() <= now
+
+    def available_at(self) -> float:
+        """Return the time from which it may get requests again, monotonic; in the past for now."""
+        return max(self.paused_until, self.limited_until if self.limit.is_limited else 0.0)
 
 
 class NoticeBook:
@@ -53,10 +61,12 @@
 
     Attributes:
       by_incarnation: Notices by identity and start time of the incarnation.
+      by_name: The same notices by their names.
     """
 
     def __init__(self) -> None:
         self.by_incarnation: OrderedDict[tuple[str, int], IncarnationNotices] = OrderedDict()
+        self.by_name: dict[int, IncarnationNotices] = {}
 
     def of(self, backend: Backend) -> IncarnationNotices:
         """Return the notices of an incarnation, which are empty if it has said nothing."""
@@ -64,10 +74,16 @@
         found = self.by_incarnation.get(key)
         if found is None:
             found = self.by_incarnation[key] = IncarnationNotices(incarnation_hash(backend))
+            self.by_name[found.name] = found
             while len(self.by_incarnation) > KEPT_INCARNATIONS:
-                self.by_incarnation.popitem(last=False)
+                _, dropped = self.by_incarnation.popitem(last=False)
+                self.by_name.pop(dropped.name, None)
         return found
 
+    def named(self, name: int) -> IncarnationNotices | None:
+        """Return the notices of the incarnation with a name; None if it is not known."""
+        return self.by_name.get(name)
+
     def announced(self, now: float) -> tuple[int, ...]:
         """Return the names of the incarnations of which the peers are told that they leave."""
         return tuple(
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -1,8 +1,10 @@
 """The other entry processes (peers) as one of them sees them."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 import msgspec
+from blake3 import blake3
 
 from ..platform.key_value import Position
 from ..schema.messages import Pulse
@@ -13,6 +15,8 @@
 """The same for a peer of another group, which sends to this process less often."""
 REPLACED_SECONDS = 0.5
 """Time without a broadcast after which any other incarnation replaces the known one."""
+CACHED_RANKS = 4096
+"""Ranks of processes that are remembered: each question to the owner of a limit compares all."""
 WATCHERS = 3
 """Entry processes that watch the store; the others fetch changes from them."""
 
@@ -112,6 +116,12 @@
     return broadcast.incarnation < previous.incarnation and silent_seconds < REPLACED_SECONDS
 
 
+@lru_cache(maxsize=CACHED_RANKS)
+def appointment_rank(key: bytes, process: str) -> bytes:
+    """Return the rank of a process among those that may be appointed for a key; lowest first."""
+    return blake3(key + process.encode()).digest()
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Watcher:
     """An entry process that can watch the store: its zone, VM and control address."""
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -294,7 +294,7 @@
     def usable(self, service: str, now: float) -> list[BackendView]:
         """Return the backends of a service that are neither leaving nor lapsed for too long.
 
-        A backend that has asked for a pause is among them.
+        A backend that has asked for a pause, or whose limit is used up, is among them.
         """
         found = []
         for view in self.by_service.get(service, ()):
@@ -304,14 +304,18 @@
                 found.append(view)
         return found
 
-    def pause_seconds(self, service: str, now: float) -> float:
-        """Return the time until the first backend of a service may be used again.
+    def seconds_until_available(self, service: str, now: float) -> float:
+        """Return the time until a pause or a limit lets a backend of a service be used again.
 
-        It is 0 if some backend has not asked for a pause, or if there is none.
+        It is 0 if some backend has neither now, or if there is none.
         """
-        ends = [view.notices.paused_until for view in self.usable(service, now)]
+        ends = [view.notices.available_at() for view in self.usable(service, now)]
         return max(0.0, min(ends, default=0.0) - now)
 
+    def has_limited(self, service: str) -> bool:
+        """Return True if a backend of a service names a limit."""
+        return any(view.notices.limit.is_limited for view in self.by_service.get(service, ()))
+
     def required_version(self, model: str, version_seconds: float, now: float) -> int:
         """Return the minimum version that a request must run on; 0 if any will do.
 
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -1,7 +1,7 @@
 """Runs requests: chooses a backend, sends, and retries if that is allowed."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -11,6 +11,7 @@
 from ..data import RouteKind
 from ..platform.request_headers import BackendHeaders, BackendNotice
 from ..requests.refusals import not_run
+from .backend_notices import IncarnationNotices
 from .backends import BackendView
 from .budget import SharedRetryBudget
 from .crash_tracker import CrashTracker
@@ -81,6 +82,7 @@
       crashes: Finds poison requests.
       log: Writes log lines about requests.
       load_changed: Called when the load that this process puts on a backend has changed.
+      is_send_granted: Returns True if the limit of a backend allows a request now.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         crashes: CrashTracker,
         log: RequestLog,
         load_changed: Callable[[], None],
+        is_send_granted: Callable[[IncarnationNotices], Awaitable[bool]],
     ) -> None:
         self.session = session
         self.placer = placer
@@ -98,6 +101,7 @@
         self.crashes = crashes
         self.log = log
         self.load_changed = load_changed
+        self.is_send_granted = is_send_granted
 
     async def run(self, request: Request) -> WholeAnswer:
         """Run a request and return the answer of a backend.
@@ -121,6 +125,25 @@
     async def next_choice(self, request: Request, progress: Progress) -> Choice:
         """Return the backend of the next send, and count a retry against the budget.
 
+        Everything that is sent to a backend passes here, so that the limit of the backend holds.
+
+        Raises:
+          RefusedError: The request may not be sent, or not again.
+        """
+        while True:
+            choice = await self.available_choice(request, progress)
+            notices = choice.view.notices
+            is_granted = await self.is_send_granted(notices)
+            # While the grant was asked for, the backend may have asked for a pause.
+            if is_granted and notices.admits(clock.now()):
+                break
+        if progress.sends and not self.budget.spend(request.service, clock.now()):
+            self.give_up(request, progress, "the retry budget is used up")
+        return choice
+
+    async def available_choice(self, request: Request, progress: Progress) -> Choice:
+        """Return the backend to which a request should be sent, if its limit allows it.
+
         If no backend is available, it waits up to `backend_wait_seconds` from the arrival of
         the request.
 
@@ -134,7 +157,7 @@
             choice = self.placer.choose(request, progress.tried, now)
             if choice is not None or now >= wait_until:
                 break
-            if now + self.placer.fleet.pause_seconds(request.service, now) >= wait_until:
+            if now + self.placer.fleet.seconds_until_available(request.service, now) >= wait_until:
                 break
             await asyncio.sleep(POLL_SECONDS)
             now = clock.now()
@@ -146,7 +169,7 @@
         if choice is None or now + SEND_RESERVE_SECONDS >= request.deadline:
             self.give_up(request, progress, "no backend is available in the time left")
         assert choice is not None
-        if progress.sends and not self.budget.spend(request.service, now):
+        if progress.sends and not self.has_retry_budget(request, now):
             self.give_up(request, progress, "the retry budget is used up")
         return choice
 
@@ -178,7 +201,7 @@
         now = clock.now()
         if progress.runs:
             refusal = may_have_run_refusal(502, "backend-failed", message)
-        elif self.placer.fleet.pause_seconds(request.service, now):
+        elif self.placer.fleet.seconds_until_available(request.service, now):
             refusal = self.placer.unavailable(request, now)
         else:
             # 0.1 s before the random extension.
--- a/verbenaward/direct/known_limits.py
+++ b/verbenaward/direct/known_limits.py
@@ -60,8 +60,10 @@
         """Take over a limit unless a later one is known; return True if the limit has changed."""
         if known_at <= self.known_at:
             return False
-        changed = per_second != self.per_second
-        self.per_second = per_second
+        # Reports of peers are rounded so.
+        rounded = round(per_second, 3)
+        changed = rounded != self.per_second
+        self.per_second = rounded
         self.known_at = known_at
         self.is_own = is_own
         return changed
--- /dev/null
+++ b/verbenaward/direct/limit_grants.py
@@ -0,0 +1,204 @@
+"""Grants of sends to backends that name a limit, asked of the owner of the limit.
+
+Questions, answers and state broadcasts carry what their sender knows of limits, with its age.
+"""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .. import clock
+from ..schema.messages import LimitReply, LimitRequest, Pulse, ReportedLimit
+from .backend_notices import IncarnationNotices, NoticeBook
+from .entry_peers import EntryPeer
+from .limit_owners import Readiness, is_candidate, is_owner, may_still_own, owner_of
+from .send_limiter import SendLimiters
+
+REPLY_SECONDS = 0.1
+"""Time to wait for the owner's answer."""
+UNANSWERED_SECONDS = 1.0
+"""Time after which an owner that has not answered is asked again."""
+NOT_OWNER_SECONDS = 0.3
+"""Time after which to ask again if no process owns the limit, or the one that was asked does not:
+the views of the processes differ for a moment."""
+MAXIMUM_REPORTS = 64
+"""Limits in a full broadcast; the latest ones."""
+MILLISECONDS = 1000
+THOUSAND_SECONDS = 1000.0
+MAXIMUM_PER_THOUSAND_SECONDS = 2**53
+MAXIMUM_MILLISECONDS = 2**32 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """The other entry processes, as this one sees them.
+
+    Attributes:
+      own: Control address of this process.
+      by_control: Peers by control address.
+      is_sampled: Returns True if each broadcast reaches a sample of the peers only.
+      send: Sends a message to the process with a control address.
+    """
+
+    own: str
+    by_control: dict[str, EntryPeer]
+    is_sampled: Callable[[], bool]
+    send: Callable[[Pulse, str], None]
+
+
+class LimitGrants:
+    """Asks for sends to backends that name a limit, and grants them where this process owns it.
+
+    Attributes:
+      notices: What backends have said of themselves.
+      peers: The other entry processes.
+      readiness: Since when this process may own limits.
+      limiters: Sends that this process has granted.
+      pending: Called with the time to wait, by the number of the question.
+    """
+
+    def __init__(self, notices: NoticeBook, peers: Peers) -> None:
+        self.notices = notices
+        self.peers = peers
+        self.readiness = Readiness()
+        self.limiters = SendLimiters()
+        self.pending: dict[int, Callable[[float], None]] = {}
+        # An answer to an earlier incarnation of this process must not match a question of this one.
+        self.number = random.randrange(2**30)
+
+    async def admits(self, notices: IncarnationNotices) -> bool:
+        """Return True if a request may be sent to a backend now.
+
+        Otherwise the backend is passed over until it is time to ask again.
+        """
+        if not notices.limit.is_limited:
+            return True
+        reply: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+        notices.awaits_grant = True
+        number = self.ask(notices, clock.now(), reply.set_result)
+        try:
+            async with asyncio.timeout(REPLY_SECONDS):
+                wait = await reply
+        except TimeoutError:
+            wait = UNANSWERED_SECONDS
+        finally:
+            notices.awaits_grant = False
+            self.pending.pop(number, None)
+        notices.limited_until = clock.now() + wait
+        return wait == 0 or not notices.limit.is_limited
+
+    def ask(
+        self, notices: IncarnationNotices, now: float, on_reply: Callable[[float], None]
+    ) -> int:
+        """Ask the owner of a limit whether a request may be sent.
+
+        Args:
+          notices: Notices of the backend.
+          now: Present time, monotonic, in seconds.
+          on_reply: Called, possibly at once, with 0 if it may be sent, or with the time after
+            which to ask again, in seconds.
+
+        Returns:
+          The number of the question.
+        """
+        self.number = (self.number + 1) % 2**31
+        owner = self.owner(notices.name, now)
+        if owner is None:
+            on_reply(NOT_OWNER_SECONDS)
+        elif owner == self.peers.own:
+            on_reply(self.grant(notices, self.peers.own, now))
+        else:
+            self.pending[self.number] = on_reply
+            question = LimitRequest(self.number, notices.name)
+            known = (report_of(notices, now),)
+            message = Pulse(partial=True, limits=known, limit_requests=(question,))
+            self.peers.send(message, owner)
+        return self.number
+
+    def owner(self, name: int, now: float) -> str | None:
+        """Return the control address of the process that owns a limit; None if none may."""
+        is_sampled = self.peers.is_sampled()
+        candidates = [
+            peer.control
+            for peer in self.peers.by_control.values()
+            if is_candidate(peer, is_sampled, now)
+        ]
+        if self.readiness.is_settled(now):
+            candidates.append(self.peers.own)
+        return owner_of(name, candidates)
+
+    def grant(self, notices: IncarnationNotices, asker: str, now: float) -> float:
+        """Grant a send if this process owns the limit and there is one now.
+
+        Returns:
+          0 if the process that asks may send now, else the time after which to ask again.
+        """
+        if not notices.limit.is_limited:
+            return 0.0
+        is_sampled = self.peers.is_sampled()
+        rivals = [
+            peer.control
+            for peer in self.peers.by_control.values()
+            if may_still_own(peer, is_sampled, now)
+        ]
+        if not self.readiness.is_settled(now) or not is_owner(notices.name, self.peers.own, rivals):
+            return NOT_OWNER_SECONDS
+        return self.limiters.acquire(notices.name, notices.limit.per_second, asker, now)
+
+    def receive(self, message: Pulse, source: str, now: float) -> None:
+        """Apply a question or an answer of another process.
+
+        Args:
+          message: The message.
+          source: Control address of its sender.
+          now: Present time, monotonic, in seconds.
+        """
+        self.record_reports(message.limits, now)
+        for question in message.limit_requests:
+            self.answer(question, source, now)
+        for reply in message.limit_replies:
+            on_reply = self.pending.pop(reply.number, None)
+            if on_reply is not None:
+                on_reply(reply.wait_ms / MILLISECONDS)
+
+    def answer(self, question: LimitRequest, source: str, now: float) -> None:
+        """Answer a question of another process."""
+        notices = self.notices.named(question.backend)
+        wait = NOT_OWNER_SECONDS if notices is None else self.grant(notices, source, now)
+        known = () if notices is None else (report_of(notices, now),)
+        reply = LimitReply(question.number, math.ceil(wait * MILLISECONDS))
+        self.peers.send(Pulse(partial=True, limits=known, limit_replies=(reply,)), source)
+
+    def record_reports(self, reports: tuple[ReportedLimit, ...], now: float) -> None:
+        """Record the limits that another process knows."""
+        for report in reports:
+            notices = self.notices.named(report.backend)
+            if notices is None:
+                continue
+            per_second = report.per_thousand_seconds / THOUSAND_SECONDS
+            notices.limit.record_report(
+                per_second if report.limited else math.inf, now - report.age_ms / MILLISECONDS
+            )
+
+    def reports(self, now: float) -> tuple[ReportedLimit, ...]:
+        """Return the limits of which the peers are told."""
+        known = [
+            item for item in self.notices.by_incarnation.values() if item.limit.is_announced(now)
+        ]
+        known.sort(key=lambda item: -item.limit.known_at)
+        return tuple(report_of(item, now) for item in known[:MAXIMUM_REPORTS])
+
+
+def report_of(notices: IncarnationNotices, now: float) -> ReportedLimit:
+    """Return what this process knows of a limit, with its age."""
+    limit = notices.limit
+    age_ms = math.ceil((now - limit.known_at) * MILLISECONDS)
+    per_thousand = limit.per_second * THOUSAND_SECONDS if limit.is_limited else 0.0
+    return ReportedLimit(
+        notices.name,
+        limit.is_limited,
+        round(min(MAXIMUM_PER_THOUSAND_SECONDS, per_thousand)),
+        min(MAXIMUM_MILLISECONDS, age_ms),
+    )
--- a/verbenaward/direct/placement.py
+++ b/verbenaward/direct/placement.py
@@ -213,9 +213,13 @@
     def unavailable(self, request: Request, now: float) -> Refusal:
         """Return the refusal of a request for whose service no backend is available.
 
-        If all of them have asked for a pause, it says when the first one ends.
+        If pauses or limits keep it from all of them, it says when the first one may be used.
         """
-        pause = self.fleet.pause_seconds(request.service, now)
+        pause = self.fleet.seconds_until_available(request.service, now)
+        if pause and self.fleet.has_limited(request.service):
+            wait = max(OVERLOAD_RETRY_AFTER_SECONDS, pause)
+            message = "all backends take fewer requests than come"
+            return self.retry_later("limited", message, wait, OVERLOAD_RETRY_SPREAD)
         if pause:
             wait = pause * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             return not_run(503, "paused", "all backends have asked for a pause", wait)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -118,6 +118,7 @@
                 self.crashes,
                 RequestLog(),
                 self.exchange.signal_load_change,
+                self.exchange.limits.admits,
             ),
         )
         self.relay = ChunkRelay(settings, self.fleet, self.exchange, self.session, self.store)
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable
 
 import msgspec
-from blake3 import blake3
 
 from .. import clock
 from ..configuration.settings import host_of, port_of
@@ -32,12 +31,14 @@
     EntryPeer,
     EntryRecord,
     Watcher,
+    appointment_rank,
     chosen_watchers,
     is_older,
     position_of,
     zones_of,
 )
 from .fleet import Fleet
+from .limit_grants import LimitGrants, Peers
 from .peer_groups import PeerGroup, peer_group_of
 
 LOG = get_logger(__name__)
@@ -84,6 +85,7 @@
       peers: Other entry processes by their control address.
       is_ready: Returns whether this process accepts requests.
       leaving: True once this process has been told to stop.
+      limits: Grants of sends to backends that name a limit.
       peer_group: Peers that receive load deltas, and the engines that they prefer.
       on_position: Called for each full broadcast received, with the sender's position in the
         store's history and the checksum of what it keeps from before a restore.
@@ -118,6 +120,15 @@
         self.leaving = False
         self.peer_group = PeerGroup()
         self.peers: dict[str, EntryPeer] = {}
+        self.limits = LimitGrants(
+            fleet.notices,
+            Peers(
+                settings.listen,
+                self.peers,
+                lambda: self.is_sampled,
+                lambda message, control: self.send_to(message, control),
+            ),
+        )
         self.incarnation = time.time_ns()
         self.sequence = 0
         self.full_broadcasts = 0
@@ -287,6 +298,10 @@
             self.transport.sendto(payload, (host_of(control), port_of(control)))
         return len(targets) * (len(payload) + DATAGRAM_OVERHEAD_BYTES)
 
+    def send_to(self, message: Pulse, control: str) -> None:
+        """Send a message to one process."""
+        self.send(message, [control])
+
     def loads(self) -> tuple[BackendLoad, ...]:
         """Return the requests and prompt tokens that this process has in flight, by backend."""
         return tuple(
@@ -301,6 +316,8 @@
         assert direct is not None
         self.sequence += 1
         self.full_broadcasts += 1
+        is_ready = self.is_ready() and not self.leaving
+        self.limits.readiness.observe(is_ready, now)
         alive = [peer.control for peer in self.peers.values() if peer.is_alive(now)]
         gossiped = alive if len(alive) <= GOSSIPED_PEERS else self.rng.sample(alive, GOSSIPED_PEERS)
         return Pulse(
@@ -309,7 +326,7 @@
             front=direct.front,
             incarnation=self.incarnation,
             sequence=self.sequence,
-            ready=self.is_ready() and not self.leaving,
+            ready=is_ready,
             leaving=self.leaving,
             revision=self.replica.revision,
             loads=self.loads(),
@@ -324,6 +341,9 @@
             departing=self.fleet.notices.announced(now),
             era=self.replica.era,
             kept=self.replica.kept_checksum(),
+            limits=self.limits.reports(now),
+            knows_limits=True,
+            grants_limits=self.limits.readiness.is_settled(now),
         )
 
     def receive(self, payload: bytes, source: tuple[str, int], now: float) -> None:
@@ -347,6 +367,9 @@
         peer = self.peer(f"{source[0]}:{source[1]}")
         if peer is None:
             return
+        if broadcast.limit_requests or broadcast.limit_replies:
+            self.limits.receive(broadcast, peer.control, now)
+            return
         previous = peer.last_broadcast
         if broadcast.partial:
             self.apply_load_delta(peer, broadcast, now)
@@ -367,6 +390,7 @@
         self.crashes.merge(broadcast.evidence, now)
         self.fleet.record_misdirected(broadcast.misdirected, now)
         self.fleet.notices.record_leaving_by_name(broadcast.departing)
+        self.limits.record_reports(broadcast.limits, now)
         self.apply_loads(broadcast, now)
         self.on_position(position_of(broadcast, self.replica.era), broadcast.kept)
 
@@ -583,11 +607,6 @@
         return found
 
 
-def appointment_rank(key: bytes, vm: str) -> bytes:
-    """Return the rank of a process among those that could try a quarantined key; lowest first."""
-    return blake3(key + vm.encode()).digest()
-
-
 class BroadcastProtocol(asyncio.DatagramProtocol):
     """Passes received datagrams to the state exchange."""
 
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -136,6 +136,23 @@
 }
 
 # What crashes of backends tell of a key, for example the fingerprint of a request.
+struct ReportedLimit {      # limit that a backend names in its answers
+  backend @0 :UInt32;       # hash of the incarnation
+  limited @1 :Bool;         # false: it names none any more
+  perThousandSeconds @2 :UInt64;
+  ageMs @3 :UInt32;         # time since the sender knew it to hold
+}
+
+struct LimitRequest {       # asks the owner of a limit whether a request may be sent
+  number @0 :UInt32;        # returned in the reply
+  backend @1 :UInt32;       # hash of the incarnation
+}
+
+struct LimitReply {
+  number @0 :UInt32;
+  waitMs @1 :UInt32;        # 0: the request may be sent now; else ask again then
+}
+
 struct CrashEvidence {
   key @0 :Data;
   crashes @1 :List(CrashedBackend);
@@ -169,6 +186,11 @@
   kept @20 :UInt32;         # checksum of what the sender keeps from before a restore of the store
   hops @17 :UInt16;         # processes that passed on checkedMs before the sender; 0 if it is the sender's own
   evidence @21 :List(CrashEvidence);
+  limits @22 :List(ReportedLimit);
+  limitRequests @23 :List(LimitRequest);
+  limitReplies @24 :List(LimitReply);
+  knowsLimits @25 :Bool;    # the sender answers limit requests
+  grantsLimits @26 :Bool;   # the sender may own limits: it has been ready for some time
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -177,6 +177,32 @@
     sent_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLimit:
+    """Message ReportedLimit, described in schema/messages.capnp."""
+
+    backend: int = 0
+    limited: bool = False
+    per_thousand_seconds: int = 0
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitRequest:
+    """Message LimitRequest, described in schema/messages.capnp."""
+
+    number: int = 0
+    backend: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitReply:
+    """Message LimitReply, described in schema/messages.capnp."""
+
+    number: int = 0
+    wait_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class CrashEvidence:
     """Message CrashEvidence, described in schema/messages.capnp."""
@@ -213,6 +239,11 @@
     era: int = 0
     kept: int = 0
     evidence: tuple[CrashEvidence, ...] = ()
+    limits: tuple[ReportedLimit, ...] = ()
+    limit_requests: tuple[LimitRequest, ...] = ()
+    limit_replies: tuple[LimitReply, ...] = ()
+    knows_limits: bool = False
+    grants_limits: bool = False
 
 
 @dataclass(frozen=True, slots=True)
