--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -48,7 +48,8 @@
         stream, then a byte every 0.1 s), "wrong-attempt" (the response has the id of another
         attempt), "truncated" (half of the body, then a reset), "unframed-reset" (as "truncated",
         without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow",
-        "pausing" (as "full", with a Retry-After of `pause_seconds`), "crashing" (a request that
+        "pausing" (as "full", with a Retry-After of `pause_seconds`), "pausing-late" (the same
+        once the deadline of the request has passed in the queue), "crashing" (a request that
         begins to run ends the process, see `crash`) or one of ENDLESS.
       endless_bytes: Bytes sent in such a mode so far.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
@@ -168,7 +169,9 @@
             return web.Response(status=421)
         if self.mode == "full":
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
-        if self.mode == "pausing":
+        if self.mode == "pausing-late":
+            await asyncio.sleep(float(request.headers["X-Deadline-Ms"]) / 1000)
+        if self.mode in ("pausing", "pausing-late"):
             headers = {"X-Not-Executed": "1", "Retry-After": f"{self.pause_seconds:g}"}
             return web.Response(status=503, headers=headers)
         self.bodies.append(await request.read())
--- a/tests/direct/backend_notices.feature
+++ b/tests/direct/backend_notices.feature
@@ -52,3 +52,25 @@
     Given all plain backends ask for a pause of 3 s and have been asked
     When a caller looks something up
     Then it is refused at once with a retry delay of at least 2.5 s
+
+  Scenario Outline: A pause that is asked for as the process gives the <kind> request up is kept
+    Given one <kind> of backend is "pausing-late" and asks for 10 s
+    When callers with a deadline of 0.2 s send 16 requests one after the other
+    Then it has got at most 2 requests
+
+    Examples:
+      | kind   |
+      | plain  |
+      | engine |
+
+  Scenario: A pause that is asked for as the caller leaves is kept
+    Given one plain of backend is "pausing-late" and asks for 10 s
+    When 16 callers with a deadline of 0.3 s leave 0.01 s before, one after the other
+    Then it has got at most 2 requests
+
+  Scenario: The pause outlives a registration without a start time
+    Given one plain of backend is "pausing" and asks for 10 s
+    When callers send requests until it has answered
+    And its registration is rewritten without a start time
+    And callers send 20 more requests
+    Then it has got no request after that answer
--- a/tests/steps/backend_notices.py
+++ b/tests/steps/backend_notices.py
@@ -1,11 +1,15 @@
 """Steps on what backends say of themselves in their answers: that they leave, or want a pause."""
 
 import asyncio
+import contextlib
 import dataclasses
+import json
 import random
 
+import aiohttp
 from behave import given, then, when
 
+from standins.platform import send_request
 from tests.direct_fakes import NOW, exchange_of, fleet_of, placer_of, request_of
 from tests.steps.platform_running import call, engines, plain, run, until
 from verbenaward import clock
@@ -74,6 +78,44 @@
     assert run(context, until(lambda: backend.identity in fleet.backends))
 
 
+@when("callers with a deadline of {deadline:g} s send {count:d} requests one after the other")
+def send_with_deadline(context, deadline, count):
+    headers = {"X-Deadline-Ms": f"{deadline * 1000:g}"}
+    for index in range(count):
+        call(context, f"{PATHS[context.kind]}/{index}", f"a-{index}", headers)
+
+
+@when("{count:d} callers with a deadline of {deadline:g} s leave {early:g} s before, {turn}")
+def callers_leave(context, count, deadline, early, turn):
+    async def leave(index):
+        address = context.platform.entries[0].direct.front
+        headers = {"X-Deadline-Ms": f"{deadline * 1000:g}"}
+        async with aiohttp.ClientSession() as session:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(deadline - early):
+                    path = f"{PATHS[context.kind]}/{index}"
+                    await send_request(session, address, path, f"a-{index}", headers)
+
+    for index in range(count):
+        run(context, leave(index))
+
+
+@then("it has got at most {count:d} requests")
+def at_most(context, count):
+    assert 0 < len(context.bad.arrivals) <= count, len(context.bad.arrivals)
+
+
+@when("its registration is rewritten without a start time")
+def register_without_start(context):
+    backend, fleet = context.bad, context.platform.entries[0].fleet
+    value = json.loads(backend.registration())
+    del value["born"]
+    revision = fleet.backends[backend.identity].backend.revision
+    context.platform.store.put(BACKEND_PREFIX + backend.identity, json.dumps(value).encode())
+    views = fleet.backends
+    assert run(context, until(lambda: views[backend.identity].backend.revision > revision))
+
+
 @when("a new incarnation registers under its id")
 def new_incarnation(context):
     backend, fleet = context.bad, context.platform.entries[0].fleet
