Read a pause that comes as its request is given up

Cause: once a deadline passes or a caller leaves, the connection is closed and the answer is never read. A backend that refuses at the deadline what waited in its queue answers in that moment, so its Retry-After was lost each time; the pause counts from its answer all the same. Change: after a request was given up, the head of its answer is awaited for 50 ms more, for what the backend says of itself, then the connection is closed. Sends with a start deadline are cancelled that much earlier.

--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -32,6 +33,10 @@
 for a pause must arrive within the half second that the backend allows for that."""
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """Headers that aiohttp would add by itself; a backend gets only what the caller has sent."""
+LATE_ANSWER_SECONDS = 0.05
+"""Time for which the head of an answer is awaited after its request was given up: a backend that
+refuses it at its deadline may ask for a pause. It must be far below the time within which a backend
+is to see that its caller has gone."""
 LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
 """Longest body of an answer that is read whole; a process may read many at the same time."""
 LARGEST_HEADER_BYTES = 64 * 1024
@@ -41,6 +46,9 @@
 RecordNotice = Callable[[BackendView, BackendNotice, float], None]
 """Records what a backend says of itself in an answer to a request that was sent at a time."""
 
+LATE_ANSWERS: set[asyncio.Task[None]] = set()
+"""Tasks that await the heads of late answers; the event loop itself does not keep them."""
+
 
 def backend_session() -> aiohttp.ClientSession:
     """Return the HTTP client for backends, which never reuses a connection.
@@ -83,14 +91,20 @@
       record_notice: Called with what the backend says of itself.
     """
     sent_at = clock.now()
+
+    def record(response: aiohttp.ClientResponse) -> None:
+        notice = read_backend_notice(response.status, response.headers)
+        record_notice(view, notice, sent_at)
+
+    sending = session.request(
+        request.method,
+        URL(f"http://{view.backend.address}{request.raw_path}", encoded=True),
+        headers=headers_for_backend(request.headers, values),
+        data=request.body or None,
+        allow_redirects=False,
+    )
     try:
-        response = await session.request(
-            request.method,
-            URL(f"http://{view.backend.address}{request.raw_path}", encoded=True),
-            headers=headers_for_backend(request.headers, values),
-            data=request.body or None,
-            allow_redirects=False,
-        )
+        response = await head_of_answer(sending, record)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         yield Failed(FailedAttempt(FailureKind.UNREACHABLE, False, str(error)))
         return
@@ -101,13 +115,45 @@
     except (aiohttp.ClientError, OSError) as error:
         yield Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
         return
-    record_notice(view, read_backend_notice(response.status, response.headers), sent_at)
+    record(response)
     try:
         yield classify_response(request, response)
     finally:
         response.close()
 
 
+async def head_of_answer(
+    sending: Coroutine[Any, Any, aiohttp.ClientResponse],
+    record: Callable[[aiohttp.ClientResponse], None],
+) -> aiohttp.ClientResponse:
+    """Return a response once its head is there; if this is cancelled, wait a little longer for it.
+
+    Args:
+      sending: Sends the request.
+      record: Called with a response that comes after the cancellation.
+    """
+    task = asyncio.ensure_future(sending)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        late = asyncio.ensure_future(record_late_answer(task, record))
+        LATE_ANSWERS.add(late)
+        late.add_done_callback(LATE_ANSWERS.discard)
+        raise
+
+
+async def record_late_answer(
+    task: asyncio.Task[aiohttp.ClientResponse], record: Callable[[aiohttp.ClientResponse], None]
+) -> None:
+    """Record a response if it comes soon, and close its connection in any case."""
+    await asyncio.wait((task,), timeout=LATE_ANSWER_SECONDS)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError, aiohttp.ClientError, OSError, ValueError):
+        response = await task
+        record(response)
+        response.close()
+
+
 def classify_response(
     request: Request, response: aiohttp.ClientResponse
 ) -> Result[aiohttp.ClientResponse, FailedAttempt]:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -27,7 +27,7 @@
     WholeAnswer,
     labels_of,
 )
-from .sending import read_answer, send_request, was_reset
+from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
 
 ID_FIELD = b"id:"
 OK = 200
@@ -37,9 +37,9 @@
 """Shortest timeout for the first event of an attempt."""
 FIRST_EVENT_FACTOR = 4.0
 """Timeout for the first event of an attempt, in multiples of the expected time."""
-START_MARGIN_SECONDS = 0.3
+START_MARGIN_SECONDS = 0.3 + LATE_ANSWER_SECONDS
 """Time before the start deadline at which a send is cancelled: the cancellation may cross a slow
-link."""
+link, and the head of the answer is awaited a little longer."""
 LARGEST_EVENT_BYTES = 1024 * 1024
 """Size over which an unfinished event fails the attempt."""
 
