Take a registration without a start time for the last known incarnation

A backend in a pause, leaving or with a limit got requests as if it had said nothing (BUDGET; DRAIN and LIMIT by the same cause). Cause: what a backend says of itself is kept by identity and start time. An entry that was rewritten without its start time counted as an incarnation that started at 0, which has said nothing. Change: such a registration belongs to the last known incarnation of the identity; one that never names a start time is treated as before.

--- a/verbenaward/direct/backend_notices.py
+++ b/verbenaward/direct/backend_notices.py
@@ -80,6 +80,11 @@
                 self.by_name.pop(dropped.name, None)
         return found
 
+    def last_start(self, identity: str) -> int:
+        """Return the start time of the last known incarnation of a backend; 0 for none."""
+        starts = (born for known, born in self.by_incarnation if known == identity)
+        return max(starts, default=0)
+
     def named(self, name: int) -> IncarnationNotices | None:
         """Return the notices of the incarnation with a name; None if it is not known."""
         return self.by_name.get(name)
--- a/verbenaward/direct/fleet.py
+++ b/verbenaward/direct/fleet.py
@@ -1,5 +1,6 @@
 """Configuration, backends and weights versions, as derived from the entries of the store."""
 
+import dataclasses
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -130,8 +131,12 @@
     def put(self, backend: Backend, now: float) -> None:
         """Add or update a backend.
 
-        Of several incarnations at one address, only the one that started last is kept.
+        Of several incarnations at one address, only the one that started last is kept. A
+        registration without a start time is that of the last known incarnation.
         """
+        if not backend.born_unix_ms:
+            started = self.notices.last_start(backend.identity)
+            backend = dataclasses.replace(backend, born_unix_ms=started)
         for view in self.others_at_address(backend):
             if view.backend.born_unix_ms > backend.born_unix_ms > 0:
                 self.remove(backend.identity)
