Ignore a Retry-After of a source or the key-value service that is no number

A date or a word raised an error in the middle of a transfer or a call of the key-value service; inf kept a source out of use for good. Cause: the header was converted without a check, in two places. The platform's backends were read with one. Change: both use parse_number: anything but a finite number of at least 0 asks for no pause.

--- a/verbenaward/platform/key_value_http.py
+++ b/verbenaward/platform/key_value_http.py
@@ -14,6 +14,8 @@
     KeyValueFailure,
     KeyValueSnapshot,
 )
+from .names import RETRY_AFTER
+from .request_headers import parse_number
 
 CALL_TIMEOUT_SECONDS = 2.0
 WATCH_SLACK_SECONDS = 2.0
@@ -103,7 +105,7 @@
 async def parse_error(response: aiohttp.ClientResponse) -> KeyValueError:
     """Return the typed error for a response with another status than 200."""
     failure = FAILURE_BY_STATUS.get(response.status, KeyValueFailure.UNAVAILABLE)
-    retry_after = float(response.headers.get("Retry-After", "0"))
+    retry_after = parse_number(response.headers.get(RETRY_AFTER, "")) or 0.0
     return KeyValueError(failure, (await response.text())[:200], retry_after)
 
 
--- a/verbenaward/platform/sources.py
+++ b/verbenaward/platform/sources.py
@@ -9,6 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from ..registry import Registry
+from .names import RETRY_AFTER
+from .request_headers import parse_number
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,6 @@
 
 async def parse_error(response: aiohttp.ClientResponse) -> SourceError:
     """Return the typed error for a response that holds no data."""
-    retry_after = float(response.headers.get("Retry-After", "0"))
+    retry_after = parse_number(response.headers.get(RETRY_AFTER, "")) or 0.0
     missing = response.status == 404
     return SourceError(f"status {response.status}", retry_after, missing)
