A stream whose deadline passes at a backend is not said not to have run

Callers of streams whose engine did not answer in time got 503 with the verdict not-run, though the engine had the request and may have begun it: a resend could run a stream twice that may run once. Cause: the deadline ends a stream from outside its send, which then has no outcome and was not counted among the runs. Requests that are not streams time out inside the send and are counted. Change: a send counts as one that may have run until its outcome is known. Result: the two examples with streams got 503 not-run before; now 504 and may-have-run, as look-ups and bookings.

--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -171,3 +171,15 @@
       | endless-header  |
       | endless-hints   |
       | endless-noise   |
+
+  Scenario Outline: A <kind> whose deadline passes at a backend is not said not to have run
+    Given all <kinds> are "hang"
+    When a caller sends "<path>" with a deadline of 0.5 s
+    Then the answer is 504 and says that it may have run
+
+    Examples: deadlines
+      | kind             | kinds          | path           |
+      | stream           | engines        | /stream/1      |
+      | unique stream    | engines        | /stream/once/1 |
+      | look-up          | plain backends | /look/1        |
+      | booking          | plain backends | /book/1        |
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -885,3 +885,15 @@
 def bounded(context, seconds, size):
     for _, took, sent in context.outcomes:
         assert took <= seconds and sent <= size * 1024 * 1024, (took, sent)
+
+
+@when('a caller sends "{path}" with a deadline of {seconds:g} s')
+def send_with_deadline(context, path, seconds):
+    headers = {"X-Deadline-Ms": f"{seconds * 1000:g}"}
+    context.answer = call(context, path, "a-deadline", headers)
+
+
+@then("the answer is {status:d} and says that it may have run")
+def may_have_run(context, status):
+    found, headers, body = context.answer
+    assert (found, headers.get("X-Verdict")) == (status, "may-have-run"), (found, headers, body)
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -47,6 +47,7 @@
       not_run: Sends that certainly did not run.
       answer: Last server error of a backend, returned if no retry does better.
       sent_at: Time of the last send, monotonic.
+      is_in_flight: True while the last send has no outcome; it may have run.
       answer_began_at: When the head of its answer came, monotonic; 0 while it has not.
     """
 
@@ -55,11 +56,13 @@
     not_run: int = 0
     answer: WholeAnswer | None = None
     sent_at: float = 0.0
+    is_in_flight: bool = False
     answer_began_at: float = 0.0
 
     def record_sent(self, now: float) -> None:
         """Record that the request is being sent."""
         self.sent_at = now
+        self.is_in_flight = True
         self.answer_began_at = 0.0
 
     def has_outlived_start(self, now: float) -> bool:
@@ -300,6 +303,7 @@
         """Record a failed send: at the backend, for the crash tracker and for the request."""
         view = choice.view
         now = clock.now()
+        progress.is_in_flight = False
         self.log.failed(request, view, failed)
         progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
@@ -370,7 +374,7 @@
         if progress.answer is not None:
             return progress.answer
         message = "no backend answered in time"
-        if progress.runs:
+        if progress.runs or progress.is_in_flight:
             refusal = may_have_run_refusal(504, "timeout", message)
         else:
             refusal = not_run(503, "timeout", message, 0.1)
