A question about a limit that fails leaves no backend waiting for its answer

No caller saw it; read in our own diff. Cause: if the question could not be sent, the backend stayed marked as one that is being asked about, and the process never used it again; the question stayed among the pending ones. An answer in the same turn of the event loop as the time-out raised an error. Change: the mark is taken back in any case; a question is pending once it was sent; an answer after the time-out is ignored. Another one shows that only the owner grants, which the scenarios of faults did not.

--- a/tests/direct/limit_owners.feature
+++ b/tests/direct/limit_owners.feature
@@ -62,3 +62,15 @@
     Given 8 entry processes, one of which has 0.95 of the callers, who want 10 requests a second
     When it names a limit of 1 a second for 4 s
     Then every process knows the limit
+
+  Scenario: A backend is passed over, and asked about again, if the question cannot be sent
+    Given 8 entry processes whose callers want 8 requests a second of one backend
+    And it names a limit of 1 a second
+    When a process asks a silent owner, asks again, and cannot send its question
+    Then neither question leaves the backend waiting for a grant
+
+  Scenario: Only the owner of a limit grants sends
+    Given 8 entry processes whose callers want 8 requests a second of one backend
+    And it names a limit of 1 a second
+    When each process is asked for a send by another one
+    Then only the owner grants one
--- a/tests/steps/limit_owners.py
+++ b/tests/steps/limit_owners.py
@@ -1,6 +1,9 @@
 """Steps on the owners of limits, in simulated time."""
 
+import contextlib
+import dataclasses
 import math
+from unittest import mock
 
 from behave import given, then, when
 
@@ -12,6 +15,8 @@
     allowed_requests,
     most_in_a_window,
 )
+from verbenaward import clock
+from verbenaward.direct.send_limiter import SendLimiters
 
 SETTLED_AT = 6.0
 """Time at which the limit begins, in simulated seconds."""
@@ -198,3 +203,52 @@
         for index in range(len(simulation.network.entries))
     ]
     assert set(limits) == {context.limit}, limits
+
+
+@when("a process asks a silent owner, asks again, and cannot send its question")
+def ask_in_vain(context):
+    simulation = context.simulation
+    asker = (simulation.owner_index() + 1) % len(simulation.network.entries)
+    grants = simulation.network.entries[asker].exchange.limits
+    context.notices = simulation.notices_of(asker)
+    context.notices.awaits_grant = False
+    grants.pending.clear()
+    now = simulation.network.now
+    silent = dataclasses.replace(grants.peers, send=lambda message, control: None)
+
+    def fail(message, control):
+        raise OSError("the network is down")
+
+    broken = dataclasses.replace(grants.peers, send=fail)
+
+    async def ask():
+        with mock.patch.object(clock, "now", lambda: now):
+            for peers in (silent, silent, broken):
+                grants.peers = peers
+                with contextlib.suppress(OSError):
+                    assert not await grants.admits(context.notices)
+
+    context.loop.run_until_complete(ask())
+    assert not grants.pending
+
+
+@then("neither question leaves the backend waiting for a grant")
+def not_waiting(context):
+    assert not context.notices.awaits_grant
+
+
+@when("each process is asked for a send by another one")
+def ask_each(context):
+    simulation = context.simulation
+    context.granting = []
+    for index, entry in enumerate(simulation.network.entries):
+        # A limiter that has granted nothing yet, so that only the ownership decides.
+        entry.exchange.limits.limiters = SendLimiters()
+        notices = simulation.notices_of(index)
+        if entry.exchange.limits.grant(notices, "another", simulation.network.now) == 0:
+            context.granting.append(index)
+
+
+@then("only the owner grants one")
+def only_owner(context):
+    assert context.granting == [context.simulation.owner_index()], context.granting
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -75,20 +75,31 @@
         """
         if not notices.limit.is_limited:
             return True
-        reply: asyncio.Future[float] = asyncio.get_running_loop().create_future()
         notices.awaits_grant = True
-        number = self.ask(notices, clock.now(), reply.set_result)
         try:
-            async with asyncio.timeout(REPLY_SECONDS):
-                wait = await reply
-        except TimeoutError:
-            wait = UNANSWERED_SECONDS
+            wait = await self.reply_to(notices)
         finally:
             notices.awaits_grant = False
-            self.pending.pop(number, None)
         notices.limited_until = clock.now() + wait
         return wait == 0 or not notices.limit.is_limited
 
+    async def reply_to(self, notices: IncarnationNotices) -> float:
+        """Ask the owner of a limit and return its reply, as `ask` passes it on."""
+        reply: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+
+        def on_reply(wait: float) -> None:
+            if not reply.done():
+                reply.set_result(wait)
+
+        number = self.ask(notices, clock.now(), on_reply)
+        try:
+            async with asyncio.timeout(REPLY_SECONDS):
+                return await reply
+        except TimeoutError:
+            return UNANSWERED_SECONDS
+        finally:
+            self.pending.pop(number, None)
+
     def ask(
         self, notices: IncarnationNotices, now: float, on_reply: Callable[[float], None]
     ) -> int:
@@ -110,11 +121,11 @@
         elif owner == self.peers.own:
             on_reply(self.grant(notices, self.peers.own, now))
         else:
-            self.pending[self.number] = on_reply
             question = LimitRequest(self.number, notices.name)
             known = (report_of(notices, now),)
             message = Pulse(partial=True, limits=known, limit_requests=(question,))
             self.peers.send(message, owner)
+            self.pending[self.number] = on_reply
         return self.number
 
     def owner(self, name: int, now: float) -> str | None:
