Only a backend's own answer shows that its limit has ended

No caller saw it; read in our own diff. Cause: an answer without Server-Limit ended the limit for all processes, also one that is garbled or has no signature. Change: the absence counts only in an answer that is signed or says that the request did not run, and not with 421.

--- a/tests/direct/known_limits.feature
+++ b/tests/direct/known_limits.feature
@@ -24,6 +24,10 @@
       | 3, 4   | 200    | malformed |
       | 3;4    | 200    | malformed |
 
+  Scenario: An answer that may not be the backend's own does not show that it names no limit
+    When an answer with status 200 carries neither a limit nor a signature
+    Then the limit is read as not shown
+
   Scenario: A malformed limit changes nothing
     Given a backend that has named a limit of 2 a second
     When it names a malformed limit
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -109,20 +109,26 @@
     is_leaving = headers.get(names.SERVER_LEAVING, "") == "1"
     pause = headers.get(names.RETRY_AFTER, "") if status == UNAVAILABLE else ""
     limits = headers.getall(names.SERVER_LIMIT, [])
-    limit = read_limit(status, limits)
+    is_own = status != MISDIRECTED and (has_signature(headers) or names.NOT_RUN in headers)
+    limit = read_limit(limits, is_own)
     malformed = ", ".join(limits) if limits and limit is None else ""
     return BackendNotice(is_leaving, parse_number(pause) or 0.0, limit, malformed)
 
 
-def read_limit(status: int, values: list[str]) -> float | None:
+def read_limit(values: list[str], is_own: bool) -> float | None:
     """Return the limit that an answer names, in requests a second.
 
+    Args:
+      values: Values of the header.
+      is_own: True unless the answer may come from another incarnation at the address, or is
+        garbled.
+
     Returns:
-      Infinity if it names none. None if the header is malformed, or missing in an answer that may
-      come from another incarnation at the address.
+      Infinity if it names none. None if the header is malformed, or missing in an answer that is
+      not the backend's own for certain.
     """
     if not values:
-        return None if status == MISDIRECTED else math.inf
+        return math.inf if is_own else None
     if len(values) > 1 or not DECIMAL.fullmatch(values[0].strip()):
         return None
     return parse_number(values[0])
