--- a/tests/direct/limit_owners.feature
+++ b/tests/direct/limit_owners.feature
@@ -74,3 +74,13 @@
     And it names a limit of 1 a second
     When each process is asked for a send by another one
     Then only the owner grants one
+
+  Scenario Outline: The limit holds while faults follow each other and overlap, drawn from seed <seed>
+    When faults of several entry processes are drawn from seed <seed>
+    Then it gets no more in any 4 s than its limit allows
+
+    Examples: drawn faults
+      | seed |
+      | 3    |
+      | 5    |
+      | 6    |
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -52,7 +52,7 @@
     def sendto(self, payload, target):
         """Deliver a datagram to another process."""
         receiver = self.simulation.entries[target[1] - 9000]
-        if CUT_OFF in (self.fault, receiver.fault):
+        if CUT_OFF in (self.fault, receiver.fault) or self.simulation.is_lost():
             return
         source = ("127.0.0.1", int(self.exchange.settings.listen.rpartition(":")[2]))
         self.simulation.after(
@@ -130,11 +130,14 @@
       revision: Revision of the store.
       items: Its items.
       delay: One-way delay of every message, in seconds.
+      loss_share: Share of the datagrams that are lost.
     """
 
     def __init__(self, count, zones, delay=DELAY_SECONDS):
         self.now = 0.0
         self.delay = delay
+        self.loss_share = 0.0
+        self.rng = random.Random(count)
         self.events = []
         self.scheduled = 0
         self.revision = 1
@@ -151,6 +154,10 @@
             self.after(index / count, entry.broadcast)
             self.after(index / count, entry.follow)
 
+    def is_lost(self):
+        """Return True if a datagram that is sent now gets lost."""
+        return self.loss_share > 0 and self.rng.random() < self.loss_share
+
     def after(self, seconds, action):
         """Schedule an action."""
         self.scheduled += 1
--- a/tests/simulated_limits.py
+++ b/tests/simulated_limits.py
@@ -134,3 +134,18 @@
     def used(self, start, end):
         """Return the requests that reached the backend in a time."""
         return sum(start <= at < end for at, _ in self.arrivals)
+
+    def counted(self, excused, notice_seconds):
+        """Return the times of requests of processes that had the limit for some time.
+
+        Args:
+          excused: Process, begin and end of each time in which a process is not counted.
+          notice_seconds: Time after its first answer with a limit from which a process is counted.
+        """
+
+        def is_counted(at, index):
+            if any(one == index and start <= at < end for one, start, end in excused):
+                return False
+            return at >= self.told.get(index, math.inf) + notice_seconds
+
+        return [at for at, index in self.arrivals if is_counted(at, index)]
--- a/tests/steps/limit_owners.py
+++ b/tests/steps/limit_owners.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from tests.simulated_entries import CUT_OFF
+from tests.simulated_limit_faults import FaultyLimits
 from tests.simulated_limits import SimulatedLimits
 from tests.steps.backend_limits import (
     NOTICE_SECONDS,
@@ -114,14 +115,7 @@
 
 
 def counted(context):
-    simulation = context.simulation
-
-    def is_counted(at, index):
-        if any(one == index and start <= at < end for one, start, end in context.excused):
-            return False
-        return at >= simulation.told.get(index, math.inf) + NOTICE_SECONDS
-
-    return [at for at, index in simulation.arrivals if is_counted(at, index)]
+    return context.simulation.counted(context.excused, NOTICE_SECONDS)
 
 
 @then("it gets no more in any 4 s than its limit allows")
@@ -252,3 +246,12 @@
 @then("only the owner grants one")
 def only_owner(context):
     assert context.granting == [context.simulation.owner_index()], context.granting
+
+
+@when("faults of several entry processes are drawn from seed {seed:d}")
+def drawn_faults(context, seed):
+    faulty = FaultyLimits(seed)
+    faulty.run()
+    context.simulation, context.limit = faulty.simulation, faulty.limit
+    context.excused = faulty.excused
+    assert len(faulty.excused) > 5
