Keep the owner of a limit while registrations end in an outage of the store

No caller saw it; read in our own design, for fleets of over 17 entry processes. Cause: there the registrations in the store decide which process owns a limit. An outage or a restore of the store ends all of them for up to 2 s, and each process then took itself for the only one. Change: a registration that ended without a notice of leaving counts for 4 s more.

--- a/tests/direct/limit_owners.feature
+++ b/tests/direct/limit_owners.feature
@@ -84,3 +84,11 @@
       | 3    |
       | 5    |
       | 6    |
+
+  Scenario: Processes agree on an owner though all registrations end in an outage of the store
+    Given 98 entry processes whose callers want 80 requests a second of one backend
+    And it names a limit of 10 a second
+    When the registrations of all entry processes end, and return 2 s later
+    Then the processes agreed on one owner in all that time
+    And it gets no more in any 4 s than its limit allows
+    And the limit is used again
--- a/tests/steps/limit_owners.py
+++ b/tests/steps/limit_owners.py
@@ -18,6 +18,8 @@
 )
 from verbenaward import clock
 from verbenaward.direct.send_limiter import SendLimiters
+from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.names import ENTRY_PREFIX
 
 SETTLED_AT = 6.0
 """Time at which the limit begins, in simulated seconds."""
@@ -255,3 +257,27 @@
     context.simulation, context.limit = faulty.simulation, faulty.limit
     context.excused = faulty.excused
     assert len(faulty.excused) > 5
+
+
+@when("the registrations of all entry processes end, and return {seconds:g} s later")
+def registrations_end(context, seconds):
+    simulation = context.simulation
+    network = simulation.network
+    registered = [item for item in network.items if item.key.startswith(ENTRY_PREFIX)]
+    context.owners = []
+
+    def write(value_of):
+        network.revision += 1
+        for item in registered:
+            network.items.append(KeyValueEntry(item.key, value_of(item), network.revision))
+        for _ in range(10):
+            go_on(context, seconds / 10)
+            context.owners.append(simulation.owners())
+
+    write(lambda item: b"")
+    write(lambda item: item.value)
+
+
+@then("the processes agreed on one owner in all that time")
+def agreed(context):
+    assert all(len(owners) == 1 for owners in context.owners), context.owners
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -1,5 +1,6 @@
 """The other entry processes (peers) as one of them sees them."""
 
+import math
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -52,6 +53,7 @@
     Attributes:
       control: Its control address.
       registered: True while it is registered in the store.
+      deregistered_at: When its registration last ended, monotonic; minus infinity for never.
       last_broadcast: Its last full broadcast, whose `sequence` is updated by each later load delta;
         None before the first.
       received_at: When its last message arrived, monotonic.
@@ -63,6 +65,7 @@
 
     control: str
     registered: bool = False
+    deregistered_at: float = -math.inf
     last_broadcast: Pulse | None = None
     received_at: float = 0.0
     state_received_at: float = 0.0
--- a/verbenaward/direct/limit_owners.py
+++ b/verbenaward/direct/limit_owners.py
@@ -13,6 +13,9 @@
 SETTLING_SECONDS = 3.0
 """Time for which a process must have been ready: it may not know its peers before. Also the silence
 after which a peer does not own a limit any more."""
+DEREGISTERED_SECONDS = 4.0
+"""Time for which a peer may own limits after its registration ended without a notice that it
+leaves: an outage of the store ends all registrations, and they return in about 2 s."""
 STALL_SECONDS = 2.5
 """Time between two broadcasts of this process after which it has stalled, and must settle again."""
 
@@ -45,7 +48,7 @@
 
 
 def is_candidate(peer: EntryPeer, is_sampled: bool, now: float) -> bool:
-    """Return True if a peer may own limits, as all processes find alike.
+    """Return True if a peer may own limits; all processes find the same.
 
     With sampled broadcasts the registrations in the store decide, as broadcasts reach each process
     at a different time.
@@ -53,7 +56,8 @@
     broadcast = peer.last_broadcast
     if is_sampled:
         is_excluded = broadcast is not None and (broadcast.leaving or not broadcast.knows_limits)
-        return peer.registered and not is_excluded
+        is_registered = peer.registered or now - peer.deregistered_at < DEREGISTERED_SECONDS
+        return is_registered and not is_excluded
     return broadcast is not None and broadcast.grants_limits and peer.is_alive(now)
 
 
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -169,6 +169,7 @@
             found.registered = True
         elif control in self.peers:
             self.peers[control].registered = False
+            self.peers[control].deregistered_at = now
 
     def own_record(self) -> bytes:
         """Return the encoded record under which this process registers itself in the store."""
