--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -61,6 +61,8 @@
       restarting: Opens it again after the last crash.
       pause_seconds: Time for which it asks for no requests in mode "pausing", in seconds.
       says_leaving: Whether all its responses say that it leaves.
+      reset_after_turns: Turns of the event loop after which a truncated answer is reset; None for
+        20 ms.
       limit: Limit that all its responses name; empty for none.
       heartbeats: Number of registrations so far.
       born_unix_ms: Start time that it registers, in milliseconds since the epoch.
@@ -99,6 +101,7 @@
         self.pause_seconds = 1.0
         self.says_leaving = False
         self.limit = ""
+        self.reset_after_turns: int | None = None
         self.heartbeats = 1
         self.born_unix_ms = 1
         self.arrivals: list[float] = []
@@ -261,7 +264,10 @@
         length = f"Content-Length: {len(body)}\r\n" if self.mode == "truncated" else ""
         head = f"HTTP/1.1 200 OK\r\n{lines}{length}Connection: close\r\n\r\n"
         request.transport.write(head.encode() + body[: len(body) // 2])  # type: ignore[attr-defined]
-        await asyncio.sleep(0.02)
+        if self.reset_after_turns is None:
+            await asyncio.sleep(0.02)
+        for _ in range(self.reset_after_turns or 0):
+            await asyncio.sleep(0)
         reset_connection(request)
         raise AssertionError
 
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -183,3 +183,8 @@
       | unique stream    | engines        | /stream/once/1 |
       | look-up          | plain backends | /look/1        |
       | booking          | plain backends | /book/1        |
+
+  Scenario: An answer without a length that is reset at any moment after its head is not complete
+    Given all plain backends are "unframed-reset"
+    When they reset their answers 0 to 12 turns of the event loop after the head
+    Then no caller gets a success
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -897,3 +897,20 @@
 def may_have_run(context, status):
     found, headers, body = context.answer
     assert (found, headers.get("X-Verdict")) == (status, "may-have-run"), (found, headers, body)
+
+
+@when("they reset their answers {first:d} to {last:d} turns of the event loop after the head")
+def reset_after_turns(context, first, last):
+    context.statuses = []
+    for turns in range(first, last + 1):
+        for backend in plain(context):
+            backend.reset_after_turns = turns
+        for number in range(5):
+            path = f"/book/{turns}-{number}"
+            context.statuses.append((turns, call(context, path, f"a-{turns}-{number}")[0]))
+
+
+@then("no caller gets a success")
+def no_success(context):
+    successes = [turns for turns, status in context.statuses if status == 200]
+    assert not successes, successes
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 from yarl import URL
@@ -50,6 +51,22 @@
 """Tasks that await the heads of late answers; the event loop itself does not keep them."""
 
 
+class BackendResponse(aiohttp.ClientResponse):
+    """A response that keeps its connection's protocol, which shows a reset.
+
+    The response gives its connection back once its body has ended, which may be before its head
+    is looked at.
+    """
+
+    protocol: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> "BackendResponse":
+        """Read the head of the response."""
+        self.protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+
 def backend_session() -> aiohttp.ClientSession:
     """Return the HTTP client for backends, which never reuses a connection.
 
@@ -62,6 +79,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_once,),
+        response_class=BackendResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -204,7 +222,6 @@
 
 async def read_answer(response: aiohttp.ClientResponse) -> Result[WholeAnswer, FailedAttempt]:
     """Read the body of an answer; one that is truncated or too long is a failed attempt."""
-    protocol = response.connection.protocol if response.connection else None
     body = bytearray()
     try:
         async for piece in response.content.iter_any():
@@ -214,16 +231,17 @@
                 return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     except (aiohttp.ClientError, OSError) as error:
         return Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
-    if was_reset(protocol):
+    if was_reset(response):
         return Failed(FailedAttempt(FailureKind.BROKEN, True, "the connection was reset"))
     headers = headers_for_caller(response.headers)
     return Success(WholeAnswer(response.status, headers, bytes(body)))
 
 
-def was_reset(protocol: ResponseHandler | None) -> bool:
-    """Return True if a connection was reset instead of closed.
+def was_reset(response: aiohttp.ClientResponse) -> bool:
+    """Return True if the connection of a response was reset instead of closed.
 
     An answer without a length ends when its connection closes, and aiohttp's parser takes a reset
     for such an end.
     """
+    protocol = response.protocol if isinstance(response, BackendResponse) else None
     return protocol is not None and isinstance(protocol.exception(), aiohttp.ClientOSError)
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -242,7 +242,6 @@
         limit: asyncio.Timeout,
     ) -> web.StreamResponse | FailedAttempt:
         """Forward the events of an answer to the caller until the answer ends."""
-        protocol = answer.connection.protocol if answer.connection else None
         progress.answer_began_at = clock.now()
         if delivery.response is None:
             await delivery.open(headers_for_caller(answer.headers))
@@ -255,7 +254,7 @@
                     limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
         except (aiohttp.ClientError, OSError) as error:
             return FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}")
-        if was_reset(protocol) or delivery.partial_event:
+        if was_reset(answer) or delivery.partial_event:
             return FailedAttempt(FailureKind.BROKEN, True, "the stream was cut off")
         assert delivery.response is not None
         limit.reschedule(None)
