Move decisions under load to a package of their own; one module a kind of broadcast state

Cause: direct/ held 28 modules in one folder, and state_exchange.py (622 lines) grew with each kind of state that entry processes share, so parts that touch placement could not be built side by side.

Behaviour and messages are the same.

--- a/bench/placement_policies.py
+++ b/bench/placement_policies.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from verbenaward.direct.backends import BackendView
-from verbenaward.direct.fleet import Fleet
-from verbenaward.direct.peer_groups import PeerGroup
-from verbenaward.direct.placement import Placer
-from verbenaward.direct.request_types import Request
+from verbenaward.placement.backends import BackendView
+from verbenaward.placement.fleet import Fleet
+from verbenaward.placement.peer_groups import PeerGroup
+from verbenaward.placement.placer import Placer
+from verbenaward.placement.request_types import Request
 from verbenaward.registry import Registry
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -30,7 +30,7 @@
 
 @POLICIES.register("placer")
 class PlacerPolicy:
-    """The placement of the product, verbenaward.direct.placement."""
+    """The placement of the product, verbenaward.placement.placer."""
 
     def __init__(self, fleet: Fleet, zone: str, rng: random.Random, peer_group: PeerGroup) -> None:
         self.placer = Placer(fleet, zone, REGIONS, 8.0)
--- a/bench/placement_simulation.py
+++ b/bench/placement_simulation.py
@@ -13,11 +13,11 @@
 
 from standins.engine_model import DEFAULT_RANK, EngineModelStandIn, EngineRequest, SimulationClock
 from verbenaward.data import Backend, EngineProfile, HeldWeights, Route, RouteKind
-from verbenaward.direct.backends import RemoteLoad
-from verbenaward.direct.fleet import Fleet
-from verbenaward.direct.peer_groups import peer_group_of
-from verbenaward.direct.placement import rank_of
-from verbenaward.direct.request_types import Request
+from verbenaward.placement.backends import RemoteLoad
+from verbenaward.placement.fleet import Fleet
+from verbenaward.placement.peer_groups import peer_group_of
+from verbenaward.placement.placer import rank_of
+from verbenaward.placement.request_types import Request
 from verbenaward.platform.request_headers import CallerHeaders
 from verbenaward.replica.store_replica import StoreReplica
 
--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -4,10 +4,11 @@
 
 from verbenaward.data import Backend, EngineProfile, HeldWeights, Route, RouteKind
 from verbenaward.direct.crash_tracker import CrashTracker
-from verbenaward.direct.fleet import Fleet
-from verbenaward.direct.placement import Placer
-from verbenaward.direct.request_types import Request
+from verbenaward.direct.group_membership import GroupMembership
 from verbenaward.direct.state_exchange import StateExchange
+from verbenaward.placement.fleet import Fleet
+from verbenaward.placement.placer import Placer
+from verbenaward.placement.request_types import Request
 from verbenaward.platform.request_headers import CallerHeaders
 from verbenaward.replica.store_replica import StoreReplica
 from verbenaward.schema.settings import DirectSettings, PlatformSettings, Settings
@@ -62,6 +63,10 @@
         lambda *_: None,
         lambda: False,
     )
-    exchange.crashes.is_appointed = exchange.is_appointed
+    exchange.crashes.is_appointed = exchange.peers.is_appointed
     exchange.crashes.on_news = exchange.request_full_broadcast
     return exchange
+
+
+def membership_of(exchange):
+    return GroupMembership(exchange.settings, exchange.fleet, exchange.peers)
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -10,7 +10,7 @@
 from verbenaward.direct.crash_tracker import fingerprint_of, part_keys_of
 from verbenaward.direct.forwarding import Forwarder, Progress
 from verbenaward.direct.request_log import RequestLog
-from verbenaward.direct.request_types import RefusedError
+from verbenaward.placement.request_types import RefusedError
 
 PREFILL_SECONDS = 0.25
 """Time from a send to the head of the answer."""
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -4,6 +4,7 @@
 import random
 
 from tests.direct_fakes import exchange_of
+from verbenaward.direct.entry_peers import record_of
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.names import ENTRY_PREFIX
 from verbenaward.replica.follower import (
@@ -40,7 +41,7 @@
         self.exchange.transport = self
         self.exchange.rng = random.Random(index)
         self.exchange.on_position = self.observe_position
-        self.exchange.is_store_lost = lambda: self.failures > 0
+        self.exchange.peers.is_store_lost = lambda: self.failures > 0
         self.fault = ""
         self.failures = 0
         self.is_fetching = False
@@ -68,7 +69,7 @@
 
     def observe_position(self, position, kept_checksum):
         """Fetch the changes of a peer that is ahead."""
-        ahead = self.exchange.peers_ahead_of(self.replica.position, self.simulation.now)
+        ahead = self.exchange.peers.peers_ahead_of(self.replica.position, self.simulation.now)
         if ahead and not self.is_fetching:
             self.is_fetching = True
             peer = self.simulation.entries[int(ahead[0].rpartition(":")[2]) - 9000]
@@ -83,7 +84,7 @@
 
     def follow(self):
         """Watch the store if this process has to, else look again later."""
-        if not self.exchange.is_watcher(self.simulation.now):
+        if not self.exchange.peers.is_watcher(self.simulation.now):
             self.simulation.after(STANDBY_POLL_SECONDS, self.follow)
             return
         seconds = UNREACHABLE_WATCH_SECONDS if self.failures else MAXIMUM_WATCH_SECONDS
@@ -146,7 +147,7 @@
             SimulatedEntry(self, index, f"zone-{index % zones}") for index in range(count)
         ]
         for entry in self.entries:
-            record = entry.exchange.own_record()
+            record = record_of(entry.exchange.settings)
             key = ENTRY_PREFIX + entry.exchange.settings.listen
             self.items.append(KeyValueEntry(key, record, 1))
         for index, entry in enumerate(self.entries):
@@ -187,7 +188,7 @@
 
     def watchers(self):
         """Return the processes that watch the store."""
-        return [entry for entry in self.entries if entry.exchange.is_watcher(self.now)]
+        return [entry for entry in self.entries if entry.exchange.peers.is_watcher(self.now)]
 
     def lagging(self):
         """Return the processes that lack a change, without those that are cut off."""
--- a/tests/steps/backend_notices.py
+++ b/tests/steps/backend_notices.py
@@ -13,7 +13,7 @@
 from tests.direct_fakes import NOW, exchange_of, fleet_of, placer_of, request_of
 from tests.steps.platform_running import call, engines, plain, run, until
 from verbenaward import clock
-from verbenaward.direct.backend_notices import pause_end
+from verbenaward.placement.backend_notices import pause_end
 from verbenaward.platform.names import BACKEND_PREFIX
 from verbenaward.platform.request_headers import BackendNotice
 from verbenaward.wire.codec import encode
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -101,8 +101,8 @@
 @when("the log events are collected from the modules of direct mode")
 def written_events(context):
     root = Path(verbenaward.__file__).parent
-    folders = ("direct", "replica", "weight_loading")
-    files = [path for folder in folders for path in (root / folder).glob("*.py")]
+    folders = ("direct", "placement", "replica", "weight_loading")
+    files = [path for folder in folders for path in (root / folder).rglob("*.py")]
     texts = [path.read_text() for path in (*files, root / "direct_service.py")]
     context.events = {
         name
@@ -119,7 +119,7 @@
 @when("the log events are collected from the modules of proxied mode")
 def written_proxied_events(context):
     root = Path(verbenaward.__file__).parent
-    direct = ("direct", "replica", "weight_loading", "direct_service.py")
+    direct = ("direct", "placement", "replica", "weight_loading", "direct_service.py")
     context.events = {
         event
         for path in root.rglob("*.py")
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -12,16 +12,16 @@
 from hypothesis import strategies as st
 
 from tests.direct_fakes import ENGINE, NOW, fleet_of, placer_of, request_of
-from verbenaward.direct.backends import first_event_seconds
 from verbenaward.direct.budget import SharedRetryBudget
-from verbenaward.direct.caller_retries import CallerRetryDetector
-from verbenaward.direct.fleet import Fleet, LearnedVersion
 from verbenaward.direct.forwarding import Progress
-from verbenaward.direct.placement import rank_of
 from verbenaward.direct.request_log import LineRateLimit
 from verbenaward.direct.streams import StreamAttempt, StreamForwarder
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
 from verbenaward.metrics import sample_sum
+from verbenaward.placement.backends import first_event_seconds
+from verbenaward.placement.caller_retries import CallerRetryDetector
+from verbenaward.placement.fleet import Fleet, LearnedVersion
+from verbenaward.placement.placer import rank_of
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -12,7 +12,7 @@
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
 from verbenaward import clock
-from verbenaward.direct.backends import FAILURE_SMOOTHING
+from verbenaward.placement.backends import FAILURE_SMOOTHING
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import BACKEND_PREFIX, DIGESTS_PREFIX
@@ -89,7 +89,7 @@
         peers = count - 1
         assert await until(
             lambda: all(
-                len(role.exchange.ready_peers(clock.now())) == peers
+                len(role.exchange.peers.ready(clock.now())) == peers
                 for role in context.platform.entries
             )
         )
@@ -436,7 +436,7 @@
     context.left = plain(context)[0].identity
     store.mode = "down"
     assert run(context, until(lambda: not role.follower.reachable))
-    role.exchange.is_watcher = lambda now: False
+    role.exchange.peers.is_watcher = lambda now: False
     store.mode = "ok"
     run(context, asyncio.sleep(seconds))
     key, era = BACKEND_PREFIX + context.left, role.replica.era
@@ -512,7 +512,7 @@
             )
             assert await until(lambda: any(item.run_counts for item in engines(context)))
             draining = asyncio.create_task(first.drain())
-            assert await until(lambda: not second.exchange.ready_peers(clock.now()), 2.0)
+            assert await until(lambda: not second.exchange.peers.ready(clock.now()), 2.0)
             url = f"http://{second.direct.directory}/resolve?name={CALLER_HOST}&zone=zone-a"
             async with session.get(url) as response:
                 context.listed = (await response.json())["addresses"]
--- a/tests/steps/replica_eras.py
+++ b/tests/steps/replica_eras.py
@@ -359,14 +359,14 @@
 
 @then("neither counts the other's replica as a confirmation of its own")
 def no_confirmation(context):
-    assert all(entry.youngest_confirmation(NOW) is None for entry in context.entries)
+    assert all(entry.peers.youngest_confirmation(NOW) is None for entry in context.entries)
 
 
 @then("the one in the earlier era fetches from the other, and not the reverse")
 def fetches_from_later(context):
     earlier, later = context.entries
-    assert earlier.peers_ahead_of(earlier.replica.position, NOW) == [later.settings.listen]
-    assert not later.peers_ahead_of(later.replica.position, NOW)
+    assert earlier.peers.peers_ahead_of(earlier.replica.position, NOW) == [later.settings.listen]
+    assert not later.peers.peers_ahead_of(later.replica.position, NOW)
 
 
 @given("a process and a peer that keeps more from before the restore")
--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -7,11 +7,11 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from tests.direct_fakes import NOW, exchange_of, fleet_of
+from tests.direct_fakes import NOW, exchange_of, fleet_of, membership_of
 from tests.simulated_entries import SimulatedEntries
 from verbenaward.direct.addresses import addresses_for
-from verbenaward.direct.peer_groups import MINIMUM_BACKENDS, peer_group_of
-from verbenaward.direct.state_exchange import STORE_DOWN_SECONDS
+from verbenaward.direct.peer_table import STORE_DOWN_SECONDS
+from verbenaward.placement.peer_groups import MINIMUM_BACKENDS, peer_group_of
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.replica.store_replica import Changes
 from verbenaward.requests.quarantine import QuarantineState
@@ -61,7 +61,7 @@
                 port = int(sender.settings.listen.rpartition(":")[2])
                 receiver.receive(encode(sender.full_broadcast(NOW)), ("127.0.0.1", port), NOW)
         for exchange in context.entries:
-            exchange.update_peer_group(NOW)
+            membership_of(exchange).update(NOW)
 
     context.loop.run_until_complete(make())
 
@@ -124,12 +124,12 @@
 
 @then("{count:d} of them watch the store")
 def watchers(context, count):
-    assert sum(exchange.is_watcher(NOW) for exchange in context.fresh) == count
+    assert sum(exchange.peers.is_watcher(NOW) for exchange in context.fresh) == count
 
 
 @then("all watch once the store has answered none of them lately")
 def all_watch(context):
-    assert all(exchange.is_watcher(NOW) for exchange in context.stale)
+    assert all(exchange.peers.is_watcher(NOW) for exchange in context.stale)
 
 
 @when("callers of a zone with 2 entry processes and of one with none ask for addresses")
@@ -200,9 +200,9 @@
         first = encode(before.full_broadcast(NOW))
         receiver.receive(first, source, NOW)
         receiver.receive(encode(after.full_broadcast(NOW)), source, NOW + 0.1)
-        context.too_early = receiver.peers["127.0.0.1:9101"].last_broadcast.incarnation
+        context.too_early = receiver.peers.by_control["127.0.0.1:9101"].last_broadcast.incarnation
         receiver.receive(encode(after.full_broadcast(NOW)), source, NOW + 1.0)
-        context.replaced = receiver.peers["127.0.0.1:9101"].last_broadcast.incarnation
+        context.replaced = receiver.peers.by_control["127.0.0.1:9101"].last_broadcast.incarnation
         context.before, context.after = before.incarnation, after.incarnation
 
     context.loop.run_until_complete(make())
@@ -226,8 +226,8 @@
         for _, data, port in context.sent:
             if port == 9201:
                 two.receive(data, ("127.0.0.1", 9200), now)
-        two.update_peer_group(now)
-        context.watching[round(index * 0.1, 1)] = two.is_watcher(now)
+        membership_of(two).update(now)
+        context.watching[round(index * 0.1, 1)] = two.peers.is_watcher(now)
 
 
 @then("the second watches the store itself within {seconds:g} s")
@@ -238,11 +238,11 @@
 @when("one of the three stops sending")
 def stop_sending(context):
     first = context.entries[0]
-    peer = first.peers["127.0.0.1:9201"]
+    peer = first.peers.by_control["127.0.0.1:9201"]
     context.liveness = []
     for index in range(40):
         now = NOW + index * 0.1
-        first.update_peer_group(now)
+        membership_of(first).update(now)
         context.liveness.append((index * 0.1, peer.is_alive(now)))
 
 
@@ -277,7 +277,7 @@
 @when("the first of each zone loses the store and broadcasts that")
 def first_loses_store(context):
     for exchange in (context.entries[0], context.entries[3]):
-        exchange.is_store_lost = lambda: True
+        exchange.peers.is_store_lost = lambda: True
         port = int(exchange.settings.listen.rpartition(":")[2])
         for receiver in context.entries:
             receiver.receive(encode(exchange.full_broadcast(NOW)), ("127.0.0.1", port), NOW)
@@ -285,7 +285,12 @@
 
 @then("the second of the zone with three watches the store at once")
 def second_watches(context):
-    assert [exchange.is_watcher(NOW) for exchange in context.entries] == [True, True, False, True]
+    assert [exchange.peers.is_watcher(NOW) for exchange in context.entries] == [
+        True,
+        True,
+        False,
+        True,
+    ]
 
 
 @given("{count:d} entry processes in {zones:d} zones that broadcast to samples of their peers")
@@ -386,7 +391,7 @@
         if state == "have had an answer 1 s ago":
             other.replica.current_at = NOW - 1
         broadcast_to(process, other, NOW)
-    if process.is_store_down(NOW):
+    if process.peers.is_store_down(NOW):
         process.replica.outage_until = NOW - STORE_DOWN_SECONDS
     value = json.dumps({"model_name": "model", "version": 2}).encode()
     entry = KeyValueEntry("op/version/model", value, 9)
--- /dev/null
+++ b/verbenaward/direct/broadcast/__init__.py
@@ -0,0 +1,12 @@
+"""Sections of the state broadcasts: one module for each kind of state that processes share."""
+
+from . import (
+    backend_state,
+    crashes,
+    limits,
+    loads,
+    peers,
+    store_position,
+)
+
+__all__ = ["backend_state", "crashes", "limits", "loads", "peers", "store_position"]
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -22,12 +22,12 @@
 from ..data import ServiceDeclaration
 from ..logs import get_logger
 from ..membership.ring import rendezvous_order
+from ..placement.fleet import Fleet
 from ..platform.key_value import KeyValueService
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
 from ..schema.settings import Settings
 from .chunk_runs import CHUNKS_PER_RUN
-from .fleet import Fleet
 from .pacing import rate_of, send_paced
 from .state_exchange import StateExchange
 
@@ -276,7 +276,7 @@
         now = clock.now()
         eligible = [
             peer.control
-            for peer in self.exchange.peers.values()
+            for peer in self.exchange.peers.by_control.values()
             if peer.last_broadcast is not None
             and peer.is_alive(now)
             and peer.last_broadcast.ready
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -9,6 +9,7 @@
 
 from ..platform.key_value import Position
 from ..schema.messages import Pulse
+from ..schema.settings import Settings
 
 ALIVE_SECONDS = 1.2
 """Time without a broadcast after which a peer of the own peer group counts as gone."""
@@ -38,6 +39,14 @@
     control: str
 
 
+def record_of(settings: Settings) -> bytes:
+    """Return the encoded record under which an entry process registers itself in the store."""
+    direct = settings.direct
+    assert direct is not None
+    record = EntryRecord(settings.vm, settings.zone, direct.front, settings.listen)
+    return msgspec.json.encode(record)
+
+
 def zone_of_record(value: bytes) -> str:
     """Return the availability zone in the record of an entry process; empty if malformed."""
     try:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -9,15 +9,15 @@
 
 from .. import clock
 from ..data import RouteKind
+from ..placement.backend_notices import IncarnationNotices
+from ..placement.backends import BackendView
+from ..placement.placer import Choice, Placer, may_have_run_refusal, rank_of
+from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
 from ..requests.refusals import not_run
-from .backend_notices import IncarnationNotices
-from .backends import BackendView
 from .budget import SharedRetryBudget
 from .crash_tracker import CrashTracker
-from .placement import Choice, Placer, may_have_run_refusal, rank_of
 from .request_log import RequestLog
-from .request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from .sending import send_and_read
 
 POLL_SECONDS = 0.02
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -6,13 +6,13 @@
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
+from ..placement.fleet import Fleet
+from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
+from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from .crash_tracker import fingerprint_of, part_keys_of
-from .fleet import Fleet
 from .forwarding import Forwarder, is_stream
-from .request_types import RefusedError, Request, WholeAnswer, labels_of
-from .routes import RouteTable
 from .streams import CallerGoneError, StreamCutError, StreamForwarder
 
 DEFAULT_DEADLINE_SECONDS = 60.0
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 
 from .. import clock
+from ..placement.backend_notices import IncarnationNotices, NoticeBook
 from ..schema.messages import LimitReply, LimitRequest, Pulse, ReportedLimit
-from .backend_notices import IncarnationNotices, NoticeBook
 from .entry_peers import EntryPeer
 from .limit_owners import Readiness, is_candidate, is_owner, may_still_own, owner_of
 from .send_limiter import SendLimiters
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -11,9 +11,9 @@
 from .. import clock
 from ..data import Refusal
 from ..logs import get_logger
-from .backends import BackendView
-from .placement import Choice
-from .request_types import FailedAttempt, Request
+from ..placement.backends import BackendView
+from ..placement.placer import Choice
+from ..placement.request_types import FailedAttempt, Request
 
 LOG = get_logger(__name__)
 USUAL_LINES_PER_SECOND = 60.0
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -10,6 +10,8 @@
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..logs import get_logger
+from ..placement.fleet import Fleet
+from ..placement.placer import Placer
 from ..platform.key_value import Position
 from ..platform.names import ALL_KEYS_PREFIX, DIRECTORY_PATH, ENTRY_PREFIX, READINESS_PATH
 from ..replica.follower import PeerFetcher, StoreFollower
@@ -31,13 +33,14 @@
 from .budget import SharedRetryBudget
 from .chunks import ChunkRelay
 from .crash_tracker import CrashTracker
-from .fleet import Fleet
+from .entry_peers import record_of
 from .forwarding import Forwarder
 from .front import Front
-from .placement import Placer
+from .group_membership import GroupMembership
+from .peer_table import STORE_DOWN_SECONDS
 from .request_log import RequestLog
 from .sending import backend_session
-from .state_exchange import STORE_DOWN_SECONDS, StateExchange
+from .state_exchange import StateExchange
 
 LOG = get_logger(__name__)
 LEASE_SECONDS = 6.0
@@ -70,6 +73,7 @@
       replica: Local replica of the key-value store.
       fleet: Configuration, backends and weights versions derived from `replica`.
       exchange: State broadcasts to and from the other entry processes.
+      membership: Keeps the peer group of this process up to date.
       front: Accepts requests of callers.
       store_restored: Set when the store was restored from a copy, which may lack the registration.
     """
@@ -83,14 +87,14 @@
         self.replica = StoreReplica()
         self.fleet = Fleet(self.replica, clock.now())
         self.crashes = CrashTracker(
-            lambda key, now: self.exchange.is_appointed(key, now),
+            lambda key, now: self.exchange.peers.is_appointed(key, now),
             lambda: self.exchange.request_full_broadcast(),
         )
         self.follower = StoreFollower(
             self.store,
             ALL_KEYS_PREFIX,
             self.replica,
-            lambda: self.exchange.is_watcher(clock.now()),
+            lambda: self.exchange.peers.is_watcher(clock.now()),
             lambda: self.exchange.request_full_broadcast(),
         )
         self.peer_fetcher = PeerFetcher(
@@ -105,6 +109,7 @@
             self.peer_fetcher.observe,
             lambda: not self.follower.reachable,
         )
+        self.membership = GroupMembership(settings, self.fleet, self.exchange.peers)
         self.budget = SharedRetryBudget(
             direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds
         )
@@ -199,7 +204,7 @@
 
     async def answer_addresses(self, request: web.Request) -> web.Response:
         """Answer with the addresses that a caller should use, and their time to live."""
-        entries = self.exchange.ready_peers(clock.now())
+        entries = self.exchange.peers.ready(clock.now())
         if self.is_ready():
             entries.append(self.own_state())
         zone = request.query.get("zone", "")
@@ -244,11 +249,11 @@
 
     def is_replica_fresh(self, now: float) -> bool:
         """Return True if the replica was lately known to be complete."""
-        return self.exchange.replica_age(now) < FRESH_REPLICA_SECONDS
+        return self.exchange.peers.replica_age(now) < FRESH_REPLICA_SECONDS
 
     async def fetch_from_peers(self, position: Position) -> Changes | None:
         """Return the changes after a position from a peer that is ahead; None if none answers."""
-        for control in self.exchange.peers_ahead_of(position, clock.now())[:3]:
+        for control in self.exchange.peers.peers_ahead_of(position, clock.now())[:3]:
             changes = await fetch_changes(self.session, control, position, 0.0)
             if changes is not None:
                 return changes
@@ -256,7 +261,7 @@
 
     async def fetch_kept_from_peers(self, checksum: int) -> Changes | None:
         """Return what a peer keeps that has this checksum; None if no peer answers."""
-        for control in self.exchange.peers_that_keep(checksum, clock.now())[:3]:
+        for control in self.exchange.peers.peers_that_keep(checksum, clock.now())[:3]:
             changes = await fetch_kept(self.session, control, self.replica.era)
             if changes is not None:
                 return changes
@@ -268,7 +273,7 @@
         A restored store is written to at once.
         """
         key = ENTRY_PREFIX + self.settings.listen
-        value = self.exchange.own_record()
+        value = record_of(self.settings)
         while not self.front.leaving:
             result = await self.store.keep_alive(key, value, LEASE_SECONDS)
             pause = RENEWAL_SECONDS if isinstance(result, Success) else REGISTRATION_RETRY_SECONDS
@@ -286,14 +291,14 @@
         """
         while True:
             now = clock.now()
-            if not self.follower.reachable and self.exchange.is_watcher(now):
+            if not self.follower.reachable and self.exchange.peers.is_watcher(now):
                 self.fleet.store_failed_at = now
-                if self.exchange.is_store_down(now):
+                if self.exchange.peers.is_store_down(now):
                     self.replica.outage_until = now - STORE_DOWN_SECONDS
             # Timers of the event loop stand still while the machine is suspended.
             self.front.streams.limit_waiting(now)
             self.replica.drop_kept_registrations(now)
-            alive = sum(peer.is_alive(now) for peer in self.exchange.peers.values())
+            alive = len(self.exchange.peers.alive(now))
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
             await asyncio.sleep(DERIVED_STATE_INTERVAL_SECONDS)
@@ -301,14 +306,15 @@
     async def maintain_peer_group(self) -> None:
         """Periodically recompute the peer group and pass it to the placer."""
         while True:
-            self.exchange.update_peer_group(clock.now())
-            self.front.forwarder.placer.peer_group = self.exchange.peer_group
+            self.membership.update(clock.now())
+            self.front.forwarder.placer.peer_group = self.membership.group
             await asyncio.sleep(PEER_GROUP_INTERVAL_SECONDS)
 
     def reload(self, settings: Settings, direct: DirectSettings) -> None:
         """Apply changed settings; listen addresses change at the next start only."""
         self.settings, self.direct = settings, direct
         self.exchange.settings = self.relay.settings = settings
+        self.membership.settings = self.exchange.peers.settings = settings
         placer = self.front.forwarder.placer
         placer.zone, placer.regions = settings.zone, direct.zones
         placer.version_seconds = direct.version_seconds
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -14,6 +14,8 @@
 
 from .. import clock
 from ..http_client import send_once
+from ..placement.backends import BackendView
+from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
 from ..platform.request_headers import (
     BackendHeaders,
     BackendNotice,
@@ -26,8 +28,6 @@
     read_backend_notice,
 )
 from ..sockets import keepalive_socket
-from .backends import BackendView
-from .request_types import FailedAttempt, FailureKind, Request, WholeAnswer
 
 CONNECT_SECONDS = 0.4
 """Timeout for a connection to a backend. A request that is still connecting when its backend asks
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -15,11 +15,8 @@
 from returns.result import Success
 
 from .. import clock, metrics
-from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
-from ..requests.events import EVENT_END
-from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
-from .placement import Choice
-from .request_types import (
+from ..placement.placer import Choice
+from ..placement.request_types import (
     FailedAttempt,
     FailureKind,
     RefusedError,
@@ -27,6 +24,9 @@
     WholeAnswer,
     labels_of,
 )
+from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
+from ..requests.events import EVENT_END
+from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
 from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
 
 ID_FIELD = b"id:"
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -10,8 +10,8 @@
 from .. import clock, metrics
 from ..data import HeldWeights
 from ..direct.chunk_runs import chunk_order, chunk_run_name
-from ..direct.fleet import Fleet
 from ..logs import get_logger
+from ..placement.fleet import Fleet
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests
 from ..replica.store_replica import StoreReplica
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -7,9 +7,9 @@
 from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
-from ..direct.fleet import Fleet
 from ..direct.pacing import send_paced
 from ..direct_shared import leasing_store, platform_session, serve_metrics
+from ..placement.fleet import Fleet
 from ..platform.names import ALL_KEYS_PREFIX
 from ..replica.follower import StoreFollower
 from ..replica.store_replica import StoreReplica
