--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -103,6 +103,18 @@
     When another process fetches the changes of the entry process
     Then it has the configuration, and at most a tenth of its size was sent
 
+  Scenario: A new process takes the content of the store from a seed process
+    Guards against reads of the whole store by all processes at once, which fill narrow links.
+    Given one entry process that is ready
+    When another process begins, and a seed process is the entry process
+    Then it knows the configuration within 2 seconds
+    And it has not read the store
+
+  Scenario: A new process reads the store itself if the seed processes are lost
+    Given one entry process that is ready
+    When another process begins, and a seed process is lost
+    Then it knows the configuration within 5 seconds
+
   Scenario: A process fetches changes that take 2 s to arrive from another process
     Given an entry process whose answers take 2 s to arrive
     When another process fetches its changes
--- a/tests/steps/large_configuration.py
+++ b/tests/steps/large_configuration.py
@@ -15,8 +15,10 @@
 from verbenaward.platform.key_value import KeyValueEntry, Position
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import CONFIGURATION_KEY
+from verbenaward.replica.first_read import read_from_seeds
+from verbenaward.replica.follower import StoreFollower
 from verbenaward.replica.peer_transfer import changes_to_message, fetch_changes
-from verbenaward.replica.store_replica import Changes
+from verbenaward.replica.store_replica import Changes, StoreReplica
 from verbenaward.wire.codec import encode
 
 
@@ -107,6 +109,48 @@
     assert context.sent_bytes <= len(value) / 10, (context.sent_bytes, len(value))
 
 
+@when("another process begins, and a seed process is {seed}")
+def begin_with_seed(context, seed):
+    is_lost = seed == "lost"
+    control = free_address() if is_lost else context.platform.entries[0].settings.listen
+    context.replica = StoreReplica()
+    context.reads = []
+
+    async def begin():
+        session = aiohttp.ClientSession()
+        store = LeasedStore(session, f"http://{context.platform.store_address}")
+        read_prefix = store.read_prefix
+
+        async def counted_read(prefix):
+            context.reads.append(prefix)
+            return await read_prefix(prefix)
+
+        store.read_prefix = counted_read
+        follower = StoreFollower(
+            store, "", context.replica, read_first=lambda: read_from_seeds(session, [control])
+        )
+        task = asyncio.create_task(follower.run())
+
+        async def end():
+            task.cancel()
+            await session.close()
+
+        context.add_cleanup(lambda: run(context, end()))
+
+    run(context, begin())
+
+
+@then("it knows the configuration within {seconds:d} seconds")
+def knows_configuration(context, seconds):
+    known = until(lambda: CONFIGURATION_KEY in context.replica.entries, seconds)
+    assert run(context, known)
+
+
+@then("it has not read the store")
+def no_read(context):
+    assert context.reads == []
+
+
 @given("an entry process whose answers take {seconds:g} s to arrive")
 def slow_entry(context, seconds):
     value = random.Random(5).randbytes(100_000)
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -210,16 +210,26 @@
         )
 
     def peers_ahead_of(self, position: Position, now: float) -> list[str]:
-        """Return the control addresses of live peers that are ahead of a position, shuffled."""
-        found = [
-            peer.control
+        """Return the control addresses of live peers that are ahead of a position, shuffled.
+
+        Those of the own region come first, as the links between the regions are narrow.
+        """
+        ahead = [
+            peer
             for peer in self.by_control.values()
             if peer.last_broadcast is not None
             and peer.is_alive(now)
             and position_of(peer.last_broadcast, position.era) > position
         ]
-        self.rng.shuffle(found)
-        return found
+        self.rng.shuffle(ahead)
+        ahead.sort(key=lambda peer: not self.is_in_region(peer))
+        return [peer.control for peer in ahead]
+
+    def is_in_region(self, peer: EntryPeer) -> bool:
+        """Return True if a peer is in the region of this process."""
+        zones = self.settings.direct.zones if self.settings.direct else {}
+        zone = peer.last_broadcast.zone if peer.last_broadcast else ""
+        return zones.get(zone) == zones.get(self.settings.zone)
 
     def peers_that_keep(self, checksum: int, now: float) -> list[str]:
         """Return the control addresses of live peers that keep what has a checksum, shuffled."""
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -14,6 +14,7 @@
 from ..placement.placer import Placer
 from ..platform.key_value import Position
 from ..platform.names import ALL_KEYS_PREFIX, DIRECTORY_PATH, ENTRY_PREFIX, READINESS_PATH
+from ..replica.first_read import read_from_seeds, seed_controls
 from ..replica.follower import PeerFetcher, StoreFollower
 from ..replica.peer_transfer import (
     ERA_QUERY,
@@ -96,6 +97,7 @@
             self.replica,
             lambda: self.exchange.peers.is_watcher(clock.now()),
             lambda: self.exchange.request_full_broadcast(),
+            lambda: read_from_seeds(self.session, seed_controls(settings.seeds, settings.listen)),
         )
         self.peer_fetcher = PeerFetcher(
             self.replica, self.follower, self.fetch_from_peers, self.fetch_kept_from_peers
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -119,6 +119,10 @@
     "pulse.malformed": kind("malformed state broadcast from {source}: {error}", "source", "error"),
     "store.found": kind("the store answers again", "revision"),
     "store.lost": kind("the store does not answer: {error}", "error", "revision"),
+    "store.read-from-peer": kind(
+        "the content of the store up to revision {revision} was read from another process",
+        "revision",
+    ),
     "store.restored": kind(
         "the store was restored from a copy (era {era}, revision {revision}); it has not caught up "
         "with {kept}",
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -41,6 +41,7 @@
 MAXIMUM_MERGED_CHECKSUMS = 256
 
 FetchChanges = Callable[[Position], Awaitable[Changes | None]]
+ReadFirst = Callable[[], Awaitable[Changes | None]]
 FetchKept = Callable[[int], Awaitable[Changes | None]]
 
 
@@ -54,6 +55,8 @@
       is_watcher: Returns True if this process has to watch the store itself, False if it gets
         the changes from processes that do.
       on_reachable_changed: Called when the store is lost and when it is found again.
+      read_first: Returns the whole content of the store from another process; None to read the
+        store itself.
       reachable: False from a failed call to the store until the next success.
       failures: Consecutive failed calls.
       needs_snapshot: True if the next step has to read everything.
@@ -67,12 +70,14 @@
         replica: StoreReplica,
         is_watcher: Callable[[], bool] = lambda: True,
         on_reachable_changed: Callable[[], None] = lambda: None,
+        read_first: ReadFirst | None = None,
     ) -> None:
         self.store = store
         self.prefix = prefix
         self.replica = replica
         self.is_watcher = is_watcher
         self.on_reachable_changed = on_reachable_changed
+        self.read_first = read_first
         self.reachable = True
         self.failures = 0
         self.needs_snapshot = True
@@ -81,6 +86,7 @@
 
     async def run(self) -> None:
         """Keep the replica up to date until cancelled."""
+        await self.read_from_process()
         while True:
             if self.replica.revision and not self.is_watcher():
                 await asyncio.sleep(STANDBY_POLL_SECONDS)
@@ -94,6 +100,16 @@
             self.record_failure(result.failure())
             await asyncio.sleep(self.backoff_seconds())
 
+    async def read_from_process(self) -> None:
+        """Apply the content that another process has, so that a watch can follow it."""
+        if self.read_first is None:
+            return
+        changes = await self.read_first()
+        if changes is not None:
+            self.replica.apply(changes, clock.now())
+            self.needs_snapshot = False
+            LOG.info("store.read-from-peer", revision=changes.revision)
+
     async def step(self) -> Result[Changes, KeyValueError] | None:
         """Read a snapshot or watch for the next changes, and apply what was received.
 
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -11,6 +11,7 @@
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..placement.fleet import Fleet
 from ..platform.names import ALL_KEYS_PREFIX
+from ..replica.first_read import read_from_seeds, seed_controls
 from ..replica.follower import StoreFollower
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
@@ -40,7 +41,13 @@
         store = leasing_store(settings, self.session)
         self.entry_poller = EntryPoller(settings, direct, replica, self.session)
         self.follower = StoreFollower(
-            store, ALL_KEYS_PREFIX, replica, self.entry_poller.needs_store
+            store,
+            ALL_KEYS_PREFIX,
+            replica,
+            self.entry_poller.needs_store,
+            read_first=lambda: read_from_seeds(
+                self.session, seed_controls(settings.seeds, settings.listen)
+            ),
         )
         fleet = Fleet(replica, clock.now())
         self.engine_loader = EngineLoader(settings, direct, replica, fleet, self.session)
