Keep peer groups stable while engines join and peers are silent for seconds

Engines without weights counted, so that a group could have hardly any engine that serves.

Change: with sampled broadcasts a peer stays a candidate for 6 s of silence; engines are sharded in contiguous blocks like the processes; only engines that hold weights count.

A step set an attribute that had moved (is_store_lost), so a scenario of the version bound failed since; corrected.

--- a/tests/steps/state_broadcasts.py
+++ b/tests/steps/state_broadcasts.py
@@ -386,7 +386,7 @@
 @when("the others {state}, and a target version is set as the store answers again")
 def version_after_outage(context, state):
     process = context.process
-    process.is_store_lost = lambda: True
+    process.peers.is_store_lost = lambda: True
     for other in context.others:
         if state == "have had an answer 1 s ago":
             other.replica.current_at = NOW - 1
--- a/verbenaward/direct/group_membership.py
+++ b/verbenaward/direct/group_membership.py
@@ -33,19 +33,21 @@
     def update(self, now: float) -> None:
         """Recompute the peer group from the ready peers and the engines of the region.
 
+        Engines that hold no weights yet do not count, as they cannot serve.
+
         Args:
           now: Present time, monotonic, in seconds.
         """
         region = self.region_of(self.settings.zone)
         members = [
             broadcast.vm
-            for broadcast in self.peers.ready(now)
+            for broadcast in self.peers.group_candidates(now)
             if self.region_of(broadcast.zone) == region
         ]
         engines = [
             view.backend.address
             for view in self.fleet.backends.values()
-            if view.backend.weights is not None and self.region_of(view.backend.zone) == region
+            if view.backend.weights and self.region_of(view.backend.zone) == region
         ]
         peer_group = peer_group_of(self.settings.vm, members, engines)
         if peer_group.members != self.group.members:
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -34,6 +34,9 @@
 STORE_DOWN_SECONDS = 2.5
 """Age over which the replicas of all peers show that the store is down; also the time for which the
 news of a recovery may be under way."""
+GROUP_SILENCE_SECONDS = 6.0
+"""Silence after which a peer leaves the peer group; about twice the mean interval between the
+broadcasts of one of 45 peers."""
 MAXIMUM_HOPS = 2
 """Processes that may have passed on the age of a replica before the peer that reports it. The age
 does not include network delays, so it could otherwise circulate."""
@@ -109,6 +112,22 @@
             if peer.last_broadcast is not None and peer.is_listable(now, self.is_sampled)
         ]
 
+    def group_candidates(self, now: float) -> list[Pulse]:
+        """Return the last full broadcasts of the peers that may be in the peer group.
+
+        With sampled broadcasts a peer may be silent for seconds. It stays a candidate for
+        `GROUP_SILENCE_SECONDS`, as each change of the candidates moves others to another group.
+        """
+        if not self.is_sampled:
+            return self.ready(now)
+        return [
+            peer.last_broadcast
+            for peer in self.by_control.values()
+            if peer.last_broadcast is not None
+            and peer.last_broadcast.ready
+            and now - peer.received_at < GROUP_SILENCE_SECONDS
+        ]
+
     def is_watcher(self, now: float) -> bool:
         """Return True if this process watches the store, for itself and its peers.
 
--- a/verbenaward/placement/peer_groups.py
+++ b/verbenaward/placement/peer_groups.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 MAXIMUM_MEMBERS = 5
@@ -45,7 +45,16 @@
     if group_count <= 1:
         return PeerGroup(frozenset(names))
     group_index = names.index(own) * group_count // len(names)
-    group_members = (
-        name for rank, name in enumerate(names) if rank * group_count // len(names) == group_index
+    return PeerGroup(
+        frozenset(shard(names, group_index, group_count)),
+        frozenset(shard(engines, group_index, group_count)),
     )
-    return PeerGroup(frozenset(group_members), frozenset(engines[group_index::group_count]))
+
+
+def shard(items: Sequence[str], index: int, count: int) -> Sequence[str]:
+    """Return one of some contiguous shards of nearly equal size.
+
+    An item that comes or goes moves only the few items next to the limits of shards, so that
+    processes whose views differ for a moment still agree on most of their group.
+    """
+    return [item for rank, item in enumerate(items) if rank * count // len(items) == index]
