Serve requests only in the regions that their route and workspace allow

Cause: a deployment must keep the requests of some routes and workspaces in named regions.

Change: allowed_regions on routes and workspaces of the configuration. Placer.candidates skips other backends, so first sends, retries, resumes and trials are covered alike; a backend is checked again after the wait for a grant. Without a usable backend the request is refused at once with 503, no-backend-in-region, and counted by reason. The directory prefers entry processes in the allowed regions of a host for callers without a near one.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -86,6 +86,7 @@
       configuration_version: Version of the last written configuration.
       route_overrides: Fields to override by route name; None leaves the route out.
       api_keys: API keys of the workspace in the configuration.
+      workspace_fields: Further fields of that workspace.
       direct_settings: Further fields of DirectSettings for processes that start later.
       control_port: Port of the control messages, the same on the host of each process.
       host_count: Number of loopback hosts given out.
@@ -102,6 +103,7 @@
         self.configuration_version = 0
         self.route_overrides: dict[str, dict[str, Any]] = {}
         self.api_keys = [API_KEY]
+        self.workspace_fields: dict[str, Any] = {}
         self.direct_settings: dict[str, Any] = {}
         self.control_port = free_address("0.0.0.0").rpartition(":")[2]
         self.host_count = 0
@@ -208,7 +210,9 @@
                 {"name": "files", "origin_server": self.origin.address, "zone": "zone-a"},
             ],
             "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
-            "tenants": [{"name": "one", "api_keys": self.api_keys, "priority": 1}],
+            "tenants": [
+                {"name": "one", "api_keys": self.api_keys, "priority": 1, **self.workspace_fields}
+            ],
         }
 
     async def add_entry(self, zone: str = "zone-a") -> DirectEntryRole:
--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -130,6 +130,7 @@
       attempts: Limit on attempts for one request.
       is_public: True if requests need no API key.
       is_resumable: True if a broken stream may be resumed at another backend.
+      regions: Regions in which its requests may be served; empty for any.
     """
 
     name: str
@@ -144,6 +145,7 @@
     attempts: int
     is_public: bool
     is_resumable: bool
+    regions: frozenset[str] = frozenset()
 
     @property
     def is_retryable(self) -> bool:
@@ -207,11 +209,13 @@
       name: Name of the workspace.
       keys: API keys of its callers.
       priority: Priority that replaces that of the route; None to use the route's.
+      regions: Regions in which its requests may be served; empty for any.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -7,7 +7,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from .. import clock
+from .. import clock, metrics
 from ..data import RouteKind
 from ..placement.backend_notices import IncarnationNotices
 from ..placement.backends import BackendView
@@ -137,8 +137,10 @@
             choice = await self.available_choice(request, progress)
             notices = choice.view.notices
             is_granted = await self.is_send_granted(notices)
-            # While the grant was asked for, the backend may have asked for a pause.
-            if is_granted and notices.admits(clock.now()):
+            # While the grant was asked for, the backend may have asked for a pause, or its zone may
+            # have been evacuated.
+            is_usable = notices.admits(clock.now()) and self.placer.may_use(choice.view, request)
+            if is_granted and is_usable:
                 break
         if progress.sends and not self.budget.spend(request.service, clock.now()):
             self.give_up(request, progress, "the retry budget is used up")
@@ -160,12 +162,16 @@
             choice = self.placer.choose(request, progress.tried, now)
             if choice is not None or now >= wait_until:
                 break
-            if now + self.placer.fleet.seconds_until_available(request.service, now) >= wait_until:
+            if self.placer.is_ruled_out(request, now):
+                break
+            if now + self.placer.seconds_until_available(request, now) >= wait_until:
                 break
             await asyncio.sleep(POLL_SECONDS)
             now = clock.now()
         refusal = None if progress.runs else self.placer.refusal(request, choice, now)
         if refusal is not None:
+            if choice is None:
+                metrics.REFUSALS_WITHOUT_BACKEND.labels(refusal.reason).inc()
             allowed = self.placer.allowed_seconds(request, now) if choice else None
             self.log.refused(request, refusal, choice, allowed)
             raise RefusedError(refusal)
@@ -204,7 +210,7 @@
         now = clock.now()
         if progress.runs:
             refusal = may_have_run_refusal(502, "backend-failed", message)
-        elif self.placer.fleet.seconds_until_available(request.service, now):
+        elif self.placer.seconds_until_available(request, now):
             refusal = self.placer.unavailable(request, now)
         else:
             # 0.1 s before the random extension.
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -7,6 +7,7 @@
 from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..placement.fleet import Fleet
+from ..placement.regions import allowed_regions
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
@@ -165,6 +166,7 @@
             deadline=received_at + remaining_seconds(parsed_headers, route.timeout_seconds),
             fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
             part_keys=part_keys_of(service, parsed_headers.prompt_parts),
+            regions=allowed_regions(route, table.workspaces.get(parsed_headers.key)),
         )
 
 
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -12,6 +12,7 @@
 from ..logs import get_logger
 from ..placement.fleet import Fleet
 from ..placement.placer import Placer
+from ..placement.regions import regions_of_host
 from ..platform.key_value import Position
 from ..platform.names import ALL_KEYS_PREFIX, DIRECTORY_PATH, ENTRY_PREFIX, READINESS_PATH
 from ..replica.follower import PeerFetcher, StoreFollower
@@ -86,6 +87,7 @@
         self.store = leasing_store(settings, self.session)
         self.replica = StoreReplica()
         self.fleet = Fleet(self.replica, clock.now())
+        self.fleet.use_zones(direct.zones)
         self.crashes = CrashTracker(
             lambda key, now: self.exchange.peers.is_appointed(key, now),
             lambda: self.exchange.request_full_broadcast(),
@@ -208,7 +210,8 @@
         if self.is_ready():
             entries.append(self.own_state())
         zone = request.query.get("zone", "")
-        addresses = addresses_for(entries, zone, self.direct.zones)
+        allowed = regions_of_host(self.fleet.routes(), request.query.get("name", ""))
+        addresses = addresses_for(entries, zone, self.direct.zones, allowed)
         if not addresses:
             return web.Response(status=503)
         ttl = self.direct.address_ttl_seconds
@@ -317,6 +320,7 @@
         self.membership.settings = self.exchange.peers.settings = settings
         placer = self.front.forwarder.placer
         placer.zone, placer.regions = settings.zone, direct.zones
+        self.fleet.use_zones(direct.zones)
         placer.version_seconds = direct.version_seconds
         self.budget.ratio, self.budget.extra = direct.retry_ratio, direct.retry_extra
         self.budget.window_seconds = direct.retry_window_seconds
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -83,6 +83,9 @@
         "configuration {version} is older than {known}, ignored", "version", "known"
     ),
     "configuration.taken": kind("configuration {version} is in force", "version", "revision"),
+    "configuration.unknown-region": kind(
+        "no zone of the settings is in the allowed region {region}", "region"
+    ),
     "configuration.unreadable": kind("malformed configuration: {fault}", "fault"),
     "daemon.reload": kind("reload of the settings: {outcome}", "outcome"),
     "daemon.started": kind("the process started as {role}", "role", "listen"),
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -48,6 +48,10 @@
 LATE_STARTS = Counter(
     "verbenaward_late_starts_total", "First events from weights older than required"
 )
+REFUSALS_WITHOUT_BACKEND = Counter(
+    "verbenaward_refusals_without_backend_total",
+    "Requests refused because no backend may run them", ["reason"],
+)  # fmt: skip
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from returns.result import Success
@@ -16,6 +16,7 @@
 from ..replica.store_replica import StoreReplica
 from .backend_notices import NoticeBook, record_notice
 from .backends import BackendView
+from .regions import UnknownRegions
 from .routes import RouteTable, route_table_of
 
 LOG = get_logger(__name__)
@@ -71,6 +72,7 @@
         this process runs.
       store_failed_at: When a call to the store last failed, monotonic; 0 for never.
       notices: What backends have said of themselves in their answers.
+      unknown_regions: Reports regions of configurations that the settings do not have.
     """
 
     def __init__(self, replica: StoreReplica, started_at: float) -> None:
@@ -83,6 +85,7 @@
         self.version_listeners: list[Callable[[str, int], None]] = []
         self.store_failed_at = 0.0
         self.notices = NoticeBook()
+        self.unknown_regions = UnknownRegions()
         replica.listeners.append(self.apply_item)
 
     def apply_item(self, entry: KeyValueEntry, now: float) -> None:
@@ -99,6 +102,10 @@
         elif entry.key.startswith(VERSION_PREFIX):
             self.apply_version(entry, now)
 
+    def use_zones(self, zones: Mapping[str, str]) -> None:
+        """Use the settings' region of each availability zone."""
+        self.unknown_regions.known = frozenset(zones.values())
+
     def apply_configuration(self, entry: KeyValueEntry) -> None:
         """Put a configuration in force; keep the last good one if it is malformed or older."""
         if not entry.value:
@@ -114,6 +121,7 @@
             return
         self.table = route_table_of(configuration)
         LOG.info("configuration.taken", version=configuration.version, revision=entry.revision)
+        self.unknown_regions.report(configuration)
 
     def apply_registration(self, entry: KeyValueEntry, now: float) -> None:
         """Apply the registration of a backend, or its deletion."""
@@ -309,17 +317,33 @@
                 found.append(view)
         return found
 
-    def seconds_until_available(self, service: str, now: float) -> float:
+    def seconds_until_available(
+        self, service: str, now: float, may_use: Callable[[BackendView], bool] = lambda _: True
+    ) -> float:
         """Return the time until a pause or a limit lets a backend of a service be used again.
 
         It is 0 if some backend has neither now, or if there is none.
+
+        Args:
+          service: Name of the service.
+          now: Present time, monotonic, in seconds.
+          may_use: Returns False for a backend that is not considered.
         """
-        ends = [view.notices.available_at() for view in self.usable(service, now)]
+        usable = self.usable(service, now)
+        ends = [view.notices.available_at() for view in usable if may_use(view)]
         return max(0.0, min(ends, default=0.0) - now)
 
-    def has_limited(self, service: str) -> bool:
-        """Return True if a backend of a service names a limit."""
-        return any(view.notices.limit.is_limited for view in self.by_service.get(service, ()))
+    def has_limited(
+        self, service: str, may_use: Callable[[BackendView], bool] = lambda _: True
+    ) -> bool:
+        """Return True if a backend of a service names a limit.
+
+        Args:
+          service: Name of the service.
+          may_use: Returns False for a backend that is not considered.
+        """
+        views = self.by_service.get(service, ())
+        return any(view.notices.limit.is_limited for view in views if may_use(view))
 
     def required_version(self, model: str, version_seconds: float, now: float) -> int:
         """Return the minimum version that a request must run on; 0 if any will do.
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -14,6 +14,7 @@
 from .caller_retries import CallerRetryDetector
 from .fleet import Fleet
 from .peer_groups import PeerGroup
+from .regions import is_allowed, region_of
 from .request_types import Request
 
 START_SLACK_SECONDS = 0.5
@@ -52,6 +53,8 @@
 """Shortest retry delay after a refusal for overload: the retry will be late in any case, and
 sooner it would displace a request that can still be on time."""
 OVERLOAD_RETRY_SPREAD = 1.5
+NO_BACKEND_IN_REGION = "no-backend-in-region"
+"""Reason of a refusal because the allowed regions have no backend for the request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +127,7 @@
         """Return every backend that may run a request, with its cost."""
         choices = []
         for view in self.fleet.usable(request.service, now):
-            if view.is_excluded(now):
+            if view.is_excluded(now) or not self.may_use(view, request):
                 continue
             seconds = self.expected_seconds(view, request, now)
             latest_start = now + START_SLACK_SECONDS + START_FACTOR * seconds
@@ -138,6 +141,27 @@
                 )
         return choices
 
+    def may_use(self, view: BackendView, request: Request) -> bool:
+        """Return True if a backend is in a region in which a request may be served."""
+        return is_allowed(region_of(view.backend.zone, self.regions), request.regions)
+
+    def is_ruled_out(self, request: Request, now: float) -> bool:
+        """Return True if its allowed regions leave a request no usable backend.
+
+        To wait for one would be of no use: the request is refused at once.
+        """
+        if request.regions is None:
+            return False
+        return not any(
+            self.may_use(view, request) for view in self.fleet.usable(request.service, now)
+        )
+
+    def seconds_until_available(self, request: Request, now: float) -> float:
+        """Return the time until a pause or a limit lets a backend be used for a request."""
+        return self.fleet.seconds_until_available(
+            request.service, now, lambda view: self.may_use(view, request)
+        )
+
     def required_version(self, request: Request, at: float) -> int:
         """Return the minimum weights version for a request; 0 for any.
 
@@ -215,8 +239,10 @@
 
         If pauses or limits keep it from all of them, it says when the first one may be used.
         """
-        pause = self.fleet.seconds_until_available(request.service, now)
-        if pause and self.fleet.has_limited(request.service):
+        pause = self.seconds_until_available(request, now)
+        if pause and self.fleet.has_limited(
+            request.service, lambda view: self.may_use(view, request)
+        ):
             wait = max(OVERLOAD_RETRY_AFTER_SECONDS, pause)
             message = "all backends take fewer requests than come"
             return self.retry_later("limited", message, wait, OVERLOAD_RETRY_SPREAD)
@@ -224,6 +250,9 @@
             wait = pause * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             return not_run(503, "paused", "all backends have asked for a pause", wait)
         # 0.8 s before the random extension.
+        if request.regions is not None:
+            message = "no backend is available in the allowed regions"
+            return self.retry_later(NO_BACKEND_IN_REGION, message, 0.8)
         return self.retry_later("no-backend", "no backend is available", 0.8)
 
     def allowed_seconds(self, request: Request, now: float) -> float:
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -30,6 +30,7 @@
         or the timeout of the route ends, whichever is earlier.
       fingerprint: Hash of the content of the request, without its id.
       part_keys: Hashes of the parts of its prompt that other requests may share.
+      regions: Regions in which it may be served; None for any.
     """
 
     headers: CIMultiDictProxy[str]
@@ -46,6 +47,7 @@
     deadline: float
     fingerprint: bytes
     part_keys: tuple[bytes, ...] = ()
+    regions: frozenset[str] | None = None
 
     @property
     def crash_keys(self) -> tuple[bytes, ...]:
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -70,6 +70,7 @@
         attempts=max(1, int(item.get("max_attempts") or 1)),
         is_public=bool(item.get("public")),
         is_resumable=bool(item.get("stream_resumption")),
+        regions=parse_regions(item),
     )
 
 
@@ -110,9 +111,24 @@
         str(item["name"]),
         tuple(str(key) for key in item.get("api_keys") or ()),
         None if priority is None else int(priority),
+        parse_regions(item),
     )
 
 
+def parse_regions(item: dict[str, Any]) -> frozenset[str]:
+    """Parse the allowed regions of a route or workspace; empty for any region.
+
+    Raises:
+      TypeError: They are not a list of strings.
+    """
+    listed = item.get("allowed_regions")
+    if listed is None:
+        return frozenset()
+    if not isinstance(listed, list) or not all(isinstance(name, str) for name in listed):
+        raise TypeError("allowed_regions is not a list of strings")
+    return frozenset(listed)
+
+
 def parse_limits(item: dict[str, Any]) -> CallerLimits:
     """Parse the limits of callers; absent or zero values get the defaults."""
     default = CallerLimits()
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -43,6 +43,7 @@
             store, ALL_KEYS_PREFIX, replica, self.entry_poller.needs_store
         )
         fleet = Fleet(replica, clock.now())
+        fleet.use_zones(direct.zones)
         self.engine_loader = EngineLoader(settings, direct, replica, fleet, self.session)
         self.uploads = asyncio.Semaphore(1)
         self.tasks: list[asyncio.Task[None]] = []
@@ -77,6 +78,7 @@
     def reload(self, settings: Settings, direct: DirectSettings) -> None:
         """Apply changed settings; addresses stay the same until the next start."""
         self.settings = settings
+        self.engine_loader.fleet.use_zones(direct.zones)
         for component in (self.entry_poller, self.engine_loader, self.engine_loader.fetcher):
             component.settings, component.direct = settings, direct
 
