Send nothing to the backends of an evacuated availability zone

Cause: an operator needs to stop all sends to the backends of a zone within 5 s.

Change: the key op/evacuate/ZONE of the store evacuates a zone, whatever its value. The placer skips its backends, also after the wait for a grant, and refuses at once if none is left. Over a restore of the store an evacuation that the copy lacks is kept for 30 s of known history, in which the operator can write it again; a copy that still has one counts. A process that starts after the restore learns of it from its peers.

--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -301,6 +301,8 @@
             # Timers of the event loop stand still while the machine is suspended.
             self.front.streams.limit_waiting(now)
             self.replica.drop_kept_registrations(now)
+            complete_until = now - self.exchange.peers.replica_age(now)
+            self.replica.drop_kept_evacuations(complete_until, now)
             alive = len(self.exchange.peers.alive(now))
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -104,6 +104,9 @@
     "entry.heard": kind("{entry} was discovered", "entry", "ready"),
     "entry.leaving": kind("drain started with {in_flight} requests in flight", "in_flight"),
     "entry.left": kind("drain ended with {in_flight} requests in flight", "in_flight"),
+    "evacuation.unreadable": kind(
+        "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
+    ),
     "peer.told": kind(
         "{items} newer items of the store were received from another process",
         "after",
@@ -150,6 +153,9 @@
     ),
     "weights.unfetched": kind("a request for a chunk to {url} failed: {error}", "url", "error"),
     "weights.unstaged": kind("chunk {index} could not be staged: {error}", "index", "error"),
+    "zone.evacuated": kind("no requests are sent to the backends of zone {zone}", "zone"),
+    "zone.returned": kind("the evacuation of zone {zone} has ended", "zone"),
+    "zone.unknown": kind("zone {zone} is to be evacuated, but is not in the settings", "zone"),
 }
 
 DIRECT_EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS}
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -52,6 +52,9 @@
     "verbenaward_refusals_without_backend_total",
     "Requests refused because no backend may run them", ["reason"],
 )  # fmt: skip
+EVACUATED_ZONES = Gauge(
+    "verbenaward_evacuated_zones", "Availability zones whose backends get no requests"
+)
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -11,11 +11,17 @@
 from ..logs import get_logger
 from ..platform.declarations import parse_backend, parse_configuration, parse_target_version
 from ..platform.key_value import KeyValueEntry
-from ..platform.names import BACKEND_PREFIX, CONFIGURATION_KEY, VERSION_PREFIX
+from ..platform.names import (
+    BACKEND_PREFIX,
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    VERSION_PREFIX,
+)
 from ..platform.request_headers import BackendNotice
 from ..replica.store_replica import StoreReplica
 from .backend_notices import NoticeBook, record_notice
 from .backends import BackendView
+from .evacuations import Evacuations
 from .regions import UnknownRegions
 from .routes import RouteTable, route_table_of
 
@@ -72,6 +78,7 @@
         this process runs.
       store_failed_at: When a call to the store last failed, monotonic; 0 for never.
       notices: What backends have said of themselves in their answers.
+      evacuations: Availability zones whose backends get no requests.
       unknown_regions: Reports regions of configurations that the settings do not have.
     """
 
@@ -85,6 +92,7 @@
         self.version_listeners: list[Callable[[str, int], None]] = []
         self.store_failed_at = 0.0
         self.notices = NoticeBook()
+        self.evacuations = Evacuations()
         self.unknown_regions = UnknownRegions()
         replica.listeners.append(self.apply_item)
 
@@ -101,10 +109,13 @@
             self.apply_registration(entry, now)
         elif entry.key.startswith(VERSION_PREFIX):
             self.apply_version(entry, now)
+        elif entry.key.startswith(EVACUATION_PREFIX):
+            self.evacuations.apply(entry, now)
 
     def use_zones(self, zones: Mapping[str, str]) -> None:
         """Use the settings' region of each availability zone."""
         self.unknown_regions.known = frozenset(zones.values())
+        self.evacuations.known_zones = frozenset(zones)
 
     def apply_configuration(self, entry: KeyValueEntry) -> None:
         """Put a configuration in force; keep the last good one if it is malformed or older."""
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -142,15 +142,18 @@
         return choices
 
     def may_use(self, view: BackendView, request: Request) -> bool:
-        """Return True if a backend is in a region in which a request may be served."""
-        return is_allowed(region_of(view.backend.zone, self.regions), request.regions)
+        """Return True if a request is allowed in a backend's region, and its zone not evacuated."""
+        zone = view.backend.zone
+        return not self.fleet.evacuations.is_evacuated(zone) and is_allowed(
+            region_of(zone, self.regions), request.regions
+        )
 
     def is_ruled_out(self, request: Request, now: float) -> bool:
-        """Return True if its allowed regions leave a request no usable backend.
+        """Return True if its allowed regions, or evacuations, leave a request no usable backend.
 
         To wait for one would be of no use: the request is refused at once.
         """
-        if request.regions is None:
+        if request.regions is None and not self.fleet.evacuations.zones:
             return False
         return not any(
             self.may_use(view, request) for view in self.fleet.usable(request.service, now)
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -39,6 +39,8 @@
 keep_alive() rely.
 """
 MILLISECONDS = 1000
+EMPTY_EVACUATION = b" "
+"""Stands for the value of an evacuation that was written without one; malformed as well."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +298,13 @@
 
 
 def parse_entry(item: Any, era: int) -> KeyValueEntry:
-    """Parse one entry of a decoded answer; a deleted key has an empty value."""
-    value = b"" if item.get("deleted") else base64.b64decode(item["data"])
-    return KeyValueEntry(str(item["key"]), value, int(item["revision"]), era=era)
+    """Parse one entry of a decoded answer; a deleted key has an empty value.
+
+    An evacuation is in force whatever its value, so one that was written without a value must not
+    be taken for a deleted one.
+    """
+    key, is_deleted = str(item["key"]), bool(item.get("deleted"))
+    value = b"" if is_deleted else base64.b64decode(item["data"])
+    if not value and not is_deleted and key.startswith(names.EVACUATION_PREFIX):
+        value = EMPTY_EVACUATION
+    return KeyValueEntry(key, value, int(item["revision"]), era=era)
--- a/verbenaward/platform/names.py
+++ b/verbenaward/platform/names.py
@@ -37,6 +37,7 @@
 
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 BACKEND_PREFIX = "servers/"
 ENTRY_PREFIX = "verbenaward/entries/"
 DIGESTS_PREFIX = "verbenaward/digests/"
--- a/verbenaward/platform/write_orders.py
+++ b/verbenaward/platform/write_orders.py
@@ -11,7 +11,7 @@
 
 from ..registry import Registry
 from .key_value import KeyValueEntry
-from .names import BACKEND_PREFIX, CONFIGURATION_KEY, VERSION_PREFIX
+from .names import BACKEND_PREFIX, CONFIGURATION_KEY, EVACUATION_PREFIX, VERSION_PREFIX
 
 WriteOrder = tuple[int, ...]
 """Compares like the times of two writes of a key. Empty for a value that does not tell."""
@@ -69,6 +69,15 @@
     return next((kind for prefix, kind in KINDS.items.items() if key.startswith(prefix)), None)
 
 
+def is_kept_if_missing(key: str) -> bool:
+    """Return True if a key is kept for a time, though a restored store lacks it.
+
+    An evacuation has no write order, and its writer deletes it: of the entries of two eras the
+    later one counts. That a copy lacks it does not show that it has ended.
+    """
+    return key.startswith(EVACUATION_PREFIX)
+
+
 def order_of(entry: KeyValueEntry) -> WriteOrder:
     """Return the order of an entry's value; of a deleted key, that of its last value."""
     kind = kind_of(entry.key)
--- a/verbenaward/replica/store_replica.py
+++ b/verbenaward/replica/store_replica.py
@@ -7,7 +7,8 @@
 A store that was restored from a copy begins a new era, in which its revisions start again from
 those of the copy. What the copy lacks is kept until its writer has written it again (see
 `succession`); a registration for at most `KEPT_REGISTRATION_SECONDS`, after which the store's own
-word counts, as a backend that has left no longer renews what the copy holds of it.
+word counts, as a backend that has left no longer renews what the copy holds of it. An evacuation
+that the copy lacks is kept for at most `KEPT_EVACUATION_SECONDS`.
 """
 
 import dataclasses
@@ -19,7 +20,7 @@
 
 from ..logs import get_logger
 from ..platform.key_value import KeyValueEntry, Position
-from ..platform.write_orders import kind_of, order_of
+from ..platform.write_orders import is_kept_if_missing, kind_of, order_of
 from .succession import supersedes
 
 LOG = get_logger(__name__)
@@ -33,6 +34,10 @@
 """Time after a restore of the store for which a later registration, or its end, is kept against
 what the store holds. The platform ends a registration after three heartbeats of silence, and
 backends return within 2 s of an outage."""
+KEPT_EVACUATION_SECONDS = 30.0
+"""Time after a restore of the store for which an evacuation is in force that the store lacks. The
+operator writes again what the store has lost; an evacuation that was to end while the store was
+being restored cannot be told from one, so it ends by itself."""
 
 Listener = Callable[[KeyValueEntry, float], None]
 
@@ -104,6 +109,7 @@
       kept: Keys whose entries are from an earlier era, as the store has not caught up with them.
       deferred: What the store holds for keys with kept registrations.
       restored_at: When the present era began here, monotonic; minus infinity for the first one.
+      era_known_at: When this replica first read the store in the present era, monotonic.
       era_listeners: Called with the present time after a restored store was read.
     """
 
@@ -120,6 +126,7 @@
         self.kept: set[str] = set()
         self.deferred: dict[str, KeyValueEntry] = {}
         self.restored_at = -math.inf
+        self.era_known_at = -math.inf
         self.era_listeners: list[Callable[[float], None]] = []
 
     @property
@@ -151,6 +158,7 @@
         is_restored = begins_era and self.revision > 0
         if begins_era:
             self.begin_era(changes.era)
+            self.era_known_at = now
         if is_restored:
             self.restored_at = now
         applied = sum(self.apply_entry(entry, now) for entry in entries_of(changes))
@@ -203,6 +211,23 @@
             if entry.key in self.kept:
                 self.put(entry, now)
 
+    def drop_kept_evacuations(self, complete_until: float, now: float) -> None:
+        """End the evacuations that the store has lost, once their time has passed.
+
+        Args:
+          complete_until: Time before which every change that the store acknowledged is known. What
+            the operator has written again counts, also if it arrives late.
+          now: Present time, monotonic, in seconds.
+        """
+        if not self.kept or self.keeps_evacuations(complete_until):
+            return
+        for key in [key for key in self.kept if is_kept_if_missing(key)]:
+            self.put(KeyValueEntry(key, b"", self.revision, era=self.era), now)
+
+    def keeps_evacuations(self, at: float) -> bool:
+        """Return True for a time at which evacuations that the store has lost are in force."""
+        return at - self.era_known_at < KEPT_EVACUATION_SECONDS
+
     def apply_entry(self, entry: KeyValueEntry, now: float) -> bool:
         """Apply one entry and call the listeners; return False if it is not newer.
 
@@ -212,7 +237,7 @@
         source, but for one that the store has lost.
         """
         held = self.entries.get(entry.key)
-        if held is None and not self.is_newer_without_entry(entry):
+        if held is None and not self.is_newer_without_entry(entry, now):
             return False
         if held is not None and not supersedes(entry, held):
             if self.is_deferred(entry, held):
@@ -228,10 +253,12 @@
         self.put(entry, now)
         return True
 
-    def is_newer_without_entry(self, entry: KeyValueEntry) -> bool:
+    def is_newer_without_entry(self, entry: KeyValueEntry, now: float) -> bool:
         """Return True if an entry is news for a replica that holds none for its key."""
         if entry.era == self.era:
             return entry.revision > self.revision
+        if is_kept_if_missing(entry.key):
+            return bool(entry.value) and self.keeps_evacuations(now)
         kind = kind_of(entry.key)
         return bool(entry.value) and kind is not None and kind.is_permanent
 
@@ -263,7 +290,10 @@
             listener(entry, now)
 
     def delete_missing(self, changes: Changes, now: float) -> int:
-        """Apply tombstones for the keys that a snapshot lacks, except keys changed after it."""
+        """Apply tombstones for the keys that a snapshot lacks, except keys changed after it.
+
+        An evacuation of an earlier era is kept.
+        """
         present = {entry.key for entry in changes.entries}
         missing = [
             entry.key
@@ -271,6 +301,7 @@
             if entry.value
             and entry.key not in present
             and Position(entry.era, entry.revision) < Position(changes.era, changes.revision)
+            and not (entry.era < changes.era and is_kept_if_missing(entry.key))
         ]
         return sum(
             self.apply_entry(KeyValueEntry(key, b"", changes.revision, era=changes.era), now)
