Play evacuations in the random histories of restored stores

Cause: the histories had only keys whose values tell an order.

Change: the operator evacuates a zone and ends that at random; no replica may take an evacuation back that was not ended, and all equal the store in the end.

--- a/tests/replica/eras.feature
+++ b/tests/replica/eras.feature
@@ -4,7 +4,7 @@
 
   Scenario: Nothing goes backwards in any replica, whatever is restored, read and exchanged
     When a store is written, copied and restored at random, and replicas read it and each other
-    Then no replica takes back a configuration, a target version or the leaving of a backend
+    Then no replica takes back a configuration, a target version, an evacuation or the leaving of a backend
     And all replicas equal the store once everything was written again and read
 
   Scenario: A process that still speaks of the era before changes nothing
--- a/tests/steps/replica_eras.py
+++ b/tests/steps/replica_eras.py
@@ -19,6 +19,7 @@
 
 CONFIGURATION = "op/config"
 VERSION = "op/version/m"
+EVACUATION = "op/evacuate/z"
 BACKENDS = ["a", "b", "c"]
 
 
@@ -58,6 +59,9 @@
     history: list = field(default_factory=list)
     configuration: int = 0
     version: int = 0
+    evacuation: int = 0
+    evacuations: int = 0
+    ended: set = field(default_factory=set)
     backends: dict = field(default_factory=lambda: {name: ModelBackend() for name in BACKENDS})
     copies: list = field(default_factory=list)
 
@@ -78,6 +82,17 @@
         self.version += 1
         self.put(VERSION, value_of(version=self.version))
 
+    def evacuate(self):
+        self.evacuations += 1
+        self.evacuation = self.evacuations
+        self.put(EVACUATION, value_of(version=self.evacuation))
+
+    def end_evacuation(self):
+        self.ended.add(self.evacuation)
+        self.evacuation = 0
+        if EVACUATION in self.items:
+            self.put(EVACUATION, b"")
+
     def register(self, name, state=None):
         backend = self.backends[name]
         if backend.state == "gone":
@@ -123,6 +138,10 @@
             self.put(CONFIGURATION, value_of(version=self.configuration))
         if self.version:
             self.put(VERSION, value_of(version=self.version))
+        if self.evacuation:
+            self.put(EVACUATION, value_of(version=self.evacuation))
+        elif EVACUATION in self.items:
+            self.put(EVACUATION, b"")
         for name, backend in self.backends.items():
             key = backend_key(name)
             if backend.state == "gone" and key in self.items:
@@ -148,6 +167,7 @@
         self.replica = StoreReplica()
         self.configuration = 0
         self.version = 0
+        self.evacuation = 0
         self.known_leaving = set()
 
     def read(self, store):
@@ -168,6 +188,8 @@
         assert self.number(CONFIGURATION) >= self.configuration
         assert self.number(VERSION) >= self.version
         self.configuration, self.version = self.number(CONFIGURATION), self.number(VERSION)
+        assert self.number(EVACUATION) or self.evacuation in {0, *store.ended}
+        self.evacuation = self.number(EVACUATION)
         for name, backend in store.backends.items():
             state = self.state(name)
             assert name not in self.known_leaving or state != "ready", (name, state)
@@ -202,6 +224,7 @@
 
 STEPS = st.one_of(
     st.tuples(st.sampled_from(["configure", "set_version", "copy", "write_again"])),
+    st.tuples(st.sampled_from(["evacuate", "end_evacuation"])),
     st.tuples(st.just("register"), st.sampled_from(BACKENDS)),
     st.tuples(st.just("register"), st.sampled_from(BACKENDS), st.just("draining")),
     st.tuples(st.sampled_from(["heartbeat", "leave"]), st.sampled_from(BACKENDS)),
@@ -233,7 +256,10 @@
     context.check = check
 
 
-@then("no replica takes back a configuration, a target version or the leaving of a backend")
+@then(
+    "no replica takes back a configuration, a target version, an evacuation or the leaving of a "
+    "backend"
+)
 def nothing_backwards(context):
     context.end = lambda store, replicas: None
     context.check()
@@ -246,6 +272,7 @@
         expected = {key: entry.value for key, entry in store.items.items()}
         for item in replicas:
             item.read(store)
+            item.replica.drop_kept_evacuations(NOW + 60, NOW + 60)
             held = {key: entry.value for key, entry in item.replica.entries.items() if entry.value}
             assert held == expected, (held, expected)
             assert not item.replica.kept and not item.replica.deferred
