--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -83,6 +83,9 @@
         "configuration {version} is older than {known}, ignored", "version", "known"
     ),
     "configuration.taken": kind("configuration {version} is in force", "version", "revision"),
+    "configuration.unknown-region": kind(
+        "no zone of the settings is in the allowed region {region}", "region"
+    ),
     "configuration.unreadable": kind("malformed configuration: {fault}", "fault"),
     "daemon.reload": kind("reload of the settings: {outcome}", "outcome"),
     "daemon.started": kind("the process started as {role}", "role", "listen"),
@@ -101,6 +104,9 @@
     "entry.heard": kind("{entry} was discovered", "entry", "ready"),
     "entry.leaving": kind("drain started with {in_flight} requests in flight", "in_flight"),
     "entry.left": kind("drain ended with {in_flight} requests in flight", "in_flight"),
+    "evacuation.unreadable": kind(
+        "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
+    ),
     "peer.told": kind(
         "{items} newer items of the store were received from another process",
         "after",
@@ -151,6 +157,9 @@
     ),
     "weights.unfetched": kind("a request for a chunk to {url} failed: {error}", "url", "error"),
     "weights.unstaged": kind("chunk {index} could not be staged: {error}", "index", "error"),
+    "zone.evacuated": kind("no requests are sent to the backends of zone {zone}", "zone"),
+    "zone.returned": kind("the evacuation of zone {zone} has ended", "zone"),
+    "zone.unknown": kind("zone {zone} is to be evacuated, but is not in the settings", "zone"),
 }
 
 DIRECT_EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS}
