Limit the sends of all entry processes to a cold backend

Cause: a cold backend that gets far more requests than its service declares crashes, and each entry process knows only its own sends. Change: services declare cold_start_s and cold_per_s, registrations and answers say for how long a backend is cold. The lower of the warm-up's rate and the limit that a backend names applies; the owner of the limit grants the sends, and reports of limits carry the remaining cold time.

--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -141,6 +141,7 @@
   limited @1 :Bool;         # false: it names none any more
   perThousandSeconds @2 :UInt64;
   ageMs @3 :UInt32;         # time since the sender knew it to hold
+  coldMs @4 :UInt32;        # how much longer the backend is cold; 0 if the sender does not know
 }
 
 struct LimitRequest {       # asks the owner of a limit whether a request may be sent
--- a/tests/simulated_limits.py
+++ b/tests/simulated_limits.py
@@ -1,15 +1,24 @@
-"""Entry processes that send to a backend which names a limit, in simulated time."""
+"""Entry processes that send to backends which name a limit or are cold, in simulated time."""
 
+import dataclasses
+import json
 import math
 import random
+from collections import Counter
 
 from tests.direct_fakes import fleet_of
 from tests.simulated_entries import CUT_OFF, SimulatedEntries
 from verbenaward.direct.limit_grants import REPLY_SECONDS, UNANSWERED_SECONDS
+from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.names import BACKEND_PREFIX, CONFIGURATION_KEY
 from verbenaward.platform.request_headers import BackendNotice
+from verbenaward.wire.codec import encode
 
 ANSWER_SECONDS = 0.03
 """Time from a send to the head of the answer."""
+HEADER_BYTES = 28
+"""IP and UDP headers of a datagram."""
+SERVICE = "engines"
 
 
 class SimulatedLimits:
@@ -22,6 +31,7 @@
       told: Time at which each process first passed on an answer that names a limit.
       questions: Number of questions to owners.
       refused: Number of requests that found no send granted.
+      reached: Times at which requests reached each backend, by its identity.
     """
 
     def __init__(self, count, limit, demand, seed, shares=None):
@@ -32,6 +42,7 @@
         self.shares = shares or [1 / count] * count
         self.arrivals, self.told = [], {}
         self.questions = self.refused = 0
+        self.reached = {}
         for index in range(count):
             self.know_backend(index)
             self.schedule_caller(index)
@@ -60,17 +71,25 @@
         """Ask for a send, if the backend is not passed over now."""
         self.schedule_caller(index)
         now = self.network.now
-        notices = self.notices_of(index)
-        if not notices.admits(now):
+        view = self.choose(index, now)
+        if view is None:
             self.refused += 1
-        elif not notices.limit.is_limited:
-            self.send(index)
+        elif not view.notices.is_limited(now):
+            self.send(index, view)
         else:
-            self.ask(index, notices)
+            self.ask(index, view)
 
-    def ask(self, index, notices):
+    def choose(self, index, now):
+        """Return a backend that a process may use now; None for none."""
+        fleet = self.network.entries[index].exchange.fleet
+        usable = [view for view in fleet.backends.values() if view.notices.admits(now)]
+        return self.rng.choice(usable) if usable else None
+
+    def ask(self, index, view):
         """Ask the owner, as `LimitGrants.admits` does."""
-        grants = self.network.entries[index].exchange.limits
+        notices = view.notices
+        entry = self.network.entries[index]
+        grants = entry.exchange.limits
         notices.awaits_grant = True
         self.questions += 1
 
@@ -78,11 +97,12 @@
             if not notices.awaits_grant:
                 return
             notices.awaits_grant = False
-            notices.limited_until = self.network.now + wait
-            if wait and notices.limit.is_limited:
+            now = self.network.now
+            notices.limited_until = now + wait
+            if wait and notices.is_limited(now):
                 self.refused += 1
-            else:
-                self.send(index)
+            elif self.network.entries[index] is entry:
+                self.send(index, view)
 
         number = grants.ask(notices, self.network.now, on_reply)
 
@@ -92,10 +112,11 @@
 
         self.network.after(REPLY_SECONDS, on_timeout)
 
-    def send(self, index):
+    def send(self, index, view):
         """Send a request; the head of the answer names the limit that holds then."""
         sent_at = self.network.now
         self.arrivals.append((sent_at, index))
+        self.reached.setdefault(view.backend.identity, []).append(sent_at)
         entry = self.network.entries[index]
 
         def answer():
@@ -105,7 +126,7 @@
             if self.limit < math.inf:
                 self.told.setdefault(index, now)
             notice = BackendNotice(False, 0.0, self.limit)
-            entry.exchange.fleet.record_notice(self.view_of(index), notice, sent_at, now, 0.0)
+            entry.exchange.fleet.record_notice(view, notice, sent_at, now, 0.0)
 
         self.network.after(ANSWER_SECONDS, answer)
 
@@ -149,3 +170,57 @@
             return at >= self.told.get(index, math.inf) + notice_seconds
 
         return [at for at, index in self.arrivals if is_counted(at, index)]
+
+
+class SimulatedWarmUps(SimulatedLimits):
+    """Processes that learn from the store of backends that are cold.
+
+    Attributes:
+      sent_messages, sent_bytes, received_bytes: Questions and replies, by index of the process.
+    """
+
+    def __init__(self, count, cold_per_second, demand, seed):
+        self.sent_messages, self.sent_bytes = Counter(), Counter()
+        self.received_bytes = Counter()
+        super().__init__(count, math.inf, demand, seed)
+        service = {"name": SERVICE, "cold_start_s": 3, "cold_per_s": cold_per_second}
+        body = {"version": 1, "routes": [], "services": [service]}
+        self.write(CONFIGURATION_KEY, body)
+
+    def know_backend(self, index):
+        """Count the messages of a process, which knows no backend before it is registered."""
+        grants = self.network.entries[index].exchange.limits
+        grants.limiters.rng = random.Random(self.rng.random())
+        send = grants.peers.send
+
+        def counting_send(message, control):
+            size = len(encode(message)) + HEADER_BYTES
+            self.sent_messages[index] += 1
+            self.sent_bytes[index] += size
+            self.received_bytes[int(control.rpartition(":")[2]) - 9000] += size
+            send(message, control)
+
+        grants.peers = dataclasses.replace(grants.peers, send=counting_send)
+
+    def write(self, key, body):
+        """Write a value to the store."""
+        self.network.revision += 1
+        value = json.dumps(body).encode()
+        self.network.items.append(KeyValueEntry(key, value, self.network.revision))
+
+    def register(self, identity, cold_seconds, born=1, **fields):
+        """Register a backend, or change its registration."""
+        body = {
+            "service": SERVICE,
+            "address": f"h:{int(identity.removeprefix('e-')) + 1}",
+            "zone": "zone-0",
+            "slots": 12,
+            "state": "ready",
+            "born": born,
+            "cold_remaining_ms": cold_seconds * 1000,
+        }
+        self.write(BACKEND_PREFIX + identity, {**body, **fields})
+
+    def view_of(self, index, identity="e-0"):
+        """Return a backend as a process sees it."""
+        return self.network.entries[index].exchange.fleet.backends[identity]
--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -191,12 +191,17 @@
       engine: Performance profile of its engines; None for a plain service.
       origin: Address of the origin of weights; empty if the service is no origin.
       zone: Availability zone of the origin; empty if unknown.
+      cold_start_seconds: Time for which its backends are cold after their start; 0 for none.
+      cold_per_second: Requests a second from all processes together that a cold backend takes; 0
+        for no limit.
     """
 
     name: str
     engine: EngineProfile | None
     origin: str
     zone: str
+    cold_start_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,6 +275,7 @@
       weights: Weights that it holds completely; None if it reports none, as a plain service.
       born_unix_ms: Start time, in milliseconds since the epoch; 0 if unknown.
       revision: Revision of the store at which it last changed.
+      cold_seconds: How much longer it was cold when the registration was written; 0 if it was not.
     """
 
     identity: str
@@ -281,6 +287,7 @@
     weights: tuple[HeldWeights, ...] | None
     born_unix_ms: int
     revision: int
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -1,6 +1,7 @@
-"""Grants of sends to backends that name a limit, asked of the owner of the limit.
+"""Grants of sends to backends that name a limit or are cold, asked of the owner of the limit.
 
-Questions, answers and state broadcasts carry what their sender knows of limits, with its age.
+Questions, answers and state broadcasts carry what their sender knows of limits, with its age, and
+for how long a limited backend is cold.
 """
 
 import asyncio
@@ -73,15 +74,16 @@
 
         Otherwise the backend is passed over until it is time to ask again.
         """
-        if not notices.limit.is_limited:
+        if not notices.is_limited(clock.now()):
             return True
         notices.awaits_grant = True
         try:
             wait = await self.reply_to(notices)
         finally:
             notices.awaits_grant = False
-        notices.limited_until = clock.now() + wait
-        return wait == 0 or not notices.limit.is_limited
+        now = clock.now()
+        notices.limited_until = now + wait
+        return wait == 0 or not notices.is_limited(now)
 
     async def reply_to(self, notices: IncarnationNotices) -> float:
         """Ask the owner of a limit and return its reply, as `ask` passes it on."""
@@ -146,7 +148,7 @@
         Returns:
           0 if the process that asks may send now, else the time after which to ask again.
         """
-        if not notices.limit.is_limited:
+        if not notices.is_limited(now):
             return 0.0
         is_sampled = self.peers.is_sampled()
         rivals = [
@@ -156,7 +158,7 @@
         ]
         if not self.readiness.is_settled(now) or not is_owner(notices.name, self.peers.own, rivals):
             return NOT_OWNER_SECONDS
-        return self.limiters.acquire(notices.name, notices.limit.per_second, asker, now)
+        return self.limiters.acquire(notices.name, notices.limit_per_second(now), asker, now)
 
     def receive(self, message: Pulse, source: str, now: float) -> None:
         """Apply a question or an answer of another process.
@@ -192,6 +194,7 @@
             notices.limit.record_report(
                 per_second if report.limited else math.inf, now - report.age_ms / MILLISECONDS
             )
+            notices.warm_up.record_report(report.cold_ms / MILLISECONDS, now)
 
     def reports(self, now: float) -> tuple[ReportedLimit, ...]:
         """Return the limits of which the peers are told."""
@@ -203,13 +206,21 @@
 
 
 def report_of(notices: IncarnationNotices, now: float) -> ReportedLimit:
-    """Return what this process knows of a limit, with its age."""
+    """Return what this process knows of a limit, with its age, and of the warm-up.
+
+    Of two processes, one that knows of no limit must not seem to know that later: the times at
+    which their machines started differ.
+    """
     limit = notices.limit
-    age_ms = math.ceil((now - limit.known_at) * MILLISECONDS)
+    age_ms = MAXIMUM_MILLISECONDS
+    if limit.known_at:
+        age_ms = math.ceil((now - limit.known_at) * MILLISECONDS)
+    cold_ms = round(notices.warm_up.certain_seconds(now) * MILLISECONDS)
     per_thousand = limit.per_second * THOUSAND_SECONDS if limit.is_limited else 0.0
     return ReportedLimit(
         notices.name,
         limit.is_limited,
         round(min(MAXIMUM_PER_THOUSAND_SECONDS, per_thousand)),
         min(MAXIMUM_MILLISECONDS, age_ms),
+        min(MAXIMUM_MILLISECONDS, cold_ms),
     )
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -10,6 +10,7 @@
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..logs import get_logger
+from ..metrics import WARMING_BACKENDS
 from ..placement.fleet import Fleet
 from ..placement.placer import Placer
 from ..platform.key_value import Position
@@ -298,6 +299,7 @@
             # Timers of the event loop stand still while the machine is suspended.
             self.front.streams.limit_waiting(now)
             self.replica.drop_kept_registrations(now)
+            WARMING_BACKENDS.set(self.fleet.log_warm_ups(now))
             alive = len(self.exchange.peers.alive(now))
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -74,6 +74,14 @@
     "backend.said-leaving": kind("{backend} said in an answer that it leaves", "backend"),
     "backend.unlimited": kind("{backend} names no limit any more", "backend"),
     "backend.unreadable": kind("malformed registration of a backend: {fault}", "fault", "key"),
+    "backend.warm": kind("{backend} is no longer cold", "backend"),
+    "backend.warming-up": kind(
+        "{backend} is cold for {seconds} s and takes {per_second} requests a second from all "
+        "processes",
+        "backend",
+        "per_second",
+        "seconds",
+    ),
     "cell.changed": kind("the peer group has {members} entry processes", "members", "backends"),
     "chunk.corrupt": kind("chunk {index} has the wrong digest", "model", "version", "index"),
     "chunk.failed": kind(
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -48,6 +48,7 @@
 LATE_STARTS = Counter(
     "verbenaward_late_starts_total", "First events from weights older than required"
 )
+WARMING_BACKENDS = Gauge("verbenaward_warming_backends", "Cold backends to which a limit applies")
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/backend_notices.py
+++ b/verbenaward/placement/backend_notices.py
@@ -1,9 +1,10 @@
-"""What backends have said of themselves in their answers: leaving, a pause, a limit.
+"""What backends have said of themselves: leaving, a pause, a limit, that they are cold.
 
 A notice belongs to one incarnation of a backend and outlives its registration, which may end and
 come back while the incarnation lives.
 """
 
+import math
 import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
 from ..data import Backend
 from ..platform.request_headers import BackendNotice
 from .known_limits import KnownLimit
+from .warm_up import WarmUp
 
 PAUSE_SPREAD = 0.25
 """Longest random extension of a pause, as a share of it. A backend asks all its callers for the
@@ -32,7 +34,8 @@
       is_leaving: True once it has said that it leaves; it never takes that back.
       heard_leaving_at: When this process heard that, monotonic; 0 if it has not.
       paused_until: Time until which it wants no requests of this process, monotonic.
-      limit: Limit on the requests of all processes together.
+      limit: Limit on the requests of all processes together that its answers name.
+      warm_up: Limit that applies while it is cold.
       has_malformed_limit: True once it has named a limit that is not a number.
       limited_until: Time until which the owner of its limit grants this process no send, monotonic.
       awaits_grant: True while the owner is being asked; one request asks at a time.
@@ -43,6 +46,7 @@
     heard_leaving_at: float = 0.0
     paused_until: float = 0.0
     limit: KnownLimit = field(default_factory=KnownLimit)
+    warm_up: WarmUp = field(default_factory=WarmUp)
     has_malformed_limit: bool = False
     limited_until: float = 0.0
     awaits_grant: bool = False
@@ -53,7 +57,16 @@
 
     def available_at(self) -> float:
         """Return the time from which it may get requests again, monotonic; in the past for now."""
-        return max(self.paused_until, self.limited_until if self.limit.is_limited else 0.0)
+        limit_ends_at = math.inf if self.limit.is_limited else self.warm_up.limited_until
+        return max(self.paused_until, min(self.limited_until, limit_ends_at))
+
+    def limit_per_second(self, now: float) -> float:
+        """Return how many requests a second it takes from all processes; infinite for no limit."""
+        return min(self.limit.per_second, self.warm_up.limit_per_second(now))
+
+    def is_limited(self, now: float) -> bool:
+        """Return True if it names a limit, or one applies because it is cold."""
+        return self.limit_per_second(now) < math.inf
 
 
 class NoticeBook:
@@ -121,6 +134,7 @@
     if notice.pause_seconds:
         end = pause_end(now, notice.pause_seconds, extension_share)
         notices.paused_until = max(notices.paused_until, end)
+    notices.warm_up.record_cold(notice.cold_seconds, now)
 
 
 def pause_end(now: float, seconds: float, extension_share: float) -> float:
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -17,6 +17,7 @@
 from .backend_notices import NoticeBook, record_notice
 from .backends import BackendView
 from .routes import RouteTable, route_table_of
+from .warm_up import WarmUpLog, rate_while_cold
 
 LOG = get_logger(__name__)
 LAPSED_GRACE_SECONDS = 2.0
@@ -70,7 +71,8 @@
       version_listeners: Called with the model and version of each target version that is set while
         this process runs.
       store_failed_at: When a call to the store last failed, monotonic; 0 for never.
-      notices: What backends have said of themselves in their answers.
+      notices: What backends have said of themselves.
+      warm_up_log: Writes log lines about cold backends.
     """
 
     def __init__(self, replica: StoreReplica, started_at: float) -> None:
@@ -83,6 +85,7 @@
         self.version_listeners: list[Callable[[str, int], None]] = []
         self.store_failed_at = 0.0
         self.notices = NoticeBook()
+        self.warm_up_log = WarmUpLog()
         replica.listeners.append(self.apply_item)
 
     def apply_item(self, entry: KeyValueEntry, now: float) -> None:
@@ -113,6 +116,8 @@
             LOG.error("configuration.older", version=configuration.version, known=known)
             return
         self.table = route_table_of(configuration)
+        for view in self.backends.values():
+            self.apply_cold_rate(view)
         LOG.info("configuration.taken", version=configuration.version, revision=entry.revision)
 
     def apply_registration(self, entry: KeyValueEntry, now: float) -> None:
@@ -126,7 +131,30 @@
             LOG.warning("backend.unreadable", fault=result.failure().message, key=entry.key)
             self.remove(identity)
             return
-        self.put(result.unwrap(), now)
+        backend = result.unwrap()
+        self.put(backend, now)
+        view = self.backends.get(identity)
+        if view is not None:
+            warm_up = view.notices.warm_up
+            warm_up.record_registration(backend.cold_seconds, entry.acknowledged_after, now)
+
+    def apply_cold_rate(self, view: BackendView) -> None:
+        """Apply the limit that the service of a backend declares for cold backends."""
+        service = self.table.services.get(view.backend.service) if self.table else None
+        declared = service.cold_per_second if service else 0.0
+        view.notices.warm_up.per_second = rate_while_cold(declared)
+
+    def start_warm_up(self, zone: str, now: float) -> None:
+        """Count all backends of an availability zone as cold from now, for their service's time."""
+        for view in self.backends.values():
+            service = self.table.services.get(view.backend.service) if self.table else None
+            if service is not None and view.backend.zone == zone:
+                view.notices.warm_up.record_cold(service.cold_start_seconds, now)
+
+    def log_warm_ups(self, now: float) -> int:
+        """Log which warm-ups have begun or ended, and return how many are in progress."""
+        warm_ups = {identity: view.notices.warm_up for identity, view in self.backends.items()}
+        return self.warm_up_log.update(warm_ups, now)
 
     def put(self, backend: Backend, now: float) -> None:
         """Add or update a backend.
@@ -161,6 +189,7 @@
             known.excluded_until = 0.0
         known.backend = backend
         known.lapsed_at = 0.0
+        self.apply_cold_rate(known)
         self.rebuild_service_index()
 
     def others_at_address(self, backend: Backend) -> list[BackendView]:
@@ -317,9 +346,9 @@
         ends = [view.notices.available_at() for view in self.usable(service, now)]
         return max(0.0, min(ends, default=0.0) - now)
 
-    def has_limited(self, service: str) -> bool:
-        """Return True if a backend of a service names a limit."""
-        return any(view.notices.limit.is_limited for view in self.by_service.get(service, ()))
+    def has_limited(self, service: str, now: float) -> bool:
+        """Return True if a backend of a service names a limit, or one applies as it is cold."""
+        return any(view.notices.is_limited(now) for view in self.by_service.get(service, ()))
 
     def required_version(self, model: str, version_seconds: float, now: float) -> int:
         """Return the minimum version that a request must run on; 0 if any will do.
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -216,7 +216,7 @@
         If pauses or limits keep it from all of them, it says when the first one may be used.
         """
         pause = self.fleet.seconds_until_available(request.service, now)
-        if pause and self.fleet.has_limited(request.service):
+        if pause and self.fleet.has_limited(request.service, now):
             wait = max(OVERLOAD_RETRY_AFTER_SECONDS, pause)
             message = "all backends take fewer requests than come"
             return self.retry_later("limited", message, wait, OVERLOAD_RETRY_SPREAD)
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -25,6 +25,8 @@
 MILLISECONDS = 1000.0
 DEFAULT_TOKENS_PER_PASS = 2048
 """Prompt tokens that an engine reads in one pass if its declaration does not say."""
+MAXIMUM_AMOUNT = 1e15
+"""Largest number of a field that is a time or a rate; an integer may exceed the range of floats."""
 KIND_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -81,6 +83,8 @@
         engine=parse_engine(engine) if engine else None,
         origin=str(item.get("origin_server") or ""),
         zone=str(item.get("zone") or ""),
+        cold_start_seconds=amount(item, "cold_start_s"),
+        cold_per_second=amount(item, "cold_per_s"),
     )
 
 
@@ -140,6 +144,7 @@
                 weights=parse_held_weights(body),
                 born_unix_ms=int(body.get("born") or 0),
                 revision=entry.revision,
+                cold_seconds=amount(body, "cold_remaining_ms") / MILLISECONDS,
             )
         )
     except DECODE_ERRORS as error:
@@ -183,6 +188,23 @@
     return value
 
 
+def amount(item: dict[str, Any], key: str) -> float:
+    """Return a field that must be a number of at least 0; 0 if it is missing or null.
+
+    Raises:
+      TypeError: It is not a number, or a boolean.
+      ValueError: It is negative or too large.
+    """
+    value = item.get(key)
+    if value is None:
+        return 0.0
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{key} is not a number")
+    if not 0 <= value <= MAXIMUM_AMOUNT:
+        raise ValueError(f"{key} is negative or too large")
+    return float(value)
+
+
 def parse_target_version(entry: KeyValueEntry) -> Result[TargetVersion, Fault]:
     """Parse the target version of a model; a Fault with the reason if it is malformed."""
     try:
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -96,12 +96,14 @@
       limit_per_second: Requests a second that it takes from all processes together; infinite if
         it names no limit, None if the answer does not show whether it does.
       malformed_limit: Its limit as it was sent, if that is not a number; else empty.
+      cold_seconds: How much longer it is cold; 0 if it does not say so.
     """
 
     is_leaving: bool
     pause_seconds: float
     limit_per_second: float | None = None
     malformed_limit: str = ""
+    cold_seconds: float = 0.0
 
 
 def read_backend_notice(status: int, headers: CIMultiDictProxy[str]) -> BackendNotice:
@@ -112,7 +114,19 @@
     is_own = status != MISDIRECTED and (has_signature(headers) or names.NOT_RUN in headers)
     limit = read_limit(limits, is_own)
     malformed = ", ".join(limits) if limits and limit is None else ""
-    return BackendNotice(is_leaving, parse_number(pause) or 0.0, limit, malformed)
+    cold_seconds = read_cold_seconds(status, headers.getall(names.COLD_START_MS, []))
+    return BackendNotice(is_leaving, parse_number(pause) or 0.0, limit, malformed, cold_seconds)
+
+
+def read_cold_seconds(status: int, values: list[str]) -> float:
+    """Return how much longer a backend is cold, in seconds.
+
+    It is 0 if the answer does not say, if the header is malformed, or if the answer comes from
+    another incarnation.
+    """
+    if status == MISDIRECTED or len(values) != 1 or not DECIMAL.fullmatch(values[0].strip()):
+        return 0.0
+    return (parse_number(values[0]) or 0.0) / MILLISECONDS
 
 
 def read_limit(values: list[str], is_own: bool) -> float | None:
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -185,6 +185,7 @@
     limited: bool = False
     per_thousand_seconds: int = 0
     age_ms: int = 0
+    cold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
