--- a/tests/simulated_limits.py
+++ b/tests/simulated_limits.py
@@ -8,7 +8,7 @@
 
 from tests.direct_fakes import fleet_of
 from tests.simulated_entries import CUT_OFF, SimulatedEntries
-from verbenaward.direct.limit_grants import REPLY_SECONDS, UNANSWERED_SECONDS
+from verbenaward.direct.silent_owners import REPLY_SECONDS
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.names import BACKEND_PREFIX, CONFIGURATION_KEY
 from verbenaward.platform.request_headers import BackendNotice
@@ -68,8 +68,12 @@
             self.network.after(pause, lambda: self.on_request(index))
 
     def on_request(self, index):
-        """Ask for a send, if the backend is not passed over now."""
+        """Send a request of a caller."""
         self.schedule_caller(index)
+        self.try_send(index)
+
+    def try_send(self, index):
+        """Ask for a send at a backend that is not passed over now, as `Forwarder.next_choice`."""
         now = self.network.now
         view = self.choose(index, now)
         if view is None:
@@ -99,16 +103,18 @@
             notices.awaits_grant = False
             now = self.network.now
             notices.limited_until = now + wait
+            if self.network.entries[index] is not entry:
+                return
             if wait and notices.is_limited(now):
-                self.refused += 1
-            elif self.network.entries[index] is entry:
+                self.try_send(index)
+            else:
                 self.send(index, view)
 
         number = grants.ask(notices, self.network.now, on_reply)
 
         def on_timeout():
             if grants.pending.pop(number, None):
-                on_reply(UNANSWERED_SECONDS)
+                on_reply(grants.unanswered_seconds())
 
         self.network.after(REPLY_SECONDS, on_timeout)
 
@@ -208,6 +214,15 @@
         value = json.dumps(body).encode()
         self.network.items.append(KeyValueEntry(key, value, self.network.revision))
 
+    def delete(self, key):
+        """Delete a key of the store."""
+        self.network.revision += 1
+        self.network.items.append(KeyValueEntry(key, b"", self.network.revision))
+
+    def counters(self):
+        """Return the counters of questions and replies."""
+        return self.sent_messages, self.sent_bytes, self.received_bytes
+
     def register(self, identity, cold_seconds, born=1, **fields):
         """Register a backend, or change its registration."""
         body = {
--- a/tests/steps/backend_limits.py
+++ b/tests/steps/backend_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from bisect import bisect_left
 from collections import Counter
 
 import aiohttp
@@ -25,10 +26,11 @@
     return 1.5 * WINDOW_SECONDS * limit + 5
 
 
-def most_in_a_window(times):
+def most_in_a_window(times, seconds=WINDOW_SECONDS):
     """Return the largest number of times in any window, from sorted times."""
     return max(
-        (sum(start <= at < start + WINDOW_SECONDS for at in times) for start in times), default=0
+        (bisect_left(times, start + seconds) - bisect_left(times, start) for start in times),
+        default=0,
     )
 
 
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -16,14 +16,18 @@
 from .entry_peers import EntryPeer
 from .limit_owners import Readiness, is_candidate, is_owner, may_still_own, owner_of
 from .send_limiter import SendLimiters
+from .silent_owners import REPLY_SECONDS, SilentOwners, hears_enough
 
-REPLY_SECONDS = 0.1
-"""Time to wait for the owner's answer."""
 UNANSWERED_SECONDS = 1.0
 """Time after which an owner that has not answered is asked again."""
 NOT_OWNER_SECONDS = 0.3
 """Time after which to ask again if no process owns the limit, or the one that was asked does not:
 the views of the processes differ for a moment."""
+MAXIMUM_PROBED = 2
+"""Better processes up to which this one finds out whether they are there, when it is asked in their
+place. It is asked so only after others have found the better ones silent."""
+PROBED_BACKEND = 0
+"""Name in questions that only ask whether a process is there; no incarnation has it."""
 MAXIMUM_REPORTS = 64
 """Limits in a full broadcast; the latest ones."""
 MILLISECONDS = 1000
@@ -57,6 +61,7 @@
       peers: The other entry processes.
       readiness: Since when this process may own limits.
       limiters: Sends that this process has granted.
+      silent: Processes that were asked and have not been heard since.
       pending: Called with the time to wait, by the number of the question.
     """
 
@@ -65,6 +70,7 @@
         self.peers = peers
         self.readiness = Readiness()
         self.limiters = SendLimiters()
+        self.silent = SilentOwners()
         self.pending: dict[int, Callable[[float], None]] = {}
         # An answer to an earlier incarnation of this process must not match a question of this one.
         self.number = random.randrange(2**30)
@@ -98,10 +104,17 @@
             async with asyncio.timeout(REPLY_SECONDS):
                 return await reply
         except TimeoutError:
-            return UNANSWERED_SECONDS
+            return self.unanswered_seconds()
         finally:
             self.pending.pop(number, None)
 
+    def unanswered_seconds(self) -> float:
+        """Return the time after which to ask again if the owner has not answered.
+
+        With sampled broadcasts the next question goes to another process.
+        """
+        return NOT_OWNER_SECONDS if self.peers.is_sampled() else UNANSWERED_SECONDS
+
     def ask(
         self, notices: IncarnationNotices, now: float, on_reply: Callable[[float], None]
     ) -> int:
@@ -127,16 +140,21 @@
             known = (report_of(notices, now),)
             message = Pulse(partial=True, limits=known, limit_requests=(question,))
             self.peers.send(message, owner)
+            self.silent.record_asked(owner, now)
             self.pending[self.number] = on_reply
         return self.number
 
     def owner(self, name: int, now: float) -> str | None:
-        """Return the control address of the process that owns a limit; None if none may."""
+        """Return the control address of the process that owns a limit; None if none may.
+
+        With sampled broadcasts, one that has just not answered is passed over.
+        """
         is_sampled = self.peers.is_sampled()
         candidates = [
             peer.control
             for peer in self.peers.by_control.values()
             if is_candidate(peer, is_sampled, now)
+            and not (is_sampled and self.silent.is_passed_over(peer, now))
         ]
         if self.readiness.is_settled(now):
             candidates.append(self.peers.own)
@@ -150,15 +168,36 @@
         """
         if not notices.is_limited(now):
             return 0.0
+        if not self.readiness.is_settled(now) or self.has_rival(notices.name, now):
+            return NOT_OWNER_SECONDS
+        return self.limiters.acquire(notices.name, notices.limit_per_second(now), asker, now)
+
+    def has_rival(self, name: int, now: float) -> bool:
+        """Return True if a better process than this one may own a limit.
+
+        With sampled broadcasts, this process replaces better ones that have not answered it for
+        long, and goes on asking whether they are there.
+        """
         is_sampled = self.peers.is_sampled()
-        rivals = [
-            peer.control
+        better = [
+            peer
             for peer in self.peers.by_control.values()
             if may_still_own(peer, is_sampled, now)
+            and not is_owner(name, self.peers.own, [peer.control])
         ]
-        if not self.readiness.is_settled(now) or not is_owner(notices.name, self.peers.own, rivals):
-            return NOT_OWNER_SECONDS
-        return self.limiters.acquire(notices.name, notices.limit_per_second(now), asker, now)
+        if not better or not is_sampled:
+            return bool(better)
+        present = [peer for peer in better if not self.silent.is_replaced(peer, now)]
+        if len(present) <= MAXIMUM_PROBED:
+            self.probe([peer for peer in better if self.silent.is_probe_due(peer, now)], now)
+        return bool(present) or not hears_enough(self.peers.by_control.values(), now)
+
+    def probe(self, peers: list[EntryPeer], now: float) -> None:
+        """Ask peers whether they are there."""
+        question = LimitRequest(0, PROBED_BACKEND)
+        for peer in peers:
+            self.peers.send(Pulse(partial=True, limit_requests=(question,)), peer.control)
+            self.silent.record_asked(peer.control, now)
 
     def receive(self, message: Pulse, source: str, now: float) -> None:
         """Apply a question or an answer of another process.
@@ -168,6 +207,7 @@
           source: Control address of its sender.
           now: Present time, monotonic, in seconds.
         """
+        self.silent.record_heard(source)
         self.record_reports(message.limits, now)
         for question in message.limit_requests:
             self.answer(question, source, now)
