Test that an owner learns of a cold backend with the question

Cause: with the report of the cold time taken out, the scenario still passed: its demand was below the rate. Change: four times the demand. A report of a process that knows of no limit no longer seems newer than a limit that was named, if the machines started at different times; a scenario shows it.

--- a/tests/direct/warm_up.feature
+++ b/tests/direct/warm_up.feature
@@ -57,7 +57,7 @@
     And each gets at least 0.8 of its rate from 2 s on
 
   Scenario: An owner that has not heard that a backend is cold learns it with the question
-    Given 8 entry processes whose callers want 100 requests a second of engines that take 26 while cold
+    Given 8 entry processes whose callers want 400 requests a second of engines that take 26 while cold
     When 4 engines register, cold for 0 s
     And all processes but the owner learn that one is cold for 6 s
     Then none gets too many requests in any second from 0 s on
--- a/tests/placement/warm_up.feature
+++ b/tests/placement/warm_up.feature
@@ -88,6 +88,12 @@
     Then at most 26 requests a second are allowed
     And its questions do not say that the backend is cold
 
+  Scenario: A report of a warm-up by a process that knows of no limit does not end a named one
+    Given a cold backend of a service that takes 26 a second
+    When its answer names a limit of 10 a second
+    And a process whose machine started later reports the warm-up only
+    Then at most 10 requests a second are allowed
+
   Scenario: Warm-ups are logged once, as they begin and end
     Given a cold backend of a service that takes 26 a second
     Then one warm-up is in progress, and 3.1 s later none
--- a/tests/steps/warm_up.py
+++ b/tests/steps/warm_up.py
@@ -9,8 +9,9 @@
 from returns.result import Failure
 
 from tests.direct_fakes import NOW
-from verbenaward.direct.limit_grants import report_of
+from verbenaward.direct.limit_grants import LimitGrants, report_of
 from verbenaward.placement import warm_up
+from verbenaward.placement.backend_notices import IncarnationNotices
 from verbenaward.placement.fleet import Fleet
 from verbenaward.platform.declarations import parse_backend, parse_configuration
 from verbenaward.platform.key_value import KeyValueEntry
@@ -191,6 +192,15 @@
     assert report_of(notices(context), context.now).cold_ms == 0
 
 
+@when("a process whose machine started later reports the warm-up only")
+def reports_warm_up(context):
+    elsewhere = context.now - NOW + 1.0
+    other = IncarnationNotices(notices(context).name)
+    other.warm_up.record_cold(2.0, elsewhere)
+    grants = LimitGrants(context.fleet.notices, None)
+    grants.record_reports((report_of(other, elsewhere),), context.now + 1.0)
+
+
 @then("one warm-up is in progress, and {seconds:g} s later none")
 def logged(context, seconds):
     fleet = context.fleet
