--- a/tests/steps/warm_up.py
+++ b/tests/steps/warm_up.py
@@ -194,11 +194,12 @@
 
 @when("a process whose machine started later reports the warm-up only")
 def reports_warm_up(context):
-    elsewhere = context.now - NOW + 1.0
+    elsewhere = 1.0
     other = IncarnationNotices(notices(context).name)
     other.warm_up.record_cold(2.0, elsewhere)
     grants = LimitGrants(context.fleet.notices, None)
-    grants.record_reports((report_of(other, elsewhere),), context.now + 1.0)
+    grants.record_reports((report_of(other, elsewhere),), context.now + 1.5)
+    context.now += 1.5
 
 
 @then("one warm-up is in progress, and {seconds:g} s later none")
