--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -55,6 +55,7 @@
 EVACUATED_ZONES = Gauge(
     "verbenaward_evacuated_zones", "Availability zones whose backends get no requests"
 )
+WARMING_BACKENDS = Gauge("verbenaward_warming_backends", "Cold backends to which a limit applies")
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -271,7 +271,7 @@
         """
         pause = self.seconds_until_available(request, now)
         if pause and self.fleet.has_limited(
-            request.service, lambda view: self.may_use(view, request)
+            request.service, now, lambda view: self.may_use(view, request)
         ):
             wait = max(OVERLOAD_RETRY_AFTER_SECONDS, pause)
             message = "all backends take fewer requests than come"
