--- a/standins/platform.py
+++ b/standins/platform.py
@@ -236,7 +236,9 @@
         self.entries.append(role)
         return role
 
-    async def add_endpoint(self, backend: PlatformBackendStandIn) -> WeightLoadingRole:
+    async def add_endpoint(
+        self, backend: PlatformBackendStandIn, link_megabits: float = 20.0
+    ) -> WeightLoadingRole:
         """Start an endpoint process on the host of a backend, in this event loop."""
         settings = Settings(
             format=1,
@@ -250,7 +252,7 @@
                 engine=backend.address,
                 service=backend.service,
                 zones=ZONES,
-                link_megabits_per_second=20.0,
+                link_megabits_per_second=link_megabits,
                 **self.direct_settings,
             ),
         )
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -18,6 +18,9 @@
 """Events of a complete stream."""
 WORK_SECONDS = 0.005
 """Time until a response or to the next event, unless the mode is "slow"."""
+LINK_SLICE_BYTES = 4096
+LINK_LATE_SECONDS = 0.02
+"""Time by which a slice may be late without lowering the rate of the origin's link."""
 ENDLESS_BLOCK_BYTES = 64 * 1024
 """Bytes that a backend without end to its answer sends at a time."""
 ENDLESS = {
@@ -339,9 +342,20 @@
       refused_versions: Versions whose chunks get status 503; their manifests are still served.
       refuses_chunks: Whether requests for chunks get status 503; manifests are still served.
       is_silent: Whether requests for manifests and chunks get no response.
+      megabits_per_second: Rate of its link, which chunks share; 0 for no limit. While it is silent
+        it sends nothing, and transfers that have begun never end.
+      complete: Number of whole chunks that have left it over such a link, by version and index.
+      sent_bytes: Bytes of chunks that have left it.
+      link: Held while a slice is on its link.
+      link_free_at: When the last slice has left the link, monotonic.
     """
 
     def __init__(self) -> None:
+        self.megabits_per_second = 0.0
+        self.sent_bytes = 0
+        self.complete: Counter[tuple[int, int]] = Counter()
+        self.link = asyncio.Lock()
+        self.link_free_at = 0.0
         self.versions: dict[int, list[bytes]] = {}
         self.corrupt_once: set[int] = set()
         self.sent_counts: Counter[tuple[int, int]] = Counter()
@@ -381,7 +395,7 @@
             }
         )
 
-    async def piece(self, request: web.Request) -> web.Response:
+    async def piece(self, request: web.Request) -> web.StreamResponse:
         """Return a chunk, corrupted if its index is in `corrupt_once`, which it then leaves."""
         version, index = int(request.query["version"]), int(request.query["sample_count"])
         if self.is_silent:
@@ -393,8 +407,34 @@
         if index in self.corrupt_once:
             self.corrupt_once.discard(index)
             chunk = bytes(len(chunk))
+        if self.megabits_per_second:
+            response = await self.send_over_link(request, chunk)
+            self.complete[version, index] += 1
+            return response
+        self.sent_bytes += len(chunk)
         return web.Response(body=chunk)
 
+    async def send_over_link(self, request: web.Request, chunk: bytes) -> web.StreamResponse:
+        """Send a chunk in slices that share the link with those of other chunks."""
+        response = web.StreamResponse(headers={"Content-Length": str(len(chunk))})
+        await response.prepare(request)
+        for start in range(0, len(chunk), LINK_SLICE_BYTES):
+            part = chunk[start : start + LINK_SLICE_BYTES]
+            was_busy = self.link.locked()
+            async with self.link:
+                # Times are absolute, so that a late event loop does not lower the rate.
+                if not was_busy:
+                    earliest = time.monotonic() - LINK_LATE_SECONDS
+                    self.link_free_at = max(self.link_free_at, earliest)
+                self.link_free_at += len(part) * 8 / (self.megabits_per_second * 1e6)
+                await asyncio.sleep(max(0.0, self.link_free_at - time.monotonic()))
+            if self.is_silent:
+                await asyncio.sleep(3600)
+            self.sent_bytes += len(part)
+            await response.write(part)
+        await response.write_eof()
+        return response
+
 
 def parts_of(request: web.Request) -> list[str]:
     """Return the ids of the parts of a request's prompt, without the last, which is its own."""
