Rollout during an outage of the origin: each chunk leaves it once, and those at hand spread

Cause, seen with 8 entry and 6 endpoint processes (origin 4.4 Mbit/s, silent from 2.5 to 8.5 s, 48 chunks of 49,152 bytes): entry processes that got no chunk from its owner within 1.5 s went to the origin themselves, up to four times, also while the owner waited for its own turn there, so 1.66 copies left the origin. An endpoint process kept its three fetches for 5 s each on chunks that nobody had, so it had 17 of the 25 chunks that had left. Requests that were sent during the outage held the owner's only turn for up to 3 s after the return. Owners were chosen among the peers heard within 1.2 or 2.4 s, which differ between processes once broadcasts go to a sample.

Change: only the owner goes to the origin, of which a version has three; it keeps trying, a request without an answer does not keep the next from being sent, and the first answer ends those that the origin has lost. The others wait at the owner. An endpoint process first asks entry processes for all its missing chunks without their bytes, and its link goes to those at hand only. A chunk may take two thirds of the link while no other is at hand. The timeout of a chunk is one of silence, so that a narrow link does not have to start it again.

--- /dev/null
+++ b/tests/steps/weight_rollout.py
@@ -0,0 +1,137 @@
+"""Steps on the time of a rollout whose origin is away for some seconds."""
+
+import asyncio
+import json
+
+from behave import given, then, when
+
+from standins.platform import PlatformStandIn
+from tests.steps.platform_running import engines, run, until
+from verbenaward import clock
+
+LINKS = (4.7, 4.4, 4.1, 3.9, 3.65, 3.65)
+"""Links of the endpoint processes, in Mbit/s."""
+ENTRY_ZONES = ("zone-a",) * 5 + ("zone-b",) * 3
+OUTAGE = (2.5, 8.5)
+LONGEST_ROLLOUT = 30.0
+SLACK_SECONDS = 0.5
+"""Time before the return of the origin at which the engines' chunks are counted."""
+
+
+@given("entry processes of two regions, and engines with links of 3.65 to 4.7 Mbit/s")
+def start_regions(context):
+    context.platform = platform = PlatformStandIn()
+    context.add_cleanup(lambda: run(context, platform.stop()))
+
+    async def start():
+        await platform.start()
+        for index, link in enumerate(LINKS):
+            zone = ("zone-a", "zone-b")[index % 2]
+            backend = await platform.add_backend(f"e-{index}", "engines", zone)
+            backend.staged_chunks = dict(enumerate(platform.origin.versions[1]))
+            await platform.add_endpoint(backend, link)
+        platform.write_configuration()
+        for zone in ENTRY_ZONES:
+            await platform.add_entry(zone)
+        others = len(ENTRY_ZONES) - 1
+        assert await until(
+            lambda: all(
+                role.is_ready() and len(role.exchange.peers.ready(clock.now())) == others
+                for role in platform.entries
+            )
+        )
+        assert await until(
+            lambda: all(
+                role.engine_loader.held and role.engine_loader.fetcher.entries_for("")
+                for role in platform.endpoints
+            )
+        )
+
+    run(context, start())
+
+
+@given("an origin with a link of {megabits:g} Mbit/s")
+def narrow_origin(context, megabits):
+    context.platform.origin.megabits_per_second = megabits
+
+
+@when(
+    "a version of {count:d} chunks of {size:d} bytes is set, and the origin {fault} "
+    "from {start:g} to {end:g} s"
+)
+def roll_out(context, count, size, fault, start, end):
+    platform, origin = context.platform, context.platform.origin
+    origin.add_version(2, count, size)
+    context.chunk_seconds = size * 8 / (origin.megabits_per_second * 1e6)
+    context.counts, context.size, context.outage = count, size, (start, end)
+    context.done = {}
+    run(context, observe_rollout(context, platform, fault == "is silent"))
+    context.bounds = sorted(bound(context, link) for link in LINKS)
+    context.seen = (
+        f"{fault}: engines had it after {[round(at, 2) for at in context.done.values()]} s, bounds "
+        f"{[round(at, 2) for at in context.bounds]} s; {context.present} of the "
+        f"{context.left_origin} chunks that had left; "
+        f"{origin.sent_bytes / (count * size):.2f} copies left the origin"
+    )
+    print(context.seen)
+
+
+async def observe_rollout(context, platform, is_silent):
+    """Set version 2, and record when each engine has all its chunks."""
+    origin, began = platform.origin, clock.now()
+    start, end = context.outage
+    chunks = origin.versions[2]
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    platform.store.put("op/version/model", value)
+    while len(context.done) < len(engines(context)):
+        now = clock.now() - began
+        assert now < LONGEST_ROLLOUT, context.done
+        is_away = start <= now < end
+        origin.is_silent, origin.refuses_chunks = is_away and is_silent, is_away and not is_silent
+        if now < end - SLACK_SECONDS:
+            context.left_origin = sum(number == 2 for number, _ in origin.complete)
+            context.present = [staged_count(item, chunks) for item in engines(context)]
+        for item in engines(context):
+            if item.identity not in context.done and staged_count(item, chunks) == len(chunks):
+                context.done[item.identity] = now
+        await asyncio.sleep(0.02)
+
+
+def staged_count(backend, chunks):
+    """Return how many chunks of a version an engine has staged."""
+    return sum(backend.staged_chunks.get(index) == chunk for index, chunk in enumerate(chunks))
+
+
+def bound(context, link):
+    """Return when an engine can have the version if no link is idle without need."""
+    start, end = context.outage
+    ready_at, ended = 0.0, 0.0
+    for _ in range(context.counts):
+        ready_at += context.chunk_seconds
+        if start < ready_at < end:
+            ready_at = end + context.chunk_seconds
+        ended = max(ended, ready_at) + context.size * 8 / (link * 1e6)
+    return ended
+
+
+@then("during the outage every engine gets the chunks that had left the origin")
+def spread_meanwhile(context):
+    assert context.left_origin > 0.4 * context.counts, context.seen
+    assert min(context.present) >= context.left_origin, context.seen
+
+
+@then(
+    "the first engine has the version within {first:g} s of the bound, "
+    "half of them within {half:g} s"
+)
+def within_bound(context, first, half):
+    ended = sorted(context.done.values())
+    middle = len(ended) // 2 - 1
+    assert ended[0] <= context.bounds[0] + first, context.seen
+    assert ended[middle] <= context.bounds[middle] + half, context.seen
+
+
+@then("the origin sent each chunk of version 2 at most once")
+def sent_no_copies(context):
+    copies = [number for key, number in context.platform.origin.complete.items() if key[0] == 2]
+    assert set(copies) == {1} and len(copies) == context.counts, context.seen
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -4,13 +4,18 @@
 fetched from the endpoint processes beside them. Otherwise each chunk has one owner, by rendezvous
 hashing over the entry processes in the region of the origin, and only the owner fetches it from the
 origin. In every other region one entry process fetches it from the owner and serves the region.
+
+While the origin is away the owner keeps trying, and the others keep asking the owner, so that a
+chunk is passed on as soon as it is had; nobody else goes to the origin, whose link would be used
+for several copies of a chunk.
 """
 
 import asyncio
 import hashlib
+import itertools
 import random
 from collections import OrderedDict
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -24,24 +29,40 @@
 from ..membership.ring import rendezvous_order
 from ..placement.fleet import Fleet
 from ..platform.key_value import KeyValueService
+from ..platform.names import ENTRY_PREFIX
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
 from ..schema.settings import Settings
+from .chunk_owners import OwnerReachability, owner_order, relays_of
 from .chunk_runs import CHUNKS_PER_RUN
+from .entry_peers import zone_of_record
+from .origin_queue import OriginQueue
 from .pacing import rate_of, send_paced
 from .state_exchange import StateExchange
 
 LOG = get_logger(__name__)
 CHUNK_PATH = "/weights/{model}/{version}/{index}"
 DIGESTS_PATH = "/weights/{model}/{version}"
-ORIGIN_TIMEOUT_SECONDS = 3.0
+ORIGIN_TIMEOUT_SECONDS = 6.0
 """Timeout of a chunk request to the origin."""
-PEER_TIMEOUT_SECONDS = 1.5
+ORIGIN_SILENCE_SECONDS = 1.0
+"""Longest time without a byte from the origin, after which the chunk is requested again."""
+PEER_TIMEOUT_SECONDS = 6.0
 """Timeout of a request to another entry process or an endpoint process."""
-CONCURRENT_ORIGIN_FETCHES = 1
-"""Fetches from the origin at a time, so that the first chunks are complete before the last ones."""
-ATTEMPTS = 5
-"""Attempts to fetch one chunk, each from the next source."""
+PEER_SILENCE_SECONDS = 1.5
+"""Longest time without a byte from such a process."""
+WAIT_SECONDS = 1.0
+"""Longest wait for a chunk that is not at hand, after which the request is answered with 503. It
+is shorter than `PEER_SILENCE_SECONDS`, so that a waiting owner is not taken for a lost one."""
+CONNECT_SECONDS = 0.5
+HTTP_OK = 200
+FETCH_SECONDS = 20.0
+"""Time for which a chunk is tried that no source has; later requests start again."""
+DIGEST_ATTEMPTS = 5
+"""Attempts to fetch the digests of a version."""
+LOGGED_FAILURES = 10
+"""One of so many failed attempts to fetch a chunk is logged: they go on while the origin is away.
+"""
 RETRY_DELAY_SECONDS = 0.05
 MAXIMUM_CACHE_BYTES = 12 * 1024 * 1024
 """Memory for cached chunks and digests."""
@@ -50,6 +71,11 @@
 one to write them spares the others the call."""
 READ_AHEAD_CHUNKS = CHUNKS_PER_RUN - 1
 """Chunks that are fetched in advance when one is served."""
+OWNER_QUERY = "owner"
+"""Query parameter of a request to the owner of a chunk: it fetches it from the origin, whichever
+process is the owner as far as it knows."""
+CACHED_QUERY = "cached"
+"""Query parameter of a request that is only answered from the cache."""
 
 ChunkKey = tuple[str, int, int]
 """Model, version and index of a chunk."""
@@ -64,7 +90,10 @@
       cache: Chunks and digests by key, with least-recently-used eviction.
       cache_bytes: Bytes cached now.
       fetching: Running fetches by key.
-      origin_slots: Limits the concurrent fetches from the origin.
+      origin_queue: Order of this process's requests to the origin.
+      appointed: Chunks that other processes requested from this one as their owner, while they are
+        fetched.
+      reachability: Owners that could not be reached lately.
       background_tasks: References to running tasks, so that they are not garbage-collected.
     """
 
@@ -85,7 +114,9 @@
         self.cache_bytes = 0
         self.fetching: dict[ChunkKey, asyncio.Task[bytes | None]] = {}
         self.rng = random.Random()
-        self.origin_slots = asyncio.Semaphore(CONCURRENT_ORIGIN_FETCHES)
+        self.origin_queue = OriginQueue()
+        self.appointed: set[ChunkKey] = set()
+        self.reachability = OwnerReachability()
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.prefetch_version)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
@@ -131,8 +162,8 @@
         digests = await self.get((model, version, DIGESTS_INDEX))
         for index in range(len(digests or b"") // DIGEST_BYTES):
             key = (model, version, index)
-            if self.owner_of(key, origin) == self.settings.listen:
-                await self.get(key)
+            if self.owner_of(key, origin) == self.settings.listen and key not in self.cache:
+                self.start_fetch(key)
 
     def is_in_region(self, origin: ServiceDeclaration) -> bool:
         """Return True if this process is in the region of the origin."""
@@ -148,15 +179,31 @@
         except ValueError:
             return web.Response(status=400)
         model = request.match_info["model"]
-        body = await self.get((model, version, index))
+        key = (model, version, index)
+        if CACHED_QUERY in request.query:
+            cached = self.cache.get(key)
+            return web.Response(status=404) if cached is None else web.Response(body=cached)
+        body = await self.get_in_time(key, OWNER_QUERY in request.query)
         if body is None:
             return web.Response(status=503)
+        if request.method == "HEAD":
+            return web.Response()
         self.read_ahead(model, version, index)
         rate = rate_of(request)
         if not rate:
             return web.Response(body=body)
         return await send_paced(request, body, rate)
 
+    async def get_in_time(self, key: ChunkKey, as_owner: bool) -> bytes | None:
+        """Return what `get` does, or None after `WAIT_SECONDS`; the fetch then goes on."""
+        if as_owner and key not in self.cache:
+            self.appointed.add(key)
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                return await self.get(key)
+        except TimeoutError:
+            return None
+
     def read_ahead(self, model: str, version: int, index: int) -> None:
         """Start fetching the next chunks of the run: endpoints request them in order."""
         digests = self.cache.get((model, version, DIGESTS_INDEX))
@@ -187,15 +234,24 @@
         task = self.fetching.get(key)
         if task is None:
             task = self.fetching[key] = asyncio.create_task(self.fetch(key))
-            task.add_done_callback(lambda _: self.fetching.pop(key, None))
+            task.add_done_callback(lambda _: self.end_fetch(key))
         return task
 
+    def end_fetch(self, key: ChunkKey) -> None:
+        """Forget a fetch that has ended."""
+        self.fetching.pop(key, None)
+        self.appointed.discard(key)
+
     async def fetch(self, key: ChunkKey) -> bytes | None:
         """Fetch a chunk from one source after another, verify and cache it."""
         digest = await self.digest_of(key)
         if digest is None:
             return None
-        for attempt in range(ATTEMPTS):
+        ends_at = clock.now() + FETCH_SECONDS
+        for attempt in itertools.count():
+            is_last = attempt >= DIGEST_ATTEMPTS if not digest else clock.now() > ends_at
+            if is_last:
+                break
             result = await self.fetch_once(key, attempt)
             if isinstance(result, Success):
                 body: bytes = result.unwrap()
@@ -204,7 +260,7 @@
                     return body
                 metrics.CHUNKS.labels("corrupt").inc()
                 LOG.warning("chunk.corrupt", model=key[0], version=key[1], index=key[2])
-            else:
+            elif attempt % LOGGED_FAILURES == 0:
                 LOG.warning("chunk.failed", index=key[2], error=result.failure()[:150])
             await asyncio.sleep(RETRY_DELAY_SECONDS)
         return None
@@ -223,23 +279,54 @@
         """Fetch from the source of one attempt.
 
         The sources are, in order: an endpoint process of the region, the owner, a second endpoint
-        process of the region, one of another region, the origin. If this process is the owner, it
-        fetches from the origin instead.
+        process of the region, one of another region, and from then on the owner. If this process
+        is the owner, it fetches from the origin instead.
         """
         origin = self.origin()
         if origin is None:
             return Failure("no origin is declared")
+        model, version, index = key
         near, far = self.holders_of(key)
-        owner = self.owner_of(key, origin)
+        owner = self.settings.listen if key in self.appointed else self.owner_of(key, origin)
         sources = [*near[:1], owner, *near[1:2], *far[:1]]
-        source = sources[attempt] if attempt < len(sources) else self.settings.listen
+        source = sources[attempt] if attempt < len(sources) else owner
         if source == self.settings.listen:
-            return await self.fetch_from_origin(key, origin)
-        model, version, index = key
+            return await self.fetch_as_owner(key, origin, attempt)
+        name = f"{model}/{version}" + ("" if index == DIGESTS_INDEX else f"/{index}")
         # Entry processes serve /weights, endpoint processes /staged.
-        folder = "weights" if source == owner else "staged"
-        path = f"/{folder}/{model}/{version}" + ("" if index == DIGESTS_INDEX else f"/{index}")
-        return await self.fetch_from_peer(f"http://{source}{path}")
+        if source != owner:
+            return await self.fetch_from_peer(f"http://{source}/staged/{name}")
+        return await self.fetch_from_peer(f"http://{owner}/weights/{name}?{OWNER_QUERY}=1", owner)
+
+    async def fetch_as_owner(
+        self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
+    ) -> Result[bytes, str]:
+        """Fetch from the origin; if that fails, from an entry process that may hold the chunk.
+
+        Others hold a chunk that this process does not if its owner was another one before.
+        """
+        result = await self.fetch_from_origin(key, origin, attempt)
+        relays = self.relays_of(key)
+        if isinstance(result, Success) or not relays:
+            return result
+        relay = relays[attempt % len(relays)]
+        path = CHUNK_PATH.format(model=key[0], version=key[1], index=key[2])
+        found = await self.fetch_from_peer(f"http://{relay}{path}?{CACHED_QUERY}=1")
+        return found if isinstance(found, Success) else result
+
+    def relays_of(self, key: ChunkKey) -> list[str]:
+        """Return the other entry processes that endpoints ask for a chunk; none for digests."""
+        direct = self.settings.direct
+        assert direct is not None
+        model, version, index = key
+        if index == DIGESTS_INDEX:
+            return []
+        controls = {
+            entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
+            for entry in self.fleet.replica.entries_with_prefix(ENTRY_PREFIX)
+        }
+        found = relays_of(model, version, index, controls, direct.zones)
+        return [control for control in found if control != self.settings.listen]
 
     def holders_of(self, key: ChunkKey) -> tuple[list[str], list[str]]:
         """Return the endpoint processes whose engines hold a version, in the region and outside."""
@@ -278,7 +365,7 @@
             peer.control
             for peer in self.exchange.peers.by_control.values()
             if peer.last_broadcast is not None
-            and peer.is_alive(now)
+            and self.exchange.peers.is_present(peer, now)
             and peer.last_broadcast.ready
             and direct.zones.get(peer.last_broadcast.zone) == region
         ]
@@ -286,32 +373,51 @@
             eligible.append(self.settings.listen)
         if not eligible:
             return self.settings.listen
-        order = rendezvous_order(f"{key[0]}/{key[1]}/{key[2]}", eligible)
-        return order[0]
+        return self.reachability.owner(owner_order(*key, eligible), now)
 
     async def fetch_from_origin(
-        self, key: ChunkKey, origin: ServiceDeclaration
+        self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
     ) -> Result[bytes, str]:
-        """Fetch a chunk, or the digests of a version, from the origin."""
+        """Fetch a chunk, or the digests of a version, from the origin.
+
+        Chunks that were not tried yet come first, so that one that cannot be had does not keep
+        back the others, and then those of low index, so that versions share the origin.
+        """
         model, version, index = key
-        async with self.origin_slots:
+
+        async def send(on_answer: Callable[[], None]) -> Result[bytes, str]:
             if index == DIGESTS_INDEX:
-                return await self.fetch_manifest_from_origin(origin, model, version)
-            result = await fetch_chunk(
-                self.session, origin.origin, model, version, index, ORIGIN_TIMEOUT_SECONDS
+                return await self.fetch_manifest_from_origin(origin, model, version, on_answer)
+            return await fetch_chunk(
+                self.session,
+                origin.origin,
+                model,
+                version,
+                index,
+                ORIGIN_TIMEOUT_SECONDS,
+                ORIGIN_SILENCE_SECONDS,
+                on_answer,
             )
+
+        result = await self.origin_queue.fetch((attempt, index), send)
+        if index == DIGESTS_INDEX:
+            return result
         if isinstance(result, Success):
             metrics.WEIGHT_BYTES.labels("origin").inc(len(result.unwrap()))
         return result
 
     async def fetch_manifest_from_origin(
-        self, origin: ServiceDeclaration, model: str, version: int
+        self,
+        origin: ServiceDeclaration,
+        model: str,
+        version: int,
+        on_answer: Callable[[], None],
     ) -> Result[bytes, str]:
         """Fetch a manifest from the origin and write its digests to the store.
 
         Processes that start later can then verify chunks without the origin.
         """
-        manifest = await fetch_manifest(self.session, origin.origin, model, version)
+        manifest = await fetch_manifest(self.session, origin.origin, model, version, on_answer)
         digests = manifest.bind(lambda found: digests_of(found, model, version))
         if isinstance(digests, Success):
             work = write_digests(self.store, self.fleet.replica, model, version, digests.unwrap())
@@ -331,17 +437,29 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
-    async def fetch_from_peer(self, url: str) -> Result[bytes, str]:
-        """Fetch from another entry process or an endpoint process."""
-        timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_SECONDS)
+    async def fetch_from_peer(self, url: str, owner: str = "") -> Result[bytes, str]:
+        """Fetch from another entry process or an endpoint process.
+
+        Args:
+          url: URL of the chunk or the digests.
+          owner: Control address of the process if it is asked as the owner; passed over for a while
+            if it does not answer.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=PEER_TIMEOUT_SECONDS,
+            sock_connect=CONNECT_SECONDS,
+            sock_read=PEER_SILENCE_SECONDS,
+        )
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 body = await response.read()
-                if response.status != 200:
+                if response.status != HTTP_OK:
                     return Failure(f"{url}: status {response.status}")
                 metrics.WEIGHT_BYTES.labels("entry").inc(len(body))
                 return Success(body)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            if owner:
+                self.reachability.record_failure(owner, clock.now())
             return Failure(f"{url}: {type(error).__name__} {error}")
 
     def add_to_cache(self, key: ChunkKey, body: bytes) -> None:
--- /dev/null
+++ b/verbenaward/direct/origin_queue.py
@@ -0,0 +1,139 @@
+"""Order in which a process sends its requests to the origin of weights, one at a time.
+
+An origin that is away may leave requests without any answer. Such a request does not keep others
+from being sent: that would hide the return of the origin until it times out.
+"""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from returns.result import Failure, Result
+
+SILENT_SECONDS = 0.3
+"""Time without an answer after which the next request is sent. The first byte of a chunk may wait
+for the chunks of the other processes that read from the origin, 0.18 s at 4.4 Mbit/s."""
+PROBE_SECONDS = 0.15
+"""The same while another answer is overdue, so that the return of the origin is noticed."""
+RETRY_PAUSE_SECONDS = 0.1
+"""Pause after a failed request; an origin that refuses gets 30 requests a second, 10 from each
+of the `ORIGIN_READERS`."""
+
+OriginRequest = Callable[[Callable[[], None]], Coroutine[Any, Any, Result[bytes, str]]]
+"""Sends a request to the origin; it calls its argument when the answer begins."""
+
+
+class OriginQueue:
+    """Queue of requests to the origin.
+
+    Attributes:
+      is_busy: True while a request is being answered, or waits for an answer that is not overdue.
+      waiting: Heap of the waiting requests by rank and arrival.
+      overdue: For each request whose answer is overdue, what ends it.
+    """
+
+    def __init__(self) -> None:
+        self.is_busy = False
+        self.waiting: list[tuple[tuple[int, ...], int, asyncio.Future[None]]] = []
+        self.overdue: set[asyncio.Future[None]] = set()
+        self.arrivals = itertools.count()
+
+    async def fetch(self, rank: tuple[int, ...], send: OriginRequest) -> Result[bytes, str]:
+        """Send a request when it is its turn, and return its result.
+
+        Once the origin answers another request, those that it left without an answer are ended:
+        it has lost them while it was away.
+
+        Args:
+          rank: The lowest rank is sent first.
+          send: Sends the request.
+        """
+        await self.acquire(rank)
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[None] = loop.create_future()
+        turn = Turn(self, ended)
+        silent_seconds = PROBE_SECONDS if self.overdue else SILENT_SECONDS
+        timer = loop.call_later(silent_seconds, turn.pass_on)
+        request = asyncio.create_task(send(turn.answer))
+        both: list[asyncio.Future[Any]] = [request, ended]
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            result = request.result() if request.done() else Failure("the origin lost the request")
+            if isinstance(result, Failure):
+                turn.pause_seconds = RETRY_PAUSE_SECONDS
+            return result
+        finally:
+            request.cancel()
+            timer.cancel()
+            turn.finish()
+
+    async def acquire(self, rank: tuple[int, ...]) -> None:
+        """Wait until no request is being answered and no waiting one has a lower rank."""
+        if not self.is_busy:
+            self.is_busy = True
+            return
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (rank, next(self.arrivals), turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if not turn.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Let the next waiting request be sent."""
+        while self.waiting:
+            _, _, turn = heapq.heappop(self.waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.is_busy = False
+
+    def end_overdue(self) -> None:
+        """End the requests whose answer is overdue."""
+        for ended in self.overdue:
+            if not ended.done():
+                ended.set_result(None)
+
+
+class Turn:
+    """One request that has its turn at the origin.
+
+    Attributes:
+      queue: The queue.
+      ended: Set to end the request before its answer.
+      is_passed_on: True once the next request may be sent.
+      is_answered: True once the answer has begun.
+      pause_seconds: Pause before the next request, at the end of this one.
+    """
+
+    def __init__(self, queue: OriginQueue, ended: asyncio.Future[None]) -> None:
+        self.queue = queue
+        self.ended = ended
+        self.is_passed_on = False
+        self.is_answered = False
+        self.pause_seconds = 0.0
+
+    def answer(self) -> None:
+        """Record that the answer begins: the origin is back."""
+        self.is_answered = True
+        self.queue.overdue.discard(self.ended)
+        self.queue.end_overdue()
+
+    def pass_on(self) -> None:
+        """Let the next request be sent, as the answer to this one is overdue."""
+        if not self.is_answered:
+            self.is_passed_on = True
+            self.queue.overdue.add(self.ended)
+            self.queue.release()
+
+    def finish(self) -> None:
+        """Let the next request be sent, unless that has been done."""
+        self.queue.overdue.discard(self.ended)
+        if not self.is_passed_on:
+            self.is_passed_on = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.pause_seconds, self.queue.release)
--- a/verbenaward/platform/weights.py
+++ b/verbenaward/platform/weights.py
@@ -1,6 +1,7 @@
 """Clients for the origin of weights and for the engine on this VM, in direct mode."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -91,13 +92,29 @@
     timeout_seconds: float,
     query: dict[str, str] | None = None,
     body: bytes | None = None,
+    on_answer: Callable[[], None] = lambda: None,
+    silence_seconds: float | None = None,
 ) -> Result[tuple[int, bytes], str]:
-    """Send one request and return the status and body of its answer."""
-    timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    """Send one request and return the status and body of its answer.
+
+    Args:
+      session: HTTP client.
+      method: HTTP method.
+      url: URL without its query.
+      timeout_seconds: Longest time for the whole request.
+      query: Parameters of the query.
+      body: Body of the request.
+      on_answer: Called when the answer begins.
+      silence_seconds: Longest time without a byte; None for no limit.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=silence_seconds
+    )
     try:
         async with session.request(
             method, url, params=query, data=body, timeout=timeout
         ) as response:
+            on_answer()
             return Success((response.status, await response.read()))
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         return Failure(f"{method} {url}: {type(error).__name__} {error}")
@@ -120,11 +137,16 @@
 
 
 async def fetch_manifest(
-    session: aiohttp.ClientSession, origin: str, model: str, version: int
+    session: aiohttp.ClientSession,
+    origin: str,
+    model: str,
+    version: int,
+    on_answer: Callable[[], None] = lambda: None,
 ) -> Result[WeightsManifest, str]:
-    """Fetch the manifest of a version from the origin."""
+    """Fetch the manifest of a version from the origin; `on_answer` as for `call`."""
     url = f"http://{origin}{MANIFEST_PATH}{model}"
-    result = await call(session, "GET", url, MANIFEST_TIMEOUT_SECONDS, {"version": str(version)})
+    query = {"version": str(version)}
+    result = await call(session, "GET", url, MANIFEST_TIMEOUT_SECONDS, query, on_answer=on_answer)
     return result.bind(body_if_ok).bind(parse_manifest)
 
 
@@ -135,12 +157,33 @@
     version: int,
     index: int,
     timeout_seconds: float,
+    silence_seconds: float | None = None,
+    on_answer: Callable[[], None] = lambda: None,
 ) -> Result[bytes, str]:
-    """Fetch one chunk from the origin; its digest is not verified here."""
+    """Fetch one chunk from the origin; its digest is not verified here.
+
+    Args:
+      session: HTTP client.
+      origin: Host and port of the origin.
+      model: Name of the model.
+      version: Version of its weights.
+      index: Index of the chunk.
+      timeout_seconds: Longest time for the whole chunk.
+      silence_seconds: Longest time without a byte; None for no limit.
+      on_answer: Called when the answer begins.
+    """
     url = f"http://{origin}{PIECE_PATH}{model}"
     # The platform names the index of a chunk "sample_count".
     query = {"sample_count": str(index), "version": str(version)}
-    result = await call(session, "GET", url, timeout_seconds, query)
+    result = await call(
+        session,
+        "GET",
+        url,
+        timeout_seconds,
+        query,
+        on_answer=on_answer,
+        silence_seconds=silence_seconds,
+    )
     return result.bind(body_if_ok)
 
 
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -1,8 +1,8 @@
 """Loads weights into the engine on this VM: stages verified chunks, then orders the load."""
 
 import asyncio
-from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
 from returns.result import Success
@@ -16,7 +16,9 @@
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
-from .fetching import PARALLEL_FETCHES, ChunkFetcher, sha256
+from .chunk_arrivals import ArrivedChunk, ChunkArrivals
+from .fetching import ChunkFetcher, sha256
+from .link_shares import PARALLEL_FETCHES
 from .notices import LoadingNotices
 from .plan import (
     LoadSchedule,
@@ -34,6 +36,8 @@
 STAGING_OVERHEAD = 1.09
 """Time to stage a version, relative to the time that its bytes take on the link."""
 BUSY_RETRY_SECONDS = 0.05
+ROUND_SECONDS = 3.0
+"""Time without a staged chunk after which the engine's state is looked at again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,14 +239,18 @@
         started = clock.now()
         neighbours = self.engines_of_region()
         rank = neighbours.index(self.direct.engine)
-        queue = iter(chunk_order(missing, rank, len(neighbours)))
+        missing = await self.without_present(wanted, digests, missing)
+        order = chunk_order(missing, rank, len(neighbours))
+        arrivals = ChunkArrivals(order, partial(self.locate, wanted))
+        arrivals.start()
         workers = [
-            asyncio.create_task(self.stage_queued(queue, wanted, digests))
+            asyncio.create_task(self.stage_arrived(arrivals, wanted, digests))
             for _ in range(PARALLEL_FETCHES)
         ]
         try:
             is_complete = await self.wait_for_workers(workers, wanted)
         finally:
+            arrivals.close()
             for worker in workers:
                 worker.cancel()
         if is_complete:
@@ -250,55 +258,64 @@
             LOG.info("weights.staged", version=wanted.version, chunks=len(missing), seconds=took)
         return is_complete
 
+    async def without_present(
+        self, wanted: HeldWeights, digests: VersionDigests, missing: list[int]
+    ) -> list[int]:
+        """Return the missing chunks without those that are staged from before a restart."""
+        for index in missing:
+            present = await self.engine.staged_chunk(wanted.model, index)
+            if isinstance(present, Success) and sha256(present.unwrap()) == digests.digests[index]:
+                self.record_staged(index, digests.digests[index])
+        return digests.missing(self.staged)
+
     async def wait_for_workers(
         self, workers: list[asyncio.Task[bool]], wanted: HeldWeights
     ) -> bool:
         """Return True once all chunks are staged, False when other weights are wanted.
 
-        A fetch can take long while its sources do not answer, so the decision does not wait for
-        it.
+        It is also False once no chunk has arrived for `ROUND_SECONDS`, as the engine may have
+        restarted without its staged chunks.
         """
         running = set(workers)
+        began = clock.now()
         while running:
             _, running = await asyncio.wait(running, timeout=POLL_SECONDS)
             if running and self.update_next_weights() != wanted:
                 return False
+            if running and clock.now() - max(began, self.progressed_at) > ROUND_SECONDS:
+                return False
         return all([await worker for worker in workers])
 
-    async def stage_queued(
-        self, queue: Iterator[int], wanted: HeldWeights, digests: VersionDigests
+    async def stage_arrived(
+        self, arrivals: ChunkArrivals, wanted: HeldWeights, digests: VersionDigests
     ) -> bool:
-        """Worker: stage chunks of a queue until it is empty or other weights are wanted.
-
-        A chunk that fails is left for the next time, as the others may be at hand.
+        """Worker: stage chunks as they are at hand until all are done or other weights are wanted.
 
         Returns:
-          True if no chunk failed.
+          True if all are done.
         """
-        is_complete = True
-        for index in queue:
+        while chunk := await arrivals.next():
             if self.update_next_weights() != wanted:
                 return False
-            if await self.stage_chunk(wanted, index, digests.digests[index]):
+            is_staged = await self.stage_chunk(wanted, chunk, digests.digests[chunk.index])
+            await arrivals.finish(chunk, is_staged)
+            if is_staged:
                 self.announce_load(wanted, digests)
-            else:
-                is_complete = False
-        return is_complete
+        return True
 
-    async def stage_chunk(self, wanted: HeldWeights, index: int, digest: bytes) -> bool:
-        """Stage one chunk, unless a valid one is staged already; False if that failed."""
-        present = await self.engine.staged_chunk(wanted.model, index)
-        if isinstance(present, Success) and sha256(present.unwrap()) == digest:
-            self.record_staged(index, digest)
-            return True
-        path = f"/weights/{wanted.model}/{wanted.version}/{index}"
-        chunk = await self.fetcher.fetch(
-            path, digest, chunk_run_name(wanted.model, wanted.version, index)
-        )
-        if chunk is None:
+    async def locate(self, wanted: HeldWeights, index: int, failures: int) -> str | None:
+        """Return the entry process that has a chunk at hand; None if it is not had in time."""
+        run = chunk_run_name(wanted.model, wanted.version, index)
+        return await self.fetcher.locate(chunk_path(wanted, index), run, failures)
+
+    async def stage_chunk(self, wanted: HeldWeights, chunk: ArrivedChunk, digest: bytes) -> bool:
+        """Fetch and stage one chunk; False if that failed."""
+        index = chunk.index
+        body = await self.fetcher.fetch_at(chunk.entry, chunk_path(wanted, index), digest)
+        if body is None:
             return False
         self.staged.pop(index, None)
-        result = await self.engine.put_chunk(wanted.model, index, chunk)
+        result = await self.engine.put_chunk(wanted.model, index, body)
         if not isinstance(result, Success):
             LOG.warning("weights.unstaged", index=index, error=result.failure()[:150])
             return False
@@ -417,6 +434,11 @@
         return is_valid
 
 
+def chunk_path(weights: HeldWeights, index: int) -> str:
+    """Return the path of a chunk at entry processes."""
+    return f"/weights/{weights.model}/{weights.version}/{index}"
+
+
 def holds_weights(report: EngineReport, wanted: HeldWeights) -> bool:
     """Return True if an engine holds the wanted weights or newer ones."""
     return any(
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -13,15 +13,20 @@
 from ..platform.names import ENTRY_PREFIX
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
+from .chunk_arrivals import REFUSALS_PER_ENTRY
+from .link_shares import LinkShares
 
 LOG = get_logger(__name__)
-PARALLEL_FETCHES = 3
-"""Chunks fetched at the same time; each at an equal part of the link's rate."""
 FETCH_TIMEOUT_SECONDS = 2.5
+"""Longest time without a byte."""
+BODY_TIMEOUT_SECONDS = 20.0
+"""Timeout of a whole request. At a tenth of a link of 3.65 Mbit/s a chunk of 49,152 bytes takes up
+to 3.2 s, and one that is given up has to be sent again."""
 FETCH_ATTEMPTS = 2
 """Attempts to fetch a chunk, at different entry processes; a failed one is fetched again after the
 others."""
 RETRY_SECONDS = 0.1
+HTTP_OK = 200
 SLOW_RATIO = 1.3
 """Actual over expected time of a body from which the link counts as slower than configured."""
 MINIMUM_SHARE = 0.1
@@ -43,6 +48,7 @@
       share: Share of the link's configured rate that is requested, from 0.1 to 1. It is reduced
         if bodies arrive slower than requested: bytes beyond the link's real rate would fill
         a queue in which requests to the engine wait too.
+      link_shares: Parts of the link that running fetches use.
     """
 
     def __init__(
@@ -57,6 +63,36 @@
         self.replica = replica
         self.session = session
         self.share = 1.0
+        self.link_shares = LinkShares()
+
+    async def locate(self, path: str, run: str, failures: int) -> str | None:
+        """Return the entry process that has a chunk at hand; None if it is not had in time.
+
+        The entry process answers once it has the chunk, or refuses after about a second.
+
+        Args:
+          path: Path of the chunk at entry processes.
+          run: Key of its run of chunks.
+          failures: Number of earlier failures; after `REFUSALS_PER_ENTRY` the next entry process is
+            asked.
+        """
+        entries = self.entries_for(run)
+        if entries:
+            entry = entries[failures // REFUSALS_PER_ENTRY % len(entries)]
+            timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
+            try:
+                async with self.session.head(f"http://{entry}{path}", timeout=timeout) as response:
+                    if response.status == HTTP_OK:
+                        return entry
+            except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+                LOG.warning("weights.unfetched", url=path, error=f"{type(error).__name__} {error}")
+        await asyncio.sleep(RETRY_SECONDS)
+        return None
+
+    async def fetch_at(self, entry: str, path: str, digest: bytes) -> bytes | None:
+        """Return a verified chunk from an entry process that has it at hand; None on failure."""
+        body = await self.get(f"http://{entry}{path}")
+        return body if body is not None and sha256(body) == digest else None
 
     async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
         """Return a verified chunk, or the digests of a version; None if all attempts failed.
@@ -95,9 +131,18 @@
 
     async def get(self, url: str) -> bytes | None:
         """Return the body of a response; None on failure."""
-        timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
+        async with self.link_shares.share() as part:
+            return await self.get_at_rate(url, part)
+
+    async def get_at_rate(self, url: str, part: float) -> bytes | None:
+        """Return the body of a response that takes a part of the link; None on failure."""
+        timeout = aiohttp.ClientTimeout(
+            total=BODY_TIMEOUT_SECONDS,
+            sock_connect=FETCH_TIMEOUT_SECONDS,
+            sock_read=FETCH_TIMEOUT_SECONDS,
+        )
         share = self.share
-        rate = share * self.link_rate() / PARALLEL_FETCHES
+        rate = share * self.link_rate() * part
         query = {RATE_QUERY: f"{rate:.0f}"} if rate else {}
         try:
             async with self.session.get(url, params=query, timeout=timeout) as response:
