--- a/verbenaward/direct/chunk_owners.py
+++ b/verbenaward/direct/chunk_owners.py
@@ -9,7 +9,7 @@
 carry more of what the other regions fetch from it: with 3 of them and 3 regions, each receives 5
 and sends up to 15 Mbit/s of an origin with 15 Mbit/s."""
 UNREACHABLE_SECONDS = 2.0
-"""Time after a failed connection for which an owner is passed over."""
+"""Time after a failed request for which a process is passed over."""
 
 
 def owner_order(model: str, version: int, index: int, entries: list[str]) -> list[str]:
@@ -45,8 +45,8 @@
     return list(dict.fromkeys(entry_order(controls, zone, regions, run)[0] for zone in zones))
 
 
-class OwnerReachability:
-    """Owners of chunks that could not be reached lately.
+class Reachability:
+    """Processes that could not be reached lately.
 
     Attributes:
       failed_at: When a connection to a process last failed, monotonic, by its control address.
@@ -59,11 +59,11 @@
         """Record that a process did not answer."""
         self.failed_at[control] = now
 
-    def owner(self, order: list[str], now: float) -> str:
-        """Return the first process that has not failed lately, or else the first.
+    def first(self, order: list[str], now: float) -> str:
+        """Return the first process that has not failed lately, or else the first of all.
 
         Args:
-          order: Processes in the order in which they own a chunk; at least one.
+          order: Processes in order of preference; at least one.
           now: Present time, monotonic, in seconds.
         """
         self.failed_at = {
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -33,7 +33,7 @@
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
 from ..schema.settings import Settings
-from .chunk_owners import OwnerReachability, owner_order, relays_of
+from .chunk_owners import Reachability, owner_order, relays_of
 from .chunk_runs import CHUNKS_PER_RUN
 from .entry_peers import zone_of_record
 from .origin_queue import OriginQueue
@@ -54,6 +54,8 @@
 WAIT_SECONDS = 1.0
 """Longest wait for a chunk that is not at hand, after which the request is answered with 503. It
 is shorter than `PEER_SILENCE_SECONDS`, so that a waiting owner is not taken for a lost one."""
+LOCATE_WAIT_SECONDS = 2.0
+"""The same for a HEAD request, which endpoint processes send for all missing chunks."""
 CONNECT_SECONDS = 0.5
 HTTP_OK = 200
 FETCH_SECONDS = 20.0
@@ -116,7 +118,7 @@
         self.rng = random.Random()
         self.origin_queue = OriginQueue()
         self.appointed: set[ChunkKey] = set()
-        self.reachability = OwnerReachability()
+        self.reachability = Reachability()
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.prefetch_version)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
@@ -183,23 +185,26 @@
         if CACHED_QUERY in request.query:
             cached = self.cache.get(key)
             return web.Response(status=404) if cached is None else web.Response(body=cached)
-        body = await self.get_in_time(key, OWNER_QUERY in request.query)
+        if OWNER_QUERY in request.query and key not in self.cache:
+            self.appointed.add(key)
+        is_located = request.method == "HEAD"
+        body = await self.get_in_time(key, LOCATE_WAIT_SECONDS if is_located else WAIT_SECONDS)
+        if is_located:
+            # Without a length the client takes the connection to end with the answer.
+            length = {"Content-Length": str(len(body or b""))}
+            return web.Response(status=503 if body is None else 200, headers=length)
         if body is None:
             return web.Response(status=503)
-        if request.method == "HEAD":
-            return web.Response()
         self.read_ahead(model, version, index)
         rate = rate_of(request)
         if not rate:
             return web.Response(body=body)
         return await send_paced(request, body, rate)
 
-    async def get_in_time(self, key: ChunkKey, as_owner: bool) -> bytes | None:
-        """Return what `get` does, or None after `WAIT_SECONDS`; the fetch then goes on."""
-        if as_owner and key not in self.cache:
-            self.appointed.add(key)
+    async def get_in_time(self, key: ChunkKey, seconds: float) -> bytes | None:
+        """Return what `get` does, or None after a time; the fetch then goes on."""
         try:
-            async with asyncio.timeout(WAIT_SECONDS):
+            async with asyncio.timeout(seconds):
                 return await self.get(key)
         except TimeoutError:
             return None
@@ -373,7 +378,7 @@
             eligible.append(self.settings.listen)
         if not eligible:
             return self.settings.listen
-        return self.reachability.owner(owner_order(*key, eligible), now)
+        return self.reachability.first(owner_order(*key, eligible), now)
 
     async def fetch_from_origin(
         self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
--- a/verbenaward/weight_loading/chunk_arrivals.py
+++ b/verbenaward/weight_loading/chunk_arrivals.py
@@ -11,8 +11,9 @@
 
 MAXIMUM_WAITS = 48
 """Chunks that entry processes are asked for at the same time, without their bytes."""
-REFUSALS_PER_ENTRY = 3
-"""Refusals after which the next entry process is asked: the first may not reach the owner."""
+REFUSALS_PER_ENTRY = 4
+"""Refusals after which the next entry process is asked, as the first may not reach the owner. They
+take 8 s, as each further entry process that is asked waits at the owners too."""
 
 Locate = Callable[[int, int], Awaitable[str | None]]
 """Returns the entry process that has a chunk at hand, or None if it is not had in time. Its
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -36,7 +36,7 @@
 STAGING_OVERHEAD = 1.09
 """Time to stage a version, relative to the time that its bytes take on the link."""
 BUSY_RETRY_SECONDS = 0.05
-ROUND_SECONDS = 3.0
+ROUND_SECONDS = 5.0
 """Time without a staged chunk after which the engine's state is looked at again."""
 
 
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from .. import clock
+from ..direct.chunk_owners import Reachability
 from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
 from ..direct.pacing import RATE_QUERY
@@ -49,6 +50,7 @@
         if bodies arrive slower than requested: bytes beyond the link's real rate would fill
         a queue in which requests to the engine wait too.
       link_shares: Parts of the link that running fetches use.
+      reachability: Entry processes that could not be reached lately.
     """
 
     def __init__(
@@ -64,11 +66,12 @@
         self.session = session
         self.share = 1.0
         self.link_shares = LinkShares()
+        self.reachability = Reachability()
 
     async def locate(self, path: str, run: str, failures: int) -> str | None:
         """Return the entry process that has a chunk at hand; None if it is not had in time.
 
-        The entry process answers once it has the chunk, or refuses after about a second.
+        The entry process answers once it has the chunk, or refuses after two seconds.
 
         Args:
           path: Path of the chunk at entry processes.
@@ -78,13 +81,16 @@
         """
         entries = self.entries_for(run)
         if entries:
-            entry = entries[failures // REFUSALS_PER_ENTRY % len(entries)]
+            skipped = failures // REFUSALS_PER_ENTRY % len(entries)
+            preferred = [*entries[skipped:], *entries[:skipped]]
+            entry = self.reachability.first(preferred, clock.now())
             timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
             try:
                 async with self.session.head(f"http://{entry}{path}", timeout=timeout) as response:
                     if response.status == HTTP_OK:
                         return entry
             except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+                self.reachability.record_failure(entry, clock.now())
                 LOG.warning("weights.unfetched", url=path, error=f"{type(error).__name__} {error}")
         await asyncio.sleep(RETRY_SECONDS)
         return None
