Chunks are found at every process that holds them, and an owner has a stand-in

Cause: as only owners go to the origin, a chunk would be had by nobody while its owner alone cannot reach the origin; and the owner that follows a killed one did not ask for chunks that others hold.

Change: an owner that the origin has not answered for 2 s says so when it refuses; the second in the order of owners then reads from the origin if that has answered it for 2 s. After a failure of the origin an owner asks the entry processes that pass the chunk on, its stand-in and the endpoint processes, which now also send what they have staged and not loaded. Requests that the origin lost no longer count as silence after its return.

--- a/tests/steps/weight_rollout.py
+++ b/tests/steps/weight_rollout.py
@@ -2,12 +2,25 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from returns.result import Success
 
 from standins.platform import PlatformStandIn
 from tests.steps.platform_running import engines, run, until
 from verbenaward import clock
+from verbenaward.direct.chunk_owners import owner_order
+from verbenaward.direct.origin_queue import OriginQueue
+from verbenaward.direct.origin_reachability import (
+    LOST_SECONDS,
+    RECENT_SECONDS,
+    STEADY_SECONDS,
+    OriginReachability,
+)
+from verbenaward.weight_loading.link_shares import LinkShares
 
 LINKS = (4.7, 4.4, 4.1, 3.9, 3.65, 3.65)
 """Links of the endpoint processes, in Mbit/s."""
@@ -136,3 +149,195 @@
 def sent_no_copies(context):
     copies = [number for key, number in context.platform.origin.complete.items() if key[0] == 2]
     assert set(copies) == {1} and len(copies) == context.counts, context.seen
+
+
+def owner_of_chunk(context, index):
+    """Return the entry process that owns a chunk of version 2."""
+    controls = [role.settings.listen for role in context.platform.entries]
+    local = controls[: ENTRY_ZONES.count("zone-a")]
+    owner = owner_order("model", 2, index, local)[0]
+    return context.platform.entries[controls.index(owner)]
+
+
+@given("the owner of chunk {index:d} of version 2 cannot reach the origin")
+def cut_off_from_origin(context, index):
+    relay = owner_of_chunk(context, index).relay
+    known = relay.origin
+    relay.origin = lambda: known() and replace(known(), origin="127.0.0.1:9")
+
+
+@when("version 2 of {count:d} chunks of {size:d} bytes is set")
+def set_version(context, count, size):
+    context.platform.origin.add_version(2, count, size)
+    context.counts = count
+    context.seen = context.platform.origin.complete
+    value = json.dumps({"model_name": "model", "version": 2}).encode()
+    context.platform.store.put("op/version/model", value)
+
+
+@when(
+    "version 2 of {count:d} chunks of {size:d} bytes is set, and one engine has it before the "
+    "others start"
+)
+def set_version_for_one(context, count, size):
+    loaders = [role.engine_loader for role in context.platform.endpoints]
+    for loader in loaders[1:]:
+        loader.newest = lambda: None
+    set_version(context, count, size)
+    chunks = context.platform.origin.versions[2]
+    first = engines(context)[0]
+    assert run(context, until(lambda: staged_count(first, chunks) == count))
+    context.later = loaders[1:]
+
+
+@when("the owner of chunk {index:d} is killed while the origin is silent")
+def kill_owner(context, index):
+    platform, owner = context.platform, owner_of_chunk(context, index)
+    platform.origin.is_silent = True
+    platform.entries.remove(owner)
+    run(context, owner.close())
+    for loader in context.later:
+        del loader.newest
+
+
+@then("all engines have it within {seconds:d} seconds")
+def all_have(context, seconds):
+    chunks = context.platform.origin.versions[2]
+
+    def counts():
+        return [staged_count(item, chunks) for item in engines(context)]
+
+    assert run(context, until(lambda: min(counts()) == len(chunks), seconds)), counts()
+
+
+@given("requests to an origin that answers none of the first three")
+def silent_requests(context):
+    context.queue, context.sent = OriginQueue(), []
+
+
+@then("a fourth is sent within {seconds:g} s, and its answer ends the others at once")
+def fourth_sent(context, seconds):
+    async def send(on_answer):
+        context.sent.append(clock.now())
+        if len(context.sent) < 4:
+            await asyncio.sleep(60)
+        on_answer()
+        return Success(b"")
+
+    async def fetch_all():
+        began = clock.now()
+        results = await asyncio.gather(*(context.queue.fetch((0, i), send) for i in range(4)))
+        return results, clock.now() - began
+
+    results, took = run(context, fetch_all())
+    assert [isinstance(item, Success) for item in results] == [False] * 3 + [True], results
+    assert took < seconds, took
+    assert context.queue.reachability.silent_since is None
+
+
+@when("the origin answers a process at some times and not at others")
+def answers_at_times(context):
+    @for_all(st.lists(st.tuples(st.floats(0.01, 3.0), st.booleans()), max_size=12))
+    def check(steps):
+        reached, now, history = OriginReachability(), 0.0, []
+        for gap, is_answer in steps:
+            now += gap
+            (reached.record_answer if is_answer else reached.record_silence)(now)
+            history.append((now, is_answer))
+            context.property(reached, now, history)
+
+    context.check = check
+
+
+def current_streak(history):
+    """Return whether the last requests were answered, and when the first of them was."""
+    is_answer = history[-1][1]
+    began = history[-1][0]
+    for at, kind in reversed(history):
+        if kind != is_answer:
+            break
+        began = at
+    return is_answer, began
+
+
+@then("the process stands in only after {steady:g} s of answers, the last within {recent:g} s")
+def stands_in(context, steady, recent):
+    assert (steady, recent) == (STEADY_SECONDS, RECENT_SECONDS)
+
+    def is_steady(reached, now, history):
+        is_answer, began = current_streak(history)
+        assert reached.is_steady(now) == (is_answer and now - began >= steady)
+        assert not reached.is_steady(now + recent + 0.01)
+
+    context.property = is_steady
+    context.check()
+
+
+@then("it says that it has lost the origin only after {lost:g} s without one")
+def says_lost(context, lost):
+    assert lost == LOST_SECONDS
+
+    def is_lost(reached, now, history):
+        is_answer, began = current_streak(history)
+        assert reached.is_lost(now) == (not is_answer and now - began >= lost)
+
+    context.property = is_lost
+    context.check()
+
+
+@when("{entries:d} entry processes own {chunks:d} chunks of many versions")
+def own_chunks(context, entries, chunks):
+    context.entries = [f"10.0.0.{index}:7700" for index in range(entries)]
+    context.chunk_count = chunks
+
+
+@then(
+    "each version has at most {count:d} owners, and without one of them only its chunks change "
+    "owner"
+)
+def few_owners(context, count):
+    def owners(version, entries):
+        indexes = range(context.chunk_count)
+        return [owner_order("model", version, index, entries)[0] for index in indexes]
+
+    for version in range(40):
+        before = owners(version, context.entries)
+        assert len(set(before)) <= count, before
+        remaining = [entry for entry in context.entries if entry != before[0]]
+        for old, new in zip(before, owners(version, remaining), strict=True):
+            assert (old == new) == (old != before[0])
+
+
+@when("fetches begin and end on a link in any order")
+def share_link(context):
+    @for_all(st.lists(st.integers(0, 3), min_size=1, max_size=10))
+    def check(turns):
+        context.most, context.single = 0.0, []
+        asyncio.run(run_fetches(context, turns))
+        assert context.most <= 1.0 + 1e-9, context.most
+        assert min(context.single) > 0.6, context.single
+
+    context.check = check
+
+
+async def run_fetches(context, turns):
+    """Start fetches together that take some turns of the event loop each, and record the shares."""
+    shares, running = LinkShares(), []
+
+    async def fetch(count):
+        async with shares.share() as part:
+            if not running:
+                context.single.append(part)
+            running.append(part)
+            context.most = max(context.most, sum(running))
+            for _ in range(count):
+                await asyncio.sleep(0)
+            running.remove(part)
+
+    async with asyncio.timeout(5):
+        await asyncio.gather(*(fetch(count) for count in turns))
+
+
+@then("their shares never exceed the link, and a single one has most of it")
+def shares_fit(context):
+    context.check()
--- a/tests/weight_loading/origin_outage.feature
+++ b/tests/weight_loading/origin_outage.feature
@@ -14,3 +14,42 @@
       | megabits | chunks | size  | fault       |
       | 4.4      | 48     | 49152 | is silent   |
       | 4.4      | 96     | 24576 | refuses all |
+
+  # Guards against a chunk that nobody gets while its owner alone cannot reach the origin, as only
+  # owners go there.
+  Scenario: The owner of a chunk is cut off from the origin
+    Given entry processes of two regions, and engines with links of 3.65 to 4.7 Mbit/s
+    And an origin with a link of 15 Mbit/s
+    And the owner of chunk 0 of version 2 cannot reach the origin
+    When version 2 of 12 chunks of 24576 bytes is set
+    Then all engines have it within 8 seconds
+    And the origin sent each chunk of version 2 at most once
+
+  # Guards against chunks that are lost with their owner, though others hold them.
+  Scenario: The owner of a chunk is killed while the origin is away
+    Given entry processes of two regions, and engines with links of 3.65 to 4.7 Mbit/s
+    And an origin with a link of 15 Mbit/s
+    When version 2 of 12 chunks of 24576 bytes is set, and one engine has it before the others start
+    And the owner of chunk 0 is killed while the origin is silent
+    Then all engines have it within 8 seconds
+
+  # Guards against a return of the origin that is noticed when the last request times out.
+  Scenario: A request without an answer does not keep others from the origin
+    Given requests to an origin that answers none of the first three
+    Then a fourth is sent within 0.8 s, and its answer ends the others at once
+
+  # Guards against chunks that leave the origin twice, or never, as processes judge it differently.
+  Scenario: A stand-in reads from the origin only while it answers the stand-in steadily
+    When the origin answers a process at some times and not at others
+    Then the process stands in only after 2 s of answers, the last within 1.5 s
+    And it says that it has lost the origin only after 2 s without one
+
+  # Guards against an owner of all chunks, and against owners that change with the index.
+  Scenario: A version has three owners, and a killed one changes only its own chunks
+    When 12 entry processes own 48 chunks of many versions
+    Then each version has at most 3 owners, and without one of them only its chunks change owner
+
+  # Guards against a link that more fetches use than it carries, or that is idle between two.
+  Scenario: Fetches share the link
+    When fetches begin and end on a link in any order
+    Then their shares never exceed the link, and a single one has most of it
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -75,7 +75,17 @@
 """Chunks that are fetched in advance when one is served."""
 OWNER_QUERY = "owner"
 """Query parameter of a request to the owner of a chunk: it fetches it from the origin, whichever
-process is the owner as far as it knows."""
+process is the owner as far as it knows. Its value is `AS_OWNER` or `AS_STAND_IN`."""
+AS_OWNER = "1"
+AS_STAND_IN = "2"
+"""The request goes to the second in the order of owners, as the owner has lost the origin."""
+ORIGIN_LOST_HEADER = "X-Origin-Lost"
+"""Header of an owner's refusal, if the origin does not answer it."""
+PROBE_INTERVAL_SECONDS = 0.5
+PROBED_SECONDS = 4.0
+"""Time for which a stand-in probes the origin after it was last asked."""
+ASKED_HOLDERS = 3
+"""Processes that an owner asks for a chunk after each failure of the origin."""
 CACHED_QUERY = "cached"
 """Query parameter of a request that is only answered from the cache."""
 
@@ -96,6 +106,8 @@
       appointed: Chunks that other processes requested from this one as their owner, while they are
         fetched.
       reachability: Owners that could not be reached lately.
+      without_origin: Owners that said lately that they have lost the origin.
+      probed_until: Until when this process probes the origin as a stand-in, monotonic.
       background_tasks: References to running tasks, so that they are not garbage-collected.
     """
 
@@ -119,6 +131,8 @@
         self.origin_queue = OriginQueue()
         self.appointed: set[ChunkKey] = set()
         self.reachability = Reachability()
+        self.without_origin = Reachability()
+        self.probed_until = 0.0
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.prefetch_version)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
@@ -164,7 +178,7 @@
         digests = await self.get((model, version, DIGESTS_INDEX))
         for index in range(len(digests or b"") // DIGEST_BYTES):
             key = (model, version, index)
-            if self.owner_of(key, origin) == self.settings.listen and key not in self.cache:
+            if self.owners_of(key, origin)[0] == self.settings.listen and key not in self.cache:
                 self.start_fetch(key)
 
     def is_in_region(self, origin: ServiceDeclaration) -> bool:
@@ -185,7 +199,9 @@
         if CACHED_QUERY in request.query:
             cached = self.cache.get(key)
             return web.Response(status=404) if cached is None else web.Response(body=cached)
-        if OWNER_QUERY in request.query and key not in self.cache:
+        if (asked_as := request.query.get(OWNER_QUERY)) and key not in self.cache:
+            if asked_as == AS_STAND_IN and not self.can_stand_in(model, version):
+                return web.Response(status=503, headers={ORIGIN_LOST_HEADER: "1"})
             self.appointed.add(key)
         is_located = request.method == "HEAD"
         body = await self.get_in_time(key, LOCATE_WAIT_SECONDS if is_located else WAIT_SECONDS)
@@ -194,13 +210,30 @@
             length = {"Content-Length": str(len(body or b""))}
             return web.Response(status=503 if body is None else 200, headers=length)
         if body is None:
-            return web.Response(status=503)
+            is_lost = asked_as and self.origin_queue.reachability.is_lost(clock.now())
+            return web.Response(status=503, headers={ORIGIN_LOST_HEADER: "1"} if is_lost else None)
         self.read_ahead(model, version, index)
         rate = rate_of(request)
         if not rate:
             return web.Response(body=body)
         return await send_paced(request, body, rate)
 
+    def can_stand_in(self, model: str, version: int) -> bool:
+        """Return True if the origin answers this process; probe it for the next time if not."""
+        now = clock.now()
+        if self.origin_queue.reachability.is_steady(now):
+            return True
+        is_probing, self.probed_until = now < self.probed_until, now + PROBED_SECONDS
+        if not is_probing:
+            self.run_in_background(self.probe_origin(model, version))
+        return False
+
+    async def probe_origin(self, model: str, version: int) -> None:
+        """Request a manifest again and again, which shows whether the origin answers."""
+        while clock.now() < self.probed_until and (origin := self.origin()) is not None:
+            await self.fetch_from_origin((model, version, DIGESTS_INDEX), origin, 0)
+            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+
     async def get_in_time(self, key: ChunkKey, seconds: float) -> bytes | None:
         """Return what `get` does, or None after a time; the fetch then goes on."""
         try:
@@ -292,7 +325,10 @@
             return Failure("no origin is declared")
         model, version, index = key
         near, far = self.holders_of(key)
-        owner = self.settings.listen if key in self.appointed else self.owner_of(key, origin)
+        owners = self.owners_of(key, origin)
+        owner = self.without_origin.first(owners, clock.now())
+        if key in self.appointed:
+            owner = self.settings.listen
         sources = [*near[:1], owner, *near[1:2], *far[:1]]
         source = sources[attempt] if attempt < len(sources) else owner
         if source == self.settings.listen:
@@ -301,37 +337,62 @@
         # Entry processes serve /weights, endpoint processes /staged.
         if source != owner:
             return await self.fetch_from_peer(f"http://{source}/staged/{name}")
-        return await self.fetch_from_peer(f"http://{owner}/weights/{name}?{OWNER_QUERY}=1", owner)
+        asked_as = AS_OWNER if owner == owners[0] else AS_STAND_IN
+        url = f"http://{owner}/weights/{name}?{OWNER_QUERY}={asked_as}"
+        return await self.fetch_from_peer(url, owner)
 
     async def fetch_as_owner(
         self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
     ) -> Result[bytes, str]:
-        """Fetch from the origin; if that fails, from an entry process that may hold the chunk.
+        """Fetch from the origin; if that fails, from another process that may hold the chunk.
 
-        Others hold a chunk that this process does not if its owner was another one before.
+        Others hold a chunk that this process does not if its owner was another one before, or if
+        a stand-in has fetched it. A few of them are asked after each failure.
         """
         result = await self.fetch_from_origin(key, origin, attempt)
-        relays = self.relays_of(key)
-        if isinstance(result, Success) or not relays:
+        now = clock.now()
+        if self.origin_queue.reachability.is_lost(now):
+            self.without_origin.record_failure(self.settings.listen, now)
+        if isinstance(result, Success) or key[2] == DIGESTS_INDEX:
             return result
-        relay = relays[attempt % len(relays)]
-        path = CHUNK_PATH.format(model=key[0], version=key[1], index=key[2])
-        found = await self.fetch_from_peer(f"http://{relay}{path}?{CACHED_QUERY}=1")
-        return found if isinstance(found, Success) else result
+        urls = self.possible_holders(key, origin)
+        start = attempt * ASKED_HOLDERS
+        for position in range(start, start + min(ASKED_HOLDERS, len(urls))):
+            found = await self.fetch_from_peer(urls[position % len(urls)])
+            if isinstance(found, Success):
+                return found
+        return result
+
+    def possible_holders(self, key: ChunkKey, origin: ServiceDeclaration) -> list[str]:
+        """Return the URLs of a chunk at the other processes that may hold it.
+
+        First the entry processes that pass it on or that own it, then the endpoint processes.
+        """
+        model, version, index = key
+        entries = dict.fromkeys([*self.relays_of(key), *self.owners_of(key, origin)])
+        entries.pop(self.settings.listen, None)
+        port = port_of(self.settings.listen)
+        endpoints = [
+            f"{host_of(view.backend.address)}:{port}"
+            for view in self.fleet.backends.values()
+            if view.backend.weights is not None
+        ]
+        name = f"{model}/{version}/{index}"
+        return [
+            *(f"http://{control}/weights/{name}?{CACHED_QUERY}=1" for control in entries),
+            *(f"http://{item}/staged/{name}" for item in rendezvous_order(name, endpoints)),
+        ]
 
     def relays_of(self, key: ChunkKey) -> list[str]:
-        """Return the other entry processes that endpoints ask for a chunk; none for digests."""
+        """Return the entry processes that endpoints ask for a chunk."""
         direct = self.settings.direct
         assert direct is not None
         model, version, index = key
-        if index == DIGESTS_INDEX:
-            return []
         controls = {
             entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
             for entry in self.fleet.replica.entries_with_prefix(ENTRY_PREFIX)
         }
-        found = relays_of(model, version, index, controls, direct.zones)
-        return [control for control in found if control != self.settings.listen]
+        return relays_of(model, version, index, controls, direct.zones)
 
     def holders_of(self, key: ChunkKey) -> tuple[list[str], list[str]]:
         """Return the endpoint processes whose engines hold a version, in the region and outside."""
@@ -360,8 +421,8 @@
             return None
         return next((item for item in table.configuration.services if item.origin), None)
 
-    def owner_of(self, key: ChunkKey, origin: ServiceDeclaration) -> str:
-        """Return the control address of the entry process that fetches a chunk from the origin."""
+    def owners_of(self, key: ChunkKey, origin: ServiceDeclaration) -> list[str]:
+        """Return the control addresses of the owner of a chunk and of its stand-in, if any."""
         direct = self.settings.direct
         assert direct is not None
         region = direct.zones.get(origin.zone, "")
@@ -377,8 +438,11 @@
         if direct.zones.get(self.settings.zone) == region:
             eligible.append(self.settings.listen)
         if not eligible:
-            return self.settings.listen
-        return self.reachability.first(owner_order(*key, eligible), now)
+            return [self.settings.listen]
+        order = owner_order(*key, eligible)
+        owner = self.reachability.first(order, now)
+        others = [control for control in order if control != owner]
+        return [owner, self.reachability.first(others, now)] if others else [owner]
 
     async def fetch_from_origin(
         self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
@@ -459,6 +523,8 @@
             async with self.session.get(url, timeout=timeout) as response:
                 body = await response.read()
                 if response.status != HTTP_OK:
+                    if owner and ORIGIN_LOST_HEADER in response.headers:
+                        self.without_origin.record_failure(owner, clock.now())
                     return Failure(f"{url}: status {response.status}")
                 metrics.WEIGHT_BYTES.labels("entry").inc(len(body))
                 return Success(body)
--- a/verbenaward/direct/origin_queue.py
+++ b/verbenaward/direct/origin_queue.py
@@ -12,6 +12,9 @@
 
 from returns.result import Failure, Result
 
+from .. import clock
+from .origin_reachability import OriginReachability
+
 SILENT_SECONDS = 0.3
 """Time without an answer after which the next request is sent. The first byte of a chunk may wait
 for the chunks of the other processes that read from the origin, 0.18 s at 4.4 Mbit/s."""
@@ -32,6 +35,7 @@
       is_busy: True while a request is being answered, or waits for an answer that is not overdue.
       waiting: Heap of the waiting requests by rank and arrival.
       overdue: For each request whose answer is overdue, what ends it.
+      reachability: Whether the origin answers this process.
     """
 
     def __init__(self) -> None:
@@ -39,6 +43,7 @@
         self.waiting: list[tuple[tuple[int, ...], int, asyncio.Future[None]]] = []
         self.overdue: set[asyncio.Future[None]] = set()
         self.arrivals = itertools.count()
+        self.reachability = OriginReachability()
 
     async def fetch(self, rank: tuple[int, ...], send: OriginRequest) -> Result[bytes, str]:
         """Send a request when it is its turn, and return its result.
@@ -60,9 +65,11 @@
         both: list[asyncio.Future[Any]] = [request, ended]
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-            result = request.result() if request.done() else Failure("the origin lost the request")
+            if not request.done():
+                return Failure("the origin lost the request")
+            result = request.result()
             if isinstance(result, Failure):
-                turn.pause_seconds = RETRY_PAUSE_SECONDS
+                turn.fail()
             return result
         finally:
             request.cancel()
@@ -120,16 +127,24 @@
     def answer(self) -> None:
         """Record that the answer begins: the origin is back."""
         self.is_answered = True
+        self.queue.reachability.record_answer(clock.now())
         self.queue.overdue.discard(self.ended)
         self.queue.end_overdue()
 
     def pass_on(self) -> None:
         """Let the next request be sent, as the answer to this one is overdue."""
         if not self.is_answered:
+            self.queue.reachability.record_silence(clock.now())
             self.is_passed_on = True
             self.queue.overdue.add(self.ended)
             self.queue.release()
 
+    def fail(self) -> None:
+        """Record that the request failed."""
+        self.pause_seconds = RETRY_PAUSE_SECONDS
+        if not self.is_answered:
+            self.queue.reachability.record_silence(clock.now())
+
     def finish(self) -> None:
         """Let the next request be sent, unless that has been done."""
         self.queue.overdue.discard(self.ended)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -416,8 +416,19 @@
             self.notices.announce_loading()
 
     async def staged_chunk(self, weights: HeldWeights, index: int) -> bytes | None:
-        """Return a staged chunk of weights that the engine holds; None while others are staged."""
-        if weights not in self.held or self.next_weights not in (None, weights):
+        """Return a chunk that is staged for weights; None if there is none.
+
+        All chunks of weights that the engine holds are staged until others are.
+        """
+        known = self.digests
+        is_held = weights in self.held and self.next_weights in (None, weights)
+        is_staged = (
+            known is not None
+            and known.weights == weights
+            and index < len(known.digests)
+            and self.staged.get(index) == known.digests[index]
+        )
+        if not is_held and not is_staged:
             return None
         result = await self.engine.staged_chunk(weights.model, index)
         return result.value_or(None)
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -59,7 +59,7 @@
             self.tasks.append(asyncio.create_task(work))
 
     async def answer_staged(self, request: web.Request) -> web.StreamResponse:
-        """Send a staged chunk of the weights that the engine holds; the receiver verifies it."""
+        """Send a staged chunk; the receiver verifies it."""
         try:
             version, index = int(request.match_info["version"]), int(request.match_info["index"])
         except ValueError:
