Decide on held bytes and on the memory of engines in placement

Cause: nothing limits the sum of the bytes that an entry process holds for slow callers and backends, and an engine crashes if the tokens of its requests exceed its memory. Change: memory_budget.py counts bytes by purpose and refuses what does not fit; its capacity follows from the new setting direct.memory_megabytes (0, the default, for no limit). engine_memory.py estimates the tokens in flight at an engine; the placer passes over engines without room for a request (kv_capacity_tokens of inference_engine, 0 or absent for no limit).

--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -167,6 +167,8 @@
       models: Names of the models that the engines serve.
       chunk_count: Number of chunks in one version of the weights.
       chunk_bytes: Size of a chunk, in bytes.
+      kv_capacity_tokens: Limit on the tokens of prompts and answers of the requests that an engine
+        holds, above which it crashes; 0 for none.
     """
 
     slots: int
@@ -180,6 +182,7 @@
     models: tuple[str, ...]
     chunk_count: int
     chunk_bytes: int
+    kv_capacity_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -101,6 +101,13 @@
     "entry.heard": kind("{entry} was discovered", "entry", "ready"),
     "entry.leaving": kind("drain started with {in_flight} requests in flight", "in_flight"),
     "entry.left": kind("drain ended with {in_flight} requests in flight", "in_flight"),
+    "memory.enough": kind("memory is available again: {held} of {limit} bytes are held", "held"),
+    "memory.short": kind(
+        "no memory for more bytes of kind {purpose}: {held} are held, {limit} allowed",
+        "purpose",
+        "held",
+        "limit",
+    ),
     "peer.told": kind(
         "{items} newer items of the store were received from another process",
         "after",
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -48,6 +48,12 @@
 LATE_STARTS = Counter(
     "verbenaward_late_starts_total", "First events from weights older than required"
 )
+BUFFERED_BYTES = Gauge(
+    "verbenaward_buffered_bytes", "Bytes held for slow callers and backends", ["purpose"]
+)
+MEMORY_REFUSALS = Counter(
+    "verbenaward_memory_refusals_total", "Bytes that were refused for lack of memory", ["purpose"]
+)
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -64,6 +64,7 @@
       backend: Its registration.
       running: Requests of this process in flight there.
       prompt_tokens: Prompt tokens of those that have no first event yet.
+      held_tokens: Tokens of their prompts and expected answers.
       remote_loads: Load of each other entry process, by its name.
       backoff_until: Time until which it is used only if no other backend is left.
       excluded_until: Time until which it is excluded: it loads weights, or another incarnation
@@ -86,6 +87,7 @@
     backend: Backend
     running: int = 0
     prompt_tokens: int = 0
+    held_tokens: int = 0
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     backoff_until: float = 0.0
     excluded_until: float = 0.0
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -12,6 +12,7 @@
 from ..requests.refusals import not_run
 from .backends import BackendView, first_event_seconds, residence_seconds
 from .caller_retries import CallerRetryDetector
+from .engine_memory import fits, is_too_large
 from .fleet import Fleet
 from .peer_groups import PeerGroup
 from .request_types import Request
@@ -124,7 +125,7 @@
         """Return every backend that may run a request, with its cost."""
         choices = []
         for view in self.fleet.usable(request.service, now):
-            if view.is_excluded(now):
+            if view.is_excluded(now) or not fits(view, request, now):
                 continue
             seconds = self.expected_seconds(view, request, now)
             latest_start = now + START_SLACK_SECONDS + START_FACTOR * seconds
@@ -215,6 +216,9 @@
 
         If pauses or limits keep it from all of them, it says when the first one may be used.
         """
+        if is_too_large(request):
+            message = "prompt and answer do not fit into the memory of an engine"
+            return not_run(413, "too-large", message)
         pause = self.fleet.seconds_until_available(request.service, now)
         if pause and self.fleet.has_limited(request.service):
             wait = max(OVERLOAD_RETRY_AFTER_SECONDS, pause)
@@ -223,6 +227,11 @@
         if pause:
             wait = pause * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             return not_run(503, "paused", "all backends have asked for a pause", wait)
+        usable = self.fleet.usable(request.service, now)
+        if usable and not any(fits(view, request, now) for view in usable):
+            message = "the memory of all engines is in use"
+            wait = OVERLOAD_RETRY_AFTER_SECONDS
+            return self.retry_later("engine-memory", message, wait, OVERLOAD_RETRY_SPREAD)
         # 0.8 s before the random extension.
         return self.retry_later("no-backend", "no backend is available", 0.8)
 
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -1,6 +1,6 @@
 """Data classes of a request and of its attempts at backends."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -8,6 +8,7 @@
 from .. import metrics
 from ..data import EngineProfile, Refusal, Route
 from ..platform.request_headers import CallerHeaders
+from .memory_budget import HeldBytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,7 @@
         or the timeout of the route ends, whichever is earlier.
       fingerprint: Hash of the content of the request, without its id.
       part_keys: Hashes of the parts of its prompt that other requests may share.
+      held: Bytes that this process holds for it.
     """
 
     headers: CIMultiDictProxy[str]
@@ -46,6 +48,7 @@
     deadline: float
     fingerprint: bytes
     part_keys: tuple[bytes, ...] = ()
+    held: HeldBytes = field(default_factory=HeldBytes, compare=False)
 
     @property
     def crash_keys(self) -> tuple[bytes, ...]:
@@ -64,7 +67,8 @@
     UNREACHABLE: no connection. NOT_RUN: the backend proved that it did not run the request. FULL:
     it refused for lack of capacity. BROKEN: the connection broke, as it does if the backend
     crashes. INVALID: it sent what is no answer to the request, or one that is too long. SILENT: no
-    answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried.
+    answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried. UNREAD:
+    a stream that its caller had not read for long broke; the backend is not to blame.
     """
 
     UNREACHABLE = "unreachable"
@@ -74,6 +78,7 @@
     INVALID = "invalid"
     SILENT = "silent"
     SERVER_ERROR = "server-error"
+    UNREAD = "unread"
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -100,9 +100,23 @@
         models=tuple(str(model["name"]) for model in item.get("model_list") or ()),
         chunk_count=int(item.get("chunk_count") or 0),
         chunk_bytes=int(item.get("chunk_size_bytes") or 0),
+        kv_capacity_tokens=parse_capacity(item.get("kv_capacity_tokens")),
     )
 
 
+def parse_capacity(value: Any) -> int:
+    """Parse the tokens that fit into an engine; 0 if the value is absent.
+
+    Raises:
+      ValueError: It is negative or no whole number.
+    """
+    if value is None:
+        return 0
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"kv_capacity_tokens is {value!r}")
+    return value
+
+
 def parse_workspace(item: dict[str, Any]) -> WorkspaceDeclaration:
     """Parse one workspace."""
     priority = item.get("priority")
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -83,6 +83,7 @@
     retry_extra: float = 30
     retry_window_seconds: float = 10
     pulse_bytes_per_second: int = 6000
+    memory_megabytes: float = 0
 
 
 @dataclass(frozen=True)
