Bound the bytes held for callers and backends that read slowly

Cause: a stream whose caller did not read for 1.2 s was sent to a second backend and its backend was backed off; bodies and whole answers were bounded each, not in sum; a whole answer that is not read was held for as long as the connection stayed open. Change: with a memory limit, the buffers of each connection are small, a stream is paused at its backend without a time-out, a break after a pause is not blamed on the backend, bodies are counted as they arrive, and a whole answer is abandoned after 10 s without progress.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -18,6 +18,8 @@
 """Events of a complete stream."""
 WORK_SECONDS = 0.005
 """Time until a response or to the next event, unless the mode is "slow"."""
+SEND_BUFFER_BYTES = 64 * 1024
+"""Send buffer of a connection whose events are padded."""
 ENDLESS_BLOCK_BYTES = 64 * 1024
 """Bytes that a backend without end to its answer sends at a time."""
 ENDLESS = {
@@ -52,6 +54,10 @@
         once the deadline of the request has passed in the queue), "crashing" (a request that
         begins to run ends the process, see `crash`) or one of ENDLESS.
       endless_bytes: Bytes sent in such a mode so far.
+      padding: Text that lengthens each whole answer and each event of a stream.
+      stream_events: Events of a complete stream.
+      sent_events: Events of streams sent so far.
+      unread_seconds: Time after which it cuts off a stream that is not read; None for never.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
       restart_seconds: Time after which it is back after a crash, in seconds.
       crashes: Number of crashes so far.
@@ -107,6 +113,10 @@
         self.arrivals: list[float] = []
         self.arrival_ids: list[str] = []
         self.named_limits: list[tuple[float, str]] = []
+        self.padding = ""
+        self.stream_events = STREAM_EVENTS
+        self.sent_events = 0
+        self.unread_seconds: float | None = None
         self.crashing_part = ""
         self.endless_bytes = 0
         self.restart_seconds = 0.1
@@ -232,7 +242,7 @@
             return web.Response(status=500, headers=headers, text="failed")
         if request.path.startswith("/stream"):
             return await self.stream(request, headers)
-        body = f"{self.identity} ran {attempt}".encode() * 40
+        body = f"{self.identity} ran {attempt}".encode() * 40 + self.padding.encode()
         if self.mode in ("truncated", "unframed-reset"):
             return await self.broken_body(request, headers, body)
         return web.Response(headers=headers, body=body)
@@ -281,15 +291,22 @@
             await asyncio.sleep(WORK_SECONDS)
             await self.crash()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for index in range(first, STREAM_EVENTS + 1):
-            event = f"id: {index}\ndata: piece {index}\n\n".encode()
+        if self.padding:
+            limit_send_buffer(request)
+        for index in range(first, self.stream_events + 1):
+            event = f"id: {index}\ndata: piece {index}{self.padding}\n\n".encode()
             if self.mode == "truncated-event" and index == STREAM_EVENTS // 2:
                 await response.write(event[:6])
                 await asyncio.sleep(0.01)
                 reset_connection(request)
             if self.mode == "trickling" and index == STREAM_EVENTS // 2:
                 await trickle(response, b"data: " + b"x" * 600)
-            await response.write(event)
+            try:
+                async with asyncio.timeout(self.unread_seconds):
+                    await response.write(event)
+            except TimeoutError:
+                reset_connection(request)
+            self.sent_events += 1
             await asyncio.sleep(0.15 if self.mode == "slow" else WORK_SECONDS)
         await response.write_eof()
         return response
@@ -420,3 +437,10 @@
         connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         request.transport.abort()
     raise asyncio.CancelledError
+
+
+def limit_send_buffer(request: web.Request) -> None:
+    """Keep the send buffer of a connection small, so that an unread stream soon stops."""
+    assert request.transport is not None
+    connection_socket = request.transport.get_extra_info("socket")
+    connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -11,6 +11,7 @@
 from ..data import RouteKind
 from ..placement.backend_notices import IncarnationNotices
 from ..placement.backends import BackendView
+from ..placement.engine_memory import counted_tokens
 from ..placement.placer import Choice, Placer, may_have_run_refusal, rank_of
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
@@ -227,7 +228,7 @@
         view.record_started(0)
         self.load_changed()
         try:
-            with self.crashes.counted_run(*request.crash_keys):
+            with self.crashes.counted_run(*request.crash_keys), counted_tokens(view, request):
                 result = await send_and_read(
                     self.session,
                     request,
@@ -308,6 +309,8 @@
         progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
             view.record_full(now)
+        elif failed.failure is FailureKind.UNREAD:
+            pass  # The caller read too slowly; the backend is not to blame.
         elif failed.failure is FailureKind.NOT_RUN:
             if choice.version:
                 view.record_weights_mismatch(now)
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -7,12 +7,14 @@
 from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..placement.fleet import Fleet
+from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from .crash_tracker import fingerprint_of, part_keys_of
 from .forwarding import Forwarder, is_stream
+from .slow_readers import raise_refusal, write_whole_answer
 from .streams import CallerGoneError, StreamCutError, StreamForwarder
 
 DEFAULT_DEADLINE_SECONDS = 60.0
@@ -32,15 +34,19 @@
       fleet: Configuration and backends.
       forwarder: Runs requests that are not streams.
       streams: Runs streams.
+      memory: Limits the bytes held for callers and backends.
       in_flight: Number of requests in progress.
       leaving: True once the process has been told to stop.
       closed: True once new requests are refused.
     """
 
-    def __init__(self, fleet: Fleet, forwarder: Forwarder) -> None:
+    def __init__(
+        self, fleet: Fleet, forwarder: Forwarder, memory: MemoryBudget | None = None
+    ) -> None:
         self.fleet = fleet
         self.forwarder = forwarder
         self.streams = StreamForwarder(forwarder)
+        self.memory = memory or MemoryBudget()
         fleet.version_listeners.append(lambda *_: self.streams.limit_waiting(clock.now()))
         self.in_flight = 0
         self.leaving = False
@@ -49,26 +55,47 @@
     async def handle(self, caller: web.Request) -> web.StreamResponse:
         """Handle a request of a caller: answer, refuse, or abort its connection."""
         self.in_flight += 1
+        held = HeldBytes(self.memory)
         try:
-            response = await self.answer(caller)
+            response = await self.answer(caller, held)
+            await self.finish(caller, response, held)
         except RefusedError as error:
             response = refusal_response(error.refusal)
         except (StreamCutError, CallerGoneError):
             abort_connection(caller)
             raise asyncio.CancelledError from None
         finally:
+            held.release()
             self.in_flight -= 1
         if self.leaving and not response.prepared:
             response.force_close()
         return response
 
-    async def answer(self, caller: web.Request) -> web.StreamResponse:
+    async def finish(
+        self, caller: web.Request, response: web.StreamResponse, held: HeldBytes
+    ) -> None:
+        """Write an answer whose bytes are counted, before they are released.
+
+        Raises:
+          CallerGoneError: The caller closed its connection or does not read.
+        """
+        if not self.memory.is_limited or not isinstance(response, web.Response):
+            return
+        held.drop(Purpose.REQUEST_BODY)
+        if self.leaving:
+            response.force_close()
+        try:
+            await write_whole_answer(caller, response)
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
+
+    async def answer(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
         """Find the route of a request, run it and record its metrics.
 
         Raises:
           RefusedError: No backend answered it.
         """
-        request = await self.accept(caller)
+        request = await self.accept(caller, held)
         labels = labels_of(request)
         started = clock.now()
         verdict = Verdict.RAN.value
@@ -79,6 +106,8 @@
                 result = await self.forwarder.run(request)
         except RefusedError as error:
             verdict = error.refusal.verdict.value
+            if error.refusal.reason == MEMORY_REASON:
+                self.forwarder.log.refused(request, error.refusal, None)
             raise
         finally:
             metrics.REQUESTS.labels(*labels, verdict).inc()
@@ -87,7 +116,7 @@
             return web.Response(status=result.status, headers=result.headers, body=result.body)
         return result
 
-    async def accept(self, caller: web.Request) -> Request:
+    async def accept(self, caller: web.Request, held: HeldBytes) -> Request:
         """Read a request and find its route and workspace.
 
         Raises:
@@ -95,31 +124,34 @@
         """
         received_at = clock.now()
         try:
-            body = await self.read_body(caller)
+            body = await self.read_body(caller, held)
             if self.closed:
                 raise RefusedError(not_run(503, "leaving", "this process is stopping", 0.01))
-            return self.build_request(caller, body, received_at)
+            return self.build_request(caller, body, received_at, held)
         except RefusedError as error:
             request_id = read_caller_headers(caller.headers).request_id
             self.forwarder.log.refused_early(request_id, error.refusal)
             raise
 
-    async def read_body(self, caller: web.Request) -> bytes:
+    async def read_body(self, caller: web.Request, held: HeldBytes) -> bytes:
         """Return the body of a request.
 
         Raises:
-          RefusedError: The body is too large or arrives too slowly.
+          RefusedError: The body is too large, does not fit into the memory of the process or
+            arrives too slowly.
         """
         if not caller.body_exists:
             return b""
         table = self.fleet.table
         # 4 MiB while no configuration is known.
         limit = table.configuration.limits.max_body_bytes if table else 4 * 1024 * 1024
+        raise_refusal(self.memory.check_body(bounded_length(caller.content_length, limit)))
         parts: list[bytes] = []
         size = 0
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
                 async for part in caller.content.iter_any():
+                    raise_refusal(held.add(Purpose.REQUEST_BODY, COPIES * len(part)))
                     parts.append(part)
                     size += len(part)
                     if size > limit:
@@ -132,7 +164,9 @@
             ) from None
         return b"".join(parts)
 
-    def build_request(self, caller: web.Request, body: bytes, received_at: float) -> Request:
+    def build_request(
+        self, caller: web.Request, body: bytes, received_at: float, held: HeldBytes
+    ) -> Request:
         """Return the request with its route and workspace.
 
         Raises:
@@ -165,9 +199,15 @@
             deadline=received_at + remaining_seconds(parsed_headers, route.timeout_seconds),
             fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
             part_keys=part_keys_of(service, parsed_headers.prompt_parts),
+            held=held,
         )
 
 
+def bounded_length(declared_bytes: int | None, limit: int) -> int | None:
+    """Return the length that a request states, up to the limit on it; None if it states none."""
+    return None if declared_bytes is None else min(declared_bytes, limit)
+
+
 def path_of(caller: web.Request) -> str:
     """Return path and query as received; scheme and host of an absolute URL are removed."""
     raw = caller.raw_path
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from aiohttp import web
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Success
 
 from .. import clock
@@ -11,6 +12,7 @@
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..logs import get_logger
 from ..placement.fleet import Fleet
+from ..placement.memory_budget import MemoryBudget, capacity_of
 from ..placement.placer import Placer
 from ..platform.key_value import Position
 from ..platform.names import ALL_KEYS_PREFIX, DIRECTORY_PATH, ENTRY_PREFIX, READINESS_PATH
@@ -40,6 +42,7 @@
 from .peer_table import STORE_DOWN_SECONDS
 from .request_log import RequestLog
 from .sending import backend_session
+from .slow_readers import READ_BUFFER_BYTES
 from .state_exchange import StateExchange
 
 LOG = get_logger(__name__)
@@ -74,6 +77,7 @@
       fleet: Configuration, backends and weights versions derived from `replica`.
       exchange: State broadcasts to and from the other entry processes.
       membership: Keeps the peer group of this process up to date.
+      memory: Limits the bytes held for callers and backends.
       front: Accepts requests of callers.
       store_restored: Set when the store was restored from a copy, which may lack the registration.
     """
@@ -82,7 +86,8 @@
         self.settings = settings
         self.direct = direct
         self.session = platform_session()
-        self.backend_session = backend_session()
+        self.memory = MemoryBudget(capacity_of(direct.memory_megabytes))
+        self.backend_session = backend_session(self.memory.is_limited)
         self.store = leasing_store(settings, self.session)
         self.replica = StoreReplica()
         self.fleet = Fleet(self.replica, clock.now())
@@ -125,6 +130,7 @@
                 self.exchange.signal_load_change,
                 self.exchange.limits.admits,
             ),
+            self.memory,
         )
         self.relay = ChunkRelay(settings, self.fleet, self.exchange, self.session, self.store)
         self.store_restored = asyncio.Event()
@@ -135,7 +141,8 @@
     async def start(self) -> None:
         """Open all listeners and start all tasks."""
         await self.exchange.open()
-        await self.listen(self.direct.front, self.front_application())
+        read_buffer = READ_BUFFER_BYTES if self.memory.is_limited else DEFAULT_CHUNK_SIZE
+        await self.listen(self.direct.front, self.front_application(), read_buffer)
         await self.listen(self.direct.readiness, self.readiness_application())
         await self.listen(self.direct.directory, self.directory_application())
         await self.listen(self.settings.listen, self.control_application())
@@ -149,8 +156,10 @@
         ):
             self.tasks.append(asyncio.create_task(work))
 
-    async def listen(self, address: str, application: web.Application) -> None:
-        """Serve an application at an address."""
+    async def listen(
+        self, address: str, application: web.Application, read_buffer: int = DEFAULT_CHUNK_SIZE
+    ) -> None:
+        """Serve an application at an address, with a read buffer for each connection."""
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -158,6 +167,7 @@
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=MAXIMUM_HEADER_BYTES,
             max_field_size=MAXIMUM_HEADER_BYTES,
+            read_bufsize=read_buffer,
             shutdown_timeout=0.1,
         )
         await runner.setup()
@@ -318,6 +328,7 @@
         placer = self.front.forwarder.placer
         placer.zone, placer.regions = settings.zone, direct.zones
         placer.version_seconds = direct.version_seconds
+        self.memory.capacity_bytes = capacity_of(direct.memory_megabytes)
         self.budget.ratio, self.budget.extra = direct.retry_ratio, direct.retry_extra
         self.budget.window_seconds = direct.retry_window_seconds
 
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 from yarl import URL
@@ -15,6 +16,7 @@
 from .. import clock
 from ..http_client import send_once
 from ..placement.backends import BackendView
+from ..placement.memory_budget import COPIES, HeldBytes, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
 from ..platform.request_headers import (
     BackendHeaders,
@@ -28,6 +30,7 @@
     read_backend_notice,
 )
 from ..sockets import keepalive_socket
+from .slow_readers import READ_BUFFER_BYTES, raise_refusal, small_buffer_socket
 
 CONNECT_SECONDS = 0.4
 """Timeout for a connection to a backend. A request that is still connecting when its backend asks
@@ -67,14 +70,18 @@
         return self
 
 
-def backend_session() -> aiohttp.ClientSession:
+def backend_session(has_memory_limit: bool = False) -> aiohttp.ClientSession:
     """Return the HTTP client for backends, which never reuses a connection.
 
     On a reused connection, bytes that a backend sends after an answer could be taken for the next
     answer, and the backend could close it while a request is on its way.
+
+    Args:
+      has_memory_limit: True to keep the buffers of each connection small.
     """
+    socket_factory = small_buffer_socket if has_memory_limit else keepalive_socket
     connector = aiohttp.TCPConnector(
-        limit=0, force_close=True, socket_factory=keepalive_socket, use_dns_cache=False
+        limit=0, force_close=True, socket_factory=socket_factory, use_dns_cache=False
     )
     return aiohttp.ClientSession(
         connector=connector,
@@ -85,6 +92,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         max_line_size=LARGEST_HEADER_BYTES,
         max_field_size=LARGEST_HEADER_BYTES,
+        read_bufsize=READ_BUFFER_BYTES if has_memory_limit else DEFAULT_CHUNK_SIZE,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
     )
 
@@ -214,17 +222,39 @@
             async with send_request(session, request, view, values, record_notice) as result:
                 if not isinstance(result, Success):
                     return Failed(result.failure())
-                return await read_answer(result.unwrap())
+                return await read_answer(result.unwrap(), request.held)
     except TimeoutError:
         message = f"no answer within {wait_seconds:.3f} s"
         return Failed(FailedAttempt(FailureKind.SILENT, True, message))
 
 
-async def read_answer(response: aiohttp.ClientResponse) -> Result[WholeAnswer, FailedAttempt]:
-    """Read the body of an answer; one that is truncated or too long is a failed attempt."""
+async def read_answer(
+    response: aiohttp.ClientResponse, held: HeldBytes
+) -> Result[WholeAnswer, FailedAttempt]:
+    """Read the body of an answer; one that is truncated or too long is a failed attempt.
+
+    Raises:
+      RefusedError: The process has no memory for it.
+    """
+    held_before = held.held[Purpose.ANSWER]
+    result = await read_whole_answer(response, held)
+    if not isinstance(result, Success):
+        held.put(Purpose.ANSWER, held_before)
+    return result
+
+
+async def read_whole_answer(
+    response: aiohttp.ClientResponse, held: HeldBytes
+) -> Result[WholeAnswer, FailedAttempt]:
+    """Read the body of an answer, and count its bytes.
+
+    Raises:
+      RefusedError: The process has no memory for it.
+    """
     body = bytearray()
     try:
         async for piece in response.content.iter_any():
+            raise_refusal(held.add(Purpose.ANSWER, COPIES * len(piece)))
             body += piece
             if len(body) > LARGEST_ANSWER_BYTES:
                 message = f"the answer is longer than {LARGEST_ANSWER_BYTES} bytes"
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -15,6 +15,8 @@
 from returns.result import Success
 
 from .. import clock, metrics
+from ..placement.engine_memory import counted_tokens
+from ..placement.memory_budget import MEMORY_REASON, HeldBytes, Purpose
 from ..placement.placer import Choice
 from ..placement.request_types import (
     FailedAttempt,
@@ -28,6 +30,14 @@
 from ..requests.events import EVENT_END
 from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
 from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
+from .slow_readers import (
+    PAUSED_STREAM_BYTES,
+    UNREAD_SECONDS,
+    WRITE_BUFFER_BYTES,
+    buffered_bytes,
+    limit_send_buffers,
+    raise_refusal,
+)
 
 ID_FIELD = b"id:"
 OK = 200
@@ -62,38 +72,82 @@
       last_event_id: Id of the last event forwarded.
       writes: Number of writes to the caller so far, each of one or more whole events.
       partial_event: Bytes received after the last whole event.
+      held: Bytes held for the request.
+      paused_seconds: Time for which the present attempt was paused as the caller did not read.
     """
 
     caller: web.Request
+    held: HeldBytes
     response: web.StreamResponse | None = None
     last_event_id: str = ""
     writes: int = 0
     partial_event: bytes = field(default=b"")
+    paused_seconds: float = 0.0
 
     async def open(self, headers: CIMultiDict[str]) -> None:
         """Send the headers of the first backend that answered to the caller."""
         self.response = web.StreamResponse(status=OK, headers=headers)
+        if self.held.budget.is_limited:
+            limit_send_buffers(self.caller)
         await self.response.prepare(self.caller)
 
-    async def forward_events(self, piece: bytes) -> bool:
-        """Forward the whole events received so far; return True if there was one."""
+    async def forward_events(self, piece: bytes, limit: asyncio.Timeout) -> bool:
+        """Forward the whole events received so far; return True if there was one.
+
+        Args:
+          piece: Bytes received.
+          limit: Timeout for the next event, which does not apply while the caller does not read.
+
+        Raises:
+          CallerGoneError: The caller has closed its connection.
+          RefusedError: The process has no memory for the events.
+        """
         self.partial_event += piece
         end = self.partial_event.rfind(EVENT_END)
         if end < 0:
             if len(self.partial_event) > LARGEST_EVENT_BYTES:
                 raise aiohttp.ClientPayloadError("an event is too long")
+            self.hold(len(self.partial_event))
             return False
         whole = self.partial_event[: end + len(EVENT_END)]
         self.partial_event = self.partial_event[end + len(EVENT_END) :]
         self.last_event_id = last_id_of(whole) or self.last_event_id
         self.writes += 1
-        assert self.response is not None
         try:
-            await self.response.write(whole)
+            await self.write(whole, limit)
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
+        self.hold(len(self.partial_event))
         return True
 
+    async def write(self, events: bytes, limit: asyncio.Timeout) -> None:
+        """Write events to the caller, and wait until most of them are on their way."""
+        assert self.response is not None
+        unsent = buffered_bytes(self.caller) if self.held.budget.is_limited else 0
+        if not self.held.budget.is_limited or unsent + len(events) <= WRITE_BUFFER_BYTES:
+            await self.response.write(events)
+            return
+        self.hold(PAUSED_STREAM_BYTES + unsent + len(events))
+        until, started = limit.when(), clock.now()
+        limit.reschedule(None)
+        await self.response.write(events)
+        await self.caller.writer.drain()
+        limit.reschedule(until)
+        self.paused_seconds += clock.now() - started
+
+    def hold(self, size: int) -> None:
+        """Count the bytes that are held now.
+
+        Raises:
+          RefusedError: The process has no room for them.
+        """
+        raise_refusal(self.held.put(Purpose.STREAM, size))
+
+    def broken(self, message: str) -> FailedAttempt:
+        """Return the failure of an answer that broke; a caller that paused it is to blame."""
+        unread = self.paused_seconds >= UNREAD_SECONDS
+        return FailedAttempt(FailureKind.UNREAD if unread else FailureKind.BROKEN, True, message)
+
 
 def last_id_of(events: bytes) -> str:
     """Return the id of the last event that has one; empty if no event has an id."""
@@ -134,7 +188,7 @@
         """
         forwarder = self.forwarder
         progress = Progress()
-        delivery = Delivery(caller)
+        delivery = Delivery(caller, request.held)
         forwarder.budget.record_request(request.service, clock.now())
         try:
             async with asyncio.timeout(request.deadline - clock.now()):
@@ -145,6 +199,8 @@
             return forwarder.finish_timed_out(request, progress)
         except RefusedError as error:
             if delivery.response is not None:
+                if error.refusal.reason == MEMORY_REASON:
+                    forwarder.log.refused(request, error.refusal, None)
                 raise StreamCutError(error.refusal.message) from None
             raise
         except asyncio.CancelledError:
@@ -188,10 +244,12 @@
             values = resumed_after(values, delivery.last_event_id)
         forwarder.log.sent(request, choice, progress.sends)
         delivery.partial_event = b""
+        delivery.paused_seconds = 0.0
         attempt = StreamAttempt(forwarder, choice, request, now)
         try:
             async with contextlib.AsyncExitStack() as stack:
                 stack.enter_context(forwarder.crashes.counted_run(*request.crash_keys))
+                stack.enter_context(counted_tokens(view, request))
                 limit = await stack.enter_async_context(asyncio.timeout(None))
                 timeout = self.first_event_timeout(request, progress, choice, now)
                 if timeout is not None:
@@ -247,15 +305,15 @@
             await delivery.open(headers_for_caller(answer.headers))
         try:
             async for piece in answer.content.iter_any():
-                if await delivery.forward_events(piece):
+                if await delivery.forward_events(piece, limit):
                     attempt.on_event(weights_version(answer.headers))
                     self.clear_parts(request, progress)
                     can_fail_over = self.may_fail_over(request, progress)
                     limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
         except (aiohttp.ClientError, OSError) as error:
-            return FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}")
+            return delivery.broken(f"{type(error).__name__} {error}")
         if was_reset(answer) or delivery.partial_event:
-            return FailedAttempt(FailureKind.BROKEN, True, "the stream was cut off")
+            return delivery.broken("the stream was cut off")
         assert delivery.response is not None
         limit.reschedule(None)
         try:
@@ -283,7 +341,7 @@
         answer: aiohttp.ClientResponse,
     ) -> WholeAnswer | FailedAttempt:
         """Return an answer that is not a stream; a server error may be retried instead."""
-        read = await read_answer(answer)
+        read = await read_answer(answer, request.held)
         handled = read.bind(
             lambda whole: self.forwarder.handle_answer(request, progress, choice.view, whole)
         )
