--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -54,7 +54,7 @@
         once the deadline of the request has passed in the queue), "crashing" (a request that
         begins to run ends the process, see `crash`) or one of ENDLESS.
       endless_bytes: Bytes sent in such a mode so far.
-      padding: Text that lengthens each whole answer and each event of a stream.
+      padding: Text that lengthens each answer to a look-up and each event of a stream.
       stream_events: Events of a complete stream.
       sent_events: Events of streams sent so far.
       unread_seconds: Time after which it cuts off a stream that is not read; None for never.
@@ -242,7 +242,9 @@
             return web.Response(status=500, headers=headers, text="failed")
         if request.path.startswith("/stream"):
             return await self.stream(request, headers)
-        body = f"{self.identity} ran {attempt}".encode() * 40 + self.padding.encode()
+        body = f"{self.identity} ran {attempt}".encode() * 40
+        if request.path.startswith("/look"):
+            body += self.padding.encode()
         if self.mode in ("truncated", "unframed-reset"):
             return await self.broken_body(request, headers, body)
         return web.Response(headers=headers, body=body)
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -14,7 +14,7 @@
 from ..requests.refusals import not_run
 from .crash_tracker import fingerprint_of, part_keys_of
 from .forwarding import Forwarder, is_stream
-from .slow_readers import raise_refusal, write_whole_answer
+from .slow_readers import WRITE_BUFFER_BYTES, raise_refusal, write_whole_answer
 from .streams import CallerGoneError, StreamCutError, StreamForwarder
 
 DEFAULT_DEADLINE_SECONDS = 60.0
@@ -74,12 +74,16 @@
     async def finish(
         self, caller: web.Request, response: web.StreamResponse, held: HeldBytes
     ) -> None:
-        """Write an answer whose bytes are counted, before they are released.
+        """Write a long answer before its bytes are released.
+
+        A short one is left to aiohttp: it fits into the buffer of its connection.
 
         Raises:
           CallerGoneError: The caller closed its connection or does not read.
         """
-        if not self.memory.is_limited or not isinstance(response, web.Response):
+        if not isinstance(response, web.Response) or not self.memory.is_limited:
+            return
+        if (response.content_length or 0) <= WRITE_BUFFER_BYTES:
             return
         held.drop(Purpose.REQUEST_BODY)
         if self.leaving:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -328,7 +328,6 @@
         placer = self.front.forwarder.placer
         placer.zone, placer.regions = settings.zone, direct.zones
         placer.version_seconds = direct.version_seconds
-        self.memory.capacity_bytes = capacity_of(direct.memory_megabytes)
         self.budget.ratio, self.budget.extra = direct.retry_ratio, direct.retry_extra
         self.budget.window_seconds = direct.retry_window_seconds
 
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -24,7 +24,7 @@
 """Limit on the faults of a settings file in one log line."""
 FIXED_SETTINGS = ("role", "vm", "listen", "platform")
 """Settings that are applied at the start only."""
-FIXED_DIRECT_SETTINGS = ("front", "readiness", "directory", "engine")
+FIXED_DIRECT_SETTINGS = ("front", "readiness", "directory", "engine", "memory_megabytes")
 """Settings in the section direct that are applied at the start only."""
 
 
