--- a/tests/steps/slow_readers.py
+++ b/tests/steps/slow_readers.py
@@ -29,7 +29,7 @@
         self.reader, self.writer = await asyncio.open_connection(sock=connection, limit=1024)
         self.received = b""
         head = (
-            f"{line} HTTP/1.1\r\nHost: {CALLER_HOST}\r\nX-Attempt-Id: {line[-1]}\r\n"
+            f"{line} HTTP/1.1\r\nHost: {CALLER_HOST}\r\nX-Attempt-Id: {line.rpartition('/')[2]}\r\n"
             f"X-Deadline-Ms: 20000\r\nAuthorization: Bearer {API_KEY}\r\nX-Model: model\r\n"
             f"X-Token-Usage: 300,60\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
         )
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -11,7 +11,7 @@
 from ..data import RouteKind
 from ..placement.backend_notices import IncarnationNotices
 from ..placement.backends import BackendView
-from ..placement.engine_memory import counted_tokens
+from ..placement.engine_memory import counted_tokens, fits
 from ..placement.placer import Choice, Placer, may_have_run_refusal, rank_of
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
@@ -138,8 +138,9 @@
             choice = await self.available_choice(request, progress)
             notices = choice.view.notices
             is_granted = await self.is_send_granted(notices)
-            # While the grant was asked for, the backend may have asked for a pause.
-            if is_granted and notices.admits(clock.now()):
+            now = clock.now()
+            # While the grant was asked for, the backend may have asked for a pause or become full.
+            if is_granted and notices.admits(now) and fits(choice.view, request, now):
                 break
         if progress.sends and not self.budget.spend(request.service, clock.now()):
             self.give_up(request, progress, "the retry budget is used up")
--- a/verbenaward/direct/slow_readers.py
+++ b/verbenaward/direct/slow_readers.py
@@ -64,7 +64,7 @@
 def limit_send_buffers(caller: web.Request) -> None:
     """Keep the send buffers of a caller's connection small."""
     transport = caller.transport
-    if transport is None:
+    if transport is None or transport.is_closing():
         return
     transport.set_write_buffer_limits(WRITE_BUFFER_BYTES, WRITE_RESUME_BYTES)
     connection = transport.get_extra_info("socket")
@@ -80,7 +80,7 @@
 def unsent_bytes(caller: web.Request) -> int:
     """Return the bytes written to a caller that it has not acknowledged yet."""
     transport = caller.transport
-    if transport is None:
+    if transport is None or transport.is_closing():
         return 0
     connection = transport.get_extra_info("socket")
     queued = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
