Merge bounds for slow readers and the memory of engines

Cause: bytes held for callers and backends that read slowly had no bound, and the memory of engines was not part of placement.

--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -11,6 +11,7 @@
 from ..data import RouteKind
 from ..placement.backend_notices import IncarnationNotices
 from ..placement.backends import BackendView
+from ..placement.engine_memory import counted_tokens
 from ..placement.placer import Choice, Placer, may_have_run_refusal, rank_of
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
@@ -137,10 +138,9 @@
             choice = await self.available_choice(request, progress)
             notices = choice.view.notices
             is_granted = await self.is_send_granted(notices)
-            # While the grant was asked for, the backend may have asked for a pause, or its zone may
-            # have been evacuated.
-            is_usable = notices.admits(clock.now()) and self.placer.may_use(choice.view, request)
-            if is_granted and is_usable:
+            # While the grant was asked for, the backend may have asked for a pause or become full,
+            # or its zone may have been evacuated.
+            if is_granted and self.placer.is_usable(choice.view, request, clock.now()):
                 break
         if progress.sends and not self.budget.spend(request.service, clock.now()):
             self.give_up(request, progress, "the retry budget is used up")
@@ -233,7 +233,7 @@
         view.record_started(0)
         self.load_changed()
         try:
-            with self.crashes.counted_run(*request.crash_keys):
+            with self.crashes.counted_run(*request.crash_keys), counted_tokens(view, request):
                 result = await send_and_read(
                     self.session,
                     request,
@@ -314,6 +314,8 @@
         progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
             view.record_full(now)
+        elif failed.failure is FailureKind.UNREAD:
+            pass  # The caller read too slowly; the backend is not to blame.
         elif failed.failure is FailureKind.NOT_RUN:
             if choice.version:
                 view.record_weights_mismatch(now)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from aiohttp import web
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Success
 
 from .. import clock
@@ -12,6 +13,7 @@
 from ..logs import get_logger
 from ..metrics import WARMING_BACKENDS
 from ..placement.fleet import Fleet
+from ..placement.memory_budget import MemoryBudget, capacity_of
 from ..placement.placer import Placer
 from ..placement.regions import regions_of_host
 from ..platform.key_value import Position
@@ -43,6 +45,7 @@
 from .peer_table import STORE_DOWN_SECONDS
 from .request_log import RequestLog
 from .sending import backend_session
+from .slow_readers import READ_BUFFER_BYTES
 from .state_exchange import StateExchange
 
 LOG = get_logger(__name__)
@@ -77,6 +80,7 @@
       fleet: Configuration, backends and weights versions derived from `replica`.
       exchange: State broadcasts to and from the other entry processes.
       membership: Keeps the peer group of this process up to date.
+      memory: Limits the bytes held for callers and backends.
       front: Accepts requests of callers.
       store_restored: Set when the store was restored from a copy, which may lack the registration.
     """
@@ -85,7 +89,8 @@
         self.settings = settings
         self.direct = direct
         self.session = platform_session()
-        self.backend_session = backend_session()
+        self.memory = MemoryBudget(capacity_of(direct.memory_megabytes))
+        self.backend_session = backend_session(self.memory.is_limited)
         self.store = leasing_store(settings, self.session)
         self.replica = StoreReplica()
         self.fleet = Fleet(self.replica, clock.now())
@@ -130,6 +135,7 @@
                 self.exchange.signal_load_change,
                 self.exchange.limits.admits,
             ),
+            self.memory,
         )
         self.relay = ChunkRelay(settings, self.fleet, self.exchange, self.session, self.store)
         self.store_restored = asyncio.Event()
@@ -140,7 +146,8 @@
     async def start(self) -> None:
         """Open all listeners and start all tasks."""
         await self.exchange.open()
-        await self.listen(self.direct.front, self.front_application())
+        read_buffer = READ_BUFFER_BYTES if self.memory.is_limited else DEFAULT_CHUNK_SIZE
+        await self.listen(self.direct.front, self.front_application(), read_buffer)
         await self.listen(self.direct.readiness, self.readiness_application())
         await self.listen(self.direct.directory, self.directory_application())
         await self.listen(self.settings.listen, self.control_application())
@@ -154,8 +161,10 @@
         ):
             self.tasks.append(asyncio.create_task(work))
 
-    async def listen(self, address: str, application: web.Application) -> None:
-        """Serve an application at an address."""
+    async def listen(
+        self, address: str, application: web.Application, read_buffer: int = DEFAULT_CHUNK_SIZE
+    ) -> None:
+        """Serve an application at an address, with a read buffer for each connection."""
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -163,6 +172,7 @@
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=MAXIMUM_HEADER_BYTES,
             max_field_size=MAXIMUM_HEADER_BYTES,
+            read_bufsize=read_buffer,
             shutdown_timeout=0.1,
         )
         await runner.setup()
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -115,6 +115,13 @@
     "evacuation.unreadable": kind(
         "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
     ),
+    "memory.enough": kind("memory is available again: {held} of {limit} bytes are held", "held"),
+    "memory.short": kind(
+        "no memory for more bytes of kind {purpose}: {held} are held, {limit} allowed",
+        "purpose",
+        "held",
+        "limit",
+    ),
     "peer.told": kind(
         "{items} newer items of the store were received from another process",
         "after",
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -56,6 +56,12 @@
     "verbenaward_evacuated_zones", "Availability zones whose backends get no requests"
 )
 WARMING_BACKENDS = Gauge("verbenaward_warming_backends", "Cold backends to which a limit applies")
+BUFFERED_BYTES = Gauge(
+    "verbenaward_buffered_bytes", "Bytes held for slow callers and backends", ["purpose"]
+)
+MEMORY_REFUSALS = Counter(
+    "verbenaward_memory_refusals_total", "Bytes that were refused for lack of memory", ["purpose"]
+)
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -12,6 +12,7 @@
 from ..requests.refusals import not_run
 from .backends import BackendView, first_event_seconds, residence_seconds
 from .caller_retries import CallerRetryDetector
+from .engine_memory import fits, is_too_large
 from .fleet import Fleet
 from .overflow import Candidate, eligible
 from .peer_groups import PeerGroup
@@ -154,7 +155,7 @@
         """Return every backend that may run a request, with its cost."""
         choices = []
         for view in self.fleet.usable(request.service, now):
-            if view.is_excluded(now) or not self.may_use(view, request):
+            if not self.is_usable(view, request, now):
                 continue
             seconds = self.expected_seconds(view, request, now)
             latest_start = now + START_SLACK_SECONDS + START_FACTOR * seconds
@@ -168,6 +169,12 @@
                 )
         return choices
 
+    def is_usable(self, view: BackendView, request: Request, now: float) -> bool:
+        """Return True if a backend may run a request now, whatever weights it holds."""
+        return (
+            not view.is_excluded(now) and self.may_use(view, request) and fits(view, request, now)
+        )
+
     def may_use(self, view: BackendView, request: Request) -> bool:
         """Return True if a request is allowed in a backend's region, and its zone not evacuated."""
         zone = view.backend.zone
@@ -269,6 +276,9 @@
 
         If pauses or limits keep it from all of them, it says when the first one may be used.
         """
+        if is_too_large(request):
+            message = "prompt and answer do not fit into the memory of an engine"
+            return not_run(413, "too-large", message)
         pause = self.seconds_until_available(request, now)
         if pause and self.fleet.has_limited(
             request.service, now, lambda view: self.may_use(view, request)
@@ -279,6 +289,11 @@
         if pause:
             wait = pause * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             return not_run(503, "paused", "all backends have asked for a pause", wait)
+        usable = self.fleet.usable(request.service, now)
+        if usable and not any(fits(view, request, now) for view in usable):
+            message = "the memory of all engines is in use"
+            wait = OVERLOAD_RETRY_AFTER_SECONDS
+            return self.retry_later("engine-memory", message, wait, OVERLOAD_RETRY_SPREAD)
         # 0.8 s before the random extension.
         if request.regions is not None:
             message = "no backend is available in the allowed regions"
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -1,6 +1,6 @@
 """Data classes of a request and of its attempts at backends."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -8,6 +8,7 @@
 from .. import metrics
 from ..data import EngineProfile, Refusal, Route
 from ..platform.request_headers import CallerHeaders
+from .memory_budget import HeldBytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,7 @@
       fingerprint: Hash of the content of the request, without its id.
       part_keys: Hashes of the parts of its prompt that other requests may share.
       regions: Regions in which it may be served; None for any.
+      held: Bytes that this process holds for it.
     """
 
     headers: CIMultiDictProxy[str]
@@ -48,6 +50,7 @@
     fingerprint: bytes
     part_keys: tuple[bytes, ...] = ()
     regions: frozenset[str] | None = None
+    held: HeldBytes = field(default_factory=HeldBytes, compare=False)
 
     @property
     def crash_keys(self) -> tuple[bytes, ...]:
@@ -66,7 +69,8 @@
     UNREACHABLE: no connection. NOT_RUN: the backend proved that it did not run the request. FULL:
     it refused for lack of capacity. BROKEN: the connection broke, as it does if the backend
     crashes. INVALID: it sent what is no answer to the request, or one that is too long. SILENT: no
-    answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried.
+    answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried. UNREAD:
+    a stream that its caller had not read for long broke; the backend is not to blame.
     """
 
     UNREACHABLE = "unreachable"
@@ -76,6 +80,7 @@
     INVALID = "invalid"
     SILENT = "silent"
     SERVER_ERROR = "server-error"
+    UNREAD = "unread"
 
 
 @dataclass(frozen=True, slots=True)
