--- a/verbenaward/weight_loading/entry_poller.py
+++ b/verbenaward/weight_loading/entry_poller.py
@@ -61,6 +61,7 @@
                 continue
             self.last_answer_at = clock.now()
             self.replica.apply(changes, self.last_answer_at)
+            self.replica.drop_kept_evacuations(self.replica.current_at, self.last_answer_at)
 
     def entries(self) -> list[str]:
         """Return the addresses of entry processes, the preferred one first."""
