--- a/tests/direct/warm_up.feature
+++ b/tests/direct/warm_up.feature
@@ -14,6 +14,7 @@
       | count | engines | demand | seconds | event                      | start | share | late | messages | mean | most  |
       | 46    | 15      | 310    | 3       | all is well                | 0     | 0.5   | 0.5  | 16       | 1900 | 7000  |
       | 46    | 15      | 500    | 3       | all is well                | 0     | 0.8   | 0.5  | 64       | 7500 | 26000 |
+      | 46    | 8       | 310    | 3       | all is well                | 0     | 0.8   | 0.5  | 44       | 5000 | 18000 |
       | 8     | 4       | 200    | 20      | an owner is killed         | 0     | 0.8   | 8    | 64       | 7500 | 26000 |
       | 46    | 4       | 200    | 20      | an owner is killed         | 0     | 0.8   | 8    | 64       | 7500 | 26000 |
       | 46    | 4       | 200    | 20      | an owner returns           | 0     | 0.8   | 11   | 64       | 7500 | 26000 |
--- a/tests/placement/warm_up.feature
+++ b/tests/placement/warm_up.feature
@@ -10,12 +10,19 @@
       | service      | 26      | 26        |
       | service      | -1      | malformed |
       | service      | "26"    | malformed |
+      | service      | true    | malformed |
+      | registration | missing | 0         |
       | registration | null    | 0         |
+      | registration | 0       | 0         |
       | registration | 1500.5  | 1.5005    |
+      | registration | "1500"  | malformed |
+      | registration | -1      | malformed |
       | registration | true    | malformed |
+      | registration | {}      | malformed |
       | registration | 1e300   | malformed |
       | answer       | 2500    | 2.5       |
       | answer       | -1      | 0         |
+      | answer       | soon    | 0         |
 
   Scenario: The lower of a named limit and the rate applies, and nothing ends a warm-up early
     Given a backend registered as cold for 3 s, of a service that takes 26 a second
@@ -27,3 +34,4 @@
     Given a backend registered as cold for 3 s, of a service that takes 26 a second
     Then a process that finds it so at its start keeps to the rate, and does not tell the owner
     And a warm-up of another zone changes nothing, one of its zone begins anew
+    And a configuration without a rate, or with 0, ends the limit
--- a/tests/steps/limit_owners.py
+++ b/tests/steps/limit_owners.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 from collections import Counter
+from functools import partial
 from itertools import pairwise
 from unittest import mock
 
@@ -304,8 +305,10 @@
     context.ended = context.started + seconds
     simulation.sent.clear()
     if event == "their zone comes back":
-        for entry in simulation.network.entries:
-            entry.exchange.fleet.start_warm_up("z", context.started)
+        # They learn one after the other that the evacuation has ended.
+        for index, entry in enumerate(simulation.network.entries):
+            start = partial(entry.exchange.fleet.start_warm_up, "z", context.started + 0.01 * index)
+            simulation.network.after(0.01 * index, start)
     elif event == "the owner has not heard it":
         simulation.tell_all_but_owner(seconds)
     else:
--- a/tests/steps/warm_up.py
+++ b/tests/steps/warm_up.py
@@ -37,12 +37,13 @@
         assert read_backend_notice(421, headers).cold_seconds == 0
         assert read_backend_notice(200, headers).cold_seconds == float(outcome)
         return
+    field = {"service": "cold_per_s", "registration": "cold_remaining_ms"}[document]
+    text = "" if value == "missing" else f', "{field}": {value}'
     if document == "service":
-        text = "" if value == "missing" else f', "cold_per_s": {value}'
         parsed = parse_configuration(configuration_of(text))
         found = parsed.map(lambda item: item.services[0].cold_per_second)
     else:
-        parsed = parse_backend(registration_of(f', "cold_remaining_ms": {value}'))
+        parsed = parse_backend(registration_of(text))
         found = parsed.map(lambda item: item.cold_seconds)
     if outcome == "malformed":
         assert isinstance(found, Failure), found
@@ -103,3 +104,14 @@
     for zone, expected in (("other", math.inf), ("z", 26)):
         context.fleet.start_warm_up(zone, NOW + 2)
         assert context.notices.limit_per_second(NOW + 4.9) == expected
+
+
+@then("a configuration without a rate, or with 0, ends the limit")
+def no_rate(context):
+    for text, is_limited in (
+        ("", False),
+        (', "cold_per_s": 9', True),
+        (', "cold_per_s": 0', False),
+    ):
+        context.fleet.apply_item(configuration_of(text), NOW + 2)
+        assert context.fleet.has_limited("s", NOW + 2) == is_limited, text
