Warm-up after an evacuation: the scenario goes through the store's key

Cause: the scenario called the warm-up directly, so it did not show that the end of an evacuation starts it. Change: it writes and deletes the key of the zone.

--- a/tests/placement/warm_up.feature
+++ b/tests/placement/warm_up.feature
@@ -33,5 +33,5 @@
   Scenario: What a process finds at its start limits its own sends only, and a returned zone all
     Given a backend registered as cold for 3 s, of a service that takes 26 a second
     Then a process that finds it so at its start keeps to the rate, and does not tell the owner
-    And a warm-up of another zone changes nothing, one of its zone begins anew
+    And the end of an evacuation of its zone begins a warm-up, that of another zone does not
     And a configuration without a rate, or with 0, ends the limit
--- a/tests/steps/warm_up.py
+++ b/tests/steps/warm_up.py
@@ -14,6 +14,7 @@
 from verbenaward.placement.fleet import Fleet
 from verbenaward.platform.declarations import parse_backend, parse_configuration
 from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.names import EVACUATION_PREFIX
 from verbenaward.platform.request_headers import read_backend_notice
 from verbenaward.replica.store_replica import StoreReplica
 
@@ -99,10 +100,12 @@
     assert found.limit_per_second(NOW) == 26 and report_of(found, NOW).cold_ms == 0
 
 
-@then("a warm-up of another zone changes nothing, one of its zone begins anew")
+@then("the end of an evacuation of its zone begins a warm-up, that of another zone does not")
 def zones_return(context):
     for zone, expected in (("other", math.inf), ("z", 26)):
-        context.fleet.start_warm_up(zone, NOW + 2)
+        for revision, value in ((5, b"{}"), (6, b"")):
+            entry = KeyValueEntry(EVACUATION_PREFIX + zone, value, revision)
+            context.fleet.apply_item(entry, NOW + 2)
         assert context.notices.limit_per_second(NOW + 4.9) == expected
 
 
