Levels of urgency in the forecast and in the engine's queue

Requests of all priorities were forecast and queued alike, so a class with a long target was admitted where a more urgent one with a short target was refused. The placement simulation gets a deployment with three priorities and bursts of single classes. Requests get a level from the priorities of their service; the forecast counts what is served before them, and the rank in the engine's queue starts with the level.

--- a/bench/placement_policies.py
+++ b/bench/placement_policies.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from verbenaward.placement.backends import BackendView
 from verbenaward.placement.fleet import Fleet
 from verbenaward.placement.peer_groups import PeerGroup
-from verbenaward.placement.placer import Placer
+from verbenaward.placement.placer import Choice, Placer
 from verbenaward.placement.request_types import Request
 from verbenaward.registry import Registry
 
@@ -18,8 +17,8 @@
 class PlacementPolicy(Protocol):
     """Chooses backends for the requests of one entry process."""
 
-    def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
-        """Return the backend and 0; if refused, None and the seconds until a retry."""
+    def place(self, request: Request, now: float) -> tuple[Choice | None, float]:
+        """Return the choice and 0; if refused, None and the seconds until a retry."""
         ...
 
 
@@ -37,13 +36,13 @@
         self.placer.rng = rng
         self.placer.peer_group = peer_group
 
-    def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
+    def place(self, request: Request, now: float) -> tuple[Choice | None, float]:
         """Return the choice of the product's placer."""
         choice = self.placer.choose(request, set(), now)
         refusal = self.placer.refusal(request, choice, now)
         if refusal is not None or choice is None:
             return None, refusal.retry_after_seconds if refusal else 0.1
-        return choice.view, 0.0
+        return choice, 0.0
 
 
 @POLICIES.register("least-running")
@@ -53,13 +52,13 @@
     def __init__(self, fleet: Fleet, zone: str, rng: random.Random, peer_group: PeerGroup) -> None:
         self.fleet = fleet
 
-    def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
+    def place(self, request: Request, now: float) -> tuple[Choice | None, float]:
         """Return the backend that runs the fewest requests and is not loading."""
         usable = [view for view in self.fleet.backends.values() if view.excluded_until <= now]
         best = min(usable, key=lambda view: view.all_running(now), default=None)
         if best is None or best.all_running(now) >= 2 * best.backend.slots:
             return None, 0.3
-        return best, 0.0
+        return Choice(best, 0.0, 0, 0.0), 0.0
 
 
 @POLICIES.register("random")
@@ -70,6 +69,7 @@
         self.fleet = fleet
         self.rng = rng
 
-    def place(self, request: Request, now: float) -> tuple[BackendView | None, float]:
+    def place(self, request: Request, now: float) -> tuple[Choice | None, float]:
         """Return a random backend; never refuses."""
-        return self.rng.choice(list(self.fleet.backends.values())), 0.0
+        view = self.rng.choice(list(self.fleet.backends.values()))
+        return Choice(view, 0.0, 0, 0.0), 0.0
--- a/bench/placement_simulation.py
+++ b/bench/placement_simulation.py
@@ -5,16 +5,19 @@
 of date between reports. A refused caller retries once.
 """
 
+import itertools
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from standins.engine_model import DEFAULT_RANK, EngineModelStandIn, EngineRequest, SimulationClock
-from verbenaward.data import Backend, EngineProfile, HeldWeights, Route, RouteKind
+from verbenaward.data import Backend, EngineProfile, HeldWeights
 from verbenaward.placement.backends import RemoteLoad
 from verbenaward.placement.fleet import Fleet
+from verbenaward.placement.levels import level_of, queue_level
 from verbenaward.placement.peer_groups import peer_group_of
 from verbenaward.placement.placer import rank_of
 from verbenaward.placement.request_types import Request
@@ -22,20 +25,8 @@
 from verbenaward.replica.store_replica import StoreReplica
 
 from .placement_policies import POLICIES, ZONES
+from .simulated_deployments import EQUAL_PRIORITY, Deployment, RequestClass
 
-ENGINE = EngineProfile(
-    slots=16,
-    step_seconds=0.00887,
-    sequence_seconds=0.0000388,
-    read_tokens_per_second=19100.0,
-    read_tokens_per_pass=2048,
-    steps_per_event=5,
-    usual_prompt_tokens=977.0,
-    usual_answer_tokens=94.0,
-    models=("model",),
-    chunk_count=48,
-    chunk_bytes=49152,
-)
 NEAR_LATENCY_SECONDS = 0.003
 """One-way network latency within a region."""
 FAR_LATENCY_SECONDS = 0.006
@@ -55,43 +46,14 @@
 """Delay of the retry if the chosen engine refuses: its queue is full or it is loading."""
 MINIMUM_REMAINING_SECONDS = 0.1
 """Part of its wait that a refused caller must have left to retry."""
-LATE_SHARE = 0.25
-"""Worth of a late answer, as a share of one on time."""
 SECOND_REFUSAL_SHARE = 0.3
 """Loss when a retry is refused too, as a share of the worth of an answer on time."""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestClass:
-    """A class of requests with its size distribution.
-
-    Attributes:
-      route: Its route.
-      share: Share of all requests.
-      prompt: Mean prompt, in tokens.
-      events: Mean number of events in an answer.
-      worth: Worth of an answer of mean size on time.
-    """
-
-    route: Route
-    share: float
-    prompt: float
-    events: float
-    worth: float
-
-
-def route_of(name: str, target_seconds: float) -> Route:
-    """Return the route of a class, with its target for the time to the first event."""
-    return Route(
-        name, "h", "/", RouteKind.STREAMING, (), 6.0, target_seconds, 0.4, 1, 2, False, True
-    )
-
-
-CLASSES = (
-    RequestClass(route_of("long", 0.505), 0.40, 1290.0, 21.0, 2.4),
-    RequestClass(route_of("middle", 0.404), 0.31, 787.0, 21.0, 2.0),
-    RequestClass(route_of("short", 0.404), 0.29, 607.0, 14.0, 1.5),
-)
+WINDOW_SECONDS = 2.0
+"""Windows in which the shares on time of the classes are compared."""
+INVERSION_TOLERANCE = 0.03
+"""Difference of two shares on time that is not counted; a window has 50 to 300 requests."""
 
 
 @dataclass(slots=True)
@@ -103,15 +65,20 @@
       earned: Worth of the answers, less the losses of second refusals.
       counts: Requests by outcome: "on-time", "late", "refused".
       first_events: Seconds to the first event of each answered request.
+      windows: Requests and answers on time in each window of `WINDOW_SECONDS` of arrival.
     """
 
     owed: float = 0.0
     earned: float = 0.0
     counts: dict[str, int] = field(default_factory=dict)
     first_events: list[float] = field(default_factory=list)
+    windows: dict[int, tuple[int, int]] = field(default_factory=dict)
 
-    def add(self, worth: float, share: float, outcome: str) -> None:
+    def add(self, worth: float, share: float, outcome: str, asked_at: float) -> None:
         """Count one request that earned a share of its worth."""
+        window = int(asked_at / WINDOW_SECONDS)
+        asked, on_time = self.windows.get(window, (0, 0))
+        self.windows[window] = (asked + 1, on_time + (outcome == "on-time"))
         self.owed += worth
         self.earned += worth * share
         self.counts[outcome] = self.counts.get(outcome, 0) + 1
@@ -134,6 +101,8 @@
       loading_seconds: Time in which all engines load weights once, in sequence; 0 for never.
       burst: Factor of the request rate during the burst; 1 for no burst.
       seed: Seed of all random choices.
+      deployment: Engines and request classes.
+      has_levels: True if entry processes distinguish the priorities of the classes.
     """
 
     policy: str = "placer"
@@ -147,6 +116,8 @@
     loading_seconds: float = 0.0
     burst: float = 1.0
     seed: int = 1
+    deployment: Deployment = EQUAL_PRIORITY
+    has_levels: bool = False
 
 
 def requests_per_second(engine: EngineProfile) -> float:
@@ -187,15 +158,13 @@
         self.policy = POLICIES.find(settings.policy)(self.fleet, self.zone, rng, self.peer_group)
 
 
-def initial_fleet(count: int) -> Fleet:
+def initial_fleet(count: int, slots: int) -> Fleet:
     """Return the initial view of the engines, all of which hold the weights."""
     fleet = Fleet(StoreReplica(), 0.0)
     for index in range(count):
         zone = ZONES[index % len(ZONES)]
         held = (HeldWeights("model", 1),)
-        backend = Backend(
-            f"e-{index}", "engines", f"h:{index + 1}", zone, ENGINE.slots, False, held, 0, 1
-        )
+        backend = Backend(f"e-{index}", "engines", f"h:{index + 1}", zone, slots, False, held, 0, 1)
         fleet.put(backend, 0.0)
     return fleet
 
@@ -214,35 +183,42 @@
         self.settings = settings
         self.rng = random.Random(settings.seed)
         self.clock = SimulationClock()
+        self.deployment = settings.deployment
+        engine = settings.deployment.engine
         self.engines = {
             f"e-{index}": EngineModelStandIn(
-                self.clock, ENGINE, settings.slowdown if index == 0 else 1.0
+                self.clock, engine, settings.slowdown if index == 0 else 1.0
             )
             for index in range(settings.engines)
         }
-        shared = initial_fleet(settings.engines)
+        shared = initial_fleet(settings.engines, engine.slots)
         self.entries = [
             Entry(
                 settings,
                 index,
                 self.rng,
-                initial_fleet(settings.engines) if settings.near_report_seconds else shared,
+                initial_fleet(settings.engines, engine.slots)
+                if settings.near_report_seconds
+                else shared,
             )
             for index in range(settings.entries)
         ]
         self.tally = Tally()
-        self.tallies = {item.route.name: Tally() for item in CLASSES}
+        self.tallies = {item.route.name: Tally() for item in self.deployment.classes}
         self.largest = Tally()
         self.refusals: list[tuple[float, float]] = []
 
     def run(self) -> Tally:
         """Run the simulation until all counted requests have ended."""
-        rate = self.settings.load * self.settings.engines * requests_per_second(ENGINE)
+        rate = (
+            self.settings.load * self.settings.engines * requests_per_second(self.deployment.engine)
+        )
         ends_at = WARM_UP_SECONDS + self.settings.seconds
         at = 0.0
         while at < ends_at:
             is_burst = BURST_FROM_SECONDS <= at < BURST_UNTIL_SECONDS
-            at += self.rng.expovariate(rate * (self.settings.burst if is_burst else 1.0))
+            factor = self.settings.burst if is_burst else 1.0
+            at += self.rng.expovariate(rate * factor * sum(self.class_weights(at)))
             self.clock.schedule_after(at, self.arrive)
         for entry in self.entries if self.settings.near_report_seconds else ():
             phase = self.rng.random()
@@ -254,6 +230,25 @@
         self.clock.run(ends_at + DEADLINE_SECONDS)
         return self.tally
 
+    def class_weights(self, at: float) -> list[float]:
+        """Return the share of each class in the usual request rate, raised in its bursts."""
+        weights = []
+        for item in self.deployment.classes:
+            factors = [
+                burst.factor
+                for burst in self.deployment.bursts
+                if burst.route == item.route.name and 0 <= at - burst.starts_at < burst.seconds
+            ]
+            weights.append(item.share * max(factors, default=1.0))
+        return weights
+
+    def level_of(self, request_class: RequestClass) -> int | None:
+        """Return the level of the requests of a class; None if priorities are not distinguished."""
+        if not self.settings.has_levels:
+            return None
+        priorities = sorted({item.route.priority for item in self.deployment.classes})
+        return level_of(tuple(priorities), request_class.route.priority)
+
     def schedule_loading(self) -> None:
         """Schedule one loading of weights on each engine, one after the other."""
         gap = self.settings.loading_seconds / self.settings.engines
@@ -291,14 +286,18 @@
             if receiver is sender or (receiver.name in sender.peer_group.members) != is_near:
                 continue
             for identity, view in sender.fleet.backends.items():
-                load = RemoteLoad(view.running, view.prompt_tokens, self.clock.now)
+                load = RemoteLoad(
+                    view.running, view.prompt_tokens, self.clock.now, view.less_urgent
+                )
                 receiver.fleet.backends[identity].remote_loads[str(id(sender))] = load
         interval = settings.near_report_seconds if is_near else settings.far_report_seconds
         self.clock.schedule_after(interval, lambda: self.send_load_reports(sender, is_near))
 
     def arrive(self) -> None:
         """Start a caller with a request of random class and size."""
-        request_class = self.rng.choices(CLASSES, [item.share for item in CLASSES])[0]
+        request_class = self.rng.choices(
+            self.deployment.classes, self.class_weights(self.clock.now)
+        )[0]
         prompt = int(
             min(3 * request_class.prompt, request_class.prompt * self.rng.lognormvariate(-0.3, 0.8))
         )
@@ -318,6 +317,7 @@
         asked_at: float,
     ) -> None:
         self.simulation = simulation
+        self.engine = simulation.deployment.engine
         self.request_class = request_class
         self.prompt = prompt
         self.events = events
@@ -330,14 +330,16 @@
 
     def request(self, now: float) -> Request:
         """Return the request as an entry process gets it, with a rough length hint."""
-        tokens = self.events * ENGINE.steps_per_event
+        tokens = self.events * self.engine.steps_per_event
         left = self.max_wait_seconds - (now - self.asked_at)
         hint = max(1, int(tokens * self.simulation.rng.lognormvariate(0.0, 0.5)))
         caller_headers = CallerHeaders("a", left, "", "model", self.prompt, tokens, "", hint)
         headers = CIMultiDictProxy(CIMultiDict())
+        route = self.request_class.route
         return Request(
-            headers, caller_headers, "POST", "/", b"", self.request_class.route, "engines", ENGINE,
-            "one", 1, now, now + left, b"f",
+            headers, caller_headers, "POST", "/", b"", route, "engines", self.engine, "one",
+            route.priority, now, now + left, b"f",
+            level=self.simulation.level_of(self.request_class),
         )  # fmt: skip
 
     def send(self) -> None:
@@ -346,20 +348,30 @@
         entry = simulation.rng.choice(simulation.entries)
         now = clock.now
         request = self.request(now)
-        view, retry_after = entry.policy.place(request, now)
-        if view is None:
+        choice, retry_after = entry.policy.place(request, now)
+        if choice is None:
             simulation.refusals.append((clock.now - now, retry_after))
             self.handle_refusal(retry_after)
             return
+        view = choice.view
         rank = rank_of(request, self.retries > 0)
+        level = queue_level(request.level, self.retries > 0)
         latency = NEAR_LATENCY_SECONDS if view.backend.zone == entry.zone else FAR_LATENCY_SECONDS
-        view.record_started(self.prompt)
+        view.record_started(self.prompt, level)
+        learns_delays = simulation.deployment.learns_delays
+        if learns_delays and not self.retries:
+            view.record_awaited(id(self), level, now)
         is_prefilling = [True]
 
         def event() -> None:
             if is_prefilling[0]:
                 is_prefilling[0] = False
-                view.record_prefill_done(self.prompt)
+                view.record_prefill_done(self.prompt, level)
+                if learns_delays:
+                    view.record_not_awaited(id(self))
+                    expected = max(choice.expected_seconds / view.slowness, 0.02)
+                    if not level:
+                        view.record_slowness((clock.now + latency - now) / expected)
                 self.first_at = clock.now + latency + NEAR_LATENCY_SECONDS
             else:
                 self.longest_pause = max(self.longest_pause, clock.now - self.last_event_at)
@@ -371,7 +383,7 @@
 
         engine_request = EngineRequest(
             self.prompt,
-            self.events * ENGINE.steps_per_event,
+            self.events * self.engine.steps_per_event,
             DEFAULT_RANK if rank is None else rank,
             event,
             end,
@@ -380,7 +392,8 @@
         def submit() -> None:
             if simulation.engines[view.backend.identity].submit(engine_request):
                 return
-            view.record_prefill_done(self.prompt)
+            view.record_prefill_done(self.prompt, level)
+            view.record_not_awaited(id(self))
             view.record_ended()
             view.record_full(clock.now)
             self.handle_refusal(FULL_RETRY_SECONDS)
@@ -406,7 +419,9 @@
         self.simulation.tally.first_events.append(first)
         # 0.4 s is the gap target of all routes; see route_of().
         on_time = first <= self.request_class.route.target_seconds and self.longest_pause <= 0.4
-        self.count_outcome(1.0 if on_time else LATE_SHARE, "on-time" if on_time else "late")
+        self.count_outcome(
+            1.0 if on_time else self.request_class.late_share, "on-time" if on_time else "late"
+        )
 
     def count_outcome(self, share: float, outcome: str) -> None:
         """Count the outcome of the request, unless it came during the warm-up."""
@@ -415,13 +430,17 @@
         # An answer token weighs as much as ten prompt tokens. 30% of the worth is fixed, the rest
         # grows with the size, up to four times the worth of the class. A request counts among the
         # largest from 1.8 times the mean size of its class.
-        size = self.prompt + 10 * self.events * ENGINE.steps_per_event
-        mean = self.request_class.prompt + 10 * self.request_class.events * ENGINE.steps_per_event
+        size = self.prompt + 10 * self.events * self.engine.steps_per_event
+        mean = (
+            self.request_class.prompt + 10 * self.request_class.events * self.engine.steps_per_event
+        )
         worth = self.request_class.worth * min(4.0, 0.3 + 0.7 * size / mean)
-        self.simulation.tally.add(worth, share, outcome)
-        self.simulation.tallies[self.request_class.route.name].add(worth, share, outcome)
+        self.simulation.tally.add(worth, share, outcome, self.asked_at)
+        self.simulation.tallies[self.request_class.route.name].add(
+            worth, share, outcome, self.asked_at
+        )
         if size > 1.8 * mean:
-            self.simulation.largest.add(worth, share, outcome)
+            self.simulation.largest.add(worth, share, outcome, self.asked_at)
 
 
 def simulate(settings: SimulationSettings) -> dict[str, Any]:
@@ -447,3 +466,49 @@
         "first_ms": [quantile(share) for share in (0.5, 0.95, 0.99)],
         **tally.counts,
     }
+
+
+def class_rows(deployment: Deployment, simulations: Sequence[PlacementSimulation]) -> list[Any]:
+    """Return the figures of each request class over simulations that have run, in percent."""
+    rows = []
+    for item in sorted(deployment.classes, key=lambda one: one.route.priority):
+        tallies = [simulation.tallies[item.route.name] for simulation in simulations]
+        total = sum(sum(tally.counts.values()) for tally in tallies)
+
+        def share(outcome: str, tallies: list[Tally] = tallies, total: int = total) -> float:
+            counted = sum(tally.counts.get(outcome, 0) for tally in tallies)
+            return round(100 * counted / max(1, total), 1)
+
+        owed, earned = (
+            sum(getattr(tally, name) for tally in tallies) for name in ("owed", "earned")
+        )
+        rows.append(
+            {
+                "class": item.route.name,
+                "priority": item.route.priority,
+                "on-time": share("on-time"),
+                "late": share("late"),
+                "refused": share("refused"),
+                "worth": round(earned / max(owed, 1e-9), 3),
+            }
+        )
+    return rows
+
+
+def inverted_windows(simulation: PlacementSimulation) -> tuple[int, int]:
+    """Return the windows in which a class got a larger share on time than a more urgent one.
+
+    Returns:
+      Their number, with a tolerance of `INVERSION_TOLERANCE`, and that of all windows.
+    """
+    classes = sorted(simulation.deployment.classes, key=lambda item: item.route.priority)
+    tallies = [simulation.tallies[item.route.name] for item in classes]
+    windows = set.intersection(*(set(tally.windows) for tally in tallies))
+    inverted = 0
+    for window in windows:
+        shares = [
+            on_time / asked for asked, on_time in (tally.windows[window] for tally in tallies)
+        ]
+        pairs = itertools.pairwise(shares)
+        inverted += any(low > high + INVERSION_TOLERANCE for high, low in pairs)
+    return inverted, len(windows)
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -7,6 +7,7 @@
 from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..placement.fleet import Fleet
+from ..placement.levels import level_of
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
@@ -150,6 +151,7 @@
         workspace, priority = authenticate(table, parsed_headers, route.is_public)
         service = self.forwarder.placer.pick_service(route.shares)
         declared = table.services.get(service)
+        priority = route.priority if priority is None else priority
         return Request(
             headers=caller.headers,
             parsed_headers=parsed_headers,
@@ -160,11 +162,12 @@
             service=service,
             engine=declared.engine if declared else None,
             workspace=workspace,
-            priority=route.priority if priority is None else priority,
+            priority=priority,
             received_at=received_at,
             deadline=received_at + remaining_seconds(parsed_headers, route.timeout_seconds),
             fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
             part_keys=part_keys_of(service, parsed_headers.prompt_parts),
+            level=level_of(table.priorities.get(service, ()), priority),
         )
 
 
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -15,6 +15,7 @@
 from returns.result import Success
 
 from .. import clock, metrics
+from ..placement.levels import queue_level
 from ..placement.placer import Choice
 from ..placement.request_types import (
     FailedAttempt,
@@ -314,9 +315,11 @@
         self.started_at = started_at
         self.awaits_first_event = True
         self.limit: asyncio.Timeout | None = None
-        choice.view.record_started(self.tokens)
-        if not forwarder.placer.is_late(request, started_at):
-            choice.view.awaiting_first_event[id(self)] = started_at
+        is_late = forwarder.placer.is_late(request, started_at)
+        self.level = queue_level(request.level, is_late)
+        choice.view.record_started(self.tokens, self.level)
+        if not is_late:
+            choice.view.record_awaited(id(self), self.level, started_at)
         forwarder.load_changed()
 
     def limit_start(self, now: float) -> None:
@@ -349,7 +352,9 @@
         metrics.FIRST_TOKEN_SECONDS.labels(*labels_of(self.request)).observe(self.first_seconds)
         expected = self.choice.expected_seconds / self.choice.view.slowness
         # At least 20 ms, so that a very short expectation does not give a huge ratio.
-        self.choice.view.record_slowness(took / max(expected, 0.02))
+        if not self.level:
+            # Less urgent requests are overtaken, so their wait does not show the backend's speed.
+            self.choice.view.record_slowness(took / max(expected, 0.02))
         self.forwarder.load_changed()
 
     def report_late_start(self, version: int, now: float) -> None:
@@ -363,8 +368,8 @@
         """Stop counting the prompt as load of the backend."""
         if self.awaits_first_event:
             self.awaits_first_event = False
-            self.choice.view.awaiting_first_event.pop(id(self), None)
-            self.choice.view.record_prefill_done(self.tokens)
+            self.choice.view.record_not_awaited(id(self))
+            self.choice.view.record_prefill_done(self.tokens, self.level)
 
     def end(self) -> None:
         """Stop counting the stream as load of the backend."""
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -12,6 +12,7 @@
 
 from ..data import Backend, EngineProfile
 from .backend_notices import IncarnationNotices, incarnation_hash
+from .levels import LAST_LEVEL, NONE_LESS_URGENT, LessUrgent, is_more_urgent_awaited
 
 UNREACHABLE_BACKOFF_SECONDS = 1.5
 """Backoff after a backend could not be reached or did not answer; doubled for each further
@@ -54,6 +55,7 @@
     running: int
     prompt_tokens: int
     received_at: float
+    less_urgent: LessUrgent = NONE_LESS_URGENT
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +66,7 @@
       backend: Its registration.
       running: Requests of this process in flight there.
       prompt_tokens: Prompt tokens of those that have no first event yet.
+      less_urgent: Those of its requests without a first event that are below level 0 and 1.
       remote_loads: Load of each other entry process, by its name.
       backoff_until: Time until which it is used only if no other backend is left.
       excluded_until: Time until which it is excluded: it loads weights, or another incarnation
@@ -79,6 +82,7 @@
       lapsed_at: When its registration lapsed in an outage of the store; 0 while it is registered.
       awaiting_first_event: Start of each request of this process that has no first event yet,
         without those that were late from the start.
+      awaiting_levels: Level of each of these requests that has one.
       short_name: Hash that names it in load reports.
       notices: What it has said of itself in its answers.
     """
@@ -86,6 +90,7 @@
     backend: Backend
     running: int = 0
     prompt_tokens: int = 0
+    less_urgent: LessUrgent = NONE_LESS_URGENT
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     backoff_until: float = 0.0
     excluded_until: float = 0.0
@@ -97,6 +102,7 @@
     slowness: float = 1.0
     lapsed_at: float = 0.0
     awaiting_first_event: dict[int, float] = field(default_factory=dict)
+    awaiting_levels: dict[int, int] = field(default_factory=dict)
     short_name: int = 0
     notices: IncarnationNotices = field(init=False)
 
@@ -125,22 +131,62 @@
             if now - load.received_at < REMOTE_LOAD_TTL_SECONDS
         ]
 
-    def record_started(self, prompt_tokens: int) -> None:
-        """Count a request that is being sent."""
+    def all_less_urgent(self, level: int | None, now: float) -> tuple[int, int]:
+        """Return the requests below a level without a first event, and their prompt tokens."""
+        if level is None or level >= LAST_LEVEL:
+            return 0, 0
+        counts = [self.less_urgent]
+        counts += [load.less_urgent for load in self.fresh_remote_loads(now)]
+        return (
+            sum(count.requests[level] for count in counts),
+            sum(count.prompt_tokens[level] for count in counts),
+        )
+
+    def record_started(self, prompt_tokens: int, level: int | None = None) -> None:
+        """Count a request that is being sent.
+
+        Args:
+          prompt_tokens: Its prompt tokens.
+          level: Level with which it waits at the backend.
+        """
         self.running += 1
         self.prompt_tokens += prompt_tokens
+        self.less_urgent = self.less_urgent.changed_by(level, 1, prompt_tokens)
+
+    def record_awaited(self, key: int, level: int | None, now: float) -> None:
+        """Record that a request waits for its first event, under a key of the caller's choice."""
+        self.awaiting_first_event[key] = now
+        if level is not None:
+            self.awaiting_levels[key] = level
 
-    def longest_first_event_wait(self, now: float) -> float:
+    def record_not_awaited(self, key: int) -> None:
+        """Record that a request does not wait for its first event any more."""
+        self.awaiting_first_event.pop(key, None)
+        self.awaiting_levels.pop(key, None)
+
+    def longest_first_event_wait(self, now: float, level: int | None = None) -> float:
         """Return for how long the oldest request has waited for its first event; 0 for none.
 
         It shows a backend that hangs, or whose link has become slow, long before an attempt times
+        out. Requests that are less urgent than `level` wait longer without any fault, and are left
         out.
         """
-        return now - min(self.awaiting_first_event.values(), default=now)
+        waits = [
+            started
+            for key, started in self.awaiting_first_event.items()
+            if is_more_urgent_awaited(self.awaiting_levels.get(key), level)
+        ]
+        return now - min(waits, default=now)
 
-    def record_prefill_done(self, prompt_tokens: int) -> None:
-        """Subtract a prompt whose prefill is done or will not take place."""
+    def record_prefill_done(self, prompt_tokens: int, level: int | None = None) -> None:
+        """Subtract a prompt whose prefill is done or will not take place.
+
+        Args:
+          prompt_tokens: Its prompt tokens.
+          level: Level with which it waited at the backend.
+        """
         self.prompt_tokens -= prompt_tokens
+        self.less_urgent = self.less_urgent.changed_by(level, -1, -prompt_tokens)
 
     def record_ended(self) -> None:
         """Subtract a request that has ended."""
@@ -208,32 +254,45 @@
 
 
 def first_event_seconds(
-    view: BackendView, engine: EngineProfile, prompt_tokens: int, now: float
+    view: BackendView,
+    engine: EngineProfile,
+    prompt_tokens: int,
+    now: float,
+    level: int | None = None,
+    urgent_share: float = 0.0,
 ) -> float:
     """Return the expected time to the first event of a request at a backend, in seconds.
 
     The engine prefills a part of the prompts in each pass, between decode steps. A request waits
     for a free slot, then for the pass in progress, then for the prefill of all prompts before its
-    own.
+    own. In the queue for slots it overtakes less urgent requests, and the more urgent ones that
+    arrive meanwhile overtake it.
 
     Args:
       view: The backend.
       engine: Performance profile that its service declares.
       prompt_tokens: Prompt tokens of the request.
       now: Present time, monotonic, in seconds.
+      level: Level of the request; None if its service has no levels.
+      urgent_share: Share of more urgent levels in the work that the backend gets.
     """
     running = view.all_running(now)
     slots = max(1, view.backend.slots)
     busy = min(running, slots)
     step = engine.step_seconds + engine.sequence_seconds * busy
     one_pass = step * engine.steps_per_event
+    less_urgent, less_urgent_tokens = view.all_less_urgent(level, now)
+    # Which requests hold slots is not reported; in the queue the less urgent ones remain.
+    overtaken = min(max(0, running - slots), less_urgent)
     tokens = view.all_prompt_tokens(now) + prompt_tokens
+    tokens -= round(less_urgent_tokens * overtaken / max(1, less_urgent))
     # On average, half of the pass in progress is left.
     passes = math.ceil(tokens / engine.read_tokens_per_pass) + (0.5 if running else 0.0)
-    queued = max(0, running + 1 - slots)
+    queued = max(0, running + 1 - slots) - overtaken
     seconds = tokens / engine.read_tokens_per_second + one_pass * passes
     if queued:
-        seconds += queued * residence_seconds(engine, slots, engine.usual_answer_tokens) / slots
+        slot_seconds = residence_seconds(engine, slots, engine.usual_answer_tokens) / slots
+        seconds += queued * slot_seconds / (1.0 - urgent_share)
     return seconds * view.slowness
 
 
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -4,15 +4,25 @@
 be of use, the request is refused at once, so that admitted requests still meet their target.
 """
 
+import dataclasses
 import math
 import random
 from dataclasses import dataclass
 
-from ..data import EngineProfile, Refusal, ServiceShare, Verdict
+from ..data import Refusal, ServiceShare, Verdict
 from ..requests.refusals import not_run
+from .admission import (
+    AdmissionRecord,
+    Forecast,
+    allowed_seconds,
+    decide,
+    demand_of,
+    expected_answer_tokens,
+)
 from .backends import BackendView, first_event_seconds, residence_seconds
 from .caller_retries import CallerRetryDetector
 from .fleet import Fleet
+from .levels import level_rank
 from .peer_groups import PeerGroup
 from .request_types import Request
 
@@ -35,9 +45,6 @@
 OVERRUN_WEIGHT = 0.25
 """Weight, in the cost, of the time for which a stream delays an engine that is about to load
 weights."""
-LATE_REQUEST_TARGET_SHARE = 0.75
-"""A late request is admitted only if its expected wait is at most this many times its target;
-otherwise it would displace a request that can still be on time."""
 LONG_PROMPT_RATIO = 2.0
 """A prompt longer than this many times the usual length is served first at a full engine."""
 LONG_RANK = 4
@@ -85,6 +92,7 @@
         weights; 0 for no bound.
       peer_group: Peer group of this process: the peers whose load reports arrive at once, and the
         engines that the group prefers.
+      admissions: Recent decisions on admission, by service.
     """
 
     def __init__(
@@ -97,6 +105,7 @@
         self.rng = random.Random()
         self.caller_retries = CallerRetryDetector()
         self.peer_group = PeerGroup()
+        self.admissions: dict[str, AdmissionRecord] = {}
 
     def choose(self, request: Request, tried: set[str], now: float) -> Choice | None:
         """Return the backend with the lowest cost, or None if no backend may run the request.
@@ -123,10 +132,11 @@
     def candidates(self, request: Request, now: float) -> list[Choice]:
         """Return every backend that may run a request, with its cost."""
         choices = []
+        urgent_share = self.admission_record(request).urgent_share(request.level, now)
         for view in self.fleet.usable(request.service, now):
             if view.is_excluded(now):
                 continue
-            seconds = self.expected_seconds(view, request, now)
+            seconds = self.expected_seconds(view, request, now, urgent_share)
             latest_start = now + START_SLACK_SECONDS + START_FACTOR * seconds
             version = self.required_version(request, latest_start)
             if holds_required_weights(view, request, version):
@@ -160,8 +170,17 @@
         held = view.held_version(request.parsed_headers.model)
         return self.fleet.start_deadline(request.parsed_headers.model, held, self.version_seconds)
 
-    def expected_seconds(self, view: BackendView, request: Request, now: float) -> float:
-        """Return the expected time to the answer or the first event at a backend."""
+    def expected_seconds(
+        self, view: BackendView, request: Request, now: float, urgent_share: float = 0.0
+    ) -> float:
+        """Return the expected time to the answer or the first event at a backend.
+
+        Args:
+          view: The backend.
+          request: The request.
+          now: Present time, monotonic, in seconds.
+          urgent_share: Share of more urgent levels in the recent work of the service.
+        """
         round_trip = self.round_trip_seconds(view)
         failure_penalty = FAILURE_PENALTY_SECONDS * view.failure_share
         if request.engine is None:
@@ -169,8 +188,11 @@
             # A plain service with all slots in use is assumed to answer 20 ms later.
             return round_trip + failure_penalty + 0.02 * load
         prompt = request.parsed_headers.prompt_tokens
-        seconds = first_event_seconds(view, request.engine, prompt, now)
-        return round_trip + failure_penalty + max(seconds, view.longest_first_event_wait(now))
+        seconds = first_event_seconds(
+            view, request.engine, prompt, now, request.level, urgent_share
+        )
+        overdue = view.longest_first_event_wait(now, request.level)
+        return round_trip + failure_penalty + max(seconds, overdue)
 
     def remote_penalty_seconds(self, view: BackendView) -> float:
         """Return the penalty of a backend whose load reports reach this process late."""
@@ -202,11 +224,14 @@
             return self.unavailable(request, now)
         if request.engine is None or not request.route.target_seconds:
             return None
-        allowed = self.allowed_seconds(request, now)
-        expected = choice.expected_seconds - excess_prefill_seconds(request, request.engine)
-        if expected <= allowed:
+        demand = demand_of(request, request.engine, self.is_late(request, now), now)
+        record = self.admission_record(request)
+        decision = decide(demand, self.forecast(request, choice, now), record, now)
+        record.record(demand, decision.is_admitted, now)
+        if decision.is_admitted:
             return None
-        wait = max(OVERLOAD_RETRY_AFTER_SECONDS, expected - allowed)
+        expected = choice.expected_seconds - demand.excess_prefill_seconds
+        wait = max(OVERLOAD_RETRY_AFTER_SECONDS, expected - decision.allowed_seconds)
         message = "all backends are overloaded"
         return self.retry_later("overload", message, wait, OVERLOAD_RETRY_SPREAD)
 
@@ -226,12 +251,24 @@
         # 0.8 s before the random extension.
         return self.retry_later("no-backend", "no backend is available", 0.8)
 
-    def allowed_seconds(self, request: Request, now: float) -> float:
-        """Return the longest expected wait for the first event with which a request is admitted."""
-        target = request.route.target_seconds
-        if self.is_late(request, now):
-            return target * LATE_REQUEST_TARGET_SHARE
-        return target - (now - request.received_at)
+    def admission_record(self, request: Request) -> AdmissionRecord:
+        """Return the recent decisions on the service of a request."""
+        return self.admissions.setdefault(request.service, AdmissionRecord())
+
+    def forecast(self, request: Request, choice: Choice, now: float) -> Forecast:
+        """Return the expected waits of a request at a backend."""
+        if not request.level:
+            return Forecast(choice.expected_seconds, choice.expected_seconds)
+        as_urgent = dataclasses.replace(request, level=0)
+        processes = 1 + len(list(choice.view.fresh_remote_loads(now)))
+        urgent_seconds = self.expected_seconds(choice.view, as_urgent, now)
+        return Forecast(choice.expected_seconds, urgent_seconds, processes)
+
+    def allowed_seconds(self, request: Request, now: float) -> float | None:
+        """Return the longest expected wait with which a request is admitted; None for any."""
+        if request.engine is None:
+            return None
+        return allowed_seconds(demand_of(request, request.engine, self.is_late(request, now), now))
 
     def is_late(self, request: Request, now: float) -> bool:
         """Return True if a request can hardly meet its target: half has passed, or it is a retry.
@@ -260,32 +297,21 @@
         return self.rng.choices(shares, weights)[0].service
 
 
-def excess_prefill_seconds(request: Request, engine: EngineProfile) -> float:
-    """Return how much longer the prefill of a request takes than that of a usual prompt.
-
-    Negative for a shorter prompt. Admission subtracts it, or long prompts would be refused first
-    and short ones last.
-    """
-    beyond = request.parsed_headers.prompt_tokens - engine.usual_prompt_tokens
-    return beyond / engine.read_tokens_per_second
-
-
 def rank_of(request: Request, is_late: bool) -> int | None:
     """Return the rank of a request in the queue of an engine; None for the default rank.
 
     Long prompts are served first, as their prefill takes the largest part of the time to the
-    target; late requests are served last.
+    target; late requests are served last. Levels of urgency come before the length.
     """
     if request.engine is None:
         return None
+    usual = request.engine.usual_prompt_tokens
+    is_long = request.parsed_headers.prompt_tokens > LONG_PROMPT_RATIO * usual
+    if request.level is not None:
+        return level_rank(request.level, is_late, is_long)
     if is_late:
         return LATE_RANK
-    if (
-        request.parsed_headers.prompt_tokens
-        > LONG_PROMPT_RATIO * request.engine.usual_prompt_tokens
-    ):
-        return LONG_RANK
-    return None
+    return LONG_RANK if is_long else None
 
 
 def overrun_seconds(
@@ -308,19 +334,6 @@
     return max(0.0, now + expected_seconds + residence - view.loading_starts_at)
 
 
-def expected_answer_tokens(request: Request) -> float:
-    """Return the expected length of the answer to a request, in tokens."""
-    parsed_headers = request.parsed_headers
-    declared = [
-        float(count)
-        for count in (parsed_headers.hinted_tokens, parsed_headers.answer_tokens)
-        if count
-    ]
-    if declared:
-        return min(declared)
-    return request.engine.usual_answer_tokens if request.engine else 0.0
-
-
 def holds_required_weights(view: BackendView, request: Request, version: int) -> bool:
     """Return True if a backend holds the request's model at this version or a newer one."""
     if not request.parsed_headers.model or view.backend.weights is None:
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -24,12 +24,14 @@
       service: Service that runs the request.
       engine: Performance profile of the service's engines; None for a plain service.
       workspace: Workspace of the caller's key; empty for none.
-      priority: Priority of the workspace, else of the route; 0 is the most urgent. Not used yet.
+      priority: Priority of the workspace, else of the route; 0 is the most urgent.
       received_at: Time of arrival, monotonic.
       deadline: Time by which the answer must be sent, monotonic: shortly before the caller gives up
         or the timeout of the route ends, whichever is earlier.
       fingerprint: Hash of the content of the request, without its id.
       part_keys: Hashes of the parts of its prompt that other requests may share.
+      level: Level of urgency among the requests for its service, 0 to 2; None if all of them have
+        one priority.
     """
 
     headers: CIMultiDictProxy[str]
@@ -46,6 +48,7 @@
     deadline: float
     fingerprint: bytes
     part_keys: tuple[bytes, ...] = ()
+    level: int | None = None
 
     @property
     def crash_keys(self) -> tuple[bytes, ...]:
