Retry-After of a refusal by a limit: when the limit allows the request

A refusal for overload named 1.2 s or more at random, also where the limit of the level would be in force for longer.

--- a/tests/placement/admission.feature
+++ b/tests/placement/admission.feature
@@ -62,6 +62,17 @@
       | 0.4     | admitted |
       | 2.0     | refused  |
 
+  Scenario: A refusal by a limit says when the limit will allow the request
+    # Guards against retries that come while the limit of their level is still in force.
+    Given requests of level 0 whose forecasts show a shortage for 2.0 s
+    Then a request of level 2 with a forecast of 0.2 s is allowed after about 2 s, not before
+
+  Scenario: Refusals are counted and logged by level
+    # Guards against an overload in which operators cannot see whose requests are refused.
+    When a request of level 2 is refused for overload
+    Then the counter of level 2 and "overload" has grown by 1
+    And the log line has its level, forecast and limit
+
   Scenario: One in ten requests of a level is admitted in any case
     # Guards against a level that gets nothing for the whole of an overload.
     When 100 requests of level 2 with a forecast of 9 s are decided within a second
--- a/tests/steps/admission.py
+++ b/tests/steps/admission.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 from dataclasses import replace
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -11,12 +12,15 @@
 from tests.direct_fakes import ENGINE, NOW, ROUTE, fleet_of, request_of
 from verbenaward.data import CallerLimits, RoutingConfiguration, ServiceShare, WorkspaceDeclaration
 from verbenaward.direct.broadcast.loads import own_loads, remote_load
+from verbenaward.direct.request_log import RequestLog
 from verbenaward.logs import configure_logs
+from verbenaward.metrics import sample_sum
 from verbenaward.placement.admission import AdmissionRecord, Demand, Forecast, decide
 from verbenaward.placement.backends import first_event_seconds
 from verbenaward.placement.levels import level_of
-from verbenaward.placement.placer import rank_of
+from verbenaward.placement.placer import Choice, rank_of
 from verbenaward.placement.routes import route_table_of
+from verbenaward.requests.refusals import not_run
 from verbenaward.schema.messages import BackendLoad
 from verbenaward.wire.codec import decode, encode
 
@@ -162,6 +166,39 @@
     assert is_admitted == (outcome == "admitted")
 
 
+@then("a request of level 2 with a forecast of 0.2 s is allowed after about 2 s, not before")
+def allowed_after(context):
+    seconds = context.record.seconds_until_allowed(2, 0.2, context.now)
+    assert 1.5 < seconds < 2.5, seconds
+    for after, is_admitted in ((-0.1, False), (0.1, True)):
+        now = context.now + seconds + after
+        found = context.record.limit_seconds(2, now) >= 0.2
+        assert found == is_admitted, after
+
+
+@when("a request of level 2 is refused for overload")
+def refuse_one(context):
+    context.count = sample_sum("verbenaward_refusals_total", level="2", reason="overload")
+    request = replace(request_of(), level=2)
+    choice = Choice(fleet_of(1).backends["e-0"], 0.6, 0, 0.6)
+    log = RequestLog()
+    with patch.object(log, "write") as write:
+        log.refused(request, not_run(503, "overload", "full", 1.2), choice, 0.04)
+    context.fields = write.call_args.kwargs
+
+
+@then('the counter of level 2 and "overload" has grown by 1')
+def counted_refusal(context):
+    count = sample_sum("verbenaward_refusals_total", level="2", reason="overload")
+    assert count == context.count + 1, (context.count, count)
+
+
+@then("the log line has its level, forecast and limit")
+def logged_refusal(context):
+    found = [context.fields[name] for name in ("level", "expected_ms", "allowed_ms")]
+    assert found == [2, 600, 40], found
+
+
 @when("100 requests of level 2 with a forecast of {seconds:g} s are decided within a second")
 def decide_many(context, seconds):
     record = AdmissionRecord()
--- a/verbenaward/placement/admission.py
+++ b/verbenaward/placement/admission.py
@@ -206,6 +206,17 @@
         ]
         return share * min(targets, default=math.inf) if share < 1.0 else math.inf
 
+    def seconds_until_allowed(
+        self, level: int | None, expected_seconds: float, now: float
+    ) -> float:
+        """Return the time until the limit of a level allows an expected wait, if it only rises."""
+        limit = self.limit_seconds(level or 0, now)
+        if expected_seconds <= limit or limit <= 0.0:
+            return 0.0
+        share = self.levels[level or 0].limit_share_at(now)
+        needed = min(1.0, share * expected_seconds / limit)
+        return (needed - share) / LIMIT_RISE_PER_SECOND
+
     def record(
         self, demand: Demand, forecast_seconds: float, is_admitted: bool, now: float
     ) -> None:
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -231,7 +231,8 @@
         if decision.is_admitted:
             return None
         expected = choice.expected_seconds - demand.excess_prefill_seconds
-        wait = max(OVERLOAD_RETRY_AFTER_SECONDS, expected - decision.allowed_seconds)
+        free_in = record.seconds_until_allowed(request.level, expected, now)
+        wait = max(OVERLOAD_RETRY_AFTER_SECONDS, expected - decision.allowed_seconds, free_in)
         message = "all backends are overloaded"
         return self.retry_later("overload", message, wait, OVERLOAD_RETRY_SPREAD)
 
