--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -25,7 +25,7 @@
       service: Service that runs the request.
       engine: Performance profile of the service's engines; None for a plain service.
       workspace: Workspace of the caller's key; empty for none.
-      priority: Priority of the workspace, else of the route; 0 is the most urgent. Not used yet.
+      priority: Priority of the workspace, else of the route; 0 is the most urgent.
       received_at: Time of arrival, monotonic.
       deadline: Time by which the answer must be sent, monotonic: shortly before the caller gives up
         or the timeout of the route ends, whichever is earlier.
@@ -33,6 +33,8 @@
       part_keys: Hashes of the parts of its prompt that other requests may share.
       regions: Regions in which it may be served; None for any.
       held: Bytes that this process holds for it.
+      level: Level of urgency among the requests for its service, 0 to 2; None if all of them have
+        one priority.
     """
 
     headers: CIMultiDictProxy[str]
@@ -51,6 +53,7 @@
     part_keys: tuple[bytes, ...] = ()
     regions: frozenset[str] | None = None
     held: HeldBytes = field(default_factory=HeldBytes, compare=False)
+    level: int | None = None
 
     @property
     def crash_keys(self) -> tuple[bytes, ...]:
