A chunk gets two thirds of the link only if no other is at hand

Cause: with two thirds and one third in turn while many chunks are at hand, a short delay makes the faster body look slow, and the requested rate falls.

--- a/tests/steps/weight_rollout.py
+++ b/tests/steps/weight_rollout.py
@@ -20,7 +20,7 @@
     STEADY_SECONDS,
     OriginReachability,
 )
-from verbenaward.weight_loading.link_shares import LinkShares
+from verbenaward.weight_loading.link_shares import MAXIMUM_PARTS, LinkShares
 
 LINKS = (4.7, 4.4, 4.1, 3.9, 3.65, 3.65)
 """Links of the endpoint processes, in Mbit/s."""
@@ -325,7 +325,7 @@
     shares, running = LinkShares(), []
 
     async def fetch(count):
-        async with shares.share() as part:
+        async with shares.share(MAXIMUM_PARTS) as part:
             if not running:
                 context.single.append(part)
             running.append(part)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -297,7 +297,8 @@
         while chunk := await arrivals.next():
             if self.update_next_weights() != wanted:
                 return False
-            is_staged = await self.stage_chunk(wanted, chunk, digests.digests[chunk.index])
+            digest, is_alone = digests.digests[chunk.index], not arrivals.arrived
+            is_staged = await self.stage_chunk(wanted, chunk, digest, is_alone)
             await arrivals.finish(chunk, is_staged)
             if is_staged:
                 self.announce_load(wanted, digests)
@@ -308,10 +309,13 @@
         run = chunk_run_name(wanted.model, wanted.version, index)
         return await self.fetcher.locate(chunk_path(wanted, index), run, failures)
 
-    async def stage_chunk(self, wanted: HeldWeights, chunk: ArrivedChunk, digest: bytes) -> bool:
-        """Fetch and stage one chunk; False if that failed."""
+    async def stage_chunk(
+        self, wanted: HeldWeights, chunk: ArrivedChunk, digest: bytes, is_alone: bool
+    ) -> bool:
+        """Fetch and stage one chunk, faster if no other is at hand; False if that failed."""
         index = chunk.index
-        body = await self.fetcher.fetch_at(chunk.entry, chunk_path(wanted, index), digest)
+        path = chunk_path(wanted, index)
+        body = await self.fetcher.fetch_at(chunk.entry, path, digest, is_alone)
         if body is None:
             return False
         self.staged.pop(index, None)
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -15,7 +15,7 @@
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
 from .chunk_arrivals import REFUSALS_PER_ENTRY
-from .link_shares import LinkShares
+from .link_shares import MAXIMUM_PARTS, LinkShares
 
 LOG = get_logger(__name__)
 FETCH_TIMEOUT_SECONDS = 2.5
@@ -95,9 +95,16 @@
         await asyncio.sleep(RETRY_SECONDS)
         return None
 
-    async def fetch_at(self, entry: str, path: str, digest: bytes) -> bytes | None:
-        """Return a verified chunk from an entry process that has it at hand; None on failure."""
-        body = await self.get(f"http://{entry}{path}")
+    async def fetch_at(self, entry: str, path: str, digest: bytes, is_alone: bool) -> bytes | None:
+        """Return a verified chunk from an entry process that has it at hand; None on failure.
+
+        Args:
+          entry: Control address of the entry process.
+          path: Path of the chunk.
+          digest: Its SHA-256 digest.
+          is_alone: True if no other chunk is at hand.
+        """
+        body = await self.get(f"http://{entry}{path}", MAXIMUM_PARTS if is_alone else 1)
         return body if body is not None and sha256(body) == digest else None
 
     async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
@@ -135,9 +142,9 @@
         """
         return self.direct.link_megabits_per_second * BITS_PER_MEGABIT / BITS_PER_BYTE
 
-    async def get(self, url: str) -> bytes | None:
-        """Return the body of a response; None on failure."""
-        async with self.link_shares.share() as part:
+    async def get(self, url: str, parts: int = 1) -> bytes | None:
+        """Return the body of a response over up to some parts of the link; None on failure."""
+        async with self.link_shares.share(parts) as part:
             return await self.get_at_rate(url, part)
 
     async def get_at_rate(self, url: str, part: float) -> bytes | None:
--- a/verbenaward/weight_loading/link_shares.py
+++ b/verbenaward/weight_loading/link_shares.py
@@ -9,9 +9,9 @@
 PARTS = 3
 """Parts of the link's rate, of which a fetch gets one or more."""
 MAXIMUM_PARTS = 2
-"""Most parts of one fetch. While few chunks are at hand, as after the return of the origin, each is
-fetched faster; the last part is left for a second fetch, so that the link is not idle between
-two."""
+"""Most parts of one fetch. While no other chunk is at hand, as after the return of the origin, each
+is fetched faster; the last part is left for a second fetch, so that the link is not idle between
+two. Otherwise each gets one part: a short delay makes a fast body look slow (`SLOW_RATIO`)."""
 
 
 class LinkShares:
@@ -27,11 +27,11 @@
         self.changed = asyncio.Condition()
 
     @asynccontextmanager
-    async def share(self) -> AsyncIterator[float]:
-        """Wait for a free part, and hold up to `MAXIMUM_PARTS`; yields the share of the link."""
+    async def share(self, wanted: int) -> AsyncIterator[float]:
+        """Wait for a free part, and hold up to the wanted ones; yields the share of the link."""
         async with self.changed:
             await self.changed.wait_for(lambda: self.free)
-            parts = min(self.free, MAXIMUM_PARTS)
+            parts = min(self.free, wanted)
             self.free -= parts
         try:
             yield parts / PARTS
