A process that waits as a stand-in reads from the origin only while it answers steadily

Cause: an entry process that is second in the order of owners took itself for the reader of its own requests as soon as the owner said that it had lost the origin, without the check that it makes for requests of others. An owner that has lost the origin is passed over for 0.5 s instead of 2 s, less than a stand-in takes to start.

--- a/verbenaward/direct/chunk_owners.py
+++ b/verbenaward/direct/chunk_owners.py
@@ -10,6 +10,9 @@
 and sends up to 15 Mbit/s of an origin with 15 Mbit/s."""
 UNREACHABLE_SECONDS = 2.0
 """Time after a failed request for which a process is passed over."""
+WITHOUT_ORIGIN_SECONDS = 0.5
+"""The same for an owner that has lost the origin. With its 0.3 s until it notices the return this
+is well below `STEADY_SECONDS`, so that no stand-in reads what the owner is about to read."""
 
 
 def owner_order(model: str, version: int, index: int, entries: list[str]) -> list[str]:
@@ -49,10 +52,12 @@
     """Processes that could not be reached lately.
 
     Attributes:
+      passed_over_seconds: Time for which a process is passed over.
       failed_at: When a connection to a process last failed, monotonic, by its control address.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, passed_over_seconds: float = UNREACHABLE_SECONDS) -> None:
+        self.passed_over_seconds = passed_over_seconds
         self.failed_at: dict[str, float] = {}
 
     def record_failure(self, control: str, now: float) -> None:
@@ -67,6 +72,8 @@
           now: Present time, monotonic, in seconds.
         """
         self.failed_at = {
-            control: at for control, at in self.failed_at.items() if now - at < UNREACHABLE_SECONDS
+            control: at
+            for control, at in self.failed_at.items()
+            if now - at < self.passed_over_seconds
         }
         return next((control for control in order if control not in self.failed_at), order[0])
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -33,7 +33,7 @@
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
 from ..schema.settings import Settings
-from .chunk_owners import Reachability, owner_order, relays_of
+from .chunk_owners import WITHOUT_ORIGIN_SECONDS, Reachability, owner_order, relays_of
 from .chunk_runs import CHUNKS_PER_RUN
 from .entry_peers import zone_of_record
 from .origin_queue import OriginQueue
@@ -131,7 +131,7 @@
         self.origin_queue = OriginQueue()
         self.appointed: set[ChunkKey] = set()
         self.reachability = Reachability()
-        self.without_origin = Reachability()
+        self.without_origin = Reachability(WITHOUT_ORIGIN_SECONDS)
         self.probed_until = 0.0
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.prefetch_version)
@@ -218,6 +218,10 @@
             return web.Response(body=body)
         return await send_paced(request, body, rate)
 
+    def may_read(self, owners: list[str], model: str, version: int) -> bool:
+        """Return True if this process owns a chunk, or can stand in for its owner."""
+        return owners[0] == self.settings.listen or self.can_stand_in(model, version)
+
     def can_stand_in(self, model: str, version: int) -> bool:
         """Return True if the origin answers this process; probe it for the next time if not."""
         now = clock.now()
@@ -329,6 +333,8 @@
         owner = self.without_origin.first(owners, clock.now())
         if key in self.appointed:
             owner = self.settings.listen
+        elif owner == self.settings.listen and not self.may_read(owners, model, version):
+            owner = owners[0]
         sources = [*near[:1], owner, *near[1:2], *far[:1]]
         source = sources[attempt] if attempt < len(sources) else owner
         if source == self.settings.listen:
