Send the next request to the origin only after 1 s without an answer

The first byte came after more than 0.3 s on the busy link, the request counted as lost and was sent again, which kept the link busy. Change: 1 s in place of 0.3 s, 0.3 s in place of 0.15 s while an answer is overdue.

--- a/tests/steps/admission.py
+++ b/tests/steps/admission.py
@@ -122,7 +122,7 @@
 
 def receiver(load):
     view = fleet_of(1).backends["e-0"]
-    view.remote_loads["other"] = remote_load(load, NOW)
+    view.remote_loads["other"] = remote_load(load, NOW, 2.0)
     return [view.all_less_urgent(level, NOW) for level in (0, 1, 2)]
 
 
--- a/verbenaward/direct/origin_queue.py
+++ b/verbenaward/direct/origin_queue.py
@@ -15,10 +15,11 @@
 from .. import clock
 from .origin_reachability import OriginReachability
 
-SILENT_SECONDS = 0.3
-"""Time without an answer after which the next request is sent. The first byte of a chunk may wait
-for the chunks of the other processes that read from the origin, 0.18 s at 4.4 Mbit/s."""
-PROBE_SECONDS = 0.15
+SILENT_SECONDS = 1.0
+"""Time without an answer after which the next request is sent. An origin whose link is busy answers
+late; with 0.3 s requests were sent again while their answers were on the way, which kept the link
+busy, and no version arrived."""
+PROBE_SECONDS = 0.3
 """The same while another answer is overdue, so that the return of the origin is noticed."""
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a failed request; an origin that refuses gets 30 requests a second, 10 from each
