Tell a busy origin from one that is away

Cause: with 1 s for every request, the return of an origin was noticed a second later (a scenario failed: the fourth request after 1.6 s in place of 0.8 s). Change: an origin that has answered within 2 s gets the next request after 1 s, and overdue answers are waited for; one that has not is asked each 0.15 to 0.3 s.

--- a/verbenaward/direct/origin_queue.py
+++ b/verbenaward/direct/origin_queue.py
@@ -7,6 +7,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -15,12 +16,15 @@
 from .. import clock
 from .origin_reachability import OriginReachability
 
-SILENT_SECONDS = 1.0
-"""Time without an answer after which the next request is sent. An origin whose link is busy answers
-late; with 0.3 s requests were sent again while their answers were on the way, which kept the link
-busy, and no version arrived."""
-PROBE_SECONDS = 0.3
-"""The same while another answer is overdue, so that the return of the origin is noticed."""
+BUSY_SECONDS = 1.0
+"""Time without an answer after which the next request is sent to an origin that has answered others
+lately. An origin with a busy link answers late, and requests sent again would keep it busy."""
+SILENT_SECONDS = 0.3
+"""The same if it has not answered lately, so that its return is noticed."""
+PROBE_SECONDS = 0.15
+"""The same while another answer is overdue."""
+AWAY_SECONDS = 2.0
+"""Time since the last answer from which the origin may be away."""
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a failed request; an origin that refuses gets 30 requests a second, 10 from each
 of the `ORIGIN_READERS`."""
@@ -36,6 +40,7 @@
       is_busy: True while a request is being answered, or waits for an answer that is not overdue.
       waiting: Heap of the waiting requests by rank and arrival.
       overdue: For each request whose answer is overdue, what ends it.
+      answered_at: When an answer last began, monotonic; minus infinity for never.
       reachability: Whether the origin answers this process.
     """
 
@@ -43,14 +48,15 @@
         self.is_busy = False
         self.waiting: list[tuple[tuple[int, ...], int, asyncio.Future[None]]] = []
         self.overdue: set[asyncio.Future[None]] = set()
+        self.answered_at = -math.inf
         self.arrivals = itertools.count()
         self.reachability = OriginReachability()
 
     async def fetch(self, rank: tuple[int, ...], send: OriginRequest) -> Result[bytes, str]:
         """Send a request when it is its turn, and return its result.
 
-        Once the origin answers another request, those that it left without an answer are ended:
-        it has lost them while it was away.
+        Once the origin answers another request after it was away, those that it left without an
+        answer are ended: it has lost them.
 
         Args:
           rank: The lowest rank is sent first.
@@ -60,8 +66,7 @@
         loop = asyncio.get_running_loop()
         ended: asyncio.Future[None] = loop.create_future()
         turn = Turn(self, ended)
-        silent_seconds = PROBE_SECONDS if self.overdue else SILENT_SECONDS
-        timer = loop.call_later(silent_seconds, turn.pass_on)
+        timer = loop.call_later(self.silent_seconds(clock.now()), turn.pass_on)
         request = asyncio.create_task(send(turn.answer))
         both: list[asyncio.Future[Any]] = [request, ended]
         try:
@@ -91,6 +96,26 @@
                 self.release()
             raise
 
+    def may_be_away(self, now: float) -> bool:
+        """Return True if the origin has answered nothing lately."""
+        return now - self.answered_at > AWAY_SECONDS
+
+    def silent_seconds(self, now: float) -> float:
+        """Return the time without an answer after which the next request is sent."""
+        if not self.may_be_away(now):
+            return BUSY_SECONDS
+        return PROBE_SECONDS if self.overdue else SILENT_SECONDS
+
+    def record_answer(self, now: float) -> None:
+        """Record that an answer begins.
+
+        If the origin was away, it has lost the requests whose answers are overdue; otherwise they
+        are still under way.
+        """
+        if self.may_be_away(now):
+            self.end_overdue()
+        self.answered_at = now
+
     def release(self) -> None:
         """Let the next waiting request be sent."""
         while self.waiting:
@@ -130,7 +155,7 @@
         self.is_answered = True
         self.queue.reachability.record_answer(clock.now())
         self.queue.overdue.discard(self.ended)
-        self.queue.end_overdue()
+        self.queue.record_answer(clock.now())
 
     def pass_on(self) -> None:
         """Let the next request be sent, as the answer to this one is overdue."""
