--- a/verbenaward/placement/admission.py
+++ b/verbenaward/placement/admission.py
@@ -33,8 +33,8 @@
 """Time for which a shortage must last before less urgent levels are limited, so that a short burst
 refuses nothing."""
 SHORTAGE_GAP_SECONDS = 2.0
-"""Time without such a forecast after which a shortage counts as a new one. With many entry processes
-each of them sees an urgent request only every half second."""
+"""Time without such a forecast after which a shortage counts as a new one. With many entry
+processes each of them sees an urgent request only every half second."""
 LIMIT_FALL_PER_SECOND = 2.0
 """Fall of the limit of a less urgent level during a shortage, as a share of the urgent target."""
 LIMIT_RISE_PER_SECOND = 0.2
