Order requests by the workspace's priority, then by the route's; log the level as urgency

Lines of requests: all classes had the same level, as the priority of the workspace replaced that of the route. Change: workspaces first, routes within them; more than three priorities are distributed over the three levels; the field is 'urgency'.

--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -7,7 +7,7 @@
 from .. import clock, metrics
 from ..data import Refusal, Verdict
 from ..placement.fleet import Fleet
-from ..placement.levels import level_of
+from ..placement.levels import level_of, urgency_of
 from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
 from ..placement.regions import allowed_regions
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
@@ -190,7 +190,7 @@
         workspace, priority = authenticate(table, parsed_headers, route.is_public)
         service = self.forwarder.placer.pick_service(route.shares)
         declared = table.services.get(service)
-        priority = route.priority if priority is None else priority
+        urgency = urgency_of(route, priority)
         return Request(
             headers=caller.headers,
             parsed_headers=parsed_headers,
@@ -201,14 +201,14 @@
             service=service,
             engine=declared.engine if declared else None,
             workspace=workspace,
-            priority=priority,
+            priority=urgency[0],
             received_at=received_at,
             deadline=received_at + remaining_seconds(parsed_headers, route.timeout_seconds),
             fingerprint=fingerprint_of(caller.method, raw_path, workspace, body),
             part_keys=part_keys_of(service, parsed_headers.prompt_parts),
             regions=allowed_regions(route, table.workspaces.get(parsed_headers.key)),
             held=held,
-            level=level_of(table.priorities.get(service, ()), priority),
+            level=level_of(table.urgencies.get(service, ()), urgency),
         )
 
 
--- a/verbenaward/placement/levels.py
+++ b/verbenaward/placement/levels.py
@@ -1,13 +1,14 @@
 """Levels of urgency: the distinct priorities of the requests for a service, in order.
 
-Level 0 is the most urgent. A service whose requests all have one priority has no levels: its
-requests have the level None and are served as if there were no priorities. Late requests wait
+The priority of the workspace comes first; among workspaces of one priority, that of the route
+decides. Level 0 is the most urgent. A service whose requests all have one priority has no levels:
+its requests have the level None and are served as if there were no priorities. Late requests wait
 behind all others, so load reports count them in the last level.
 """
 
 from dataclasses import dataclass
 
-from ..data import RoutingConfiguration
+from ..data import Route, RoutingConfiguration
 
 MAXIMUM_LEVELS = 3
 LAST_LEVEL = MAXIMUM_LEVELS - 1
@@ -16,6 +17,9 @@
 FIRST_LATE_RANK = RANKS_PER_LEVEL * MAXIMUM_LEVELS
 """Queue rank of late requests of level 0; those of the other levels follow."""
 
+Urgency = tuple[int, int]
+"""Priority of the workspace, or that of the route if it has none; then that of the route."""
+
 
 @dataclass(frozen=True, slots=True)
 class LessUrgent:
@@ -46,35 +50,37 @@
 NONE_LESS_URGENT = LessUrgent()
 
 
-def priorities_by_service(configuration: RoutingConfiguration) -> dict[str, tuple[int, ...]]:
-    """Return the distinct effective priorities of the requests for each service, in order.
+def urgency_of(route: Route, workspace_priority: int | None) -> Urgency:
+    """Return the urgency of the requests of a workspace on a route; the lowest is served first."""
+    first = route.priority if workspace_priority is None else workspace_priority
+    return first, route.priority
 
-    The priority of a workspace replaces that of the route.
-    """
-    found: dict[str, set[int]] = {}
+
+def urgencies_by_service(configuration: RoutingConfiguration) -> dict[str, tuple[Urgency, ...]]:
+    """Return the distinct urgencies of the requests for each service, in order."""
+    found: dict[str, set[Urgency]] = {}
     for route in configuration.routes:
-        priorities = {
-            route.priority if workspace.priority is None else workspace.priority
-            for workspace in configuration.workspaces
-        }
+        urgencies = {urgency_of(route, item.priority) for item in configuration.workspaces}
         if route.is_public or not configuration.workspaces:
-            priorities.add(route.priority)
+            urgencies.add(urgency_of(route, None))
         for share in route.shares:
-            found.setdefault(share.service, set()).update(priorities)
-    return {service: tuple(sorted(priorities)) for service, priorities in found.items()}
+            found.setdefault(share.service, set()).update(urgencies)
+    return {service: tuple(sorted(urgencies)) for service, urgencies in found.items()}
 
 
-def level_of(priorities: tuple[int, ...], priority: int) -> int | None:
-    """Return the level of a priority; None if all requests of the service have the same.
+def level_of(urgencies: tuple[Urgency, ...], urgency: Urgency) -> int | None:
+    """Return the level of an urgency; None if all requests of the service have the same.
 
     Args:
-      priorities: Distinct effective priorities of the requests for the service, in order. From the
-        third on they share the last level.
-      priority: Priority of the request.
+      urgencies: Distinct urgencies of the requests for the service, in order. More than three are
+        distributed over the levels as evenly as possible.
+      urgency: Urgency of the request.
     """
-    if len(priorities) < 2:
+    count = len(urgencies)
+    if count < 2:
         return None
-    return min(LAST_LEVEL, sum(other < priority for other in priorities))
+    position = min(count - 1, sum(other < urgency for other in urgencies))
+    return position if count <= MAXIMUM_LEVELS else position * MAXIMUM_LEVELS // count
 
 
 def queue_level(level: int | None, is_late: bool) -> int | None:
--- a/verbenaward/placement/routes.py
+++ b/verbenaward/placement/routes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..data import Route, RoutingConfiguration, ServiceDeclaration, WorkspaceDeclaration
-from .levels import priorities_by_service
+from .levels import Urgency, urgencies_by_service
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,14 +15,14 @@
       routes: Routes by host and path prefix.
       workspaces: Workspaces by API key.
       services: Services by name.
-      priorities: Distinct priorities of the requests for each service, in order.
+      urgencies: Distinct urgencies of the requests for each service, in order.
     """
 
     configuration: RoutingConfiguration
     routes: dict[tuple[str, str], Route] = field(default_factory=dict)
     workspaces: dict[str, WorkspaceDeclaration] = field(default_factory=dict)
     services: dict[str, ServiceDeclaration] = field(default_factory=dict)
-    priorities: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    urgencies: dict[str, tuple[Urgency, ...]] = field(default_factory=dict)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path; None if no route matches.
@@ -47,5 +47,5 @@
         {(route.host, route.prefix): route for route in configuration.routes},
         {key: item for item in configuration.workspaces for key in item.keys},
         {service.name: service for service in configuration.services},
-        priorities_by_service(configuration),
+        urgencies_by_service(configuration),
     )
