--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -350,11 +350,16 @@
     async def fetch_as_owner(
         self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
     ) -> Result[bytes, str]:
-        """Fetch from the origin; if that fails, from another process that may hold the chunk.
+        """Fetch from the origin, unless another process holds the chunk.
 
         Others hold a chunk that this process does not if its owner was another one before, or if
-        a stand-in has fetched it. A few of them are asked after each failure.
+        a stand-in has fetched it. A few of them are asked first, as owners change with each
+        restart, and a few others after each failure.
         """
+        if not attempt and key[2] != DIGESTS_INDEX:
+            held = await self.fetch_from_any(self.possible_holders(key, origin)[:ASKED_HOLDERS])
+            if held is not None:
+                return Success(held)
         result = await self.fetch_from_origin(key, origin, attempt)
         now = clock.now()
         if self.origin_queue.reachability.is_lost(now):
@@ -363,11 +368,18 @@
             return result
         urls = self.possible_holders(key, origin)
         start = attempt * ASKED_HOLDERS
-        for position in range(start, start + min(ASKED_HOLDERS, len(urls))):
-            found = await self.fetch_from_peer(urls[position % len(urls)])
+        positions = range(start, start + min(ASKED_HOLDERS, len(urls)))
+        held = await self.fetch_from_any([urls[position % len(urls)] for position in positions])
+        return result if held is None else Success(held)
+
+    async def fetch_from_any(self, urls: list[str]) -> bytes | None:
+        """Return a chunk from the first of some processes that has it; None if none has."""
+        for url in urls:
+            found = await self.fetch_from_peer(url)
             if isinstance(found, Success):
-                return found
-        return result
+                body: bytes = found.unwrap()
+                return body
+        return None
 
     def possible_holders(self, key: ChunkKey, origin: ServiceDeclaration) -> list[str]:
         """Return the URLs of a chunk at the other processes that may hold it.
