Readings of a newcomer: names, docstrings, and four faults seen by reading

Renamed: Reachability (RecentFailures), stand-in (backup owner), is_more_urgent_awaited, short_since and short_at, is_in_minimum; docstrings that were wrong or figurative; region_of stood twice.

--- a/verbenaward/direct/broadcast/loads.py
+++ b/verbenaward/direct/broadcast/loads.py
@@ -10,8 +10,8 @@
 from ..peer_table import MAXIMUM_TARGETS
 from .sections import SECTIONS, SharedState
 
-MISSED_REPORTS = 2.0
-"""Mean intervals between two reports of a peer after which its last one is ignored."""
+TTL_INTERVALS = 2.0
+"""Time for which a report counts, in mean intervals between two reports of a peer."""
 FULL_BROADCAST_SECONDS = 1.0
 """Longest time between two full broadcasts of a peer."""
 MAXIMUM_REPORT_TTL_SECONDS = 8.0
@@ -65,7 +65,7 @@
     the time, and overloaded backends would look idle.
     """
     interval = FULL_BROADCAST_SECONDS * peers / MAXIMUM_TARGETS
-    ttl = max(REMOTE_LOAD_TTL_SECONDS, MISSED_REPORTS * interval)
+    ttl = max(REMOTE_LOAD_TTL_SECONDS, TTL_INTERVALS * interval)
     return min(MAXIMUM_REPORT_TTL_SECONDS, ttl)
 
 
--- a/verbenaward/direct/chunk_owners.py
+++ b/verbenaward/direct/chunk_owners.py
@@ -12,7 +12,7 @@
 """Time after a failed request for which a process is passed over."""
 WITHOUT_ORIGIN_SECONDS = 0.5
 """The same for an owner that has lost the origin. With its 0.3 s until it notices the return this
-is well below `STEADY_SECONDS`, so that no stand-in reads what the owner is about to read."""
+is well below `STEADY_SECONDS`, so that no backup owner reads what the owner is about to read."""
 
 
 def owner_order(model: str, version: int, index: int, entries: list[str]) -> list[str]:
@@ -48,24 +48,24 @@
     return list(dict.fromkeys(entry_order(controls, zone, regions, run)[0] for zone in zones))
 
 
-class Reachability:
-    """Processes that could not be reached lately.
+class RecentFailures:
+    """Processes that have failed recently, each remembered for a limited time.
 
     Attributes:
-      passed_over_seconds: Time for which a process is passed over.
-      failed_at: When a connection to a process last failed, monotonic, by its control address.
+      retention_seconds: Time for which a failure is remembered.
+      failed_at: When a process last failed, monotonic, by its control address.
     """
 
-    def __init__(self, passed_over_seconds: float = UNREACHABLE_SECONDS) -> None:
-        self.passed_over_seconds = passed_over_seconds
+    def __init__(self, retention_seconds: float = UNREACHABLE_SECONDS) -> None:
+        self.retention_seconds = retention_seconds
         self.failed_at: dict[str, float] = {}
 
     def record_failure(self, control: str, now: float) -> None:
-        """Record that a process did not answer."""
+        """Record that a process has failed."""
         self.failed_at[control] = now
 
     def first(self, order: list[str], now: float) -> str:
-        """Return the first process that has not failed lately, or else the first of all.
+        """Drop expired failures, and return the first process without one, or else the first.
 
         Args:
           order: Processes in order of preference; at least one.
@@ -74,6 +74,6 @@
         self.failed_at = {
             control: at
             for control, at in self.failed_at.items()
-            if now - at < self.passed_over_seconds
+            if now - at < self.retention_seconds
         }
         return next((control for control in order if control not in self.failed_at), order[0])
--- a/verbenaward/direct/chunks.py
+++ b/verbenaward/direct/chunks.py
@@ -6,8 +6,8 @@
 origin. In every other region one entry process fetches it from the owner and serves the region.
 
 While the origin is away the owner keeps trying, and the others keep asking the owner, so that a
-chunk is passed on as soon as it is had; nobody else goes to the origin, whose link would be used
-for several copies of a chunk.
+chunk is passed on as soon as it has arrived. No other process reads from the origin, whose link
+would carry several copies of a chunk.
 """
 
 import asyncio
@@ -33,7 +33,7 @@
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
 from ..schema.settings import Settings
-from .chunk_owners import WITHOUT_ORIGIN_SECONDS, Reachability, owner_order, relays_of
+from .chunk_owners import WITHOUT_ORIGIN_SECONDS, RecentFailures, owner_order, relays_of
 from .chunk_runs import CHUNKS_PER_RUN
 from .entry_peers import zone_of_record
 from .origin_queue import OriginQueue
@@ -52,7 +52,7 @@
 PEER_SILENCE_SECONDS = 1.5
 """Longest time without a byte from such a process."""
 WAIT_SECONDS = 1.0
-"""Longest wait for a chunk that is not at hand, after which the request is answered with 503. It
+"""Longest wait for a chunk that is not available, after which the request is answered with 503. It
 is shorter than `PEER_SILENCE_SECONDS`, so that a waiting owner is not taken for a lost one."""
 LOCATE_WAIT_SECONDS = 2.0
 """The same for a HEAD request, which endpoint processes send for all missing chunks."""
@@ -75,17 +75,19 @@
 """Chunks that are fetched in advance when one is served."""
 OWNER_QUERY = "owner"
 """Query parameter of a request to the owner of a chunk: it fetches it from the origin, whichever
-process is the owner as far as it knows. Its value is `AS_OWNER` or `AS_STAND_IN`."""
+process is the owner as far as it knows. Its value is `AS_OWNER` or `AS_BACKUP_OWNER`."""
 AS_OWNER = "1"
-AS_STAND_IN = "2"
+AS_BACKUP_OWNER = "2"
 """The request goes to the second in the order of owners, as the owner has lost the origin."""
 ORIGIN_LOST_HEADER = "X-Origin-Lost"
 """Header of an owner's refusal, if the origin does not answer it."""
 PROBE_INTERVAL_SECONDS = 0.5
 PROBED_SECONDS = 4.0
-"""Time for which a stand-in probes the origin after it was last asked."""
+"""Time for which a backup owner probes the origin after it was last asked."""
 ASKED_HOLDERS = 3
 """Processes that an owner asks for a chunk after each failure of the origin."""
+NEW_VERSION_SECONDS = 0.5
+"""Time after a process learns of a version in which its owners read from the origin at once."""
 CACHED_QUERY = "cached"
 """Query parameter of a request that is only answered from the cache."""
 
@@ -105,9 +107,9 @@
       origin_queue: Order of this process's requests to the origin.
       appointed: Chunks that other processes requested from this one as their owner, while they are
         fetched.
-      reachability: Owners that could not be reached lately.
-      without_origin: Owners that said lately that they have lost the origin.
-      probed_until: Until when this process probes the origin as a stand-in, monotonic.
+      unreachable_peers: Owners that could not be reached lately.
+      owners_without_origin: Owners that said lately that they have lost the origin.
+      probed_until: Until when this process probes the origin as a backup owner, monotonic.
       background_tasks: References to running tasks, so that they are not garbage-collected.
     """
 
@@ -130,8 +132,8 @@
         self.rng = random.Random()
         self.origin_queue = OriginQueue()
         self.appointed: set[ChunkKey] = set()
-        self.reachability = Reachability()
-        self.without_origin = Reachability(WITHOUT_ORIGIN_SECONDS)
+        self.unreachable_peers = RecentFailures()
+        self.owners_without_origin = RecentFailures(WITHOUT_ORIGIN_SECONDS)
         self.probed_until = 0.0
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.prefetch_version)
@@ -200,12 +202,12 @@
             cached = self.cache.get(key)
             return web.Response(status=404) if cached is None else web.Response(body=cached)
         if (asked_as := request.query.get(OWNER_QUERY)) and key not in self.cache:
-            if asked_as == AS_STAND_IN and not self.can_stand_in(model, version):
+            if asked_as == AS_BACKUP_OWNER and not self.check_origin_or_probe(model, version):
                 return web.Response(status=503, headers={ORIGIN_LOST_HEADER: "1"})
             self.appointed.add(key)
-        is_located = request.method == "HEAD"
-        body = await self.get_in_time(key, LOCATE_WAIT_SECONDS if is_located else WAIT_SECONDS)
-        if is_located:
+        is_head = request.method == "HEAD"
+        body = await self.get_in_time(key, LOCATE_WAIT_SECONDS if is_head else WAIT_SECONDS)
+        if is_head:
             # Without a length the client takes the connection to end with the answer.
             length = {"Content-Length": str(len(body or b""))}
             return web.Response(status=503 if body is None else 200, headers=length)
@@ -219,10 +221,10 @@
         return await send_paced(request, body, rate)
 
     def may_read(self, owners: list[str], model: str, version: int) -> bool:
-        """Return True if this process owns a chunk, or can stand in for its owner."""
-        return owners[0] == self.settings.listen or self.can_stand_in(model, version)
+        """Return True if this process owns a chunk, or may read in place of its owner."""
+        return owners[0] == self.settings.listen or self.check_origin_or_probe(model, version)
 
-    def can_stand_in(self, model: str, version: int) -> bool:
+    def check_origin_or_probe(self, model: str, version: int) -> bool:
         """Return True if the origin answers this process; probe it for the next time if not."""
         now = clock.now()
         if self.origin_queue.reachability.is_steady(now):
@@ -330,7 +332,7 @@
         model, version, index = key
         near, far = self.holders_of(key)
         owners = self.owners_of(key, origin)
-        owner = self.without_origin.first(owners, clock.now())
+        owner = self.owners_without_origin.first(owners, clock.now())
         if key in self.appointed:
             owner = self.settings.listen
         elif owner == self.settings.listen and not self.may_read(owners, model, version):
@@ -343,7 +345,7 @@
         # Entry processes serve /weights, endpoint processes /staged.
         if source != owner:
             return await self.fetch_from_peer(f"http://{source}/staged/{name}")
-        asked_as = AS_OWNER if owner == owners[0] else AS_STAND_IN
+        asked_as = AS_OWNER if owner == owners[0] else AS_BACKUP_OWNER
         url = f"http://{owner}/weights/{name}?{OWNER_QUERY}={asked_as}"
         return await self.fetch_from_peer(url, owner)
 
@@ -353,17 +355,18 @@
         """Fetch from the origin, unless another process holds the chunk.
 
         Others hold a chunk that this process does not if its owner was another one before, or if
-        a stand-in has fetched it. A few of them are asked first, as owners change with each
+        a backup owner has fetched it. A few of them are asked first, as owners change with each
         restart, and a few others after each failure.
         """
-        if not attempt and key[2] != DIGESTS_INDEX:
+        # The first attempt may have been at an endpoint process.
+        if attempt <= 1 and key[2] != DIGESTS_INDEX and self.may_be_held(key, clock.now()):
             held = await self.fetch_from_any(self.possible_holders(key, origin)[:ASKED_HOLDERS])
             if held is not None:
                 return Success(held)
         result = await self.fetch_from_origin(key, origin, attempt)
         now = clock.now()
         if self.origin_queue.reachability.is_lost(now):
-            self.without_origin.record_failure(self.settings.listen, now)
+            self.owners_without_origin.record_failure(self.settings.listen, now)
         if isinstance(result, Success) or key[2] == DIGESTS_INDEX:
             return result
         urls = self.possible_holders(key, origin)
@@ -372,6 +375,14 @@
         held = await self.fetch_from_any([urls[position % len(urls)] for position in positions])
         return result if held is None else Success(held)
 
+    def may_be_held(self, key: ChunkKey, now: float) -> bool:
+        """Return True unless the version was set so recently that no process can have a chunk."""
+        learned = self.fleet.versions.get(key[0], ())
+        return not any(
+            item.target.version == key[1] and now - item.learned_at < NEW_VERSION_SECONDS
+            for item in learned
+        )
+
     async def fetch_from_any(self, urls: list[str]) -> bytes | None:
         """Return a chunk from the first of some processes that has it; None if none has."""
         for url in urls:
@@ -440,7 +451,7 @@
         return next((item for item in table.configuration.services if item.origin), None)
 
     def owners_of(self, key: ChunkKey, origin: ServiceDeclaration) -> list[str]:
-        """Return the control addresses of the owner of a chunk and of its stand-in, if any."""
+        """Return the control addresses of the owner of a chunk and of its backup owner, if any."""
         direct = self.settings.direct
         assert direct is not None
         region = direct.zones.get(origin.zone, "")
@@ -458,9 +469,9 @@
         if not eligible:
             return [self.settings.listen]
         order = owner_order(*key, eligible)
-        owner = self.reachability.first(order, now)
+        owner = self.unreachable_peers.first(order, now)
         others = [control for control in order if control != owner]
-        return [owner, self.reachability.first(others, now)] if others else [owner]
+        return [owner, self.unreachable_peers.first(others, now)] if others else [owner]
 
     async def fetch_from_origin(
         self, key: ChunkKey, origin: ServiceDeclaration, attempt: int
@@ -542,13 +553,13 @@
                 body = await response.read()
                 if response.status != HTTP_OK:
                     if owner and ORIGIN_LOST_HEADER in response.headers:
-                        self.without_origin.record_failure(owner, clock.now())
+                        self.owners_without_origin.record_failure(owner, clock.now())
                     return Failure(f"{url}: status {response.status}")
                 metrics.WEIGHT_BYTES.labels("entry").inc(len(body))
                 return Success(body)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             if owner:
-                self.reachability.record_failure(owner, clock.now())
+                self.unreachable_peers.record_failure(owner, clock.now())
             return Failure(f"{url}: {type(error).__name__} {error}")
 
     def add_to_cache(self, key: ChunkKey, body: bytes) -> None:
--- a/verbenaward/direct/group_membership.py
+++ b/verbenaward/direct/group_membership.py
@@ -3,6 +3,7 @@
 from ..logs import get_logger
 from ..placement.fleet import Fleet
 from ..placement.peer_groups import PeerGroup, peer_group_of
+from ..placement.regions import region_of
 from ..schema.settings import Settings
 from .peer_table import PeerTable
 
@@ -25,11 +26,6 @@
         self.peers = peers
         self.group = PeerGroup()
 
-    def region_of(self, zone: str) -> str:
-        """Return the region of a zone; the zone itself if the settings name no region."""
-        direct = self.settings.direct
-        return direct.zones.get(zone, zone) if direct else zone
-
     def update(self, now: float) -> None:
         """Recompute the peer group from the ready peers and the engines of the region.
 
@@ -38,16 +34,17 @@
         Args:
           now: Present time, monotonic, in seconds.
         """
-        region = self.region_of(self.settings.zone)
+        zones = self.settings.direct.zones if self.settings.direct else {}
+        region = region_of(self.settings.zone, zones)
         members = [
             broadcast.vm
             for broadcast in self.peers.group_candidates(now)
-            if self.region_of(broadcast.zone) == region
+            if region_of(broadcast.zone, zones) == region
         ]
         engines = [
             view.backend.address
             for view in self.fleet.backends.values()
-            if view.backend.weights and self.region_of(view.backend.zone) == region
+            if view.backend.weights and region_of(view.backend.zone, zones) == region
         ]
         peer_group = peer_group_of(self.settings.vm, members, engines)
         if peer_group.members != self.group.members:
--- a/verbenaward/direct/origin_queue.py
+++ b/verbenaward/direct/origin_queue.py
@@ -151,7 +151,7 @@
         self.pause_seconds = 0.0
 
     def answer(self) -> None:
-        """Record that the answer begins: the origin is back."""
+        """Record that the answer to this request has begun."""
         self.is_answered = True
         self.queue.reachability.record_answer(clock.now())
         self.queue.overdue.discard(self.ended)
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -92,7 +92,7 @@
 
     def forget_silent(self, now: float) -> None:
         """Remove peers that have been silent for long and are neither registered nor seeds."""
-        seeds = {f"{host_of(seed)}" for seed in self.settings.seeds}
+        seeds = {host_of(seed) for seed in self.settings.seeds}
         gone = [
             peer.control
             for peer in self.by_control.values()
--- a/verbenaward/direct/slow_readers.py
+++ b/verbenaward/direct/slow_readers.py
@@ -21,9 +21,9 @@
 from ..sockets import keepalive_socket
 
 READ_BUFFER_BYTES = 16 * 1024
-"""Size from which the body of an answer or a request is not parsed on. aiohttp stops at twice of it
-and goes on below it; with its default of 256 KiB, a caller that takes 10 KB/s would leave its
-backend unread for 26 s, and backends cut off answers that are unread for some seconds."""
+"""Argument `read_bufsize` of aiohttp: reading pauses once twice this size is buffered, and resumes
+below it. With its default of 256 KiB, a caller that takes 10 KB/s would leave its backend unread
+for 26 s, and backends cut off answers that are unread for some seconds."""
 KERNEL_BUFFER_BYTES = 64 * 1024
 """Send buffer of a caller's and receive buffer of a backend's connection; the kernel doubles it.
 Without a limit it grows to several megabytes for each. 64 KiB each round trip of 6 ms is more than
@@ -40,8 +40,9 @@
 cut off answers that are unread for some seconds, and the reading of one that has stopped does not
 go on with each short pause."""
 STALLED_ANSWER_SECONDS = 10.0
-"""Time without progress after which a whole answer is abandoned. A caller that reads slowly but
-steadily makes progress in that time; it is the same limit as for sending a body."""
+"""Interval at which the progress of a whole answer is checked; without any it is abandoned. A
+caller that reads slowly but steadily makes progress in that time; it is the same limit as for
+sending a body."""
 
 
 def raise_refusal(result: Result[None, Refusal]) -> None:
--- a/verbenaward/placement/admission.py
+++ b/verbenaward/placement/admission.py
@@ -112,8 +112,8 @@
       decayed_at: Time up to which that was decayed, monotonic.
       target_seconds: Target of the last first attempt; 0 for none.
       seen_at: When that came, monotonic.
-      short_since: When the present shortage began, monotonic.
-      short_at: When a forecast last showed it, monotonic.
+      shortage_began_at: When the present shortage began, monotonic.
+      shortage_seen_at: When a forecast last showed it, monotonic.
       limit_share: Limit on the expected wait of the level, as a share of the targets of more urgent
         levels, at `limited_at`; 1 for no limit.
       limited_at: When that was set, monotonic.
@@ -125,8 +125,8 @@
     decayed_at: float = 0.0
     target_seconds: float = 0.0
     seen_at: float = 0.0
-    short_since: float = -math.inf
-    short_at: float = -math.inf
+    shortage_began_at: float = -math.inf
+    shortage_seen_at: float = -math.inf
     limit_share: float = 1.0
     limited_at: float = 0.0
 
@@ -154,10 +154,10 @@
         expected = forecast_seconds - demand.excess_prefill_seconds
         if expected <= SHORTAGE_TARGET_SHARE * demand.target_left_seconds:
             return 0.0
-        if now - self.short_at > SHORTAGE_GAP_SECONDS:
-            self.short_since = now
-        self.short_at = now
-        return step if now - self.short_since >= SHORTAGE_GRACE_SECONDS else 0.0
+        if now - self.shortage_seen_at > SHORTAGE_GAP_SECONDS:
+            self.shortage_began_at = now
+        self.shortage_seen_at = now
+        return step if now - self.shortage_began_at >= SHORTAGE_GRACE_SECONDS else 0.0
 
 
 @dataclass(slots=True)
@@ -190,6 +190,7 @@
         for number in range(LAST_LEVEL, level, -1):
             record = self.level(number, now)
             share = record.limit_share_at(now)
+            # The share has risen since the last step, which is taken back here.
             fall = seconds * (LIMIT_FALL_PER_SECOND + LIMIT_RISE_PER_SECOND)
             record.limit_share = max(MINIMUM_LIMIT_SHARE, share - fall)
             record.limited_at = now
@@ -282,11 +283,13 @@
     allowed = allowed_seconds(demand, record, now)
     if forecast.seconds - demand.excess_prefill_seconds <= allowed:
         return Decision(True, allowed)
-    is_guaranteed = is_in_minimum(demand, forecast, record, now)
+    is_guaranteed = is_guaranteed_request(demand, forecast, record, now)
     return Decision(is_guaranteed, allowed, is_guaranteed)
 
 
-def is_in_minimum(demand: Demand, forecast: Forecast, record: AdmissionRecord, now: float) -> bool:
+def is_guaranteed_request(
+    demand: Demand, forecast: Forecast, record: AdmissionRecord, now: float
+) -> bool:
     """Return True if a request belongs to the guaranteed minimum of its level."""
     if demand.level is None or demand.is_late:
         return False
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -7,17 +7,18 @@
 
 import math
 import zlib
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..data import Backend, EngineProfile
 from .backend_notices import IncarnationNotices, incarnation_hash
-from .levels import LAST_LEVEL, NONE_LESS_URGENT, LessUrgent, is_more_urgent_awaited
+from .levels import LAST_LEVEL, NONE_LESS_URGENT, LessUrgent, is_at_least_as_urgent
 
 UNREACHABLE_BACKOFF_SECONDS = 1.5
 """Backoff after a backend could not be reached or did not answer; doubled for each further
 failure in a row."""
 MAXIMUM_UNREACHABLE_BACKOFF_SECONDS = 6.0
+MAXIMUM_DOUBLINGS = 10
+"""Most doublings of a backoff; it reaches its limit earlier. Larger powers overflow a float."""
 FULL_BACKOFF_SECONDS = 0.15
 """Backoff after a backend answered that it is full."""
 LOADING_OCCUPANCY = 0.75
@@ -57,6 +58,7 @@
       prompt_tokens: Prompt tokens of those that have no first event yet.
       received_at: When it was reported, monotonic.
       ttl_seconds: Age from which the report is ignored.
+      less_urgent: Those of its requests without a first event that are below level 0 and 1.
     """
 
     running: int
@@ -133,7 +135,7 @@
         """Return the prompt tokens without a first event yet, over all entry processes."""
         return self.prompt_tokens + sum(load.prompt_tokens for load in self.fresh_remote_loads(now))
 
-    def fresh_remote_loads(self, now: float) -> Iterable[RemoteLoad]:
+    def fresh_remote_loads(self, now: float) -> list[RemoteLoad]:
         """Return the load reports of other entry processes that are not stale."""
         return [
             load for load in self.remote_loads.values() if now - load.received_at < load.ttl_seconds
@@ -182,7 +184,7 @@
         waits = [
             started
             for key, started in self.awaiting_first_event.items()
-            if is_more_urgent_awaited(self.awaiting_levels.get(key), level)
+            if is_at_least_as_urgent(self.awaiting_levels.get(key), level)
         ]
         return now - min(waits, default=now)
 
@@ -218,10 +220,8 @@
     def record_unresponsive(self, now: float) -> None:
         """Record that it could not be reached or did not answer, and back off exponentially."""
         self.record_failure()
-        pause = min(
-            MAXIMUM_UNREACHABLE_BACKOFF_SECONDS,
-            UNREACHABLE_BACKOFF_SECONDS * 2**self.consecutive_failures,
-        )
+        doublings = min(MAXIMUM_DOUBLINGS, self.consecutive_failures)
+        pause = min(MAXIMUM_UNREACHABLE_BACKOFF_SECONDS, UNREACHABLE_BACKOFF_SECONDS * 2**doublings)
         self.consecutive_failures += 1
         self.backoff_until = max(self.backoff_until, now + pause)
 
@@ -231,10 +231,9 @@
 
     def record_misdirected(self, now: float) -> None:
         """Exclude it: another incarnation answers at its address."""
-        pause = min(
-            MAXIMUM_MISDIRECTED_EXCLUSION_SECONDS,
-            MISDIRECTED_EXCLUSION_SECONDS * 2**self.misdirections,
-        )
+        doublings = min(MAXIMUM_DOUBLINGS, self.misdirections)
+        longest = MAXIMUM_MISDIRECTED_EXCLUSION_SECONDS
+        pause = min(longest, MISDIRECTED_EXCLUSION_SECONDS * 2**doublings)
         self.misdirections += 1
         self.misdirected_until = now + pause
         self.excluded_until = max(self.excluded_until, self.misdirected_until)
--- a/verbenaward/placement/known_limits.py
+++ b/verbenaward/placement/known_limits.py
@@ -60,7 +60,7 @@
         """Take over a limit unless a later one is known; return True if the limit has changed."""
         if known_at <= self.known_at:
             return False
-        # Reports of peers are rounded so.
+        # Reports carry rates per 1000 seconds, so own values are rounded alike.
         rounded = round(per_second, 3)
         changed = rounded != self.per_second
         self.per_second = rounded
--- a/verbenaward/placement/levels.py
+++ b/verbenaward/placement/levels.py
@@ -99,6 +99,9 @@
     return RANKS_PER_LEVEL * level + (0 if is_long else 1)
 
 
-def is_more_urgent_awaited(awaited: int | None, level: int | None) -> bool:
-    """Return True if a request of one level is served no later than one of another level."""
-    return level is None or (awaited or 0) <= level
+def is_at_least_as_urgent(other: int | None, level: int | None) -> bool:
+    """Return True if a request of level `other` is at least as urgent as one of `level`.
+
+    A request without a level counts as level 0; any request is if `level` is None.
+    """
+    return level is None or (other or 0) <= level
--- a/verbenaward/placement/memory_budget.py
+++ b/verbenaward/placement/memory_budget.py
@@ -1,7 +1,8 @@
 """Bytes that an entry process holds for callers and backends that send or read slowly.
 
 The budget covers what grows with the load: request bodies, whole answers, and streams whose callers
-do not read. It is checked before the bytes are taken, so the process refuses in time.
+do not read. A body of declared length is checked before it is read; all other bytes are counted as
+they arrive.
 """
 
 import random
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -1,7 +1,6 @@
-"""Chooses the backend of a request and decides whether to admit the request.
+"""Chooses the backend of a request, and builds the refusal of one that is not sent.
 
-Admission control sheds load in a burst: if every engine would send the first event too late to
-be of use, the request is refused at once, so that admitted requests still meet their target.
+`admission` decides whether a request is admitted.
 """
 
 import dataclasses
@@ -113,10 +112,11 @@
         self.admissions: dict[str, AdmissionRecord] = {}
 
     def choose(self, request: Request, tried: set[str], now: float) -> Choice | None:
-        """Return the backend with the lowest cost, or None if no backend may run the request.
+        """Return a backend for a request, or None if no backend may run it.
 
-        Backends that failed the request and backends in backoff are used only if no other is
-        left.
+        Of the cheapest ones it is chosen at random. A request with a target may also go to an idle
+        engine outside the peer group or region (see `overflow`). Backends that failed the request
+        and backends in backoff are used only if no other is left.
 
         Args:
           request: The request.
@@ -335,7 +335,7 @@
         if not request.level:
             return Forecast(choice.expected_seconds, choice.expected_seconds)
         as_urgent = dataclasses.replace(request, level=0)
-        processes = 1 + len(list(choice.view.fresh_remote_loads(now)))
+        processes = 1 + len(choice.view.fresh_remote_loads(now))
         urgent_seconds = self.expected_seconds(choice.view, as_urgent, now)
         return Forecast(choice.expected_seconds, urgent_seconds, processes)
 
--- a/verbenaward/weight_loading/chunk_arrivals.py
+++ b/verbenaward/weight_loading/chunk_arrivals.py
@@ -1,6 +1,6 @@
-"""Chunks that an endpoint process still needs, and which of them entry processes have at hand.
+"""Chunks that an endpoint process still needs, and which of them entry processes have available.
 
-Only chunks that are at hand take part of the link's rate: a chunk that waits for the origin keeps
+Only chunks that are available take part of the link's rate: a chunk that waits for the origin keeps
 no other from being fetched.
 """
 
@@ -16,13 +16,13 @@
 take 8 s, as each further entry process that is asked waits at the owners too."""
 
 Locate = Callable[[int, int], Awaitable[str | None]]
-"""Returns the entry process that has a chunk at hand, or None if it is not had in time. Its
+"""Returns the entry process that has a chunk available, or None if that takes too long. Its
 arguments are the index of the chunk and the number of earlier failures."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class ArrivedChunk:
-    """A chunk that an entry process has at hand.
+    """A chunk that an entry process has available.
 
     Attributes:
       position: Position in the order in which the chunks are fetched.
@@ -41,9 +41,9 @@
     """Waits for the missing chunks of a version at their entry processes.
 
     Attributes:
-      locate: Finds the entry process that has a chunk at hand.
-      wanted: Heap of the chunks that are not at hand, as rounds of attempts, position and index.
-      arrived: Heap of the chunks that are at hand and not fetched yet.
+      locate: Finds the entry process that has a chunk available.
+      wanted: Heap of the chunks that are not available, as rounds of attempts, position and index.
+      arrived: Heap of the chunks that are available and not fetched yet.
       unfinished: Number of chunks that are not done.
       changed: Notified of each change.
       waits: Running tasks.
@@ -54,7 +54,7 @@
 
         Args:
           indexes: Missing chunks in the order in which they are fetched.
-          locate: Finds the entry process that has a chunk at hand.
+          locate: Finds the entry process that has a chunk available.
         """
         self.locate = locate
         self.wanted = [(0, position, index) for position, index in enumerate(indexes)]
@@ -90,13 +90,13 @@
                 self.changed.notify_all()
 
     async def next(self) -> ArrivedChunk | None:
-        """Return the next chunk that is at hand; None once all are done."""
+        """Return the next chunk that is available; None once all are done."""
         async with self.changed:
             await self.changed.wait_for(lambda: self.arrived or not self.unfinished)
             return heapq.heappop(self.arrived) if self.arrived else None
 
     async def finish(self, chunk: ArrivedChunk, is_staged: bool) -> None:
-        """Record that a chunk is done, or that it has to be had again."""
+        """Record that a chunk is done, or return it to the wanted ones."""
         async with self.changed:
             if is_staged:
                 self.unfinished -= 1
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -289,7 +289,7 @@
     async def stage_arrived(
         self, arrivals: ChunkArrivals, wanted: HeldWeights, digests: VersionDigests
     ) -> bool:
-        """Worker: stage chunks as they are at hand until all are done or other weights are wanted.
+        """Worker: stage available chunks until all are done or other weights are wanted.
 
         Returns:
           True if all are done.
@@ -305,14 +305,14 @@
         return True
 
     async def locate(self, wanted: HeldWeights, index: int, failures: int) -> str | None:
-        """Return the entry process that has a chunk at hand; None if it is not had in time."""
+        """Return the entry process that has a chunk available; None if that takes too long."""
         run = chunk_run_name(wanted.model, wanted.version, index)
         return await self.fetcher.locate(chunk_path(wanted, index), run, failures)
 
     async def stage_chunk(
         self, wanted: HeldWeights, chunk: ArrivedChunk, digest: bytes, is_alone: bool
     ) -> bool:
-        """Fetch and stage one chunk, faster if no other is at hand; False if that failed."""
+        """Fetch and stage one chunk, faster if no other is available; False if that failed."""
         index = chunk.index
         path = chunk_path(wanted, index)
         body = await self.fetcher.fetch_at(chunk.entry, path, digest, is_alone)
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from .. import clock
-from ..direct.chunk_owners import Reachability
+from ..direct.chunk_owners import RecentFailures
 from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
 from ..direct.pacing import RATE_QUERY
@@ -50,7 +50,7 @@
         if bodies arrive slower than requested: bytes beyond the link's real rate would fill
         a queue in which requests to the engine wait too.
       link_shares: Parts of the link that running fetches use.
-      reachability: Entry processes that could not be reached lately.
+      unreachable_entries: Entry processes that could not be reached lately.
     """
 
     def __init__(
@@ -66,10 +66,10 @@
         self.session = session
         self.share = 1.0
         self.link_shares = LinkShares()
-        self.reachability = Reachability()
+        self.unreachable_entries = RecentFailures()
 
     async def locate(self, path: str, run: str, failures: int) -> str | None:
-        """Return the entry process that has a chunk at hand; None if it is not had in time.
+        """Return the entry process that has a chunk available; None if that takes too long.
 
         The entry process answers once it has the chunk, or refuses after two seconds.
 
@@ -83,26 +83,26 @@
         if entries:
             skipped = failures // REFUSALS_PER_ENTRY % len(entries)
             preferred = [*entries[skipped:], *entries[:skipped]]
-            entry = self.reachability.first(preferred, clock.now())
+            entry = self.unreachable_entries.first(preferred, clock.now())
             timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
             try:
                 async with self.session.head(f"http://{entry}{path}", timeout=timeout) as response:
                     if response.status == HTTP_OK:
                         return entry
             except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-                self.reachability.record_failure(entry, clock.now())
+                self.unreachable_entries.record_failure(entry, clock.now())
                 LOG.warning("weights.unfetched", url=path, error=f"{type(error).__name__} {error}")
         await asyncio.sleep(RETRY_SECONDS)
         return None
 
     async def fetch_at(self, entry: str, path: str, digest: bytes, is_alone: bool) -> bytes | None:
-        """Return a verified chunk from an entry process that has it at hand; None on failure.
+        """Return a verified chunk from an entry process that has it available; None on failure.
 
         Args:
           entry: Control address of the entry process.
           path: Path of the chunk.
           digest: Its SHA-256 digest.
-          is_alone: True if no other chunk is at hand.
+          is_alone: True if no other chunk is available.
         """
         body = await self.get(f"http://{entry}{path}", MAXIMUM_PARTS if is_alone else 1)
         return body if body is not None and sha256(body) == digest else None
--- a/verbenaward/weight_loading/link_shares.py
+++ b/verbenaward/weight_loading/link_shares.py
@@ -9,9 +9,10 @@
 PARTS = 3
 """Parts of the link's rate, of which a fetch gets one or more."""
 MAXIMUM_PARTS = 2
-"""Most parts of one fetch. While no other chunk is at hand, as after the return of the origin, each
-is fetched faster; the last part is left for a second fetch, so that the link is not idle between
-two. Otherwise each gets one part: a short delay makes a fast body look slow (`SLOW_RATIO`)."""
+"""Most parts of one fetch. While no other chunk is available, as after the return of the origin,
+each is fetched faster; the last part is left for a second fetch, so that the link is not idle
+between two. Otherwise each gets one part: a short delay makes a fast body look slow
+(`SLOW_RATIO`)."""
 
 
 class LinkShares:
@@ -38,4 +39,4 @@
         finally:
             self.free += parts
             async with self.changed:
-                self.changed.notify()
+                self.changed.notify_all()
