--- a/verbenaward/direct/broadcast/limits.py
+++ b/verbenaward/direct/broadcast/limits.py
@@ -25,5 +25,5 @@
         }
 
     def apply(self, broadcast: Pulse, peer: EntryPeer, now: float) -> None:
-        """Record the limits that a peer knows."""
+        """Record the limits that a peer reports."""
         self.state.limits.record_reports(broadcast.limits, now)
--- a/verbenaward/direct/broadcast/peers.py
+++ b/verbenaward/direct/broadcast/peers.py
@@ -1,4 +1,4 @@
-"""Section: the peers that a process knows, so that a peer is found without the store."""
+"""Section: addresses of known peers, so that processes find each other without the store."""
 
 import random
 from typing import Any
--- a/verbenaward/direct/broadcast/store_position.py
+++ b/verbenaward/direct/broadcast/store_position.py
@@ -1,4 +1,4 @@
-"""Section: how far a process knows the store's history, and how old its replica is."""
+"""Section: position of the replica in the store's history, and its age."""
 
 import math
 from typing import Any
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -61,7 +61,7 @@
       peers: The other entry processes.
       readiness: Since when this process may own limits.
       limiters: Sends that this process has granted.
-      silent: Processes that were asked and have not been heard since.
+      silent: Processes that were asked and have not answered or sent anything since.
       pending: Called with the time to wait, by the number of the question.
     """
 
@@ -246,10 +246,10 @@
 
 
 def report_of(notices: IncarnationNotices, now: float) -> ReportedLimit:
-    """Return what this process knows of a limit, with its age, and of the warm-up.
+    """Return the report on a limit, with its age, and on the warm-up.
 
-    Of two processes, one that knows of no limit must not seem to know that later: the times at
-    which their machines started differ.
+    A process without a limit reports the maximum age: monotonic clocks differ between machines, so
+    its time 0 could look newer than an observation of another process.
     """
     limit = notices.limit
     age_ms = MAXIMUM_MILLISECONDS
--- a/verbenaward/direct/silent_owners.py
+++ b/verbenaward/direct/silent_owners.py
@@ -18,17 +18,18 @@
 """Time for which a process that has not answered is not asked again; doubled each time."""
 MAXIMUM_PASS_OVER_SECONDS = 8.0
 PROBE_SECONDS = 0.5
-"""Interval of the questions by which a process finds out whether the owner has come back."""
+"""Interval of the questions by which a process checks whether the owner answers again."""
 MINIMUM_UNANSWERED = 3
 """Questions without an answer after which an owner may be replaced; a few may be lost."""
 MINIMUM_HEARD_PEERS = 8
-"""Peers that a process must have heard lately to replace an owner: it may be cut off itself. Each
-process receives about 16 broadcasts in 0.3 to 1 s, as each full broadcast goes to 16 peers."""
+"""Peers whose broadcasts a process must have received lately to replace an owner: it may be cut off
+itself. Each process receives about 16 broadcasts in 0.3 to 1 s, as each full broadcast goes to 16
+peers."""
 
 
 @dataclass(slots=True)
 class Silence:
-    """Questions to a process since it was last heard.
+    """Requests to a process since its last message.
 
     Attributes:
       first_at: When the first of them was sent, monotonic.
@@ -56,7 +57,7 @@
 
 
 class SilentOwners:
-    """Processes that were asked and have not been heard since.
+    """Processes that have not sent anything since they were asked.
 
     Attributes:
       by_control: Their silence, by control address.
@@ -79,7 +80,7 @@
         self.by_control.pop(control, None)
 
     def silence_of(self, peer: EntryPeer) -> Silence | None:
-        """Return the silence of a peer; None if it has been heard since it was asked."""
+        """Return the silence of a peer; None if it has sent something since it was asked."""
         silence = self.by_control.get(peer.control)
         if silence is not None and peer.received_at > silence.first_at:
             self.record_heard(peer.control)
@@ -103,7 +104,7 @@
 
 
 def hears_enough(peers: Iterable[EntryPeer], now: float) -> bool:
-    """Return True if a process has heard enough peers not to be cut off itself."""
+    """Return True if recent broadcasts of enough peers show that this process is not cut off."""
     heard = sum(
         peer.last_broadcast is not None and now - peer.received_at < OTHER_GROUP_ALIVE_SECONDS
         for peer in peers
--- a/verbenaward/placement/evacuations.py
+++ b/verbenaward/placement/evacuations.py
@@ -47,7 +47,7 @@
         metrics.EVACUATED_ZONES.set(len(self.zones))
 
     def begin(self, zone: str, value: bytes) -> None:
-        """Evacuate a zone, whatever the value says: a malformed one shows the same intention."""
+        """Evacuate a zone, also if the value is malformed: the key shows the intention."""
         fault = fault_of(value)
         if fault:
             LOG.error("evacuation.unreadable", zone=zone, fault=fault)
--- a/verbenaward/placement/warm_up.py
+++ b/verbenaward/placement/warm_up.py
@@ -1,9 +1,8 @@
 """Warm-up of cold backends: until when they are cold, and how many requests a second they take.
 
 A cold backend that gets many more requests than its service declares crashes. Each process learns
-from registrations, answers and ended evacuations which backends are cold. It passes on only what
-it has learned in that way, so that the end of a warm-up is not put off by each process that it
-passes.
+from registrations, answers and ended evacuations which backends are cold, and reports only these
+to the owner of the limit. Relaying received reports as well would extend the warm-up at each hop.
 """
 
 import math
@@ -26,7 +25,7 @@
       per_second: Requests a second from all processes together that its service declares for cold
         backends; infinite for no limit.
       until: Time until which this process counts it as cold, monotonic; 0 for never.
-      certain_until: The same from sources of which this process tells the owner of the limit.
+      certain_until: The same, from sources that are reported to the owner of the limit.
     """
 
     per_second: float = math.inf
