Readers of a version share the origin by inventories

The owner had two thirds of the chunks, as two of three owners were the same process, and got one in 0.2 s where the origin sends one in 0.044 s. It was not cut off from the origin, as had been suspected. A process that started alone after a herd kill took itself for the only owner.

A version has three readers, the first of one rendezvous order of the registered processes, whether they are ready or not. Before each chunk a reader queries the inventories of the others (held, receiving), copies what they hold, and requests what nobody holds or receives: its own share first, then that of the others in an order of its own. A process that starts searches relays and endpoint processes as well. The package distribution/ has the way of a chunk; its decisions (readers.py) use no network.

--- a/tests/steps/weight_loading_plan.py
+++ b/tests/steps/weight_loading_plan.py
@@ -11,7 +11,7 @@
 from standins.platform import CHUNK_BYTES, CHUNKS
 from tests.direct_fakes import NOW
 from tests.steps.platform_running import engines, until
-from verbenaward.direct.chunk_runs import chunk_order, chunk_run_name, entry_order
+from verbenaward.distribution.chunk_runs import chunk_order, chunk_run_name, entry_order
 from verbenaward.weight_loading.fetching import INCREASE_FACTOR, SLOW_RATIO, ChunkFetcher
 from verbenaward.weight_loading.plan import (
     ASSUMED_STAGING_SHARE,
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from ..configuration.settings import host_of, port_of
+from ..distribution.relay import EntryProcess
 from ..platform.key_value import KeyValueEntry, Position
 from ..platform.names import ENTRY_PREFIX
 from ..replica.store_replica import StoreReplica
@@ -19,6 +20,7 @@
     appointment_rank,
     chosen_watchers,
     position_of,
+    zone_of_record,
     zones_of,
 )
 
@@ -112,6 +114,24 @@
             if peer.last_broadcast is not None and peer.is_listable(now, self.is_sampled)
         ]
 
+    def entries(self, now: float) -> list[EntryProcess]:
+        """Return the peers that are registered in the store or alive, unless they are leaving.
+
+        Peers that are starting are among them, so that the readers of weights stay the same after
+        many processes were killed.
+        """
+        zones = {
+            entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
+            for entry in self.replica.entries_with_prefix(ENTRY_PREFIX)
+        }
+        for peer in self.by_control.values():
+            if peer.last_broadcast is not None and peer.last_broadcast.leaving:
+                zones.pop(peer.control, None)
+            elif peer.last_broadcast is not None and peer.is_alive(now):
+                zones[peer.control] = peer.last_broadcast.zone
+        zones.pop(self.settings.listen, None)
+        return [EntryProcess(control, zone) for control, zone in zones.items()]
+
     def group_candidates(self, now: float) -> list[Pulse]:
         """Return the last full broadcasts of the peers that may be in the peer group.
 
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -10,6 +10,7 @@
 from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
+from ..distribution.relay import ChunkRelay
 from ..logs import get_logger
 from ..metrics import WARMING_BACKENDS
 from ..placement.fleet import Fleet
@@ -36,7 +37,6 @@
 from ..schema.settings import DirectSettings, Settings
 from .addresses import addresses_for
 from .budget import SharedRetryBudget
-from .chunks import ChunkRelay
 from .crash_tracker import CrashTracker
 from .entry_peers import record_of
 from .forwarding import Forwarder
@@ -137,7 +137,9 @@
             ),
             self.memory,
         )
-        self.relay = ChunkRelay(settings, self.fleet, self.exchange, self.session, self.store)
+        self.relay = ChunkRelay(
+            settings, self.fleet, self.exchange.peers.entries, self.session, self.store
+        )
         self.store_restored = asyncio.Event()
         self.replica.era_listeners.append(lambda _: self.store_restored.set())
         self.runners: list[web.AppRunner] = []
--- /dev/null
+++ b/verbenaward/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of weights in direct mode: from the origin through entry processes to endpoints."""
--- /dev/null
+++ b/verbenaward/distribution/peer_calls.py
@@ -0,0 +1,83 @@
+"""Calls to other processes of this deployment for chunks and inventories."""
+
+import asyncio
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from .. import clock, metrics
+from .inventory import decode_inventory
+from .readers import Inventory
+from .recent_failures import RecentFailures
+
+PEER_TIMEOUT_SECONDS = 6.0
+"""Timeout of a request for a chunk."""
+PEER_SILENCE_SECONDS = 1.5
+"""Longest time without a byte of it."""
+CONNECT_SECONDS = 0.5
+INVENTORY_SECONDS = 0.3
+"""Timeout of a request for an inventory, for which the next request to the origin waits."""
+HTTP_OK = 200
+ENTRY_PATH = "/weights"
+"""Path at entry processes."""
+ENDPOINT_PATH = "/staged"
+"""Path at endpoint processes."""
+INVENTORY_NAME = "inventory"
+READER_QUERY = "owner"
+"""Query parameter of a request to a reader: it gets the chunk from the origin, whichever processes
+are readers as far as it knows."""
+CACHED_QUERY = "cached"
+"""Query parameter of a request that is only answered from the cache."""
+
+
+class PeerCalls:
+    """Sends calls to other processes, and remembers which ones failed lately.
+
+    Attributes:
+      session: HTTP client.
+      failures: Processes that could not be reached lately.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.failures = RecentFailures()
+
+    async def fetch(self, control: str, path: str, query: str = "") -> Result[bytes, str]:
+        """Fetch a chunk or digests.
+
+        Args:
+          control: Control address of the process.
+          path: Path of the chunk.
+          query: Name of a query parameter, which is set to 1; empty for none.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=PEER_TIMEOUT_SECONDS, sock_connect=CONNECT_SECONDS, sock_read=PEER_SILENCE_SECONDS
+        )
+        result = await self.get(control, path, query, timeout)
+        if isinstance(result, Success):
+            metrics.WEIGHT_BYTES.labels("entry").inc(len(result.unwrap()))
+        return result
+
+    async def inventory(self, control: str, path: str) -> Result[Inventory, str]:
+        """Return the inventory of a version at a process."""
+        timeout = aiohttp.ClientTimeout(total=INVENTORY_SECONDS)
+        result = await self.get(control, f"{path}/{INVENTORY_NAME}", "", timeout)
+        return result.bind(decode_inventory)
+
+    async def get(
+        self, control: str, path: str, query: str, timeout: aiohttp.ClientTimeout
+    ) -> Result[bytes, str]:
+        """Return the body of an answer; a process that cannot be reached is remembered."""
+        url = f"http://{control}{path}"
+        parameters = {query: "1"} if query else {}
+        try:
+            async with self.session.get(url, params=parameters, timeout=timeout) as response:
+                body = await response.read()
+                return (
+                    Success(body)
+                    if response.status == HTTP_OK
+                    else Failure(f"{url}: status {response.status}")
+                )
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            self.failures.record_failure(control, clock.now())
+            return Failure(f"{url}: {type(error).__name__} {error}")
--- /dev/null
+++ b/verbenaward/distribution/relay.py
@@ -0,0 +1,473 @@
+"""Relay of weights: entry processes receive chunks, cache and serve them.
+
+Entry VMs have fast links and endpoint VMs slow ones. A few entry processes in the region of the
+origin, the readers of a version, read it from the origin (`version_reader`). In every other region
+one entry process fetches a chunk from a reader and serves the region. A version that engines in the
+region hold is fetched from the endpoint processes beside them.
+
+While the origin is away the others keep requesting chunks from the readers, so that each is passed
+on as soon as it has arrived.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, replace
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from .. import clock, metrics
+from ..configuration.settings import host_of, port_of
+from ..data import ServiceDeclaration
+from ..logs import get_logger
+from ..membership.ring import rendezvous_order
+from ..placement.fleet import Fleet
+from ..platform.key_value import KeyValueService
+from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
+from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
+from ..schema.settings import Settings
+from .chunk_cache import DIGESTS_INDEX, ChunkCache, ChunkKey
+from .chunk_runs import CHUNKS_PER_RUN
+from .inventory import encode_inventory
+from .origin_link import OriginLink
+from .pacing import rate_of, send_paced
+from .peer_calls import (
+    CACHED_QUERY,
+    ENDPOINT_PATH,
+    ENTRY_PATH,
+    INVENTORY_NAME,
+    READER_QUERY,
+    PeerCalls,
+)
+from .readers import ORIGIN_READERS, Inventory, reader_order, readers_of_chunk
+from .version_reader import Neighbours, VersionReader
+
+LOG = get_logger(__name__)
+INVENTORY_PATH = ENTRY_PATH + "/{model}/{version}/" + INVENTORY_NAME
+CHUNK_PATH = ENTRY_PATH + "/{model}/{version}/{index}"
+DIGESTS_PATH = ENTRY_PATH + "/{model}/{version}"
+ORIGIN_TIMEOUT_SECONDS = 6.0
+"""Timeout of a chunk request to the origin."""
+ORIGIN_SILENCE_SECONDS = 1.0
+"""Longest time without a byte from the origin, after which the chunk is requested again."""
+WAIT_SECONDS = 1.0
+"""Longest wait for a chunk that is not available, after which the request is answered with 503. It
+is shorter than the time after which a silent process counts as unreachable."""
+LOCATE_WAIT_SECONDS = 2.0
+"""The same for a HEAD request, which endpoint processes send for all missing chunks."""
+FETCH_SECONDS = 20.0
+"""Time for which a chunk is tried that no source has; later requests start again."""
+DIGEST_ATTEMPTS = 5
+"""Attempts to fetch the digests of a version."""
+LOGGED_FAILURES = 10
+"""One of so many failed attempts to fetch a chunk is logged: they go on while the origin is away.
+"""
+RETRY_DELAY_SECONDS = 0.05
+LOST_DIGESTS_SECONDS = 2.0
+"""Longest random delay before lost digests are written again. All processes hold them; the first
+one to write them spares the others the call."""
+READ_AHEAD_CHUNKS = CHUNKS_PER_RUN - 1
+"""Chunks that are fetched in advance when one is served."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryProcess:
+    """Another entry process: its control address and availability zone."""
+
+    control: str
+    zone: str
+
+
+class ChunkRelay:
+    """Serves chunks and digests; concurrent requests for one share a fetch.
+
+    Attributes:
+      entries: Returns the other entry processes, those that are starting included.
+      cache: Chunks and digests.
+      fetching: Running fetches by key.
+      readers: Versions that this process reads from the origin, by model and version.
+      link: The link to the origin.
+      calls: Calls to other processes.
+      background_tasks: References to running tasks, so that they are not garbage-collected.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        fleet: Fleet,
+        entries: Callable[[float], list[EntryProcess]],
+        session: aiohttp.ClientSession,
+        store: KeyValueService,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.fleet = fleet
+        self.entries = entries
+        self.session = session
+        self.cache = ChunkCache()
+        self.fetching: dict[ChunkKey, asyncio.Task[bytes | None]] = {}
+        self.readers: dict[tuple[str, int], VersionReader] = {}
+        self.rng = random.Random()
+        self.link = OriginLink()
+        self.calls = PeerCalls(session)
+        self.background_tasks: set[asyncio.Task[None]] = set()
+        fleet.version_listeners.append(self.start_reading)
+        fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of digests, inventories and chunks to an application."""
+        app.router.add_get(DIGESTS_PATH, self.serve)
+        app.router.add_get(INVENTORY_PATH, self.serve_inventory)
+        app.router.add_get(CHUNK_PATH, self.serve)
+
+    def start_reading(self, model: str, version: int) -> None:
+        """Start to read a target version, if this process is one of its readers."""
+        if self.is_reader(model, version):
+            self.run_in_background(self.read_version(model, version))
+
+    async def read_version(self, model: str, version: int) -> None:
+        """Read a version from the origin until this process has its chunks."""
+        digests = await self.get(ChunkKey(model, version, DIGESTS_INDEX))
+        if digests:
+            self.reading(model, version, digests)
+
+    def reading(self, model: str, version: int, digests: bytes) -> VersionReader:
+        """Return the running reader of a version; start one if there is none."""
+        reader = self.readers.get((model, version))
+        if reader is None:
+            reader = self.readers[model, version] = VersionReader(
+                model,
+                version,
+                [digests[at : at + DIGEST_BYTES] for at in range(0, len(digests), DIGEST_BYTES)],
+                self.settings.listen,
+                lambda: self.neighbours(model, version),
+                self.cache,
+                self.link,
+                partial(self.read_from_origin, model, version),
+                self.calls,
+            )
+            self.run_in_background(self.run_reader(reader))
+        return reader
+
+    async def run_reader(self, reader: VersionReader) -> None:
+        """Run a reader to its end, and forget it."""
+        try:
+            await reader.run()
+        finally:
+            del self.readers[reader.model, reader.version]
+
+    async def read_from_origin(
+        self, model: str, version: int, index: int, on_answer: Callable[[], None]
+    ) -> Result[bytes, str]:
+        """Request a chunk from the origin."""
+        origin = self.origin()
+        if origin is None:
+            return Failure("no origin is declared")
+        return await fetch_chunk(
+            self.session,
+            origin.origin,
+            model,
+            version,
+            index,
+            ORIGIN_TIMEOUT_SECONDS,
+            ORIGIN_SILENCE_SECONDS,
+            on_answer,
+        )
+
+    def neighbours(self, model: str, version: int) -> Neighbours:
+        """Return the processes that may hold chunks of a version."""
+        order = self.reader_order(model, version)
+        own = self.settings.listen
+        others = {item.control for item in self.entries(clock.now())}
+        endpoints = [
+            self.control_of(view.backend.address)
+            for view in self.fleet.backends.values()
+            if view.backend.weights is not None and self.is_in_own_region(view.backend.zone)
+        ]
+        return Neighbours(order, sorted(others - {*order[:ORIGIN_READERS], own}), endpoints)
+
+    def control_of(self, address: str) -> str:
+        """Return the control address of the endpoint process on the VM of an engine.
+
+        All processes of a deployment use the same control port.
+        """
+        return f"{host_of(address)}:{port_of(self.settings.listen)}"
+
+    def region_of(self, zone: str) -> str | None:
+        """Return the region of an availability zone; None if it is unknown."""
+        direct = self.settings.direct
+        assert direct is not None
+        return direct.zones.get(zone)
+
+    def is_in_own_region(self, zone: str) -> bool:
+        """Return True if an availability zone is in the region of this process."""
+        return self.region_of(zone) == self.region_of(self.settings.zone)
+
+    def reader_order(self, model: str, version: int) -> list[str]:
+        """Return the entry processes of the origin's region in the order of readers.
+
+        This process alone, if none is known there.
+        """
+        origin = self.origin()
+        region = self.region_of(origin.zone) if origin else None
+        eligible = [
+            item.control
+            for item in self.entries(clock.now())
+            if self.region_of(item.zone) == region
+        ]
+        if self.region_of(self.settings.zone) == region:
+            eligible.append(self.settings.listen)
+        return reader_order(model, version, eligible) or [self.settings.listen]
+
+    def is_reader(self, model: str, version: int) -> bool:
+        """Return True if this process is one of the readers of a version."""
+        return self.settings.listen in self.reader_order(model, version)[:ORIGIN_READERS]
+
+    def fetch_held_digests(self) -> None:
+        """Start fetching the digests of versions that backends hold and that are not cached yet."""
+        held = {
+            (item.model, item.version)
+            for view in self.fleet.backends.values()
+            for item in view.backend.weights or ()
+        }
+        for model, version in held:
+            key = ChunkKey(model, version, DIGESTS_INDEX)
+            if key not in self.cache:
+                self.start_fetch(key)
+
+    def write_lost_digests(self) -> None:
+        """Write the digests again that a restored store may have lost."""
+        for key in tuple(self.cache.bodies):
+            if key.index == DIGESTS_INDEX:
+                self.run_in_background(self.write_lost(key.model, key.version))
+
+    async def write_lost(self, model: str, version: int) -> None:
+        """Write the digests of a version after a random delay, unless another process has."""
+        await asyncio.sleep(self.rng.uniform(0.0, LOST_DIGESTS_SECONDS))
+        digests = self.cache.get(ChunkKey(model, version, DIGESTS_INDEX))
+        if digests:
+            await write_digests(self.store, self.fleet.replica, model, version, digests)
+
+    async def serve_inventory(self, request: web.Request) -> web.StreamResponse:
+        """Answer which chunks of a version this process holds, and which it is receiving."""
+        try:
+            model, version = request.match_info["model"], int(request.match_info["version"])
+        except ValueError:
+            return web.Response(status=400)
+        reader = self.readers.get((model, version))
+        held = self.cache.indexes(model, version)
+        receiving = frozenset(reader.receiving) if reader else frozenset()
+        return web.Response(body=encode_inventory(Inventory(held, receiving)))
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Answer a request for a chunk, or for a version's digests in the order of its chunks."""
+        try:
+            version = int(request.match_info["version"])
+            index = int(request.match_info.get("index", DIGESTS_INDEX))
+        except ValueError:
+            return web.Response(status=400)
+        model = request.match_info["model"]
+        key = ChunkKey(model, version, index)
+        if CACHED_QUERY in request.query:
+            cached = self.cache.get(key)
+            return web.Response(status=404) if cached is None else web.Response(body=cached)
+        is_head = request.method == "HEAD"
+        seconds = LOCATE_WAIT_SECONDS if is_head else WAIT_SECONDS
+        is_for_reader = READER_QUERY in request.query
+        body = await self.get_in_time(key, seconds, is_for_reader)
+        if is_head:
+            # Without a length the client takes the connection to end with the answer.
+            length = {"Content-Length": str(len(body or b""))}
+            return web.Response(status=503 if body is None else 200, headers=length)
+        if body is None:
+            return web.Response(status=503)
+        if not is_for_reader:
+            self.read_ahead(model, version, index)
+        rate = rate_of(request)
+        if not rate:
+            return web.Response(body=body)
+        return await send_paced(request, body, rate)
+
+    async def get_in_time(self, key: ChunkKey, seconds: float, is_for_reader: bool) -> bytes | None:
+        """Return a chunk, or None after a time; the fetch then goes on.
+
+        Args:
+          key: The chunk.
+          seconds: Longest time.
+          is_for_reader: True if the caller takes this process for a reader of the version.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                if is_for_reader and key.index != DIGESTS_INDEX:
+                    return await self.read_chunk(key, seconds)
+                return await self.get(key)
+        except TimeoutError:
+            return None
+
+    async def read_chunk(self, key: ChunkKey, seconds: float) -> bytes | None:
+        """Return a chunk that this process reads as a reader; None if that takes too long."""
+        cached = self.cache.get(key)
+        if cached is not None:
+            return cached
+        digests = await self.get(replace(key, index=DIGESTS_INDEX))
+        if digests is None or not 0 <= key.index < len(digests) // DIGEST_BYTES:
+            return None
+        self.reading(key.model, key.version, digests).request(key.index)
+        return await self.cache.wait(key, seconds)
+
+    def read_ahead(self, model: str, version: int, index: int) -> None:
+        """Start fetching the next chunks of the run: endpoints request them in order."""
+        digests = self.cache.get(ChunkKey(model, version, DIGESTS_INDEX))
+        count = len(digests) // DIGEST_BYTES if digests else 0
+        end_of_run = (index // CHUNKS_PER_RUN + 1) * CHUNKS_PER_RUN
+        for following in range(index + 1, min(index + 1 + READ_AHEAD_CHUNKS, end_of_run, count)):
+            key = ChunkKey(model, version, following)
+            if key not in self.cache:
+                self.start_fetch(key)
+
+    async def get(self, key: ChunkKey) -> bytes | None:
+        """Return a verified chunk, or the digests of a version; None if every source failed."""
+        cached = self.cache.get(key)
+        if cached is not None:
+            return cached
+        if key.index == DIGESTS_INDEX and (
+            stored := stored_digests(self.fleet.replica, key.model, key.version)
+        ):
+            self.cache.add(key, stored)
+            return stored
+        body: bytes | None = await asyncio.shield(self.start_fetch(key))
+        return body
+
+    def start_fetch(self, key: ChunkKey) -> asyncio.Task[bytes | None]:
+        """Return the running task that fetches a chunk; start one if there is none."""
+        task = self.fetching.get(key)
+        if task is None:
+            task = self.fetching[key] = asyncio.create_task(self.fetch(key))
+            task.add_done_callback(lambda _: self.fetching.pop(key, None))
+        return task
+
+    async def fetch(self, key: ChunkKey) -> bytes | None:
+        """Fetch a chunk from one source after another, verify and cache it."""
+        digest = await self.digest_of(key)
+        if digest is None:
+            return None
+        ends_at = clock.now() + FETCH_SECONDS
+        for attempt in itertools.count():
+            is_last = attempt >= DIGEST_ATTEMPTS if not digest else clock.now() > ends_at
+            if is_last:
+                break
+            result = await self.fetch_once(key, attempt)
+            if isinstance(result, Success):
+                body: bytes = result.unwrap()
+                if not digest or hashlib.sha256(body).digest() == digest:
+                    self.cache.add(key, body)
+                    return body
+                metrics.CHUNKS.labels("corrupt").inc()
+                LOG.warning("chunk.corrupt", model=key.model, version=key.version, index=key.index)
+            elif attempt % LOGGED_FAILURES == 0:
+                LOG.warning("chunk.failed", index=key.index, error=result.failure()[:150])
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+        return None
+
+    async def digest_of(self, key: ChunkKey) -> bytes | None:
+        """Return the digest of a chunk; empty for the digests themselves, None if there is none."""
+        if key.index == DIGESTS_INDEX:
+            return b""
+        digests = await self.get(replace(key, index=DIGESTS_INDEX))
+        if digests is None or not 0 <= key.index < len(digests) // DIGEST_BYTES:
+            return None
+        return digests[key.index * DIGEST_BYTES : (key.index + 1) * DIGEST_BYTES]
+
+    async def fetch_once(self, key: ChunkKey, attempt: int) -> Result[bytes, str]:
+        """Fetch from the source of one attempt.
+
+        The sources are, in order: an endpoint process of the region, a reader, a second endpoint
+        process of the region, one of another region, and from then on the readers in turn. A
+        reader reads the chunk itself.
+        """
+        if self.origin() is None:
+            return Failure("no origin is declared")
+        order = self.reader_order(key.model, key.version)
+        if self.settings.listen in order[:ORIGIN_READERS]:
+            return await self.fetch_as_reader(key)
+        readers = readers_of_chunk(order, max(0, key.index))
+        working = self.calls.failures.working(readers, clock.now()) or readers
+        reader = working[attempt % min(ORIGIN_READERS, len(working))]
+        near, far = self.endpoints_with(key)
+        endpoints = [*near[:1], "", *near[1:2], *far[:1]]
+        name = f"/{key.model}/{key.version}"
+        if key.index != DIGESTS_INDEX:
+            name += f"/{key.index}"
+        if attempt < len(endpoints) and endpoints[attempt]:
+            return await self.calls.fetch(endpoints[attempt], ENDPOINT_PATH + name)
+        return await self.calls.fetch(reader, ENTRY_PATH + name, READER_QUERY)
+
+    async def fetch_as_reader(self, key: ChunkKey) -> Result[bytes, str]:
+        """Fetch digests from the origin, or wait for a chunk that is read from there."""
+        if key.index == DIGESTS_INDEX:
+            return await self.fetch_digests_from_origin(key.model, key.version)
+        body = await self.read_chunk(key, WAIT_SECONDS)
+        return Failure("not read yet") if body is None else Success(body)
+
+    def endpoints_with(self, key: ChunkKey) -> tuple[list[str], list[str]]:
+        """Return the endpoint processes whose engines hold a version, in the region and outside."""
+        if key.index == DIGESTS_INDEX:
+            return [], []
+        near: list[str] = []
+        far: list[str] = []
+        for view in self.fleet.backends.values():
+            if view.held_version(key.model) == key.version and not view.backend.is_leaving:
+                is_near = self.is_in_own_region(view.backend.zone)
+                (near if is_near else far).append(self.control_of(view.backend.address))
+        name = f"{key.model}/{key.version}/{key.index}"
+        return rendezvous_order(name, near), rendezvous_order(name, far)
+
+    def origin(self) -> ServiceDeclaration | None:
+        """Return the service that is the origin of weights; None if none is declared."""
+        table = self.fleet.table
+        if table is None:
+            return None
+        return next((item for item in table.configuration.services if item.origin), None)
+
+    async def fetch_digests_from_origin(self, model: str, version: int) -> Result[bytes, str]:
+        """Fetch a manifest from the origin and write its digests to the store.
+
+        Processes that start later can then verify chunks without the origin.
+        """
+        origin = self.origin()
+        if origin is None:
+            return Failure("no origin is declared")
+        manifest = await fetch_manifest(self.session, origin.origin, model, version)
+        digests = manifest.bind(lambda found: digests_of(found, model, version))
+        if isinstance(digests, Success):
+            work = write_digests(self.store, self.fleet.replica, model, version, digests.unwrap())
+            self.run_in_background(work)
+        return digests
+
+    def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task that nothing awaits."""
+        task = asyncio.create_task(work)
+        self.background_tasks.add(task)
+        task.add_done_callback(self.background_tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel all fetches and background tasks."""
+        running = [*self.fetching.values(), *self.background_tasks, *self.link.overdue]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+
+def digests_of(manifest: WeightsManifest, model: str, version: int) -> Result[bytes, str]:
+    """Return the digests of a manifest, joined in the order of its chunks."""
+    if (manifest.model, manifest.version) != (model, version):
+        return Failure("the origin sent the manifest of another model or version")
+    if not manifest.digests or any(len(item) != DIGEST_BYTES for item in manifest.digests):
+        return Failure("the manifest has no digests or malformed ones")
+    return Success(b"".join(manifest.digests))
--- /dev/null
+++ b/verbenaward/distribution/version_reader.py
@@ -0,0 +1,279 @@
+"""Reads the chunks of one version from the origin, together with the version's other readers."""
+
+import asyncio
+import hashlib
+import math
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, replace
+
+from returns.result import Result, Success
+
+from .. import clock, metrics
+from ..logs import get_logger
+from ..membership.ring import rendezvous_order
+from .chunk_cache import ChunkCache, ChunkKey
+from .origin_link import OriginLink
+from .peer_calls import CACHED_QUERY, ENDPOINT_PATH, ENTRY_PATH, PeerCalls
+from .readers import ORIGIN_READERS, Inventory, holders_of, next_to_read
+
+LOG = get_logger(__name__)
+IDLE_SECONDS = 0.05
+"""Pause while all missing chunks are held or being received elsewhere."""
+RETRY_PAUSE_SECONDS = 0.1
+"""Pause after a failed request; an origin that refuses gets 10 requests a second from each reader.
+"""
+STALLED_SECONDS = 20.0
+"""Time without a new chunk after which a version is given up until a chunk is requested again."""
+SEARCH_INTERVAL_SECONDS = 1.0
+"""Interval at which processes that are not readers are searched for chunks."""
+SEARCHED_PROCESSES = 8
+"""Processes of each role that are searched. Any that serves a region holds some of its chunks."""
+COPIED_AT_ONCE = 4
+"""Chunks that are copied from other processes at the same time."""
+
+
+ReadChunk = Callable[[int, Callable[[], None]], Awaitable[Result[bytes, str]]]
+"""Requests a chunk from the origin by its index; calls its second argument when the answer begins.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Neighbours:
+    """Processes that may hold chunks of a version.
+
+    Attributes:
+      order: Entry processes of the origin's region in the order in which they become readers.
+      entries: All other entry processes.
+      endpoints: Endpoint processes in the region of this process.
+    """
+
+    order: list[str]
+    entries: list[str]
+    endpoints: list[str]
+
+
+class VersionReader:
+    """Reads what is missing of one version.
+
+    Attributes:
+      model: Name of the model.
+      version: Version of its weights.
+      digests: SHA-256 digests of its chunks, in order.
+      listen: Control address of this process.
+      neighbours: Returns the processes that may hold chunks.
+      cache: Receives the chunks.
+      link: The link to the origin.
+      read_chunk: Requests a chunk from the origin.
+      calls: Calls to other processes.
+      requested: Chunks that other processes requested from this one as a reader.
+      done: Chunks that this process has received, though they may be evicted by now.
+      receiving: Chunks that it is receiving from the origin.
+      rejections: How often the origin answered a request for a chunk without its valid bytes.
+      inventories: What other processes have, by control address.
+      endpoints: Those of them that are endpoint processes.
+      silent: Processes that did not answer the last query.
+      copies: Running copies of chunks from other processes, by index.
+      failed_copies: Chunks that could not be copied, with the control address of the process.
+      searching: The running search among processes that are not readers; None for none.
+      progressed_at: When a chunk last arrived, monotonic.
+    """
+
+    def __init__(
+        self,
+        model: str,
+        version: int,
+        digests: list[bytes],
+        listen: str,
+        neighbours: Callable[[], Neighbours],
+        cache: ChunkCache,
+        link: OriginLink,
+        read_chunk: ReadChunk,
+        calls: PeerCalls,
+    ) -> None:
+        self.model = model
+        self.version = version
+        self.digests = digests
+        self.listen = listen
+        self.neighbours = neighbours
+        self.cache = cache
+        self.link = link
+        self.read_chunk = read_chunk
+        self.calls = calls
+        self.requested: set[int] = set()
+        self.done: set[int] = set()
+        self.receiving: set[int] = set()
+        self.rejections: Counter[int] = Counter()
+        self.inventories: dict[str, Inventory] = {}
+        self.endpoints: set[str] = set()
+        self.silent: set[str] = set()
+        self.copies: dict[int, asyncio.Task[None]] = {}
+        self.failed_copies: set[tuple[str, int]] = set()
+        self.searching: asyncio.Task[None] | None = None
+        self.progressed_at = clock.now()
+
+    @property
+    def path(self) -> str:
+        """Path of the version below that of entry or endpoint processes."""
+        return f"/{self.model}/{self.version}"
+
+    def key(self, index: int) -> ChunkKey:
+        """Return the key of a chunk."""
+        return ChunkKey(self.model, self.version, index)
+
+    def request(self, index: int) -> None:
+        """Read a chunk that was evicted or that this process is not responsible for."""
+        self.requested.add(index)
+        self.done.discard(index)
+
+    def inventory(self) -> Inventory:
+        """Return what this process has of the version."""
+        return Inventory(self.cache.indexes(self.model, self.version), frozenset(self.receiving))
+
+    def missing(self, order: list[str]) -> list[int]:
+        """Return the chunks that this process should still read or copy.
+
+        A reader gets all chunks of a version, so that none is lost with one process.
+        """
+        is_reader = self.listen in order[:ORIGIN_READERS]
+        wanted: Iterable[int] = range(len(self.digests)) if is_reader else self.requested
+        return [index for index in wanted if index not in self.done]
+
+    async def run(self) -> None:
+        """Read until nothing is missing, or no chunk has arrived for `STALLED_SECONDS`."""
+        searched_at = -math.inf
+        try:
+            while clock.now() - self.progressed_at < STALLED_SECONDS:
+                neighbours = self.neighbours()
+                missing = self.missing(neighbours.order)
+                if not missing:
+                    return
+                if clock.now() - searched_at > SEARCH_INTERVAL_SECONDS:
+                    searched_at = clock.now()
+                    self.searching = asyncio.create_task(self.search(neighbours))
+                if not await self.read_next(neighbours, missing):
+                    await asyncio.sleep(IDLE_SECONDS)
+        finally:
+            await self.stop_tasks()
+
+    async def stop_tasks(self) -> None:
+        """Cancel the running copies and the search."""
+        running = [*self.copies.values(), *([self.searching] if self.searching else [])]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    async def read_next(self, neighbours: Neighbours, missing: list[int]) -> bool:
+        """Request the next chunk from the origin; False if none is to be requested now."""
+        async with self.link.turn:
+            await self.query_readers(neighbours.order)
+            self.start_copies(missing)
+            lacking = [index for index in missing if not self.has(index)]
+            index = next_to_read(
+                lacking, neighbours.order, self.listen, self.inventories, self.rejections
+            )
+            if index is None:
+                return False
+            await self.link.request(lambda on_answer: self.read(index, on_answer))
+            # An overdue request keeps no other reader from the chunk.
+            self.receiving.discard(index)
+            return index in self.done
+
+    def has(self, index: int) -> bool:
+        """Return True if a chunk is here or on its way."""
+        return index in self.done or index in self.receiving or index in self.copies
+
+    async def read(self, index: int, on_answer: Callable[[], None]) -> None:
+        """Read a chunk from the origin."""
+        answered = False
+
+        def begin() -> None:
+            nonlocal answered
+            answered = True
+            self.receiving.add(index)
+            on_answer()
+
+        self.receiving.add(index)
+        try:
+            result = await self.read_chunk(index, begin)
+        finally:
+            self.receiving.discard(index)
+        if isinstance(result, Success):
+            metrics.WEIGHT_BYTES.labels("origin").inc(len(result.unwrap()))
+            if self.accept(index, result.unwrap()):
+                return
+        if answered:
+            self.rejections[index] += 1
+        await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+    def accept(self, index: int, body: bytes) -> bool:
+        """Cache a chunk if it is valid; False if not."""
+        if hashlib.sha256(body).digest() != self.digests[index]:
+            metrics.CHUNKS.labels("corrupt").inc()
+            LOG.warning("chunk.corrupt", model=self.model, version=self.version, index=index)
+            return False
+        self.cache.add(self.key(index), body)
+        self.done.add(index)
+        self.progressed_at = clock.now()
+        return True
+
+    async def query_readers(self, order: list[str]) -> None:
+        """Update the inventories of the other readers, and of those that replace lost ones."""
+        working = self.calls.failures.working(order, clock.now())
+        others = [control for control in working[:ORIGIN_READERS] if control != self.listen]
+        await self.query(others, ENTRY_PATH)
+
+    async def search(self, neighbours: Neighbours) -> None:
+        """Update the inventories of some processes that are not readers."""
+        seed = self.path + self.listen
+        entries = rendezvous_order(seed, neighbours.entries)[:SEARCHED_PROCESSES]
+        endpoints = rendezvous_order(seed, neighbours.endpoints)[:SEARCHED_PROCESSES]
+        self.endpoints = set(endpoints)
+        known = {*entries, *endpoints, *neighbours.order}
+        self.inventories = {
+            control: item for control, item in self.inventories.items() if control in known
+        }
+        await asyncio.gather(self.query(entries, ENTRY_PATH), self.query(endpoints, ENDPOINT_PATH))
+
+    async def query(self, controls: list[str], base: str) -> None:
+        """Update the inventories of some processes.
+
+        The last one of a process counts until it has not answered twice: it may only be busy.
+        """
+        found = await asyncio.gather(
+            *(self.calls.inventory(control, base + self.path) for control in controls)
+        )
+        for control, result in zip(controls, found, strict=True):
+            if not isinstance(result, Success):
+                if control in self.silent:
+                    self.inventories.pop(control, None)
+                self.silent.add(control)
+                continue
+            inventory = result.unwrap()
+            self.silent.discard(control)
+            failed = {index for holder, index in self.failed_copies if holder == control}
+            self.inventories[control] = replace(inventory, held=inventory.held - failed)
+
+    def start_copies(self, missing: list[int]) -> None:
+        """Copy missing chunks from the processes that hold them."""
+        for index in missing:
+            if len(self.copies) >= COPIED_AT_ONCE:
+                return
+            if self.has(index):
+                continue
+            holders = holders_of(index, self.inventories)
+            if holders:
+                self.copies[index] = asyncio.create_task(self.copy(index, holders))
+
+    async def copy(self, index: int, holders: list[str]) -> None:
+        """Copy a chunk from another process, from an entry process if one holds it."""
+        entries = [control for control in holders if control not in self.endpoints]
+        holder = rendezvous_order(f"{index}{self.listen}", entries or holders)[0]
+        base = ENTRY_PATH if entries else ENDPOINT_PATH
+        try:
+            result = await self.calls.fetch(holder, f"{base}{self.path}/{index}", CACHED_QUERY)
+            if not isinstance(result, Success) or not self.accept(index, result.unwrap()):
+                self.failed_copies.add((holder, index))
+                self.inventories.pop(holder, None)
+        finally:
+            del self.copies[index]
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -9,7 +9,8 @@
 
 from .. import clock, metrics
 from ..data import HeldWeights
-from ..direct.chunk_runs import chunk_order, chunk_run_name
+from ..distribution.chunk_runs import chunk_order, chunk_run_name
+from ..distribution.readers import Inventory
 from ..logs import get_logger
 from ..placement.fleet import Fleet
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
@@ -419,20 +420,22 @@
             self.next_weights = self.given_up = None
             self.notices.announce_loading()
 
-    async def staged_chunk(self, weights: HeldWeights, index: int) -> bytes | None:
-        """Return a chunk that is staged for weights; None if there is none.
+    def inventory(self, weights: HeldWeights) -> Inventory:
+        """Return the chunks that are staged for weights.
 
         All chunks of weights that the engine holds are staged until others are.
         """
         known = self.digests
-        is_held = weights in self.held and self.next_weights in (None, weights)
-        is_staged = (
-            known is not None
-            and known.weights == weights
-            and index < len(known.digests)
-            and self.staged.get(index) == known.digests[index]
-        )
-        if not is_held and not is_staged:
+        if weights in self.held and self.next_weights in (None, weights):
+            stored = stored_digests(self.replica, weights.model, weights.version)
+            return Inventory(frozenset(range(len(stored) // DIGEST_BYTES)))
+        if known is None or known.weights != weights:
+            return Inventory()
+        return Inventory(frozenset(range(len(known.digests))) - {*known.missing(self.staged)})
+
+    async def staged_chunk(self, weights: HeldWeights, index: int) -> bytes | None:
+        """Return a chunk that is staged for weights; None if there is none."""
+        if index not in self.inventory(weights).held:
             return None
         result = await self.engine.staged_chunk(weights.model, index)
         return result.value_or(None)
--- a/verbenaward/weight_loading/entry_poller.py
+++ b/verbenaward/weight_loading/entry_poller.py
@@ -5,8 +5,8 @@
 import aiohttp
 
 from .. import clock
-from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
+from ..distribution.chunk_runs import entry_order
 from ..platform.names import ENTRY_PREFIX
 from ..replica.peer_transfer import fetch_changes
 from ..replica.store_replica import StoreReplica
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -6,10 +6,10 @@
 import aiohttp
 
 from .. import clock
-from ..direct.chunk_owners import RecentFailures
-from ..direct.chunk_runs import entry_order
 from ..direct.entry_peers import zone_of_record
-from ..direct.pacing import RATE_QUERY
+from ..distribution.chunk_runs import entry_order
+from ..distribution.pacing import RATE_QUERY
+from ..distribution.recent_failures import RecentFailures
 from ..logs import get_logger
 from ..platform.names import ENTRY_PREFIX
 from ..replica.store_replica import StoreReplica
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -7,8 +7,10 @@
 from .. import clock
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
-from ..direct.pacing import send_paced
 from ..direct_shared import leasing_store, platform_session, serve_metrics
+from ..distribution.inventory import encode_inventory
+from ..distribution.pacing import send_paced
+from ..distribution.peer_calls import ENDPOINT_PATH, INVENTORY_NAME
 from ..placement.fleet import Fleet
 from ..platform.names import ALL_KEYS_PREFIX
 from ..replica.first_read import read_from_seeds, seed_controls
@@ -20,7 +22,8 @@
 
 UPLOAD_SHARE = 0.7
 """Share of the link's rate for chunks sent to other VMs; the engine's streams get the rest."""
-STAGED_PATH = "/staged/{model}/{version}/{index}"
+STAGED_PATH = ENDPOINT_PATH + "/{model}/{version}/{index}"
+STAGED_INVENTORY_PATH = ENDPOINT_PATH + "/{model}/{version}/" + INVENTORY_NAME
 
 
 class WeightLoadingRole:
@@ -59,6 +62,7 @@
     async def start(self) -> None:
         """Start all tasks."""
         self.runner.app.router.add_get("/metrics", serve_metrics)
+        self.runner.app.router.add_get(STAGED_INVENTORY_PATH, self.answer_inventory)
         self.runner.app.router.add_get(STAGED_PATH, self.answer_staged)
         await self.runner.setup()
         listen = self.settings.listen
@@ -66,6 +70,14 @@
         for work in (self.follower.run(), self.entry_poller.run(), self.engine_loader.run()):
             self.tasks.append(asyncio.create_task(work))
 
+    async def answer_inventory(self, request: web.Request) -> web.StreamResponse:
+        """Answer which chunks of a version are staged."""
+        try:
+            weights = HeldWeights(request.match_info["model"], int(request.match_info["version"]))
+        except ValueError:
+            return web.Response(status=400)
+        return web.Response(body=encode_inventory(self.engine_loader.inventory(weights)))
+
     async def answer_staged(self, request: web.Request) -> web.StreamResponse:
         """Send a staged chunk; the receiver verifies it."""
         try:
