Fetch chunks while the engine of a new VM starts; connect to seeds in 0.15 s

Until the engine has answered once, chunks are fetched into memory (8 MB at most) and staged when it answers. The download of chunks has a module of its own. A connection to a seed process is given up after 0.15 s.

Test first: an engine that starts 2 s after its endpoint process, with a link that takes 1.5 s, holds its version within 1 s of its start.

--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -604,6 +604,25 @@
     run(context, start())
 
 
+@given(
+    "an empty engine that starts {delay:d} seconds after its endpoint process, with a link that "
+    "takes {seconds:g}"
+)
+def late_engine(context, delay, seconds):
+    async def start():
+        backend = context.empty = await context.platform.add_backend("e-9", "engines", version=0)
+        backend.staged_chunks = {}
+        await backend.site.stop()
+        chunks = context.platform.origin.versions[1]
+        megabits = sum(map(len, chunks)) * 8 / 1e6 / seconds
+        await context.platform.add_endpoint(backend, megabits)
+        await asyncio.sleep(delay)
+        backend.site = await backend.open_site()
+
+    run(context, start())
+
+
+@then("the empty engine holds version 1 within {seconds:d} second of its start")
 @then("the empty engine holds version 1 within {seconds:d} seconds")
 def engine_holds(context, seconds):
     assert run(context, until(lambda: context.empty.version == 1, seconds))
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -26,6 +26,15 @@
     Then the empty engine holds version 1 within 5 seconds
     And the engine loaded only valid chunks of version 1
 
+  # Load: VMs that are added in a burst. Guards against a link that is idle until the engine starts.
+  Scenario: A new engine that starts after its endpoint process loads at once
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And an empty engine that starts 2 seconds after its endpoint process, with a link that takes 1.5
+    Then the empty engine holds version 1 within 1 second of its start
+    And the engine loaded only valid chunks of version 1
+    And the origin sent each chunk of version 1 at most once
+
   Scenario: An entry process that stops leaves no fetch of weights running
     Given the users' platform with two plain backends and two engines
     And the origin does not answer
--- a/verbenaward/replica/first_read.py
+++ b/verbenaward/replica/first_read.py
@@ -20,6 +20,9 @@
 MAXIMUM_SEED_WAIT_SECONDS = 2.5
 """Time after which a process reads the store itself: the seed processes may be lost."""
 RETRY_SECONDS = 0.2
+CONNECT_SECONDS = 0.15
+"""Time to connect to a seed process. After a loss of power the VMs start within fractions of a
+second of each other, and a connection to one that has not started yet would hang."""
 FRESH_ONLY_SECONDS = 0.001
 """Shortest long poll. A process answers a long poll only while its replica is fresh."""
 
@@ -42,7 +45,9 @@
     until = clock.now() + MAXIMUM_SEED_WAIT_SECONDS
     while controls and clock.now() < until:
         control = random.choice(controls)
-        changes = await fetch_changes(session, control, Position(), FRESH_ONLY_SECONDS)
+        changes = await fetch_changes(
+            session, control, Position(), FRESH_ONLY_SECONDS, CONNECT_SECONDS
+        )
         if changes is not None and changes.revision and changes.is_snapshot:
             return changes
         await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.0))
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -117,7 +117,11 @@
 
 
 async def fetch_changes(
-    session: aiohttp.ClientSession, control: str, position: Position, wait_seconds: float
+    session: aiohttp.ClientSession,
+    control: str,
+    position: Position,
+    wait_seconds: float,
+    connect_seconds: float = FETCH_TIMEOUT_SECONDS,
 ) -> Changes | None:
     """Fetch the changes after a position from an entry process; None if the request fails.
 
@@ -127,12 +131,13 @@
       position: Position of the local replica.
       wait_seconds: Longest time that the entry process may wait for a change (long poll); 0 means
         not to wait.
+      connect_seconds: Longest time to connect.
     """
     path = ITEMS_PATH.format(revision=position.revision)
     query = {ERA_QUERY: str(position.era)} if position.era else {}
     if wait_seconds:
         query[WAIT_QUERY] = str(wait_seconds)
-    return await fetch(session, control, path, query, wait_seconds, position.era)
+    return await fetch(session, control, path, query, wait_seconds, position.era, connect_seconds)
 
 
 async def fetch_kept(session: aiohttp.ClientSession, control: str, era: int) -> Changes | None:
@@ -147,12 +152,13 @@
     query: dict[str, str],
     wait_seconds: float,
     known_era: int,
+    connect_seconds: float = FETCH_TIMEOUT_SECONDS,
 ) -> Changes | None:
     """Fetch changes from an entry process; None if the request fails."""
     longest_silence = FETCH_TIMEOUT_SECONDS + wait_seconds
     timeout = aiohttp.ClientTimeout(
         total=longest_silence + MAXIMUM_TRANSFER_SECONDS,
-        sock_connect=FETCH_TIMEOUT_SECONDS,
+        sock_connect=connect_seconds,
         sock_read=longest_silence,
     )
     url = f"http://{control}{path}"
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -1,7 +1,6 @@
 """Loads weights into the engine on this VM: stages verified chunks, then orders the load."""
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
 
 import aiohttp
@@ -17,9 +16,8 @@
 from ..replica.chunk_digests import DIGEST_BYTES, stored_digests
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
-from .chunk_arrivals import ArrivedChunk, ChunkArrivals
+from .download import Sink, VersionDigests, download
 from .fetching import ChunkFetcher, sha256
-from .link_shares import PARALLEL_FETCHES
 from .notices import LoadingNotices
 from .plan import (
     LoadSchedule,
@@ -39,18 +37,8 @@
 BUSY_RETRY_SECONDS = 0.05
 ROUND_SECONDS = 5.0
 """Time without a staged chunk after which the engine's state is looked at again."""
-
-
-@dataclass(frozen=True, slots=True)
-class VersionDigests:
-    """SHA-256 digests of the chunks of one version, in order."""
-
-    weights: HeldWeights
-    digests: tuple[bytes, ...]
-
-    def missing(self, staged: dict[int, bytes]) -> list[int]:
-        """Return the indexes of the chunks that are not among the staged ones."""
-        return [index for index, digest in enumerate(self.digests) if staged.get(index) != digest]
+MAXIMUM_EARLY_BYTES = 8 * 1024 * 1024
+"""Memory for chunks that are fetched before the engine has started."""
 
 
 class EngineLoader:
@@ -69,6 +57,8 @@
       given_up: Digests of the version that was given up for a newer one; None for none.
       progressed_at: When a chunk was last staged, or other weights became the next ones, monotonic.
       held: Weights that the engine holds, as it last reported.
+      has_answered: True once the engine has answered this process.
+      early: Chunks that were fetched before, by index.
     """
 
     def __init__(
@@ -95,6 +85,8 @@
         self.given_up: VersionDigests | None = None
         self.progressed_at = 0.0
         self.held: tuple[HeldWeights, ...] = ()
+        self.has_answered = False
+        self.early: dict[int, bytes] = {}
 
     async def run(self) -> None:
         """Keep the engine's weights current until cancelled."""
@@ -106,7 +98,10 @@
         """Stage and load the next weights, unless the engine holds them."""
         result = await self.engine.report()
         if not isinstance(result, Success):
+            if not self.has_answered:
+                await self.fetch_early()
             return
+        self.has_answered = True
         report = result.unwrap()
         self.held = report.weights
         wanted = self.update_next_weights()
@@ -238,93 +233,107 @@
         if not missing:
             return True
         started = clock.now()
-        neighbours = self.engines_of_region()
-        rank = neighbours.index(self.direct.engine)
         missing = await self.without_present(wanted, digests, missing)
-        order = chunk_order(missing, rank, len(neighbours))
-        arrivals = ChunkArrivals(order, partial(self.locate, wanted))
-        arrivals.start()
-        workers = [
-            asyncio.create_task(self.stage_arrived(arrivals, wanted, digests))
-            for _ in range(PARALLEL_FETCHES)
-        ]
-        try:
-            is_complete = await self.wait_for_workers(workers, wanted)
-        finally:
-            arrivals.close()
-            for worker in workers:
-                worker.cancel()
+        missing = await self.stage_early(wanted, digests, missing)
+        is_complete = await self.download_while_wanted(wanted, digests, missing)
         if is_complete:
             took = round(clock.now() - started, 3)
             LOG.info("weights.staged", version=wanted.version, chunks=len(missing), seconds=took)
         return is_complete
 
-    async def without_present(
+    async def fetch_early(self) -> None:
+        """Fetch chunks into memory until the engine answers.
+
+        The engine of a VM that has just been added takes longer to start than this process, and
+        the link would be idle meanwhile.
+        """
+        wanted = self.newest()
+        digests = await self.digests_of(wanted) if wanted else None
+        if digests is None:
+            return
+
+        async def keep(index: int, body: bytes) -> bool:
+            self.early[index] = body
+            return True
+
+        order = self.fetch_order([*range(len(digests.digests))])
+        fetching = asyncio.create_task(
+            download(self.fetcher, digests, order[: self.early_chunks()], keep)
+        )
+        try:
+            while not isinstance(await self.engine.report(), Success):
+                await asyncio.sleep(POLL_SECONDS)
+        finally:
+            fetching.cancel()
+
+    def early_chunks(self) -> int:
+        """Return how many chunks may be kept in memory until the engine answers."""
+        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
+        engine = declared.engine if declared else None
+        return MAXIMUM_EARLY_BYTES // engine.chunk_bytes if engine and engine.chunk_bytes else 0
+
+    async def stage_early(
         self, wanted: HeldWeights, digests: VersionDigests, missing: list[int]
     ) -> list[int]:
-        """Return the missing chunks without those that are staged from before a restart."""
+        """Stage the chunks that were fetched early, and return those that are still missing."""
+        early, self.early = self.early, {}
         for index in missing:
-            present = await self.engine.staged_chunk(wanted.model, index)
-            if isinstance(present, Success) and sha256(present.unwrap()) == digests.digests[index]:
-                self.record_staged(index, digests.digests[index])
+            body = early.get(index, b"")
+            if sha256(body) == digests.digests[index]:
+                await self.stage_chunk(wanted, digests, index, body)
         return digests.missing(self.staged)
 
-    async def wait_for_workers(
-        self, workers: list[asyncio.Task[bool]], wanted: HeldWeights
-    ) -> bool:
-        """Return True once all chunks are staged, False when other weights are wanted.
+    def fetch_order(self, missing: list[int]) -> list[int]:
+        """Return missing chunks in the order in which this engine fetches them."""
+        neighbours = self.engines_of_region()
+        return chunk_order(missing, neighbours.index(self.direct.engine), len(neighbours))
 
-        It is also False once no chunk has arrived for `ROUND_SECONDS`, as the engine may have
-        restarted without its staged chunks.
-        """
-        running = set(workers)
-        began = clock.now()
-        while running:
-            _, running = await asyncio.wait(running, timeout=POLL_SECONDS)
-            if running and self.update_next_weights() != wanted:
-                return False
-            if running and clock.now() - max(began, self.progressed_at) > ROUND_SECONDS:
-                return False
-        return all([await worker for worker in workers])
-
-    async def stage_arrived(
-        self, arrivals: ChunkArrivals, wanted: HeldWeights, digests: VersionDigests
+    async def download_while_wanted(
+        self, wanted: HeldWeights, digests: VersionDigests, missing: list[int]
     ) -> bool:
-        """Worker: stage available chunks until all are done or other weights are wanted.
+        """Download and stage missing chunks; False if that ends without all of them.
 
-        Returns:
-          True if all are done.
+        It ends when other weights are wanted, or when no chunk has arrived for `ROUND_SECONDS`, as
+        the engine may have restarted without its staged chunks.
         """
-        while chunk := await arrivals.next():
-            if self.update_next_weights() != wanted:
-                return False
-            digest, is_alone = digests.digests[chunk.index], not arrivals.arrived
-            is_staged = await self.stage_chunk(wanted, chunk, digest, is_alone)
-            await arrivals.finish(chunk, is_staged)
-            if is_staged:
-                self.announce_load(wanted, digests)
-        return True
+        sink: Sink = partial(self.stage_chunk, wanted, digests)
+        began = clock.now()
+        running = asyncio.create_task(
+            download(self.fetcher, digests, self.fetch_order(missing), sink)
+        )
+        try:
+            while not running.done():
+                await asyncio.wait({running}, timeout=POLL_SECONDS)
+                if self.update_next_weights() != wanted:
+                    return False
+                if clock.now() - max(began, self.progressed_at) > ROUND_SECONDS:
+                    return False
+            await running
+            return True
+        finally:
+            running.cancel()
 
-    async def locate(self, wanted: HeldWeights, index: int, failures: int) -> str | None:
-        """Return the entry process that has a chunk available; None if that takes too long."""
-        run = chunk_run_name(wanted.model, wanted.version, index)
-        return await self.fetcher.locate(chunk_path(wanted, index), run, failures)
+    async def without_present(
+        self, wanted: HeldWeights, digests: VersionDigests, missing: list[int]
+    ) -> list[int]:
+        """Return the missing chunks without those that are staged from before a restart."""
+        for index in missing:
+            present = await self.engine.staged_chunk(wanted.model, index)
+            if isinstance(present, Success) and sha256(present.unwrap()) == digests.digests[index]:
+                self.record_staged(index, digests.digests[index])
+        return digests.missing(self.staged)
 
     async def stage_chunk(
-        self, wanted: HeldWeights, chunk: ArrivedChunk, digest: bytes, is_alone: bool
+        self, wanted: HeldWeights, digests: VersionDigests, index: int, body: bytes
     ) -> bool:
-        """Fetch and stage one chunk, faster if no other is available; False if that failed."""
-        index = chunk.index
-        path = chunk_path(wanted, index)
-        body = await self.fetcher.fetch_at(chunk.entry, path, digest, is_alone)
-        if body is None:
-            return False
+        """Stage one chunk and announce the load that is planned; False if staging failed."""
         self.staged.pop(index, None)
         result = await self.engine.put_chunk(wanted.model, index, body)
         if not isinstance(result, Success):
             LOG.warning("weights.unstaged", index=index, error=result.failure()[:150])
             return False
-        self.record_staged(index, digest)
+        self.record_staged(index, digests.digests[index])
+        self.announce_load(wanted, digests)
         return True
 
     def record_staged(self, index: int, digest: bytes) -> None:
@@ -452,11 +461,6 @@
         return is_valid
 
 
-def chunk_path(weights: HeldWeights, index: int) -> str:
-    """Return the path of a chunk at entry processes."""
-    return f"/weights/{weights.model}/{weights.version}/{index}"
-
-
 def holds_weights(report: EngineReport, wanted: HeldWeights) -> bool:
     """Return True if an engine holds the wanted weights or newer ones."""
     return any(
