Endpoint processes report the requests at their engines

Loads of processes outside the peer group arrive each 2 to 3 s, those of killed ones never.

The endpoint process beside an engine asks it for its requests each 0.1 s (free on its own VM) and reports changes to the entry processes of the region, 57 bytes each, so rarely that neither side exceeds its rate of messages. For one second the report counts, with what the process and its peers have started and ended since.

--- a/bench/placement_simulation.py
+++ b/bench/placement_simulation.py
@@ -98,6 +98,8 @@
       near_report_seconds: Interval of load reports within a peer group; 0 if all share their view
         of the engines, so that there is no delay.
       far_report_seconds: Interval of load reports to other entry processes.
+      engine_report_seconds: Interval at which an engine's VM reports its requests to the entry
+        processes of its zone; 0 for never.
       slowdown: Slowdown of the first engine; 1 for none.
       loading_seconds: Time in which all engines load weights once, in sequence; 0 for never.
       burst: Factor of the request rate during the burst; 1 for no burst.
@@ -113,6 +115,7 @@
     seconds: float = 12.0
     near_report_seconds: float = NEAR_REPORT_SECONDS
     far_report_seconds: float = FAR_REPORT_SECONDS
+    engine_report_seconds: float = 0.0
     slowdown: float = 1.0
     loading_seconds: float = 0.0
     burst: float = 1.0
@@ -226,6 +229,9 @@
             near, far = self.settings.near_report_seconds, self.settings.far_report_seconds
             self.clock.schedule_after(phase * near, lambda e=entry: self.send_load_reports(e, True))
             self.clock.schedule_after(phase * far, lambda e=entry: self.send_load_reports(e, False))
+        for identity in self.engines if self.settings.engine_report_seconds else ():
+            phase = self.rng.random() * self.settings.engine_report_seconds
+            self.clock.schedule_after(phase, lambda i=identity: self.report_requests(i))
         if self.settings.loading_seconds:
             self.schedule_loading()
         self.clock.run(ends_at + DEADLINE_SECONDS)
@@ -298,6 +304,21 @@
         interval = settings.near_report_seconds if is_near else settings.far_report_seconds
         self.clock.schedule_after(interval, lambda: self.send_load_reports(sender, is_near))
 
+    def report_requests(self, identity: str) -> None:
+        """Report the requests at an engine to the entry processes of its zone, and repeat."""
+        engine = self.engines[identity]
+        requests = len(engine.running) + len(engine.queue)
+        for entry in self.entries:
+            view = entry.fleet.backends[identity]
+            if view.backend.zone == entry.zone:
+                self.clock.schedule_after(
+                    NEAR_LATENCY_SECONDS,
+                    lambda v=view: v.record_reported_requests(requests, self.clock.now),
+                )
+        self.clock.schedule_after(
+            self.settings.engine_report_seconds, lambda: self.report_requests(identity)
+        )
+
     def arrive(self) -> None:
         """Start a caller with a request of random class and size."""
         request_class = self.rng.choices(
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -198,6 +198,7 @@
   limitReplies @24 :List(LimitReply);
   knowsLimits @25 :Bool;    # the sender answers limit requests
   grantsLimits @26 :Bool;   # the sender may own limits: it has been ready for some time
+  engineRequests @27 :UInt16;  # set by an endpoint process: one more than the requests that run or wait at its engine
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- a/tests/placement/load.feature
+++ b/tests/placement/load.feature
@@ -24,3 +24,21 @@
   Scenario: A refusal comes at once and carries a retry delay
     When a load of 1.3 times the engines' capacity is simulated
     Then each refusal came at once and carries a retry delay
+
+  # Load: near the capacity of the engines, with so many entry processes that each knows the load of
+  # most others seconds late. Guards against queues at engines that look idle.
+  Scenario: Reports of the requests at the engines let many entry processes serve more
+    When 33 entry processes and 27 engines run at a load of 0.95, with and without such reports
+    Then callers get more with the reports than without
+
+  Scenario: A report counts what the entry process does not know, and what is sent later
+    Given a backend with 2 requests of this process and 3 of its peers
+    When its VM reports 9 requests
+    Then 9 requests are assumed there
+    When this process sends 2 more and one of its peers ends 1
+    Then 10 requests are assumed there
+    And after a second without a report those of this process and its peers
+
+  Scenario: Reports of an engine keep to the allowed rate of both sides
+    When engines report 57 bytes to 3 to 300 entry processes, each of which hears 3 to 300 engines
+    Then no process sends or receives more than 3000 bytes a second
--- a/tests/steps/simulated_load.py
+++ b/tests/steps/simulated_load.py
@@ -1,9 +1,14 @@
 """Steps that simulate a load on models of engines."""
 
-from behave import then, when
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
 
 from bench.placement_simulation import PlacementSimulation, SimulationSettings, simulate
+from verbenaward.data import Backend
 from verbenaward.logs import configure_logs
+from verbenaward.placement.backends import BackendView, RemoteLoad
+from verbenaward.weight_loading.load_reports import interval_seconds
 
 SEEDS = (1, 2, 3)
 
@@ -66,6 +71,89 @@
     context.own = [simulate(settings)]
 
 
+@when(
+    "{entries:d} entry processes and {engines:d} engines run at a load of {load:g}, with and "
+    "without such reports"
+)
+def simulate_reports(context, entries, engines, load):
+    configure_logs("critical")
+
+    def worth(report_seconds):
+        return mean(
+            [
+                simulate(
+                    SimulationSettings(
+                        load=load,
+                        entries=entries,
+                        engines=engines,
+                        seconds=6.0,
+                        near_report_seconds=0.1,
+                        far_report_seconds=2.0,
+                        engine_report_seconds=report_seconds,
+                        seed=seed,
+                    )
+                )["worth"]
+                for seed in SEEDS
+            ]
+        )
+
+    context.with_reports, context.without = worth(0.15), worth(0.0)
+
+
+@then("callers get more with the reports than without")
+def more_with_reports(context):
+    assert context.with_reports > context.without, (context.with_reports, context.without)
+
+
+@given("a backend with {own:d} requests of this process and {others:d} of its peers")
+def backend_with_requests(context, own, others):
+    backend = Backend("e-0", "engines", "h:1", "zone-a", 12, False, (), 0, 1)
+    context.view = BackendView(backend, running=own)
+    context.view.remote_loads["peer"] = RemoteLoad(others, 0, 0.0)
+
+
+@when("its VM reports {count:d} requests")
+def vm_reports(context, count):
+    context.view.record_reported_requests(count, 0.0)
+
+
+@when("this process sends {sent:d} more and one of its peers ends {ended:d}")
+def send_and_end(context, sent, ended):
+    context.view.running += sent
+    load = context.view.remote_loads["peer"]
+    context.view.remote_loads["peer"] = RemoteLoad(load.running - ended, 0, 0.0)
+
+
+@then("{count:d} requests are assumed there")
+def requests_assumed(context, count):
+    assert context.view.all_running(0.5) == count, context.view.all_running(0.5)
+
+
+@then("after a second without a report those of this process and its peers")
+def report_expired(context):
+    assert context.view.all_running(1.1) == context.view.known_running(1.1)
+
+
+@when(
+    "engines report {size:d} bytes to {low:d} to {high:d} entry processes, each of which hears "
+    "{fewest:d} to {most:d} engines"
+)
+def report_to_many(context, size, low, high, fewest, most):
+    context.size = size
+    context.entries = context.engines = st.integers(low, high)
+
+
+@then("no process sends or receives more than {rate:d} bytes a second")
+def within_rate(context, rate):
+    @for_all(context.entries, context.engines)
+    def check(entries, engines):
+        interval = interval_seconds(context.size, entries, engines, rate)
+        assert context.size * entries / interval <= rate * 1.0001
+        assert context.size * engines / interval <= rate * 1.0001
+
+    check()
+
+
 @then("callers get at least {share:g} of the full value")
 def share_of_full_value(context, share):
     own = mean([row["worth"] for row in context.own])
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -2,8 +2,8 @@
 
 The message `Pulse` carries them, as UDP datagrams. A full broadcast contains the whole state of
 the sender, which the sections of `broadcast` write and read. A load delta (`partial`) contains only
-the loads that have changed, and goes to the peer group at once. Endpoints announce that they load
-weights in the same message (`loading`).
+the loads that have changed, and goes to the peer group at once. Endpoints send notices about their
+engines in the same message (`engine_notices`).
 """
 
 import asyncio
@@ -26,9 +26,10 @@
 from .broadcast.sections import SharedState, sections_of
 from .broadcast_socket import open_broadcast_socket, send_to_all
 from .crash_tracker import CrashTracker
+from .engine_notices import apply_engine_notice
 from .entry_peers import EntryPeer, chosen_watchers, is_older
 from .limit_grants import LimitGrants, Peers
-from .peer_table import MAXIMUM_TARGETS, MILLISECONDS_PER_SECOND, PeerTable
+from .peer_table import MAXIMUM_TARGETS, PeerTable
 
 LOG = get_logger(__name__)
 MINIMUM_FULL_BROADCAST_SECONDS = 0.3
@@ -91,7 +92,7 @@
         self.is_ready = is_ready
         self.on_position = on_position
         self.leaving = False
-        self.peers = PeerTable(settings, replica, is_store_lost)
+        self.peers = PeerTable(settings, replica, is_store_lost, lambda: self.leaving)
         self.limits = LimitGrants(
             fleet.notices,
             Peers(
@@ -266,7 +267,7 @@
         return dataclasses.replace(envelope, **fields)
 
     def receive(self, payload: bytes, source: tuple[str, int], now: float) -> None:
-        """Apply a message of another entry process, or an endpoint's notice that it loads weights.
+        """Apply a message of another entry process, or an endpoint's notice about its engine.
 
         Args:
           payload: Encoded message.
@@ -279,8 +280,7 @@
             LOG.warning("pulse.malformed", source=source[0], error=str(error)[:100])
             return
         if message.loading:
-            seconds = message.loading_in_ms / MILLISECONDS_PER_SECOND
-            self.fleet.record_loading(message.loading, seconds, now)
+            apply_engine_notice(message, self.fleet, now)
             return
         peer = self.peers.peer(f"{source[0]}:{source[1]}")
         if peer is None:
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -36,6 +36,8 @@
 """Backoff from a backend that is taken to be loading because it refused with free slots."""
 REMOTE_LOAD_TTL_SECONDS = 2.0
 """Age from which a load report of another entry process is ignored, if all receive each report."""
+REPORTED_REQUESTS_TTL_SECONDS = 1.0
+"""Age from which a backend's own report of its requests is ignored."""
 FAILURE_SMOOTHING = 0.2
 """Weight of a new sample in the moving average of failures."""
 SLOWNESS_SMOOTHING = 0.15
@@ -68,6 +70,21 @@
     less_urgent: LessUrgent = NONE_LESS_URGENT
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedRequests:
+    """Requests of all entry processes at a backend, as reported from its VM.
+
+    Attributes:
+      requests: Requests that run or wait there.
+      known: Requests that this process knew of when the report arrived.
+      received_at: When it arrived, monotonic.
+    """
+
+    requests: int
+    known: int
+    received_at: float
+
+
 @dataclass(slots=True, eq=False)
 class BackendView:
     """One backend as an entry process sees it.
@@ -96,6 +113,7 @@
       awaiting_levels: Level of each of these requests that has one.
       short_name: Hash that names it in load reports.
       notices: What it has said of itself in its answers.
+      reported: The last report of its requests; None before the first.
     """
 
     backend: Backend
@@ -117,6 +135,7 @@
     awaiting_levels: dict[int, int] = field(default_factory=dict)
     short_name: int = 0
     notices: IncarnationNotices = field(init=False)
+    reported: ReportedRequests | None = None
 
     def __post_init__(self) -> None:
         """Derive the short name; the incarnation has said nothing yet."""
@@ -128,9 +147,25 @@
         return self.excluded_until > now or not self.notices.admits(now)
 
     def all_running(self, now: float) -> int:
-        """Return the requests that it has in flight, over all entry processes."""
+        """Return the requests that it has in flight, over all entry processes.
+
+        A fresh report from its VM counts all of them; what this process and its peers
+        have started and ended since is added.
+        """
+        known = self.known_running(now)
+        reported = self.reported
+        if reported is None or now - reported.received_at > REPORTED_REQUESTS_TTL_SECONDS:
+            return known
+        return max(self.running, reported.requests + known - reported.known)
+
+    def known_running(self, now: float) -> int:
+        """Return the requests in flight there that this process and its peers have sent."""
         return self.running + sum(load.running for load in self.fresh_remote_loads(now))
 
+    def record_reported_requests(self, requests: int, now: float) -> None:
+        """Record a report from its VM of the requests that run or wait there."""
+        self.reported = ReportedRequests(requests, self.known_running(now), now)
+
     def all_prompt_tokens(self, now: float) -> int:
         """Return the prompt tokens without a first event yet, over all entry processes."""
         return self.prompt_tokens + sum(load.prompt_tokens for load in self.fresh_remote_loads(now))
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -291,6 +291,18 @@
             view.record_loading(now)
             LOG.info("backend.loading", backend=view.backend.identity)
 
+    def record_reported_requests(self, address: str, requests: int, now: float) -> None:
+        """Record how many requests run or wait at a backend, as its endpoint process reports.
+
+        Args:
+          address: Address of the backend.
+          requests: Requests of all entry processes.
+          now: Present time, monotonic, in seconds.
+        """
+        for view in self.backends.values():
+            if view.backend.address == address:
+                view.record_reported_requests(requests, now)
+
     def handle_deregistration(self, identity: str, now: float) -> None:
         """Remove a backend whose registration ended.
 
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -249,6 +249,7 @@
     limit_replies: tuple[LimitReply, ...] = ()
     knows_limits: bool = False
     grants_limits: bool = False
+    engine_requests: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -134,6 +134,16 @@
         }
         return entry_order(controls, self.settings.zone, self.direct.zones, key)
 
+    def entries_in_region(self) -> list[str]:
+        """Return the addresses of the entry processes in the region of this process."""
+        regions = self.direct.zones
+        region = regions.get(self.settings.zone)
+        return [
+            entry.key.removeprefix(ENTRY_PREFIX)
+            for entry in self.replica.entries_with_prefix(ENTRY_PREFIX)
+            if regions.get(zone_of_record(entry.value)) == region
+        ]
+
     def link_rate(self) -> float:
         """Return the configured rate of the link in bytes per second; 0 for no limit.
 
--- a/verbenaward/weight_loading/notices.py
+++ b/verbenaward/weight_loading/notices.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import socket
+from collections.abc import Sequence
 
 from ..configuration.settings import host_of, port_of
+from ..direct.broadcast_socket import DATAGRAM_OVERHEAD_BYTES
+from ..direct.engine_notices import loading_notice
 from ..schema.messages import Pulse
 from ..wire.codec import encode
 from .fetching import ChunkFetcher
@@ -15,7 +18,8 @@
 MAXIMUM_ENTRIES = 64
 """Entry processes that are notified, near ones first; the others notice when the engine refuses
 a request."""
-MILLISECONDS_PER_SECOND = 1000
+MINIMUM_NOTICE_SECONDS = 0.001
+"""Shortest time in an advance notice; 0 means that the engine loads now."""
 
 
 class LoadingNotices:
@@ -44,17 +48,22 @@
         if load_at - now > ADVANCE_NOTICE_SECONDS or now - self.last_notice_at < REPEAT_SECONDS:
             return
         self.last_notice_at = now
-        self.send(max(1, round((load_at - now) * MILLISECONDS_PER_SECOND)))
+        self.send(loading_notice(self.vm, self.engine, max(MINIMUM_NOTICE_SECONDS, load_at - now)))
 
     def announce_loading(self) -> None:
         """Announce that the engine accepts no requests until it has loaded other weights."""
-        self.send(0)
-
-    def send(self, loading_in_ms: int) -> None:
-        """Send one notice to the entry processes; 0 milliseconds for an engine that loads now."""
-        notice = encode(Pulse(vm=self.vm, loading=self.engine, loading_in_ms=loading_in_ms))
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-            sender.setblocking(False)
-            for control in self.fetcher.entries_for(self.engine)[:MAXIMUM_ENTRIES]:
-                with contextlib.suppress(OSError):
-                    sender.sendto(notice, (host_of(control), port_of(control)))
+        self.send(loading_notice(self.vm, self.engine, 0.0))
+
+    def send(self, notice: Pulse) -> None:
+        """Send one notice to the entry processes."""
+        send_datagrams(encode(notice), self.fetcher.entries_for(self.engine)[:MAXIMUM_ENTRIES])
+
+
+def send_datagrams(payload: bytes, controls: Sequence[str]) -> int:
+    """Send a datagram to each address and return the bytes used on the network."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.setblocking(False)
+        for control in controls:
+            with contextlib.suppress(OSError):
+                sender.sendto(payload, (host_of(control), port_of(control)))
+    return len(controls) * (len(payload) + DATAGRAM_OVERHEAD_BYTES)
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -19,6 +19,7 @@
 from ..schema.settings import DirectSettings, Settings
 from .engine_loader import EngineLoader
 from .entry_poller import EntryPoller
+from .load_reports import LoadReporter
 
 UPLOAD_SHARE = 0.7
 """Share of the link's rate for chunks sent to other VMs; the engine's streams get the rest."""
@@ -34,6 +35,7 @@
       entry_poller: Receives the store's changes from entry processes.
       follower: Watches the store while no entry process answers.
       engine_loader: Loads weights into the engine.
+      load_reporter: Reports the requests at the engine.
       uploads: Allows one chunk at a time to be sent.
     """
 
@@ -55,6 +57,13 @@
         fleet = Fleet(replica, clock.now())
         fleet.use_zones(direct.zones)
         self.engine_loader = EngineLoader(settings, direct, replica, fleet, self.session)
+        loader = self.engine_loader
+        self.load_reporter = LoadReporter(
+            loader.engine,
+            direct,
+            loader.fetcher.entries_in_region,
+            lambda: len(loader.engines_of_region()),
+        )
         self.uploads = asyncio.Semaphore(1)
         self.tasks: list[asyncio.Task[None]] = []
         self.runner = web.AppRunner(web.Application(), access_log=None)
@@ -67,7 +76,12 @@
         await self.runner.setup()
         listen = self.settings.listen
         await web.TCPSite(self.runner, host_of(listen), port_of(listen)).start()
-        for work in (self.follower.run(), self.entry_poller.run(), self.engine_loader.run()):
+        for work in (
+            self.follower.run(),
+            self.entry_poller.run(),
+            self.engine_loader.run(),
+            self.load_reporter.run(),
+        ):
             self.tasks.append(asyncio.create_task(work))
 
     async def answer_inventory(self, request: web.Request) -> web.StreamResponse:
