Superseded versions are read on request only; leaving readers are known

Readers that started after a herd kill copied 60 chunks each from endpoint processes, whose links take 0.1 s for one, and chunks 48 to 59, which all engines lacked, came 3 s later.

Chunks of a superseded version are read when requested. A leaving process reads no more, and its inventory is queried as before. What endpoint processes hold is copied from them only if somebody requests it.

The check that some engine always continues staging a superseded version was wrong for an engine that has next to nothing of it: it would serve for less time than its load takes. The check now holds from that share on, and none continues below it.

--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -53,16 +53,22 @@
       settings: Settings of the process.
       replica: Local replica of the key-value store.
       is_store_lost: Returns True if this process's last call to the store failed.
+      is_leaving: Returns True once this process has been told to stop.
       by_control: Peers by their control address.
       rng: Shuffles the peers that are asked.
     """
 
     def __init__(
-        self, settings: Settings, replica: StoreReplica, is_store_lost: Callable[[], bool]
+        self,
+        settings: Settings,
+        replica: StoreReplica,
+        is_store_lost: Callable[[], bool],
+        is_leaving: Callable[[], bool],
     ) -> None:
         self.settings = settings
         self.replica = replica
         self.is_store_lost = is_store_lost
+        self.is_leaving = is_leaving
         self.by_control: dict[str, EntryPeer] = {}
         self.rng = random.Random()
         port = port_of(settings.listen)
@@ -115,22 +121,22 @@
         ]
 
     def entries(self, now: float) -> list[EntryProcess]:
-        """Return the peers that are registered in the store or alive, unless they are leaving.
+        """Return the entry processes that are registered in the store or alive, with this one.
 
         Peers that are starting are among them, so that the readers of weights stay the same after
         many processes were killed.
         """
-        zones = {
-            entry.key.removeprefix(ENTRY_PREFIX): zone_of_record(entry.value)
+        own = EntryProcess(self.settings.listen, self.settings.zone, self.is_leaving())
+        found = {
+            control: EntryProcess(control, zone_of_record(entry.value))
             for entry in self.replica.entries_with_prefix(ENTRY_PREFIX)
+            if (control := entry.key.removeprefix(ENTRY_PREFIX)) in self.by_control
         }
         for peer in self.by_control.values():
-            if peer.last_broadcast is not None and peer.last_broadcast.leaving:
-                zones.pop(peer.control, None)
-            elif peer.last_broadcast is not None and peer.is_alive(now):
-                zones[peer.control] = peer.last_broadcast.zone
-        zones.pop(self.settings.listen, None)
-        return [EntryProcess(control, zone) for control, zone in zones.items()]
+            broadcast = peer.last_broadcast
+            if broadcast is not None and (peer.control in found or peer.is_alive(now)):
+                found[peer.control] = EntryProcess(peer.control, broadcast.zone, broadcast.leaving)
+        return [own, *found.values()]
 
     def group_candidates(self, now: float) -> list[Pulse]:
         """Return the last full broadcasts of the peers that may be in the peer group.
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -46,6 +46,7 @@
     PeerCalls,
 )
 from .readers import ORIGIN_READERS, Inventory, reader_order, readers_of_chunk
+from .recent_failures import RecentFailures
 from .version_reader import Neighbours, VersionReader
 
 LOG = get_logger(__name__)
@@ -78,22 +79,31 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryProcess:
-    """Another entry process: its control address and availability zone."""
+    """An entry process.
+
+    Attributes:
+      control: Its control address.
+      zone: Its availability zone.
+      is_leaving: True once it has been told to stop.
+    """
 
     control: str
     zone: str
+    is_leaving: bool = False
 
 
 class ChunkRelay:
     """Serves chunks and digests; concurrent requests for one share a fetch.
 
     Attributes:
-      entries: Returns the other entry processes, those that are starting included.
+      entries: Returns all entry processes, this one and those that are starting included.
       cache: Chunks and digests.
       fetching: Running fetches by key.
       readers: Versions that this process reads from the origin, by model and version.
       link: The link to the origin.
       calls: Calls to other processes.
+      missing_digests: Digests that could not be had lately; the origin may have dropped a version
+        that some backends still hold.
       background_tasks: References to running tasks, so that they are not garbage-collected.
     """
 
@@ -116,6 +126,7 @@
         self.rng = random.Random()
         self.link = OriginLink()
         self.calls = PeerCalls(session)
+        self.missing_digests = RecentFailures()
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.start_reading)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
@@ -147,6 +158,7 @@
                 [digests[at : at + DIGEST_BYTES] for at in range(0, len(digests), DIGEST_BYTES)],
                 self.settings.listen,
                 lambda: self.neighbours(model, version),
+                lambda: self.fleet.newest_version(model) <= version,
                 self.cache,
                 self.link,
                 partial(self.read_from_origin, model, version),
@@ -182,15 +194,17 @@
 
     def neighbours(self, model: str, version: int) -> Neighbours:
         """Return the processes that may hold chunks of a version."""
+        known = self.entries(clock.now())
         order = self.reader_order(model, version)
-        own = self.settings.listen
-        others = {item.control for item in self.entries(clock.now())}
+        leaving = [item.control for item in known if item.is_leaving]
+        others = {item.control for item in known}
         endpoints = [
             self.control_of(view.backend.address)
             for view in self.fleet.backends.values()
             if view.backend.weights is not None and self.is_in_own_region(view.backend.zone)
         ]
-        return Neighbours(order, sorted(others - {*order[:ORIGIN_READERS], own}), endpoints)
+        readers = {*order[:ORIGIN_READERS], *leaving, self.settings.listen}
+        return Neighbours(order, leaving, sorted(others - readers), endpoints)
 
     def control_of(self, address: str) -> str:
         """Return the control address of the endpoint process on the VM of an engine.
@@ -219,10 +233,8 @@
         eligible = [
             item.control
             for item in self.entries(clock.now())
-            if self.region_of(item.zone) == region
+            if self.region_of(item.zone) == region and not item.is_leaving
         ]
-        if self.region_of(self.settings.zone) == region:
-            eligible.append(self.settings.listen)
         return reader_order(model, version, eligible) or [self.settings.listen]
 
     def is_reader(self, model: str, version: int) -> bool:
@@ -231,6 +243,7 @@
 
     def fetch_held_digests(self) -> None:
         """Start fetching the digests of versions that backends hold and that are not cached yet."""
+        now = clock.now()
         held = {
             (item.model, item.version)
             for view in self.fleet.backends.values()
@@ -238,7 +251,7 @@
         }
         for model, version in held:
             key = ChunkKey(model, version, DIGESTS_INDEX)
-            if key not in self.cache:
+            if key not in self.cache and self.missing_digests.working([str(key)], now):
                 self.start_fetch(key)
 
     def write_lost_digests(self) -> None:
@@ -373,6 +386,8 @@
             elif attempt % LOGGED_FAILURES == 0:
                 LOG.warning("chunk.failed", index=key.index, error=result.failure()[:150])
             await asyncio.sleep(RETRY_DELAY_SECONDS)
+        if key.index == DIGESTS_INDEX:
+            self.missing_digests.record_failure(str(key), clock.now())
         return None
 
     async def digest_of(self, key: ChunkKey) -> bytes | None:
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -4,7 +4,7 @@
 import hashlib
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 from returns.result import Result, Success
@@ -18,7 +18,7 @@
 from .readers import ORIGIN_READERS, Inventory, holders_of, next_to_read
 
 LOG = get_logger(__name__)
-IDLE_SECONDS = 0.05
+IDLE_SECONDS = 0.1
 """Pause while all missing chunks are held or being received elsewhere."""
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a failed request; an origin that refuses gets 10 requests a second from each reader.
@@ -27,6 +27,8 @@
 """Time without a new chunk after which a version is given up until a chunk is requested again."""
 SEARCH_INTERVAL_SECONDS = 1.0
 """Interval at which processes that are not readers are searched for chunks."""
+FIRST_SEARCH_SECONDS = 0.1
+"""Longest wait for the first search, before which nothing is read from the origin."""
 SEARCHED_PROCESSES = 8
 """Processes of each role that are searched. Any that serves a region holds some of its chunks."""
 COPIED_AT_ONCE = 4
@@ -44,11 +46,13 @@
 
     Attributes:
       order: Entry processes of the origin's region in the order in which they become readers.
+      leaving: Entry processes of that region that are leaving; they may have been readers.
       entries: All other entry processes.
       endpoints: Endpoint processes in the region of this process.
     """
 
     order: list[str]
+    leaving: list[str]
     entries: list[str]
     endpoints: list[str]
 
@@ -62,6 +66,7 @@
       digests: SHA-256 digests of its chunks, in order.
       listen: Control address of this process.
       neighbours: Returns the processes that may hold chunks.
+      is_target: Returns True while no newer version is set.
       cache: Receives the chunks.
       link: The link to the origin.
       read_chunk: Requests a chunk from the origin.
@@ -86,6 +91,7 @@
         digests: list[bytes],
         listen: str,
         neighbours: Callable[[], Neighbours],
+        is_target: Callable[[], bool],
         cache: ChunkCache,
         link: OriginLink,
         read_chunk: ReadChunk,
@@ -96,6 +102,7 @@
         self.digests = digests
         self.listen = listen
         self.neighbours = neighbours
+        self.is_target = is_target
         self.cache = cache
         self.link = link
         self.read_chunk = read_chunk
@@ -133,11 +140,21 @@
     def missing(self, order: list[str]) -> list[int]:
         """Return the chunks that this process should still read or copy.
 
-        A reader gets all chunks of a version, so that none is lost with one process.
+        A reader gets all chunks of the target version, so that none is lost with one process,
+        except those that endpoint processes hold: their links are slow, and others lack these
+        chunks only if they are requested. Of a superseded version it gets what is requested.
         """
-        is_reader = self.listen in order[:ORIGIN_READERS]
-        wanted: Iterable[int] = range(len(self.digests)) if is_reader else self.requested
-        return [index for index in wanted if index not in self.done]
+        wanted = set(self.requested)
+        if self.listen in order[:ORIGIN_READERS] and self.is_target():
+            wanted.update(set(range(len(self.digests))) - self.held_by_endpoints())
+        return sorted(wanted - self.done)
+
+    def held_by_endpoints(self) -> set[int]:
+        """Return the chunks that endpoint processes hold."""
+        held: set[int] = set()
+        for control in self.endpoints & self.inventories.keys():
+            held |= self.inventories[control].held
+        return held
 
     async def run(self) -> None:
         """Read until nothing is missing, or no chunk has arrived for `STALLED_SECONDS`."""
@@ -145,17 +162,24 @@
         try:
             while clock.now() - self.progressed_at < STALLED_SECONDS:
                 neighbours = self.neighbours()
+                if clock.now() - searched_at > SEARCH_INTERVAL_SECONDS:
+                    searched_at = clock.now()
+                    await self.start_search(neighbours)
                 missing = self.missing(neighbours.order)
                 if not missing:
                     return
-                if clock.now() - searched_at > SEARCH_INTERVAL_SECONDS:
-                    searched_at = clock.now()
-                    self.searching = asyncio.create_task(self.search(neighbours))
                 if not await self.read_next(neighbours, missing):
                     await asyncio.sleep(IDLE_SECONDS)
         finally:
             await self.stop_tasks()
 
+    async def start_search(self, neighbours: Neighbours) -> None:
+        """Search for chunks in the background, and wait a little for the first results."""
+        is_first = self.searching is None
+        self.searching = asyncio.create_task(self.search(neighbours))
+        if is_first:
+            await asyncio.wait({self.searching}, timeout=FIRST_SEARCH_SECONDS)
+
     async def stop_tasks(self) -> None:
         """Cancel the running copies and the search."""
         running = [*self.copies.values(), *([self.searching] if self.searching else [])]
@@ -166,7 +190,7 @@
     async def read_next(self, neighbours: Neighbours, missing: list[int]) -> bool:
         """Request the next chunk from the origin; False if none is to be requested now."""
         async with self.link.turn:
-            await self.query_readers(neighbours.order)
+            await self.query_readers(neighbours)
             self.start_copies(missing)
             lacking = [index for index in missing if not self.has(index)]
             index = next_to_read(
@@ -194,6 +218,7 @@
             on_answer()
 
         self.receiving.add(index)
+        began = clock.now()
         try:
             result = await self.read_chunk(index, begin)
         finally:
@@ -201,6 +226,8 @@
         if isinstance(result, Success):
             metrics.WEIGHT_BYTES.labels("origin").inc(len(result.unwrap()))
             if self.accept(index, result.unwrap()):
+                took = round(clock.now() - began, 3)
+                LOG.info("chunk.read", version=self.version, index=index, seconds=took)
                 return
         if answered:
             self.rejections[index] += 1
@@ -217,11 +244,11 @@
         self.progressed_at = clock.now()
         return True
 
-    async def query_readers(self, order: list[str]) -> None:
+    async def query_readers(self, neighbours: Neighbours) -> None:
         """Update the inventories of the other readers, and of those that replace lost ones."""
-        working = self.calls.failures.working(order, clock.now())
-        others = [control for control in working[:ORIGIN_READERS] if control != self.listen]
-        await self.query(others, ENTRY_PATH)
+        working = self.calls.failures.working(neighbours.order, clock.now())
+        others = {*working[:ORIGIN_READERS], *neighbours.leaving} - {self.listen}
+        await self.query(sorted(others), ENTRY_PATH)
 
     async def search(self, neighbours: Neighbours) -> None:
         """Update the inventories of some processes that are not readers."""
@@ -229,7 +256,7 @@
         entries = rendezvous_order(seed, neighbours.entries)[:SEARCHED_PROCESSES]
         endpoints = rendezvous_order(seed, neighbours.endpoints)[:SEARCHED_PROCESSES]
         self.endpoints = set(endpoints)
-        known = {*entries, *endpoints, *neighbours.order}
+        known = {*entries, *endpoints, *neighbours.order, *neighbours.leaving}
         self.inventories = {
             control: item for control, item in self.inventories.items() if control in known
         }
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -100,12 +100,15 @@
 
     If all engines gave it up, none would hold a version that may serve from the time at which the
     older one is required until the newer one is loaded. If both can be staged in time, all
-    engines continue; otherwise every second one does.
+    engines continue; otherwise every second one does. None does if the older version would be
+    whole hardly earlier than the newer one: it would serve for less time than its load takes.
 
     Args:
       superseded: State of the staging when the newer version becomes known.
       now: Present time, monotonic, in seconds.
     """
+    if superseded.staged_share * superseded.staging_seconds < ASSUMED_LOAD_SECONDS:
+        return False
     remaining = (1.0 - superseded.staged_share) * superseded.staging_seconds
     newer_staged_at = now + remaining + superseded.staging_seconds
     in_time = superseded.newer_set_after + BOTH_STAGED_SHARE * superseded.version_seconds
