Announce weights that an engine has loaded

An engine that loads is kept out of use until its registration in the store shows the new weights.

The notice names the engine's incarnation. For 5 s a registration that shows an older version does not take it back.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -323,6 +323,7 @@
                 "model_list": self.models(),
                 "busy": self.busy,
                 "sequence": self.accepted_orders,
+                "born": self.born_unix_ms,
                 "active_requests": 0,
                 "queued_requests": 0,
             }
--- a/tests/placement/load.feature
+++ b/tests/placement/load.feature
@@ -42,3 +42,14 @@
   Scenario: Reports of an engine keep to the allowed rate of both sides
     When engines report 57 bytes to 3 to 300 entry processes, each of which hears 3 to 300 engines
     Then no process sends or receives more than 3000 bytes a second
+
+  Scenario: Announced weights count until the registration shows them, for its incarnation only
+    Given a backend that is registered with version 1 and loads version 2
+    When its VM announces that another incarnation holds version 2
+    Then it accepts no requests
+    When its VM announces that it holds version 2
+    Then it accepts requests and holds version 2
+    When a registration that still shows version 1 arrives after 1 second
+    Then it accepts requests and holds version 2
+    When a registration that still shows version 1 arrives after 6 seconds
+    Then it accepts requests and holds version 1
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -628,6 +628,18 @@
     assert run(context, until(lambda: context.empty.version == 1, seconds))
 
 
+@then(
+    "the entry process uses it within {seconds:g} seconds, while its registration shows no weights"
+)
+def used_early(context, seconds):
+    (role,) = context.platform.entries
+    view = role.fleet.backends[context.empty.identity]
+    assert run(context, until(lambda: view.held_version("model") == 1, seconds))
+    assert not view.is_excluded(clock.now())
+    registered = role.replica.entries[f"servers/{context.empty.identity}"].value
+    assert json.loads(registered)["model_list"] == []
+
+
 @when(
     "the origin and the entry process become unreachable, then the engine and its endpoint restart"
 )
--- a/tests/steps/simulated_load.py
+++ b/tests/steps/simulated_load.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as st
 
 from bench.placement_simulation import PlacementSimulation, SimulationSettings, simulate
-from verbenaward.data import Backend
+from verbenaward.data import Backend, HeldWeights
 from verbenaward.logs import configure_logs
 from verbenaward.placement.backends import BackendView, RemoteLoad
-from verbenaward.weight_loading.load_reports import interval_seconds
+from verbenaward.placement.fleet import Fleet
+from verbenaward.replica.store_replica import StoreReplica
+from verbenaward.weight_loading.engine_reporter import interval_seconds
 
 SEEDS = (1, 2, 3)
 
@@ -164,3 +166,41 @@
 def refusals_at_once(context):
     assert context.refusals
     assert all(held == 0.0 and retry_after > 0.0 for held, retry_after in context.refusals)
+
+
+@given("a backend that is registered with version 1 and loads version 2")
+def loading_backend(context):
+    held = (HeldWeights("model", 1),)
+    context.registered = Backend("e-0", "engines", "h:1", "zone-a", 12, False, held, 7, 1)
+    context.fleet, context.now = Fleet(StoreReplica(), 0.0), 0.0
+    context.fleet.put(context.registered, 0.0)
+    context.fleet.record_loading("h:1", 0.0, 0.0)
+
+
+@when("its VM announces that another incarnation holds version 2")
+def announce_other(context):
+    context.fleet.record_loaded("h:1", HeldWeights("model", 2), 6, 0.0)
+
+
+@when("its VM announces that it holds version 2")
+def announce_loaded(context):
+    context.fleet.record_loaded("h:1", HeldWeights("model", 2), 7, 0.0)
+
+
+@when("a registration that still shows version 1 arrives after {seconds:d} second")
+@when("a registration that still shows version 1 arrives after {seconds:d} seconds")
+def late_registration(context, seconds):
+    context.now = float(seconds)
+    context.fleet.put(context.registered, context.now)
+
+
+@then("it accepts no requests")
+def accepts_none(context):
+    assert context.fleet.backends["e-0"].is_excluded(context.now)
+
+
+@then("it accepts requests and holds version {version:d}")
+def accepts_and_holds(context, version):
+    view = context.fleet.backends["e-0"]
+    assert not view.is_excluded(context.now)
+    assert view.held_version("model") == version
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -26,6 +26,15 @@
     Then the empty engine holds version 1 within 5 seconds
     And the engine loaded only valid chunks of version 1
 
+  # Load: a rollout, in which each engine is out of service once. Guards against engines that are idle
+  # until their registration shows what they have loaded.
+  Scenario: Loaded weights are used before the registration shows them
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And an empty engine with its endpoint process
+    Then the empty engine holds version 1 within 5 seconds
+    And the entry process uses it within 0.5 seconds, while its registration shows no weights
+
   # Load: VMs that are added in a burst. Guards against a link that is idle until the engine starts.
   Scenario: A new engine that starts after its endpoint process loads at once
     Given the users' platform with two plain backends and two engines
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -62,6 +62,7 @@
     "backend.lapsed": kind(
         "the registration of {backend} expired during an outage of the store", "backend"
     ),
+    "backend.loaded": kind("{backend} has loaded version {version}", "backend", "version"),
     "backend.leaving": kind("{backend} is draining", "backend", "revision"),
     "backend.limit-unreadable": kind(
         "{backend} named a malformed limit, which is ignored: {limit}", "backend", "limit"
@@ -84,6 +85,12 @@
     ),
     "cell.changed": kind("the peer group has {members} entry processes", "members", "backends"),
     "chunk.corrupt": kind("chunk {index} has the wrong digest", "model", "version", "index"),
+    "chunk.read": kind(
+        "chunk {index} of version {version} was read from the origin",
+        "version",
+        "index",
+        "seconds",
+    ),
     "chunk.failed": kind(
         "chunk {index} could not be fetched for endpoint processes: {error}", "index", "error"
     ),
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -7,9 +7,9 @@
 
 import math
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from ..data import Backend, EngineProfile
+from ..data import Backend, EngineProfile, HeldWeights
 from .backend_notices import IncarnationNotices, incarnation_hash
 from .levels import LAST_LEVEL, NONE_LESS_URGENT, LessUrgent, is_at_least_as_urgent
 
@@ -36,6 +36,8 @@
 """Backoff from a backend that is taken to be loading because it refused with free slots."""
 REMOTE_LOAD_TTL_SECONDS = 2.0
 """Age from which a load report of another entry process is ignored, if all receive each report."""
+REGISTRATION_LAG_SECONDS = 5.0
+"""Longest time for which a backend's registration may show older weights than it holds."""
 REPORTED_REQUESTS_TTL_SECONDS = 1.0
 """Age from which a backend's own report of its requests is ignored."""
 FAILURE_SMOOTHING = 0.2
@@ -85,6 +87,19 @@
     received_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedWeights:
+    """Weights that a backend has loaded, as announced from its VM.
+
+    Attributes:
+      weights: The weights.
+      announced_at: When that was last announced, monotonic.
+    """
+
+    weights: HeldWeights
+    announced_at: float
+
+
 @dataclass(slots=True, eq=False)
 class BackendView:
     """One backend as an entry process sees it.
@@ -114,6 +129,7 @@
       short_name: Hash that names it in load reports.
       notices: What it has said of itself in its answers.
       reported: The last report of its requests; None before the first.
+      loaded: Weights that it was last announced to hold; None before the first notice.
     """
 
     backend: Backend
@@ -136,6 +152,7 @@
     short_name: int = 0
     notices: IncarnationNotices = field(init=False)
     reported: ReportedRequests | None = None
+    loaded: LoadedWeights | None = None
 
     def __post_init__(self) -> None:
         """Derive the short name; the incarnation has said nothing yet."""
@@ -264,6 +281,27 @@
         """Exclude it: it finishes its requests and then loads other weights."""
         self.excluded_until = now + MAXIMUM_LOADING_EXCLUSION_SECONDS
 
+    def record_loaded(self, weights: HeldWeights, now: float) -> bool:
+        """Record that it holds weights and accepts requests; False if that was known."""
+        if self.held_version(weights.model) > weights.version:
+            return False
+        is_known = self.held_version(weights.model) == weights.version
+        self.loaded = LoadedWeights(weights, now)
+        if not is_known:
+            self.backend = with_weights(self.backend, weights)
+            self.excluded_until = self.loading_starts_at = 0.0
+        return not is_known
+
+    def with_loaded(self, registered: Backend, now: float) -> Backend:
+        """Return its registration with the weights that were announced since it was written."""
+        loaded = self.loaded
+        if loaded is None or now - loaded.announced_at > REGISTRATION_LAG_SECONDS:
+            return registered
+        held = [item for item in registered.weights or () if item.model == loaded.weights.model]
+        if held and held[0].version >= loaded.weights.version:
+            return registered
+        return with_weights(registered, loaded.weights)
+
     def record_misdirected(self, now: float) -> None:
         """Exclude it: another incarnation answers at its address."""
         doublings = min(MAXIMUM_DOUBLINGS, self.misdirections)
@@ -295,6 +333,12 @@
         return max((item.version for item in held if item.model == model), default=0)
 
 
+def with_weights(backend: Backend, weights: HeldWeights) -> Backend:
+    """Return a backend that holds weights in place of others of their model."""
+    others = [item for item in backend.weights or () if item.model != weights.model]
+    return replace(backend, weights=(*others, weights))
+
+
 def first_event_seconds(
     view: BackendView,
     engine: EngineProfile,
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from ..data import Backend, Route, TargetVersion
+from ..data import Backend, HeldWeights, Route, TargetVersion
 from ..logs import get_logger
 from ..platform.declarations import parse_backend, parse_configuration, parse_target_version
 from ..platform.key_value import KeyValueEntry
@@ -206,6 +206,7 @@
             )
         elif backend.is_leaving and not known.backend.is_leaving:
             LOG.info("backend.leaving", backend=backend.identity, revision=backend.revision)
+        backend = known.with_loaded(backend, now)
         if known.backend.weights != backend.weights:
             known.excluded_until = 0.0
         known.backend = backend
@@ -291,6 +292,24 @@
             view.record_loading(now)
             LOG.info("backend.loading", backend=view.backend.identity)
 
+    def record_loaded(
+        self, address: str, weights: HeldWeights, born_unix_ms: int, now: float
+    ) -> None:
+        """Record that a backend has loaded weights and accepts requests.
+
+        Args:
+          address: Address of the backend.
+          weights: Weights that it holds.
+          born_unix_ms: Start of the incarnation that holds them, in milliseconds since the epoch.
+          now: Present time, monotonic, in seconds.
+        """
+        for view in self.backends.values():
+            backend = view.backend
+            if backend.address != address or backend.weights is None:
+                continue
+            if backend.born_unix_ms == born_unix_ms and view.record_loaded(weights, now):
+                LOG.info("backend.loaded", backend=backend.identity, version=weights.version)
+
     def record_reported_requests(self, address: str, requests: int, now: float) -> None:
         """Record how many requests run or wait at a backend, as its endpoint process reports.
 
--- a/verbenaward/schema/messages.capnp
+++ b/verbenaward/schema/messages.capnp
@@ -199,6 +199,9 @@
   knowsLimits @25 :Bool;    # the sender answers limit requests
   grantsLimits @26 :Bool;   # the sender may own limits: it has been ready for some time
   engineRequests @27 :UInt16;  # set by an endpoint process: one more than the requests that run or wait at its engine
+  loadedModel @28 :Text;    # set by an endpoint process: model whose weights its engine holds
+  loadedVersion @29 :UInt32;  # version of these weights
+  bornUnixMs @30 :UInt64;   # start of that engine, in milliseconds since the epoch; 0 if unknown
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -250,6 +250,9 @@
     knows_limits: bool = False
     grants_limits: bool = False
     engine_requests: int = 0
+    loaded_model: str = ""
+    loaded_version: int = 0
+    born_unix_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -18,8 +18,8 @@
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
 from .engine_loader import EngineLoader
+from .engine_reporter import EngineReporter
 from .entry_poller import EntryPoller
-from .load_reports import LoadReporter
 
 UPLOAD_SHARE = 0.7
 """Share of the link's rate for chunks sent to other VMs; the engine's streams get the rest."""
@@ -35,7 +35,7 @@
       entry_poller: Receives the store's changes from entry processes.
       follower: Watches the store while no entry process answers.
       engine_loader: Loads weights into the engine.
-      load_reporter: Reports the requests at the engine.
+      engine_reporter: Reports what the engine holds and how many requests it has.
       uploads: Allows one chunk at a time to be sent.
     """
 
@@ -58,11 +58,8 @@
         fleet.use_zones(direct.zones)
         self.engine_loader = EngineLoader(settings, direct, replica, fleet, self.session)
         loader = self.engine_loader
-        self.load_reporter = LoadReporter(
-            loader.engine,
-            direct,
-            loader.fetcher.entries_in_region,
-            lambda: len(loader.engines_of_region()),
+        self.engine_reporter = EngineReporter(
+            loader.engine, loader.fetcher, direct, lambda: len(loader.engines_of_region())
         )
         self.uploads = asyncio.Semaphore(1)
         self.tasks: list[asyncio.Task[None]] = []
@@ -80,7 +77,7 @@
             self.follower.run(),
             self.entry_poller.run(),
             self.engine_loader.run(),
-            self.load_reporter.run(),
+            self.engine_reporter.run(),
         ):
             self.tasks.append(asyncio.create_task(work))
 
@@ -114,6 +111,7 @@
         self.engine_loader.fleet.use_zones(direct.zones)
         for component in (self.entry_poller, self.engine_loader, self.engine_loader.fetcher):
             component.settings, component.direct = settings, direct
+        self.engine_reporter.direct = direct
 
     async def drain(self) -> None:
         """Return at once: this process has no requests to finish."""
