--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -194,17 +194,23 @@
 
     def neighbours(self, model: str, version: int) -> Neighbours:
         """Return the processes that may hold chunks of a version."""
-        known = self.entries(clock.now())
         order = self.reader_order(model, version)
+        known = self.entries(clock.now())
         leaving = [item.control for item in known if item.is_leaving]
-        others = {item.control for item in known}
+        readers = {*order[:ORIGIN_READERS], *leaving, self.settings.listen}
+        others = [item for item in known if item.control not in readers]
         endpoints = [
             self.control_of(view.backend.address)
             for view in self.fleet.backends.values()
             if view.backend.weights is not None and self.is_in_own_region(view.backend.zone)
         ]
-        readers = {*order[:ORIGIN_READERS], *leaving, self.settings.listen}
-        return Neighbours(order, leaving, sorted(others - readers), endpoints)
+        return Neighbours(
+            order,
+            leaving,
+            [item.control for item in others if self.is_in_own_region(item.zone)],
+            [item.control for item in others if not self.is_in_own_region(item.zone)],
+            endpoints,
+        )
 
     def control_of(self, address: str) -> str:
         """Return the control address of the endpoint process on the VM of an engine.
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -15,11 +15,14 @@
 from .chunk_cache import ChunkCache, ChunkKey
 from .origin_link import OriginLink
 from .peer_calls import CACHED_QUERY, ENDPOINT_PATH, ENTRY_PATH, PeerCalls
-from .readers import ORIGIN_READERS, Inventory, holders_of, next_to_read
+from .readers import ORIGIN_READERS, Inventory, holders_of, next_to_read, readers_of_chunk
 
 LOG = get_logger(__name__)
 IDLE_SECONDS = 0.1
 """Pause while all missing chunks are held or being received elsewhere."""
+ASSIST_DELAY_SECONDS = 0.03
+"""Time for which a reader waits before it reads a chunk of another one's share, multiplied by its
+position among the readers of that chunk; longer than a query of their inventories takes."""
 RETRY_PAUSE_SECONDS = 0.1
 """Pause after a failed request; an origin that refuses gets 10 requests a second from each reader.
 """
@@ -30,7 +33,7 @@
 FIRST_SEARCH_SECONDS = 0.1
 """Longest wait for the first search, before which nothing is read from the origin."""
 SEARCHED_PROCESSES = 8
-"""Processes of each role that are searched. Any that serves a region holds some of its chunks."""
+"""Processes of each kind that are searched. Any that serves a region holds some of its chunks."""
 COPIED_AT_ONCE = 4
 """Chunks that are copied from other processes at the same time."""
 
@@ -47,13 +50,15 @@
     Attributes:
       order: Entry processes of the origin's region in the order in which they become readers.
       leaving: Entry processes of that region that are leaving; they may have been readers.
-      entries: All other entry processes.
+      entries: The other entry processes of that region.
+      remote_entries: Entry processes of other regions.
       endpoints: Endpoint processes in the region of this process.
     """
 
     order: list[str]
     leaving: list[str]
     entries: list[str]
+    remote_entries: list[str]
     endpoints: list[str]
 
 
@@ -77,6 +82,7 @@
       rejections: How often the origin answered a request for a chunk without its valid bytes.
       inventories: What other processes have, by control address.
       endpoints: Those of them that are endpoint processes.
+      remote_entries: Those of them that are entry processes of other regions.
       silent: Processes that did not answer the last query.
       copies: Running copies of chunks from other processes, by index.
       failed_copies: Chunks that could not be copied, with the control address of the process.
@@ -113,6 +119,7 @@
         self.rejections: Counter[int] = Counter()
         self.inventories: dict[str, Inventory] = {}
         self.endpoints: set[str] = set()
+        self.remote_entries: set[str] = set()
         self.silent: set[str] = set()
         self.copies: dict[int, asyncio.Task[None]] = {}
         self.failed_copies: set[tuple[str, int]] = set()
@@ -141,18 +148,18 @@
         """Return the chunks that this process should still read or copy.
 
         A reader gets all chunks of the target version, so that none is lost with one process,
-        except those that endpoint processes hold: their links are slow, and others lack these
-        chunks only if they are requested. Of a superseded version it gets what is requested.
+        except those that processes behind a narrow link hold: others lack these chunks only if
+        they are requested. Of a superseded version it gets what is requested.
         """
         wanted = set(self.requested)
         if self.listen in order[:ORIGIN_READERS] and self.is_target():
-            wanted.update(set(range(len(self.digests))) - self.held_by_endpoints())
+            wanted.update(set(range(len(self.digests))) - self.held_remotely())
         return sorted(wanted - self.done)
 
-    def held_by_endpoints(self) -> set[int]:
-        """Return the chunks that endpoint processes hold."""
+    def held_remotely(self) -> set[int]:
+        """Return the chunks that endpoint processes or entry processes of other regions hold."""
         held: set[int] = set()
-        for control in self.endpoints & self.inventories.keys():
+        for control in (self.endpoints | self.remote_entries) & self.inventories.keys():
             held |= self.inventories[control].held
         return held
 
@@ -190,12 +197,11 @@
     async def read_next(self, neighbours: Neighbours, missing: list[int]) -> bool:
         """Request the next chunk from the origin; False if none is to be requested now."""
         async with self.link.turn:
-            await self.query_readers(neighbours)
-            self.start_copies(missing)
-            lacking = [index for index in missing if not self.has(index)]
-            index = next_to_read(
-                lacking, neighbours.order, self.listen, self.inventories, self.rejections
-            )
+            index = await self.choose(neighbours, missing)
+            if index is not None and (turn := self.turn_of(index, neighbours.order)):
+                # Another reader may have chosen the same chunk of a lost one at this moment.
+                await asyncio.sleep(turn * ASSIST_DELAY_SECONDS)
+                index = await self.choose(neighbours, missing)
             if index is None:
                 return False
             await self.link.request(lambda on_answer: self.read(index, on_answer))
@@ -203,6 +209,20 @@
             self.receiving.discard(index)
             return index in self.done
 
+    async def choose(self, neighbours: Neighbours, missing: list[int]) -> int | None:
+        """Return the chunk to request next, and start to copy what others hold."""
+        await self.query_readers(neighbours)
+        self.start_copies(missing)
+        lacking = [index for index in missing if not self.has(index)]
+        return next_to_read(
+            lacking, neighbours.order, self.listen, self.inventories, self.rejections
+        )
+
+    def turn_of(self, index: int, order: list[str]) -> int:
+        """Return the position of this process among those that may read a chunk, from 0."""
+        readers = readers_of_chunk(order, index)
+        return readers.index(self.listen) if self.listen in readers else len(readers)
+
     def has(self, index: int) -> bool:
         """Return True if a chunk is here or on its way."""
         return index in self.done or index in self.receiving or index in self.copies
@@ -252,15 +272,21 @@
 
     async def search(self, neighbours: Neighbours) -> None:
         """Update the inventories of some processes that are not readers."""
-        seed = self.path + self.listen
-        entries = rendezvous_order(seed, neighbours.entries)[:SEARCHED_PROCESSES]
-        endpoints = rendezvous_order(seed, neighbours.endpoints)[:SEARCHED_PROCESSES]
-        self.endpoints = set(endpoints)
-        known = {*entries, *endpoints, *neighbours.order, *neighbours.leaving}
+
+        def some(controls: list[str]) -> list[str]:
+            return rendezvous_order(self.path + self.listen, controls)[:SEARCHED_PROCESSES]
+
+        entries, remote_entries = some(neighbours.entries), some(neighbours.remote_entries)
+        endpoints = some(neighbours.endpoints)
+        self.endpoints, self.remote_entries = set(endpoints), set(remote_entries)
+        known = {*entries, *remote_entries, *endpoints, *neighbours.order, *neighbours.leaving}
         self.inventories = {
             control: item for control, item in self.inventories.items() if control in known
         }
-        await asyncio.gather(self.query(entries, ENTRY_PATH), self.query(endpoints, ENDPOINT_PATH))
+        await asyncio.gather(
+            self.query([*entries, *remote_entries], ENTRY_PATH),
+            self.query(endpoints, ENDPOINT_PATH),
+        )
 
     async def query(self, controls: list[str], base: str) -> None:
         """Update the inventories of some processes.
@@ -293,10 +319,11 @@
                 self.copies[index] = asyncio.create_task(self.copy(index, holders))
 
     async def copy(self, index: int, holders: list[str]) -> None:
-        """Copy a chunk from another process, from an entry process if one holds it."""
-        entries = [control for control in holders if control not in self.endpoints]
-        holder = rendezvous_order(f"{index}{self.listen}", entries or holders)[0]
-        base = ENTRY_PATH if entries else ENDPOINT_PATH
+        """Copy a chunk from another process, preferably one with a fast link to this one."""
+        near = [control for control in holders if control not in self.remote_entries]
+        fast = [control for control in near if control not in self.endpoints]
+        holder = rendezvous_order(f"{index}{self.listen}", fast or near or holders)[0]
+        base = ENDPOINT_PATH if holder in self.endpoints else ENTRY_PATH
         try:
             result = await self.calls.fetch(holder, f"{base}{self.path}/{index}", CACHED_QUERY)
             if not isinstance(result, Success) or not self.accept(index, result.unwrap()):
