--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 from . import (
+    ablate,
     config,
     direct_hop,
     footprint,
@@ -18,6 +19,7 @@
 from .registry import BENCHES, print_result, raise_file_limit
 
 __all__ = [
+    "ablate",
     "config",
     "direct_hop",
     "footprint",
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -156,10 +156,15 @@
             wanted.update(set(range(len(self.digests))) - self.held_remotely())
         return sorted(wanted - self.done)
 
+    @property
+    def remote(self) -> set[str]:
+        """Known processes behind a narrow link."""
+        return self.endpoints | self.remote_entries
+
     def held_remotely(self) -> set[int]:
         """Return the chunks that endpoint processes or entry processes of other regions hold."""
         held: set[int] = set()
-        for control in (self.endpoints | self.remote_entries) & self.inventories.keys():
+        for control in self.remote & self.inventories.keys():
             held |= self.inventories[control].held
         return held
 
@@ -210,13 +215,20 @@
             return index in self.done
 
     async def choose(self, neighbours: Neighbours, missing: list[int]) -> int | None:
-        """Return the chunk to request next, and start to copy what others hold."""
+        """Return the chunk to request next, and start to copy what others hold.
+
+        The origin is used at the same time as narrow links: a missing chunk that only processes
+        behind one hold was requested, and is read unless it is being copied.
+        """
         await self.query_readers(neighbours)
         self.start_copies(missing)
         lacking = [index for index in missing if not self.has(index)]
-        return next_to_read(
-            lacking, neighbours.order, self.listen, self.inventories, self.rejections
-        )
+        near = {
+            control: inventory
+            for control, inventory in self.inventories.items()
+            if control not in self.remote
+        }
+        return next_to_read(lacking, neighbours.order, self.listen, near, self.rejections)
 
     def turn_of(self, index: int, order: list[str]) -> int:
         """Return the position of this process among those that may read a chunk, from 0."""
