Count only the requests that no entry process has reported; late rollouts in logs

A report of an engine's requests now adds what the entry process does not know of, in place of replacing what it knows.

An endpoint process logs version.late once if its engine will hold a version after its bound, and exports the chunks that are missing; an entry process exports how many versions it reads.

--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -164,6 +164,7 @@
                 partial(self.read_from_origin, model, version),
                 self.calls,
             )
+            metrics.READERS.set(len(self.readers))
             self.run_in_background(self.run_reader(reader))
         return reader
 
@@ -173,6 +174,7 @@
             await reader.run()
         finally:
             del self.readers[reader.model, reader.version]
+            metrics.READERS.set(len(self.readers))
 
     async def read_from_origin(
         self, model: str, version: int, index: int, on_answer: Callable[[], None]
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -158,6 +158,12 @@
         "revision",
         "kept",
     ),
+    "version.late": kind(
+        "version {version} is expected in {expected_seconds} s, its bound is in {bound_seconds} s",
+        "version",
+        "expected_seconds",
+        "bound_seconds",
+    ),
     "version.named": kind("target version of {model} is now {version}", "model", "version"),
     "version.overtaken": kind(
         "newer target version {newest} was set; this process continues with {goal}",
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -48,6 +48,10 @@
 )  # fmt: skip
 WEIGHT_BYTES = Counter("verbenaward_weight_bytes_total", "Bytes of weights", ["source"])
 CHUNKS = Counter("verbenaward_chunks_total", "Chunks by outcome", ["outcome"])
+MISSING_CHUNKS = Gauge(
+    "verbenaward_missing_chunks", "Chunks of the next weights that are not staged yet"
+)
+READERS = Gauge("verbenaward_chunk_readers", "Versions that this process reads from the origin")
 LATE_STARTS = Counter(
     "verbenaward_late_starts_total", "First events from weights older than required"
 )
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -38,7 +38,7 @@
 """Age from which a load report of another entry process is ignored, if all receive each report."""
 REGISTRATION_LAG_SECONDS = 5.0
 """Longest time for which a backend's registration may show older weights than it holds."""
-REPORTED_REQUESTS_TTL_SECONDS = 1.0
+UNKNOWN_REQUESTS_TTL_SECONDS = 1.0
 """Age from which a backend's own report of its requests is ignored."""
 FAILURE_SMOOTHING = 0.2
 """Weight of a new sample in the moving average of failures."""
@@ -73,17 +73,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReportedRequests:
-    """Requests of all entry processes at a backend, as reported from its VM.
+class UnknownRequests:
+    """Requests at a backend that no entry process has reported, by a report from its VM.
 
     Attributes:
-      requests: Requests that run or wait there.
-      known: Requests that this process knew of when the report arrived.
-      received_at: When it arrived, monotonic.
+      count: Number of these requests.
+      received_at: When the report arrived, monotonic.
     """
 
-    requests: int
-    known: int
+    count: int
     received_at: float
 
 
@@ -128,7 +126,8 @@
       awaiting_levels: Level of each of these requests that has one.
       short_name: Hash that names it in load reports.
       notices: What it has said of itself in its answers.
-      reported: The last report of its requests; None before the first.
+      unknown: Requests there that no entry process has reported; None before the first report from
+        its VM.
       loaded: Weights that it was last announced to hold; None before the first notice.
     """
 
@@ -151,7 +150,7 @@
     awaiting_levels: dict[int, int] = field(default_factory=dict)
     short_name: int = 0
     notices: IncarnationNotices = field(init=False)
-    reported: ReportedRequests | None = None
+    unknown: UnknownRequests | None = None
     loaded: LoadedWeights | None = None
 
     def __post_init__(self) -> None:
@@ -166,14 +165,11 @@
     def all_running(self, now: float) -> int:
         """Return the requests that it has in flight, over all entry processes.
 
-        A fresh report from its VM counts all of them; what this process and its peers
-        have started and ended since is added.
+        A fresh report from its VM counts those that this process does not know of.
         """
-        known = self.known_running(now)
-        reported = self.reported
-        if reported is None or now - reported.received_at > REPORTED_REQUESTS_TTL_SECONDS:
-            return known
-        return max(self.running, reported.requests + known - reported.known)
+        unknown = self.unknown
+        is_fresh = unknown is not None and now - unknown.received_at <= UNKNOWN_REQUESTS_TTL_SECONDS
+        return self.known_running(now) + (unknown.count if unknown and is_fresh else 0)
 
     def known_running(self, now: float) -> int:
         """Return the requests in flight there that this process and its peers have sent."""
@@ -181,7 +177,7 @@
 
     def record_reported_requests(self, requests: int, now: float) -> None:
         """Record a report from its VM of the requests that run or wait there."""
-        self.reported = ReportedRequests(requests, self.known_running(now), now)
+        self.unknown = UnknownRequests(max(0, requests - self.known_running(now)), now)
 
     def all_prompt_tokens(self, now: float) -> int:
         """Return the prompt tokens without a first event yet, over all entry processes."""
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -59,6 +59,7 @@
       held: Weights that the engine holds, as it last reported.
       has_answered: True once the engine has answered this process.
       early: Chunks that were fetched before, by index.
+      late: Weights whose load was last logged as late; None for none.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self.held: tuple[HeldWeights, ...] = ()
         self.has_answered = False
         self.early: dict[int, bytes] = {}
+        self.late: HeldWeights | None = None
 
     async def run(self) -> None:
         """Keep the engine's weights current until cancelled."""
@@ -385,8 +387,25 @@
             return
         now = clock.now()
         missing = len(digests.missing(self.staged))
+        metrics.MISSING_CHUNKS.set(missing)
         staged_at = now + self.staging_seconds() * missing / len(digests.digests)
-        self.notices.announce_planned_load(max(scheduled_at, staged_at), now)
+        load_at = max(scheduled_at, staged_at)
+        self.notices.announce_planned_load(load_at, now)
+        self.warn_if_late(wanted, load_at, now)
+
+    def warn_if_late(self, wanted: HeldWeights, load_at: float, now: float) -> None:
+        """Log once for each version if the engine will hold it after its bound."""
+        held = max((item.version for item in self.held), default=0)
+        bound = self.fleet.start_deadline(wanted.model, held, self.direct.version_seconds)
+        if load_at <= bound or self.late == wanted:
+            return
+        self.late = wanted
+        LOG.warning(
+            "version.late",
+            version=wanted.version,
+            expected_seconds=round(load_at - now, 1),
+            bound_seconds=round(bound - now, 1),
+        )
 
     async def wait_until_scheduled(self, wanted: HeldWeights) -> None:
         """Wait until this engine should stop serving older weights, or other weights are wanted."""
