Log events in the field's terms

peer_group.changed, change.received, peer.discovered, target_version.set, backend.registered and others replace names that the glossary had to explain (cell.changed, peer.told, entry.heard, version.named, backend.heard). No behaviour changes.

--- a/verbenaward/direct/group_membership.py
+++ b/verbenaward/direct/group_membership.py
@@ -49,7 +49,9 @@
         peer_group = peer_group_of(self.settings.vm, members, engines)
         if peer_group.members != self.group.members:
             LOG.info(
-                "cell.changed", members=len(peer_group.members), backends=len(peer_group.backends)
+                "peer_group.changed",
+                members=len(peer_group.members),
+                backends=len(peer_group.backends),
             )
         self.group = peer_group
         for peer in self.peers.by_control.values():
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -296,11 +296,11 @@
         """Apply a full broadcast unless a later one of its sender is known."""
         previous = peer.last_broadcast
         if previous is None:
-            LOG.info("entry.heard", entry=broadcast.vm, ready=broadcast.ready)
+            LOG.info("peer.discovered", entry=broadcast.vm, ready=broadcast.ready)
         elif is_older(broadcast, previous, now - peer.received_at):
             return
         elif previous.ready != broadcast.ready:
-            LOG.info("entry.changed", entry=broadcast.vm, ready=broadcast.ready)
+            LOG.info("peer.changed", entry=broadcast.vm, ready=broadcast.ready)
         peer.last_broadcast = broadcast
         peer.received_at = now
         peer.state_received_at = now
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -56,7 +56,7 @@
 
 STATE_CHANGE_EVENTS = {
     "backend.gone": kind("{backend} was removed", "backend"),
-    "backend.heard": kind(
+    "backend.registered": kind(
         "{backend} of {service} was registered", "backend", "service", "revision"
     ),
     "backend.lapsed": kind(
@@ -72,7 +72,7 @@
     ),
     "backend.loading": kind("{backend} loads weights and accepts no requests", "backend"),
     "backend.paused": kind("{backend} wants no requests for {seconds} s", "backend", "seconds"),
-    "backend.said-leaving": kind("{backend} said in an answer that it leaves", "backend"),
+    "backend.announced-drain": kind("{backend} said in an answer that it leaves", "backend"),
     "backend.unlimited": kind("{backend} names no limit any more", "backend"),
     "backend.unreadable": kind("malformed registration of a backend: {fault}", "fault", "key"),
     "backend.warm": kind("{backend} is no longer cold", "backend"),
@@ -83,7 +83,9 @@
         "per_second",
         "seconds",
     ),
-    "cell.changed": kind("the peer group has {members} entry processes", "members", "backends"),
+    "peer_group.changed": kind(
+        "the peer group has {members} entry processes", "members", "backends"
+    ),
     "chunk.corrupt": kind("chunk {index} has the wrong digest", "model", "version", "index"),
     "chunk.read": kind(
         "chunk {index} of version {version} was read from the origin",
@@ -105,18 +107,18 @@
     "daemon.reload": kind("reload of the settings: {outcome}", "outcome"),
     "daemon.started": kind("the process started as {role}", "role", "listen"),
     "daemon.stopped": kind("the process stopped"),
-    "digests.kept": kind(
+    "digests.stored": kind(
         "chunk digests of version {version} were written to the store", "model", "version"
     ),
-    "digests.unkept": kind(
+    "digests.not-stored": kind(
         "chunk digests of version {version} could not be written to the store", "version", "error"
     ),
     "engine.ordered": kind(
         "the engine was ordered to load version {version}: {outcome}", "version", "outcome"
     ),
-    "entry.changed": kind("readiness of {entry} changed to {ready}", "entry", "ready"),
+    "peer.changed": kind("readiness of {entry} changed to {ready}", "entry", "ready"),
     "entry.failed": kind("{entry} did not answer: {error}", "entry", "error"),
-    "entry.heard": kind("{entry} was discovered", "entry", "ready"),
+    "peer.discovered": kind("{entry} was discovered", "entry", "ready"),
     "entry.leaving": kind("drain started with {in_flight} requests in flight", "in_flight"),
     "entry.left": kind("drain ended with {in_flight} requests in flight", "in_flight"),
     "evacuation.unreadable": kind(
@@ -129,13 +131,13 @@
         "held",
         "limit",
     ),
-    "peer.told": kind(
+    "change.received": kind(
         "{items} newer items of the store were received from another process",
         "after",
         "revision",
         "items",
     ),
-    "peer.kept": kind(
+    "kept_items.received": kind(
         "{items} items that the store has lost were received from another process", "era", "items"
     ),
     "poison.changed": kind(
@@ -164,8 +166,8 @@
         "expected_seconds",
         "bound_seconds",
     ),
-    "version.named": kind("target version of {model} is now {version}", "model", "version"),
-    "version.overtaken": kind(
+    "target_version.set": kind("target version of {model} is now {version}", "model", "version"),
+    "version.superseded": kind(
         "newer target version {newest} was set; this process continues with {goal}",
         "goal",
         "newest",
@@ -176,15 +178,15 @@
         "newest",
     ),
     "version.unreadable": kind("malformed target version: {fault}", "fault"),
-    "weights.spoilt": kind("staged chunk {index} has the wrong digest", "index", "version"),
+    "staged_chunk.corrupt": kind("staged chunk {index} has the wrong digest", "index", "version"),
     "weights.staged": kind(
         "version {version} was staged: {chunks} chunks in {seconds} s",
         "version",
         "chunks",
         "seconds",
     ),
-    "weights.unfetched": kind("a request for a chunk to {url} failed: {error}", "url", "error"),
-    "weights.unstaged": kind("chunk {index} could not be staged: {error}", "index", "error"),
+    "chunk.fetch-failed": kind("a request for a chunk to {url} failed: {error}", "url", "error"),
+    "chunk.staging-failed": kind("chunk {index} could not be staged: {error}", "index", "error"),
     "zone.evacuated": kind("no requests are sent to the backends of zone {zone}", "zone"),
     "zone.returned": kind("the evacuation of zone {zone} has ended", "zone"),
     "zone.unknown": kind("zone {zone} is to be evacuated, but is not in the settings", "zone"),
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -199,7 +199,7 @@
             known = self.backends[backend.identity] = BackendView(backend)
             known.notices = self.notices.of(backend)
             LOG.info(
-                "backend.heard",
+                "backend.registered",
                 backend=backend.identity,
                 service=backend.service,
                 revision=backend.revision,
@@ -249,7 +249,7 @@
         was_leaving, paused_until = notices.is_leaving, notices.paused_until
         record_notice(notices, notice, now, extension_share)
         if notices.is_leaving and not was_leaving:
-            LOG.info("backend.said-leaving", backend=view.backend.identity)
+            LOG.info("backend.announced-drain", backend=view.backend.identity)
         if notices.paused_until > max(now, paused_until):
             seconds = round(notices.paused_until - now, 3)
             LOG.info("backend.paused", backend=view.backend.identity, seconds=seconds)
@@ -368,7 +368,7 @@
         known.append(learned)
         del known[:-KEPT_VERSIONS]
         LOG.info(
-            "version.named",
+            "target_version.set",
             model=target.model,
             version=target.version,
             revision=entry.revision,
--- a/verbenaward/replica/chunk_digests.py
+++ b/verbenaward/replica/chunk_digests.py
@@ -49,9 +49,9 @@
     result = await store.write(digests_key(model, version), digests, 0)
     if not isinstance(result, Success):
         if result.failure().failure is not KeyValueFailure.CONFLICT:
-            LOG.warning("digests.unkept", version=version, error=result.failure().message[:150])
+            LOG.warning("digests.not-stored", version=version, error=result.failure().message[:150])
         return
-    LOG.info("digests.kept", model=model, version=version, revision=result.unwrap())
+    LOG.info("digests.stored", model=model, version=version, revision=result.unwrap())
     for old in outdated_entries(replica, model, version):
         await store.delete(old.key, old.revision)
 
--- a/verbenaward/replica/follower.py
+++ b/verbenaward/replica/follower.py
@@ -284,7 +284,9 @@
             await asyncio.sleep(PEER_RETRY_SECONDS)
             return
         applied = self.replica.apply(changes, clock.now())
-        LOG.info("peer.told", after=before.revision, revision=self.replica.revision, items=applied)
+        LOG.info(
+            "change.received", after=before.revision, revision=self.replica.revision, items=applied
+        )
         self.follower.restart_watch.set()
 
     async def merge_kept(self) -> None:
@@ -296,5 +298,5 @@
                 self.merged_checksums.clear()
             self.merged_checksums.add(checksum)
             applied = self.replica.merge_kept(changes, clock.now())
-            LOG.info("peer.kept", era=self.replica.era, items=applied)
+            LOG.info("kept_items.received", era=self.replica.era, items=applied)
         await asyncio.sleep(KEPT_FETCH_SECONDS)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -128,7 +128,7 @@
             self.superseded_by = newest
             if not self.should_finish_staging(current, newest):
                 self.give_up(current, newest)
-            LOG.info("version.overtaken", goal=self.next_weights, newest=newest.version)
+            LOG.info("version.superseded", goal=self.next_weights, newest=newest.version)
         elif self.given_up is not None and self.should_return(self.given_up, newest):
             self.next_weights, self.given_up = self.given_up.weights, None
             LOG.info("version.resumed", version=self.next_weights.version, newest=newest.version)
@@ -332,7 +332,7 @@
         self.staged.pop(index, None)
         result = await self.engine.put_chunk(wanted.model, index, body)
         if not isinstance(result, Success):
-            LOG.warning("weights.unstaged", index=index, error=result.failure()[:150])
+            LOG.warning("chunk.staging-failed", index=index, error=result.failure()[:150])
             return False
         self.record_staged(index, digests.digests[index])
         self.announce_load(wanted, digests)
@@ -474,7 +474,7 @@
         for index, digest in enumerate(digests.digests):
             present = await self.engine.staged_chunk(wanted.model, index)
             if not isinstance(present, Success) or sha256(present.unwrap()) != digest:
-                LOG.warning("weights.spoilt", index=index, version=wanted.version)
+                LOG.warning("staged_chunk.corrupt", index=index, version=wanted.version)
                 self.staged.pop(index, None)
                 is_valid = False
         return is_valid
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -91,7 +91,7 @@
                         return entry
             except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
                 self.unreachable_entries.record_failure(entry, clock.now())
-                LOG.warning("weights.unfetched", url=path, error=f"{type(error).__name__} {error}")
+                LOG.warning("chunk.fetch-failed", url=path, error=f"{type(error).__name__} {error}")
         await asyncio.sleep(RETRY_SECONDS)
         return None
 
@@ -177,7 +177,9 @@
                     self.update_share(len(body) / rate, clock.now() - began, share)
                 return body
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            LOG.warning("weights.unfetched", url=url, error=f"{type(error).__name__} {error}"[:150])
+            LOG.warning(
+                "chunk.fetch-failed", url=url, error=f"{type(error).__name__} {error}"[:150]
+            )
             return None
 
     def update_share(self, expected_seconds: float, took_seconds: float, share: float) -> None:
