Remove the rank of long prompts and assumed round trips

The assumed round trips of 1, 4 and 6 ms never decided: differences below 12 ms count as ties, and another region costs 0.3 s. The rank of late requests and of levels stays.

--- a/verbenaward/placement/levels.py
+++ b/verbenaward/placement/levels.py
@@ -12,10 +12,6 @@
 
 MAXIMUM_LEVELS = 3
 LAST_LEVEL = MAXIMUM_LEVELS - 1
-RANKS_PER_LEVEL = 2
-"""Queue ranks of a level at an engine: long prompts, then all others."""
-FIRST_LATE_RANK = RANKS_PER_LEVEL * MAXIMUM_LEVELS
-"""Queue rank of late requests of level 0; those of the other levels follow."""
 
 Urgency = tuple[int, int]
 """Priority of the workspace, or that of the route if it has none; then that of the route."""
@@ -88,15 +84,13 @@
     return LAST_LEVEL if is_late and level is not None else level
 
 
-def level_rank(level: int, is_late: bool, is_long: bool) -> int:
-    """Return the rank of a request in the queue of an engine, from 0 to 8; lower is served first.
+def level_rank(level: int, is_late: bool) -> int:
+    """Return the rank of a request in the queue of an engine, from 0 to 5; lower is served first.
 
     Late requests come last whatever their level, as they would displace requests that can still
     be on time.
     """
-    if is_late:
-        return FIRST_LATE_RANK + level
-    return RANKS_PER_LEVEL * level + (0 if is_long else 1)
+    return MAXIMUM_LEVELS + level if is_late else level
 
 
 def is_at_least_as_urgent(other: int | None, level: int | None) -> bool:
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -36,8 +36,6 @@
 """Backends whose costs differ by less count as equal; one of them is chosen at random."""
 FAILURE_PENALTY_SECONDS = 0.5
 """Penalty of a backend that fails all requests over one that fails none."""
-CROSS_REGION_ROUND_TRIP_SECONDS = 0.006
-"""Typical round trip to another region."""
 CROSS_REGION_PENALTY_SECONDS = 0.3
 """Penalty of a backend in another region: load reports from there arrive late, and the link
 between the regions is narrow."""
@@ -47,12 +45,8 @@
 OVERRUN_WEIGHT = 0.25
 """Weight, in the cost, of the time for which a stream delays an engine that is about to load
 weights."""
-LONG_PROMPT_RATIO = 2.0
-"""A prompt longer than this many times the usual length is served first at a full engine."""
-LONG_RANK = 4
-"""Queue rank of a long prompt at an engine; a lower rank is served first, and the default is 5."""
 LATE_RANK = 7
-"""Queue rank of a late request at an engine."""
+"""Queue rank of a late request at an engine; a lower rank is served first, and the default is 5."""
 MINIMUM_RETRY_AFTER_SECONDS = 0.05
 MAXIMUM_RETRY_AFTER_SECONDS = 2.0
 RETRY_SPREAD = 0.5
@@ -242,18 +236,17 @@
           now: Present time, monotonic, in seconds.
           urgent_share: Share of more urgent levels in the recent work of the service.
         """
-        round_trip = self.round_trip_seconds(view)
         failure_penalty = FAILURE_PENALTY_SECONDS * view.failure_share
         if request.engine is None:
             load = view.all_running(now) / max(1, view.backend.slots)
             # A plain service with all slots in use is assumed to answer 20 ms later.
-            return round_trip + failure_penalty + 0.02 * load
+            return failure_penalty + 0.02 * load
         prompt = request.parsed_headers.prompt_tokens
         seconds = first_event_seconds(
             view, request.engine, prompt, now, request.level, urgent_share
         )
         overdue = view.longest_first_event_wait(now, request.level)
-        return round_trip + failure_penalty + max(seconds, overdue)
+        return failure_penalty + max(seconds, overdue)
 
     def remote_penalty_seconds(self, view: BackendView) -> float:
         """Return the penalty of a backend whose load reports reach this process late."""
@@ -265,14 +258,6 @@
             return 0.0
         return CROSS_GROUP_PENALTY_SECONDS
 
-    def round_trip_seconds(self, view: BackendView) -> float:
-        """Return the typical round trip to a backend, by zone and region."""
-        if view.backend.zone == self.zone:
-            return 0.001  # typical round trip within a zone
-        here, there = self.regions.get(self.zone), self.regions.get(view.backend.zone)
-        # 4 ms between zones of one region.
-        return 0.004 if here == there else CROSS_REGION_ROUND_TRIP_SECONDS
-
     def refusal(self, request: Request, choice: Choice | None, now: float) -> Refusal | None:
         """Return the refusal of a request that should not be sent; None if it is admitted.
 
@@ -376,18 +361,13 @@
 def rank_of(request: Request, is_late: bool) -> int | None:
     """Return the rank of a request in the queue of an engine; None for the default rank.
 
-    Long prompts are served first, as their prefill takes the largest part of the time to the
-    target; late requests are served last. Levels of urgency come before the length.
+    Late requests are served last, and levels of urgency in their order.
     """
     if request.engine is None:
         return None
-    usual = request.engine.usual_prompt_tokens
-    is_long = request.parsed_headers.prompt_tokens > LONG_PROMPT_RATIO * usual
     if request.level is not None:
-        return level_rank(request.level, is_late, is_long)
-    if is_late:
-        return LATE_RANK
-    return LONG_RANK if is_long else None
+        return level_rank(request.level, is_late)
+    return LATE_RANK if is_late else None
 
 
 def overrun_seconds(
