--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -47,6 +47,9 @@
     "changes direct.engine": lambda: settings_with("direct", engine="127.0.0.1:9000"),
 }
 
+DIRECT_FOLDERS = ("direct", "distribution", "placement", "replica", "weight_loading")
+"""Packages of the direct mode."""
+
 
 @given("a daemon of the direct mode with its settings file")
 def daemon(context):
@@ -101,13 +104,12 @@
 @when("the log events are collected from the modules of direct mode")
 def written_events(context):
     root = Path(verbenaward.__file__).parent
-    folders = ("direct", "placement", "replica", "weight_loading")
-    files = [path for folder in folders for path in (root / folder).rglob("*.py")]
+    files = [path for folder in DIRECT_FOLDERS for path in (root / folder).rglob("*.py")]
     texts = [path.read_text() for path in (*files, root / "direct_service.py")]
     context.events = {
         name
         for text in texts
-        for name in re.findall(r'^\s+"([a-z]+\.[a-z-]+)",$|LOG\.\w+\(\s*"([a-z.-]+)"', text, re.M)
+        for name in re.findall(r'^\s+"([a-z_]+\.[a-z-]+)",$|LOG\.\w+\(\s*"([a-z_.-]+)"', text, re.M)
         for name in name
         if name
     }
@@ -119,7 +121,7 @@
 @when("the log events are collected from the modules of proxied mode")
 def written_proxied_events(context):
     root = Path(verbenaward.__file__).parent
-    direct = ("direct", "placement", "replica", "weight_loading", "direct_service.py")
+    direct = (*DIRECT_FOLDERS, "direct_service.py")
     context.events = {
         event
         for path in root.rglob("*.py")
