Reject truncated messages of several segments before the library frees them

One malformed datagram could end an entry process.

The relay's knowledge of other processes is a module of its own.

--- a/tests/steps/weight_rollout.py
+++ b/tests/steps/weight_rollout.py
@@ -154,9 +154,9 @@
 
 @given("the owner of chunk {index:d} of version 2 cannot reach the origin")
 def cut_off_from_origin(context, index):
-    relay = owner_of_chunk(context, index).relay
-    known = relay.origin
-    relay.origin = lambda: known() and replace(known(), origin="127.0.0.1:9")
+    processes = owner_of_chunk(context, index).relay.processes
+    known = processes.origin
+    processes.origin = lambda: known() and replace(known(), origin="127.0.0.1:9")
 
 
 @when("version 2 of {count:d} chunks of {size:d} bytes is set")
--- a/tests/steps/wire_codec.py
+++ b/tests/steps/wire_codec.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from behave import then
+from behave import then, when
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -61,3 +61,22 @@
             decode(type(message), bytes(payload[:cut]))
 
     check()
+
+
+@when("a message of {count:d} items is cut off anywhere")
+def cut_message(context, count):
+    items = tuple(
+        messages.StoredItem(key=f"key-{index}", value=bytes([index % 250 + 1]) * 60)
+        for index in range(count)
+    )
+    context.message = messages.StoredItems(revision=5, items=items)
+    context.payload = encode(context.message)
+
+
+@then("each part of it raises the typed error, and the whole one is decoded")
+def parts_rejected(context):
+    for end in range(0, len(context.payload), 499):
+        with contextlib.suppress(MalformedMessageError):
+            decode(messages.StoredItems, context.payload[:end])
+            raise AssertionError(f"{end} of {len(context.payload)} bytes were accepted")
+    assert decode(messages.StoredItems, context.payload) == context.message
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ..configuration.settings import host_of, port_of
-from ..distribution.relay import EntryProcess
+from ..distribution.process_map import EntryProcess
 from ..platform.key_value import KeyValueEntry, Position
 from ..platform.names import ENTRY_PREFIX
 from ..replica.store_replica import StoreReplica
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -334,7 +334,8 @@
     def reload(self, settings: Settings, direct: DirectSettings) -> None:
         """Apply changed settings; listen addresses change at the next start only."""
         self.settings, self.direct = settings, direct
-        self.exchange.settings = self.relay.settings = settings
+        self.exchange.settings = settings
+        self.relay.settings = self.relay.processes.settings = settings
         self.membership.settings = self.exchange.peers.settings = settings
         placer = self.front.forwarder.placer
         placer.zone, placer.regions = settings.zone, direct.zones
--- a/verbenaward/distribution/readers.py
+++ b/verbenaward/distribution/readers.py
@@ -45,11 +45,16 @@
 def readers_of_chunk(order: list[str], index: int) -> list[str]:
     """Return the readers in the order in which a chunk is requested from them.
 
-    The one responsible for it is first. The other processes of the order follow the readers.
+    The one responsible for it is first. The others take turns in being the next one, so that they
+    divide the share of a lost reader. The processes of the order that are no readers come last.
     """
     readers = order[:ORIGIN_READERS]
-    start = index % len(readers) if readers else 0
-    return [*readers[start:], *readers[:start], *order[ORIGIN_READERS:]]
+    if not readers:
+        return []
+    turn, owner = divmod(index, len(readers))
+    helpers = [*readers[owner + 1 :], *readers[:owner]]
+    start = turn % len(helpers) if helpers else 0
+    return [readers[owner], *helpers[start:], *helpers[:start], *order[ORIGIN_READERS:]]
 
 
 def next_to_read(
@@ -61,8 +66,9 @@
 ) -> int | None:
     """Return the chunk that a reader requests from the origin next; None for none now.
 
-    Its own share comes first, in ascending order. Of the shares of others each reader takes the
-    chunks in an order of its own, so that two of them rarely choose the same one at once.
+    Its own share comes first, in ascending order. Then come the chunks for which it is the next
+    reader, in descending order, so that it meets a slow one from the other end, and then the rest
+    in an order of its own.
 
     Args:
       missing: Chunks that the reader lacks.
@@ -76,15 +82,20 @@
     for inventory in inventories.values():
         elsewhere |= inventory.held | inventory.receiving
 
-    def rank(index: int) -> tuple[int, bool, int]:
-        is_own = readers_of_chunk(order, index)[0] == reader
-        position = index if is_own else hash64(f"{reader}/{index}")
-        return rejections.get(index, 0), not is_own, position
+    def rank(index: int) -> tuple[int, int, int]:
+        position = position_of(reader, readers_of_chunk(order, index))
+        within = (index, -index)[position] if position < 2 else hash64(f"{reader}/{index}")
+        return rejections.get(index, 0), position, within
 
     unread = [index for index in missing if index not in elsewhere]
     return min(unread, key=rank, default=None)
 
 
+def position_of(reader: str, readers: list[str]) -> int:
+    """Return the position of a process among the readers of a chunk; their number if it is none."""
+    return readers.index(reader) if reader in readers else len(readers)
+
+
 def holders_of(index: int, inventories: Mapping[str, Inventory]) -> list[str]:
     """Return the processes that can send a chunk."""
     return [control for control, inventory in inventories.items() if index in inventory.held]
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -14,7 +14,7 @@
 import itertools
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -23,10 +23,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import clock, metrics
-from ..configuration.settings import host_of, port_of
-from ..data import ServiceDeclaration
 from ..logs import get_logger
-from ..membership.ring import rendezvous_order
 from ..placement.fleet import Fleet
 from ..platform.key_value import KeyValueService
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
@@ -45,9 +42,10 @@
     READER_QUERY,
     PeerCalls,
 )
-from .readers import ORIGIN_READERS, Inventory, reader_order, readers_of_chunk
+from .process_map import EntryProcess, ProcessMap
+from .readers import ORIGIN_READERS, Inventory, readers_of_chunk
 from .recent_failures import RecentFailures
-from .version_reader import Neighbours, VersionReader
+from .version_reader import VersionReader
 
 LOG = get_logger(__name__)
 INVENTORY_PATH = ENTRY_PATH + "/{model}/{version}/" + INVENTORY_NAME
@@ -77,26 +75,11 @@
 """Chunks that are fetched in advance when one is served."""
 
 
-@dataclass(frozen=True, slots=True)
-class EntryProcess:
-    """An entry process.
-
-    Attributes:
-      control: Its control address.
-      zone: Its availability zone.
-      is_leaving: True once it has been told to stop.
-    """
-
-    control: str
-    zone: str
-    is_leaving: bool = False
-
-
 class ChunkRelay:
     """Serves chunks and digests; concurrent requests for one share a fetch.
 
     Attributes:
-      entries: Returns all entry processes, this one and those that are starting included.
+      processes: The processes that read, relay or hold chunks.
       cache: Chunks and digests.
       fetching: Running fetches by key.
       readers: Versions that this process reads from the origin, by model and version.
@@ -118,7 +101,7 @@
         self.settings = settings
         self.store = store
         self.fleet = fleet
-        self.entries = entries
+        self.processes = ProcessMap(settings, fleet, entries)
         self.session = session
         self.cache = ChunkCache()
         self.fetching: dict[ChunkKey, asyncio.Task[bytes | None]] = {}
@@ -139,7 +122,7 @@
 
     def start_reading(self, model: str, version: int) -> None:
         """Start to read a target version, if this process is one of its readers."""
-        if self.is_reader(model, version):
+        if self.processes.is_reader(model, version):
             self.run_in_background(self.read_version(model, version))
 
     async def read_version(self, model: str, version: int) -> None:
@@ -157,7 +140,7 @@
                 version,
                 [digests[at : at + DIGEST_BYTES] for at in range(0, len(digests), DIGEST_BYTES)],
                 self.settings.listen,
-                lambda: self.neighbours(model, version),
+                lambda: self.processes.neighbours(model, version),
                 lambda: self.fleet.newest_version(model) <= version,
                 self.cache,
                 self.link,
@@ -180,7 +163,7 @@
         self, model: str, version: int, index: int, on_answer: Callable[[], None]
     ) -> Result[bytes, str]:
         """Request a chunk from the origin."""
-        origin = self.origin()
+        origin = self.processes.origin()
         if origin is None:
             return Failure("no origin is declared")
         return await fetch_chunk(
@@ -194,61 +177,6 @@
             on_answer,
         )
 
-    def neighbours(self, model: str, version: int) -> Neighbours:
-        """Return the processes that may hold chunks of a version."""
-        order = self.reader_order(model, version)
-        known = self.entries(clock.now())
-        leaving = [item.control for item in known if item.is_leaving]
-        readers = {*order[:ORIGIN_READERS], *leaving, self.settings.listen}
-        others = [item for item in known if item.control not in readers]
-        endpoints = [
-            self.control_of(view.backend.address)
-            for view in self.fleet.backends.values()
-            if view.backend.weights is not None and self.is_in_own_region(view.backend.zone)
-        ]
-        return Neighbours(
-            order,
-            leaving,
-            [item.control for item in others if self.is_in_own_region(item.zone)],
-            [item.control for item in others if not self.is_in_own_region(item.zone)],
-            endpoints,
-        )
-
-    def control_of(self, address: str) -> str:
-        """Return the control address of the endpoint process on the VM of an engine.
-
-        All processes of a deployment use the same control port.
-        """
-        return f"{host_of(address)}:{port_of(self.settings.listen)}"
-
-    def region_of(self, zone: str) -> str | None:
-        """Return the region of an availability zone; None if it is unknown."""
-        direct = self.settings.direct
-        assert direct is not None
-        return direct.zones.get(zone)
-
-    def is_in_own_region(self, zone: str) -> bool:
-        """Return True if an availability zone is in the region of this process."""
-        return self.region_of(zone) == self.region_of(self.settings.zone)
-
-    def reader_order(self, model: str, version: int) -> list[str]:
-        """Return the entry processes of the origin's region in the order of readers.
-
-        This process alone, if none is known there.
-        """
-        origin = self.origin()
-        region = self.region_of(origin.zone) if origin else None
-        eligible = [
-            item.control
-            for item in self.entries(clock.now())
-            if self.region_of(item.zone) == region and not item.is_leaving
-        ]
-        return reader_order(model, version, eligible) or [self.settings.listen]
-
-    def is_reader(self, model: str, version: int) -> bool:
-        """Return True if this process is one of the readers of a version."""
-        return self.settings.listen in self.reader_order(model, version)[:ORIGIN_READERS]
-
     def fetch_held_digests(self) -> None:
         """Start fetching the digests of versions that backends hold and that are not cached yet."""
         now = clock.now()
@@ -414,15 +342,15 @@
         process of the region, one of another region, and from then on the readers in turn. A
         reader reads the chunk itself.
         """
-        if self.origin() is None:
+        if self.processes.origin() is None:
             return Failure("no origin is declared")
-        order = self.reader_order(key.model, key.version)
+        order = self.processes.reader_order(key.model, key.version)
         if self.settings.listen in order[:ORIGIN_READERS]:
             return await self.fetch_as_reader(key)
         readers = readers_of_chunk(order, max(0, key.index))
         working = self.calls.failures.working(readers, clock.now()) or readers
         reader = working[attempt % min(ORIGIN_READERS, len(working))]
-        near, far = self.endpoints_with(key)
+        near, far = self.processes.endpoints_with(key)
         endpoints = [*near[:1], "", *near[1:2], *far[:1]]
         name = f"/{key.model}/{key.version}"
         if key.index != DIGESTS_INDEX:
@@ -438,32 +366,12 @@
         body = await self.read_chunk(key, WAIT_SECONDS)
         return Failure("not read yet") if body is None else Success(body)
 
-    def endpoints_with(self, key: ChunkKey) -> tuple[list[str], list[str]]:
-        """Return the endpoint processes whose engines hold a version, in the region and outside."""
-        if key.index == DIGESTS_INDEX:
-            return [], []
-        near: list[str] = []
-        far: list[str] = []
-        for view in self.fleet.backends.values():
-            if view.held_version(key.model) == key.version and not view.backend.is_leaving:
-                is_near = self.is_in_own_region(view.backend.zone)
-                (near if is_near else far).append(self.control_of(view.backend.address))
-        name = f"{key.model}/{key.version}/{key.index}"
-        return rendezvous_order(name, near), rendezvous_order(name, far)
-
-    def origin(self) -> ServiceDeclaration | None:
-        """Return the service that is the origin of weights; None if none is declared."""
-        table = self.fleet.table
-        if table is None:
-            return None
-        return next((item for item in table.configuration.services if item.origin), None)
-
     async def fetch_digests_from_origin(self, model: str, version: int) -> Result[bytes, str]:
         """Fetch a manifest from the origin and write its digests to the store.
 
         Processes that start later can then verify chunks without the origin.
         """
-        origin = self.origin()
+        origin = self.processes.origin()
         if origin is None:
             return Failure("no origin is declared")
         manifest = await fetch_manifest(self.session, origin.origin, model, version)
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -15,7 +15,14 @@
 from .chunk_cache import ChunkCache, ChunkKey
 from .origin_link import OriginLink
 from .peer_calls import CACHED_QUERY, ENDPOINT_PATH, ENTRY_PATH, PeerCalls
-from .readers import ORIGIN_READERS, Inventory, holders_of, next_to_read, readers_of_chunk
+from .readers import (
+    ORIGIN_READERS,
+    Inventory,
+    holders_of,
+    next_to_read,
+    position_of,
+    readers_of_chunk,
+)
 
 LOG = get_logger(__name__)
 IDLE_SECONDS = 0.1
@@ -200,15 +207,20 @@
         await asyncio.gather(*running, return_exceptions=True)
 
     async def read_next(self, neighbours: Neighbours, missing: list[int]) -> bool:
-        """Request the next chunk from the origin; False if none is to be requested now."""
+        """Request the next chunk from the origin.
+
+        Returns:
+          False if none can be had now, True if the next one may be tried at once.
+        """
         async with self.link.turn:
             index = await self.choose(neighbours, missing)
-            if index is not None and (turn := self.turn_of(index, neighbours.order)):
-                # Another reader may have chosen the same chunk of a lost one at this moment.
-                await asyncio.sleep(turn * ASSIST_DELAY_SECONDS)
-                index = await self.choose(neighbours, missing)
             if index is None:
                 return False
+            if position := position_of(self.listen, readers_of_chunk(neighbours.order, index)):
+                # Another reader may have chosen the same chunk of a lost one at this moment.
+                await asyncio.sleep(position * ASSIST_DELAY_SECONDS)
+                if await self.choose(neighbours, missing) != index:
+                    return True
             await self.link.request(lambda on_answer: self.read(index, on_answer))
             # An overdue request keeps no other reader from the chunk.
             self.receiving.discard(index)
@@ -230,11 +242,6 @@
         }
         return next_to_read(lacking, neighbours.order, self.listen, near, self.rejections)
 
-    def turn_of(self, index: int, order: list[str]) -> int:
-        """Return the position of this process among those that may read a chunk, from 0."""
-        readers = readers_of_chunk(order, index)
-        return readers.index(self.listen) if self.listen in readers else len(readers)
-
     def has(self, index: int) -> bool:
         """Return True if a chunk is here or on its way."""
         return index in self.done or index in self.receiving or index in self.copies
--- a/verbenaward/wire/codec.py
+++ b/verbenaward/wire/codec.py
@@ -19,6 +19,13 @@
 """Words of 8 bytes that may be read from one message; limits the cost of a malicious one."""
 
 
+WORD_BYTES = 8
+SEGMENT_FIELD_BYTES = 4
+"""Length of each number in the segment table: the number of segments less one, then their words."""
+MAXIMUM_SEGMENTS = 512
+"""Most segments of a message; the library allows no more either."""
+
+
 class MalformedMessageError(ValueError):
     """Raised if bytes are not a message of the expected type."""
 
@@ -51,6 +58,8 @@
       MalformedMessageError: The bytes are not such a message.
     """
     schema = getattr(SCHEMA, message_type.__name__)
+    if is_truncated(payload):
+        raise MalformedMessageError(f"{message_type.__name__}: truncated")
     try:
         reader = schema.from_bytes_packed(payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS)
         return read_fields(message_type, reader)
@@ -58,6 +67,69 @@
         raise MalformedMessageError(f"{message_type.__name__}: {error}") from error
 
 
+def is_truncated(payload: bytes) -> bool:
+    """Return True if a packed message of several segments lacks a part of them.
+
+    The library reads all segments but the first when they are used, and the rest when the message
+    is freed, where an error ends the process.
+    """
+    first = unpack(payload, WORD_BYTES)
+    extra_segments = int.from_bytes(first[:SEGMENT_FIELD_BYTES], "little")
+    if not extra_segments:
+        return False
+    if extra_segments >= MAXIMUM_SEGMENTS:
+        return True
+    table_bytes = (extra_segments + 2) * SEGMENT_FIELD_BYTES
+    table_words = -(-table_bytes // WORD_BYTES)
+    table = unpack(payload, table_words * WORD_BYTES)
+    sizes = [
+        int.from_bytes(table[at : at + SEGMENT_FIELD_BYTES], "little")
+        for at in range(SEGMENT_FIELD_BYTES, table_bytes, SEGMENT_FIELD_BYTES)
+    ]
+    return unpacked_words(payload) < table_words + sum(sizes)
+
+
+def unpack(payload: bytes, limit: int) -> bytes:
+    """Return up to some first bytes of a packed message, unpacked."""
+    found = bytearray()
+    at = 0
+    while at < len(payload) and len(found) < limit:
+        tag = payload[at]
+        at += 1
+        for bit in range(WORD_BYTES):
+            if tag >> bit & 1 and at < len(payload):
+                found.append(payload[at])
+                at += 1
+            else:
+                found.append(0)
+        if tag in (0x00, 0xFF) and at < len(payload):
+            count = payload[at]
+            at += 1
+            words = bytes(WORD_BYTES * count)
+            if tag:
+                words = payload[at : at + WORD_BYTES * count]
+                at += WORD_BYTES * count
+            found += words
+    return bytes(found[:limit])
+
+
+def unpacked_words(payload: bytes) -> int:
+    """Return the number of whole words of a packed message."""
+    words = at = 0
+    while at < len(payload):
+        tag = payload[at]
+        at += 1 + tag.bit_count()
+        words += at <= len(payload)
+        if tag in (0x00, 0xFF) and at < len(payload):
+            count = payload[at]
+            at += 1
+            if tag:
+                count = min(count, (len(payload) - at) // WORD_BYTES)
+                at += WORD_BYTES * payload[at - 1]
+            words += count
+    return words
+
+
 def write_fields(builder: Any, message: Any) -> None:
     """Copy the fields of a message into a Cap'n Proto builder."""
     for attribute, wire_name, _ in fields_of(type(message)):  # type: ignore[arg-type]
