--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -147,10 +147,6 @@
         self.requested.add(index)
         self.done.discard(index)
 
-    def inventory(self) -> Inventory:
-        """Return what this process has of the version."""
-        return Inventory(self.cache.indexes(self.model, self.version), frozenset(self.receiving))
-
     def missing(self, order: list[str]) -> list[int]:
         """Return the chunks that this process should still read or copy.
 
