Checks that replaced those of owners and stand-ins are as strict again

Why the earlier lines went in: owner_order, the OriginQueue and OriginReachability that they called are gone. What they guarded, and by what: - "results == [False] * 3 + [True]", "silent_since is None": three requests that are ended and a fourth that is answered. The new check counted ends only; it now requires that just the fourth is answered and the origin counts as there. - "only its chunks change owner": without a reader the other two stay; added: without any other process no chunk changes its readers.

No change of the product.

--- a/tests/distribution/readers.feature
+++ b/tests/distribution/readers.feature
@@ -11,6 +11,7 @@
     When 12 entry processes are in the region of the origin
     Then each version has 3 readers with a third of its chunks each
     And without one reader the other two stay readers
+    And without any other process no chunk changes its reader
 
   # Guards against a chunk whose bytes are wrong at the origin, which would hold back all others.
   Scenario: A chunk that the origin corrupts comes last
--- a/tests/steps/chunk_readers.py
+++ b/tests/steps/chunk_readers.py
@@ -133,6 +133,19 @@
             assert {*order[:ORIGIN_READERS]} - {reader} < {*after}
 
 
+@then("without any other process no chunk changes its reader")
+def others_change_nothing(context):
+    def responsible(version, entries):
+        order = reader_order("model", version, entries)
+        return [readers_of_chunk(order, index)[:ORIGIN_READERS] for index in range(48)]
+
+    for version in range(40):
+        before = responsible(version, context.entries)
+        for other in set(context.entries) - set(before[0]):
+            remaining = [entry for entry in context.entries if entry != other]
+            assert responsible(version, remaining) == before
+
+
 @when("the origin has corrupted chunk 0 for its reader")
 def corrupted(context):
     context.reader = readers_of_chunk(ORDER, 0)[0]
--- a/tests/steps/weight_rollout.py
+++ b/tests/steps/weight_rollout.py
@@ -206,6 +206,7 @@
 @given("requests to an origin that answers none of the first three")
 def silent_requests(context):
     context.link, context.sent, context.ended = OriginLink(), [], []
+    context.answered = []
 
 
 @then("a fourth is sent within {seconds:g} s, and its answer ends the others at once")
@@ -216,6 +217,7 @@
             if len(context.sent) < 4:
                 await asyncio.sleep(60)
             on_answer()
+            context.answered.append(len(context.sent))
         finally:
             context.ended.append(clock.now())
 
@@ -229,6 +231,8 @@
     took = run(context, request_all())
     assert took < seconds, took
     assert len(context.ended) == 4 and not context.link.overdue, context.ended
+    assert context.answered == [4], context.answered
+    assert not context.link.may_be_away(clock.now())
 
 
 @when("after {seconds:d} second a reader of it is killed and another entry process starts")
