Failing scenarios: engines stay empty after all of them have lost their weights

Callers got no answer from any engine after a loss of power of all VMs, until the operator set a version.

--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -662,6 +662,47 @@
     run(context, again())
 
 
+@when("all processes and engines lose power once the digests of version 1 are stored")
+def lose_power(context):
+    store = context.platform.store
+
+    def are_stored():
+        return any(key.startswith(DIGESTS_PREFIX) for key in store.items)
+
+    assert run(context, until(are_stored))
+    run(context, restart_empty(context.platform))
+
+
+@when("all processes and engines lose power, and the store has no digests")
+def lose_power_without_digests(context):
+    run(context, restart_empty(context.platform, [DIGESTS_PREFIX]))
+
+
+async def restart_empty(platform, lost_prefixes=()):
+    """Restart all processes; the engines have lost their weights, and the store some keys."""
+    for role in (*platform.entries, *platform.endpoints):
+        await role.close()
+    platform.entries.clear()
+    platform.endpoints.clear()
+    for key in [key for key in platform.store.items if key.startswith(tuple(lost_prefixes))]:
+        platform.store.remove(key)
+    for backend in platform.backends.values():
+        if backend.service == "engines":
+            backend.version = backend.accepted_orders = 0
+            backend.staged_chunks, backend.loaded_chunks = {}, {}
+            platform.register(backend)
+            await platform.add_endpoint(backend)
+    await platform.add_entry()
+
+
+@then("all engines hold version 1 again within {seconds:d} seconds")
+def engines_hold_again(context, seconds):
+    def versions():
+        return [item.version for item in engines(context)]
+
+    assert run(context, until(lambda: versions() == [1, 1], seconds)), versions()
+
+
 @when("the digests of {count:d} versions are kept, one after the other")
 def keep_many(context, count):
     platform = PlatformStandIn()
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -26,6 +26,22 @@
     Then the empty engine holds version 1 within 5 seconds
     And the engine loaded only valid chunks of version 1
 
+  # Guards against engines that stay empty for good: RECOVER after a loss of power of all VMs.
+  Scenario: All engines lose their weights before a target version was ever set
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the engines have endpoint processes and staged chunks
+    When all processes and engines lose power once the digests of version 1 are stored
+    Then all engines hold version 1 again within 5 seconds
+
+  # Guards against the same where the origin alone knows a version.
+  Scenario: All engines lose their weights before any digests were stored
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the engines have endpoint processes and staged chunks
+    When all processes and engines lose power, and the store has no digests
+    Then all engines hold version 1 again within 5 seconds
+
   # Load: a rollout, in which each engine is out of service once. Guards against engines that are idle
   # until their registration shows what they have loaded.
   Scenario: Loaded weights are used before the registration shows them
