Load the version last in use after all engines have lost their weights

Cause: without a target the wanted version was the newest that some engine holds; after the loss none holds any, so endpoint processes had nothing to load and the origin was never asked. Knowledge that must last was kept in volatile state only.

Change: the digests of each version stand in the store, so the newest version stored there counts if no engine holds any. If the store has none, the readers query the origin's newest version. A log line says that no version is known.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -401,7 +401,7 @@
         """Return the manifest of a version with the SHA-256 digest of each chunk."""
         if self.is_silent:
             await asyncio.sleep(3600)
-        version = int(request.query["version"])
+        version = int(request.query.get("version", max(self.versions)))
         if version not in self.versions:
             return web.Response(status=410)
         digests = [hashlib.sha256(chunk).hexdigest() for chunk in self.versions[version]]
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -322,6 +322,7 @@
             alive = len(self.exchange.peers.alive(now))
             self.budget.update_entry_count(alive + 1)
             self.relay.fetch_held_digests()
+            self.relay.find_unknown_versions()
             await asyncio.sleep(DERIVED_STATE_INTERVAL_SECONDS)
 
     async def maintain_peer_group(self) -> None:
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -27,7 +27,12 @@
 from ..placement.fleet import Fleet
 from ..platform.key_value import KeyValueService
 from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
-from ..replica.chunk_digests import DIGEST_BYTES, stored_digests, write_digests
+from ..replica.chunk_digests import (
+    DIGEST_BYTES,
+    newest_stored_version,
+    stored_digests,
+    write_digests,
+)
 from ..schema.settings import Settings
 from .chunk_cache import DIGESTS_INDEX, ChunkCache, ChunkKey
 from .chunk_runs import CHUNKS_PER_RUN
@@ -62,6 +67,8 @@
 """The same for a HEAD request, which endpoint processes send for all missing chunks."""
 FETCH_SECONDS = 20.0
 """Time for which a chunk is tried that no source has; later requests start again."""
+UNKNOWN_VERSION = 0
+"""Stands for the version of a model of which nobody knows any."""
 DIGEST_ATTEMPTS = 5
 """Attempts to fetch the digests of a version."""
 LOGGED_FAILURES = 10
@@ -190,6 +197,43 @@
             if key not in self.cache and self.missing_digests.working([str(key)], now):
                 self.start_fetch(key)
 
+    def find_unknown_versions(self) -> None:
+        """Query the origin for the version of each model of which nobody knows any.
+
+        All engines may have lost their weights before the digests of any version were stored.
+        """
+        now = clock.now()
+        for model in self.models_without_version():
+            key = ChunkKey(model, UNKNOWN_VERSION, DIGESTS_INDEX)
+            is_due = key not in self.fetching and self.missing_digests.working([str(key)], now)
+            if is_due and self.processes.is_reader(model, UNKNOWN_VERSION):
+                self.run_fetch(key, self.find_version(key))
+
+    def models_without_version(self) -> list[str]:
+        """Return the models without a target version that no engine holds and nobody has stored."""
+        table = self.fleet.table
+        declared = table.configuration.services if table else ()
+        models = {model for item in declared if item.engine for model in item.engine.models}
+        held = {
+            weights.model
+            for view in self.fleet.backends.values()
+            for weights in view.backend.weights or ()
+        }
+        return [
+            model
+            for model in sorted(models - held)
+            if not self.fleet.newest_version(model)
+            and not newest_stored_version(self.fleet.replica, model)
+        ]
+
+    async def find_version(self, key: ChunkKey) -> bytes | None:
+        """Fetch the manifest of the origin's newest version of a model, and store its digests."""
+        self.missing_digests.record_failure(str(key), clock.now())
+        found = await self.fetch_digests_from_origin(key.model, None)
+        if not isinstance(found, Success):
+            LOG.warning("version.not-found", model=key.model, error=found.failure()[:150])
+        return None
+
     def write_lost_digests(self) -> None:
         """Write the digests again that a restored store may have lost."""
         for key in tuple(self.cache.bodies):
@@ -295,10 +339,14 @@
 
     def start_fetch(self, key: ChunkKey) -> asyncio.Task[bytes | None]:
         """Return the running task that fetches a chunk; start one if there is none."""
-        task = self.fetching.get(key)
-        if task is None:
-            task = self.fetching[key] = asyncio.create_task(self.fetch(key))
-            task.add_done_callback(lambda _: self.fetching.pop(key, None))
+        return self.fetching.get(key) or self.run_fetch(key, self.fetch(key))
+
+    def run_fetch(
+        self, key: ChunkKey, work: Coroutine[Any, Any, bytes | None]
+    ) -> asyncio.Task[bytes | None]:
+        """Run a fetch as a task that further requests for the chunk wait for."""
+        task = self.fetching[key] = asyncio.create_task(work)
+        task.add_done_callback(lambda _: self.fetching.pop(key, None))
         return task
 
     async def fetch(self, key: ChunkKey) -> bytes | None:
@@ -366,10 +414,16 @@
         body = await self.read_chunk(key, WAIT_SECONDS)
         return Failure("not read yet") if body is None else Success(body)
 
-    async def fetch_digests_from_origin(self, model: str, version: int) -> Result[bytes, str]:
+    async def fetch_digests_from_origin(
+        self, model: str, version: int | None
+    ) -> Result[bytes, str]:
         """Fetch a manifest from the origin and write its digests to the store.
 
         Processes that start later can then verify chunks without the origin.
+
+        Args:
+          model: Name of the model.
+          version: Version of its weights; None for the newest one that the origin has.
         """
         origin = self.processes.origin()
         if origin is None:
@@ -377,7 +431,8 @@
         manifest = await fetch_manifest(self.session, origin.origin, model, version)
         digests = manifest.bind(lambda found: digests_of(found, model, version))
         if isinstance(digests, Success):
-            work = write_digests(self.store, self.fleet.replica, model, version, digests.unwrap())
+            number = manifest.unwrap().version
+            work = write_digests(self.store, self.fleet.replica, model, number, digests.unwrap())
             self.run_in_background(work)
         return digests
 
@@ -395,9 +450,15 @@
         await asyncio.gather(*running, return_exceptions=True)
 
 
-def digests_of(manifest: WeightsManifest, model: str, version: int) -> Result[bytes, str]:
-    """Return the digests of a manifest, joined in the order of its chunks."""
-    if (manifest.model, manifest.version) != (model, version):
+def digests_of(manifest: WeightsManifest, model: str, version: int | None) -> Result[bytes, str]:
+    """Return the digests of a manifest, joined in the order of its chunks.
+
+    Args:
+      manifest: The manifest.
+      model: Expected model.
+      version: Expected version; None for any.
+    """
+    if manifest.model != model or version not in (None, manifest.version):
         return Failure("the origin sent the manifest of another model or version")
     if not manifest.digests or any(len(item) != DIGEST_BYTES for item in manifest.digests):
         return Failure("the manifest has no digests or malformed ones")
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -160,6 +160,10 @@
         "revision",
         "kept",
     ),
+    "version.unknown": kind("no version of the weights of {service} is known", "service"),
+    "version.not-found": kind(
+        "the origin did not tell the newest version of {model}: {error}", "model", "error"
+    ),
     "version.late": kind(
         "version {version} is expected in {expected_seconds} s, its bound is in {bound_seconds} s",
         "version",
--- a/verbenaward/platform/weights.py
+++ b/verbenaward/platform/weights.py
@@ -140,12 +140,15 @@
     session: aiohttp.ClientSession,
     origin: str,
     model: str,
-    version: int,
+    version: int | None,
     on_answer: Callable[[], None] = lambda: None,
 ) -> Result[WeightsManifest, str]:
-    """Fetch the manifest of a version from the origin; `on_answer` as for `call`."""
+    """Fetch the manifest of a version from the origin; `on_answer` as for `call`.
+
+    Without a version the origin sends the manifest of the newest one that the operator has set.
+    """
     url = f"http://{origin}{MANIFEST_PATH}{model}"
-    query = {"version": str(version)}
+    query = {} if version is None else {"version": str(version)}
     result = await call(session, "GET", url, MANIFEST_TIMEOUT_SECONDS, query, on_answer=on_answer)
     return result.bind(body_if_ok).bind(parse_manifest)
 
--- a/verbenaward/replica/chunk_digests.py
+++ b/verbenaward/replica/chunk_digests.py
@@ -32,6 +32,21 @@
     return entry.value if entry else b""
 
 
+def newest_stored_version(replica: StoreReplica, model: str) -> int:
+    """Return the newest version of a model whose digests the store has; 0 if it has none."""
+    return max((version for version, _ in stored_versions(replica, model)), default=0)
+
+
+def stored_versions(replica: StoreReplica, model: str) -> list[tuple[int, KeyValueEntry]]:
+    """Return the versions of a model whose digests the store has, with their entries."""
+    prefix = f"{DIGESTS_PREFIX}{model}/"
+    return [
+        (int(number), entry)
+        for entry in replica.entries_with_prefix(prefix)
+        if (number := entry.key.removeprefix(prefix)).isdecimal()
+    ]
+
+
 async def write_digests(
     store: KeyValueService, replica: StoreReplica, model: str, version: int, digests: bytes
 ) -> None:
@@ -58,12 +73,7 @@
 
 def outdated_entries(replica: StoreReplica, model: str, version: int) -> list[KeyValueEntry]:
     """Return the entries to delete after the digests of a version were written."""
-    prefix = f"{DIGESTS_PREFIX}{model}/"
-    stored = [
-        (int(number), entry)
-        for entry in replica.entries_with_prefix(prefix)
-        if (number := entry.key.removeprefix(prefix)).isdecimal()
-    ]
+    stored = stored_versions(replica, model)
     older = sorted((pair for pair in stored if pair[0] < version), key=lambda pair: pair[0])
     # The version just written is one of the kept ones.
     return [entry for _, entry in older[: max(0, len(older) - STORED_VERSIONS + 1)]]
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -13,7 +13,7 @@
 from ..logs import get_logger
 from ..placement.fleet import Fleet
 from ..platform.weights import EngineReport, LocalEngine, OrderOutcome
-from ..replica.chunk_digests import DIGEST_BYTES, stored_digests
+from ..replica.chunk_digests import DIGEST_BYTES, newest_stored_version, stored_digests
 from ..replica.store_replica import StoreReplica
 from ..schema.settings import DirectSettings, Settings
 from .download import Sink, VersionDigests, download
@@ -60,6 +60,7 @@
       has_answered: True once the engine has answered this process.
       early: Chunks that were fetched before, by index.
       late: Weights whose load was last logged as late; None for none.
+      is_idle_logged: True if it was logged that no version is known to load.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.has_answered = False
         self.early: dict[int, bytes] = {}
         self.late: HeldWeights | None = None
+        self.is_idle_logged = False
 
     async def run(self) -> None:
         """Keep the engine's weights current until cancelled."""
@@ -107,6 +109,7 @@
         report = result.unwrap()
         self.held = report.weights
         wanted = self.update_next_weights()
+        self.log_if_idle(wanted)
         if wanted is None:
             return
         if holds_weights(report, wanted):
@@ -118,6 +121,13 @@
         if self.update_next_weights() == wanted:
             await self.load(wanted)
 
+    def log_if_idle(self, wanted: HeldWeights | None) -> None:
+        """Log once that an empty engine stays empty, as no version is known for it."""
+        is_idle = wanted is None and not self.held and self.fleet.table is not None
+        if is_idle and not self.is_idle_logged:
+            LOG.warning("version.unknown", service=self.direct.service)
+        self.is_idle_logged = is_idle
+
     def update_next_weights(self) -> HeldWeights | None:
         """Update and return the next weights; decide once whether a newer version replaces them."""
         newest = self.newest()
@@ -211,7 +221,7 @@
         return sorted({*found, self.direct.engine})
 
     def newest(self) -> HeldWeights | None:
-        """Return the weights of the target version, or else held by other engines."""
+        """Return the weights of the target version, or else those last in use."""
         table = self.fleet.table
         declared = table.services.get(self.direct.service) if table else None
         if declared is None or declared.engine is None:
@@ -219,7 +229,8 @@
         targets = {model: self.fleet.newest_version(model) for model in self.fleet.versions}
         others = [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
         for model in declared.engine.models:
-            version = wanted_version(targets, model, others)
+            stored = newest_stored_version(self.replica, model)
+            version = wanted_version(targets, model, others, stored)
             if version:
                 return HeldWeights(model, version)
         return None
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -22,7 +22,9 @@
 """Assumed time from the order to load until an engine serves: its running requests end first."""
 
 
-def wanted_version(targets: dict[str, int], model: str, others: list[Backend]) -> int:
+def wanted_version(
+    targets: dict[str, int], model: str, others: list[Backend], stored_version: int
+) -> int:
     """Return the version of a model that an engine should hold; 0 if none is known.
 
     Args:
@@ -30,13 +32,15 @@
       model: Name of the model.
       others: Backends of the service. If no target is set, the newest one they hold
         counts.
+      stored_version: Newest version whose digests the store has, 0 for none. It counts if no
+        backend holds any, as after a loss of power of all VMs.
     """
     if model in targets:
         return targets[model]
     held = [
         item.version for backend in others for item in backend.weights or () if item.model == model
     ]
-    return max(held, default=0)
+    return max(held, default=stored_version)
 
 
 def load_order(zones: Mapping[str, str]) -> list[str]:
