Send few bodies at a time over narrow links, the engine that lacks least first

Cause: every relay and endpoint process fetched all chunks from the same readers at once. All transfers shared the readers' links, lasted longer than their time-outs, were given up and began again; endpoint processes took the delay for their own link and asked for a tenth of its rate. Queries and requests to the origin waited in the same queue.

Change: a process measures the rate at which receivers acknowledge bytes and keeps 0.1 s of it under way; a body that has begun goes first, then those for engines, the one that lacks least before the others. Relays ask before they fetch, four at a time; endpoint processes get a chunk from the reader of the zone that has it. A copy that comes late is not read from the origin again. The adaptation of the requested rate is gone; its scenario is replaced by the bounds on bytes under way.

--- /dev/null
+++ b/tests/distribution/uploads.feature
@@ -0,0 +1,13 @@
+Feature: A process sends few bodies at a time over a narrow link
+
+  # Guards against a queue before a narrow link, in which requests to engines and short answers wait.
+  Scenario: The bytes under way follow the rate of the link
+    When bodies for any receivers wait, and the link carries any rate
+    Then no more than 0.1 s of the link or 32 KiB are under way, and 16 KiB to one receiver
+    And a link that was never busy is not taken for a narrow one
+
+  # Guards against engines that are all loaded as late as the last one, and work that never ends.
+  Scenario: The engine that lacks least gets its chunks first
+    When bodies for any receivers wait, and the link carries any rate
+    Then one that has begun goes first, then engines, and among them the one that lacks least
+    And bodies for others begin only if those that wait take less than 0.25 s
--- a/tests/weight_loading/origin_outage.feature
+++ b/tests/weight_loading/origin_outage.feature
@@ -48,6 +48,13 @@
     Then all engines have it within 8 seconds
     And the only chunks that leave the origin twice are the last two of the killed reader
 
+  # Guards against transfers over narrow links that time out and begin again without end.
+  Scenario: A version is set while the links of all entry processes are narrow
+    Given entry processes of two regions behind links of 3 Mbit/s, and engines
+    And an origin with a link of 15 Mbit/s
+    When version 2 of 48 chunks of 49152 bytes is set
+    Then the first engine has it within 12 seconds, and all engines within 25
+
   # Guards against a link that more fetches use than it carries, or that is idle between two.
   Scenario: Fetches share the link
     When fetches begin and end on a link in any order
--- a/verbenaward/direct/slow_readers.py
+++ b/verbenaward/direct/slow_readers.py
@@ -7,10 +7,7 @@
 
 import asyncio
 import contextlib
-import fcntl
 import socket
-import struct
-import termios
 from typing import Any
 
 from aiohttp import web
@@ -18,7 +15,7 @@
 
 from ..data import Refusal
 from ..placement.request_types import RefusedError
-from ..sockets import keepalive_socket
+from ..sockets import keepalive_socket, unsent_bytes
 
 READ_BUFFER_BYTES = 16 * 1024
 """Argument `read_bufsize` of aiohttp: reading pauses once twice this size is buffered, and resumes
@@ -73,22 +70,6 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
 
 
-def buffered_bytes(caller: web.Request) -> int:
-    """Return the bytes written to a caller that this process still holds."""
-    return 0 if caller.transport is None else caller.transport.get_write_buffer_size()
-
-
-def unsent_bytes(caller: web.Request) -> int:
-    """Return the bytes written to a caller that it has not acknowledged yet."""
-    transport = caller.transport
-    if transport is None or transport.is_closing():
-        return 0
-    connection = transport.get_extra_info("socket")
-    queued = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
-    (in_kernel,) = struct.unpack("i", queued)
-    return buffered_bytes(caller) + int(in_kernel)
-
-
 async def write_whole_answer(caller: web.Request, response: web.Response) -> None:
     """Write a whole answer, as long as the caller goes on reading it.
 
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -29,13 +29,13 @@
 )
 from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
 from ..requests.events import EVENT_END
+from ..sockets import buffered_bytes
 from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
 from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
 from .slow_readers import (
     PAUSED_STREAM_BYTES,
     UNREAD_SECONDS,
     WRITE_BUFFER_BYTES,
-    buffered_bytes,
     limit_send_buffers,
     raise_refusal,
 )
--- a/verbenaward/distribution/peer_calls.py
+++ b/verbenaward/distribution/peer_calls.py
@@ -1,6 +1,7 @@
 """Calls to other processes of this deployment for chunks and inventories."""
 
 import asyncio
+from dataclasses import dataclass
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -15,6 +16,8 @@
 PEER_SILENCE_SECONDS = 1.5
 """Longest time without a byte of it."""
 CONNECT_SECONDS = 0.5
+LOCATE_SECONDS = 2.5
+"""Timeout of the question whether a process has a chunk, which it answers within two seconds."""
 INVENTORY_SECONDS = 0.3
 """Timeout of a request for an inventory, for which the next request to the origin waits."""
 HTTP_OK = 200
@@ -26,10 +29,26 @@
 READER_QUERY = "owner"
 """Query parameter of a request to a reader: it gets the chunk from the origin, whichever processes
 are readers as far as it knows."""
+HOLDER_HEADER = "Chunk-Holder"
+"""Header of an answer to HEAD: control address of the reader that has the chunk, if it is another
+one than the process that answers."""
 CACHED_QUERY = "cached"
 """Query parameter of a request that is only answered from the cache."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """Why a call brought no body.
+
+    Attributes:
+      message: The error.
+      is_late: True if the process may only be busy, or its link.
+    """
+
+    message: str
+    is_late: bool = False
+
+
 class PeerCalls:
     """Sends calls to other processes, and remembers which ones failed lately.
 
@@ -42,7 +61,7 @@
         self.session = session
         self.failures = RecentFailures()
 
-    async def fetch(self, control: str, path: str, query: str = "") -> Result[bytes, str]:
+    async def fetch(self, control: str, path: str, query: str = "") -> Result[bytes, CallFailure]:
         """Fetch a chunk or digests.
 
         Args:
@@ -53,31 +72,37 @@
         timeout = aiohttp.ClientTimeout(
             total=PEER_TIMEOUT_SECONDS, sock_connect=CONNECT_SECONDS, sock_read=PEER_SILENCE_SECONDS
         )
-        result = await self.get(control, path, query, timeout)
+        result = await self.call("GET", control, path, query, timeout)
         if isinstance(result, Success):
             metrics.WEIGHT_BYTES.labels("entry").inc(len(result.unwrap()))
         return result
 
-    async def inventory(self, control: str, path: str) -> Result[Inventory, str]:
+    async def locate(self, control: str, path: str, query: str) -> Result[bytes, CallFailure]:
+        """Wait until a process has a chunk available; a failure if that takes too long."""
+        timeout = aiohttp.ClientTimeout(total=LOCATE_SECONDS, sock_connect=CONNECT_SECONDS)
+        return await self.call("HEAD", control, path, query, timeout)
+
+    async def inventory(self, control: str, path: str) -> Result[Inventory, CallFailure]:
         """Return the inventory of a version at a process."""
         timeout = aiohttp.ClientTimeout(total=INVENTORY_SECONDS)
-        result = await self.get(control, f"{path}/{INVENTORY_NAME}", "", timeout)
-        return result.bind(decode_inventory)
+        result = await self.call("GET", control, f"{path}/{INVENTORY_NAME}", "", timeout)
+        return result.bind(lambda body: decode_inventory(body).alt(CallFailure))
 
-    async def get(
-        self, control: str, path: str, query: str, timeout: aiohttp.ClientTimeout
-    ) -> Result[bytes, str]:
+    async def call(
+        self, method: str, control: str, path: str, query: str, timeout: aiohttp.ClientTimeout
+    ) -> Result[bytes, CallFailure]:
         """Return the body of an answer; a process that cannot be reached is remembered."""
         url = f"http://{control}{path}"
         parameters = {query: "1"} if query else {}
         try:
-            async with self.session.get(url, params=parameters, timeout=timeout) as response:
+            async with self.session.request(
+                method, url, params=parameters, timeout=timeout
+            ) as response:
                 body = await response.read()
-                return (
-                    Success(body)
-                    if response.status == HTTP_OK
-                    else Failure(f"{url}: status {response.status}")
-                )
+                if response.status == HTTP_OK:
+                    return Success(body)
+                return Failure(CallFailure(f"{url}: status {response.status}"))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             self.failures.record_failure(control, clock.now())
-            return Failure(f"{url}: {type(error).__name__} {error}")
+            message = f"{url}: {type(error).__name__} {error}"
+            return Failure(CallFailure(message, isinstance(error, asyncio.TimeoutError)))
--- a/verbenaward/distribution/process_map.py
+++ b/verbenaward/distribution/process_map.py
@@ -82,6 +82,11 @@
         """Return True if an availability zone is in the region of this process."""
         return self.region_of(zone) == self.region_of(self.settings.zone)
 
+    def is_in_own_zone(self, control: str) -> bool:
+        """Return True if an entry process is in the availability zone of this one."""
+        zones = {item.control: item.zone for item in self.entries(clock.now())}
+        return zones.get(control) == self.settings.zone
+
     def reader_order(self, model: str, version: int) -> list[str]:
         """Return the entry processes of the origin's region in the order of readers.
 
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -12,6 +12,7 @@
 import asyncio
 import hashlib
 import itertools
+import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
@@ -38,18 +39,21 @@
 from .chunk_runs import CHUNKS_PER_RUN
 from .inventory import encode_inventory
 from .origin_link import OriginLink
-from .pacing import rate_of, send_paced
 from .peer_calls import (
     CACHED_QUERY,
     ENDPOINT_PATH,
     ENTRY_PATH,
+    HOLDER_HEADER,
     INVENTORY_NAME,
     READER_QUERY,
+    CallFailure,
     PeerCalls,
 )
 from .process_map import EntryProcess, ProcessMap
 from .readers import ORIGIN_READERS, Inventory, readers_of_chunk
 from .recent_failures import RecentFailures
+from .upload_order import Receiver
+from .uploads import Uploads, rate_of
 from .version_reader import VersionReader
 
 LOG = get_logger(__name__)
@@ -60,6 +64,8 @@
 """Timeout of a chunk request to the origin."""
 ORIGIN_SILENCE_SECONDS = 1.0
 """Longest time without a byte from the origin, after which the chunk is requested again."""
+LOCATE_POLL_SECONDS = 0.05
+"""Interval at which a process that lacks a chunk checks whether another reader has it."""
 WAIT_SECONDS = 1.0
 """Longest wait for a chunk that is not available, after which the request is answered with 503. It
 is shorter than the time after which a silent process counts as unreachable."""
@@ -74,6 +80,9 @@
 LOGGED_FAILURES = 10
 """One of so many failed attempts to fetch a chunk is logged: they go on while the origin is away.
 """
+PARALLEL_TRANSFERS = 4
+"""Chunks fetched from readers at the same time. More of them would share the readers' links, and
+each would take longer."""
 RETRY_DELAY_SECONDS = 0.05
 LOST_DIGESTS_SECONDS = 2.0
 """Longest random delay before lost digests are written again. All processes hold them; the first
@@ -92,6 +101,8 @@
       readers: Versions that this process reads from the origin, by model and version.
       link: The link to the origin.
       calls: Calls to other processes.
+      uploads: Bodies that this process sends.
+      transfers: Limits the chunks that are fetched from readers at the same time.
       missing_digests: Digests that could not be had lately; the origin may have dropped a version
         that some backends still hold.
       background_tasks: References to running tasks, so that they are not garbage-collected.
@@ -116,6 +127,8 @@
         self.rng = random.Random()
         self.link = OriginLink()
         self.calls = PeerCalls(session)
+        self.uploads = Uploads()
+        self.transfers = asyncio.Semaphore(PARALLEL_TRANSFERS)
         self.missing_digests = RecentFailures()
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.start_reading)
@@ -269,23 +282,45 @@
         key = ChunkKey(model, version, index)
         if CACHED_QUERY in request.query:
             cached = self.cache.get(key)
-            return web.Response(status=404) if cached is None else web.Response(body=cached)
-        is_head = request.method == "HEAD"
-        seconds = LOCATE_WAIT_SECONDS if is_head else WAIT_SECONDS
+            if cached is None:
+                return web.Response(status=404)
+            return await self.uploads.send(request, cached, math.inf, Receiver.READER)
         is_for_reader = READER_QUERY in request.query
-        body = await self.get_in_time(key, seconds, is_for_reader)
-        if is_head:
-            # Without a length the client takes the connection to end with the answer.
-            length = {"Content-Length": str(len(body or b""))}
-            return web.Response(status=503 if body is None else 200, headers=length)
+        if request.method == "HEAD":
+            return await self.answer_location(key, is_for_reader)
+        body = await self.get_in_time(key, WAIT_SECONDS, is_for_reader)
         if body is None:
             return web.Response(status=503)
         if not is_for_reader:
             self.read_ahead(model, version, index)
-        rate = rate_of(request)
-        if not rate:
-            return web.Response(body=body)
-        return await send_paced(request, body, rate)
+        receiver = Receiver.REGION if is_for_reader else Receiver.ENGINE
+        return await self.uploads.send(request, body, rate_of(request), receiver)
+
+    async def answer_location(self, key: ChunkKey, is_for_reader: bool) -> web.Response:
+        """Answer a HEAD request once this process or another reader of the zone has a chunk.
+
+        A caller gets what that reader has from there, so that it does not cross the link of this
+        process first.
+        """
+        getting = asyncio.create_task(self.get_in_time(key, LOCATE_WAIT_SECONDS, is_for_reader))
+        try:
+            while not getting.done():
+                await asyncio.wait({getting}, timeout=LOCATE_POLL_SECONDS)
+                holder = None if getting.done() else self.other_holder(key)
+                if holder is not None:
+                    return web.Response(headers={"Content-Length": "0", HOLDER_HEADER: holder})
+            body = getting.result()
+        finally:
+            getting.cancel()
+        # Without a length the client takes the connection to end with the answer.
+        length = {"Content-Length": str(len(body or b""))}
+        return web.Response(status=503 if body is None else 200, headers=length)
+
+    def other_holder(self, key: ChunkKey) -> str | None:
+        """Return another reader of the zone that has a chunk; None if none is known."""
+        reader = self.readers.get((key.model, key.version))
+        holders = reader.readers_with(key.index) if reader else []
+        return next((item for item in holders if self.processes.is_in_own_zone(item)), None)
 
     async def get_in_time(self, key: ChunkKey, seconds: float, is_for_reader: bool) -> bytes | None:
         """Return a chunk, or None after a time; the fetch then goes on.
@@ -404,8 +439,18 @@
         if key.index != DIGESTS_INDEX:
             name += f"/{key.index}"
         if attempt < len(endpoints) and endpoints[attempt]:
-            return await self.calls.fetch(endpoints[attempt], ENDPOINT_PATH + name)
-        return await self.calls.fetch(reader, ENTRY_PATH + name, READER_QUERY)
+            fetched = await self.calls.fetch(endpoints[attempt], ENDPOINT_PATH + name)
+        else:
+            fetched = await self.fetch_from_reader(reader, ENTRY_PATH + name)
+        return fetched.alt(lambda failure: failure.message)
+
+    async def fetch_from_reader(self, reader: str, path: str) -> Result[bytes, CallFailure]:
+        """Fetch a chunk once a reader has it: of the links, only transfers take a part."""
+        located = await self.calls.locate(reader, path, READER_QUERY)
+        if not isinstance(located, Success):
+            return located
+        async with self.transfers:
+            return await self.calls.fetch(reader, path, READER_QUERY)
 
     async def fetch_as_reader(self, key: ChunkKey) -> Result[bytes, str]:
         """Fetch digests from the origin, or wait for a chunk that is read from there."""
@@ -444,6 +489,7 @@
 
     async def close(self) -> None:
         """Cancel all fetches and background tasks."""
+        self.uploads.close()
         running = [*self.fetching.values(), *self.background_tasks, *self.link.overdue]
         for task in running:
             task.cancel()
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -37,12 +37,22 @@
 """Time without a new chunk after which a version is given up until a chunk is requested again."""
 SEARCH_INTERVAL_SECONDS = 1.0
 """Interval at which processes that are not readers are searched for chunks."""
+QUERY_INTERVAL_SECONDS = 0.5
+"""Longest time between two queries of the other readers."""
+SLOW_QUERY_SECONDS = 0.1
+"""Time of a query from which the link counts as narrow."""
+UNQUERIED_CHUNKS = 4
+"""Chunks left of the own share from which they are queried before each chunk: another reader may
+be about to read the same one."""
 FIRST_SEARCH_SECONDS = 0.1
 """Longest wait for the first search, before which nothing is read from the origin."""
 SEARCHED_PROCESSES = 8
 """Processes of each kind that are searched. Any that serves a region holds some of its chunks."""
+SILENT_SECONDS = 1.5
+"""Time without an answer after which what a process had is read or copied from elsewhere."""
 COPIED_AT_ONCE = 4
-"""Chunks that are copied from other processes at the same time."""
+"""Chunks that are copied from other processes at the same time; one over a narrow link, of which
+the origin's chunks need the rest."""
 
 
 ReadChunk = Callable[[int, Callable[[], None]], Awaitable[Result[bytes, str]]]
@@ -91,10 +101,13 @@
       endpoints: Those of them that are endpoint processes.
       remote_entries: Those of them that are entry processes of other regions.
       silent: Processes that did not answer the last query.
+      answered_at: When a process last answered a query, monotonic, by its control address.
       copies: Running copies of chunks from other processes, by index.
-      failed_copies: Chunks that could not be copied, with the control address of the process.
+      corrupt_copies: Chunks that a process sent with wrong bytes, with its control address.
       searching: The running search among processes that are not readers; None for none.
       progressed_at: When a chunk last arrived, monotonic.
+      queried_at: When the inventories of the other readers were last queried, monotonic.
+      query_seconds: Time that this took.
     """
 
     def __init__(
@@ -128,10 +141,13 @@
         self.endpoints: set[str] = set()
         self.remote_entries: set[str] = set()
         self.silent: set[str] = set()
+        self.answered_at: dict[str, float] = {}
         self.copies: dict[int, asyncio.Task[None]] = {}
-        self.failed_copies: set[tuple[str, int]] = set()
+        self.corrupt_copies: set[tuple[str, int]] = set()
         self.searching: asyncio.Task[None] | None = None
         self.progressed_at = clock.now()
+        self.queried_at = -math.inf
+        self.query_seconds = 0.0
 
     @property
     def path(self) -> str:
@@ -228,7 +244,8 @@
         The origin is used at the same time as narrow links: a missing chunk that only processes
         behind one hold was requested, and is read unless it is being copied.
         """
-        await self.query_readers(neighbours)
+        if not self.has_own_share_left(neighbours.order, missing):
+            await self.query_readers(neighbours)
         self.start_copies(missing)
         lacking = [index for index in missing if not self.has(index)]
         near = {
@@ -238,6 +255,23 @@
         }
         return next_to_read(lacking, neighbours.order, self.listen, near, self.rejections)
 
+    @property
+    def is_link_narrow(self) -> bool:
+        """True if the last query of the other readers took as long as over a narrow link."""
+        return self.query_seconds >= SLOW_QUERY_SECONDS
+
+    def has_own_share_left(self, order: list[str], missing: list[int]) -> bool:
+        """Return True if this reader goes on reading its own share without a new query.
+
+        Over a narrow link a query takes as long as a chunk. Others read chunks of this share only
+        after their own, from its other end.
+        """
+        is_recent = clock.now() - self.queried_at < QUERY_INTERVAL_SECONDS
+        if not is_recent or not self.is_link_narrow:
+            return False
+        own = [index for index in missing if readers_of_chunk(order, index)[:1] == [self.listen]]
+        return sum(not self.has(index) for index in own) >= UNQUERIED_CHUNKS
+
     def has(self, index: int) -> bool:
         """Return True if a chunk is here or on its way."""
         return index in self.done or index in self.receiving or index in self.copies
@@ -281,9 +315,12 @@
 
     async def query_readers(self, neighbours: Neighbours) -> None:
         """Update the inventories of the other readers, and of those that replace lost ones."""
-        working = self.calls.failures.working(neighbours.order, clock.now())
+        began = clock.now()
+        working = self.calls.failures.working(neighbours.order, began)
         others = {*working[:ORIGIN_READERS], *neighbours.leaving} - {self.listen}
         await self.query(sorted(others), ENTRY_PATH)
+        self.queried_at = clock.now()
+        self.query_seconds = self.queried_at - began
 
     async def search(self, neighbours: Neighbours) -> None:
         """Update the inventories of some processes that are not readers."""
@@ -306,26 +343,36 @@
     async def query(self, controls: list[str], base: str) -> None:
         """Update the inventories of some processes.
 
-        The last one of a process counts until it has not answered twice: it may only be busy.
+        The last one of a process counts until it has not answered twice: it may only be busy. If no
+        answer comes in time, as over a narrow link, it counts for `SILENT_SECONDS`.
         """
         found = await asyncio.gather(
             *(self.calls.inventory(control, base + self.path) for control in controls)
         )
         for control, result in zip(controls, found, strict=True):
+            now = clock.now()
             if not isinstance(result, Success):
-                if control in self.silent:
+                silent_seconds = now - self.answered_at.get(control, -math.inf)
+                is_slow = result.failure().is_late and silent_seconds < SILENT_SECONDS
+                if control in self.silent and not is_slow:
                     self.inventories.pop(control, None)
                 self.silent.add(control)
                 continue
             inventory = result.unwrap()
             self.silent.discard(control)
-            failed = {index for holder, index in self.failed_copies if holder == control}
-            self.inventories[control] = replace(inventory, held=inventory.held - failed)
+            self.answered_at[control] = now
+            corrupt = {index for holder, index in self.corrupt_copies if holder == control}
+            self.inventories[control] = replace(inventory, held=inventory.held - corrupt)
+
+    def readers_with(self, index: int) -> list[str]:
+        """Return the other entry processes of the origin's region that have a chunk."""
+        return [item for item in holders_of(index, self.inventories) if item not in self.remote]
 
     def start_copies(self, missing: list[int]) -> None:
         """Copy missing chunks from the processes that hold them."""
+        most = 1 if self.is_link_narrow else COPIED_AT_ONCE
         for index in missing:
-            if len(self.copies) >= COPIED_AT_ONCE:
+            if len(self.copies) >= most:
                 return
             if self.has(index):
                 continue
@@ -341,8 +388,11 @@
         base = ENDPOINT_PATH if holder in self.endpoints else ENTRY_PATH
         try:
             result = await self.calls.fetch(holder, f"{base}{self.path}/{index}", CACHED_QUERY)
-            if not isinstance(result, Success) or not self.accept(index, result.unwrap()):
-                self.failed_copies.add((holder, index))
-                self.inventories.pop(holder, None)
+            if isinstance(result, Success):
+                if not self.accept(index, result.unwrap()):
+                    self.corrupt_copies.add((holder, index))
+            else:
+                # A holder that is gone no longer answers the queries of its inventory.
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
         finally:
             del self.copies[index]
--- a/verbenaward/sockets.py
+++ b/verbenaward/sockets.py
@@ -1,8 +1,13 @@
-"""Sockets with TCP keepalive, which detect an unreachable peer within seconds."""
+"""Sockets with TCP keepalive, which detect an unreachable peer within seconds; unsent bytes."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
+from aiohttp import web
+
 IDLE_SECONDS = 1
 """Idle time of a connection before the first keepalive probe."""
 PROBE_SECONDS = 1
@@ -29,3 +34,19 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
+
+
+def buffered_bytes(caller: web.BaseRequest) -> int:
+    """Return the bytes written to a caller that this process still holds."""
+    return 0 if caller.transport is None else caller.transport.get_write_buffer_size()
+
+
+def unsent_bytes(caller: web.BaseRequest) -> int:
+    """Return the bytes written to a caller that it has not acknowledged yet."""
+    transport = caller.transport
+    if transport is None or transport.is_closing():
+        return 0
+    connection = transport.get_extra_info("socket")
+    queued = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    (in_kernel,) = struct.unpack("i", queued)
+    return buffered_bytes(caller) + int(in_kernel)
--- a/verbenaward/weight_loading/download.py
+++ b/verbenaward/weight_loading/download.py
@@ -65,6 +65,7 @@
 ) -> None:
     """Fetch available chunks, faster if only one is, until all are done."""
     while chunk := await arrivals.next():
+        fetcher.lacking = arrivals.unfinished
         body = await fetcher.fetch_at(
             chunk.entry,
             chunk_path(version.weights, chunk.index),
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -8,8 +8,9 @@
 from .. import clock
 from ..direct.entry_peers import zone_of_record
 from ..distribution.chunk_runs import entry_order
-from ..distribution.pacing import RATE_QUERY
+from ..distribution.peer_calls import HOLDER_HEADER
 from ..distribution.recent_failures import RecentFailures
+from ..distribution.uploads import LACKING_QUERY, RATE_QUERY
 from ..logs import get_logger
 from ..platform.names import ENTRY_PREFIX
 from ..replica.store_replica import StoreReplica
@@ -28,27 +29,19 @@
 others."""
 RETRY_SECONDS = 0.1
 HTTP_OK = 200
-SLOW_RATIO = 1.3
-"""Actual over expected time of a body from which the link counts as slower than configured."""
-MINIMUM_SHARE = 0.1
-DECREASE_FACTOR = 0.7
-"""Applied to the measured share after a slow body, so that a queue before the link drains."""
-INCREASE_FACTOR = 1.05
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 
 
 class ChunkFetcher:
-    """Fetches from entry processes, near ones first, and adapts the rate to the link.
+    """Fetches from entry processes, near ones first.
 
     Attributes:
       settings: Settings of the process.
       direct: Section "direct" of the settings.
       replica: Local replica of the store, which lists the entry processes.
       session: HTTP client.
-      share: Share of the link's configured rate that is requested, from 0.1 to 1. It is reduced
-        if bodies arrive slower than requested: bytes beyond the link's real rate would fill
-        a queue in which requests to the engine wait too.
+      lacking: Chunks of the version that is fetched which are not here yet.
       link_shares: Parts of the link that running fetches use.
       unreachable_entries: Entry processes that could not be reached lately.
     """
@@ -64,7 +57,7 @@
         self.direct = direct
         self.replica = replica
         self.session = session
-        self.share = 1.0
+        self.lacking = 0
         self.link_shares = LinkShares()
         self.unreachable_entries = RecentFailures()
 
@@ -88,7 +81,7 @@
             try:
                 async with self.session.head(f"http://{entry}{path}", timeout=timeout) as response:
                     if response.status == HTTP_OK:
-                        return entry
+                        return response.headers.get(HOLDER_HEADER, entry)
             except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
                 self.unreachable_entries.record_failure(entry, clock.now())
                 LOG.warning("chunk.fetch-failed", url=path, error=f"{type(error).__name__} {error}")
@@ -164,38 +157,18 @@
             sock_connect=FETCH_TIMEOUT_SECONDS,
             sock_read=FETCH_TIMEOUT_SECONDS,
         )
-        share = self.share
-        rate = share * self.link_rate() * part
-        query = {RATE_QUERY: f"{rate:.0f}"} if rate else {}
+        rate = self.link_rate() * part
+        query = {LACKING_QUERY: str(self.lacking), **({RATE_QUERY: f"{rate:.0f}"} if rate else {})}
         try:
             async with self.session.get(url, params=query, timeout=timeout) as response:
-                began = clock.now()
                 body = await response.read()
-                if response.status != 200:
-                    return None
-                if rate:
-                    self.update_share(len(body) / rate, clock.now() - began, share)
-                return body
+                return body if response.status == HTTP_OK else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             LOG.warning(
                 "chunk.fetch-failed", url=url, error=f"{type(error).__name__} {error}"[:150]
             )
             return None
 
-    def update_share(self, expected_seconds: float, took_seconds: float, share: float) -> None:
-        """Adapt the requested share of the link's rate to the time that a body took.
-
-        Args:
-          expected_seconds: Time at the requested rate.
-          took_seconds: Time from the response headers to the last byte.
-          share: Share of the link's rate that was requested.
-        """
-        if expected_seconds <= 0 or took_seconds < SLOW_RATIO * expected_seconds:
-            self.share = min(1.0, self.share * INCREASE_FACTOR)
-            return
-        measured = DECREASE_FACTOR * share * expected_seconds / took_seconds
-        self.share = max(MINIMUM_SHARE, min(self.share, measured))
-
 
 def sha256(body: bytes) -> bytes:
     """Return the SHA-256 digest of a chunk."""
--- a/verbenaward/weight_loading/link_shares.py
+++ b/verbenaward/weight_loading/link_shares.py
@@ -11,8 +11,7 @@
 MAXIMUM_PARTS = 2
 """Most parts of one fetch. While no other chunk is available, as after the return of the origin,
 each is fetched faster; the last part is left for a second fetch, so that the link is not idle
-between two. Otherwise each gets one part: a short delay makes a fast body look slow
-(`SLOW_RATIO`)."""
+between two. Otherwise each gets one part."""
 
 
 class LinkShares:
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -1,6 +1,7 @@
 """Endpoint role that loads weights into the engine on its VM: wiring and tasks."""
 
 import asyncio
+import math
 
 from aiohttp import web
 
@@ -9,8 +10,9 @@
 from ..data import HeldWeights
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.inventory import encode_inventory
-from ..distribution.pacing import send_paced
 from ..distribution.peer_calls import ENDPOINT_PATH, INVENTORY_NAME
+from ..distribution.upload_order import Receiver
+from ..distribution.uploads import Uploads
 from ..placement.fleet import Fleet
 from ..platform.names import ALL_KEYS_PREFIX
 from ..replica.first_read import read_from_seeds, seed_controls
@@ -36,7 +38,8 @@
       follower: Watches the store while no entry process answers.
       engine_loader: Loads weights into the engine.
       engine_reporter: Reports what the engine holds and how many requests it has.
-      uploads: Allows one chunk at a time to be sent.
+      turn: Allows one chunk at a time to be sent.
+      uploads: The chunks that are sent.
     """
 
     def __init__(self, settings: Settings, direct: DirectSettings) -> None:
@@ -61,7 +64,8 @@
         self.engine_reporter = EngineReporter(
             loader.engine, loader.fetcher, direct, lambda: len(loader.engines_of_region())
         )
-        self.uploads = asyncio.Semaphore(1)
+        self.turn = asyncio.Semaphore(1)
+        self.uploads = Uploads()
         self.tasks: list[asyncio.Task[None]] = []
         self.runner = web.AppRunner(web.Application(), access_log=None)
 
@@ -99,11 +103,9 @@
         chunk = await self.engine_loader.staged_chunk(weights, index)
         if chunk is None:
             return web.Response(status=404)
-        rate = UPLOAD_SHARE * self.engine_loader.fetcher.link_rate()
-        if not rate:
-            return web.Response(body=chunk)
-        async with self.uploads:
-            return await send_paced(request, chunk, rate)
+        rate = UPLOAD_SHARE * self.engine_loader.fetcher.link_rate() or math.inf
+        async with self.turn:
+            return await self.uploads.send(request, chunk, rate, Receiver.ENGINE)
 
     def reload(self, settings: Settings, direct: DirectSettings) -> None:
         """Apply changed settings; addresses stay the same until the next start."""
@@ -120,5 +122,6 @@
         """Cancel all tasks and close all connections."""
         for task in self.tasks:
             task.cancel()
+        self.uploads.close()
         await self.runner.cleanup()
         await self.session.close()
