One odd entry of the store costs only itself

Reported by other operators: another writer left an entry that is nested deeply, or has a number or a port out of range, and the processes that read the list ended or stopped following it.

All readers of the store's values, of its answers, of records of processes and of inventories use one list of decode errors now, and numbers and addresses are checked where they are parsed.

The scenario of malformed registrations has these entries now, and a process that starts later has to follow from the store and from a peer: failed before, passes now.

--- a/tests/direct/store.feature
+++ b/tests/direct/store.feature
@@ -31,11 +31,13 @@
     And a caller looks something up
     Then it gets the complete answer of a backend
 
+  # Guards against one odd entry that ends a process, or its following of all others.
   Scenario: Malformed registrations of another writer add no backend
     Given one entry process that is ready
     When another writer registers malformed backends
     And a caller looks something up
     Then it gets the complete answer of a backend
+    And a process that starts follows all others from the store and from a peer
 
   Scenario: Backends whose registration lapsed in an outage stay in use for a while
     Given one entry process that is ready
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import time
 from unittest import mock
 
@@ -14,14 +15,15 @@
 from verbenaward import clock
 from verbenaward.distribution.chunk_cache import DIGESTS_INDEX, ChunkKey
 from verbenaward.placement.backends import FAILURE_SMOOTHING
-from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.key_value import KeyValueEntry, Position
 from verbenaward.platform.leased_store import LeasedStore
 from verbenaward.platform.names import BACKEND_PREFIX, DIGESTS_PREFIX
 from verbenaward.replica.chunk_digests import stored_digests, write_digests
 from verbenaward.replica.follower import MAXIMUM_WATCH_SECONDS
+from verbenaward.replica.peer_transfer import changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
-from verbenaward.schema.messages import Pulse
-from verbenaward.wire.codec import encode
+from verbenaward.schema.messages import Pulse, StoredItems
+from verbenaward.wire.codec import decode, encode
 
 READY_SECONDS = 5.0
 
@@ -96,6 +98,11 @@
         )
 
     run(context, start())
+    budgets = [role.budget for role in context.platform.entries]
+    assert run(context, until(lambda: all(budget.entry_count for budget in budgets)))
+    for budget in budgets:
+        # The processes have run for longer than its window.
+        budget.started_at = -math.inf
 
 
 @given('all plain backends are "{mode}"')
@@ -482,11 +489,56 @@
         context.platform.store.put(f"servers/x-{index}", value)
     broken = plain(context)[0].registration().replace(b'"ready"', b'"unheard-of"')
     context.platform.store.put("servers/x-9", broken)
+    for index, value in enumerate(odd_registrations(engines(context)[0])):
+        context.platform.store.put(f"servers/x-1{index}", value)
     run(context, asyncio.sleep(0.3))
     known = context.platform.entries[0].fleet.backends
     assert not any(identity.startswith("x-") for identity in known)
 
 
+def odd_registrations(backend):
+    """Return registrations that are nested deeply, or have numbers or addresses out of range."""
+    sound = json.loads(backend.registration())
+    deep = "[" * 5000 + "]" * 5000
+    odd = (
+        {"slots": 10**30},
+        {"model_list": [{"name": "model", "version": 10**30}]},
+        {"born": 10**30},
+        {"born": 1e308},
+        {"address": "a b\r\n:80"},
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:\u0661\u0662"},
+        {"cold_remaining_ms": 10**30},
+    )
+    values = [json.dumps({**sound, "address": "10.9.9.9:80", **fields}) for fields in odd]
+    nested = json.dumps({**sound, "address": "10.9.9.9:80", "model_list": 0})
+    huge = json.dumps({**sound, "address": "10.9.9.9:80", "sequence": 7})
+    values += [
+        deep,
+        nested.replace('"model_list": 0', f'"model_list": {deep}'),
+        huge.replace('"sequence": 7', f'"sequence": {"9" * 5000}'),
+    ]
+    return [value.encode() for value in values]
+
+
+@then("a process that starts follows all others from the store and from a peer")
+def late_process_follows(context):
+    run(context, context.platform.add_entry("zone-b"))
+    first, late = context.platform.entries[0], context.platform.entries[-1]
+    assert run(context, until(late.is_ready))
+    sent = changes_to_message(first.replica.changes_after(Position()), 0.0, 1.0)
+    assert decode(StoredItems, encode(sent)).items
+    context.platform.configuration_version += 1
+    context.platform.write_configuration()
+    version = context.platform.configuration_version
+
+    def follow():
+        return [role.fleet.table.configuration.version for role in (first, late)]
+
+    assert run(context, until(lambda: follow() == [version] * 2)), follow()
+    assert set(late.fleet.backends) == set(context.platform.backends)
+
+
 @when("the store goes down, and all registrations have lapsed when it returns")
 def lapse(context):
     store = context.platform.store
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -7,6 +7,7 @@
 import msgspec
 from blake3 import blake3
 
+from ..platform.declarations import DECODE_ERRORS
 from ..platform.key_value import Position
 from ..schema.messages import Pulse
 from ..schema.settings import Settings
@@ -51,7 +52,7 @@
     """Return the availability zone in the record of an entry process; empty if malformed."""
     try:
         return msgspec.json.decode(value, type=EntryRecord).zone
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return ""
 
 
--- a/verbenaward/distribution/inventory.py
+++ b/verbenaward/distribution/inventory.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..platform.declarations import DECODE_ERRORS
 from .readers import Inventory
 
 BITS_PER_BYTE = 8
@@ -32,7 +33,7 @@
     """Return the inventory in a body; a failure if it is malformed."""
     try:
         message = msgspec.json.decode(body, type=InventoryMessage)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Failure(f"malformed inventory: {error}")
     return Success(Inventory(indexes_of(message.held), indexes_of(message.receiving)))
 
--- a/verbenaward/placement/evacuations.py
+++ b/verbenaward/placement/evacuations.py
@@ -7,6 +7,7 @@
 
 from .. import metrics
 from ..logs import get_logger
+from ..platform.declarations import DECODE_ERRORS
 from ..platform.key_value import KeyValueEntry
 from ..platform.names import EVACUATION_PREFIX
 
@@ -79,6 +80,6 @@
     """Return what is malformed in the value of an evacuation; empty for nothing."""
     try:
         body = msgspec.json.decode(value)
-    except (msgspec.DecodeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return f"{type(error).__name__} {error}"[:MAXIMUM_FAULT_LENGTH]
     return "" if isinstance(body, dict) else "the value is not an object"
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -1,5 +1,6 @@
 """Parsers of the entries that the operator and the backends write to the platform's store."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -25,6 +26,12 @@
 MILLISECONDS = 1000.0
 DEFAULT_TOKENS_PER_PASS = 2048
 """Prompt tokens that an engine reads in one pass if its declaration does not say."""
+MAXIMUM_NUMBER = 2**32 - 1
+"""Largest whole number that messages between processes carry."""
+MAXIMUM_BORN_MS = 2**48
+"""Largest start time, in milliseconds since the epoch: the year 10889."""
+HOST_PATTERN = re.compile(r"[A-Za-z0-9.\-]+")
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 MAXIMUM_AMOUNT = 1e15
 """Largest number of a field that is a time or a rate; an integer may exceed the range of floats."""
 KIND_BY_NAME = {
@@ -34,8 +41,17 @@
 }
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 """Whether a backend takes no new requests, by the state that it registers."""
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, msgspec.DecodeError)
-"""Exceptions that a malformed document can raise while it is parsed."""
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    msgspec.DecodeError,
+)
+"""Exceptions that a malformed document can raise while it is parsed; a recursion error if it is
+nested deeply."""
 
 
 def parse_configuration(entry: KeyValueEntry) -> Result[RoutingConfiguration, Fault]:
@@ -160,19 +176,16 @@
     """Parse the registration of a backend; a Fault with the reason if it is malformed."""
     try:
         body = msgspec.json.decode(entry.value)
-        host, _, port = required_text(body, "address").rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(f"the address {body['address']!r} is not host:port (1 to 65535)")
         return Success(
             Backend(
                 identity=entry.key.removeprefix(BACKEND_PREFIX),
                 service=required_text(body, "service"),
-                address=f"{host}:{int(port)}",
+                address=parse_address(required_text(body, "address")),
                 zone=required_text(body, "zone"),
                 slots=required_number(body, "slots"),
                 is_leaving=LEAVING_BY_STATE[body["state"]],
                 weights=parse_held_weights(body),
-                born_unix_ms=int(body.get("born") or 0),
+                born_unix_ms=parse_born(body.get("born")),
                 revision=entry.revision,
                 cold_seconds=amount(body, "cold_remaining_ms") / MILLISECONDS,
             )
@@ -181,6 +194,31 @@
         return Failure(Fault(entry.key, "", f"malformed value: {type(error).__name__} {error}"))
 
 
+def parse_address(text: str) -> str:
+    """Parse the address of a backend.
+
+    Raises:
+      ValueError: It is not host:port with a port from 1 to 65535.
+    """
+    host, _, port = text.rpartition(":")
+    is_valid = HOST_PATTERN.fullmatch(host) and PORT_PATTERN.fullmatch(port)
+    if not is_valid or not 0 < int(port) < 65536:
+        raise ValueError(f"the address {text[:100]!r} is not host:port (1 to 65535)")
+    return f"{host}:{int(port)}"
+
+
+def parse_born(value: Any) -> int:
+    """Parse the start of a backend, in milliseconds since the epoch; 0 if it is absent.
+
+    Raises:
+      ValueError: It is negative or too large.
+    """
+    born = int(value or 0)
+    if not 0 <= born <= MAXIMUM_BORN_MS:
+        raise ValueError("born is negative or too large")
+    return born
+
+
 def parse_held_weights(body: dict[str, Any]) -> tuple[HeldWeights, ...] | None:
     """Parse the list of weights that a backend holds completely; None if it has no list."""
     listed = body.get("model_list")
@@ -206,15 +244,18 @@
 
 
 def required_number(body: dict[str, Any], key: str) -> int:
-    """Return a field that must be an integer.
+    """Return a field that must be an integer from 0 to `MAXIMUM_NUMBER`.
 
     Raises:
       KeyError: The field is missing.
       TypeError: It is not an integer, or a boolean.
+      ValueError: It is negative or too large.
     """
     value = body[key]
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f"{key} is not an integer")
+    if not 0 <= value <= MAXIMUM_NUMBER:
+        raise ValueError(f"{key} is negative or too large")
     return value
 
 
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -12,6 +12,7 @@
 
 from .. import metrics
 from . import names
+from .declarations import DECODE_ERRORS
 from .key_value import (
     ADAPTERS,
     KeyValueEntry,
@@ -251,7 +252,7 @@
                 return Failure(KeyValueError(failure, f"{path}: status {response.status}"))
         except aiohttp.ClientConnectorError as error:
             return Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, str(error)))
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, OSError) as error:
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, *DECODE_ERRORS) as error:
             message = f"{method} {path}: {type(error).__name__} {error}"
             return Failure(KeyValueError(KeyValueFailure.UNKNOWN, message))
 
@@ -269,7 +270,7 @@
     def parse_or_fail(body: Any) -> Result[Any, KeyValueError]:
         try:
             return Success(parse(body))
-        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        except (*DECODE_ERRORS, binascii.Error) as error:
             message = f"malformed answer: {type(error).__name__} {error}"
             return Failure(KeyValueError(KeyValueFailure.UNKNOWN, message))
 
--- a/verbenaward/platform/write_orders.py
+++ b/verbenaward/platform/write_orders.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..registry import Registry
+from .declarations import DECODE_ERRORS
 from .key_value import KeyValueEntry
 from .names import BACKEND_PREFIX, CONFIGURATION_KEY, EVACUATION_PREFIX, VERSION_PREFIX
 
@@ -30,6 +31,8 @@
     read_order: Callable[[dict[str, int | str]], WriteOrder]
 
 
+MAXIMUM_ORDER = 2**63
+"""Largest number of an order that messages between processes carry; larger ones are malformed."""
 KINDS: Registry[WriteKind] = Registry("key prefix")
 
 
@@ -84,6 +87,7 @@
     if kind is None or not entry.value:
         return entry.last_order
     try:
-        return kind.read_order(msgspec.json.decode(entry.value))
-    except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError):
+        order = kind.read_order(msgspec.json.decode(entry.value))
+    except DECODE_ERRORS:
         return ()
+    return order if all(0 <= number <= MAXIMUM_ORDER for number in order) else ()
