Join to a begun stream only the events that follow

Reported by other operators: clients found an error's text in the middle of their stream. An answer with another status was already turned into a cut.

Change: what resumes a stream must be an event stream without an encoding, and an event whose id is not above the last one ends the attempt before it is forwarded. The scenario plays four wrong answers; events that come twice and the text failed before, all four pass now.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import hashlib
 import json
 import random
@@ -25,6 +26,8 @@
 """Send buffer of a connection whose events are padded."""
 ENDLESS_BLOCK_BYTES = 64 * 1024
 """Bytes that a backend without end to its answer sends at a time."""
+RESUMED_WRONGLY = ("resumes-anew", "resumes-encoded", "resumes-with-text", "resumes-with-error")
+"""Modes in which a stream breaks off in its middle, and what resumes it is not its rest."""
 ENDLESS = {
     "endless-body": ("HTTP/1.1 200 OK\r\nSIGNATURE\r\n", "x"),
     "endless-chunks": (
@@ -291,6 +294,8 @@
         response = web.StreamResponse(
             headers={**headers, "Content-Type": "text/event-stream", "X-Weight-Versions": "1"}
         )
+        if self.mode in RESUMED_WRONGLY and "Last-Event-Id" in request.headers:
+            return await self.resume_wrongly(request, headers)
         await response.prepare(request)
         if self.crashing_part and self.crashing_part in parts_of(request):
             await asyncio.sleep(WORK_SECONDS)
@@ -300,7 +305,8 @@
             limit_send_buffer(request)
         for index in range(first, self.stream_events + 1):
             event = f"id: {index}\ndata: piece {index}{self.padding}\n\n".encode()
-            if self.mode == "truncated-event" and index == STREAM_EVENTS // 2:
+            breaks = self.mode == "truncated-event" or self.mode in RESUMED_WRONGLY
+            if breaks and index == STREAM_EVENTS // 2:
                 await response.write(event[:6])
                 await asyncio.sleep(0.01)
                 reset_connection(request)
@@ -316,6 +322,21 @@
         await response.write_eof()
         return response
 
+    async def resume_wrongly(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer a request to go on with a stream as the mode says."""
+        first_event = b"id: 1\ndata: piece 1\n\n"
+        if self.mode == "resumes-anew":
+            kind = {"Content-Type": "text/event-stream"}
+            return web.Response(headers={**headers, **kind}, body=first_event)
+        if self.mode == "resumes-encoded":
+            kind = {"Content-Type": "text/event-stream", "Content-Encoding": "gzip"}
+            return web.Response(headers={**headers, **kind}, body=gzip.compress(first_event))
+        text = b'{"error": "no"}\n\nHTTP/1.1 503 no\r\n\r\n'
+        status = 200 if self.mode == "resumes-with-text" else 500
+        return web.Response(status=status, headers=headers, body=text)
+
     async def report(self, request: web.Request) -> web.Response:
         """Return the state and load of the engine."""
         return web.json_response(
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -123,6 +123,19 @@
     When a caller opens a stream that may not be resumed
     Then the connection ends without a complete answer
 
+  # Guards against an error's text, or events that come twice, in the middle of a caller's stream.
+  Scenario Outline: What is not the rest of a stream is not joined to it
+    Given all engines are "<mode>"
+    When a caller reads a stream until its connection ends
+    Then it got events in order, once each, nothing else, and no complete end
+
+    Examples: resumed
+      | mode               |
+      | resumes-anew       |
+      | resumes-encoded    |
+      | resumes-with-text  |
+      | resumes-with-error |
+
   Scenario: A slow stream is not cancelled when the retry budget is used up
     Given all engines are "slow"
     When a caller opens a stream and the retry budget is used up meanwhile
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -337,6 +337,34 @@
         assert call(context, f"/stream/{index}", f"s-{index}")[0] == 200
 
 
+@when("a caller reads a stream until its connection ends")
+def read_to_the_end(context):
+    context.read, context.is_complete = b"", False
+
+    async def read():
+        address = context.platform.entries[0].direct.front
+        headers = {"Host": CALLER_HOST, "X-Attempt-Id": "a-7", "X-Deadline-Ms": "3000"}
+        headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{address}/stream/x", headers=headers) as answer,
+        ):
+            async for piece in answer.content.iter_any():
+                context.read += piece
+        context.is_complete = True
+
+    with contextlib.suppress(aiohttp.ClientError):
+        run(context, read())
+
+
+@then("it got events in order, once each, nothing else, and no complete end")
+def only_events(context):
+    count = context.read.count(b"\n\n")
+    expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, count + 1))
+    assert count and context.read == expected, context.read
+    assert not context.is_complete
+
+
 @then("it gets all events in order, once each")
 @then("each gets all events in order, once each")
 def all_events(context):
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -101,6 +102,7 @@
 
         Raises:
           CallerGoneError: The caller has closed its connection.
+          ClientPayloadError: The events are not those that follow; none of them is forwarded.
           RefusedError: The process has no memory for the events.
         """
         self.partial_event += piece
@@ -112,6 +114,8 @@
             return False
         whole = self.partial_event[: end + len(EVENT_END)]
         self.partial_event = self.partial_event[end + len(EVENT_END) :]
+        if comes_again(first_id_of(whole), self.last_event_id):
+            raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
         self.last_event_id = last_id_of(whole) or self.last_event_id
         self.writes += 1
         try:
@@ -160,6 +164,26 @@
     return line.strip().decode(errors="replace")
 
 
+def first_id_of(events: bytes) -> str:
+    """Return the id of the first event that has one; empty if no event has an id."""
+    lines = (line for line in events.split(b"\n") if line.startswith(ID_FIELD))
+    line = next(lines, ID_FIELD)
+    return line[len(ID_FIELD) :].strip().decode(errors="replace")
+
+
+def comes_again(event_id: str, last_event_id: str) -> bool:
+    """Return True if an event was forwarded before, as its id is not above the last one."""
+    if not event_id.isdecimal() or not last_event_id.isdecimal():
+        return False
+    return (len(event_id), event_id) <= (len(last_event_id), last_event_id)
+
+
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return True if an answer is a stream of events without an encoding."""
+    kind = headers.get("Content-Type", "").partition(";")[0].strip().lower()
+    return kind == "text/event-stream" and not headers.get("Content-Encoding")
+
+
 class StreamForwarder:
     """Runs requests whose answers are streams.
 
@@ -305,6 +329,8 @@
         progress.answer_began_at = clock.now()
         if delivery.response is None:
             await delivery.open(headers_for_caller(answer.headers))
+        elif not is_event_stream(answer.headers):
+            return FailedAttempt(FailureKind.INVALID, True, "the resumed answer is no event stream")
         try:
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece, limit):
