--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -11,6 +11,11 @@
       | PUT    |
       | POST   |
 
+  # Guards against "not run" for a call that ran: the proxied mode took what came late for the next answer.
+  Scenario: An earlier refusal that is written once more is not the answer to the next call
+    Given a backend that writes an earlier refusal once more after each answer
+    Then each of 3 calls gets its own answer
+
   Scenario: A write that took effect though its answer was lost is not reported as a conflict
     Given a key-value service that applies a write and loses its answer
     When a key is written on the condition that it is new
--- a/tests/steps/http_client.py
+++ b/tests/steps/http_client.py
@@ -72,11 +72,41 @@
 
 @when("the proxied mode sends a {method} call to it")
 def send_call(context, method):
-    client = BackendClient(f"http://{context.server.address}", *context.sessions)
+    client = BackendClient(f"http://{context.server.address}", context.sessions[1])
     call = BackendCall("id", method, "/", b"", "text/plain", 0, "", 0, clock.now() + 3)
     context.result = run(context, client.run(call, "vm", ""))
 
 
+@given("a backend that writes an earlier refusal once more after each answer")
+def repeating_backend(context):
+    async def answer(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+            await asyncio.sleep(0.02)
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nold")
+
+    async def listen():
+        host, _, port = context.server.address.rpartition(":")
+        context.server.server.close()
+        await context.server.server.wait_closed()
+        context.server.server = await asyncio.start_server(answer, host, int(port))
+
+    serve(context, ends=False)
+    run(context, listen())
+
+
+@then("each of {count:d} calls gets its own answer")
+def own_answers(context, count):
+    async def send():
+        call = BackendCall("id", "GET", "/", b"", "text/plain", 0, "", 0, clock.now() + 3)
+        client = BackendClient(f"http://{context.server.address}", context.sessions[1])
+        result = await client.run(call, "vm", "")
+        await asyncio.sleep(0.1)
+        return result.unwrap().status
+
+    assert [run(context, send()) for _ in range(count)] == [200] * count
+
+
 @when("a key is written on the condition that it is new")
 def write_key(context):
     service = HttpKeyValueService(context.sessions[0], f"http://{context.server.address}")
--- a/tests/steps/requests_streams.py
+++ b/tests/steps/requests_streams.py
@@ -117,7 +117,7 @@
 def run_alone(context):
     async def run():
         async with aiohttp.ClientSession() as session:
-            backend = BackendClient(f"http://{CLOSED_ADDRESS}", session, session)
+            backend = BackendClient(f"http://{CLOSED_ADDRESS}", session)
             run_handler = RunHandler(
                 "vm", backend, context.gate, str, False, None, lambda size: None, lambda: None
             )
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -57,24 +57,20 @@
 
     Attributes:
       url: Base URL of the backend.
-      session: HTTP client with a connection pool, for idempotent calls.
-      unpooled_session: HTTP client that opens a new connection for each call: one whose pooled
-        connection turns out to be closed may have run and could not be sent again.
+      session: HTTP client that opens a new connection for each call. On a kept one, what the
+        backend wrote after an earlier answer would be taken for the answer of the next call, and a
+        call whose connection turns out to be closed may have run and could not be sent again.
     """
 
-    def __init__(
-        self, url: str, session: aiohttp.ClientSession, unpooled_session: aiohttp.ClientSession
-    ) -> None:
+    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
         self.url = url.rstrip("/")
         self.session = session
-        self.unpooled_session = unpooled_session
 
     def open_call(self, call: BackendCall) -> aiohttp.client._RequestContextManager:
         """Return the context manager that sends a call and yields the response."""
-        session = self.unpooled_session if call.idempotency_key else self.session
         seconds = max(0.0, call.deadline - clock.now())
         timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
-        return session.request(
+        return self.session.request(
             call.method,
             self.url + call.path,
             data=call_body(call),
@@ -116,7 +112,7 @@
         """Return True if the backend answers a health check, with any status."""
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         try:
-            async with self.unpooled_session.get(self.url + PROBE_PATH, timeout=timeout):
+            async with self.session.get(self.url + PROBE_PATH, timeout=timeout):
                 return True
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return False
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -72,7 +72,7 @@
             self.build_slot_manager()
         self.run_handler = RunHandler(
             control.settings.vm,
-            BackendClient(endpoint.backend, control.session, self.unpooled_session),
+            BackendClient(endpoint.backend, self.unpooled_session),
             self.gate,
             self.active_release,
             self.is_engine,
