--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -102,7 +102,7 @@
 
         Raises:
           CallerGoneError: The caller has closed its connection.
-          ClientPayloadError: The events are not those that follow; none of them is forwarded.
+          ClientPayloadError: The events were forwarded before; none of them is forwarded again.
           RefusedError: The process has no memory for the events.
         """
         self.partial_event += piece
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -74,7 +74,7 @@
 FETCH_SECONDS = 20.0
 """Time for which a chunk is tried that no source has; later requests start again."""
 UNKNOWN_VERSION = 0
-"""Stands for the version of a model of which nobody knows any."""
+"""Stands for the version of a model of which no version is known."""
 DIGEST_ATTEMPTS = 5
 """Attempts to fetch the digests of a version."""
 LOGGED_FAILURES = 10
@@ -211,7 +211,7 @@
                 self.start_fetch(key)
 
     def find_unknown_versions(self) -> None:
-        """Query the origin for the version of each model of which nobody knows any.
+        """Query the origin for the version of each model of which no version is known.
 
         All engines may have lost their weights before the digests of any version were stored.
         """
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -392,7 +392,7 @@
                 if not self.accept(index, result.unwrap()):
                     self.corrupt_copies.add((holder, index))
             else:
-                # A holder that is gone no longer answers the queries of its inventory.
+                # A holder that has ended does not answer queries of its inventory.
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
         finally:
             del self.copies[index]
