--- a/tests/distribution/uploads.feature
+++ b/tests/distribution/uploads.feature
@@ -6,6 +6,10 @@
     Then no more than 0.1 s of the link or 32 KiB are under way, and 16 KiB to one receiver
     And a link that was never busy is not taken for a narrow one
 
+  Scenario: The full rate returns once a link that was narrow has it again
+    When a link carries a quarter of its rate for 3 s and then all of it
+    Then at least 9 in 10 of what it can carry are sent in both, with at most 0.1 s under way
+
   # Guards against engines that are all loaded as late as the last one, and work that never ends.
   Scenario: The engine that lacks least gets its chunks first
     When bodies for any receivers wait, and the link carries any rate
--- a/tests/steps/uploads.py
+++ b/tests/steps/uploads.py
@@ -91,3 +91,42 @@
             assert chosen.has_begun or chosen.receiver is Receiver.ENGINE
 
     check()
+
+
+@when("a link carries a quarter of its rate for {seconds:d} s and then all of it")
+def narrow_then_full(context, seconds):
+    full, step, rate = 5e5, 0.005, LinkRate(0.0, 0)
+    sent, unsent = 0, dict.fromkeys(range(6), 0.0)
+    context.shares, context.most = [], 0.0
+    for link in (full / 4, full):
+        before = sent - sum(unsent.values())
+        for _ in range(int(seconds / step)):
+            free = link * step
+            for number in unsent:
+                taken = min(unsent[number], free)
+                unsent[number], free = unsent[number] - taken, free - taken
+            now = rate.measured_at if not sent else context.now + step
+            context.now = now
+            while True:
+                under_way = sum(unsent.values())
+                rate = updated_rate(rate, int(sent - under_way), under_way >= rate.limit_bytes, now)
+                waiting = [
+                    PendingSlice(number, Receiver.ENGINE, 0, True, int(held))
+                    for number, held in unsent.items()
+                ]
+                chosen = next_slice(waiting, int(under_way), rate, Receiver.READER)
+                if chosen is None:
+                    break
+                unsent[chosen.number] += SLICE_BYTES
+                sent += SLICE_BYTES
+            context.most = max(context.most, sum(unsent.values()) / max(0.1 * link, 32 * 1024))
+        context.shares.append((sent - sum(unsent.values()) - before) / (link * seconds))
+
+
+@then(
+    "at least {part:d} in 10 of what it can carry are sent in both, "
+    "with at most {seconds:g} s under way"
+)
+def link_is_used(context, part, seconds):
+    assert min(context.shares) >= part / 10, context.shares
+    assert context.most <= 1.0 + SLICE_BYTES / (32 * 1024), context.most
