--- a/review/harness.py
+++ b/review/harness.py
@@ -127,6 +127,88 @@
     raise CouldNotRunError("no free port")
 
 
+class PartitionedStore(PlatformStoreStandIn):
+    """The platform's store, which shows the edge machines at the addresses of their links.
+
+    Attributes:
+      shown: Address at which a machine is shown, by its own address.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.shown: dict[str, str] = {}
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key; the registration of an edge machine under the address of its link."""
+        for own, shown in self.shown.items():
+            if key.endswith(f"/{own}"):
+                key = key.removesuffix(own) + shown
+        return super().put(key, value, lease)
+
+
+class Link(asyncio.DatagramProtocol):
+    """The link of one edge machine: a proxy of its internal port for datagrams and connections.
+
+    Attributes:
+      own: Address of the machine.
+      shown: Address of the proxy.
+      links: All links, by the address of the machine.
+      side: Number of the half to which it belongs while there is a partition; 0 for none.
+      dropped: Datagrams that a partition has dropped.
+    """
+
+    def __init__(self, own: str, shown: str, links: dict[str, "Link"]) -> None:
+        self.own, self.shown, self.links = own, shown, links
+        self.side = 0
+        self.dropped = 0
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> asyncio.Server:
+        """Listen at the address of the proxy."""
+        host, _, port = self.shown.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        return await asyncio.start_server(self.connect, host, int(port))
+
+    def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
+        """Pass a datagram on to the machine, from the proxy of its sender."""
+        sender = self.links.get(f"{source[0]}:{source[1]}")
+        if sender is self:
+            return
+        if sender is not None and sender.side != self.side:
+            self.dropped += 1
+            return
+        transport = (sender or self).transport
+        host, _, port = self.own.rpartition(":")
+        if transport is not None:
+            transport.sendto(data, (host, int(port)))
+
+    async def connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass a connection on to the machine."""
+        host, _, port = self.own.rpartition(":")
+        try:
+            inner_reader, inner_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(pipe(reader, inner_writer), pipe(inner_reader, writer))
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
+async def pipe(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copy one direction of a connection until it ends."""
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    except OSError:
+        pass
+    finally:
+        writer.close()
+
+
 class Daemon:
     """One machine with one process of the project; the platform starts it again if it ends.
 
@@ -304,6 +386,8 @@
       arrivals: When requests arrived, with their attempt ids, since the script began.
       loads: For each accepted order the version and the faults of what lay there.
       is_busy: True while an order is carried out.
+      work_seconds: Time that a plain worker takes for a request.
+      cold_ms: How much longer it is cold, as it registers that.
       on_stage_get: Called before a staged piece is sent, with its index.
     """
 
@@ -319,7 +403,7 @@
         self.spoilt_at: dict[int, float] = {}
         self.state = "ready"
         self.slots = 16
-        self.born = int(time.time() * 1000)
+        self.born = deployment.born
         self.orders = 0
         self.runs: Counter[str] = Counter()
         self.bodies: dict[str, bytes] = {}
@@ -330,6 +414,7 @@
         self.is_gone = False
         self.on_stage_get: Callable[[int], Awaitable[None]] | None = None
         self.work_seconds = 0.0225
+        self.cold_ms = 0
         self.registered = b""
         self.runner: web.AppRunner | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -368,7 +453,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms,
             "sequence": 1,
             "born": self.born,
         }
@@ -526,6 +611,13 @@
       entries: Machines of the class edge.
       endpoints: Machines of the class side.
       workers: Workers by id.
+      side_megabits: Link of the side machines.
+      links: Links of the edge machines, by their addresses, if `has_links`.
+      has_links: Whether the edge machines reach each other over links that can be cut.
+      service_fields: Further fields of the plain service in the configuration.
+      servers: Servers of the links.
+      born: Start of the workers, in milliseconds since the epoch.
+      plain_identity: Returns the id of a plain worker by its number.
       answers: For each request its sending time, path, status and whether it was answered whole.
     """
 
@@ -533,7 +625,7 @@
         self.record = Record(case)
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        self.store = PlatformStoreStandIn()
+        self.store = PartitionedStore()
         self.store.era = 0
         self.origin = Origin(self.record)
         self.ports = {}
@@ -542,6 +634,10 @@
         self.store_address = f"127.30.0.1:{self.ports['store']}"
         self.origin_address = f"127.30.0.2:{self.ports['origin']}"
         self.side_megabits = 4.7
+        self.links: dict[str, Link] = {}
+        self.has_links = False
+        self.service_fields: dict[str, Any] = {}
+        self.servers: list[asyncio.Server] = []
         self.entries: list[Daemon] = []
         self.endpoints: list[Daemon] = []
         self.workers: dict[str, Worker] = {}
@@ -550,10 +646,23 @@
         self.answers: list[dict[str, Any]] = []
         self.config_version = 0
         self.sent = 0
+        self.born = int(time.time() * 1000)
+        self.plain_identity: Callable[[int], str] = lambda index: f"i-p{index}"
 
     def seeds(self) -> list[str]:
         """Return the seeds, which name the first machines."""
-        return [f"{item.ip}:{self.ports['internal']}" for item in self.entries[:3]]
+        seeds = [f"{item.ip}:{self.ports['internal']}" for item in self.entries[:3]]
+        return [self.store.shown.get(seed, seed) for seed in seeds]
+
+    async def open_links(self) -> None:
+        """Put a proxy before the internal port of each edge machine."""
+        for entry in self.entries:
+            own = f"{entry.ip}:{self.ports['internal']}"
+            shown = own.replace("127.30.", "127.40.", 1)
+            self.store.shown[own] = shown
+            self.links[own] = Link(own, shown, self.links)
+        for link in self.links.values():
+            self.servers.append(await link.open())
 
     async def listen(self, app: web.Application, address: str) -> web.AppRunner:
         """Serve an application at an address."""
@@ -614,7 +723,10 @@
                 self.endpoints.append(endpoint)
         for index in range(plain):
             zone = list(ZONES)[index % len(ZONES)]
-            await self.add_worker(f"i-p{index}", "beds", zone, f"127.30.9.{index + 1}")
+            identity = self.plain_identity(index)
+            await self.add_worker(identity, "beds", zone, f"127.30.9.{index + 1}")
+        if self.has_links:
+            await self.open_links()
         for daemon in (*self.entries, *self.endpoints):
             daemon.keeper = asyncio.create_task(daemon.run())
         await self.wait_ready(25.0)
@@ -667,7 +779,8 @@
                  "inference_engine": engine},
                 {"name": "portal", "origin_server": self.origin_address, "zone": "lisboa-oeiras",
                  "link_mbps": 15.0, "connection_limit": 48},
-                {"name": "beds", "health_path": "/healthz", "connection_limit": 110},
+                {"name": "beds", "health_path": "/healthz", "connection_limit": 110,
+                 **self.service_fields},
             ],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_194_304,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
@@ -741,6 +854,41 @@
             number += 1
             self.background(self.request(entry, f"{path}{number % 60}", deadline_ms))
 
+    async def resolve(self, zone: str) -> list[Daemon]:
+        """Ask up to three machines where to connect, nearest first, as requesters do."""
+        near = [entry for entry in self.entries if entry.zone == zone]
+        far = [entry for entry in self.entries if entry.zone != zone]
+        order = [*random.sample(near, len(near)), *random.sample(far, len(far))]
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        query = {"name": HOST, "region": ZONES[zone], "zone": zone}
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for entry in order[:3]:
+                url = f"http://{entry.ip}:{self.ports['directory']}/resolve"
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                    async with session.get(url, params=query) as answer:
+                        if answer.status == 200:
+                            named = (await answer.json())["addresses"]
+                            return [item for item in self.entries if item.front in named]
+        return []
+
+    async def requester(
+        self, zone: str, path: str, per_second: float, deadline_ms: int, keep_seconds: float
+    ) -> None:
+        """Send requests to machines that the directory names, until cancelled."""
+        addresses: list[Daemon] = []
+        resolved_at = -keep_seconds
+        due = time.monotonic() + random.random() / per_second
+        while True:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            due += 1.0 / per_second
+            if self.record.now() - resolved_at >= keep_seconds:
+                addresses = await self.resolve(zone) or addresses
+                resolved_at = self.record.now()
+            if addresses:
+                entry = random.choice(addresses)
+                number = random.randrange(60)
+                self.background(self.request(entry, f"{path}{number}", deadline_ms))
+
     def served_share(self, start: float, end: float, prefix: str = "/") -> tuple[int, int]:
         """Return how many requests sent in a span were served, and how many were sent."""
         chosen = [
@@ -759,6 +907,11 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for runner in self.runners:
             await runner.cleanup()
+        for server in self.servers:
+            server.close()
+        for link in self.links.values():
+            if link.transport is not None:
+                link.transport.close()
         if os.environ.get("KEEP_LOGS") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
 
