--- a/review/harness.py
+++ b/review/harness.py
@@ -127,8 +127,8 @@
     raise CouldNotRunError("no free port")
 
 
-class PartitionedStore(PlatformStoreStandIn):
-    """The platform's store, which shows the edge machines at the addresses of their links.
+class Store(PlatformStoreStandIn):
+    """The platform's store, which can show machines at the addresses of their links.
 
     Attributes:
       shown: Address at which a machine is shown, by its own address.
@@ -388,6 +388,7 @@
       is_busy: True while an order is carried out.
       work_seconds: Time that a plain worker takes for a request.
       cold_ms: How much longer it is cold, as it registers that.
+      newline: Line end of the events of its streams.
       on_stage_get: Called before a staged piece is sent, with its index.
     """
 
@@ -415,6 +416,7 @@
         self.on_stage_get: Callable[[int], Awaitable[None]] | None = None
         self.work_seconds = 0.0225
         self.cold_ms = 0
+        self.newline = "\n"
         self.registered = b""
         self.runner: web.AppRunner | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -588,7 +590,8 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for index in range(first, 11):
-            await response.write(f"id: {index}\ndata: {attempt} {index}\n\n".encode())
+            event = f"id: {index}\ndata: {attempt} {index}\n\n"
+            await response.write(event.replace("\n", self.newline).encode())
             await asyncio.sleep(0.03)
         await response.write_eof()
         return response
@@ -625,7 +628,7 @@
         self.record = Record(case)
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        self.store = PartitionedStore()
+        self.store = Store()
         self.store.era = 0
         self.origin = Origin(self.record)
         self.ports = {}
@@ -920,7 +923,7 @@
     """Return True if a body is the whole answer of a sound worker to a request."""
     if not path.startswith("/assist"):
         return body == body_of(attempt)
-    return re.findall(rb"id: (\d+)\n", body) == [str(index).encode() for index in range(1, 11)]
+    return re.findall(rb"id: (\d+)\r?\n", body) == [str(index).encode() for index in range(1, 11)]
 
 
 async def run_case(folder: Path, case: Callable[[Deployment], Awaitable[list[str]]]) -> int:
