--- a/review/harness.py
+++ b/review/harness.py
@@ -318,6 +318,7 @@
       versions: Pieces by version.
       spoil_manifest: Returns the manifest to send in place of the right one.
       manifests: Manifests sent, by version.
+      down_until: Time until which its connections are reset, since the script began.
     """
 
     def __init__(self, record: Record) -> None:
@@ -325,6 +326,7 @@
         self.versions: dict[int, list[bytes]] = {}
         self.spoil_manifest: Callable[[int, bytes], bytes] = lambda _, body: body
         self.manifests: Counter[int] = Counter()
+        self.down_until = 0.0
         self.turn = asyncio.Lock()
         for version in (1, 2):
             rng = random.Random(version)
@@ -341,8 +343,19 @@
         app.router.add_get("/piece/{model}", self.piece)
         return app
 
+    def reset_if_down(self, request: web.Request) -> None:
+        """Reset the connection of a request while the origin is down.
+
+        Raises:
+          CancelledError: It is.
+        """
+        if self.record.now() < self.down_until and request.transport is not None:
+            request.transport.abort()
+            raise asyncio.CancelledError
+
     async def manifest(self, request: web.Request) -> web.Response:
         """Send a manifest."""
+        self.reset_if_down(request)
         version = int(request.query.get("version", max(self.versions)))
         if version not in self.versions:
             return web.Response(status=410)
@@ -361,6 +374,7 @@
 
     async def piece(self, request: web.Request) -> web.Response:
         """Send a piece over a link of 15 Mbit/s."""
+        self.reset_if_down(request)
         version, index = int(request.query["version"]), int(request.query["sample_count"])
         if version not in self.versions or not 0 <= index < CHUNKS:
             return web.Response(status=410)
@@ -381,6 +395,8 @@
       staged: Staged pieces by index.
       spoilt_at: When a staged piece turned bad, by index.
       state: What it registers.
+      slots: Requests that it runs at the same time.
+      queue: Further ones that it lets wait.
       runs: Runs that began, by attempt id.
       bodies: Bodies that arrived, by attempt id.
       arrivals: When requests arrived, with their attempt ids, since the script began.
@@ -403,7 +419,8 @@
         self.staged: dict[int, bytes] = {}
         self.spoilt_at: dict[int, float] = {}
         self.state = "ready"
-        self.slots = 16
+        self.slots = deployment.slots if service == "assist" else 16
+        self.queue = 0
         self.born = deployment.born
         self.orders = 0
         self.runs: Counter[str] = Counter()
@@ -559,7 +576,7 @@
         if expected != self.identity or (self.is_model and version != str(self.version)):
             return web.Response(status=421, headers={"X-Instance-Id": self.identity})
         self.arrivals.append((self.record.now(), attempt))
-        is_full = self.is_busy or len(self.active) >= self.slots
+        is_full = self.is_busy or len(self.active) >= self.slots + self.queue
         if not attempt or is_full or (self.is_model and not self.version):
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.bodies[attempt] = await request.read()
@@ -618,6 +635,8 @@
       links: Links of the edge machines, by their addresses, if `has_links`.
       has_links: Whether the edge machines reach each other over links that can be cut.
       service_fields: Further fields of the plain service in the configuration.
+      more_routes: Further routes of the configuration.
+      slots: Requests that a model worker runs at the same time.
       servers: Servers of the links.
       born: Start of the workers, in milliseconds since the epoch.
       plain_identity: Returns the id of a plain worker by its number.
@@ -640,6 +659,8 @@
         self.links: dict[str, Link] = {}
         self.has_links = False
         self.service_fields: dict[str, Any] = {}
+        self.more_routes: list[dict[str, Any]] = []
+        self.slots = 16
         self.servers: list[asyncio.Server] = []
         self.entries: list[Daemon] = []
         self.endpoints: list[Daemon] = []
@@ -758,7 +779,7 @@
         """Write a configuration as the operator; return when it was acknowledged."""
         self.config_version += 3
         engine = {
-            "slots": 16, "kv_capacity_tokens": 1_180_000, "kv_token_bytes": 163_840,
+            "slots": self.slots, "kv_capacity_tokens": 1_180_000, "kv_token_bytes": 163_840,
             "step_size": 5, "model_list": [{"name": MODEL, "warmup_s": 0.3}], "step_ms": 8.87,
             "per_seq_ms": 0.0388, "context_per_k": 0.0227, "read_per_s": 19_100.0, "chunk": 2048,
             "usual": {"prompt": 977, "answer": 94}, "layers": 16, "layer_mb": 4540.0,
@@ -774,6 +795,7 @@
             {"name": "r-c", "path_prefix": "/check/", "kind": "idempotent", "service": "beds",
              "timeout_ms": 1000, "target_latency_ms": 129, "priority": 2, "max_attempts": 2},
         ]  # fmt: skip
+        routes += self.more_routes
         body = {
             "version": self.config_version,
             "routes": [{**route, "hostname": HOST, "public": False} for route in routes],
@@ -817,7 +839,7 @@
             "X-Deadline-Ms": str(deadline_ms),
             "Authorization": f"Bearer {KEY}",
         }
-        if path.startswith("/assist"):
+        if path.startswith(("/assist", "/facts")):
             part = f"{random.randrange(60):08x}:40,{random.randrange(2**32):08x}:560"
             headers |= {"X-Model": MODEL, "X-Token-Usage": "600,60", "X-Prompt-Prefix-Hash": part}
         headers |= more_headers or {}
