Every log line of a daemon names its VM and its role

Cause: VM (and in the proxied mode the role) were bound as context variables in the task that starts the service. Connections, signals and the stop run in other contexts. Besides, lines of libraries ("Interrupt signal received") went out as plain text.

Change: both are fields of the process, added by the log configuration to each line, whatever its context. Warnings and errors of libraries are written as `library.message`, in the same form and without blocking. `verbenactl logs check` reports lines that lack either.

--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -47,3 +47,10 @@
     Given a log of the proxied mode in which one line lacks a field
     When the logs are checked
     Then only the line without its field is found
+
+  # Guards against lines of connections, signals and the stop that cannot be told apart by process.
+  Scenario: Every log line of a daemon names its VM and its role
+    Given the users' platform with two plain backends and two engines
+    And an entry process of its own that is ready
+    When it serves one request, refuses one and is told to stop
+    Then each of its log lines names its VM and its role, those about requests too
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -115,6 +115,7 @@
     }
 
     context.events |= {"request.resumed", "request.cancelled", "request.answered"}
+    context.events.add("library.message")
     context.schema = DIRECT_EVENTS
 
 
@@ -127,7 +128,7 @@
         for path in root.rglob("*.py")
         if path.relative_to(root).parts[0] not in direct
         for event in re.findall(r'LOG\.\w+\(\s*"([^"]+)"', path.read_text())
-    }
+    } | {"library.message"}
     context.schema = PROXIED_EVENTS
 
 
@@ -138,7 +139,7 @@
 
 def line(second, vm, event, **values):
     at = f"2026-12-04T10:00:{second:06.3f}+00:00"
-    return json.dumps({"timestamp": at, "vm": vm, "event": event, **values})
+    return json.dumps({"timestamp": at, "vm": vm, "role": "entry", "event": event, **values})
 
 
 @given("the logs of two processes with a refused and an answered request and a truncated line")
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..data import Fault
-from ..events import REQUEST_EVENTS, STATE_CHANGE_EVENTS, EventKind, kinds_of
+from ..events import COMMON_FIELDS, REQUEST_EVENTS, STATE_CHANGE_EVENTS, EventKind, kinds_of
 
 MAXIMUM_LINE_CHARACTERS = 64 * 1024
 """Longer lines are not parsed."""
@@ -113,7 +113,7 @@
 
 def missing_fields(event_kind: EventKind, line: LogLine) -> list[str]:
     """Return the required fields that a line lacks."""
-    return [name for name in event_kind.fields if name not in line.values]
+    return [name for name in (*COMMON_FIELDS, *event_kind.fields) if name not in line.values]
 
 
 class FieldsOrMissing(dict[str, Any]):
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -11,7 +11,7 @@
 
 from .configuration.settings import load_settings
 from .data import Fault
-from .logs import configure_logs
+from .logs import configure_logs, route_library_logs
 from .schema.settings import Settings
 
 EXIT_BAD_SETTINGS = 2
@@ -71,7 +71,8 @@
       settings_file: File that they were read from.
       log_level: Lowest level that is logged.
     """
-    configure_logs(log_level)
+    configure_logs(log_level, vm=settings.vm, role=settings.role)
+    route_library_logs()
     if settings.direct is not None:
         from .direct_service import run as run_direct
 
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -10,7 +10,6 @@
 from typing import Protocol
 
 import aiomisc
-import structlog
 
 from .configuration.settings import load_settings
 from .data import Fault
@@ -72,14 +71,13 @@
 
     async def start(self) -> None:
         """Start the role."""
-        structlog.contextvars.bind_contextvars(vm=self.settings.vm)
         direct = self.settings.direct
         if direct is None:
             raise ValueError("the settings have no section 'direct'")
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.role = build_role(self.settings, direct)
         await self.role.start()
-        LOG.info("daemon.started", role=self.settings.role, listen=self.settings.listen)
+        LOG.info("daemon.started", listen=self.settings.listen)
 
     def reload(self) -> None:
         """Read the settings file again; with an error in it the current settings stay in force."""
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+COMMON_FIELDS = ("vm", "role")
+"""Fields that each line has, whatever its event."""
+
 
 @dataclass(frozen=True, slots=True)
 class EventKind:
@@ -9,7 +12,7 @@
 
     Attributes:
       template: Sentence for operators; names in braces are replaced by fields of the line.
-      fields: Fields that a line must have besides time, VM and event.
+      fields: Fields that a line must have besides the common ones, time and event.
     """
 
     template: str
@@ -105,7 +108,7 @@
     ),
     "configuration.unreadable": kind("malformed configuration: {fault}", "fault"),
     "daemon.reload": kind("reload of the settings: {outcome}", "outcome"),
-    "daemon.started": kind("the process started as {role}", "role", "listen"),
+    "daemon.started": kind("the process started as {role}", "listen"),
     "daemon.stopped": kind("the process stopped"),
     "digests.stored": kind(
         "chunk digests of version {version} were written to the store", "model", "version"
@@ -124,6 +127,7 @@
     "evacuation.unreadable": kind(
         "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
     ),
+    "library.message": kind("a library reports: {message}", "message"),
     "memory.enough": kind("memory is available again: {held} of {limit} bytes are held", "held"),
     "memory.short": kind(
         "no memory for more bytes of kind {purpose}: {held} are held, {limit} allowed",
@@ -222,6 +226,7 @@
     "daemon.stopped": STATE_CHANGE_EVENTS["daemon.stopped"],
     "drain.ended": kind("drain ended with {in_flight} requests in flight", "in_flight"),
     "drain.started": kind("drain started with {in_flight} requests in flight", "in_flight"),
+    "library.message": STATE_CHANGE_EVENTS["library.message"],
     "order.failed": kind(
         "the engine did not carry out the order {kind}: {error}", "kind", "release", "error"
     ),
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -3,11 +3,7 @@
 In proxied mode an endpoint process in front of each backend receives all its requests.
 """
 
-import logging
-import sys
-
 import aiomisc
-import structlog
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -32,7 +28,6 @@
 
     async def start(self) -> None:
         """Open the listening socket and start the tasks of the role."""
-        structlog.contextvars.bind_contextvars(vm=self.settings.vm, role=self.settings.role)
         self.drained = False
         self.control = build_control(self.settings)
         self.role = build_role(self.control)
@@ -101,7 +96,6 @@
     Args:
       settings: Validated settings.
     """
-    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
     service = DaemonService(settings=settings)
     with aiomisc.entrypoint(
         service,
