The log says why the connection of a stream was aborted

Change: `request.cut` with reason, events (writes so far), left_ms and retries_left; `verbenactl explain` takes it for the outcome. A stream whose caller closes while events are written leaves request.cancelled, as one whose caller closes at another time.

--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -54,3 +54,13 @@
     And an entry process of its own that is ready
     When it serves one request, refuses one and is told to stop
     Then each of its log lines names its VM and its role, those about requests too
+
+  # Guards against a caller's aborted connection that no line explains.
+  Scenario: The log says why the connection of a stream was aborted
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the log lines about requests are collected
+    And all engines are "truncated-event"
+    When a caller opens a stream that may not be resumed
+    Then the connection ends without a complete answer
+    And the last line of that request is "request.cut" with its reason, events, time and retries left
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -138,6 +138,8 @@
         return "no final line was found: the request was cut off, or its last line was dropped"
     if final.event == "request.cancelled":
         return "the caller disconnected before it was answered"
+    if final.event == "request.cut":
+        return f"its connection was aborted in the middle: {final.values.get('reason')}"
     if final.event == "request.turned-away":
         return f"it was rejected before a backend was chosen: {final.values.get('message')}"
     failures = [line for line in request_lines if line.event == "request.failed"]
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -157,6 +157,26 @@
             required=required,
         )
 
+    def cut(self, request: Request, writes: int, retries_left: float, reason: str) -> None:
+        """Log that a caller's connection is aborted after a part of its stream was sent.
+
+        Args:
+          request: The request.
+          writes: Writes to the caller so far, each of one or more whole events.
+          retries_left: Retries that this process may still send to the service.
+          reason: Why the stream cannot be completed.
+        """
+        self.write(
+            self.failures,
+            "request.cut",
+            request,
+            route=request.route.name,
+            reason=reason[:200],
+            events=writes,
+            left_ms=milliseconds_until(request.deadline, clock.now()),
+            retries_left=round(retries_left, 1),
+        )
+
     def cancelled(self, request: Request) -> None:
         """Log that the caller closed its connection."""
         self.write(self.usual, "request.cancelled", request)
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -220,21 +220,27 @@
                 result = await self.attempts(request, progress, delivery)
         except TimeoutError:
             if delivery.response is not None:
-                raise StreamCutError("the deadline has passed") from None
+                raise self.cut(request, delivery, "the deadline has passed") from None
             return forwarder.finish_timed_out(request, progress)
         except RefusedError as error:
             if delivery.response is not None:
                 if error.refusal.reason == MEMORY_REASON:
                     forwarder.log.refused(request, error.refusal, None)
-                raise StreamCutError(error.refusal.message) from None
+                raise self.cut(request, delivery, error.refusal.message) from None
             raise
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerGoneError):
             forwarder.log.cancelled(request)
             raise
         if isinstance(result, WholeAnswer) and delivery.response is not None:
-            raise StreamCutError(f"a backend answered with status {result.status}")
+            raise self.cut(request, delivery, f"a backend answered with status {result.status}")
         return result
 
+    def cut(self, request: Request, delivery: Delivery, reason: str) -> StreamCutError:
+        """Log that a stream cannot be completed, and return the error that says so."""
+        retries_left = self.forwarder.budget.remaining(request.service, clock.now())
+        self.forwarder.log.cut(request, delivery.writes, retries_left, reason)
+        return StreamCutError(reason)
+
     async def attempts(
         self, request: Request, progress: Progress, delivery: Delivery
     ) -> web.StreamResponse | WholeAnswer:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -55,6 +55,11 @@
         "backend", "version", "required",
     ),
     "request.cancelled": kind("the caller disconnected"),
+    "request.cut": kind(
+        "its connection was aborted after {events} writes of events: {reason}; {left_ms} ms were "
+        "left, and retries for {retries_left} sends",
+        "reason", "events", "left_ms", "retries_left",
+    ),
 }  # fmt: skip
 
 STATE_CHANGE_EVENTS = {
