--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -63,6 +63,7 @@
       padding: Text that lengthens each answer to a look-up and each event of a stream.
       stream_events: Events of a complete stream.
       sent_events: Events of streams sent so far.
+      silent_until: Time until which it sends nothing, and then goes on, monotonic.
       unread_seconds: Time after which it cuts off a stream that is not read; None for never.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
       restart_seconds: Time after which it is back after a crash, in seconds.
@@ -122,6 +123,7 @@
         self.padding = ""
         self.stream_events = STREAM_EVENTS
         self.sent_events = 0
+        self.silent_until = 0.0
         self.unread_seconds: float | None = None
         self.crashing_part = ""
         self.endless_bytes = 0
@@ -204,6 +206,10 @@
         finally:
             self.active = [item for item in self.active if item is not request]
 
+    async def end_of_silence(self) -> None:
+        """Wait until it may send again."""
+        await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
+
     async def crash(self) -> None:
         """End as a process does: stop listening, reset all connections, and come back later.
 
@@ -237,6 +243,7 @@
         if self.mode in ENDLESS:
             await self.send_without_end(request, attempt)
         await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
+        await self.end_of_silence()
         answered_attempt = "another" if self.mode == "wrong-attempt" else attempt
         headers = {
             "X-Attempt-Id": answered_attempt,
@@ -318,6 +325,7 @@
             except TimeoutError:
                 reset_connection(request)
             self.sent_events += 1
+            await self.end_of_silence()
             await asyncio.sleep(0.15 if self.mode == "slow" else WORK_SECONDS)
         await response.write_eof()
         return response
--- /dev/null
+++ b/tests/direct/silences.feature
@@ -0,0 +1,40 @@
+Feature: Backends that are silent for a moment and go on
+  A silent send is kept until another backend has answered in its place.
+
+  Background:
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+
+  Scenario: Streams of silent engines that share one last retry are not cut
+    Given one retry is left in the budget
+    When callers open 6 streams and all engines fall silent for 1.4 s
+    Then each stream is whole, in order, once each
+
+  Scenario: A stream of a silent engine is not cut when the other engine takes nothing
+    Given one engine is "full"
+    When callers open 3 streams and all engines fall silent for 1.4 s
+    Then each stream is whole, in order, once each
+
+  Scenario: A stream of a silent engine is not cut when its zone is evacuated meanwhile
+    When callers open 6 streams, all engines fall silent for 1.4 s, and both zones are evacuated
+    Then each stream is whole, in order, once each
+
+  Scenario: Look-ups at silent backends that share one last retry are answered
+    Given one retry is left in the budget
+    When callers look 6 things up at backends that fall silent for 1.4 s
+    Then each gets the complete answer of a backend
+
+  Scenario: A silent engine that goes on before its successor keeps its stream
+    Given the other engine answers only after 0.5 s
+    When callers open 2 streams on one engine and it falls silent for 1.4 s
+    Then each stream is whole, in order, once each
+    And the work of the successors ends within half a second
+
+  Scenario: A stream of an engine that stays silent goes on at the other engine
+    When callers open 2 streams on one engine and it falls silent for 30 s
+    Then each stream is whole, in order, once each
+    And that took at most 2.5 s
+
+  Scenario: Many requests that meet one silence count as one failure of their backend
+    When one backend is found silent by 20 requests at once, and answers again
+    Then its backoff was the shortest one, and ends with that answer
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -6,9 +6,10 @@
 
 from tests.direct_fakes import placer_of, request_of
 from tests.simulated_entries import SimulatedEntries
+from verbenaward.direct.attempts import Progress, Send
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.crash_tracker import fingerprint_of, part_keys_of
-from verbenaward.direct.forwarding import Forwarder, Progress
+from verbenaward.direct.forwarding import Forwarder
 from verbenaward.direct.request_log import RequestLog
 from verbenaward.placement.request_types import RefusedError
 
@@ -46,6 +47,7 @@
             part_keys=part_keys_of("engines", (*parts, f"own-{number}")),
         )
         self.run = None
+        self.send = None
 
 
 class SimulatedCrashes:
@@ -111,8 +113,9 @@
         if not running:
             return False
         flight.attempts += 1
-        flight.progress.record_sent(self.now)
         engine = self.rng.choice(running)
+        view = SimpleNamespace(notices=SimpleNamespace(name=engine.incarnation))
+        flight.send = Send(SimpleNamespace(view=view), self.now)
         engine.flights.append(flight)
         flight.run = flight.entry.exchange.crashes.counted_run(*flight.request.crash_keys)
         flight.run.__enter__()
@@ -129,7 +132,7 @@
         """Have the head of the answer arrive."""
         if not self.is_running(flight, engine, attempt):
             return
-        flight.progress.answer_began_at = self.now
+        flight.send.answer_began_at = self.now
         if flight.is_bad:
             self.network.after(CRASH_SECONDS, lambda: self.crash_by(flight, engine, attempt))
             return
@@ -140,9 +143,9 @@
     def go_on(self, flight, engine, attempt):
         """Have an event of the answer arrive that clears the parts."""
         if self.is_running(flight, engine, attempt):
-            assert flight.progress.has_outlived_start(self.now)
+            assert flight.send.has_outlived_start(self.now)
             crashes = flight.entry.exchange.crashes
-            began_at = flight.progress.answer_began_at
+            began_at = flight.send.answer_began_at
             crashes.record_parts_answered(flight.request.part_keys, began_at, self.now)
 
     def end(self, flight, engine, attempt):
@@ -150,7 +153,7 @@
         if self.is_running(flight, engine, attempt):
             engine.flights.remove(flight)
             flight.run.__exit__(None, None, None)
-            flight.entry.forwarder.record_answered(flight.request, flight.progress, self.now)
+            flight.entry.forwarder.record_answered(flight.request, flight.send, self.now)
 
     def crash_by(self, flight, engine, attempt):
         """Crash an engine by a stream with the bad part."""
@@ -164,11 +167,10 @@
             return
         engine.up = False
         flights, engine.flights = engine.flights, []
-        view = SimpleNamespace(notices=SimpleNamespace(name=engine.incarnation))
         self.network.after(self.rng.uniform(2.0, 4.0), lambda: self.restart(engine))
         for flight in flights:
             flight.run.__exit__(None, None, None)
-            flight.entry.forwarder.record_crash(flight.request, flight.progress, view, self.now)
+            flight.entry.forwarder.record_crash(flight.request, flight.send, self.now)
             if flight.attempts < ATTEMPTS:
                 self.send(flight)
 
--- a/tests/steps/evacuations.py
+++ b/tests/steps/evacuations.py
@@ -8,9 +8,10 @@
 from behave import given, then, when
 
 from tests.direct_fakes import NOW, placer_of, request_of
+from verbenaward.direct.attempts import Progress
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.crash_tracker import CrashTracker
-from verbenaward.direct.forwarding import Forwarder, Progress
+from verbenaward.direct.forwarding import Forwarder
 from verbenaward.direct.request_log import RequestLog
 from verbenaward.metrics import sample_sum
 from verbenaward.placement.fleet import Fleet
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -1,5 +1,6 @@
 """Steps on decisions of entry processes, without a network."""
 
+import asyncio
 import json
 import os
 import random
@@ -13,10 +14,10 @@
 from hypothesis import strategies as st
 
 from tests.direct_fakes import ENGINE, NOW, fleet_of, placer_of, request_of
+from verbenaward.direct.attempts import Send
 from verbenaward.direct.budget import SharedRetryBudget
-from verbenaward.direct.forwarding import Progress
 from verbenaward.direct.request_log import LineRateLimit
-from verbenaward.direct.streams import StreamAttempt, StreamForwarder
+from verbenaward.direct.streams import StreamAttempt
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
 from verbenaward.metrics import sample_sum
 from verbenaward.placement.backends import first_event_seconds
@@ -423,13 +424,18 @@
 @when("a request that is expected to start in time is sent there")
 def send_in_time(context):
     placer = placer_of(context.fleet)
-    forwarder = SimpleNamespace(
-        may_retry=lambda request, progress: False, has_retry_budget=lambda service, now: False
-    )
-    choice = placer.choose(request_of(), set(), NOW)
-    context.wait = StreamForwarder(forwarder).first_event_timeout(
-        request_of(), Progress(), choice, NOW
-    )
+    forwarder = SimpleNamespace(placer=placer, load_changed=lambda: None)
+    send = Send(placer.choose(request_of(), set(), NOW), NOW)
+
+    async def start():
+        attempt = StreamAttempt(forwarder, send, request_of())
+        async with asyncio.timeout(None) as attempt.limit:
+            attempt.limit_start(NOW)
+            when = attempt.limit.when()
+            context.wait = None if when is None else when - asyncio.get_running_loop().time()
+            await asyncio.sleep(0)
+
+    context.loop.run_until_complete(start())
 
 
 @then("the send is cancelled before, though it may not be retried")
@@ -466,7 +472,7 @@
     choice = placer.candidates(request_of(), NOW - 60)[0]
     context.counted = sample_sum("verbenaward_late_starts_total")
     for version in (1, 2, 3):
-        StreamAttempt(forwarder, choice, request_of(), NOW).report_late_start(version, NOW)
+        StreamAttempt(forwarder, Send(choice, NOW), request_of()).report_late_start(version, NOW)
     context.counted = sample_sum("verbenaward_late_starts_total") - context.counted
 
 
--- /dev/null
+++ b/tests/steps/silences.py
@@ -0,0 +1,138 @@
+"""Steps on backends that are silent for a moment."""
+
+import asyncio
+import time
+
+import aiohttp
+from behave import given, then, when
+
+from standins.platform import send_request
+from tests.direct_fakes import NOW, fleet_of
+from tests.steps.platform_running import engines, plain, run, until
+from verbenaward.placement.backends import UNREACHABLE_BACKOFF_SECONDS
+
+EVENTS = 60
+SILENCE_AFTER_SECONDS = 0.15
+"""Time after the first event from which the backends are silent."""
+
+
+@given("one retry is left in the budget")
+def one_retry(context):
+    budget = context.platform.entries[0].budget
+    budget.ratio, budget.extra = 0.0, 0.0
+    assert budget.remaining("engines", 0.0) <= 0
+    budget.remaining = lambda service, now: 1.0 - len(budget.window_of(service, now).retries)
+
+
+@given("the other engine answers only after {seconds:g} s")
+def other_is_late(context, seconds):
+    context.other_seconds = seconds
+
+
+async def open_streams(context, count, silence):
+    """Open streams, start a silence once all have begun, and return the answers."""
+    for engine in engines(context):
+        engine.stream_events = EVENTS
+    async with aiohttp.ClientSession() as session:
+        front = context.platform.entries[0].direct.front
+        started = time.monotonic()
+        tasks = [
+            asyncio.create_task(send_request(session, front, f"/stream/{n}", f"s-{n}"))
+            for n in range(count)
+        ]
+        assert await until(lambda: sum(item.sent_events for item in engines(context)) >= 2 * count)
+        await silence()
+        answers = await asyncio.gather(*tasks)
+        context.took = time.monotonic() - started
+        return answers
+
+
+def fall_silent(backends, seconds):
+    for backend in backends:
+        backend.silent_until = time.monotonic() + seconds
+
+
+@when("callers open {count:d} streams and all engines fall silent for {seconds:g} s")
+def all_silent(context, count, seconds):
+    async def silence():
+        fall_silent(engines(context), seconds)
+
+    context.answers = run(context, open_streams(context, count, silence))
+
+
+@when(
+    "callers open {count:d} streams, all engines fall silent for {seconds:g} s, and both zones"
+    " are evacuated"
+)
+def evacuated(context, count, seconds):
+    async def silence():
+        fall_silent(engines(context), seconds)
+        evacuations = context.platform.entries[0].fleet.evacuations
+        evacuations.zones = {"zone-a": 1, "zone-b": 1}
+        assert all(evacuations.is_evacuated(zone) for zone in ("zone-a", "zone-b"))
+
+    context.answers = run(context, open_streams(context, count, silence))
+
+
+@when("callers open {count:d} streams on one engine and it falls silent for {seconds:g} s")
+def one_silent(context, count, seconds):
+    silent, context.other = engines(context)
+    view = context.platform.entries[0].fleet.backends[context.other.identity]
+    view.excluded_until = float("inf")
+
+    async def silence():
+        view.excluded_until = 0.0
+        fall_silent([silent], seconds)
+        fall_silent([context.other], getattr(context, "other_seconds", 0.0) + 1.2)
+
+    context.answers = run(context, open_streams(context, count, silence))
+
+
+@when("callers look {count:d} things up at backends that fall silent for {seconds:g} s")
+def look_silent(context, count, seconds):
+    async def look():
+        fall_silent(plain(context), seconds)
+        front = context.platform.entries[0].direct.front
+        async with aiohttp.ClientSession() as session:
+            looks = [send_request(session, front, f"/look/{n}", f"l-{n}") for n in range(count)]
+            return await asyncio.gather(*looks)
+
+    context.answers = run(context, look())
+
+
+@then("each stream is whole, in order, once each")
+def whole_streams(context):
+    expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+    results = [(status, body == expected) for status, _, body in context.answers]
+    assert results == [(200, True)] * len(results), results
+
+
+@then("each gets the complete answer of a backend")
+def whole_look_ups(context):
+    for status, headers, body in context.answers:
+        assert status == 200, [status for status, _, _ in context.answers]
+        identity = headers["X-Server-Signature"].partition(".")[0]
+        assert body == f"{identity} ran {headers['X-Attempt-Id']}".encode() * 40
+
+
+@then("the work of the successors ends within half a second")
+def successors_ended(context):
+    sent = set(context.other.run_counts)
+    assert sent
+    assert run(context, until(lambda: sent == set(context.other.cancelled), 0.5)), sent
+
+
+@when("one backend is found silent by {count:d} requests at once, and answers again")
+def found_silent(context, count):
+    view = next(iter(fleet_of(1).backends.values()))
+    for _ in range(count):
+        view.record_unresponsive(NOW)
+    context.backoff = view.backoff_until - NOW
+    view.record_responsive(NOW + 0.2)
+    context.left = view.backoff_until - NOW - 0.2
+
+
+@then("its backoff was the shortest one, and ends with that answer")
+def shortest_backoff(context):
+    assert context.backoff == UNREACHABLE_BACKOFF_SECONDS, context.backoff
+    assert context.left < 0.001, context.left
--- /dev/null
+++ b/verbenaward/direct/attempts.py
@@ -0,0 +1,297 @@
+"""Runs the sends of one request: a silent send is kept until a successor answers.
+
+A backend may be silent for a moment and go on. So a send that is silent for too long is not
+cancelled: another backend gets the request beside it, if the route, the retry budget and a free
+slot allow that. The first of them that goes on supersedes the others.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable, Collection, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Generic, Protocol, TypeVar
+
+from .. import clock
+from ..placement.placer import Choice
+from ..placement.request_types import FailedAttempt, RefusedError, Request, WholeAnswer
+from .request_log import RequestLog
+
+ANSWER_START_SECONDS = 0.5
+"""Time from the head of an answer within which a backend crashes if a part of the prompt is to
+blame. An answer that goes on for longer clears its parts."""
+SUCCESSOR_POLL_SECONDS = 0.05
+"""Time between two looks for a successor of a silent send."""
+SILENCE_POLL_SECONDS = 0.5
+"""Longest time between two looks at the silence of the sends."""
+SERVER_ERROR = 500
+"""HTTP status from which an answer counts as a failure of its backend."""
+
+Answer = TypeVar("Answer")
+
+
+@dataclass(slots=True)
+class Progress:
+    """Sends of a request so far.
+
+    Attributes:
+      tried: Identities of the backends that failed it.
+      runs: Ended sends that may have run.
+      not_run: Ended sends that certainly did not run.
+      in_flight: Sends without an outcome; each may have run.
+      answer: Last server error of a backend, returned if no retry does better.
+    """
+
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0
+    not_run: int = 0
+    in_flight: int = 0
+    answer: WholeAnswer | None = None
+
+    @property
+    def sends(self) -> int:
+        """Return the number of sends so far."""
+        return self.runs + self.not_run + self.in_flight
+
+    def record_run(self, backend: str) -> None:
+        """Record that a send which may have run ended without an answer for the caller."""
+        self.in_flight -= 1
+        self.runs += 1
+        self.tried.add(backend)
+
+    def record_not_run(self, backend: str) -> None:
+        """Record that a send ended with the proof that the request did not run."""
+        self.in_flight -= 1
+        self.not_run += 1
+        self.tried.add(backend)
+
+
+@dataclass(slots=True, eq=False)
+class Send:
+    """One send of a request to a backend.
+
+    Attributes:
+      choice: The backend.
+      sent_at: When it was sent, monotonic, in seconds.
+      answer_began_at: When the head of the answer arrived, monotonic; 0 while it has not.
+      silent_at: Time from which it counts as silent, monotonic; infinite for never.
+      is_recorded_silent: True while its backend is recorded as unresponsive for its silence.
+      is_superseded: True once another send goes on in its place, so that nothing of it may be
+        forwarded.
+      claim: Called before a part of its answer is forwarded; it supersedes the other sends, and
+        returns False if this one was superseded.
+    """
+
+    choice: Choice
+    sent_at: float
+    answer_began_at: float = 0.0
+    silent_at: float = math.inf
+    is_recorded_silent: bool = False
+    is_superseded: bool = False
+    claim: Callable[[], bool] = field(default=lambda: True)
+
+    @property
+    def backend(self) -> str:
+        """Return the identity of its backend."""
+        return self.choice.view.backend.identity
+
+    def has_outlived_start(self, now: float) -> bool:
+        """Return True if the backend has gone on with its answer for some time."""
+        return 0 < self.answer_began_at <= now - ANSWER_START_SECONDS
+
+    def record_event(self, now: float, stall_seconds: float) -> None:
+        """Record an event: the backend is not silent.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+          stall_seconds: Time without an event after which it counts as silent.
+        """
+        self.silent_at = now + stall_seconds
+        if self.is_recorded_silent:
+            self.is_recorded_silent = False
+            self.choice.view.record_responsive(now)
+
+    def record_silence(self, now: float) -> None:
+        """Record at its backend, once, that the send has become silent."""
+        if self.silent_at <= now and not self.is_recorded_silent:
+            self.is_recorded_silent = True
+            self.choice.view.record_unresponsive(now)
+
+
+class RetryRules(Protocol):
+    """What `Attempts` needs of the rules by which requests are sent and sent again.
+
+    Attributes:
+      log: Log lines about requests.
+    """
+
+    log: RequestLog
+
+    async def next_choice(self, request: Request, progress: Progress) -> Choice:
+        """Return the backend of the next send."""
+
+    async def successor(
+        self, request: Request, progress: Progress, busy: Collection[str]
+    ) -> Choice | None:
+        """Return a backend for a send beside silent ones; None if there is none now."""
+
+    def record_failure(
+        self, request: Request, progress: Progress, send: Send, failed: FailedAttempt
+    ) -> None:
+        """Record a failed send."""
+
+    def after_failure(
+        self, request: Request, progress: Progress, failed: FailedAttempt
+    ) -> WholeAnswer | None:
+        """Return None if another send may follow, else the last server error of a backend."""
+
+
+class Attempts(Generic[Answer]):
+    """Runs the sends of one request until one of them gives the answer.
+
+    Attributes:
+      rules: Rules by which requests are sent again, and log.
+      request: The request.
+      progress: Sends so far.
+      execute: Sends the request and returns its answer, or the failure.
+      running: Sends in progress and their tasks; the last one is the newest.
+      cancelled: Tasks of superseded sends.
+      next_look_at: Time before which no successor is looked for, monotonic.
+    """
+
+    def __init__(
+        self,
+        rules: RetryRules,
+        request: Request,
+        progress: Progress,
+        execute: Callable[[Send], Coroutine[Any, Any, Answer | WholeAnswer | FailedAttempt]],
+    ) -> None:
+        self.rules = rules
+        self.request = request
+        self.progress = progress
+        self.execute = execute
+        self.running: dict[Send, asyncio.Task[Answer | WholeAnswer | FailedAttempt]] = {}
+        self.cancelled: list[asyncio.Task[Answer | WholeAnswer | FailedAttempt]] = []
+        self.next_look_at = 0.0
+
+    async def run(self) -> Answer | WholeAnswer:
+        """Send the request, again if that is needed and allowed, and return the answer.
+
+        Raises:
+          RefusedError: No backend answered it.
+        """
+        try:
+            while True:
+                if not self.running:
+                    try:
+                        choice = await self.rules.next_choice(self.request, self.progress)
+                    except RefusedError:
+                        if self.progress.answer is None:
+                            raise
+                        return self.progress.answer
+                    self.start(choice)
+                await self.wait()
+                answer = self.take_answer()
+                if answer is not None:
+                    return answer
+                await self.start_successor()
+        finally:
+            await self.cancel()
+
+    def start(self, choice: Choice) -> None:
+        """Send the request to a backend."""
+        now = clock.now()
+        send = Send(choice, now)
+        send.claim = lambda: self.supersede_others(send)
+        self.progress.in_flight += 1
+        self.running[send] = asyncio.ensure_future(self.execute(send))
+
+    async def wait(self) -> None:
+        """Wait until a send ends, becomes silent or may get a successor."""
+        now = clock.now()
+        times = [send.silent_at for send in self.running if not send.is_recorded_silent]
+        if self.may_have_successor():
+            times.append(max(self.next_look_at, self.silent_at()))
+        seconds = min([SILENCE_POLL_SECONDS, *(max(0.0, at - now) for at in times)])
+        await asyncio.wait(
+            self.running.values(), timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+
+    def silent_at(self) -> float:
+        """Return the time from which all sends count as silent, monotonic."""
+        return max((send.silent_at for send in self.running), default=math.inf)
+
+    def may_have_successor(self) -> bool:
+        """Return True if the route allows a run beside those in progress."""
+        runs = self.progress.runs + len(self.running)
+        return self.request.route.is_retryable and runs < self.request.route.attempts
+
+    async def start_successor(self) -> None:
+        """Send the request to another backend if all sends are silent and that is possible now."""
+        now = clock.now()
+        for send in self.running:
+            send.record_silence(now)
+        if not self.running or self.silent_at() > now or now < self.next_look_at:
+            return
+        if not self.may_have_successor():
+            return
+        self.next_look_at = now + SUCCESSOR_POLL_SECONDS
+        busy = {send.backend for send in self.running}
+        choice = await self.rules.successor(self.request, self.progress, busy)
+        # An event may have arrived while the limit of the backend was asked for.
+        if choice is not None and self.running and self.silent_at() <= clock.now():
+            self.start(choice)
+
+    def take_answer(self) -> Answer | WholeAnswer | None:
+        """Record the sends that have ended; return the answer for the caller if there is one.
+
+        Raises:
+          RefusedError: The request may not be sent again, and no send is in progress.
+        """
+        for send, task in list(self.running.items()):
+            if task.done() and send in self.running:
+                del self.running[send]
+                answer = self.outcome(send, task.result())
+                if answer is not None:
+                    return answer
+        return None
+
+    def outcome(
+        self, send: Send, result: Answer | WholeAnswer | FailedAttempt
+    ) -> Answer | WholeAnswer | None:
+        """Record the outcome of a send; return the answer for the caller if it is one.
+
+        Raises:
+          RefusedError: The request may not be sent again, and no send is in progress.
+        """
+        if isinstance(result, FailedAttempt):
+            self.rules.record_failure(self.request, self.progress, send, result)
+            if self.running:
+                return None
+            return self.rules.after_failure(self.request, self.progress, result)
+        if self.running and isinstance(result, WholeAnswer) and result.status >= SERVER_ERROR:
+            self.progress.answer = result
+            self.progress.record_run(send.backend)
+            return None
+        self.supersede_others(send)
+        return result
+
+    def supersede_others(self, send: Send) -> bool:
+        """Cancel all other sends, as one goes on; return False if that one was cancelled."""
+        if send.is_superseded:
+            return False
+        for other, task in list(self.running.items()):
+            if other is not send:
+                del self.running[other]
+                other.is_superseded = True
+                self.cancelled.append(task)
+                task.cancel()
+                self.progress.record_run(other.backend)
+                self.rules.log.superseded(self.request, other.choice.view, send.choice.view)
+        return True
+
+    async def cancel(self) -> None:
+        """Cancel all sends and wait until their connections are closed."""
+        tasks = [*self.running.values(), *self.cancelled]
+        for task in self.running.values():
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -1,8 +1,8 @@
 """Runs requests: chooses a backend, sends, and retries if that is allowed."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+import math
+from collections.abc import Awaitable, Callable, Collection
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -16,6 +16,7 @@
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
 from ..requests.refusals import not_run
+from .attempts import SERVER_ERROR, Attempts, Progress, Send
 from .budget import SharedRetryBudget
 from .crash_tracker import CrashTracker
 from .request_log import RequestLog
@@ -28,54 +29,11 @@
 SEND_RESERVE_SECONDS = 0.02
 """Time before its deadline from which a request is not sent any more."""
 MINIMUM_ATTEMPT_SHARE = 0.4
-"""Share of the remaining time that an attempt may take at least while a retry is still possible."""
-SERVER_ERROR = 500
-"""HTTP status from which an answer counts as a failure of its backend."""
-ANSWER_START_SECONDS = 0.5
-"""Time from the head of an answer within which a backend crashes if a part of the prompt is to
-blame. An answer that goes on for longer clears its parts."""
+"""Share of the remaining time that an attempt may take before another one is made beside it."""
 MAXIMUM_NOT_RUN_SENDS = 3
 """Sends of one request that may end with proof that it did not run."""
 
 
-@dataclass(slots=True)
-class Progress:
-    """Attempts of a request so far.
-
-    Attributes:
-      tried: Identities of the backends that failed it.
-      runs: Sends that may have run.
-      not_run: Sends that certainly did not run.
-      answer: Last server error of a backend, returned if no retry does better.
-      sent_at: Time of the last send, monotonic.
-      is_in_flight: True while the last send has no outcome; it may have run.
-      answer_began_at: When the head of its answer came, monotonic; 0 while it has not.
-    """
-
-    tried: set[str] = field(default_factory=set)
-    runs: int = 0
-    not_run: int = 0
-    answer: WholeAnswer | None = None
-    sent_at: float = 0.0
-    is_in_flight: bool = False
-    answer_began_at: float = 0.0
-
-    def record_sent(self, now: float) -> None:
-        """Record that the request is being sent."""
-        self.sent_at = now
-        self.is_in_flight = True
-        self.answer_began_at = 0.0
-
-    def has_outlived_start(self, now: float) -> bool:
-        """Return True if the backend has gone on with its answer for some time."""
-        return 0 < self.answer_began_at <= now - ANSWER_START_SECONDS
-
-    @property
-    def sends(self) -> int:
-        """Return the number of sends so far."""
-        return self.runs + self.not_run
-
-
 class Forwarder:
     """Runs requests that are not streams, and holds the retry rules that streams share.
 
@@ -113,18 +71,16 @@
         Raises:
           RefusedError: No backend answered it.
         """
-        progress = Progress()
         self.budget.record_request(request.service, clock.now())
-        while True:
-            try:
-                choice = await self.next_choice(request, progress)
-            except RefusedError:
-                if progress.answer is None:
-                    raise
-                return progress.answer
-            answer = await self.attempt(request, progress, choice)
-            if answer is not None:
-                return answer
+        progress = Progress()
+        attempts = Attempts[WholeAnswer](
+            self, request, progress, lambda send: self.attempt(request, progress, send)
+        )
+        try:
+            return await attempts.run()
+        except asyncio.CancelledError:
+            self.log.cancelled(request)
+            raise
 
     async def next_choice(self, request: Request, progress: Progress) -> Choice:
         """Return the backend of the next send, and count a retry against the budget.
@@ -218,18 +174,46 @@
         self.log.refused(request, refusal, None)
         raise RefusedError(refusal)
 
-    async def attempt(
-        self, request: Request, progress: Progress, choice: Choice
-    ) -> WholeAnswer | None:
-        """Send a request once and return the answer; None if a retry may follow.
+    async def successor(
+        self, request: Request, progress: Progress, busy: Collection[str]
+    ) -> Choice | None:
+        """Return a backend for a send beside silent ones, and count a retry against the budget.
 
-        Raises:
-          RefusedError: No retry may follow, and there is no answer to return.
+        Args:
+          request: The request.
+          progress: Its sends so far.
+          busy: Identities of the backends of the silent sends.
+
+        Returns:
+          None if no other backend has a free slot, or no retry is left, at present.
         """
-        view = choice.view
         now = clock.now()
-        progress.record_sent(now)
-        self.log.sent(request, choice, progress.sends, self.placer.allowed_seconds(request, now))
+        if not self.may_send_again(request, progress, now):
+            return None
+        choice = self.placer.choose_successor(request, progress.tried.union(busy), now)
+        if choice is None or not await self.is_send_granted(choice.view.notices):
+            return None
+        now = clock.now()
+        if not self.placer.is_usable(choice.view, request, now):
+            return None
+        return choice if self.budget.spend(request.service, now) else None
+
+    def may_send_again(self, request: Request, progress: Progress, now: float) -> bool:
+        """Return True if time, budget and quarantine allow one more send of a request now."""
+        return (
+            progress.not_run < MAXIMUM_NOT_RUN_SENDS
+            and now + SEND_RESERVE_SECONDS < request.deadline
+            and self.has_retry_budget(request, now)
+            and self.crashes.admits(request.crash_keys, now)
+        )
+
+    async def attempt(
+        self, request: Request, progress: Progress, send: Send
+    ) -> WholeAnswer | FailedAttempt:
+        """Send a request once and return the answer, or the failure."""
+        view, now = send.choice.view, send.sent_at
+        send.silent_at = now + self.silence_seconds(request, progress, now)
+        self.log_sent(request, send, progress)
         view.record_started(0)
         self.load_changed()
         try:
@@ -238,22 +222,20 @@
                     self.session,
                     request,
                     view,
-                    self.backend_headers_for(request, choice, now),
-                    self.wait_seconds(request, progress, now),
+                    self.backend_headers_for(request, send.choice, now),
+                    request.deadline - now,
                     self.record_notice,
                 )
-        except asyncio.CancelledError:
-            self.log.cancelled(request)
-            raise
         finally:
             view.record_ended()
             self.load_changed()
-        handled = result.bind(lambda answer: self.handle_answer(request, progress, view, answer))
-        if isinstance(handled, Success):
-            answer: WholeAnswer = handled.unwrap()
-            return answer
-        self.record_failure(request, progress, choice, handled.failure())
-        return self.after_failure(request, progress, handled.failure())
+        handled = result.bind(lambda answer: self.handle_answer(request, progress, send, answer))
+        return handled.unwrap() if isinstance(handled, Success) else handled.failure()
+
+    def log_sent(self, request: Request, send: Send, progress: Progress) -> None:
+        """Log that a request was sent to a backend."""
+        allowed = self.placer.allowed_seconds(request, send.sent_at)
+        self.log.sent(request, send.choice, progress.sends - 1, allowed)
 
     def record_notice(self, view: BackendView, notice: BackendNotice, sent_at: float) -> None:
         """Record what a backend says of itself in an answer to a request sent at `sent_at`."""
@@ -270,11 +252,11 @@
             priority=rank_of(request, self.placer.is_late(request, now)),
         )
 
-    def wait_seconds(self, request: Request, progress: Progress, now: float) -> float:
-        """Return how long one send may take; time is kept for a retry if one is possible."""
+    def silence_seconds(self, request: Request, progress: Progress, now: float) -> float:
+        """Return how long one send may take before another backend is tried beside it."""
+        if not self.may_retry(request, progress):
+            return math.inf
         left = request.deadline - now
-        if not self.may_retry(request, progress) or not self.has_retry_budget(request, now):
-            return left
         return max(MINIMUM_ATTEMPT_SHARE * left, min(left, request.route.target_seconds))
 
     def may_retry(self, request: Request, progress: Progress) -> bool:
@@ -286,38 +268,37 @@
         return self.budget.remaining(request.service, now) >= 1.0
 
     def handle_answer(
-        self, request: Request, progress: Progress, view: BackendView, answer: WholeAnswer
+        self, request: Request, progress: Progress, send: Send, answer: WholeAnswer
     ) -> Result[WholeAnswer, FailedAttempt]:
         """Return the answer for the caller, or a failed attempt if a server error is retried."""
+        view = send.choice.view
         if answer.status < SERVER_ERROR:
             view.record_success()
-            self.record_answered(request, progress, clock.now())
-            self.log.answered(request, answer.status, progress.sends + 1)
+            self.record_answered(request, send, clock.now())
+            self.log.answered(request, answer.status, progress.sends)
             return Success(answer)
         can_retry = self.may_retry(request, progress)
         if not can_retry or not self.has_retry_budget(request, clock.now()):
             view.record_failure()
-            self.log.answered(request, answer.status, progress.sends + 1)
+            self.log.answered(request, answer.status, progress.sends)
             return Success(answer)
         progress.answer = answer
         message = f"status {answer.status}"
         return Failure(FailedAttempt(FailureKind.SERVER_ERROR, True, message))
 
     def record_failure(
-        self, request: Request, progress: Progress, choice: Choice, failed: FailedAttempt
+        self, request: Request, progress: Progress, send: Send, failed: FailedAttempt
     ) -> None:
         """Record a failed send: at the backend, for the crash tracker and for the request."""
-        view = choice.view
+        view = send.choice.view
         now = clock.now()
-        progress.is_in_flight = False
         self.log.failed(request, view, failed)
-        progress.tried.add(view.backend.identity)
         if failed.failure is FailureKind.FULL:
             view.record_full(now)
         elif failed.failure is FailureKind.UNREAD:
             pass  # The caller read too slowly; the backend is not to blame.
         elif failed.failure is FailureKind.NOT_RUN:
-            if choice.version:
+            if send.choice.version:
                 view.record_weights_mismatch(now)
             else:
                 view.record_misdirected(now)
@@ -326,28 +307,26 @@
         else:
             view.record_failure()
         if failed.failure is FailureKind.BROKEN:
-            self.record_crash(request, progress, view, now)
+            self.record_crash(request, send, now)
         if failed.may_have_run:
-            progress.runs += 1
+            progress.record_run(send.backend)
         else:
-            progress.not_run += 1
+            progress.record_not_run(send.backend)
 
-    def record_crash(
-        self, request: Request, progress: Progress, view: BackendView, now: float
-    ) -> None:
+    def record_crash(self, request: Request, send: Send, now: float) -> None:
         """Record that a backend may have crashed by a request or by a part of its prompt.
 
         A part is suspected only if the answer had just begun: requests that wait in the backend,
         or whose answers have gone on for some time, are not the cause.
         """
-        backend, sent_at = view.notices.name, progress.sent_at
+        backend, sent_at = send.choice.view.notices.name, send.sent_at
         self.crashes.record_crash(request.fingerprint, backend, sent_at, now)
-        if progress.answer_began_at and not progress.has_outlived_start(now):
+        if send.answer_began_at and not send.has_outlived_start(now):
             self.crashes.record_part_crash(request.part_keys, backend, sent_at, now)
 
-    def record_answered(self, request: Request, progress: Progress, now: float) -> None:
+    def record_answered(self, request: Request, send: Send, now: float) -> None:
         """Record that a backend has answered a request: neither it nor its parts are to blame."""
-        began_at = progress.answer_began_at or progress.sent_at
+        began_at = send.answer_began_at or send.sent_at
         self.crashes.record_answered(request.fingerprint, now, now)
         self.crashes.record_parts_answered(request.part_keys, began_at, now)
 
@@ -382,7 +361,7 @@
         if progress.answer is not None:
             return progress.answer
         message = "no backend answered in time"
-        if progress.runs or progress.is_in_flight:
+        if progress.runs or progress.in_flight:
             refusal = may_have_run_refusal(504, "timeout", message)
         else:
             refusal = not_run(503, "timeout", message, 0.1)
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -142,9 +142,21 @@
             message=failed.message[:200],
         )
 
-    def resumed(self, request: Request, after: str, reason: str) -> None:
-        """Log that a stream resumes at another backend, and after which event."""
-        self.write(self.failures, "request.resumed", request, after=after, reason=reason)
+    def resumed(self, request: Request, after: str, view: BackendView) -> None:
+        """Log that a stream is resumed at another backend, and after which event."""
+        self.write(
+            self.failures, "request.resumed", request, after=after, backend=view.backend.identity
+        )
+
+    def superseded(self, request: Request, view: BackendView, by: BackendView) -> None:
+        """Log that a send is cancelled, as another backend goes on with the answer."""
+        self.write(
+            self.failures,
+            "request.superseded",
+            request,
+            backend=view.backend.identity,
+            by=by.backend.identity,
+        )
 
     def late_start(self, request: Request, view: BackendView, version: int, required: int) -> None:
         """Log that the first event came from weights that are too old by now."""
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
@@ -31,7 +31,8 @@
 from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
 from ..requests.events import EVENT_END
 from ..sockets import buffered_bytes
-from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
+from .attempts import Attempts, Progress, Send
+from .forwarding import Forwarder
 from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
 from .slow_readers import (
     PAUSED_STREAM_BYTES,
@@ -44,11 +45,11 @@
 ID_FIELD = b"id:"
 OK = 200
 STALL_SECONDS = 1.2
-"""Time between events after which a stream that may be resumed fails over to another backend."""
+"""Time between events after which a stream is silent, so that a successor may be tried."""
 MINIMUM_FIRST_EVENT_SECONDS = 1.5
-"""Shortest timeout for the first event of an attempt."""
+"""Shortest time without a first event after which a send is silent."""
 FIRST_EVENT_FACTOR = 4.0
-"""Timeout for the first event of an attempt, in multiples of the expected time."""
+"""Time without a first event after which a send is silent, in multiples of the expected time."""
 START_MARGIN_SECONDS = 0.3 + LATE_ANSWER_SECONDS
 """Time before the start deadline at which a send is cancelled: the cancellation may cross a slow
 link, and the head of the answer is awaited a little longer."""
@@ -73,9 +74,7 @@
       response: Response to the caller, once its headers are sent.
       last_event_id: Id of the last event forwarded.
       writes: Number of writes to the caller so far, each of one or more whole events.
-      partial_event: Bytes received after the last whole event.
       held: Bytes held for the request.
-      paused_seconds: Time for which the present attempt was paused as the caller did not read.
     """
 
     caller: web.Request
@@ -83,8 +82,6 @@
     response: web.StreamResponse | None = None
     last_event_id: str = ""
     writes: int = 0
-    partial_event: bytes = field(default=b"")
-    paused_seconds: float = 0.0
 
     async def open(self, headers: CIMultiDict[str]) -> None:
         """Send the headers of the first backend that answered to the caller."""
@@ -93,52 +90,54 @@
             limit_send_buffers(self.caller)
         await self.response.prepare(self.caller)
 
-    async def forward_events(self, piece: bytes, limit: asyncio.Timeout) -> bool:
+    async def forward_events(self, piece: bytes, attempt: "StreamAttempt") -> bool:
         """Forward the whole events received so far; return True if there was one.
 
         Args:
           piece: Bytes received.
-          limit: Timeout for the next event, which does not apply while the caller does not read.
+          attempt: The send that they belong to; it is not silent while the caller does not read.
 
         Raises:
           CallerGoneError: The caller has closed its connection.
           ClientPayloadError: The events were forwarded before; none of them is forwarded again.
           RefusedError: The process has no memory for the events.
         """
-        self.partial_event += piece
-        end = self.partial_event.rfind(EVENT_END)
+        received = attempt.partial_event + piece
+        end = received.rfind(EVENT_END)
         if end < 0:
-            if len(self.partial_event) > LARGEST_EVENT_BYTES:
+            attempt.partial_event = received
+            if len(received) > LARGEST_EVENT_BYTES:
                 raise aiohttp.ClientPayloadError("an event is too long")
-            self.hold(len(self.partial_event))
+            self.hold(len(received))
             return False
-        whole = self.partial_event[: end + len(EVENT_END)]
-        self.partial_event = self.partial_event[end + len(EVENT_END) :]
+        whole = received[: end + len(EVENT_END)]
+        attempt.partial_event = received[end + len(EVENT_END) :]
         if comes_again(first_id_of(whole), self.last_event_id):
             raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
+        if not attempt.send.claim():
+            return False
         self.last_event_id = last_id_of(whole) or self.last_event_id
         self.writes += 1
         try:
-            await self.write(whole, limit)
+            await self.write(whole, attempt)
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
-        self.hold(len(self.partial_event))
+        self.hold(len(attempt.partial_event))
         return True
 
-    async def write(self, events: bytes, limit: asyncio.Timeout) -> None:
+    async def write(self, events: bytes, attempt: "StreamAttempt") -> None:
         """Write events to the caller, and wait until most of them are on their way."""
         assert self.response is not None
+        attempt.send.silent_at = math.inf
         unsent = buffered_bytes(self.caller) if self.held.budget.is_limited else 0
         if not self.held.budget.is_limited or unsent + len(events) <= WRITE_BUFFER_BYTES:
             await self.response.write(events)
             return
         self.hold(PAUSED_STREAM_BYTES + unsent + len(events))
-        until, started = limit.when(), clock.now()
-        limit.reschedule(None)
+        started = clock.now()
         await self.response.write(events)
         await self.caller.writer.drain()
-        limit.reschedule(until)
-        self.paused_seconds += clock.now() - started
+        attempt.paused_seconds += clock.now() - started
 
     def hold(self, size: int) -> None:
         """Count the bytes that are held now.
@@ -148,11 +147,6 @@
         """
         raise_refusal(self.held.put(Purpose.STREAM, size))
 
-    def broken(self, message: str) -> FailedAttempt:
-        """Return the failure of an answer that broke; a caller that paused it is to blame."""
-        unread = self.paused_seconds >= UNREAD_SECONDS
-        return FailedAttempt(FailureKind.UNREAD if unread else FailureKind.BROKEN, True, message)
-
 
 def last_id_of(events: bytes) -> str:
     """Return the id of the last event that has one; empty if no event has an id."""
@@ -214,10 +208,16 @@
         forwarder = self.forwarder
         progress = Progress()
         delivery = Delivery(caller, request.held)
+        attempts = Attempts[web.StreamResponse](
+            forwarder,
+            request,
+            progress,
+            lambda send: self.attempt(request, progress, send, delivery),
+        )
         forwarder.budget.record_request(request.service, clock.now())
         try:
             async with asyncio.timeout(request.deadline - clock.now()):
-                result = await self.attempts(request, progress, delivery)
+                result = await attempts.run()
         except TimeoutError:
             if delivery.response is not None:
                 raise self.cut(request, delivery, "the deadline has passed") from None
@@ -241,52 +241,25 @@
         self.forwarder.log.cut(request, delivery.writes, retries_left, reason)
         return StreamCutError(reason)
 
-    async def attempts(
-        self, request: Request, progress: Progress, delivery: Delivery
-    ) -> web.StreamResponse | WholeAnswer:
-        """Send, and resume at other backends, until the stream is complete."""
-        forwarder = self.forwarder
-        while True:
-            try:
-                choice = await forwarder.next_choice(request, progress)
-            except RefusedError:
-                if progress.answer is None or delivery.response is not None:
-                    raise
-                return progress.answer
-            result = await self.attempt(request, progress, choice, delivery)
-            if not isinstance(result, FailedAttempt):
-                return result
-            forwarder.record_failure(request, progress, choice, result)
-            fallback = forwarder.after_failure(request, progress, result)
-            if fallback is not None:
-                return fallback
-            if delivery.writes:
-                forwarder.log.resumed(request, delivery.last_event_id, result.message)
-
     async def attempt(
-        self, request: Request, progress: Progress, choice: Choice, delivery: Delivery
+        self, request: Request, progress: Progress, send: Send, delivery: Delivery
     ) -> web.StreamResponse | WholeAnswer | FailedAttempt:
         """Send a request once and forward the events of the answer."""
-        forwarder, view = self.forwarder, choice.view
-        now = clock.now()
-        progress.record_sent(now)
-        values = forwarder.backend_headers_for(request, choice, now)
+        forwarder, view = self.forwarder, send.choice.view
+        values = forwarder.backend_headers_for(request, send.choice, send.sent_at)
+        if delivery.writes:
+            forwarder.log.resumed(request, delivery.last_event_id, view)
         if delivery.last_event_id:
             values = resumed_after(values, delivery.last_event_id)
-        allowed = forwarder.placer.allowed_seconds(request, now)
-        forwarder.log.sent(request, choice, progress.sends, allowed)
-        delivery.partial_event = b""
-        delivery.paused_seconds = 0.0
-        attempt = StreamAttempt(forwarder, choice, request, now)
+        forwarder.log_sent(request, send, progress)
+        send.silent_at = send.sent_at + first_event_seconds(send.choice)
+        attempt = StreamAttempt(forwarder, send, request)
         try:
             async with contextlib.AsyncExitStack() as stack:
                 stack.enter_context(forwarder.crashes.counted_run(*request.crash_keys))
                 stack.enter_context(counted_tokens(view, request))
-                limit = await stack.enter_async_context(asyncio.timeout(None))
-                timeout = self.first_event_timeout(request, progress, choice, now)
-                if timeout is not None:
-                    limit.reschedule(loop_time() + timeout)
-                attempt.limit = limit
+                attempt.limit = await stack.enter_async_context(asyncio.timeout(None))
+                attempt.limit_start(send.sent_at)
                 self.waiting.add(attempt)
                 result = await stack.enter_async_context(
                     send_request(forwarder.session, request, view, values, forwarder.record_notice)
@@ -295,33 +268,15 @@
                     return result.failure()
                 answer = result.unwrap()
                 if answer.status != OK:
-                    return await self.handle_non_stream(request, progress, choice, answer)
-                return await self.forward_stream(
-                    request, progress, answer, delivery, attempt, limit
-                )
+                    return await self.handle_non_stream(request, progress, send, answer)
+                return await self.forward_stream(request, progress, answer, delivery, attempt)
         except TimeoutError:
-            return FailedAttempt(FailureKind.SILENT, True, "the backend stopped sending events")
+            message = "the weights of the backend are too old to start"
+            return FailedAttempt(FailureKind.SILENT, True, message)
         finally:
             self.waiting.discard(attempt)
             attempt.end()
 
-    def first_event_timeout(
-        self, request: Request, progress: Progress, choice: Choice, now: float
-    ) -> float | None:
-        """Return the timeout for the first event of a send; None for no timeout.
-
-        A send with a start deadline is cancelled before it: the backend then drops the request
-        instead of starting it on weights that are too old.
-        """
-        timeouts = []
-        if self.may_fail_over(request, progress):
-            timeouts.append(
-                max(MINIMUM_FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * choice.expected_seconds)
-            )
-        if choice.start_deadline < math.inf:
-            timeouts.append(max(0.0, choice.start_deadline - START_MARGIN_SECONDS - now))
-        return min(timeouts, default=None)
-
     async def forward_stream(
         self,
         request: Request,
@@ -329,81 +284,80 @@
         answer: aiohttp.ClientResponse,
         delivery: Delivery,
         attempt: "StreamAttempt",
-        limit: asyncio.Timeout,
     ) -> web.StreamResponse | FailedAttempt:
         """Forward the events of an answer to the caller until the answer ends."""
-        progress.answer_began_at = clock.now()
+        send = attempt.send
+        send.answer_began_at = clock.now()
         if delivery.response is None:
             await delivery.open(headers_for_caller(answer.headers))
         elif not is_event_stream(answer.headers):
             return FailedAttempt(FailureKind.INVALID, True, "the resumed answer is no event stream")
         try:
             async for piece in answer.content.iter_any():
-                if await delivery.forward_events(piece, limit):
+                if await delivery.forward_events(piece, attempt):
                     attempt.on_event(weights_version(answer.headers))
-                    self.clear_parts(request, progress)
-                    can_fail_over = self.may_fail_over(request, progress)
-                    limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
+                    self.clear_parts(request, send)
         except (aiohttp.ClientError, OSError) as error:
-            return delivery.broken(f"{type(error).__name__} {error}")
-        if was_reset(answer) or delivery.partial_event:
-            return delivery.broken("the stream was cut off")
+            return attempt.broken(f"{type(error).__name__} {error}")
+        if was_reset(answer) or attempt.partial_event:
+            return attempt.broken("the stream was cut off")
+        if not send.claim():
+            return FailedAttempt(FailureKind.SILENT, True, "another backend goes on")
         assert delivery.response is not None
-        limit.reschedule(None)
+        send.silent_at = math.inf
         try:
             await delivery.response.write_eof()
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
-        attempt.choice.view.record_success()
-        self.forwarder.record_answered(request, progress, clock.now())
-        self.forwarder.log.answered(request, OK, progress.sends + 1, attempt.first_seconds)
+        send.choice.view.record_success()
+        self.forwarder.record_answered(request, send, clock.now())
+        self.forwarder.log.answered(request, OK, progress.sends, attempt.first_seconds)
         return delivery.response
 
-    def clear_parts(self, request: Request, progress: Progress) -> None:
+    def clear_parts(self, request: Request, send: Send) -> None:
         """Clear the parts of a prompt once the answer has gone on for some time."""
         now = clock.now()
-        if progress.has_outlived_start(now):
+        if send.has_outlived_start(now):
             self.forwarder.crashes.record_parts_answered(
-                request.part_keys, progress.answer_began_at, now
+                request.part_keys, send.answer_began_at, now
             )
 
     async def handle_non_stream(
         self,
         request: Request,
         progress: Progress,
-        choice: Choice,
+        send: Send,
         answer: aiohttp.ClientResponse,
     ) -> WholeAnswer | FailedAttempt:
         """Return an answer that is not a stream; a server error may be retried instead."""
         read = await read_answer(answer, request.held)
         handled = read.bind(
-            lambda whole: self.forwarder.handle_answer(request, progress, choice.view, whole)
+            lambda whole: self.forwarder.handle_answer(request, progress, send, whole)
         )
         return handled.unwrap() if isinstance(handled, Success) else handled.failure()
 
-    def may_fail_over(self, request: Request, progress: Progress) -> bool:
-        """Return True if a stalled stream may fail over to another backend."""
-        forwarder = self.forwarder
-        now = clock.now()
-        return (
-            forwarder.may_retry(request, progress)
-            and forwarder.has_retry_budget(request, now)
-            and now + SEND_RESERVE_SECONDS < request.deadline
-        )
-
 
 class StreamAttempt:
-    """One send of a stream: its load accounting, start deadline and time to the first event."""
+    """One send of a stream: its load accounting, start deadline and time to the first event.
 
-    def __init__(
-        self, forwarder: Forwarder, choice: Choice, request: Request, started_at: float
-    ) -> None:
+    Attributes:
+      send: The send.
+      first_seconds: Time from the arrival of the request to the first event; 0 before it.
+      partial_event: Bytes received after the last whole event.
+      paused_seconds: Time for which it was paused as the caller did not read.
+      limit: Timeout by which its start deadline is kept.
+    """
+
+    def __init__(self, forwarder: Forwarder, send: Send, request: Request) -> None:
         self.forwarder = forwarder
-        self.choice = choice
+        self.send = send
+        self.choice = choice = send.choice
         self.request = request
         self.first_seconds = 0.0
         self.tokens = request.parsed_headers.prompt_tokens
-        self.started_at = started_at
+        self.started_at = started_at = send.sent_at
+        self.partial_event = b""
+        self.paused_seconds = 0.0
         self.awaits_first_event = True
         self.limit: asyncio.Timeout | None = None
         is_late = forwarder.placer.is_late(request, started_at)
@@ -430,13 +384,18 @@
     def on_event(self, version: int) -> None:
         """Record an event; the first one ends the prefill and updates the backend's slowness.
 
+        The first one also ends the start deadline.
+
         Args:
           version: Version of the weights from which it comes; 0 if unknown.
         """
+        now = clock.now()
+        self.send.record_event(now, STALL_SECONDS)
         if not self.awaits_first_event:
             return
+        if self.limit is not None:
+            self.limit.reschedule(None)
         self.end_prefill()
-        now = clock.now()
         self.report_late_start(version, now)
         took = now - self.started_at
         self.first_seconds = now - self.request.received_at
@@ -455,6 +414,11 @@
             metrics.LATE_STARTS.inc()
             self.forwarder.log.late_start(self.request, self.choice.view, version, required)
 
+    def broken(self, message: str) -> FailedAttempt:
+        """Return the failure of an answer that broke; a caller that paused it is to blame."""
+        unread = self.paused_seconds >= UNREAD_SECONDS
+        return FailedAttempt(FailureKind.UNREAD if unread else FailureKind.BROKEN, True, message)
+
     def end_prefill(self) -> None:
         """Stop counting the prompt as load of the backend."""
         if self.awaits_first_event:
@@ -469,6 +433,11 @@
         self.forwarder.load_changed()
 
 
+def first_event_seconds(choice: Choice) -> float:
+    """Return the time without a first event after which a send counts as silent."""
+    return max(MINIMUM_FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * choice.expected_seconds)
+
+
 def resumed_after(values: BackendHeaders, last_event_id: str) -> BackendHeaders:
     """Return the header values of a send that resumes a stream after an event."""
     return dataclasses.replace(values, last_event_id=last_event_id)
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -35,7 +35,7 @@
         "backend", "failure", "may_have_run", "message",
     ),
     "request.resumed": kind(
-        "resumes at another backend after event {after}: {reason}", "after", "reason"
+        "resumes at {backend} after event {after}", "after", "backend"
     ),
     "request.refused": kind(
         "refused with {status} ({verdict}): {reason}, {message}; retry after {retry_after} s",
@@ -54,6 +54,9 @@
         "{required} is required",
         "backend", "version", "required",
     ),
+    "request.superseded": kind(
+        "the send to {backend} was cancelled, as {by} goes on with the answer", "backend", "by"
+    ),
     "request.cancelled": kind("the caller disconnected"),
     "request.cut": kind(
         "its connection was aborted after {events} writes of events: {reason}; {left_ms} ms were "
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -110,6 +110,7 @@
       less_urgent: Those of its requests without a first event that are below level 0 and 1.
       remote_loads: Load of each other entry process, by its name.
       backoff_until: Time until which it is used only if no other backend is left.
+      unresponsive_until: End of the backoff because it could not be reached or was silent.
       excluded_until: Time until which it is excluded: it loads weights, or another incarnation
         answers at its address.
       misdirected_until: Time until which peers are told that another incarnation answers at its
@@ -138,6 +139,7 @@
     less_urgent: LessUrgent = NONE_LESS_URGENT
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     backoff_until: float = 0.0
+    unresponsive_until: float = 0.0
     excluded_until: float = 0.0
     misdirected_until: float = 0.0
     misdirections: int = 0
@@ -266,12 +268,25 @@
         self.failure_share += FAILURE_SMOOTHING * (1 - self.failure_share)
 
     def record_unresponsive(self, now: float) -> None:
-        """Record that it could not be reached or did not answer, and back off exponentially."""
+        """Record that it could not be reached or did not answer, and back off exponentially.
+
+        During the backoff that counts as the same failure, however many requests meet it.
+        """
+        if now < self.unresponsive_until:
+            return
         self.record_failure()
         doublings = min(MAXIMUM_DOUBLINGS, self.consecutive_failures)
         pause = min(MAXIMUM_UNREACHABLE_BACKOFF_SECONDS, UNREACHABLE_BACKOFF_SECONDS * 2**doublings)
         self.consecutive_failures += 1
-        self.backoff_until = max(self.backoff_until, now + pause)
+        self.unresponsive_until = now + pause
+        self.backoff_until = max(self.backoff_until, self.unresponsive_until)
+
+    def record_responsive(self, now: float) -> None:
+        """Record that it goes on after a silence: the backoff for that ends."""
+        if self.backoff_until <= self.unresponsive_until:
+            self.backoff_until = min(self.backoff_until, now)
+        self.unresponsive_until = min(self.unresponsive_until, now)
+        self.consecutive_failures = 0
 
     def record_loading(self, now: float) -> None:
         """Exclude it: it finishes its requests and then loads other weights."""
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -130,6 +130,23 @@
         tied = [item for item in preferred if item.cost_seconds <= best + TIE_SECONDS]
         return self.rng.choice(tied)
 
+    def choose_successor(self, request: Request, avoided: set[str], now: float) -> Choice | None:
+        """Return a backend with a free slot for a request whose backends are silent, or None.
+
+        Args:
+          request: The request.
+          avoided: Identities of the backends that have it or failed it.
+          now: Present time, monotonic, in seconds.
+        """
+        choices = [
+            item
+            for item in self.candidates(request, now)
+            if item.view.backend.identity not in avoided
+            and item.view.backoff_until <= now
+            and item.view.all_running(now) < item.view.backend.slots
+        ]
+        return min(choices, key=lambda item: item.cost_seconds, default=None)
+
     def overflow_choices(self, request: Request, choices: list[Choice], now: float) -> list[Choice]:
         """Return the choices among which one is picked at random, as `overflow` decides."""
         assert request.engine is not None
