bench soak: real processes under silences, restarts and errors, as one command

Now `python -m bench soak ROW ...` starts the daemons of the deploy file on loopback, with backends that keep their connections and send no byte for 1.4 s each 2.5 s (or for good), callers that ask the directory for addresses, and SIGTERM, kills, stops or configurations beside it. Inner tables and lists of a result are printed one item a line by all benchmarks.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -23,5 +23,18 @@
     if as_json:
         print(json.dumps(result))
         return
-    for name, value in result.items():
-        print(f"{name:28} {value}")
+    print_fields(result, "")
+
+
+def print_fields(fields: dict[str, Any], indent: str) -> None:
+    """Print fields one a line; those of an inner table and the items of a list are indented."""
+    for name, value in fields.items():
+        if isinstance(value, dict) and value:
+            print(f"{indent}{name}")
+            print_fields(value, f"{indent}  ")
+        elif isinstance(value, list) and value:
+            print(f"{indent}{name}")
+            for item in value:
+                print(f"{indent}  {item}")
+        else:
+            print(f"{indent}{name:28} {value}")
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,343 @@
+"""Benchmark `soak`: real processes on loopback under silences, restarts and errors."""
+
+import argparse
+import asyncio
+import contextlib
+import random
+import tempfile
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import asdict, dataclass
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+from review.harness import BOUNDS, ROOT
+
+from .registry import BENCHES
+from .soak_callers import Callers
+from .soak_counting import (
+    Outcome,
+    RequestResult,
+    RetryLimit,
+    classify,
+    count_outcomes,
+    longest_gap,
+    repeat_times,
+    share_later_than,
+    worst_window,
+)
+from .soak_deployment import SoakDeployment, SoakPlan
+from .soak_rows import ROWS, TROUBLES, Row
+
+ZONES = 3
+STREAM_RATE = 36.0
+PLAIN_RATES = {3: 60.0}
+"""Requests a second by the number of entry processes."""
+LARGE_PLAIN_RATE = 90.0
+PLAIN_BACKENDS = 6
+ENGINES_PER_ZONE = 2
+SETTLING_SECONDS = 2.0
+LATE_SECONDS = (1.5, 2.0, 3.0, 4.0)
+STREAM_TARGET_SECONDS = 0.505
+GAP_TARGET_SECONDS = 0.4
+LIMIT = RetryLimit(
+    ratio=float(BOUNDS["retry_budget_ratio"]),
+    extra=int(BOUNDS["retry_budget_extra"]),
+    window_seconds=float(BOUNDS["retry_window_s"]),
+)
+KILL_SECONDS = 0.2
+"""A killed process still accepts connections for less than this."""
+LAG_POLL_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class LostRequest:
+    """A request that was cut or closed, so that it can be looked up in the logs.
+
+    Attributes:
+      attempt: Its id, which the logs call `request`.
+      outcome: What its caller got.
+      entry: Name of the entry process.
+      sent_at: When it was sent, in seconds since the traffic began.
+      ended_at: When its connection ended.
+      ended_utc: The same as the logs print it.
+      since_sigterm: Seconds since the last SIGTERM of the entry process; None without one.
+      events: Events that its caller received.
+      error: Error of the caller's connection.
+      arrivals: Backends and times at which it arrived there.
+    """
+
+    attempt: str
+    outcome: str
+    entry: str
+    sent_at: float
+    ended_at: float
+    ended_utc: str
+    since_sigterm: float | None
+    events: int
+    error: str
+    arrivals: tuple[str, ...]
+
+
+def parse(arguments: Sequence[str]) -> argparse.Namespace:
+    """Return the options of the benchmark."""
+    rows = "\n".join(f"  {name:22} {row.description}" for name, row in ROWS.items())
+    parser = argparse.ArgumentParser(
+        prog="python -m bench soak",
+        description=(
+            "Run rows of the soak, one after the other: entry and endpoint processes, and\n"
+            "stand-ins of backends and callers, on loopback. Needs target/deps\n"
+            "(review/build.sh).\n\n"
+            f"rows:\n{rows}"
+        ),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("rows", nargs="+", metavar="ROW", help="names of rows, see above")
+    parser.add_argument("--seed", type=int, default=1, help="of what is drawn (default 1)")
+    parser.add_argument(
+        "--seconds", type=number_between(5, 3600), default=40.0, help="of traffic (default 40)"
+    )
+    parser.add_argument(
+        "--rate",
+        type=number_between(1, 500),
+        help="requests a second (default: streams 36, others 60, 90 with more entry processes);"
+        " six engines carry 84 streams a second",
+    )
+    parser.add_argument(
+        "--entries", type=entry_count, default=3, help="entry processes: 3, 6, 9 ... (default 3)"
+    )
+    parser.add_argument(
+        "--restart-seconds",
+        type=number_between(0, 60),
+        default=0.1,
+        help="from the end of a process to its next start (default 0.1)",
+    )
+    parser.add_argument(
+        "--daemons",
+        type=daemon_folder,
+        default=ROOT,
+        metavar="FOLDER",
+        help="checkout whose code the daemons run, with target/deps (default: this one)",
+    )
+    parser.add_argument(
+        "--keep-logs",
+        type=Path,
+        metavar="FOLDER",
+        help="keep record, settings and logs of each row in FOLDER/ROW-SEED",
+    )
+    parser.add_argument("--json", action="store_true", help="print one line of JSON")
+    options = parser.parse_args(arguments)
+    unknown = [name for name in options.rows if name not in ROWS]
+    if unknown:
+        parser.error(f"unknown row {unknown[0]!r}; known: {', '.join(ROWS)}")
+    kept = options.keep_logs
+    if kept is not None and kept.exists() and not kept.is_dir():
+        parser.error(f"--keep-logs: {kept} is no folder")
+    return options
+
+
+def number_between(low: float, high: float) -> Any:
+    """Return a function that reads a number in a range, for an option."""
+
+    def number(text: str) -> float:
+        value = float(text)
+        if not low <= value <= high:
+            raise argparse.ArgumentTypeError(f"{text} is not between {low:g} and {high:g}")
+        return value
+
+    return number
+
+
+def entry_count(text: str) -> int:
+    """Read a number of entry processes.
+
+    Raises:
+      ArgumentTypeError: The zones cannot have the same number each.
+    """
+    value = int(text)
+    if not 0 < value <= 90 or value % ZONES:
+        raise argparse.ArgumentTypeError(f"{text} is not one of 3, 6, 9 ... 90")
+    return value
+
+
+def daemon_folder(text: str) -> Path:
+    """Read the folder of a checkout.
+
+    Raises:
+      ArgumentTypeError: It lacks the deploy file or the dependencies.
+    """
+    folder = Path(text).resolve()
+    for needed in ("deploy/system.toml", "target/deps"):
+        if not (folder / needed).exists():
+            raise argparse.ArgumentTypeError(f"{folder} has no {needed}")
+    return folder
+
+
+@BENCHES.register("soak")
+async def bench_soak(arguments: Sequence[str]) -> dict[str, Any]:
+    """Run the rows named in the arguments."""
+    options = parse(arguments)
+    return {f"{name} seed {options.seed}": await run_row(name, options) for name in options.rows}
+
+
+async def run_row(name: str, options: argparse.Namespace) -> dict[str, Any]:
+    """Run one row and return its figures."""
+    row = ROWS[name]
+    is_stream = row.load.is_stream
+    plan = SoakPlan(
+        daemons=options.daemons,
+        entries_per_zone=options.entries // ZONES,
+        models_per_zone=ENGINES_PER_ZONE if is_stream else 0,
+        plain=0 if is_stream else PLAIN_BACKENDS,
+        error_share=row.error_share,
+        restart_seconds=options.restart_seconds,
+        seed=options.seed,
+    )
+    plain_rate = PLAIN_RATES.get(options.entries, LARGE_PLAIN_RATE)
+    rate = options.rate or (STREAM_RATE if is_stream else plain_rate)
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        deployment = SoakDeployment(plan, Path(folder))
+        try:
+            await deployment.start_plan()
+            figures = await play(deployment, row, rate, options)
+        finally:
+            if options.keep_logs is not None:
+                kept = options.keep_logs / f"{name}-{options.seed}"
+                deployment.keep_logs(kept)
+                (kept / "record.txt").write_bytes((Path(folder) / "record.txt").read_bytes())
+            await deployment.stop()
+    return {"rate": rate, "entries": options.entries, "seconds": options.seconds, **figures}
+
+
+async def play(
+    deployment: SoakDeployment, row: Row, rate: float, options: argparse.Namespace
+) -> dict[str, Any]:
+    """Send the traffic of a row beside its troubles and return the figures."""
+    await asyncio.sleep(SETTLING_SECONDS)
+    callers = Callers(deployment, row.load, options.seed)
+    lags: list[float] = []
+    try:
+        async with playing(deployment, row, options), polling_lag(lags):
+            await callers.run(rate, options.seconds)
+    finally:
+        await callers.close()
+    return {**summarize(deployment, row, callers), "max_loop_lag_ms": round(1000 * max(lags))}
+
+
+@contextlib.asynccontextmanager
+async def playing(
+    deployment: SoakDeployment, row: Row, options: argparse.Namespace
+) -> AsyncIterator[None]:
+    """Disturb a deployment while the body runs; no trouble begins after the traffic has ended."""
+
+    async def limited(name: str) -> None:
+        trouble = TROUBLES.find(name)
+        rng = random.Random(f"{options.seed} {name}")
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(trouble(deployment, rng), options.seconds)
+
+    tasks = [deployment.background(limited(name)) for name in row.troubles]
+    try:
+        yield
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def polling_lag(lags: list[float]) -> AsyncIterator[None]:
+    """Collect how late a timer of this process fires: its own stalls are no silence of others."""
+
+    async def poll() -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_POLL_SECONDS
+            await asyncio.sleep(LAG_POLL_SECONDS)
+            lags.append(loop.time() - due)
+
+    task = asyncio.create_task(poll())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def summarize(deployment: SoakDeployment, row: Row, callers: Callers) -> dict[str, Any]:
+    """Return the figures of a row."""
+    results = callers.results
+    arrivals = [
+        (at - callers.began_at, attempt)
+        for worker in deployment.workers.values()
+        for at, attempt in worker.received
+    ]
+    repeats = repeat_times(arrivals)
+    worst = worst_window([item.sent_at for item in results], repeats, LIMIT)
+    refused = [item for item in results if classify(item) is Outcome.REFUSED]
+    figures: dict[str, Any] = {
+        "requests": len(results),
+        **count_outcomes(results),
+        "refused_reasons": dict(Counter(item.reason for item in refused)),
+        "repeats": len(repeats),
+        "worst_window": worst and {**asdict(worst), "start": round(worst.start, 2)},
+        "starts": sum(entry.starts for entry in deployment.entries),
+        "ended_by_themselves": sum(len(entry.exits) for entry in deployment.entries),
+    }
+    if row.load.is_stream:
+        figures |= lateness([item for item in results if item.sent_at >= row.counted_from])
+    figures["lost"] = [asdict(item) for item in lost_requests(deployment, callers)]
+    return figures
+
+
+def lost_requests(deployment: SoakDeployment, callers: Callers) -> list[LostRequest]:
+    """Return the requests that were cut or closed, but not by the end of a killed process."""
+    entries = {entry.name: entry for entry in deployment.entries}
+
+    def was_killed(item: RequestResult) -> bool:
+        start, end = item.sent_at + callers.began_at, item.ended_at + callers.began_at
+        return entries[item.entry].was_killed(start - KILL_SECONDS, end)
+
+    return [
+        describe(deployment, callers, item)
+        for item in callers.results
+        if classify(item) in (Outcome.CUT, Outcome.CLOSED) and not was_killed(item)
+    ]
+
+
+def lateness(results: Sequence[RequestResult]) -> dict[str, Any]:
+    """Return how late streams were: shares of those that were not whole some seconds after."""
+    accepted = [item for item in results if item.event_times]
+    firsts = [item.event_times[0] - item.sent_at for item in accepted]
+    return {
+        "late_share": {
+            f"{limit:g} s": round(share_later_than(results, limit), 4) for limit in LATE_SECONDS
+        },
+        "first_event_late": sum(first > STREAM_TARGET_SECONDS for first in firsts),
+        "gap_late": sum(longest_gap(item) > GAP_TARGET_SECONDS for item in accepted),
+    }
+
+
+def describe(deployment: SoakDeployment, callers: Callers, result: RequestResult) -> LostRequest:
+    """Return what is needed to look a lost request up."""
+    entry = next(item for item in deployment.entries if item.name == result.entry)
+    since = entry.since_sigterm(result.ended_at + callers.began_at)
+    ago = timedelta(seconds=callers.now() - result.ended_at)
+    arrivals = sorted(
+        (at - callers.began_at, worker.identity)
+        for worker in deployment.workers.values()
+        for at, attempt in worker.received
+        if attempt == result.attempt
+    )
+    return LostRequest(
+        attempt=result.attempt,
+        outcome=classify(result).value,
+        entry=result.entry,
+        sent_at=round(result.sent_at, 3),
+        ended_at=round(result.ended_at, 3),
+        ended_utc=(datetime.now(UTC) - ago).isoformat(timespec="milliseconds"),
+        since_sigterm=None if since is None else round(since, 3),
+        events=len(result.event_times),
+        error=result.reason,
+        arrivals=tuple(f"{identity} {at:.3f}" for at, identity in arrivals),
+    )
--- /dev/null
+++ b/bench/soak_callers.py
@@ -0,0 +1,242 @@
+"""Callers of a soak: they ask the directory for addresses and send one request after another."""
+
+import asyncio
+import itertools
+import random
+import re
+from dataclasses import dataclass
+
+import aiohttp
+
+from review.harness import HOST, KEY, MODEL, ZONES, Daemon, is_whole
+from verbenaward.http_client import send_once
+
+from .soak_counting import Ending, RequestResult
+from .soak_deployment import SoakDeployment
+
+ADDRESS_SECONDS = 2.0
+"""How long a caller keeps the addresses of the directory (`address_ttl_seconds`)."""
+CONNECT_SECONDS = 1.0
+KEPT_SHARE = 0.5
+"""Share of the streams that are sent on kept connections."""
+LONGEST_GAP_SECONDS = 3.2
+"""A stream is left after a gap of max(2 s, 4 x target, 8 x gap target)."""
+SUBJECTS = 60
+EVENT_PATTERN = re.compile(rb"id: \d+\n[^\n]*\n\n")
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests that are sent evenly.
+
+    Attributes:
+      prefix: Prefix of their paths.
+      method: Their method.
+      deadline_ms: Value of X-Deadline-Ms.
+    """
+
+    prefix: str
+    method: str
+    deadline_ms: int
+
+    @property
+    def is_stream(self) -> bool:
+        """True if the answers are streams."""
+        return self.prefix == "/assist/"
+
+
+class Addresses:
+    """Addresses that the directory has named to the callers of one zone."""
+
+    def __init__(self, deployment: SoakDeployment, zone: str) -> None:
+        self.deployment = deployment
+        self.zone = zone
+        self.named: list[Daemon] = []
+        self.failed: set[str] = set()
+
+    async def keep_fresh(self) -> None:
+        """Ask again each ADDRESS_SECONDS, until cancelled; without an answer keep the old ones."""
+        while True:
+            named = await self.deployment.resolve(self.zone)
+            if named:
+                self.named = named
+                self.failed.clear()
+            await asyncio.sleep(ADDRESS_SECONDS if named else 0.2)
+
+    def choose(self, rng: random.Random) -> Daemon | None:
+        """Return an entry process, not one that has failed since the last answer if possible."""
+        usable = [entry for entry in self.named if entry.name not in self.failed]
+        return rng.choice(usable or self.named) if self.named else None
+
+
+class Callers:
+    """All callers of a soak.
+
+    Attributes:
+      results: What they have seen, as the requests end.
+      began_at: When the traffic began, since the record began.
+    """
+
+    def __init__(self, deployment: SoakDeployment, load: Load, seed: int) -> None:
+        self.deployment = deployment
+        self.load = load
+        self.rng = random.Random(f"{seed} callers")
+        self.numbers = itertools.count(1)
+        self.results: list[RequestResult] = []
+        self.began_at = 0.0
+        self.sending: set[asyncio.Task[None]] = set()
+        timeout = aiohttp.ClientTimeout(total=load.deadline_ms / 1000, sock_connect=CONNECT_SECONDS)
+        self.kept, self.single = (
+            aiohttp.ClientSession(
+                timeout=timeout,
+                connector=aiohttp.TCPConnector(limit=0, force_close=is_single),
+                middlewares=(send_once,),
+                auto_decompress=False,
+            )
+            for is_single in (False, True)
+        )
+
+    def now(self) -> float:
+        """Return the time since the traffic began, in seconds."""
+        return self.deployment.record.now() - self.began_at
+
+    async def run(self, per_second: float, seconds: float) -> None:
+        """Send requests from all zones, and wait until the last one has ended."""
+        addresses = [Addresses(self.deployment, zone) for zone in ZONES]
+        refreshing = [self.deployment.background(item.keep_fresh()) for item in addresses]
+        while not all(item.named for item in addresses):
+            await asyncio.sleep(0.05)
+        self.began_at = self.deployment.record.now()
+        rate = per_second / len(addresses)
+        await asyncio.gather(
+            *(
+                self.send_evenly(item, rate, index / per_second, seconds)
+                for index, item in enumerate(addresses)
+            )
+        )
+        await asyncio.gather(*self.sending)
+        for task in refreshing:
+            task.cancel()
+
+    async def send_evenly(
+        self, addresses: Addresses, per_second: float, first_at: float, until: float
+    ) -> None:
+        """Send requests of one zone evenly, also while earlier ones are unanswered."""
+        due = first_at
+        while due < until:
+            await asyncio.sleep(max(0.0, due - self.now()))
+            due += 1.0 / per_second
+            entry = addresses.choose(self.rng)
+            if entry is not None:
+                task = asyncio.create_task(self.send(addresses, entry))
+                self.sending.add(task)
+                task.add_done_callback(self.sending.discard)
+
+    async def send(self, addresses: Addresses, entry: Daemon) -> None:
+        """Send one request and record what became of it."""
+        attempt = f"{next(self.numbers):08x}{self.rng.randrange(2**32):08x}"
+        path = f"{self.load.prefix}{self.rng.randrange(SUBJECTS)}"
+        is_kept = self.load.is_stream and self.rng.random() < KEPT_SHARE
+        reader = AnswerReader(self, attempt, path)
+        sent_at = self.now()
+        self.deployment.record.write("sent", id=attempt, path=path, to=entry.name, kept=is_kept)
+        session = self.kept if is_kept else self.single
+        ending, error = await reader.read(session, entry, self.headers(attempt))
+        if ending is Ending.NO_CONNECTION:
+            addresses.failed.add(entry.name)
+        result = RequestResult(
+            attempt=attempt,
+            entry=entry.name,
+            sent_at=sent_at,
+            ended_at=self.now(),
+            ending=ending,
+            status=reader.status,
+            reason=reader.reason or error,
+            is_whole=reader.status == 200 and is_whole(path, attempt, bytes(reader.body)),
+            event_times=tuple(reader.event_times),
+        )
+        self.results.append(result)
+        self.deployment.record.write(
+            "answered", id=attempt, status=result.status, ending=ending.value,
+            whole=result.is_whole, events=len(result.event_times), reason=result.reason,
+        )  # fmt: skip
+
+    def headers(self, attempt: str) -> dict[str, str]:
+        """Return the headers of a request."""
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": str(self.load.deadline_ms),
+            "Authorization": f"Bearer {KEY}",
+        }
+        if self.load.is_stream:
+            part = f"{self.rng.randrange(SUBJECTS):08x}:40,{self.rng.randrange(2**32):08x}:560"
+            headers |= {
+                "X-Model": MODEL,
+                "X-Token-Usage": "600,60",
+                "X-Prompt-Prefix-Hash": part,
+            }
+        return headers
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in tuple(self.sending):
+            task.cancel()
+        await self.kept.close()
+        await self.single.close()
+
+
+class AnswerReader:
+    """Reads the answer of one request.
+
+    Attributes:
+      status: Its status; 0 without an answer.
+      reason: Its header X-Reason.
+      body: What was received of its body.
+      event_times: When its events were received, since the traffic began.
+    """
+
+    def __init__(self, callers: Callers, attempt: str, path: str) -> None:
+        self.callers = callers
+        self.attempt = attempt
+        self.path = path
+        self.status = 0
+        self.reason = ""
+        self.body = bytearray()
+        self.event_times: list[float] = []
+
+    async def read(
+        self, session: aiohttp.ClientSession, entry: Daemon, headers: dict[str, str]
+    ) -> tuple[Ending, str]:
+        """Send the request and read its answer; return how it ended, and the error."""
+        method, url = self.callers.load.method, f"http://{entry.front}{self.path}"
+        try:
+            async with session.request(method, url, headers=headers) as answer:
+                self.status = answer.status
+                self.reason = answer.headers.get("X-Reason", "")
+                await self.read_body(answer)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Ending.NO_CONNECTION, type(error).__name__
+        except TimeoutError as error:
+            return Ending.ABANDONED, type(error).__name__
+        except (aiohttp.ClientError, OSError) as error:
+            return Ending.LOST, type(error).__name__
+        return Ending.COMPLETE, ""
+
+    async def read_body(self, answer: aiohttp.ClientResponse) -> None:
+        """Read the body as it comes.
+
+        Raises:
+          TimeoutError: A gap between two events, or the whole answer, lasted too long.
+          ClientError: The connection ended before the body did.
+        """
+        while True:
+            limit = LONGEST_GAP_SECONDS if self.event_times else None
+            data = await asyncio.wait_for(answer.content.readany(), limit)
+            if not data:
+                return
+            self.body += data
+            if self.callers.load.is_stream:
+                now = self.callers.now()
+                new = len(EVENT_PATTERN.findall(self.body)) - len(self.event_times)
+                self.event_times.extend([now] * new)
--- /dev/null
+++ b/bench/soak_rows.py
@@ -0,0 +1,161 @@
+"""Rows of a soak: a load, silences of backends, and what is done to the entry processes."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from verbenaward.registry import Registry
+
+from .soak_callers import Load
+from .soak_deployment import SoakDaemon, SoakDeployment, SoakWorker
+
+STREAMS = Load("/assist/", "POST", 6060)
+LOOKS = Load("/look/", "GET", 2180)
+CHECKS = Load("/check/", "GET", 618)
+SILENCE_SECONDS = 1.4
+SILENCE_INTERVAL_SECONDS = 2.5
+FIRST_FAULT_SECONDS = 14.0
+"""Longer than a window of the retry limit, which is full by then."""
+SIGTERM_INTERVAL_SECONDS = 6.0
+CONFIGURATION_INTERVAL_SECONDS = 3.0
+DARK_FROM_SECONDS = 10.0
+KILL_INTERVAL_SECONDS = 4.0
+ROLL_INTERVAL_SECONDS = 1.5
+STOP_SECONDS = 3.0
+
+Trouble = Callable[[SoakDeployment, random.Random], Awaitable[None]]
+"""Disturbs a deployment from the start of the traffic until it is cancelled."""
+TROUBLES: Registry[Trouble] = Registry("trouble")
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of a soak.
+
+    Attributes:
+      description: What it plays, for the help.
+      load: Its requests.
+      troubles: Names of its troubles.
+      error_share: Share of the plain backends' answers that are 500.
+    """
+
+    description: str
+    load: Load
+    troubles: tuple[str, ...] = ()
+    error_share: float = 0.0
+
+    @property
+    def counted_from(self) -> float:
+        """When the requests are sent whose lateness is counted, in seconds."""
+        return DARK_FROM_SECONDS if "dark" in self.troubles else 0.0
+
+
+ERRORS = 0.8
+ROWS = {
+    "calm": Row("streams, no trouble", STREAMS),
+    "silence": Row("streams; an engine is silent for 1.4 s each 2.5 s", STREAMS, ("silence",)),
+    "silence-sigterm": Row(
+        "the same, and SIGTERM to the entry processes in turn from 14 s, 6 s apart",
+        STREAMS,
+        ("silence", "sigterm"),
+    ),
+    "sigterm": Row("streams; SIGTERM in turn, no silence", STREAMS, ("sigterm",)),
+    "silence-configuration": Row(
+        "streams; silence, and a configuration each 3 s", STREAMS, ("silence", "configuration")
+    ),
+    "dark": Row("streams; from 10 s on one engine never sends a byte", STREAMS, ("dark",)),
+    "dark-sigterm": Row("the same, and SIGTERM in turn", STREAMS, ("dark", "sigterm")),
+    "whole-silence": Row("whole answers; a plain backend is silent", LOOKS, ("silence",)),
+    "whole-silence-sigterm": Row("the same, and SIGTERM in turn", LOOKS, ("silence", "sigterm")),
+    "errors": Row("plain backends answer 500 to 80%", CHECKS, (), ERRORS),
+    "errors-killed": Row(
+        "the same; from 14 s on all entry processes are killed each 4 s", CHECKS, ("kill",), ERRORS
+    ),
+    "errors-sigterm": Row(
+        "the same; SIGTERM in turn from 14 s, 1.5 s apart", CHECKS, ("roll",), ERRORS
+    ),
+    "errors-stopped": Row(
+        "the same; from 14 s one after the other is stopped for 3 s", CHECKS, ("stop",), ERRORS
+    ),
+}
+
+
+def loaded_workers(deployment: SoakDeployment) -> list[SoakWorker]:
+    """Return the engines, or the plain backends if there are no engines."""
+    workers = list(deployment.workers.values())
+    return [item for item in workers if item.is_model] or workers
+
+
+@TROUBLES.register("silence")
+async def silence(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let a backend that is drawn each time be silent, then go on."""
+    while True:
+        await asyncio.sleep(SILENCE_INTERVAL_SECONDS - SILENCE_SECONDS)
+        worker = rng.choice(loaded_workers(deployment))
+        deployment.record.write("silent", worker=worker.identity)
+        worker.speaking.clear()
+        await asyncio.sleep(SILENCE_SECONDS)
+        worker.speaking.set()
+        deployment.record.write("speaks", worker=worker.identity)
+
+
+@TROUBLES.register("dark")
+async def darken(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let one backend be silent for the rest of the run."""
+    await asyncio.sleep(DARK_FROM_SECONDS)
+    worker = rng.choice(loaded_workers(deployment))
+    deployment.record.write("dark", worker=worker.identity)
+    worker.speaking.clear()
+
+
+@TROUBLES.register("configuration")
+async def configure(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Write a new configuration again and again."""
+    while True:
+        await asyncio.sleep(CONFIGURATION_INTERVAL_SECONDS)
+        deployment.write_configuration()
+
+
+@TROUBLES.register("sigterm")
+async def terminate(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Send SIGTERM to the entry processes in turn."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    await send_in_turn(deployment.entries, SIGTERM_INTERVAL_SECONDS)
+
+
+@TROUBLES.register("roll")
+async def roll(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Send SIGTERM to the entry processes in turn, soon after each other."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    await send_in_turn(deployment.entries, ROLL_INTERVAL_SECONDS)
+
+
+async def send_in_turn(entries: list[SoakDaemon], interval_seconds: float) -> None:
+    """Send SIGTERM to one entry process after the other, over and over, until cancelled."""
+    while True:
+        for entry in entries:
+            entry.send(signal.SIGTERM)
+            await asyncio.sleep(interval_seconds)
+
+
+@TROUBLES.register("kill")
+async def kill(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Kill all entry processes at the same moment, again and again."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    while True:
+        for entry in deployment.entries:
+            entry.send(signal.SIGKILL)
+        await asyncio.sleep(KILL_INTERVAL_SECONDS)
+
+
+@TROUBLES.register("stop")
+async def stop(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Stop one entry process after the other, each for STOP_SECONDS."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    while True:
+        for entry in deployment.entries:
+            entry.send(signal.SIGSTOP)
+            await asyncio.sleep(STOP_SECONDS)
+            entry.send(signal.SIGCONT)
