Averages of failures and slowness decay while a backend gets no requests

Cause: the first events that a silence delays raise the slowness of an engine up to 20 times, and failed sends its failure share. Only answers lower both, and an engine that seems slow gets no requests. Class: an estimate that prevents the samples that would correct it. Change: both averages return to their resting value while no sample is recorded (placement/decay.py). Two scenarios in silences.feature; on the code before, nothing lowers these averages without a request.

--- a/bench/placement_simulation.py
+++ b/bench/placement_simulation.py
@@ -395,9 +395,9 @@
                 view.record_prefill_done(self.prompt, level)
                 if learns_delays:
                     view.record_not_awaited(id(self))
-                    expected = max(choice.expected_seconds / view.slowness, 0.02)
+                    expected = max(choice.expected_seconds / view.present_slowness(clock.now), 0.02)
                     if not level:
-                        view.record_slowness((clock.now + latency - now) / expected)
+                        view.record_slowness((clock.now + latency - now) / expected, clock.now)
                 self.first_at = clock.now + latency + NEAR_LATENCY_SECONDS
             else:
                 self.longest_pause = max(self.longest_pause, clock.now - self.last_event_at)
--- a/bench/soak_rows.py
+++ b/bench/soak_rows.py
@@ -96,8 +96,10 @@
         worker = rng.choice(loaded_workers(deployment))
         deployment.record.write("silent", worker=worker.identity)
         worker.speaking.clear()
-        await asyncio.sleep(SILENCE_SECONDS)
-        worker.speaking.set()
+        try:
+            await asyncio.sleep(SILENCE_SECONDS)
+        finally:
+            worker.speaking.set()
         deployment.record.write("speaks", worker=worker.identity)
 
 
--- a/tests/direct/silences.feature
+++ b/tests/direct/silences.feature
@@ -38,3 +38,12 @@
   Scenario: Many requests that meet one silence count as one failure of their backend
     When one backend is found silent by 20 requests at once, and answers again
     Then its backoff was the shortest one, and ends with that answer
+
+  Scenario Outline: Engines that were all <state> for a moment are used again though nobody tries them
+    Given two engines that were <state> for 16 requests in a row
+    Then a request is refused 0.1 s later, and admitted 15 s later
+
+    Examples: states
+      | state  |
+      | slow   |
+      | failed |
--- a/tests/steps/backend_notices.py
+++ b/tests/steps/backend_notices.py
@@ -187,7 +187,7 @@
 
 @when("another request of the process succeeds there")
 def success_there(context):
-    context.paused.record_success()
+    context.paused.record_success(NOW)
 
 
 @when("a shorter pause is asked for")
--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -1,13 +1,14 @@
 """Steps on backends that are silent for a moment."""
 
 import asyncio
+import dataclasses
 import time
 
 import aiohttp
 from behave import given, then, when
 
 from standins.platform import send_request
-from tests.direct_fakes import NOW, fleet_of
+from tests.direct_fakes import NOW, fleet_of, placer_of, request_of
 from tests.steps.platform_running import engines, plain, run, until
 from verbenaward.placement.backends import UNREACHABLE_BACKOFF_SECONDS
 
@@ -136,3 +137,27 @@
 def shortest_backoff(context):
     assert context.backoff == UNREACHABLE_BACKOFF_SECONDS, context.backoff
     assert context.left < 0.001, context.left
+
+
+@given("two engines that were {state} for {count:d} requests in a row")
+def were_bad(context, state, count):
+    context.fleet = fleet_of(2)
+    for view in context.fleet.backends.values():
+        for _ in range(count):
+            if state == "slow":
+                view.record_slowness(20.0, NOW)
+            else:
+                view.record_failure(NOW)
+
+
+@then("a request is refused {soon:g} s later, and admitted {later:g} s later")
+def refused_then_admitted(context, soon, later):
+    assert refusal_after(context.fleet, soon) is not None
+    assert refusal_after(context.fleet, later) is None
+
+
+def refusal_after(fleet, seconds):
+    """Return the refusal of a request that arrives some seconds after NOW; None if admitted."""
+    placer, now = placer_of(fleet), NOW + seconds
+    request = dataclasses.replace(request_of(), received_at=now, deadline=now + 6)
+    return placer.refusal(request, placer.choose(request, set(), now), now)
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -273,13 +273,13 @@
         """Return the answer for the caller, or a failed attempt if a server error is retried."""
         view = send.choice.view
         if answer.status < SERVER_ERROR:
-            view.record_success()
+            view.record_success(clock.now())
             self.record_answered(request, send, clock.now())
             self.log.answered(request, answer.status, progress.sends)
             return Success(answer)
         can_retry = self.may_retry(request, progress)
         if not can_retry or not self.has_retry_budget(request, clock.now()):
-            view.record_failure()
+            view.record_failure(clock.now())
             self.log.answered(request, answer.status, progress.sends)
             return Success(answer)
         progress.answer = answer
@@ -305,7 +305,7 @@
         elif failed.failure in (FailureKind.UNREACHABLE, FailureKind.SILENT):
             view.record_unresponsive(now)
         else:
-            view.record_failure()
+            view.record_failure(clock.now())
         if failed.failure is FailureKind.BROKEN:
             self.record_crash(request, send, now)
         if failed.may_have_run:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -75,6 +75,7 @@
       last_event_id: Id of the last event forwarded.
       writes: Number of writes to the caller so far, each of one or more whole events.
       held: Bytes held for the request.
+      is_complete: True once the end of the stream was sent.
     """
 
     caller: web.Request
@@ -82,6 +83,7 @@
     response: web.StreamResponse | None = None
     last_event_id: str = ""
     writes: int = 0
+    is_complete: bool = False
 
     async def open(self, headers: CIMultiDict[str]) -> None:
         """Send the headers of the first backend that answered to the caller."""
@@ -229,7 +231,8 @@
                 raise self.cut(request, delivery, error.refusal.message) from None
             raise
         except (asyncio.CancelledError, CallerGoneError):
-            forwarder.log.cancelled(request)
+            if not delivery.is_complete:
+                forwarder.log.cancelled(request)
             raise
         if isinstance(result, WholeAnswer) and delivery.response is not None:
             raise self.cut(request, delivery, f"a backend answered with status {result.status}")
@@ -307,9 +310,10 @@
         send.silent_at = math.inf
         try:
             await delivery.response.write_eof()
+            delivery.is_complete = True
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
-        send.choice.view.record_success()
+        send.choice.view.record_success(clock.now())
         self.forwarder.record_answered(request, send, clock.now())
         self.forwarder.log.answered(request, OK, progress.sends, attempt.first_seconds)
         return delivery.response
@@ -343,6 +347,7 @@
     Attributes:
       send: The send.
       first_seconds: Time from the arrival of the request to the first event; 0 before it.
+      usual_seconds: Expected time to the first event at a backend that is not slow.
       partial_event: Bytes received after the last whole event.
       paused_seconds: Time for which it was paused as the caller did not read.
       limit: Timeout by which its start deadline is kept.
@@ -356,6 +361,7 @@
         self.first_seconds = 0.0
         self.tokens = request.parsed_headers.prompt_tokens
         self.started_at = started_at = send.sent_at
+        self.usual_seconds = choice.expected_seconds / choice.view.present_slowness(started_at)
         self.partial_event = b""
         self.paused_seconds = 0.0
         self.awaits_first_event = True
@@ -400,11 +406,10 @@
         took = now - self.started_at
         self.first_seconds = now - self.request.received_at
         metrics.FIRST_TOKEN_SECONDS.labels(*labels_of(self.request)).observe(self.first_seconds)
-        expected = self.choice.expected_seconds / self.choice.view.slowness
         # At least 20 ms, so that a very short expectation does not give a huge ratio.
         if not self.level:
             # Less urgent requests are overtaken, so their wait does not show the backend's speed.
-            self.choice.view.record_slowness(took / max(expected, 0.02))
+            self.choice.view.record_slowness(took / max(self.usual_seconds, 0.02), now)
         self.forwarder.load_changed()
 
     def report_late_start(self, version: int, now: float) -> None:
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -11,6 +11,7 @@
 
 from ..data import Backend, EngineProfile, HeldWeights
 from .backend_notices import IncarnationNotices, incarnation_hash
+from .decay import DecayingAverage
 from .levels import LAST_LEVEL, NONE_LESS_URGENT, LessUrgent, is_at_least_as_urgent
 
 UNREACHABLE_BACKOFF_SECONDS = 1.5
@@ -42,8 +43,8 @@
 """Age from which a backend's own report of its requests is ignored."""
 FAILURE_SMOOTHING = 0.2
 """Weight of a new sample in the moving average of failures."""
-SLOWNESS_SMOOTHING = 0.15
-"""Weight of a new sample in the moving average of slowness."""
+FAILURE_AVERAGE = DecayingAverage(0.0, FAILURE_SMOOTHING, 5.0)
+SLOWNESS_AVERAGE = DecayingAverage(1.0, 0.15, 2.0)
 MINIMUM_SLOWNESS = 0.7
 MAXIMUM_SLOWNESS = 20.0
 
@@ -119,8 +120,11 @@
       loading_starts_at: When it will stop accepting requests to load other weights; in the past if
         no load is announced.
       consecutive_failures: Attempts since the last good one that found it unreachable or silent.
-      failure_share: Moving average of the share of attempts that failed.
-      slowness: Moving average of the ratio of the actual to the expected time to the first event.
+      failure_share: Moving average of the share of attempts that failed, at the last sample.
+      failure_recorded_at: When its last sample was recorded, monotonic.
+      slowness: Moving average of the ratio of the actual to the expected time to the first event,
+        at the last sample.
+      slowness_recorded_at: When its last sample was recorded, monotonic.
       lapsed_at: When its registration lapsed in an outage of the store; 0 while it is registered.
       awaiting_first_event: Start of each request of this process that has no first event yet,
         without those that were late from the start.
@@ -146,7 +150,9 @@
     loading_starts_at: float = 0.0
     consecutive_failures: int = 0
     failure_share: float = 0.0
+    failure_recorded_at: float = math.inf
     slowness: float = 1.0
+    slowness_recorded_at: float = math.inf
     lapsed_at: float = 0.0
     awaiting_first_event: dict[int, float] = field(default_factory=dict)
     awaiting_levels: dict[int, int] = field(default_factory=dict)
@@ -252,20 +258,35 @@
         """Subtract a request that has ended."""
         self.running -= 1
 
-    def record_success(self) -> None:
+    def record_success(self, now: float) -> None:
         """Record a good answer."""
         self.consecutive_failures = 0
         self.misdirections = 0
-        self.failure_share *= 1 - FAILURE_SMOOTHING
+        self.record_outcome(0.0, now)
 
-    def record_slowness(self, ratio: float) -> None:
+    def record_failure(self, now: float) -> None:
+        """Record a failed attempt."""
+        self.record_outcome(1.0, now)
+
+    def record_outcome(self, failed: float, now: float) -> None:
+        """Record an attempt: 1.0 if it failed, 0.0 if not."""
+        share = self.present_failure_share(now)
+        self.failure_share = FAILURE_AVERAGE.updated(share, failed)
+        self.failure_recorded_at = now
+
+    def present_failure_share(self, now: float) -> float:
+        """Return the share of attempts that failed; it falls while none are made."""
+        return FAILURE_AVERAGE.decayed(self.failure_share, self.failure_recorded_at, now)
+
+    def record_slowness(self, ratio: float, now: float) -> None:
         """Record the ratio of the actual to the expected time to a first event."""
         bounded = min(MAXIMUM_SLOWNESS, max(MINIMUM_SLOWNESS, ratio))
-        self.slowness += SLOWNESS_SMOOTHING * (bounded - self.slowness)
+        self.slowness = SLOWNESS_AVERAGE.updated(self.present_slowness(now), bounded)
+        self.slowness_recorded_at = now
 
-    def record_failure(self) -> None:
-        """Record a failed attempt."""
-        self.failure_share += FAILURE_SMOOTHING * (1 - self.failure_share)
+    def present_slowness(self, now: float) -> float:
+        """Return how much slower than expected it is; 1 after some time without requests."""
+        return SLOWNESS_AVERAGE.decayed(self.slowness, self.slowness_recorded_at, now)
 
     def record_unresponsive(self, now: float) -> None:
         """Record that it could not be reached or did not answer, and back off exponentially.
@@ -274,7 +295,7 @@
         """
         if now < self.unresponsive_until:
             return
-        self.record_failure()
+        self.record_failure(now)
         doublings = min(MAXIMUM_DOUBLINGS, self.consecutive_failures)
         pause = min(MAXIMUM_UNREACHABLE_BACKOFF_SECONDS, UNREACHABLE_BACKOFF_SECONDS * 2**doublings)
         self.consecutive_failures += 1
@@ -390,7 +411,7 @@
     if queued:
         slot_seconds = residence_seconds(engine, slots, engine.usual_answer_tokens) / slots
         seconds += queued * slot_seconds / (1.0 - urgent_share)
-    return seconds * view.slowness
+    return seconds * view.present_slowness(now)
 
 
 def residence_seconds(engine: EngineProfile, running: int, answer_tokens: float) -> float:
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -253,7 +253,7 @@
           now: Present time, monotonic, in seconds.
           urgent_share: Share of more urgent levels in the recent work of the service.
         """
-        failure_penalty = FAILURE_PENALTY_SECONDS * view.failure_share
+        failure_penalty = FAILURE_PENALTY_SECONDS * view.present_failure_share(now)
         if request.engine is None:
             load = view.all_running(now) / max(1, view.backend.slots)
             # A plain service with all slots in use is assumed to answer 20 ms later.
