The rest of a stream that broke off waits for a backend and a retry

Cause: available_choice ends a request that was sent before at the first look without a retry, and waits for a backend only until a time after the arrival, which lies before any break of a stream. Class: work is given up before its successor is granted. Change: the rest of a stream waits up to 2 s, the gap after which its caller abandons it.

--- a/tests/direct/silences.feature
+++ b/tests/direct/silences.feature
@@ -47,3 +47,9 @@
       | state  |
       | slow   |
       | failed |
+
+  Scenario: A stream that breaks off while no retry is left waits for one and is not cut
+    Given one engine is "truncated-event"
+    And no retry is left in the budget for 1 s from the break on
+    When callers open streams until that engine was tried
+    Then each gets all events in order, once each
--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -25,6 +25,18 @@
     budget.remaining = lambda service, now: 1.0 - len(budget.window_of(service, now).retries)
 
 
+@given("no retry is left in the budget for {seconds:g} s from the break on")
+def no_retry(context, seconds):
+    budget = context.platform.entries[0].budget
+    remaining, breaks = budget.remaining, []
+
+    def remaining_after_break(service, now):
+        breaks.append(now)
+        return remaining(service, now) if now >= breaks[0] + seconds else 0.0
+
+    budget.remaining = remaining_after_break
+
+
 @given("the other engine answers only after {seconds:g} s")
 def other_is_late(context, seconds):
     context.other_seconds = seconds
--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -39,6 +39,7 @@
       not_run: Ended sends that certainly did not run.
       in_flight: Sends without an outcome; each may have run.
       answer: Last server error of a backend, returned if no retry does better.
+      is_delivering: True once a part of its stream was sent to the caller.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -46,6 +47,7 @@
     not_run: int = 0
     in_flight: int = 0
     answer: WholeAnswer | None = None
+    is_delivering: bool = False
 
     @property
     def sends(self) -> int:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -26,6 +26,9 @@
 """Time between two looks for a backend while none is available."""
 BACKEND_WAIT_TARGET_SHARE = 0.125
 """Share of its target for which a request waits for an available backend before it is refused."""
+RESUME_WAIT_SECONDS = 2.0
+"""Time for which a stream that broke off waits for a backend and a retry: its caller abandons it
+after a longer gap, and without them it is cut."""
 SEND_RESERVE_SECONDS = 0.02
 """Time before its deadline from which a request is not sent any more."""
 MINIMUM_ATTEMPT_SHARE = 0.4
@@ -106,21 +109,20 @@
         """Return the backend to which a request should be sent, if its limit allows it.
 
         If no backend is available, it waits up to `backend_wait_seconds` from the arrival of
-        the request.
+        the request. The rest of a stream waits for `RESUME_WAIT_SECONDS`, for a retry too.
 
         Raises:
           RefusedError: The request may not be sent, or not again.
         """
         now = clock.now()
-        wait_until = min(request.deadline, request.received_at + self.backend_wait_seconds(request))
+        wait_until = min(request.deadline, self.latest_choice(request, progress, now))
         while True:
             self.refuse_poison(request, progress, now)
             choice = self.placer.choose(request, progress.tried, now)
-            if choice is not None or now >= wait_until:
+            lacks_retry = progress.is_delivering and not self.has_retry_budget(request, now)
+            if (choice is not None and not lacks_retry) or now >= wait_until:
                 break
-            if self.placer.is_ruled_out(request, now):
-                break
-            if now + self.placer.seconds_until_available(request, now) >= wait_until:
+            if not progress.is_delivering and self.is_wait_useless(request, now, wait_until):
                 break
             await asyncio.sleep(POLL_SECONDS)
             now = clock.now()
@@ -138,6 +140,19 @@
             self.give_up(request, progress, "the retry budget is used up")
         return choice
 
+    def latest_choice(self, request: Request, progress: Progress, now: float) -> float:
+        """Return the time until which a request may wait for a backend, monotonic."""
+        if progress.is_delivering:
+            return now + RESUME_WAIT_SECONDS
+        return request.received_at + self.backend_wait_seconds(request)
+
+    def is_wait_useless(self, request: Request, now: float, until: float) -> bool:
+        """Return True if no backend can become available to a request before a time."""
+        return (
+            self.placer.is_ruled_out(request, now)
+            or now + self.placer.seconds_until_available(request, now) >= until
+        )
+
     def backend_wait_seconds(self, request: Request) -> float:
         """Return how long a request may wait for an available backend."""
         return BACKEND_WAIT_TARGET_SHARE * (request.route.target_seconds or 0.1)
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -298,6 +298,7 @@
         try:
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece, attempt):
+                    progress.is_delivering = True
                     attempt.on_event(weights_version(answer.headers))
                     self.clear_parts(request, send)
         except (aiohttp.ClientError, OSError) as error:
