Event streams in every form of the format are forwarded, by one parser in both modes

Cause: an event was taken to end with two LF, in both modes; ids were looked for after LF only. Of the same class, found on the way: in the proxied mode the text `data: [DONE]` within the data of an event ended a stream, data that ended with `: backend-crashed` was cut from its event and counted as a crash, and comments counted as tokens. A byte order mark of a resumed part became part of a field's name. A stream without ids, or with an empty last one, was begun anew in the middle of the caller's.

The limit on an unfinished event stays.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -62,6 +62,9 @@
       endless_bytes: Bytes sent in such a mode so far.
       padding: Text that lengthens each answer to a look-up and each event of a stream.
       stream_events: Events of a complete stream.
+      stream_mark: Byte order mark, or other bytes, with which a stream begins.
+      line_end: Line end of the events.
+      last_event_ids: Event ids after which streams were to go on; empty for whole ones.
       sent_events: Events of streams sent so far.
       unread_seconds: Time after which it cuts off a stream that is not read; None for never.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
@@ -121,6 +124,9 @@
         self.named_limits: list[tuple[float, str]] = []
         self.padding = ""
         self.stream_events = STREAM_EVENTS
+        self.stream_mark = b""
+        self.line_end = b"\n"
+        self.last_event_ids: list[str] = []
         self.sent_events = 0
         self.unread_seconds: float | None = None
         self.crashing_part = ""
@@ -301,10 +307,13 @@
             await asyncio.sleep(WORK_SECONDS)
             await self.crash()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        self.last_event_ids.append(request.headers.get("Last-Event-Id", ""))
+        mark = self.stream_mark
         if self.padding:
             limit_send_buffer(request)
         for index in range(first, self.stream_events + 1):
             event = f"id: {index}\ndata: piece {index}{self.padding}\n\n".encode()
+            event, mark = mark + event.replace(b"\n", self.line_end), b""
             breaks = self.mode == "truncated-event" or self.mode in RESUMED_WRONGLY
             if breaks and index == STREAM_EVENTS // 2:
                 await response.write(event[:6])
--- /dev/null
+++ b/tests/steps/streams.py
@@ -0,0 +1,130 @@
+"""Steps on forwarded streams."""
+
+import aiohttp
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import strategies as st
+
+from standins.platform_backend import STREAM_EVENTS
+from tests.event_streams import ENDS, MARK, dispatched, pieces_of
+from tests.steps.platform_running import engines, run
+from verbenaward.direct.streams import Delivery
+from verbenaward.placement.memory_budget import HeldBytes
+
+
+class FakeResponse:
+    """Collects what is written to the caller."""
+
+    def __init__(self):
+        self.body = b""
+
+    async def write(self, data):
+        self.body += data
+
+
+def unescaped(text):
+    return text.encode().decode("unicode_escape").encode()
+
+
+def new_delivery():
+    return Delivery(None, HeldBytes(), FakeResponse())
+
+
+@given('the engines end lines with "{end}" and begin streams with "{mark}"')
+def engines_write(context, end, mark):
+    for engine in engines(context):
+        engine.line_end = context.line_end = unescaped(end)
+        engine.stream_mark = context.mark = MARK if mark == "BOM" else b""
+
+
+@given('one engine ends lines with "{end}" and breaks off in the middle of an event')
+def engine_breaks(context, end):
+    context.bad = engines(context)[0]
+    context.bad.line_end = unescaped(end)
+    context.bad.mode = "truncated-event"
+
+
+@then("it gets all events in order, once each, with these line ends and this mark")
+def all_events_unchanged(context):
+    ((status, _, body),) = context.answers
+    events = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, STREAM_EVENTS + 1))
+    assert status == 200, context.answers
+    assert body == context.mark + events.encode().replace(b"\n", context.line_end), body
+
+
+@then("the last one gets all events in order, once each, and at most one mark")
+def all_events_joined(context):
+    status, _, body = context.answers[-1]
+    assert status == 200, context.answers[-1]
+    numbers = range(1, STREAM_EVENTS + 1)
+    assert dispatched(body) == [(f"piece {n}", str(n)) for n in numbers], body
+    assert body.count(MARK) == 1 and body.startswith(MARK), body
+    assert any(backend.last_event_ids[-1] for backend in engines(context)), "none was resumed"
+
+
+STYLES = st.tuples(st.sampled_from((b"", MARK)), st.sampled_from(ENDS), st.booleans())
+"""Mark, line ends, and whether there are comments between the events."""
+
+
+def stream_after(last_id, count, style):
+    """Return the events after an id, as a backend would write them."""
+    mark, end, has_comments = style
+    lines = [b": begins", b""] * has_comments
+    for index in range(last_id + 1, count + 1):
+        comment = [b": note %d" % index, b""] * has_comments
+        lines += [b"data: first", b"data: %d" % index, b"id: %d" % index, b"", *comment]
+    return mark + b"".join(line + end for line in lines)
+
+
+@then("random streams that break at each byte go on with the same events")
+def random_breaks(context):
+    async def forward(delivery, stream, cuts):
+        delivery.begin_attempt()
+        for piece in pieces_of(stream, cuts):
+            await delivery.forward_events(piece, None)
+
+    @drawn(STYLES, STYLES, st.integers(1, 3), st.lists(st.integers(0, 120), max_size=8))
+    def check(first, second, count, cuts):
+        whole = stream_after(0, count, first)
+        expected = [(f"first\n{n}", str(n)) for n in range(1, count + 1)]
+        for broken_at in range(len(whole) + 1):
+            delivery = new_delivery()
+            run(context, forward(delivery, whole[:broken_at], cuts))
+            assert delivery.position.is_resumable
+            rest = stream_after(int(delivery.last_event_id or 0), count, second)
+            run(context, forward(delivery, rest, cuts))
+            assert not delivery.is_in_event
+            body = delivery.response.body
+            assert dispatched(body) == expected, (broken_at, body)
+            assert MARK not in body[1:], (broken_at, body)
+
+    check()
+
+
+@when('the events "{events}" are forwarded')
+def forward_events(context, events):
+    context.delivery, context.error = new_delivery(), None
+    try:
+        run(context, context.delivery.forward_events(unescaped(events), None))
+    except aiohttp.ClientPayloadError as error:
+        context.error = error
+
+
+@then('the stream is resumed after "{event_id}"')
+@then('the stream is resumed after ""')
+def resumed_after(context, event_id=""):
+    delivery = context.delivery
+    assert delivery.position.is_resumable
+    assert delivery.last_event_id == event_id, delivery.last_event_id
+    _, last_id = dispatched(delivery.response.body + b"data\n\n")[-1]
+    assert last_id == event_id, last_id
+
+
+@then("the stream may not be resumed")
+def not_resumable(context):
+    assert not context.delivery.position.is_resumable
+
+
+@then("it is a failure of the backend")
+def failed(context):
+    assert context.error is not None
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -29,7 +29,7 @@
     labels_of,
 )
 from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
-from ..requests.events import EVENT_END
+from ..requests.event_stream import EventStreamParser
 from ..sockets import buffered_bytes
 from .forwarding import SEND_RESERVE_SECONDS, Forwarder, Progress
 from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
@@ -40,8 +40,8 @@
     limit_send_buffers,
     raise_refusal,
 )
+from .stream_position import StreamPosition
 
-ID_FIELD = b"id:"
 OK = 200
 STALL_SECONDS = 1.2
 """Time between events after which a stream that may be resumed fails over to another backend."""
@@ -71,9 +71,9 @@
     Attributes:
       caller: Request of the caller.
       response: Response to the caller, once its headers are sent.
-      last_event_id: Id of the last event forwarded.
+      position: Place that the stream has reached.
       writes: Number of writes to the caller so far, each of one or more whole events.
-      partial_event: Bytes received after the last whole event.
+      parser: Parser of the present attempt's answer.
       held: Bytes held for the request.
       paused_seconds: Time for which the present attempt was paused as the caller did not read.
     """
@@ -81,11 +81,26 @@
     caller: web.Request
     held: HeldBytes
     response: web.StreamResponse | None = None
-    last_event_id: str = ""
+    position: StreamPosition = field(default_factory=StreamPosition)
     writes: int = 0
-    partial_event: bytes = field(default=b"")
+    parser: EventStreamParser = field(default_factory=EventStreamParser)
     paused_seconds: float = 0.0
 
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event forwarded; empty if none is known."""
+        return self.position.last_event_id
+
+    @property
+    def is_in_event(self) -> bool:
+        """Return True if a part of an event was received that is not forwarded."""
+        return self.parser.unfinished_bytes > 0
+
+    def begin_attempt(self) -> None:
+        """Prepare for another answer, of which the first event follows the last one forwarded."""
+        self.parser = EventStreamParser(drops_mark=self.writes > 0)
+        self.paused_seconds = 0.0
+
     async def open(self, headers: CIMultiDict[str]) -> None:
         """Send the headers of the first backend that answered to the caller."""
         self.response = web.StreamResponse(status=OK, headers=headers)
@@ -102,28 +117,23 @@
 
         Raises:
           CallerGoneError: The caller has closed its connection.
-          ClientPayloadError: The events were forwarded before; none of them is forwarded again.
+          ClientPayloadError: An event is too long, or was forwarded before; neither is forwarded.
           RefusedError: The process has no memory for the events.
         """
-        self.partial_event += piece
-        end = self.partial_event.rfind(EVENT_END)
-        if end < 0:
-            if len(self.partial_event) > LARGEST_EVENT_BYTES:
-                raise aiohttp.ClientPayloadError("an event is too long")
-            self.hold(len(self.partial_event))
-            return False
-        whole = self.partial_event[: end + len(EVENT_END)]
-        self.partial_event = self.partial_event[end + len(EVENT_END) :]
-        if comes_again(first_id_of(whole), self.last_event_id):
+        received = self.parser.feed(piece)
+        if not received.raw and self.parser.unfinished_bytes > LARGEST_EVENT_BYTES:
+            raise aiohttp.ClientPayloadError("an event is too long")
+        size = self.position.advance(received)
+        if size:
+            self.writes += 1
+            try:
+                await self.write(received.raw[:size], limit)
+            except ConnectionError as error:
+                raise CallerGoneError(str(error)) from error
+        if size < len(received.raw):
             raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
-        self.last_event_id = last_id_of(whole) or self.last_event_id
-        self.writes += 1
-        try:
-            await self.write(whole, limit)
-        except ConnectionError as error:
-            raise CallerGoneError(str(error)) from error
-        self.hold(len(self.partial_event))
-        return True
+        self.hold(self.parser.unfinished_bytes)
+        return bool(received.events)
 
     async def write(self, events: bytes, limit: asyncio.Timeout) -> None:
         """Write events to the caller, and wait until most of them are on their way."""
@@ -154,30 +164,6 @@
         return FailedAttempt(FailureKind.UNREAD if unread else FailureKind.BROKEN, True, message)
 
 
-def last_id_of(events: bytes) -> str:
-    """Return the id of the last event that has one; empty if no event has an id."""
-    start = events.rfind(b"\n" + ID_FIELD)
-    start = start + 1 if start >= 0 else (0 if events.startswith(ID_FIELD) else -1)
-    if start < 0:
-        return ""
-    line = events[start + len(ID_FIELD) : events.index(b"\n", start)]
-    return line.strip().decode(errors="replace")
-
-
-def first_id_of(events: bytes) -> str:
-    """Return the id of the first event that has one; empty if no event has an id."""
-    lines = (line for line in events.split(b"\n") if line.startswith(ID_FIELD))
-    line = next(lines, ID_FIELD)
-    return line[len(ID_FIELD) :].strip().decode(errors="replace")
-
-
-def comes_again(event_id: str, last_event_id: str) -> bool:
-    """Return True if an event was forwarded before, as its id is not above the last one."""
-    if not event_id.isdecimal() or not last_event_id.isdecimal():
-        return False
-    return (len(event_id), event_id) <= (len(last_event_id), last_event_id)
-
-
 def is_event_stream(headers: Mapping[str, str]) -> bool:
     """Return True if an answer is a stream of events without an encoding."""
     kind = headers.get("Content-Type", "").partition(";")[0].strip().lower()
@@ -254,6 +240,8 @@
             fallback = forwarder.after_failure(request, progress, result)
             if fallback is not None:
                 return fallback
+            if not delivery.position.is_resumable:
+                forwarder.give_up(request, progress, "the stream sets no id to resume after")
             if delivery.writes:
                 forwarder.log.resumed(request, delivery.last_event_id, result.message)
 
@@ -269,8 +257,7 @@
             values = resumed_after(values, delivery.last_event_id)
         allowed = forwarder.placer.allowed_seconds(request, now)
         forwarder.log.sent(request, choice, progress.sends, allowed)
-        delivery.partial_event = b""
-        delivery.paused_seconds = 0.0
+        delivery.begin_attempt()
         attempt = StreamAttempt(forwarder, choice, request, now)
         try:
             async with contextlib.AsyncExitStack() as stack:
@@ -340,7 +327,7 @@
                     limit.reschedule(loop_time() + STALL_SECONDS if can_fail_over else None)
         except (aiohttp.ClientError, OSError) as error:
             return delivery.broken(f"{type(error).__name__} {error}")
-        if was_reset(answer) or delivery.partial_event:
+        if was_reset(answer) or delivery.is_in_event:
             return delivery.broken("the stream was cut off")
         assert delivery.response is not None
         limit.reschedule(None)
--- a/verbenaward/endpoint/run_handler.py
+++ b/verbenaward/endpoint/run_handler.py
@@ -18,7 +18,8 @@
 from ..requests import headers
 from ..requests.at_most_once import AtMostOnceRunner
 from ..requests.attempt import BACKEND_CRASHED, body_digest
-from ..requests.events import CRASH_EVENT, DONE_EVENT, complete_events
+from ..requests.event_stream import EventStreamParser
+from ..requests.events import CRASH_EVENT, is_done, received_events
 from ..requests.records import Answer, format_load
 from ..requests.refusals import may_have_run, not_run, response_of
 from .admission import AdmissionGate
@@ -212,16 +213,16 @@
     ) -> web.StreamResponse:
         """Forward whole events until the stream of the backend ends."""
         await response.prepare(request)
-        last = b""
+        done = False
         try:
-            async for events in complete_events(answer.content):
-                self.on_answer_bytes(len(events))
-                await response.write(events)
-                last = events
+            async for received in received_events(answer.content, EventStreamParser()):
+                self.on_answer_bytes(len(received.raw))
+                await response.write(received.raw)
+                done = done or any(is_done(event) for event in received.events)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            last = b""
+            done = False
             await self.report_broken_stream(error, response)
-        if DONE_EVENT in last:
+        if done:
             await response.write_eof()
         elif request.transport is not None:
             request.transport.close()
--- a/verbenaward/requests/events.py
+++ b/verbenaward/requests/events.py
@@ -4,26 +4,40 @@
 
 import aiohttp
 
-DONE_EVENT = b"data: [DONE]"
-"""Last event of a complete stream, without its end."""
-EVENT_END = b"\n\n"
+from .event_stream import Event, EventStreamParser, Received
+
+DONE_DATA = b"[DONE]"
+"""Data of the last event of a complete stream."""
 CRASH_EVENT = b": backend-crashed\n\n"
 """Comment sent by an endpoint process when its backend crashes in the middle of a stream."""
 
 
-async def complete_events(stream: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+async def received_events(
+    stream: aiohttp.StreamReader, parser: EventStreamParser
+) -> AsyncIterator[Received]:
     """Yield complete server-sent events as they arrive, one or several at a time.
 
     Args:
       stream: Body of a streaming answer.
+      parser: Parser of this answer.
 
     Yields:
-      Bytes that end at the end of an event; an incomplete last event is dropped.
+      Bytes up to the end of an event, and the events; an incomplete last event is dropped.
     """
-    buffer = b""
-    async for chunk in stream.iter_any():
-        buffer = buffer + chunk if buffer else chunk
-        end = buffer.rfind(EVENT_END)
-        if end >= 0:
-            yield buffer[: end + 2]
-            buffer = buffer[end + 2 :]
+    async for piece in stream.iter_any():
+        received = parser.feed(piece)
+        if received.raw:
+            yield received
+
+
+def is_done(event: Event) -> bool:
+    """Return True for the last event of a complete stream."""
+    return event.data == DONE_DATA
+
+
+def ends_with_crash(received: Received) -> bool:
+    """Return True if the last event is the comment that reports a crash."""
+    if not received.events:
+        return False
+    last = received.events[-1]
+    return received.raw[last.start : last.end] == CRASH_EVENT
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -22,7 +22,8 @@
 )
 from .dispatch import Dispatcher
 from .endpoints import EndpointView
-from .events import CRASH_EVENT, DONE_EVENT, EVENT_END, complete_events
+from .event_stream import EventStreamParser, Received
+from .events import CRASH_EVENT, ends_with_crash, is_done, received_events
 from .fair_queue import FairQueue
 from .records import AttemptFailure, Request, parse_load
 from .refusals import may_have_run, not_run, response_of
@@ -40,6 +41,7 @@
       response: Response to the caller; None until its headers are sent.
       tokens: Number of token events forwarded.
       release: Release that generated them, in hexadecimal.
+      has_begun: True once a part of the stream was forwarded.
       done: True once the end of the stream was forwarded.
       crashed: True if the last endpoint reported that its backend crashed.
       last_event_at: Time of the last event, monotonic.
@@ -49,6 +51,7 @@
     response: web.StreamResponse | None = None
     tokens: int = 0
     release: str = ""
+    has_begun: bool = False
     done: bool = False
     crashed: bool = False
     last_event_at: float = 0.0
@@ -180,13 +183,17 @@
     ) -> None:
         """Forward complete events to the caller until the stream ends."""
         response = await self.opened_response(request, caller, answer, progress)
-        async for events in complete_events(answer.content):
-            if events.endswith(CRASH_EVENT):
+        # A byte order mark may only stand at the start of the stream that the caller gets.
+        parser = EventStreamParser(drops_mark=progress.has_begun)
+        async for received in received_events(answer.content, parser):
+            raw = received.raw
+            if ends_with_crash(received):
                 progress.crashed = True
-                events = events.removesuffix(CRASH_EVENT)
-            self.record_timing(request, events, progress)
-            await write_to_caller(response, events)
-            if DONE_EVENT in events:
+                raw = raw.removesuffix(CRASH_EVENT)
+            self.record_timing(request, received, progress)
+            progress.has_begun = progress.has_begun or bool(raw)
+            await write_to_caller(response, raw)
+            if any(is_done(event) for event in received.events):
                 progress.done = True
         if progress.done:
             await write_to_caller(response, b"")
@@ -212,14 +219,16 @@
             progress.response = response
         return progress.response
 
-    def record_timing(self, request: Request, events: bytes, progress: StreamProgress) -> None:
+    def record_timing(self, request: Request, received: Received, progress: StreamProgress) -> None:
         """Count token events and observe the first-token and between-token times."""
         now = clock.now()
-        count = events.count(EVENT_END) - events.count(DONE_EVENT)
+        count = sum(event.data is not None and not is_done(event) for event in received.events)
+        if not count:
+            return
         if progress.tokens == 0:
             waited = now - request.received_at
             metrics.FIRST_TOKEN_SECONDS.labels(*progress.labels).observe(waited)
-        elif count:
+        else:
             gap = (now - progress.last_event_at) / count
             metrics.BETWEEN_TOKENS_SECONDS.labels(*progress.labels).observe(gap)
         progress.tokens += count
