--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -40,6 +40,7 @@
       in_flight: Sends without an outcome; each may have run.
       answer: Last server error of a backend, returned if no retry does better.
       is_delivering: True once a part of its stream was sent to the caller.
+      is_resumable: False once a part was sent after which another backend could only begin anew.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -48,6 +49,7 @@
     in_flight: int = 0
     answer: WholeAnswer | None = None
     is_delivering: bool = False
+    is_resumable: bool = True
 
     @property
     def sends(self) -> int:
@@ -225,7 +227,8 @@
     def may_have_successor(self) -> bool:
         """Return True if the route allows a run beside those in progress."""
         runs = self.progress.runs + len(self.running)
-        return self.request.route.is_retryable and runs < self.request.route.attempts
+        may_run_again = self.request.route.is_retryable and self.progress.is_resumable
+        return may_run_again and runs < self.request.route.attempts
 
     async def start_successor(self) -> None:
         """Send the request to another backend if all sends are silent and that is possible now."""
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -359,7 +359,8 @@
         exhausted = (
             progress.runs >= request.route.attempts or progress.not_run >= MAXIMUM_NOT_RUN_SENDS
         )
-        forbidden = progress.runs > 0 and not request.route.is_retryable
+        may_run_again = request.route.is_retryable and progress.is_resumable
+        forbidden = progress.runs > 0 and not may_run_again
         if not exhausted and not forbidden:
             return None
         if progress.answer is not None:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 from aiohttp import web
@@ -29,7 +29,7 @@
     labels_of,
 )
 from ..platform.request_headers import BackendHeaders, headers_for_caller, weights_version
-from ..requests.events import EVENT_END
+from ..requests.event_stream import EventStreamParser
 from ..sockets import buffered_bytes
 from .attempts import Attempts, Progress, Send
 from .forwarding import Forwarder
@@ -41,8 +41,8 @@
     limit_send_buffers,
     raise_refusal,
 )
+from .stream_position import StreamPosition
 
-ID_FIELD = b"id:"
 OK = 200
 STALL_SECONDS = 1.2
 """Time between events after which a stream is silent, so that a successor may be tried."""
@@ -72,7 +72,7 @@
     Attributes:
       caller: Request of the caller.
       response: Response to the caller, once its headers are sent.
-      last_event_id: Id of the last event forwarded.
+      position: Place that the stream has reached.
       writes: Number of writes to the caller so far, each of one or more whole events.
       held: Bytes held for the request.
       is_complete: True once the end of the stream was sent.
@@ -81,10 +81,15 @@
     caller: web.Request
     held: HeldBytes
     response: web.StreamResponse | None = None
-    last_event_id: str = ""
+    position: StreamPosition = field(default_factory=StreamPosition)
     writes: int = 0
     is_complete: bool = False
 
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event forwarded; empty if none is known."""
+        return self.position.last_event_id
+
     async def open(self, headers: CIMultiDict[str]) -> None:
         """Send the headers of the first backend that answered to the caller."""
         self.response = web.StreamResponse(status=OK, headers=headers)
@@ -101,31 +106,28 @@
 
         Raises:
           CallerGoneError: The caller has closed its connection.
-          ClientPayloadError: The events were forwarded before; none of them is forwarded again.
+          ClientPayloadError: An event is too long, or was forwarded before; neither is forwarded.
           RefusedError: The process has no memory for the events.
         """
-        received = attempt.partial_event + piece
-        end = received.rfind(EVENT_END)
-        if end < 0:
-            attempt.partial_event = received
-            if len(received) > LARGEST_EVENT_BYTES:
-                raise aiohttp.ClientPayloadError("an event is too long")
-            self.hold(len(received))
-            return False
-        whole = received[: end + len(EVENT_END)]
-        attempt.partial_event = received[end + len(EVENT_END) :]
-        if comes_again(first_id_of(whole), self.last_event_id):
+        received = attempt.parser.feed(piece)
+        if not received.raw and attempt.parser.unfinished_bytes > LARGEST_EVENT_BYTES:
+            raise aiohttp.ClientPayloadError("an event is too long")
+        position = dataclasses.replace(self.position)
+        size = position.advance(received)
+        if size:
+            # A part that begins anew must not supersede the send that may still go on.
+            if not attempt.send.claim():
+                return False
+            self.position = position
+            self.writes += 1
+            try:
+                await self.write(received.raw[:size], attempt)
+            except ConnectionError as error:
+                raise CallerGoneError(str(error)) from error
+        if size < len(received.raw):
             raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
-        if not attempt.send.claim():
-            return False
-        self.last_event_id = last_id_of(whole) or self.last_event_id
-        self.writes += 1
-        try:
-            await self.write(whole, attempt)
-        except ConnectionError as error:
-            raise CallerGoneError(str(error)) from error
-        self.hold(len(attempt.partial_event))
-        return True
+        self.hold(attempt.parser.unfinished_bytes)
+        return bool(received.events)
 
     async def write(self, events: bytes, attempt: "StreamAttempt") -> None:
         """Write events to the caller, and wait until most of them are on their way."""
@@ -150,30 +152,6 @@
         raise_refusal(self.held.put(Purpose.STREAM, size))
 
 
-def last_id_of(events: bytes) -> str:
-    """Return the id of the last event that has one; empty if no event has an id."""
-    start = events.rfind(b"\n" + ID_FIELD)
-    start = start + 1 if start >= 0 else (0 if events.startswith(ID_FIELD) else -1)
-    if start < 0:
-        return ""
-    line = events[start + len(ID_FIELD) : events.index(b"\n", start)]
-    return line.strip().decode(errors="replace")
-
-
-def first_id_of(events: bytes) -> str:
-    """Return the id of the first event that has one; empty if no event has an id."""
-    lines = (line for line in events.split(b"\n") if line.startswith(ID_FIELD))
-    line = next(lines, ID_FIELD)
-    return line[len(ID_FIELD) :].strip().decode(errors="replace")
-
-
-def comes_again(event_id: str, last_event_id: str) -> bool:
-    """Return True if an event was forwarded before, as its id is not above the last one."""
-    if not event_id.isdecimal() or not last_event_id.isdecimal():
-        return False
-    return (len(event_id), event_id) <= (len(last_event_id), last_event_id)
-
-
 def is_event_stream(headers: Mapping[str, str]) -> bool:
     """Return True if an answer is a stream of events without an encoding."""
     kind = headers.get("Content-Type", "").partition(";")[0].strip().lower()
@@ -256,7 +234,7 @@
             values = resumed_after(values, delivery.last_event_id)
         forwarder.log_sent(request, send, progress)
         send.silent_at = send.sent_at + first_event_seconds(send.choice)
-        attempt = StreamAttempt(forwarder, send, request)
+        attempt = StreamAttempt(forwarder, send, request, is_resumed=delivery.writes > 0)
         try:
             async with contextlib.AsyncExitStack() as stack:
                 stack.enter_context(forwarder.crashes.counted_run(*request.crash_keys))
@@ -299,11 +277,12 @@
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece, attempt):
                     progress.is_delivering = True
+                    progress.is_resumable = delivery.position.is_resumable
                     attempt.on_event(weights_version(answer.headers))
                     self.clear_parts(request, send)
         except (aiohttp.ClientError, OSError) as error:
             return attempt.broken(f"{type(error).__name__} {error}")
-        if was_reset(answer) or attempt.partial_event:
+        if was_reset(answer) or attempt.parser.unfinished_bytes:
             return attempt.broken("the stream was cut off")
         if not send.claim():
             return FailedAttempt(FailureKind.SILENT, True, "another backend goes on")
@@ -349,12 +328,14 @@
       send: The send.
       first_seconds: Time from the arrival of the request to the first event; 0 before it.
       usual_seconds: Expected time to the first event at a backend that is not slow.
-      partial_event: Bytes received after the last whole event.
+      parser: Parser of its answer.
       paused_seconds: Time for which it was paused as the caller did not read.
       limit: Timeout by which its start deadline is kept.
     """
 
-    def __init__(self, forwarder: Forwarder, send: Send, request: Request) -> None:
+    def __init__(
+        self, forwarder: Forwarder, send: Send, request: Request, is_resumed: bool = False
+    ) -> None:
         self.forwarder = forwarder
         self.send = send
         self.choice = choice = send.choice
@@ -363,7 +344,7 @@
         self.tokens = request.parsed_headers.prompt_tokens
         self.started_at = started_at = send.sent_at
         self.usual_seconds = choice.expected_seconds / choice.view.present_slowness(started_at)
-        self.partial_event = b""
+        self.parser = EventStreamParser(drops_mark=is_resumed)
         self.paused_seconds = 0.0
         self.awaits_first_event = True
         self.limit: asyncio.Timeout | None = None
