--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -12,8 +12,7 @@
 from yarl import URL
 
 from .. import clock
-from ..http_client import ConnectedResponse, send_once
-from ..http_client import was_reset as was_reset
+from ..http_client import ConnectedResponse, send_once, was_reset
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -16,6 +16,7 @@
 from returns.result import Success
 
 from .. import clock, metrics
+from ..http_client import was_reset
 from ..placement.engine_memory import counted_tokens
 from ..placement.levels import queue_level
 from ..placement.memory_budget import MEMORY_REASON, HeldBytes, Purpose
@@ -33,7 +34,7 @@
 from ..sockets import buffered_bytes
 from .attempts import Attempts, Progress, Send
 from .forwarding import Forwarder
-from .sending import LATE_ANSWER_SECONDS, read_answer, send_request, was_reset
+from .sending import LATE_ANSWER_SECONDS, read_answer, send_request
 from .slow_readers import (
     PAUSED_STREAM_BYTES,
     UNREAD_SECONDS,
