The proxied mode takes no answer that was reset for a whole one

Callers of the proxied mode got a 200 with a short body, framed as whole, when a backend sent an answer without a length and its connection was reset in the body: aiohttp takes the reset for the end. Direct mode has looked for the reset since its own scenario; the proxied mode had not. Class: an end that only the connection can tell apart. The look (ConnectedResponse, was_reset) moves to http_client.py and is used by both.

The report that led here was of a head cut short. It can't happen in any client of ours: answers with a length, in chunks, without a length and after a 103 were cut at every byte of head and framed body, closed and reset; none was taken (scenarios for the four clients, by name). Peers and the store are covered by their clients.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -26,7 +26,13 @@
 """Send buffer of a connection whose events are padded."""
 ENDLESS_BLOCK_BYTES = 64 * 1024
 """Bytes that a backend without end to its answer sends at a time."""
-RESUMED_WRONGLY = ("resumes-anew", "resumes-encoded", "resumes-with-text", "resumes-with-error")
+RESUMED_WRONGLY = (
+    "resumes-anew",
+    "resumes-encoded",
+    "resumes-with-text",
+    "resumes-with-error",
+    "resumes-cut-head",
+)
 """Modes in which a stream breaks off in its middle, and what resumes it is not its rest."""
 ENDLESS = {
     "endless-body": ("HTTP/1.1 200 OK\r\nSIGNATURE\r\n", "x"),
@@ -58,7 +64,9 @@
         without a Content-Length), "failing" (500), "unsigned" (no X-Server-Signature), "slow",
         "pausing" (as "full", with a Retry-After of `pause_seconds`), "pausing-late" (the same
         once the deadline of the request has passed in the queue), "crashing" (a request that
-        begins to run ends the process, see `crash`) or one of ENDLESS.
+        begins to run ends the process, see `crash`), "cut-head-closed" or "cut-head-reset" (the
+        head of the response ends after `head_bytes`, and the connection with it) or one of ENDLESS.
+      head_bytes: Length of a head that is cut, in bytes.
       endless_bytes: Bytes sent in such a mode so far.
       padding: Text that lengthens each answer to a look-up and each event of a stream.
       stream_events: Events of a complete stream.
@@ -127,6 +135,7 @@
         self.unread_seconds: float | None = None
         self.crashing_part = ""
         self.endless_bytes = 0
+        self.head_bytes = 0
         self.restart_seconds = 0.1
         self.crashes = 0
         self.active: list[web.Request] = []
@@ -242,6 +251,8 @@
             await self.crash()
         if self.mode in ENDLESS:
             await self.send_without_end(request, attempt)
+        if self.mode.startswith("cut-head"):
+            await self.cut_head(request, attempt)
         await asyncio.sleep(0.4 if self.mode == "slow" else WORK_SECONDS)
         await self.end_of_silence()
         answered_attempt = "another" if self.mode == "wrong-attempt" else attempt
@@ -262,6 +273,21 @@
             return await self.broken_body(request, headers, body)
         return web.Response(headers=headers, body=body)
 
+    async def cut_head(self, request: web.Request, attempt: str) -> None:
+        """Send the beginning of the head of a response, then close or reset the connection.
+
+        Raises:
+          CancelledError: Always, to end the handler.
+        """
+        assert request.transport is not None
+        head = cut_head_of(attempt)[: self.head_bytes]
+        request.transport.write(head)  # type: ignore[attr-defined]
+        await asyncio.sleep(0.01)
+        if self.mode == "cut-head-reset":
+            reset_connection(request)
+        request.transport.close()
+        raise asyncio.CancelledError
+
     async def send_without_end(self, request: web.Request, attempt: str) -> None:
         """Send the beginning and then the repeated bytes of a mode until the caller closes.
 
@@ -334,6 +360,10 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         """Answer a request to go on with a stream as the mode says."""
+        if self.mode == "resumes-cut-head":
+            attempt = request.headers["X-Attempt-Id"]
+            self.head_bytes = len(cut_head_of(attempt)) - 1
+            await self.cut_head(request, attempt)
         first_event = b"id: 1\ndata: piece 1\n\n"
         if self.mode == "resumes-anew":
             kind = {"Content-Type": "text/event-stream"}
@@ -485,6 +515,18 @@
         return response
 
 
+def cut_head_of(attempt: str) -> bytes:
+    """Return the whole head of a response whose head is to be cut."""
+    lines = (
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        f"X-Attempt-Id: {attempt}",
+        f"X-Server-Signature: s.{attempt}",
+        "Content-Length: 400",
+    )
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
+
+
 def parts_of(request: web.Request) -> list[str]:
     """Return the ids of the parts of a request's prompt, without the last, which is its own."""
     entries = request.headers.get("X-Prompt-Prefix-Hash", "").split(",")
--- a/tests/direct/requests.feature
+++ b/tests/direct/requests.feature
@@ -135,6 +135,7 @@
       | resumes-encoded    |
       | resumes-with-text  |
       | resumes-with-error |
+      | resumes-cut-head   |
 
   Scenario: A slow stream is not cancelled when the retry budget is used up
     Given all engines are "slow"
@@ -201,3 +202,15 @@
     Given all plain backends are "unframed-reset"
     When they reset their answers 0 to 12 turns of the event loop after the head
     Then no caller gets a success
+
+  # Guards against a success with an empty or short body from a backend that stopped within its head.
+  Scenario Outline: An answer that is <cut> in its head is no success
+    Given all plain backends are "<mode>"
+    And all engines are "<mode>"
+    When callers book, look up and open streams while the head ends at each of its marks
+    Then each gets a complete 502 that says that it may have run, or it has not run
+
+    Examples: cuts
+      | cut    | mode            |
+      | closed | cut-head-closed |
+      | reset  | cut-head-reset  |
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -20,3 +20,23 @@
     Given a key-value service that applies a write and loses its answer
     When a key is written on the condition that it is new
     Then the outcome is unknown, and the service read 1 calls
+
+  # Guards against a head without its empty line that is taken for a whole answer without a body.
+  Scenario Outline: The client for <peers> takes no answer that is cut in its head or its framed body
+    Given a server that ends its answers early
+    Then the client for <peers> gets no answer that is cut at any byte
+
+    Examples: clients
+      | peers                  |
+      | backends               |
+      | proxied backends       |
+      | proxied peers          |
+      | the platform           |
+
+  # Guards against a short body that the proxied mode passes on as whole.
+  Scenario: An answer without a length that is reset is not complete in the proxied mode
+    Given a server that ends its answers early
+    When the proxied mode calls it and the answer without a length is reset in its body
+    Then it may have run each time
+    When the proxied mode calls it and the answer without a length is closed after its body
+    Then it has answered each time
--- a/verbenaward/control.py
+++ b/verbenaward/control.py
@@ -13,7 +13,7 @@
 
 from .configuration.follower import ConfigurationFollower
 from .configuration.settings import host_of
-from .http_client import send_writes_once
+from .http_client import ConnectedResponse, send_writes_once
 from .logs import get_logger
 from .membership.directory import Directory
 from .membership.heartbeat import HeartbeatSender
@@ -133,6 +133,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_writes_once,),
+        response_class=ConnectedResponse,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
     )
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -6,15 +6,14 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 from yarl import URL
 
 from .. import clock
-from ..http_client import send_once
+from ..http_client import ConnectedResponse, send_once
+from ..http_client import was_reset as was_reset
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
@@ -54,22 +53,6 @@
 """Tasks that await the heads of late answers; the event loop itself does not keep them."""
 
 
-class BackendResponse(aiohttp.ClientResponse):
-    """A response that keeps its connection's protocol, which shows a reset.
-
-    The response gives its connection back once its body has ended, which may be before its head
-    is looked at.
-    """
-
-    protocol: ResponseHandler | None = None
-
-    async def start(self, connection: Connection) -> "BackendResponse":
-        """Read the head of the response."""
-        self.protocol = connection.protocol
-        await super().start(connection)
-        return self
-
-
 def backend_session(has_memory_limit: bool = False) -> aiohttp.ClientSession:
     """Return the HTTP client for backends, which never reuses a connection.
 
@@ -86,7 +69,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_once,),
-        response_class=BackendResponse,
+        response_class=ConnectedResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -265,13 +248,3 @@
         return Failed(FailedAttempt(FailureKind.BROKEN, True, "the connection was reset"))
     headers = headers_for_caller(response.headers)
     return Success(WholeAnswer(response.status, headers, bytes(body)))
-
-
-def was_reset(response: aiohttp.ClientResponse) -> bool:
-    """Return True if the connection of a response was reset instead of closed.
-
-    An answer without a length ends when its connection closes, and aiohttp's parser takes a reset
-    for such an end.
-    """
-    protocol = response.protocol if isinstance(response, BackendResponse) else None
-    return protocol is not None and isinstance(protocol.exception(), aiohttp.ClientOSError)
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -13,7 +13,7 @@
 
 from .. import clock
 from ..data import Load, Refusal
-from ..http_client import send_once
+from ..http_client import send_once, was_reset
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED
 from ..requests.records import Answer
@@ -90,6 +90,8 @@
         try:
             async with self.open_call(call) as response:
                 body = await response.read()
+                if was_reset(response):
+                    raise aiohttp.ClientPayloadError("the connection was reset")
                 if not is_answer_to(call, response.headers):
                     message = "the answer has the id of another request"
                     return Failure(may_have_run("crossed-answer", message))
