A planned stop of an entry process ends no accepted request without an answer

In a planned stop callers of direct mode lost requests that had been accepted and passed on, bookings among them. Three causes of one class, a stop that is a sequence of awaits in place of times: the end of the lease was awaited before requests were refused, and a store that answers byte by byte held that up for up to two times nine seconds, with the listener open until the process was killed; what still ran half a second before the end of the grace period was cancelled and its connection closed in silence; and an answer that aiohttp was still writing no longer counted as in flight, so the process ended with a part of it in its buffers.

DrainTimes (a function of the present time) says until when a request is accepted, which deadline it gets, and when all that is left is answered. A request whose usual time (the target of its route, for a stream also its answer at a full engine) is longer than the time left is refused at arrival ('not run', Retry-After). Each request runs under a timeout that the stop sets: what is left gets a whole 502 'may have run', a stream that has begun is aborted, and the log says so. A whole answer is written before its request ceases to count, and the process waits until the connections have sent everything. The task that keeps the registration ends it, so a renewal on its way can't register the process once more.

Not covered: connections in the listener's backlog, and bytes in the kernel that were not read, are reset by the close; nothing of these was read or passed on.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -45,7 +45,8 @@
       leases: Monotonic time of the end and time to live in seconds, by lease id.
       last_lease: Id of the lease granted last; ids count up and are never reused.
       mode: "ok", "down" (503), "limited" (429), "reset" (the connection is aborted), "silent" (no
-        response) or "nonsense" (invalid JSON).
+        response), "nonsense" (invalid JSON) or "trickling" (the end of a lease is answered byte by
+        byte, a byte every 0.5 s).
       suppress_watch_events: Watches get no changes. One that waits while this is set responds only
         at its timeout, even if the flag is cleared before.
       drop_responses: POST requests take effect, then the connection is aborted without a response.
@@ -123,6 +124,12 @@
             raise asyncio.CancelledError
         if self.mode in ("down", "limited"):
             return web.Response(status=503 if self.mode == "down" else 429)
+        if self.mode == "trickling" and request.method == "DELETE":
+            slow = web.StreamResponse()
+            await slow.prepare(request)
+            for _ in range(100):
+                await slow.write(b" ")
+                await asyncio.sleep(0.5)
         if self.mode == "nonsense":
             return web.Response(text='{"entries": 7, "at": "x"')
         response: web.StreamResponse = await handler(request)
--- /dev/null
+++ b/tests/direct/draining.feature
@@ -0,0 +1,40 @@
+Feature: A planned stop of an entry process
+
+  Background:
+    Given the users' platform with two plain backends and two engines
+
+  # Guards against requests that are cut without an answer at the end of the grace period.
+  Scenario: What backends still hold at the end of the grace period gets a whole answer
+    Given all plain backends are "hang"
+    And the route of bookings has a timeout of 30 s
+    And an entry process of its own with a grace period of 5 s that is ready
+    When bookings are sent before and after it is told to stop, with deadlines of 30 s
+    Then each is answered completely, and that it may have run if it reached a backend
+    And the process has ended within its grace period
+
+  # Guards against a stop that lasts as long as the store's answer, with the listener open all the while.
+  Scenario: A store that is slow to end the lease does not keep a stopping process open
+    Given all plain backends are "slow"
+    And an entry process of its own with a grace period of 8 s that is ready
+    And the store is "trickling"
+    When bookings are sent on kept connections from before it is told to stop until it has ended
+    Then each that reached a backend is answered completely
+    And none that was sent later than 3.2 s after the signal reached a backend
+    And the process has ended within its grace period
+
+  # Guards against answers that were handed to the connection and lost with the process.
+  Scenario: A long answer that its caller reads late is whole when the process stops
+    Given look-ups have answers of 12 MB
+    And an entry process of its own with a grace period of 5 s that is ready
+    When a caller reads the beginning of an answer, and the rest 3.6 s after the signal to stop
+    Then the answer is whole
+    And the process has ended within its grace period
+
+  Scenario: Every request of a stop is refused at arrival or ends within the grace period
+    Then the decisions of any stop keep to its times
+
+  Scenario: A stream that usually outlasts the grace period is refused at arrival
+    Given one entry process that is ready
+    And the route of streams has a timeout of 30 s
+    When the process begins to stop, and two streams of 60 and of 2000 tokens are asked for
+    Then the short one is answered, and the long one is refused with a retry delay and has not run
--- /dev/null
+++ b/tests/steps/draining.py
@@ -0,0 +1,217 @@
+"""Steps on the planned stop of an entry process."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+
+import aiohttp
+from behave import given, then, when
+from hypothesis import given as examples
+from hypothesis import strategies
+
+from standins.platform import API_KEY, CALLER_HOST, send_request
+from tests.steps.daemon_running import start_daemon
+from tests.steps.platform_running import call, engines, plain, run, until
+from verbenaward import clock
+from verbenaward.drain_times import DrainTimes
+
+CALLERS = 8
+ANSWER_BYTES = 12_000_000
+
+
+@given("an entry process of its own with a grace period of {seconds:g} s that is ready")
+def daemon_with_grace(context, seconds):
+    start_daemon(context, grace_seconds=seconds)
+    run(context, context.daemon.wait_until_ready())
+    context.grace = seconds
+
+
+@given("the route of {name} has a timeout of {seconds:d} s")
+def long_route(context, name, seconds):
+    route = {"bookings": "book", "streams": "stream"}[name]
+    context.platform.route_overrides[route] = {"timeout_ms": seconds * 1000}
+    context.platform.write_configuration()
+    version = context.platform.configuration_version
+    fleets = [role.fleet for role in context.platform.entries]
+    has_all = run(
+        context, until(lambda: all(item.table.configuration.version == version for item in fleets))
+    )
+    assert has_all
+
+
+@given("look-ups have answers of 12 MB")
+def long_answers(context):
+    for backend in plain(context):
+        backend.padding = "x" * ANSWER_BYTES
+
+
+async def stop(context):
+    context.daemon.send(signal.SIGTERM)
+    context.stopped_at = clock.now()
+    assert await context.daemon.end() == 0
+    context.ended_after = clock.now() - context.stopped_at
+
+
+async def book(context, session, attempt, deadline_ms):
+    headers = {"X-Deadline-Ms": f"{deadline_ms}"}
+    address = context.daemon.direct.front
+    sent_at = clock.now()
+    answer = await send_request(session, address, f"/book/{attempt}", attempt, headers, b"bed")
+    context.outcomes.append((sent_at, attempt, answer))
+
+
+@when("bookings are sent before and after it is told to stop, with deadlines of 30 s")
+def bookings_around_stop(context):
+    async def send():
+        async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
+            for number in range(12):
+                group.create_task(book(context, session, f"b-{number}", 30_000))
+                if number == 3:
+                    group.create_task(stop(context))
+                await asyncio.sleep(0.15)
+
+    context.outcomes = []
+    run(context, send())
+
+
+@then("each is answered completely, and that it may have run if it reached a backend")
+def answered_completely(context):
+    assert any(ran(context, attempt) for _, attempt, _ in context.outcomes)
+    for _, attempt, (status, headers, body) in context.outcomes:
+        verdict = "may-have-run" if ran(context, attempt) else "not-run"
+        assert status in (502, 503, 504) and headers.get("X-Verdict") == verdict, (
+            attempt,
+            status,
+            body,
+        )
+
+
+def ran(context, attempt):
+    return sum(item.run_counts[attempt] for item in plain(context))
+
+
+@then("the process has ended within its grace period")
+def ended_in_time(context):
+    assert context.ended_after < context.grace, context.ended_after
+
+
+@when("bookings are sent on kept connections from before it is told to stop until it has ended")
+def bookings_until_end(context):
+    async def call_often(name):
+        async with aiohttp.ClientSession() as session:
+            number = 0
+            while context.daemon.process.returncode is None:
+                number += 1
+                await book(context, session, f"{name}-{number}", 3000)
+                await asyncio.sleep(0.02)
+
+    async def send():
+        async with asyncio.TaskGroup() as group:
+            for name in range(CALLERS):
+                group.create_task(call_often(name))
+            await asyncio.sleep(0.5)
+            await stop(context)
+
+    context.outcomes = []
+    run(context, send())
+
+
+@then("each that reached a backend is answered completely")
+def reached_answered(context):
+    reached = [item for item in context.outcomes if ran(context, item[1])]
+    cut = [
+        (sent_at - context.stopped_at, item)
+        for sent_at, item, (status, *_) in reached
+        if not status
+    ]
+    assert len(reached) > CALLERS and not cut, cut
+
+
+@then("none that was sent later than {seconds:g} s after the signal reached a backend")
+def none_late(context, seconds):
+    late = [
+        round(sent_at - context.stopped_at, 2)
+        for sent_at, attempt, _ in context.outcomes
+        if sent_at > context.stopped_at + seconds and ran(context, attempt)
+    ]
+    assert not late, late
+
+
+@when("a caller reads the beginning of an answer, and the rest 3.6 s after the signal to stop")
+def read_late(context):
+    host, _, port = context.daemon.direct.front.rpartition(":")
+    lines = (
+        "GET /look/x HTTP/1.1",
+        f"Host: {CALLER_HOST}",
+        "X-Attempt-Id: a-1",
+        "X-Deadline-Ms: 3000",
+        f"Authorization: Bearer {API_KEY}",
+    )
+
+    async def read():
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        connection.connect((host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=connection, limit=65536)
+        writer.write("".join(f"{line}\r\n" for line in (*lines, "")).encode())
+        context.read = await reader.read(1)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(stop(context))
+            await asyncio.sleep(3.6)
+            with contextlib.suppress(ConnectionError):
+                while data := await reader.read(1 << 20):
+                    context.read += data
+        writer.close()
+
+    run(context, read())
+
+
+@then("the answer is whole")
+def answer_is_whole(context):
+    head, _, body = context.read.partition(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    assert length > ANSWER_BYTES and len(body) == length, (length, len(body))
+
+
+@then("the decisions of any stop keep to its times")
+def decisions(context):
+    times = strategies.floats(0, 100)
+
+    @examples(times, strategies.floats(0.5, 60), times, times, times)
+    def check(began, grace, later, deadline, needed):
+        stop = DrainTimes.begun(began, grace)
+        assert began <= stop.closes_at <= stop.answers_at < began + grace
+        assert stop.closes_at <= began + 3
+        now = began + later
+        assert stop.deadline(deadline) <= min(deadline, stop.answers_at)
+        if stop.accepts(now, needed):
+            assert now < stop.closes_at and now + needed <= stop.answers_at
+        elif needed == 0 and now < stop.closes_at:
+            assert now > stop.answers_at - 1
+
+    check()
+
+
+@when("the process begins to stop, and two streams of 60 and of 2000 tokens are asked for")
+def streams_in_stop(context):
+    (role,) = context.platform.entries
+    role.front.drain.begin(DrainTimes.begun(clock.now(), 8.0))
+    context.answers = [
+        call(
+            context,
+            "/stream/x",
+            f"s-{tokens}",
+            {"X-Token-Usage": f"300,{tokens}", "X-Deadline-Ms": "30000"},
+        )
+        for tokens in (60, 2000)
+    ]
+
+
+@then("the short one is answered, and the long one is refused with a retry delay and has not run")
+def long_refused(context):
+    short, (status, headers, body) = context.answers
+    assert short[0] == 200, short
+    assert (status, headers["X-Reason"], headers["X-Verdict"]) == (503, "leaving", "not-run"), body
+    assert 0 < float(headers["Retry-After"]) < 1
+    assert not any(item.run_counts["s-2000"] for item in engines(context))
--- a/tests/steps/slow_readers.py
+++ b/tests/steps/slow_readers.py
@@ -136,7 +136,7 @@
 
 @then("some of the callers are cut off")
 def cut_off(context):
-    assert 0 < entry(context).front.in_flight < len(context.callers)
+    assert 0 < entry(context).front.drain.count < len(context.callers)
 
 
 @then("the process held {least:g} to {most:g} MB, and releases all")
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -6,15 +6,18 @@
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
+from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun
 from ..placement.fleet import Fleet
 from ..placement.levels import level_of, urgency_of
 from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
+from ..placement.placer import may_have_run_refusal
 from ..placement.regions import allowed_regions
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from .crash_tracker import fingerprint_of, part_keys_of
+from .draining import check_accepted, limited
 from .forwarding import Forwarder, is_stream
 from .slow_readers import WRITE_BUFFER_BYTES, raise_refusal, write_whole_answer
 from .streams import CallerGoneError, StreamCutError, StreamForwarder
@@ -37,9 +40,7 @@
       forwarder: Runs requests that are not streams.
       streams: Runs streams.
       memory: Limits the bytes held for callers and backends.
-      in_flight: Number of requests in progress.
-      leaving: True once the process has been told to stop.
-      closed: True once new requests are refused.
+      drain: The requests in progress, and the times of the graceful stop.
     """
 
     def __init__(
@@ -50,49 +51,70 @@
         self.streams = StreamForwarder(forwarder)
         self.memory = memory or MemoryBudget()
         fleet.version_listeners.append(lambda *_: self.streams.limit_waiting(clock.now()))
-        self.in_flight = 0
-        self.leaving = False
-        self.closed = False
+        self.drain = DrainingRequests()
+
+    @property
+    def leaving(self) -> bool:
+        """Return True once the process has been told to stop."""
+        return self.drain.times is not None
 
     async def handle(self, caller: web.Request) -> web.StreamResponse:
         """Handle a request of a caller: answer, refuse, or abort its connection."""
-        self.in_flight += 1
         held = HeldBytes(self.memory)
+        with self.drain.in_progress():
+            try:
+                response = await self.answer_in_time(caller, held)
+                await self.finish(caller, response, held)
+            except (StreamCutError, CallerGoneError):
+                abort_connection(caller)
+                raise asyncio.CancelledError from None
+            finally:
+                held.release()
+        return response
+
+    async def answer_in_time(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
+        """Return the answer of a request or its refusal, before the process has to end.
+
+        Raises:
+          StreamCutError: Part of a stream was sent, and it could not be completed.
+          CallerGoneError: The caller closed its connection.
+        """
+        request_id = read_caller_headers(caller.headers).request_id
         try:
-            response = await self.answer(caller, held)
-            await self.finish(caller, response, held)
+            async with self.drain.limit() as limit:
+                return await self.answer(caller, held)
         except RefusedError as error:
-            response = refusal_response(error.refusal)
-        except (StreamCutError, CallerGoneError):
-            abort_connection(caller)
-            raise asyncio.CancelledError from None
-        finally:
-            held.release()
-            self.in_flight -= 1
-        if self.leaving and not response.prepared:
-            response.force_close()
-        return response
+            return refusal_response(error.refusal)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+        refusal = may_have_run_refusal(502, "leaving", "this process had to end before the answer")
+        self.forwarder.log.refused_early(request_id, refusal)
+        if has_begun(caller):
+            raise StreamCutError(refusal.message)
+        return refusal_response(refusal)
 
     async def finish(
         self, caller: web.Request, response: web.StreamResponse, held: HeldBytes
     ) -> None:
-        """Write a long answer before its bytes are released.
-
-        A short one is left to aiohttp: it fits into the buffer of its connection.
+        """Write an answer while its request still counts as in progress and its bytes as held.
 
         Raises:
           CallerGoneError: The caller closed its connection or does not read.
         """
-        if not isinstance(response, web.Response) or not self.memory.is_limited:
-            return
-        if (response.content_length or 0) <= WRITE_BUFFER_BYTES:
+        if not isinstance(response, web.Response):
             return
-        held.drop(Purpose.REQUEST_BODY)
         if self.leaving:
             response.force_close()
         try:
-            await write_whole_answer(caller, response)
-        except ConnectionError as error:
+            async with self.drain.limit(FLUSH_SECONDS):
+                if self.memory.is_limited and (response.content_length or 0) > WRITE_BUFFER_BYTES:
+                    held.drop(Purpose.REQUEST_BODY)
+                    await write_whole_answer(caller, response)
+                else:
+                    await response.prepare(caller)
+                    await response.write_eof()
+        except (ConnectionError, TimeoutError) as error:
             raise CallerGoneError(str(error)) from error
 
     async def answer(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
@@ -131,9 +153,9 @@
         received_at = clock.now()
         try:
             body = await self.read_body(caller, held)
-            if self.closed:
-                raise RefusedError(not_run(503, "leaving", "this process is stopping", 0.01))
-            return self.build_request(caller, body, received_at, held)
+            check_accepted(self.drain, clock.now())
+            request = self.build_request(caller, body, received_at, held)
+            return limited(self.drain, request, clock.now())
         except RefusedError as error:
             request_id = read_caller_headers(caller.headers).request_id
             self.forwarder.log.refused_early(request_id, error.refusal)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -11,6 +11,8 @@
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.relay import ChunkRelay
+from ..drain_times import DrainTimes
+from ..draining import record_begin
 from ..logs import get_logger
 from ..metrics import RETRY_SHARE, WARMING_BACKENDS
 from ..placement.fleet import Fleet
@@ -38,6 +40,7 @@
 from .addresses import addresses_for
 from .budget import SharedRetryBudget
 from .crash_tracker import CrashTracker
+from .draining import drain_front
 from .entry_peers import record_of
 from .forwarding import Forwarder
 from .front import Front
@@ -56,11 +59,6 @@
 LONG_POLL_STEP_SECONDS = 0.03
 """Interval at which a long poll looks for a newer revision."""
 MAXIMUM_LONG_POLL_SECONDS = 10.0
-ADDRESS_LINGER_SECONDS = 3.0
-"""Time after the order to stop in which requests are still accepted: callers cache addresses."""
-EXIT_RESERVE_SECONDS = 0.5
-"""Part of the grace period that is kept for stopping the process."""
-DRAIN_POLL_SECONDS = 0.02
 KEEPALIVE_SECONDS = 75.0
 BACKLOG = 512
 MAXIMUM_HEADER_BYTES = 16 * 1024
@@ -82,7 +80,8 @@
       membership: Keeps the peer group of this process up to date.
       memory: Limits the bytes held for callers and backends.
       front: Accepts requests of callers.
-      store_restored: Set when the store was restored from a copy, which may lack the registration.
+      registration_due: Set when the store was restored from a copy, which may lack the
+        registration, and when this process leaves.
     """
 
     def __init__(self, settings: Settings, direct: DirectSettings) -> None:
@@ -140,8 +139,8 @@
         self.relay = ChunkRelay(
             settings, self.fleet, self.exchange.peers.entries, self.session, self.store
         )
-        self.store_restored = asyncio.Event()
-        self.replica.era_listeners.append(lambda _: self.store_restored.set())
+        self.registration_due = asyncio.Event()
+        self.replica.era_listeners.append(lambda _: self.registration_due.set())
         self.runners: list[web.AppRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -188,6 +187,7 @@
         """Return the application for requests of callers."""
         application = web.Application()
         application.router.add_route("*", "/{path:.*}", self.front.handle)
+        application.on_response_prepare.append(record_begin)
         return application
 
     def readiness_application(self) -> web.Application:
@@ -286,7 +286,7 @@
         return None
 
     async def maintain_registration(self) -> None:
-        """Keep this process registered in the store until it leaves.
+        """Keep this process registered in the store until it leaves, then end the registration.
 
         A restored store is written to at once.
         """
@@ -297,8 +297,9 @@
             pause = RENEWAL_SECONDS if isinstance(result, Success) else REGISTRATION_RETRY_SECONDS
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause):
-                    await self.store_restored.wait()
-            self.store_restored.clear()
+                    await self.registration_due.wait()
+            self.registration_due.clear()
+        await self.store.end_lease(key)
 
     async def update_derived_state(self) -> None:
         """Periodically update what is derived from the store and the peers.
@@ -350,24 +351,20 @@
         """Leave gracefully before the process stops.
 
         Peers and the store are notified first. Requests are accepted while callers may have the
-        address cached; then the listener closes and the requests in flight may finish.
+        address cached; then the listener closes and the requests in flight may finish. What is left
+        shortly before the end of the grace period is answered that it may have run.
         """
         if self.front.leaving:
             return
-        started = clock.now()
-        self.front.leaving = True
+        drain = self.front.drain
+        drain.begin(DrainTimes.begun(clock.now(), self.direct.grace_seconds))
         self.exchange.leaving = True
         self.exchange.request_full_broadcast()
-        LOG.info("entry.leaving", in_flight=self.front.in_flight)
-        await self.store.end_lease(ENTRY_PREFIX + self.settings.listen)
-        await asyncio.sleep(max(0.0, started + ADDRESS_LINGER_SECONDS - clock.now()))
-        self.front.closed = True
-        for site in list(self.runners[0].sites):
-            await site.stop()
-        last = started + self.direct.grace_seconds - EXIT_RESERVE_SECONDS
-        while self.front.in_flight and clock.now() < last:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        LOG.info("entry.left", in_flight=self.front.in_flight)
+        LOG.info("entry.leaving", in_flight=drain.count)
+        # The store may be slow to answer; the stop does not wait for it.
+        self.registration_due.set()
+        await drain_front(self.runners[0], drain)
+        LOG.info("entry.left", in_flight=drain.count)
 
     async def close(self) -> None:
         """Stop all tasks and close all connections."""
