A planned stop in the proxied mode ends no accepted request without an answer

An entry process of the proxied mode accepted requests until its drain ended, passed them on, and closed their connections in silence at the end: with a service that takes 30 s, every booking of the last seconds. The class is that of direct mode, and so is the fix: DrainTimes and DrainingRequests, shared by both modes. New requests are refused ('not run', 503) once callers' addresses have run out; accepted ones get a deadline that they can keep; what is left shortly before shutdown_seconds gets a whole 504 'may have run', and a stream that has begun is aborted.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -46,6 +46,7 @@
       vm_list_lag_seconds: Time after which the VM list stand-in shows a change.
       writes_per_second: Write rate limit of the key-value stand-in; 0 for no limit.
       log_level: Lowest level that daemons log.
+      shutdown_seconds: Longest wait of daemons for running requests when they stop.
     """
 
     entries: int = 2
@@ -63,6 +64,7 @@
     vm_list_lag_seconds: float = 0.5
     writes_per_second: float = 0.0
     log_level: str = "info"
+    shutdown_seconds: float = 10
 
 
 @dataclass(slots=True)
@@ -164,7 +166,7 @@
             },
             "links": self.plan.links,
             "membership": self.plan.membership,
-            "shutdown_seconds": 10,
+            "shutdown_seconds": self.plan.shutdown_seconds,
         }
         if kind == "entry":
             settings["entry"] = {"address_ttl_seconds": 1, **self.plan.entry}
--- a/verbenaward/draining.py
+++ b/verbenaward/draining.py
@@ -108,6 +108,17 @@
             idle_polls = 0 if self.count or has_unsent(runner) else idle_polls + 1
 
 
+async def wait_until_sent(runner: web.AppRunner) -> None:
+    """Wait until the connections of a server have sent what was written to them, for a short time.
+
+    Args:
+      runner: The server.
+    """
+    last = clock.now() + FLUSH_SECONDS
+    while has_unsent(runner) and clock.now() < last:
+        await asyncio.sleep(POLL_SECONDS)
+
+
 async def record_begin(caller: web.Request, _: web.StreamResponse) -> None:
     """Record that the answer of a request has begun; for the signal `on_response_prepare`."""
     caller[HAS_BEGUN] = True
--- a/verbenaward/endpoint/role.py
+++ b/verbenaward/endpoint/role.py
@@ -7,6 +7,7 @@
 
 from .. import clock
 from ..control import ControlPlane, client_session
+from ..drain_times import DrainTimes
 from ..logs import get_logger
 from ..platform import engine as engines
 from ..platform import sources as weight_sources
@@ -196,10 +197,12 @@
         self.control.own.update(status=MemberStatus.LEAVING)
         self.control.heartbeats.send_now()
         LOG.info("drain.started", in_flight=self.gate.running)
-        limit = clock.now() + self.control.settings.shutdown_seconds
+        times = DrainTimes.begun(clock.now(), self.control.settings.shutdown_seconds, 0.0)
+        self.run_handler.drain.begin(times)
         await asyncio.sleep(ANNOUNCE_SECONDS)
-        while clock.now() < limit and not self.gate.is_empty():
+        while clock.now() < times.answers_at and not self.gate.is_empty():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.run_handler.drain.wait_until_answered()
         if self.slot_manager is not None:
             await self.slot_manager.release(self.slot_manager.held_slots())
         await self.unpooled_session.close()
--- a/verbenaward/endpoint/run_handler.py
+++ b/verbenaward/endpoint/run_handler.py
@@ -15,6 +15,7 @@
 
 from .. import clock
 from ..data import Refusal, Verdict
+from ..draining import DrainingRequests, has_begun
 from ..requests import headers
 from ..requests.at_most_once import AtMostOnceRunner
 from ..requests.attempt import BACKEND_CRASHED, body_digest
@@ -64,6 +65,7 @@
       gate: Admission control.
       active_release: Returns the digest of the release that the engine serves, in hexadecimal.
       is_engine: True if the backend is an engine, False if it is a plain service.
+      drain: Requests in progress, and the times of the graceful stop.
       once: Runs non-idempotent requests at most once; None if the backend is an engine.
       on_answer_bytes: Called with the size of each piece of an answer sent to an entry process.
       on_crash: Called when the backend crashed while a request was running.
@@ -85,12 +87,35 @@
         self.gate = gate
         self.active_release = active_release
         self.is_engine = is_engine
+        self.drain = DrainingRequests()
         self.once = once
         self.on_answer_bytes = on_answer_bytes
         self.on_crash = on_crash
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
-        """Handle one /run request."""
+        """Handle one /run request; it is answered before the process has to end.
+
+        Raises:
+          ConnectionResetError: A part of a stream was sent that can no longer be completed; the
+            connection is aborted.
+        """
+        with self.drain.in_progress():
+            try:
+                async with self.drain.limit() as limit:
+                    return await self.run(request)
+            except TimeoutError:
+                if not limit.expired():
+                    raise
+            message = "this process had to end before the answer"
+            if has_begun(request):
+                if request.transport is not None:
+                    request.transport.abort()
+                raise ConnectionResetError(message)
+            request_id = request.headers.get(headers.REQUEST_ID, "")
+            return response_of(may_have_run("leaving", message), request_id)
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run one /run request."""
         body = await request.read()
         try:
             run_request = parse_run_request(request, body, clock.now())
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers of an entry process."""
 
 import asyncio
+import dataclasses
 import random
 
 from aiohttp import web
@@ -8,6 +9,7 @@
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
+from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun
 from ..membership.directory import Directory
 from ..requests import headers
 from ..requests.dispatch import Dispatcher
@@ -15,7 +17,7 @@
 from ..requests.limits import AdaptiveLimit
 from ..requests.parse import parse_model_request, parse_service_request, request_id_of
 from ..requests.records import Answer, Request
-from ..requests.refusals import not_run, response_of
+from ..requests.refusals import may_have_run, not_run, response_of
 from ..requests.streams import CallerGoneError, StreamRelay
 from ..schema.messages import MemberKind
 from ..schema.settings import Settings
@@ -27,6 +29,8 @@
 START_LIMIT = 64.0
 """Initial concurrency limit for each role of the manifest; it adapts from there."""
 MINIMUM_LIMIT = 1.0
+LEAVING_RETRY_SECONDS = 1.0
+"""Retry delay of a refusal while the process stops; its headers name other processes."""
 
 
 class Front:
@@ -39,7 +43,7 @@
       dispatcher: Sends requests to endpoints.
       relay: Forwards streams of endpoints to callers.
       queues: Admission queue for each role of the manifest (release or service).
-      in_flight: Number of requests that are queued or running.
+      drain: Requests that are queued or running, and the times of the graceful stop.
       rng: Random generator for the order of addresses.
     """
 
@@ -56,7 +60,7 @@
         self.dispatcher = dispatcher
         self.relay = StreamRelay(dispatcher)
         self.queues: dict[str, FairQueue] = {}
-        self.in_flight = 0
+        self.drain = DrainingRequests()
         self.rng = random.Random()
 
     def add_routes(self, app: web.Application) -> None:
@@ -132,11 +136,39 @@
         if not isinstance(parsed, Success):
             return response_of(parsed.failure(), request_id_of(caller.headers))
         request = parsed.unwrap()
-        self.in_flight += 1
+        refusal = self.drain.refusal(clock.now(), 0.0, LEAVING_RETRY_SECONDS)
+        if refusal is not None:
+            return self.with_addresses(response_of(refusal, request.request_id))
+        request = dataclasses.replace(request, deadline=self.drain.deadline(request.deadline))
+        with self.drain.in_progress():
+            response = await self.run_in_time(request, caller)
+            if isinstance(response, web.Response):
+                async with self.drain.limit(FLUSH_SECONDS):
+                    await response.prepare(caller)
+                    await response.write_eof()
+        return response
+
+    async def run_in_time(self, request: Request, caller: web.Request) -> web.StreamResponse:
+        """Return the answer of a request, before the process has to end.
+
+        Raises:
+          CallerGoneError: The caller closed its connection, or a part of a stream was sent that can
+            no longer be completed; the connection is aborted then.
+        """
         try:
-            return await self.admit_and_run(request, caller)
-        finally:
-            self.in_flight -= 1
+            async with self.drain.limit() as limit:
+                return await self.admit_and_run(request, caller)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+        message = "this process had to end before the answer"
+        if has_begun(caller):
+            if caller.transport is not None:
+                caller.transport.abort()
+            raise CallerGoneError(message)
+        return self.with_addresses(
+            response_of(may_have_run("leaving", message), request.request_id)
+        )
 
     async def admit_and_run(self, request: Request, caller: web.Request) -> web.StreamResponse:
         """Queue a request for admission, run it and record its metrics."""
--- a/verbenaward/entry/role.py
+++ b/verbenaward/entry/role.py
@@ -10,6 +10,7 @@
 from .. import clock, metrics
 from ..control import ControlPlane
 from ..data import Configuration
+from ..drain_times import DrainTimes
 from ..logs import get_logger
 from ..membership.gossip import Gossiper
 from ..membership.registrar import SWEEP_SECONDS, Registrar
@@ -39,7 +40,6 @@
 """Key whose successors on the hash ring are the watchers."""
 CRASH_REPORT_SECONDS = 0.3
 """Longest wait for other entry processes to get a crash report, before the caller is answered."""
-DRAIN_POLL_SECONDS = 0.05
 ANNOUNCE_SECONDS = 1.0
 """Time for the leaving status to reach the other processes before the drain may end."""
 
@@ -168,17 +168,18 @@
     async def drain(self) -> None:
         """Announce that this process leaves, and serve on for a limited time.
 
-        The drain ends once the address TTL has passed and no request is in flight, at the latest
-        after shutdown_seconds.
+        New requests are refused once the address TTL has passed. The drain ends when none is in
+        flight; what is left shortly before shutdown_seconds is answered that it may have run.
         """
+        settings, drain = self.control.settings, self.front.drain
+        ttl_seconds = settings.entry.address_ttl_seconds
+        times = DrainTimes.begun(clock.now(), settings.shutdown_seconds, ttl_seconds)
+        drain.begin(times)
         self.state.leaving = True
         self.control.own.update(status=MemberStatus.LEAVING)
         self.control.directory.merge(self.control.own.member, clock.now())
         self.control.heartbeats.send_now()
-        LOG.info("drain.started", in_flight=self.front.in_flight)
-        cached_until = clock.now() + self.control.settings.entry.address_ttl_seconds
-        limit = clock.now() + self.control.settings.shutdown_seconds
-        await asyncio.sleep(ANNOUNCE_SECONDS)
-        while clock.now() < limit and (self.front.in_flight or clock.now() < cached_until):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        LOG.info("drain.ended", in_flight=self.front.in_flight)
+        LOG.info("drain.started", in_flight=drain.count)
+        await asyncio.sleep(max(ANNOUNCE_SECONDS, times.closes_at - clock.now()))
+        await drain.wait_until_answered()
+        LOG.info("drain.ended", in_flight=drain.count)
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -10,6 +10,7 @@
 from .admin import AdminInterface, ProxiedRole
 from .configuration.settings import host_of, port_of
 from .control import ControlPlane, build_control
+from .draining import record_begin, wait_until_sent
 from .endpoint.role import EndpointRole
 from .entry.role import EntryRole
 from .logs import get_logger
@@ -53,6 +54,7 @@
         AdminInterface(self.control, self.role, self.drain_once).add_routes(app)
         app.router.add_get("/metrics", serve_metrics)
         app.on_response_prepare.append(drop_unneeded_headers)
+        app.on_response_prepare.append(record_begin)
         return app
 
     async def drain_once(self) -> None:
@@ -64,6 +66,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain, then stop."""
         await self.drain_once()
+        await wait_until_sent(self.runner)
         await self.runner.cleanup()
         await self.control.close()
         LOG.info("daemon.stopped")
