Close idle connections of callers in time, and keep descriptors in reserve

When connections were taken again, nearly all requests were refused with idle backends, as sends without a descriptor had counted as failures of the backends.

Cause: idle connections were kept for 75 s whatever idle_timeout_ms said; header_timeout_ms was not read; nothing counted open connections or read the limit of descriptors.

Change: placement/connection_limits.py decides, without network and clock, which connections are accepted, refused and closed; direct/connections.py feeds it from aiohttp's server. idle_timeout_ms and header_timeout_ms are in force for connections of callers and of the directory, also for open ones when the configuration changes. A reserve of descriptors is kept; the connections that are idle longest are closed before a request is refused with a whole 503, and the process is not ready while it can take none. A send without a descriptor (EMFILE, ENFILE) is "no-descriptor": no backend is charged. A limit that is negative or no number is an error that names its field. Gauges and lines for open connections by kind.

Not done: the proxied mode; max_header_bytes.

--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -232,11 +232,13 @@
 
     Attributes:
       max_body_bytes: Largest request body, in bytes.
-      idle_seconds: Longest time without data from a caller, in seconds.
+      idle_seconds: Longest time without a request on a caller's connection, in seconds.
+      header_seconds: Longest time to receive the header of a request, in seconds.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
     idle_seconds: float = 15.0
+    header_seconds: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -64,6 +64,11 @@
         self.not_run += 1
         self.tried.add(backend)
 
+    def record_unsent(self, backend: str) -> None:
+        """Record that a send ended before anything was sent."""
+        self.in_flight -= 1
+        self.tried.add(backend)
+
 
 @dataclass(slots=True, eq=False)
 class Send:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -11,6 +11,7 @@
 from ..data import RouteKind
 from ..placement.backend_notices import IncarnationNotices
 from ..placement.backends import BackendView
+from ..placement.connection_limits import SHORTAGE_REASON
 from ..placement.engine_memory import counted_tokens
 from ..placement.placer import Choice, Placer, may_have_run_refusal, rank_of
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
@@ -30,6 +31,8 @@
 """Time before its deadline from which a request is not sent any more."""
 MINIMUM_ATTEMPT_SHARE = 0.4
 """Share of the remaining time that an attempt may take before another one is made beside it."""
+DESCRIPTOR_RETRY_SECONDS = (0.1, 0.5)
+"""Retry delay of a request for which there was no descriptor; idle connections are closed then."""
 MAXIMUM_NOT_RUN_SENDS = 3
 """Sends of one request that may end with proof that it did not run."""
 
@@ -45,8 +48,11 @@
       log: Writes log lines about requests.
       load_changed: Called when the load that this process puts on a backend has changed.
       is_send_granted: Returns True if the limit of a backend allows a request now.
+      descriptor_missing: Called when a send got no descriptor.
     """
 
+    descriptor_missing: Callable[[], None] = staticmethod(lambda: None)
+
     def __init__(
         self,
         session: aiohttp.ClientSession,
@@ -293,6 +299,11 @@
         view = send.choice.view
         now = clock.now()
         self.log.failed(request, view, failed)
+        if failed.failure is FailureKind.NO_DESCRIPTOR:
+            # Nothing was sent, so this says nothing of the backend.
+            progress.record_unsent(send.backend)
+            self.descriptor_missing()
+            return
         if failed.failure is FailureKind.FULL:
             view.record_full(now)
         elif failed.failure is FailureKind.UNREAD:
@@ -345,10 +356,16 @@
             progress.runs >= request.route.attempts or progress.not_run >= MAXIMUM_NOT_RUN_SENDS
         )
         forbidden = progress.runs > 0 and not request.route.is_retryable
-        if not exhausted and not forbidden:
+        lacks_descriptor = failed.failure is FailureKind.NO_DESCRIPTOR
+        if not exhausted and not forbidden and not lacks_descriptor:
             return None
         if progress.answer is not None:
             return progress.answer
+        if lacks_descriptor and not progress.runs:
+            wait = self.placer.rng.uniform(*DESCRIPTOR_RETRY_SECONDS)
+            refusal = not_run(503, SHORTAGE_REASON, failed.message, wait)
+            self.log.refused(request, refusal, None)
+            raise RefusedError(refusal)
         self.give_up(request, progress, failed.message)
         return None
 
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -13,6 +13,7 @@
 from ..distribution.relay import ChunkRelay
 from ..logs import get_logger
 from ..metrics import RETRY_SHARE, WARMING_BACKENDS
+from ..placement.connection_limits import Kind
 from ..placement.fleet import Fleet
 from ..placement.memory_budget import MemoryBudget, capacity_of
 from ..placement.placer import Placer
@@ -37,6 +38,7 @@
 from ..schema.settings import DirectSettings, Settings
 from .addresses import addresses_for
 from .budget import SharedRetryBudget
+from .connections import ConnectionRunner, Connections
 from .crash_tracker import CrashTracker
 from .entry_peers import record_of
 from .forwarding import Forwarder
@@ -62,6 +64,7 @@
 """Part of the grace period that is kept for stopping the process."""
 DRAIN_POLL_SECONDS = 0.02
 KEEPALIVE_SECONDS = 75.0
+"""Idle time of connections of other processes; callers' ones have that of the configuration."""
 BACKLOG = 512
 MAXIMUM_HEADER_BYTES = 16 * 1024
 REGISTRATION_RETRY_SECONDS = 0.5
@@ -124,6 +127,8 @@
             direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds, clock.now()
         )
         placer = Placer(self.fleet, settings.zone, direct.zones, direct.version_seconds)
+        log = RequestLog()
+        self.connections = Connections(log)
         self.front = Front(
             self.fleet,
             Forwarder(
@@ -131,12 +136,13 @@
                 placer,
                 self.budget,
                 self.crashes,
-                RequestLog(),
+                log,
                 self.exchange.signal_load_change,
                 self.exchange.limits.admits,
             ),
             self.memory,
         )
+        self.front.forwarder.descriptor_missing = self.connections.record_shortage
         self.relay = ChunkRelay(
             settings, self.fleet, self.exchange.peers.entries, self.session, self.store
         )
@@ -149,10 +155,10 @@
         """Open all listeners and start all tasks."""
         await self.exchange.open()
         read_buffer = READ_BUFFER_BYTES if self.memory.is_limited else DEFAULT_CHUNK_SIZE
-        await self.listen(self.direct.front, self.front_application(), read_buffer)
-        await self.listen(self.direct.readiness, self.readiness_application())
-        await self.listen(self.direct.directory, self.directory_application())
-        await self.listen(self.settings.listen, self.control_application())
+        await self.listen(self.direct.front, self.front_application(), Kind.CALLER, read_buffer)
+        await self.listen(self.direct.readiness, self.readiness_application(), Kind.READINESS)
+        await self.listen(self.direct.directory, self.directory_application(), Kind.DIRECTORY)
+        await self.listen(self.settings.listen, self.control_application(), Kind.CONTROL)
         for work in (
             self.follower.run(),
             self.peer_fetcher.run(),
@@ -164,13 +170,18 @@
             self.tasks.append(asyncio.create_task(work))
 
     async def listen(
-        self, address: str, application: web.Application, read_buffer: int = DEFAULT_CHUNK_SIZE
+        self,
+        address: str,
+        application: web.Application,
+        kind: Kind,
+        read_buffer: int = DEFAULT_CHUNK_SIZE,
     ) -> None:
         """Serve an application at an address, with a read buffer for each connection."""
-        runner = web.AppRunner(
+        runner = ConnectionRunner(
             application,
+            self.connections,
+            kind,
             access_log=None,
-            handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=MAXIMUM_HEADER_BYTES,
             max_field_size=MAXIMUM_HEADER_BYTES,
@@ -213,7 +224,8 @@
 
     def is_ready(self) -> bool:
         """Return True if this process can serve requests."""
-        return self.fleet.can_serve() and not self.front.leaving
+        is_full = self.connections.is_full(clock.now())
+        return self.fleet.can_serve() and not self.front.leaving and not is_full
 
     async def answer_readiness(self, request: web.Request) -> web.Response:
         """Answer the readiness check."""
@@ -304,8 +316,8 @@
         """Periodically update what is derived from the store and the peers.
 
         Records outages of the store, applies the start deadlines of waiting streams, ends what is
-        kept after a restore of the store, tells the retry budget the number of entry processes and
-        starts fetching missing digests.
+        kept after a restore of the store, tells the retry budget the number of entry processes,
+        closes connections of callers whose time has ended and starts fetching missing digests.
         """
         while True:
             now = clock.now()
@@ -315,6 +327,8 @@
                     self.replica.outage_until = now - STORE_DOWN_SECONDS
             # Timers of the event loop stand still while the machine is suspended.
             self.front.streams.limit_waiting(now)
+            table = self.fleet.table
+            self.connections.sweep(table.configuration.limits if table else None, now)
             self.replica.drop_kept_registrations(now)
             complete_until = now - self.exchange.peers.replica_age(now)
             self.replica.drop_kept_evacuations(complete_until, now)
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -37,6 +38,8 @@
 for a pause must arrive within the half second that the backend allows for that."""
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """Headers that aiohttp would add by itself; a backend gets only what the caller has sent."""
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+"""Errors of a process or VM that has no descriptors left."""
 LATE_ANSWER_SECONDS = 0.05
 """Time for which the head of an answer is awaited after its request was given up: a backend that
 refuses it at its deadline may ask for a pause. It must be far below the time within which a backend
@@ -132,7 +135,7 @@
     try:
         response = await head_of_answer(sending, record)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        yield Failed(FailedAttempt(FailureKind.UNREACHABLE, False, str(error)))
+        yield Failed(FailedAttempt(failure_to_connect(error), False, str(error)))
         return
     except (aiohttp.ClientResponseError, ValueError) as error:
         # What came is not HTTP, or its head is too long.
@@ -148,6 +151,12 @@
         response.close()
 
 
+def failure_to_connect(error: aiohttp.ClientError) -> FailureKind:
+    """Return the kind of failure of a send without a connection."""
+    is_local = isinstance(error, aiohttp.ClientConnectorError) and error.errno in NO_DESCRIPTOR
+    return FailureKind.NO_DESCRIPTOR if is_local else FailureKind.UNREACHABLE
+
+
 async def head_of_answer(
     sending: Coroutine[Any, Any, aiohttp.ClientResponse],
     record: Callable[[aiohttp.ClientResponse], None],
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -136,6 +136,25 @@
         "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
     ),
     "library.message": kind("a library reports: {message}", "message"),
+    "connections.available": kind(
+        "connections are taken again: {open} are open, {busy} of them with a request",
+        "open",
+        "busy",
+    ),
+    "connections.full": kind(
+        "not ready: no descriptors for more connections; {open} are open, {busy} of them with a "
+        "request, limit {limit}",
+        "open",
+        "busy",
+        "limit",
+    ),
+    "connections.short": kind(
+        "{closed} idle connections were closed to make room; {open} are open, limit {limit}",
+        "closed",
+        "open",
+        "busy",
+        "limit",
+    ),
     "memory.enough": kind("memory is available again: {held} of {limit} bytes are held", "held"),
     "memory.short": kind(
         "no memory for more bytes of kind {purpose}: {held} are held, {limit} allowed",
--- a/verbenaward/metrics.py
+++ b/verbenaward/metrics.py
@@ -74,6 +74,16 @@
 MEMORY_REFUSALS = Counter(
     "verbenaward_memory_refusals_total", "Bytes that were refused for lack of memory", ["purpose"]
 )
+OPEN_CONNECTIONS = Gauge("verbenaward_open_connections", "Open incoming connections", ["kind"])
+CONNECTIONS_CLOSED = Counter(
+    "verbenaward_connections_closed_total", "Connections closed by this process", ["cause"]
+)
+CONNECTIONS_REFUSED = Counter(
+    "verbenaward_connections_refused_total", "Requests refused for want of descriptors"
+)
+DESCRIPTOR_SHORTAGES = Counter(
+    "verbenaward_descriptor_shortages_total", "Sends that got no descriptor"
+)
 ORDERS = Counter("verbenaward_engine_orders_total", "Orders to the engine", ["kind", "outcome"])
 
 
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -74,6 +74,7 @@
     crashes. INVALID: it sent what is no answer to the request, or one that is too long. SILENT: no
     answer, or no event of a stream, in time. SERVER_ERROR: a server error that is retried. UNREAD:
     a stream that its caller had not read for long broke; the backend is not to blame.
+    NO_DESCRIPTOR: this process has no descriptor for the connection; the backend is not to blame.
     """
 
     UNREACHABLE = "unreachable"
@@ -84,6 +85,7 @@
     SILENT = "silent"
     SERVER_ERROR = "server-error"
     UNREAD = "unread"
+    NO_DESCRIPTOR = "no-descriptor"
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -168,7 +168,8 @@
     default = CallerLimits()
     return CallerLimits(
         int(item.get("max_body_bytes") or default.max_body_bytes),
-        float(item.get("idle_timeout_ms") or default.idle_seconds * MILLISECONDS) / MILLISECONDS,
+        amount(item, "idle_timeout_ms") / MILLISECONDS or default.idle_seconds,
+        amount(item, "header_timeout_ms") / MILLISECONDS or default.header_seconds,
     )
 
 
