The LF of a forwarded CR neither ends the watch on a silent backend nor supersedes another send

Seen by callers: a stream whose line end arrived in two pieces, CR and then LF, and whose backend then stalled, was not resumed at another backend; it ended with its deadline.

Cause: the write of the LF alone set the time of silence to never, and no event followed that would set it again; it also claimed the stream, so that a successor that waits beside it would have been cancelled.

Change: only whole events claim the stream, and a write moves the time of silence by as long as it took.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -72,6 +72,7 @@
       stream_events: Events of a complete stream.
       stream_mark: Byte order mark, or other bytes, with which a stream begins.
       line_end: Line end of the events.
+      splits_line_ends: True to send the last byte of an event a little later.
       last_event_ids: Event ids after which streams were to go on; empty for whole ones.
       sent_events: Events of streams sent so far.
       silent_until: Time until which it sends nothing, and then goes on, monotonic.
@@ -135,6 +136,7 @@
         self.stream_events = STREAM_EVENTS
         self.stream_mark = b""
         self.line_end = b"\n"
+        self.splits_line_ends = False
         self.last_event_ids: list[str] = []
         self.sent_events = 0
         self.silent_until = 0.0
@@ -356,6 +358,10 @@
                 await trickle(response, b"data: " + b"x" * 600)
             try:
                 async with asyncio.timeout(self.unread_seconds):
+                    if self.splits_line_ends:
+                        await response.write(event[:-1])
+                        await asyncio.sleep(WORK_SECONDS)
+                        event = event[-1:]
                     await response.write(event)
             except TimeoutError:
                 reset_connection(request)
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -30,6 +30,20 @@
       | \r    | \r\n   |
       | \n    | \r     |
 
+  # Guards against a send that is never silent again after the LF of a forwarded CR.
+  Scenario: A stream that stalls after a line end that was sent in two parts is resumed
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the engines end lines with "\r\n" and begin streams with "none"
+    And one engine is "trickling"
+    And the engines send the last byte of each event by itself
+    When callers open streams until that engine was tried
+    Then the last one gets all events in order, once each
+
+  Scenario: The LF of a forwarded CR does not take the place of a send that goes on
+    When the events "id: 1\rdata: a\r\r" are forwarded, and "\n" once another send waits beside them
+    Then the other send is not superseded, and the LF is forwarded
+
   Scenario: A stream that breaks at any byte is resumed after its last whole event
     Then random streams that break at each byte go on with the same events
 
--- a/tests/steps/streams.py
+++ b/tests/steps/streams.py
@@ -53,6 +53,12 @@
     context.bad.mode = "truncated-event"
 
 
+@given("the engines send the last byte of each event by itself")
+def split_line_ends(context):
+    for engine in engines(context):
+        engine.splits_line_ends = True
+
+
 @then("it gets all events in order, once each, with these line ends and this mark")
 def all_events_unchanged(context):
     ((status, _, body),) = context.answers
@@ -61,12 +67,18 @@
     assert body == context.mark + events.encode().replace(b"\n", context.line_end), body
 
 
-@then("the last one gets all events in order, once each, and at most one mark")
-def all_events_joined(context):
+@then("the last one gets all events in order, once each")
+def all_events_dispatched(context):
     status, _, body = context.answers[-1]
     assert status == 200, context.answers[-1]
     numbers = range(1, STREAM_EVENTS + 1)
     assert dispatched(body) == [(f"piece {n}", str(n)) for n in numbers], body
+
+
+@then("the last one gets all events in order, once each, and at most one mark")
+def all_events_joined(context):
+    all_events_dispatched(context)
+    _, _, body = context.answers[-1]
     assert body.count(MARK) == 1 and body.startswith(MARK), body
     assert any(backend.last_event_ids[-1] for backend in engines(context)), "none was resumed"
 
@@ -120,6 +132,22 @@
         context.error = error
 
 
+@when('the events "{events}" are forwarded, and "{rest}" once another send waits beside them')
+def forward_beside(context, events, rest):
+    context.delivery, context.superseded = new_delivery(), []
+    attempt = new_attempt(context.delivery)
+    run(context, context.delivery.forward_events(unescaped(events), attempt))
+    attempt.send.claim = lambda: context.superseded.append(rest) or True
+    run(context, context.delivery.forward_events(unescaped(rest), attempt))
+    context.sent = unescaped(events + rest)
+
+
+@then("the other send is not superseded, and the LF is forwarded")
+def not_superseded(context):
+    assert not context.superseded
+    assert context.delivery.response.body == context.sent
+
+
 @then('the stream is resumed after "{event_id}"')
 @then('the stream is resumed after ""')
 def resumed_after(context, event_id=""):
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -115,9 +115,11 @@
             raise aiohttp.ClientPayloadError("an event is too long")
         position = dataclasses.replace(self.position)
         size = position.advance(received)
+        has_events = any(event.end <= size for event in received.events)
         if size:
-            # A part that begins anew must not supersede the send that may still go on.
-            if not attempt.send.claim():
+            # A part that begins anew, or line ends alone, must not supersede the send that may
+            # still go on.
+            if attempt.send.is_superseded or (has_events and not attempt.send.claim()):
                 return False
             self.position = position
             self.writes += 1
@@ -128,12 +130,24 @@
         if size < len(received.raw):
             raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
         self.hold(attempt.parser.unfinished_bytes)
-        return bool(received.events)
+        return has_events
 
     async def write(self, events: bytes, attempt: "StreamAttempt") -> None:
-        """Write events to the caller, and wait until most of them are on their way."""
+        """Write events to the caller, and wait until most of them are on their way.
+
+        The time that it takes does not count as silence of the backend.
+        """
         assert self.response is not None
+        started, silent_at = clock.now(), attempt.send.silent_at
         attempt.send.silent_at = math.inf
+        try:
+            await self.write_unread(events, attempt)
+        finally:
+            attempt.send.silent_at = silent_at + clock.now() - started
+
+    async def write_unread(self, events: bytes, attempt: "StreamAttempt") -> None:
+        """Write events, and if the caller reads slowly, wait until it has read most of them."""
+        assert self.response is not None
         unsent = buffered_bytes(self.caller) if self.held.budget.is_limited else 0
         if not self.held.budget.is_limited or unsent + len(events) <= WRITE_BUFFER_BYTES:
             await self.response.write(events)
