--- a/tests/direct/silences.feature
+++ b/tests/direct/silences.feature
@@ -53,3 +53,38 @@
     And no retry is left in the budget for 1 s from the break on
     When callers open streams until that engine was tried
     Then each gets all events in order, once each
+
+  Scenario Outline: A silent stream whose successor is answered <status> is not cut
+    Given the other engine answers streams that are resumed with <status>
+    When callers open 2 streams on one engine and it falls silent for 1.4 s
+    Then each stream is whole, in order, once each
+
+    Examples: statuses
+      | status |
+      | 204    |
+      | 404    |
+      | 409    |
+      | 500    |
+
+  Scenario: Silent streams send no more successors than another engine has free slots
+    Given two engines with 16 slots, of which one has 2 free slots
+    When 12 streams on the other engine are silent at the same time
+    Then 2 successors are sent
+
+  Scenario: An engine that was full once takes over from a silent one later
+    Given an engine that refused a request as full 1 s ago
+    Then it is chosen as the successor of a silent send of the same request
+
+  Scenario: Streams that broke off wait for a retry though the grant of a limit takes time
+    Given one engine is "truncated-event"
+    And a grant takes 10 ms, and a retry is left each 0.1 s
+    When callers open 4 streams on that engine
+    Then each gets all events in order, once each
+
+  Scenario: A stop of this process is not taken for a silence of its backends
+    When the process stands still for 1.7 s while a backend answers
+    Then no successor was looked for
+
+  Scenario: A request that has ended is not kept in memory
+    When a request has been answered
+    Then nothing refers to it any more
--- a/tests/steps/connections.py
+++ b/tests/steps/connections.py
@@ -20,8 +20,8 @@
     async def open(self, context, sent):
         host, _, port = context.platform.entries[0].direct.front.rpartition(":")
         self.loop = asyncio.get_running_loop()
-        self.reader, self.writer = await asyncio.open_connection(host, int(port))
         self.opened_at, self.closed_after, self.received = self.loop.time(), None, b""
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
         self.writer.write(sent)
         self.task = asyncio.create_task(self.read())
         return self
--- a/tests/steps/streams.py
+++ b/tests/steps/streams.py
@@ -10,9 +10,9 @@
 from standins.platform_backend import STREAM_EVENTS
 from tests.event_streams import ENDS, MARK, dispatched, pieces_of
 from tests.steps.platform_running import engines, run
-from verbenaward.direct.attempts import Send
+from verbenaward.direct.attempts import Progress, Send
 from verbenaward.direct.streams import Delivery
-from verbenaward.placement.memory_budget import HeldBytes
+from verbenaward.placement.memory_budget import HeldBytes, HeldPart, Purpose
 from verbenaward.requests.event_stream import EventStreamParser
 
 
@@ -31,12 +31,18 @@
 
 
 def new_delivery():
-    return Delivery(None, HeldBytes(), FakeResponse())
+    return Delivery(None, HeldBytes(), Progress(), response=FakeResponse())
 
 
 def new_attempt(delivery):
     parser = EventStreamParser(drops_mark=delivery.writes > 0)
-    return SimpleNamespace(parser=parser, send=Send(None, 0.0), paused_seconds=0.0)
+    return SimpleNamespace(
+        parser=parser,
+        send=Send(None, 0.0),
+        held=HeldPart(delivery.held, Purpose.STREAM),
+        paused_seconds=0.0,
+        end_start_deadline=lambda: None,
+    )
 
 
 @given('the engines end lines with "{end}" and begin streams with "{mark}"')
--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -20,7 +20,11 @@
 """Time from the head of an answer within which a backend crashes if a part of the prompt is to
 blame. An answer that goes on for longer clears its parts."""
 SUCCESSOR_POLL_SECONDS = 0.05
-"""Time between two looks for a successor of a silent send."""
+"""Time from the first to the second look for a successor of silent sends; it doubles each time."""
+MAXIMUM_SUCCESSOR_POLL_SECONDS = 0.4
+LATE_WAKE_SECONDS = 0.3
+"""A wait that ends so much later shows that this process stood still, not that its backends did.
+Silence counts again after the same time, in which what they sent meanwhile is read."""
 SILENCE_POLL_SECONDS = 0.5
 """Longest time between two looks at the silence of the sends."""
 SERVER_ERROR = 500
@@ -35,15 +39,17 @@
 
     Attributes:
       tried: Identities of the backends that failed it.
+      may_have_run_at: Those of them where it may have run.
       runs: Ended sends that may have run.
       not_run: Ended sends that certainly did not run.
       in_flight: Sends without an outcome; each may have run.
       answer: Last server error of a backend, returned if no retry does better.
-      is_delivering: True once a part of its stream was sent to the caller.
+      is_delivering: True once the head of its stream was sent to the caller.
       is_resumable: False once a part was sent after which another backend could only begin anew.
     """
 
     tried: set[str] = field(default_factory=set)
+    may_have_run_at: set[str] = field(default_factory=set)
     runs: int = 0
     not_run: int = 0
     in_flight: int = 0
@@ -61,6 +67,7 @@
         self.in_flight -= 1
         self.runs += 1
         self.tried.add(backend)
+        self.may_have_run_at.add(backend)
 
     def record_not_run(self, backend: str) -> None:
         """Record that a send ended with the proof that the request did not run."""
@@ -88,6 +95,7 @@
         forwarded.
       claim: Called before a part of its answer is forwarded; it supersedes the other sends, and
         returns False if this one was superseded.
+      is_reserved: True while it counts as load of its backend though it has not begun.
     """
 
     choice: Choice
@@ -97,6 +105,7 @@
     is_recorded_silent: bool = False
     is_superseded: bool = False
     claim: Callable[[], bool] = field(default=lambda: True)
+    is_reserved: bool = False
 
     @property
     def backend(self) -> str:
@@ -107,6 +116,17 @@
         """Return True if the backend has gone on with its answer for some time."""
         return 0 < self.answer_began_at <= now - ANSWER_START_SECONDS
 
+    def reserve(self) -> None:
+        """Count it as load of its backend from now on."""
+        self.is_reserved = True
+        self.choice.view.reserved += 1
+
+    def end_reservation(self) -> None:
+        """Stop that, as it has begun and is counted itself, or will not begin."""
+        if self.is_reserved:
+            self.is_reserved = False
+            self.choice.view.reserved -= 1
+
     def record_event(self, now: float, stall_seconds: float) -> None:
         """Record an event: the backend is not silent.
 
@@ -115,6 +135,10 @@
           stall_seconds: Time without an event after which it counts as silent.
         """
         self.silent_at = now + stall_seconds
+        self.record_answering(now)
+
+    def record_answering(self, now: float) -> None:
+        """Record at its backend that a silence, if there was one, has ended."""
         if self.is_recorded_silent:
             self.is_recorded_silent = False
             self.choice.view.record_responsive(now)
@@ -139,7 +163,11 @@
         """Return the backend of the next send."""
 
     async def successor(
-        self, request: Request, progress: Progress, busy: Collection[str]
+        self,
+        request: Request,
+        progress: Progress,
+        busy: Collection[str],
+        is_needed: Callable[[], bool],
     ) -> Choice | None:
         """Return a backend for a send beside silent ones; None if there is none now."""
 
@@ -161,10 +189,14 @@
       rules: Rules by which requests are sent again, and log.
       request: The request.
       progress: Sends so far.
-      execute: Sends the request and returns its answer, or the failure.
+      execute: Sends the request and returns its answer, or the failure. It ends the reservation of
+        the send first, keeps its `silent_at`, and forwards nothing that it may not `claim`.
       running: Sends in progress and their tasks; the last one is the newest.
+      sends: All sends.
       cancelled: Tasks of superseded sends.
       next_look_at: Time before which no successor is looked for, monotonic.
+      look_seconds: Time from the next look for a successor to the one after it.
+      silence_counts_from: Time before which no silence counts, as this process stood still.
     """
 
     def __init__(
@@ -179,8 +211,11 @@
         self.progress = progress
         self.execute = execute
         self.running: dict[Send, asyncio.Task[Answer | WholeAnswer | FailedAttempt]] = {}
+        self.sends: list[Send] = []
         self.cancelled: list[asyncio.Task[Answer | WholeAnswer | FailedAttempt]] = []
         self.next_look_at = 0.0
+        self.look_seconds = SUCCESSOR_POLL_SECONDS
+        self.silence_counts_from = 0.0
 
     async def run(self) -> Answer | WholeAnswer:
         """Send the request, again if that is needed and allowed, and return the answer.
@@ -204,28 +239,37 @@
                     return answer
                 await self.start_successor()
         finally:
-            await self.cancel()
+            await self.end()
 
     def start(self, choice: Choice) -> None:
         """Send the request to a backend."""
-        now = clock.now()
-        send = Send(choice, now)
+        send = Send(choice, clock.now())
         send.claim = lambda: self.supersede_others(send)
+        send.reserve()
+        self.sends.append(send)
         self.progress.in_flight += 1
         self.running[send] = asyncio.ensure_future(self.execute(send))
 
     async def wait(self) -> None:
         """Wait until a send ends, becomes silent or may get a successor."""
         now = clock.now()
-        times = [send.silent_at for send in self.running if not send.is_recorded_silent]
-        if self.may_have_successor():
-            times.append(max(self.next_look_at, self.silent_at()))
-        seconds = min([SILENCE_POLL_SECONDS, *(max(0.0, at - now) for at in times)])
+        seconds = min(SILENCE_POLL_SECONDS, max(0.0, self.next_due_at() - now))
         await asyncio.wait(
             self.running.values(), timeout=seconds, return_when=asyncio.FIRST_COMPLETED
         )
+        woke_at = clock.now()
+        if woke_at > now + seconds + LATE_WAKE_SECONDS:
+            self.silence_counts_from = woke_at + LATE_WAKE_SECONDS
+
+    def next_due_at(self) -> float:
+        """Return when a send becomes silent or a successor is looked for, monotonic."""
+        if not self.may_have_successor():
+            return math.inf
+        times = [send.silent_at for send in self.running if not send.is_recorded_silent]
+        times.append(max(self.next_look_at, self.all_silent_at()))
+        return max(self.silence_counts_from, min(times))
 
-    def silent_at(self) -> float:
+    def all_silent_at(self) -> float:
         """Return the time from which all sends count as silent, monotonic."""
         return max((send.silent_at for send in self.running), default=math.inf)
 
@@ -235,20 +279,27 @@
         may_run_again = self.request.route.is_retryable and self.progress.is_resumable
         return may_run_again and runs < self.request.route.attempts
 
+    def needs_successor(self) -> bool:
+        """Return True if all sends are silent, and none of them has ended."""
+        now = clock.now()
+        has_ended = any(task.done() for task in self.running.values())
+        return bool(self.running) and self.all_silent_at() <= now and not has_ended
+
     async def start_successor(self) -> None:
         """Send the request to another backend if all sends are silent and that is possible now."""
         now = clock.now()
+        if now < self.silence_counts_from or not self.may_have_successor():
+            return
         for send in self.running:
             send.record_silence(now)
-        if not self.running or self.silent_at() > now or now < self.next_look_at:
+        if now < self.next_look_at or not self.needs_successor():
             return
-        if not self.may_have_successor():
-            return
-        self.next_look_at = now + SUCCESSOR_POLL_SECONDS
+        self.next_look_at = now + self.look_seconds
+        self.look_seconds = min(MAXIMUM_SUCCESSOR_POLL_SECONDS, 2 * self.look_seconds)
         busy = {send.backend for send in self.running}
-        choice = await self.rules.successor(self.request, self.progress, busy)
-        # An event may have arrived while the limit of the backend was asked for.
-        if choice is not None and self.running and self.silent_at() <= clock.now():
+        choice = await self.rules.successor(self.request, self.progress, busy, self.needs_successor)
+        if choice is not None:
+            self.look_seconds = SUCCESSOR_POLL_SECONDS
             self.start(choice)
 
     def take_answer(self) -> Answer | WholeAnswer | None:
@@ -260,31 +311,44 @@
         for send, task in list(self.running.items()):
             if task.done() and send in self.running:
                 del self.running[send]
-                answer = self.outcome(send, task.result())
+                send.end_reservation()
+                answer = self.outcome(send, task)
                 if answer is not None:
                     return answer
         return None
 
     def outcome(
-        self, send: Send, result: Answer | WholeAnswer | FailedAttempt
+        self, send: Send, task: asyncio.Task[Answer | WholeAnswer | FailedAttempt]
     ) -> Answer | WholeAnswer | None:
         """Record the outcome of a send; return the answer for the caller if it is one.
 
         Raises:
           RefusedError: The request may not be sent again, and no send is in progress.
         """
+        try:
+            result = task.result()
+        except RefusedError:
+            if not self.running:
+                raise
+            self.progress.record_run(send.backend)
+            return None
         if isinstance(result, FailedAttempt):
             self.rules.record_failure(self.request, self.progress, send, result)
             if self.running:
                 return None
             return self.rules.after_failure(self.request, self.progress, result)
-        if self.running and isinstance(result, WholeAnswer) and result.status >= SERVER_ERROR:
+        if self.running and isinstance(result, WholeAnswer) and not self.is_useful(result):
             self.progress.answer = result
             self.progress.record_run(send.backend)
             return None
         self.supersede_others(send)
+        send.record_answering(clock.now())
         return result
 
+    def is_useful(self, answer: WholeAnswer) -> bool:
+        """Return True if a whole answer is better for the caller than to wait for other sends."""
+        return answer.status < SERVER_ERROR and not self.progress.is_delivering
+
     def supersede_others(self, send: Send) -> bool:
         """Cancel all other sends, as one goes on; return False if that one was cancelled."""
         if send.is_superseded:
@@ -299,9 +363,19 @@
                 self.rules.log.superseded(self.request, other.choice.view, send.choice.view)
         return True
 
-    async def cancel(self) -> None:
+    async def end(self) -> None:
         """Cancel all sends and wait until their connections are closed."""
         tasks = [*self.running.values(), *self.cancelled]
         for task in self.running.values():
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for send in self.sends:
+            send.end_reservation()
+            # A reference to this object would keep the request until the garbage collection.
+            send.claim = never
+        self.running.clear()
+
+
+def never() -> bool:
+    """Return False: a send of a request that has ended forwards nothing."""
+    return False
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -99,36 +99,39 @@
         Raises:
           RefusedError: The request may not be sent, or not again.
         """
+        until = min(request.deadline, self.latest_choice(request, progress, clock.now()))
         while True:
-            choice = await self.available_choice(request, progress)
+            choice = await self.available_choice(request, progress, until)
             notices = choice.view.notices
             is_granted = await self.is_send_granted(notices)
+            now = clock.now()
             # While the grant was asked for, the backend may have asked for a pause or become full,
             # or its zone may have been evacuated.
-            if is_granted and self.placer.is_usable(choice.view, request, clock.now()):
-                break
-        if progress.sends and not self.budget.spend(request.service, clock.now()):
-            self.give_up(request, progress, "the retry budget is used up")
-        return choice
-
-    async def available_choice(self, request: Request, progress: Progress) -> Choice:
+            if not is_granted or not self.placer.is_usable(choice.view, request, now):
+                continue
+            if not progress.sends or self.budget.spend(request.service, now):
+                return choice
+            if not progress.is_delivering or now >= until:
+                self.give_up(request, progress, "the retry budget is used up")
+
+    async def available_choice(self, request: Request, progress: Progress, until: float) -> Choice:
         """Return the backend to which a request should be sent, if its limit allows it.
 
-        If no backend is available, it waits up to `backend_wait_seconds` from the arrival of
-        the request. The rest of a stream waits for `RESUME_WAIT_SECONDS`, for a retry too.
+        If no backend is available, it waits until a time, monotonic; the rest of a stream waits
+        for a retry too.
 
         Raises:
           RefusedError: The request may not be sent, or not again.
         """
         now = clock.now()
-        wait_until = min(request.deadline, self.latest_choice(request, progress, now))
+        choice = None
         while True:
             self.refuse_poison(request, progress, now)
-            choice = self.placer.choose(request, progress.tried, now)
-            lacks_retry = progress.is_delivering and not self.has_retry_budget(request, now)
-            if (choice is not None and not lacks_retry) or now >= wait_until:
+            if not progress.is_delivering or self.has_retry_budget(request, now):
+                choice = self.placer.choose(request, progress.tried, now)
+            if choice is not None or now >= until:
                 break
-            if not progress.is_delivering and self.is_wait_useless(request, now, wait_until):
+            if not progress.is_delivering and self.is_wait_useless(request, now, until):
                 break
             await asyncio.sleep(POLL_SECONDS)
             now = clock.now()
@@ -196,7 +199,11 @@
         raise RefusedError(refusal)
 
     async def successor(
-        self, request: Request, progress: Progress, busy: Collection[str]
+        self,
+        request: Request,
+        progress: Progress,
+        busy: Collection[str],
+        is_needed: Callable[[], bool],
     ) -> Choice | None:
         """Return a backend for a send beside silent ones, and count a retry against the budget.
 
@@ -204,6 +211,7 @@
           request: The request.
           progress: Its sends so far.
           busy: Identities of the backends of the silent sends.
+          is_needed: Returns False once one of these sends has gone on or ended.
 
         Returns:
           None if no other backend has a free slot, or no retry is left, at present.
@@ -211,11 +219,12 @@
         now = clock.now()
         if not self.may_send_again(request, progress, now):
             return None
-        choice = self.placer.choose_successor(request, progress.tried.union(busy), now)
+        avoided = progress.may_have_run_at.union(busy)
+        choice = self.placer.choose_successor(request, avoided, now)
         if choice is None or not await self.is_send_granted(choice.view.notices):
             return None
         now = clock.now()
-        if not self.placer.is_usable(choice.view, request, now):
+        if not is_needed() or not self.placer.is_free(choice.view, request, now):
             return None
         return choice if self.budget.spend(request.service, now) else None
 
@@ -233,9 +242,10 @@
     ) -> WholeAnswer | FailedAttempt:
         """Send a request once and return the answer, or the failure."""
         view, now = send.choice.view, send.sent_at
+        send.end_reservation()
+        view.record_started(0)
         send.silent_at = now + self.silence_seconds(request, progress, now)
         self.log_sent(request, send, progress)
-        view.record_started(0)
         self.load_changed()
         try:
             with self.crashes.counted_run(*request.crash_keys), counted_tokens(view, request):
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -15,7 +15,7 @@
 from .. import clock
 from ..http_client import ConnectedResponse, send_once, was_reset
 from ..placement.backends import BackendView
-from ..placement.memory_budget import COPIES, HeldBytes, Purpose
+from ..placement.memory_budget import COPIES, HeldBytes, HeldPart, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
 from ..platform.request_headers import (
     BackendHeaders,
@@ -227,15 +227,19 @@
     Raises:
       RefusedError: The process has no memory for it.
     """
-    held_before = held.held[Purpose.ANSWER]
-    result = await read_whole_answer(response, held)
-    if not isinstance(result, Success):
-        held.put(Purpose.ANSWER, held_before)
-    return result
+    part = HeldPart(held, Purpose.ANSWER)
+    is_whole = False
+    try:
+        result = await read_whole_answer(response, part)
+        is_whole = isinstance(result, Success)
+        return result
+    finally:
+        if not is_whole:
+            part.put(0)
 
 
 async def read_whole_answer(
-    response: aiohttp.ClientResponse, held: HeldBytes
+    response: aiohttp.ClientResponse, held: HeldPart
 ) -> Result[WholeAnswer, FailedAttempt]:
     """Read the body of an answer, and count its bytes.
 
@@ -245,7 +249,7 @@
     body = bytearray()
     try:
         async for piece in response.content.iter_any():
-            raise_refusal(held.add(Purpose.ANSWER, COPIES * len(piece)))
+            raise_refusal(held.put(held.size + COPIES * len(piece)))
             body += piece
             if len(body) > LARGEST_ANSWER_BYTES:
                 message = f"the answer is longer than {LARGEST_ANSWER_BYTES} bytes"
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -19,7 +19,7 @@
 from ..http_client import was_reset
 from ..placement.engine_memory import counted_tokens
 from ..placement.levels import queue_level
-from ..placement.memory_budget import MEMORY_REASON, HeldBytes, Purpose
+from ..placement.memory_budget import MEMORY_REASON, HeldBytes, HeldPart, Purpose
 from ..placement.placer import Choice
 from ..placement.request_types import (
     FailedAttempt,
@@ -76,11 +76,15 @@
       position: Place that the stream has reached.
       writes: Number of writes to the caller so far, each of one or more whole events.
       held: Bytes held for the request.
+      progress: Sends of the request.
+      speaker: The send whose events are forwarded; None before the first one.
       is_complete: True once the end of the stream was sent.
     """
 
     caller: web.Request
     held: HeldBytes
+    progress: Progress
+    speaker: "StreamAttempt | None" = None
     response: web.StreamResponse | None = None
     position: StreamPosition = field(default_factory=StreamPosition)
     writes: int = 0
@@ -92,7 +96,8 @@
         return self.position.last_event_id
 
     async def open(self, headers: CIMultiDict[str]) -> None:
-        """Send the headers of the first backend that answered to the caller."""
+        """Send the headers of the first backend that sent an event to the caller."""
+        self.progress.is_delivering = True
         self.response = web.StreamResponse(status=OK, headers=headers)
         if self.held.budget.is_limited:
             limit_send_buffers(self.caller)
@@ -116,11 +121,10 @@
         position = dataclasses.replace(self.position)
         size = position.advance(received)
         has_events = any(event.end <= size for event in received.events)
-        if size:
-            # A part that begins anew, or line ends alone, must not supersede the send that may
-            # still go on.
-            if attempt.send.is_superseded or (has_events and not attempt.send.claim()):
-                return False
+        # A part that begins anew, or line ends alone, must not supersede the send that may go on.
+        if has_events and not await self.take_over(attempt):
+            return False
+        if size and self.speaker is attempt:
             self.position = position
             self.writes += 1
             try:
@@ -129,9 +133,19 @@
                 raise CallerGoneError(str(error)) from error
         if size < len(received.raw):
             raise aiohttp.ClientPayloadError("the stream began anew instead of going on")
-        self.hold(attempt.parser.unfinished_bytes)
+        self.hold(attempt, attempt.parser.unfinished_bytes)
         return has_events
 
+    async def take_over(self, attempt: "StreamAttempt") -> bool:
+        """Let a send go on with the stream from now on; False if another one does already."""
+        if not attempt.send.claim():
+            return False
+        attempt.end_start_deadline()
+        self.speaker = attempt
+        if self.response is None:
+            await self.open(attempt.headers)
+        return True
+
     async def write(self, events: bytes, attempt: "StreamAttempt") -> None:
         """Write events to the caller, and wait until most of them are on their way.
 
@@ -152,19 +166,19 @@
         if not self.held.budget.is_limited or unsent + len(events) <= WRITE_BUFFER_BYTES:
             await self.response.write(events)
             return
-        self.hold(PAUSED_STREAM_BYTES + unsent + len(events))
+        self.hold(attempt, PAUSED_STREAM_BYTES + unsent + len(events))
         started = clock.now()
         await self.response.write(events)
         await self.caller.writer.drain()
         attempt.paused_seconds += clock.now() - started
 
-    def hold(self, size: int) -> None:
-        """Count the bytes that are held now.
+    def hold(self, attempt: "StreamAttempt", size: int) -> None:
+        """Count the bytes that are held for a send now.
 
         Raises:
           RefusedError: The process has no room for them.
         """
-        raise_refusal(self.held.put(Purpose.STREAM, size))
+        raise_refusal(attempt.held.put(size))
 
 
 def is_event_stream(headers: Mapping[str, str]) -> bool:
@@ -202,7 +216,7 @@
         """
         forwarder = self.forwarder
         progress = Progress()
-        delivery = Delivery(caller, request.held)
+        delivery = Delivery(caller, request.held, progress)
         attempts = Attempts[web.StreamResponse](
             forwarder,
             request,
@@ -242,6 +256,8 @@
     ) -> web.StreamResponse | WholeAnswer | FailedAttempt:
         """Send a request once and forward the events of the answer."""
         forwarder, view = self.forwarder, send.choice.view
+        send.end_reservation()
+        attempt = StreamAttempt(forwarder, send, request, is_resumed=delivery.writes > 0)
         values = forwarder.backend_headers_for(request, send.choice, send.sent_at)
         if delivery.writes:
             forwarder.log.resumed(request, delivery.last_event_id, view)
@@ -249,7 +265,6 @@
             values = resumed_after(values, delivery.last_event_id)
         forwarder.log_sent(request, send, progress)
         send.silent_at = send.sent_at + first_event_seconds(send.choice)
-        attempt = StreamAttempt(forwarder, send, request, is_resumed=delivery.writes > 0)
         try:
             async with contextlib.AsyncExitStack() as stack:
                 stack.enter_context(forwarder.crashes.counted_run(*request.crash_keys))
@@ -284,14 +299,12 @@
         """Forward the events of an answer to the caller until the answer ends."""
         send = attempt.send
         send.answer_began_at = clock.now()
-        if delivery.response is None:
-            await delivery.open(headers_for_caller(answer.headers))
-        elif not is_event_stream(answer.headers):
+        attempt.headers = headers_for_caller(answer.headers)
+        if delivery.response is not None and not is_event_stream(answer.headers):
             return FailedAttempt(FailureKind.INVALID, True, "the resumed answer is no event stream")
         try:
             async for piece in answer.content.iter_any():
                 if await delivery.forward_events(piece, attempt):
-                    progress.is_delivering = True
                     progress.is_resumable = delivery.position.is_resumable
                     attempt.on_event(weights_version(answer.headers))
                     self.clear_parts(request, send)
@@ -299,7 +312,7 @@
             return attempt.broken(f"{type(error).__name__} {error}")
         if was_reset(answer) or attempt.parser.unfinished_bytes:
             return attempt.broken("the stream was cut off")
-        if not send.claim():
+        if not await delivery.take_over(attempt):
             return FailedAttempt(FailureKind.SILENT, True, "another backend goes on")
         assert delivery.response is not None
         send.silent_at = math.inf
@@ -343,6 +356,8 @@
       send: The send.
       first_seconds: Time from the arrival of the request to the first event; 0 before it.
       usual_seconds: Expected time to the first event at a backend that is not slow.
+      headers: Headers of its answer for the caller, once they were received.
+      held: Bytes held for it.
       parser: Parser of its answer.
       paused_seconds: Time for which it was paused as the caller did not read.
       limit: Timeout by which its start deadline is kept.
@@ -359,9 +374,12 @@
         self.tokens = request.parsed_headers.prompt_tokens
         self.started_at = started_at = send.sent_at
         self.usual_seconds = choice.expected_seconds / choice.view.present_slowness(started_at)
+        self.headers: CIMultiDict[str] = CIMultiDict()
+        self.held = HeldPart(request.held, Purpose.STREAM)
         self.parser = EventStreamParser(drops_mark=is_resumed)
         self.paused_seconds = 0.0
         self.awaits_first_event = True
+        self.has_begun = False
         self.limit: asyncio.Timeout | None = None
         is_late = forwarder.placer.is_late(request, started_at)
         self.level = queue_level(request.level, is_late)
@@ -377,18 +395,22 @@
           now: Present time, monotonic, in seconds.
         """
         deadline = self.forwarder.placer.start_deadline(self.choice.view, self.request)
-        if not self.awaits_first_event or self.limit is None or deadline == math.inf:
+        if self.has_begun or self.limit is None or deadline == math.inf:
             return
         cancel_at = loop_time() + max(0.0, deadline - START_MARGIN_SECONDS - now)
         when = self.limit.when()
         if when is None or cancel_at < when:
             self.limit.reschedule(cancel_at)
 
+    def end_start_deadline(self) -> None:
+        """Let it go on, however old its weights become: it has begun."""
+        self.has_begun = True
+        if self.limit is not None:
+            self.limit.reschedule(None)
+
     def on_event(self, version: int) -> None:
         """Record an event; the first one ends the prefill and updates the backend's slowness.
 
-        The first one also ends the start deadline.
-
         Args:
           version: Version of the weights from which it comes; 0 if unknown.
         """
@@ -396,8 +418,6 @@
         self.send.record_event(now, STALL_SECONDS)
         if not self.awaits_first_event:
             return
-        if self.limit is not None:
-            self.limit.reschedule(None)
         self.end_prefill()
         self.report_late_start(version, now)
         took = now - self.started_at
@@ -431,6 +451,7 @@
     def end(self) -> None:
         """Stop counting the stream as load of the backend."""
         self.end_prefill()
+        self.held.put(0)
         self.choice.view.record_ended()
         self.forwarder.load_changed()
 
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -106,6 +106,7 @@
     Attributes:
       backend: Its registration.
       running: Requests of this process in flight there.
+      reserved: Further ones that are about to be sent.
       prompt_tokens: Prompt tokens of those that have no first event yet.
       held_tokens: Tokens of their prompts and expected answers.
       less_urgent: Those of its requests without a first event that are below level 0 and 1.
@@ -138,6 +139,7 @@
 
     backend: Backend
     running: int = 0
+    reserved: int = 0
     prompt_tokens: int = 0
     held_tokens: int = 0
     less_urgent: LessUrgent = NONE_LESS_URGENT
@@ -181,7 +183,8 @@
 
     def known_running(self, now: float) -> int:
         """Return the requests in flight there that this process and its peers have sent."""
-        return self.running + sum(load.running for load in self.fresh_remote_loads(now))
+        own = self.running + self.reserved
+        return own + sum(load.running for load in self.fresh_remote_loads(now))
 
     def record_reported_requests(self, requests: int, now: float) -> None:
         """Record a report from its VM of the requests that run or wait there."""
--- a/verbenaward/placement/memory_budget.py
+++ b/verbenaward/placement/memory_budget.py
@@ -160,3 +160,27 @@
         """Release all bytes of the request."""
         for purpose in Purpose:
             self.drop(purpose)
+
+
+@dataclass(slots=True)
+class HeldPart:
+    """Bytes that one of several sends of a request holds for a purpose.
+
+    Attributes:
+      whole: Bytes held for the request.
+      purpose: What they are held for.
+      size: Bytes of this part.
+    """
+
+    whole: HeldBytes
+    purpose: Purpose
+    size: int = 0
+
+    def put(self, size: int) -> Result[None, Refusal]:
+        """Hold this many bytes, unless that is more and there is no room for them."""
+        if not self.whole.budget.is_limited:
+            return Success(None)
+        result = self.whole.add(self.purpose, size - self.size)
+        if isinstance(result, Success):
+            self.size = size
+        return result
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -135,17 +135,25 @@
 
         Args:
           request: The request.
-          avoided: Identities of the backends that have it or failed it.
+          avoided: Identities of the backends where it runs or may have run.
           now: Present time, monotonic, in seconds.
         """
         choices = [
             item
             for item in self.candidates(request, now)
             if item.view.backend.identity not in avoided
-            and item.view.backoff_until <= now
-            and item.view.all_running(now) < item.view.backend.slots
+            and self.is_free(item.view, request, now)
+            and now + item.expected_seconds < request.deadline
         ]
-        return min(choices, key=lambda item: item.cost_seconds, default=None)
+        if not choices:
+            return None
+        best = min(item.cost_seconds for item in choices)
+        return self.rng.choice([i for i in choices if i.cost_seconds <= best + TIE_SECONDS])
+
+    def is_free(self, view: BackendView, request: Request, now: float) -> bool:
+        """Return True if a backend may run a request now, in a slot that is free."""
+        has_slot = view.all_running(now) < view.backend.slots
+        return has_slot and view.backoff_until <= now and self.is_usable(view, request, now)
 
     def overflow_choices(self, request: Request, choices: list[Choice], now: float) -> list[Choice]:
         """Return the choices among which one is picked at random, as `overflow` decides."""
