The log names each request that the end of its process left without its backend's answer

A request that a stop answered 502 had the line 'request.turned-away' (rejected before a backend was chosen), which is wrong of one that a backend held. It has a line of its own now, request.stopped, with the status that its caller got, 0 for a stream that was aborted in its middle; verbenactl explains it. A scenario for such a stream comes with it, on a real process.

Before: that scenario and the one of bookings failed at their log line ('request.turned-away').

--- a/tests/direct/draining.feature
+++ b/tests/direct/draining.feature
@@ -10,6 +10,17 @@
     And an entry process of its own with a grace period of 5 s that is ready
     When bookings are sent before and after it is told to stop, with deadlines of 30 s
     Then each is answered completely, and that it may have run if it reached a backend
+    And its log says of each sent before that the process had to end before the answer
+    And the process has ended within its grace period
+
+  Scenario: A stream that is under way at the end of the grace period does not look complete
+    Given all engines are "slow"
+    And streams have 100 events
+    And the route of streams has a timeout of 30 s
+    And an entry process of its own with a grace period of 5 s that is ready
+    When a caller reads a long stream, and the process is told to stop meanwhile
+    Then it got events in order, once each, nothing else, and no complete end
+    And its log says of each sent before that the process had to end before the answer
     And the process has ended within its grace period
 
   # Guards against a stop that lasts as long as the store's answer, with the listener open all the while.
--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -87,8 +87,52 @@
         )
 
 
+@then("its log says of each sent before that the process had to end before the answer")
+def log_says_stopped(context):
+    last = {}
+    for line in context.daemon.lines():
+        if "request" in line:
+            last[line["request"]] = line["event"]
+    reached = [(sent_at, item) for sent_at, item, _ in context.outcomes if ran(context, item)]
+    # A request on its way at the signal may be read before or after it.
+    signalled = context.stopped_at - 0.1
+    before = {last[item] for sent_at, item in reached if sent_at < signalled}
+    later = {last[item] for sent_at, item in reached if sent_at >= signalled}
+    assert before == {"request.stopped"} and later <= {"request.stopped", "request.refused"}, last
+
+
+@given("streams have {count:d} events")
+def long_streams(context, count):
+    for backend in engines(context):
+        backend.stream_events = count
+
+
+@when("a caller reads a long stream, and the process is told to stop meanwhile")
+def long_stream(context):
+    headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": "30000"}
+    headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
+
+    async def read():
+        url = f"http://{context.daemon.direct.front}/stream/x"
+        async with (
+            asyncio.TaskGroup() as group,
+            aiohttp.ClientSession() as session,
+            session.post(url, headers=headers) as answer,
+        ):
+            context.read = await answer.content.readany()
+            group.create_task(stop(context))
+            with contextlib.suppress(aiohttp.ClientError):
+                async for piece in answer.content.iter_any():
+                    context.read += piece
+                context.is_complete = True
+
+    context.is_complete = False
+    context.outcomes = [(0.0, "s-1", None)]
+    run(context, read())
+
+
 def ran(context, attempt):
-    return sum(item.run_counts[attempt] for item in plain(context))
+    return sum(item.run_counts[attempt] for item in context.platform.backends.values())
 
 
 @then("the process has ended within its grace period")
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -89,8 +89,9 @@
             if not limit.expired():
                 raise
         refusal = may_have_run_refusal(502, "leaving", "this process had to end before the answer")
-        self.forwarder.log.refused_early(request_id, refusal)
-        if has_begun(caller):
+        is_cut = has_begun(caller)
+        self.forwarder.log.stopped(request_id, 0 if is_cut else refusal.status)
+        if is_cut:
             raise StreamCutError(refusal.message)
         return refusal_response(refusal)
 
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -82,6 +82,20 @@
             message=refusal.message,
         )
 
+    def stopped(self, request_id: str, status: int) -> None:
+        """Log that this process had to end before the answer to a request.
+
+        Args:
+          request_id: Its id.
+          status: Status that its caller gets; 0 if its connection is aborted.
+        """
+        self.write_line(
+            self.failures,
+            "request.stopped",
+            request=request_id,
+            status=status,
+        )
+
     def sent(
         self, request: Request, choice: Choice, sends: int, limit_seconds: float | None = None
     ) -> None:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -63,6 +63,11 @@
         "left, and retries for {retries_left} sends",
         "reason", "events", "left_ms", "retries_left",
     ),
+    "request.stopped": kind(
+        "this process had to end before its answer, and has answered {status} (0: its connection "
+        "was aborted in the middle of a stream)",
+        "status",
+    ),
 }  # fmt: skip
 
 STATE_CHANGE_EVENTS = {
