A fleet that begins may repeat requests at once, and a restart forgets nothing

A process that had just started had a fifth of the ratio and nothing of the fixed part for a window, as it could not tell a fleet that begins from one that was killed.

Change: the first processes write a key that never expires, each time under the condition that it is as they know it (the opening). Only a process that it names uses its share in its first window; whoever starts later, alone or with all others, finds a key that names its predecessor or nobody. Any other process that starts asks its peers, and each gives it a part of what it has left itself, so that the sum never grows; what its predecessor had spent stays charged for the window. Shares are 0.85 of ratio and fixed part, without spare processes, since one that joins uses no share of its own for 12 s.

Tried first: peers hold what each incarnation has broadcast, the successor takes it over.

The step "changes are made that will be lost" waits until the replicas have all that the store holds at that moment, no longer what it held when the step began: a process that has just started may write the opening meanwhile. It still requires equality.

--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -202,6 +202,9 @@
   loadedModel @28 :Text;    # set by an endpoint process: model whose weights its engine holds
   loadedVersion @29 :UInt32;  # version of these weights
   bornUnixMs @30 :UInt64;   # start of that engine, in milliseconds since the epoch; 0 if unknown
+  asksRetries @31 :Bool;    # the sender has just started and asks for a part of the retry budget
+  grantTo @32 :UInt64;      # set in an answer to that, with the next field only: incarnation that has asked
+  grantThousandths @33 :UInt32;  # retries to each service that the sender gives up for it, in thousandths
 }
 
 # One key of the platform's store, as one entry process forwards it to another.
--- /dev/null
+++ b/tests/direct/retry_budget.feature
@@ -0,0 +1,72 @@
+Feature: Retry budget across starts and restarts
+  Simulated entry processes, with a ratio of 0.2, 256 beyond it and a window of 10 s. Each sends every
+  retry that its budget allows, and the bound is checked in every window.
+
+  # Guards against requests that fail as a fleet that begins may repeat nothing.
+  Scenario Outline: A fleet that begins uses most of the retry budget in its first seconds
+    Given a fleet of <count> entry processes with <rate> requests per second each
+    When it runs for 5 s
+    Then its retries were at least 0.8 of the bound
+    And the opening was written at most 20 times
+
+    Examples:
+      | count | rate |
+      | 2     | 20   |
+      | 3     | 20   |
+      | 9     | 20   |
+      | 46    | 20   |
+      | 370   | 20   |
+
+  # Guards against BUDGET broken by processes that forget what was spent before they were killed.
+  Scenario Outline: A fleet that is killed three times in a window keeps to the retry budget
+    Given a fleet of <count> entry processes with <rate> requests per second each
+    When all are killed three times in 10 s, at any times and for <down> s each
+    Then no window had more retries than the bound
+
+    Examples:
+      | count | rate | down |
+      | 3     | 20   | 1.5  |
+      | 3     | 20   | 0.25 |
+      | 9     | 20   | 1.5  |
+      | 9     | 5    | 7    |
+      | 46    | 20   | 1.5  |
+      | 370   | 5    | 1.5  |
+
+  Scenario Outline: Entry processes that restart one after the other keep to the retry budget
+    Given a fleet of <count> entry processes with 20 requests per second each
+    When they are restarted one after the other, 1.5 s apart
+    Then no window had more retries than the bound
+
+    Examples:
+      | count |
+      | 3     |
+      | 9     |
+      | 46    |
+
+  Scenario Outline: Any part of the fleet that is killed or cut off keeps to the retry budget
+    Given a fleet of <count> entry processes with 20 requests per second each
+    When parts are cut off, killed and healed at any times
+    Then no window had more retries than the bound
+
+    Examples:
+      | count |
+      | 3     |
+      | 9     |
+      | 46    |
+
+  # Guards against streams that are cut for want of a retry around restarts of entry processes.
+  Scenario: A process that restarts gets parts of the shares of its peers
+    Given a fleet of 9 entry processes with 20 requests per second each
+    When backends begin to fail 2 s after one process has restarted
+    Then the new process has sent at least 0.8 of an established one's share of the fixed part
+
+  Scenario: A part of a share passes in two messages, once
+    Given an established entry process and one that has just started
+    When the established one receives two broadcasts of the new one
+    Then it sends one grant, of at most 100 bytes
+    And what the one gives the other may use
+
+  Scenario: A process of an older version keeps the opening from naming anybody
+    Given a fleet that runs an older version
+    When it is replaced process by process
+    Then the opening names nobody
--- a/tests/direct_fakes.py
+++ b/tests/direct_fakes.py
@@ -1,8 +1,11 @@
 """Requests, fleets and entry processes without a network, for steps on the direct mode."""
 
+import time
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from verbenaward.data import Backend, EngineProfile, HeldWeights, Route, RouteKind
+from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.crash_tracker import CrashTracker
 from verbenaward.direct.group_membership import GroupMembership
 from verbenaward.direct.state_exchange import StateExchange
@@ -59,6 +62,7 @@
         replica,
         Fleet(replica, store_answered_at),
         CrashTracker(),
+        SharedRetryBudget(0.2, 100.0, 10.0, incarnation=time.time_ns()),
         lambda: True,
         lambda *_: None,
         lambda: False,
--- a/tests/steps/restored_store.py
+++ b/tests/steps/restored_store.py
@@ -34,9 +34,11 @@
 def lost_changes(context, count):
     for index in range(count):
         context.platform.store.put(f"op/other/{index}", b"1")
-    revision = context.platform.store.revision
-    roles = context.platform.entries
-    assert run(context, until(lambda: all(role.replica.revision == revision for role in roles)))
+    store, roles = context.platform.store, context.platform.entries
+    # A process that has just started may write the opening of the retry budget meanwhile.
+    assert run(
+        context, until(lambda: all(role.replica.revision == store.revision for role in roles))
+    )
 
 
 @when("the operator writes the configuration again without the key")
--- a/verbenaward/direct/broadcast/__init__.py
+++ b/verbenaward/direct/broadcast/__init__.py
@@ -6,7 +6,8 @@
     limits,
     loads,
     peers,
+    retries,
     store_position,
 )
 
-__all__ = ["backend_state", "crashes", "limits", "loads", "peers", "store_position"]
+__all__ = ["backend_state", "crashes", "limits", "loads", "peers", "retries", "store_position"]
--- a/verbenaward/direct/broadcast/sections.py
+++ b/verbenaward/direct/broadcast/sections.py
@@ -10,6 +10,7 @@
 from ...replica.store_replica import StoreReplica
 from ...schema.messages import Pulse
 from ...schema.settings import Settings
+from ..budget import SharedRetryBudget
 from ..crash_tracker import CrashTracker
 from ..entry_peers import EntryPeer
 from ..limit_grants import LimitGrants
@@ -27,6 +28,8 @@
       peers: The other entry processes.
       crashes: Finds poison requests.
       limits: Grants of sends to backends that name a limit.
+      budget: Retry budget of this process.
+      send: Sends a message to the process at a control address.
       is_ready: Returns whether this process accepts requests and is not leaving.
       on_position: Called with each peer's position in the store's history and the checksum of
         what it keeps from before a restore.
@@ -38,6 +41,8 @@
     peers: PeerTable
     crashes: CrashTracker
     limits: LimitGrants
+    budget: SharedRetryBudget
+    send: Callable[[Pulse, str], None]
     is_ready: Callable[[], bool]
     on_position: Callable[[Position, int], None]
 
--- a/verbenaward/direct/budget.py
+++ b/verbenaward/direct/budget.py
@@ -7,7 +7,9 @@
 A process that has just started knows neither what its predecessor has spent in this window nor,
 at first, how many processes there are. So until it has run for a window it uses only what
 established processes leave of the ratio, and nothing of the fixed part. This answers restarts of
-all processes, again and again, while backends fail.
+all processes, again and again, while backends fail. A process of a fleet that begins has no
+predecessor, and its share is given by the opening (see `budget_opening`). Any other one gets parts
+of the shares of established processes (see `budget_grants`).
 """
 
 import math
@@ -15,13 +17,15 @@
 from dataclasses import dataclass, field
 
 from .. import metrics
+from .budget_grants import RetryGrants
 
-RATIO_MARGIN = 0.8
+RATIO_MARGIN = 0.85
 """Share of the ratio that is used: a request may leave the window before its retries do."""
-EXTRA_MARGIN = 0.8
-"""Share of the fixed part that is used; the rest is a reserve beyond `SPARE_ENTRIES`."""
-SPARE_ENTRIES = 3
-"""Entry processes that may have joined without being known to this one yet."""
+EXTRA_MARGIN = 0.85
+"""Share of the fixed part that is used; the rest is a reserve for processes that joined while
+others were cut off, whose shares do not shrink."""
+JOIN_SECONDS = 2.0
+"""Time in which the other processes count one that joins."""
 
 
 @dataclass(slots=True)
@@ -49,10 +53,20 @@
       entry_count: Entry processes that are known now, this one included; 0 while none are known,
         as the registry was not read yet.
       maximum_entry_count: Largest count so far; the fixed part is divided by it.
+      opening_share: Share in the first window of a process of a fleet that begins; None for any
+        other process.
+      is_opening_complete: True once no process can join those that begin the fleet.
+      incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
+      grants: Parts of the budget given to other processes, and received from them.
     """
 
     def __init__(
-        self, ratio: float, extra: float, window_seconds: float, started_at: float = -math.inf
+        self,
+        ratio: float,
+        extra: float,
+        window_seconds: float,
+        started_at: float = -math.inf,
+        incarnation: int = 0,
     ) -> None:
         self.ratio = ratio
         self.extra = extra
@@ -60,6 +74,10 @@
         self.started_at = started_at
         self.entry_count = 0
         self.maximum_entry_count = 0
+        self.opening_share: float | None = None
+        self.is_opening_complete = False
+        self.incarnation = incarnation
+        self.grants = RetryGrants()
         self.services: dict[str, ServiceWindow] = {}
 
     def update_entry_count(self, entry_count: int) -> None:
@@ -80,13 +98,41 @@
 
     def is_new(self, now: float) -> bool:
         """Return True while a predecessor of this process may have sent retries in the window."""
-        return now - self.started_at < self.window_seconds
+        return self.is_in_first_window(now) and self.opening_share is None
+
+    def is_in_first_window(self, now: float) -> bool:
+        """Return True until this process has run for a window that its peers count it in."""
+        return now - self.started_at < self.window_seconds + JOIN_SECONDS
 
     def fixed_share(self, now: float) -> float:
         """Return the part of the fixed part that this process may use in a window."""
-        if self.is_new(now) or not self.maximum_entry_count:
+        if self.is_new(now):
+            return self.grants.received_retries()
+        self.grants.drop_expired(now, self.window_seconds + JOIN_SECONDS)
+        return EXTRA_MARGIN * self.extra * self.share(now) - self.grants.given_retries()
+
+    def share(self, now: float) -> float:
+        """Return the share of an established process, or of one of a fleet that begins."""
+        if self.is_in_first_window(now):
+            return self.opening_share or 0.0
+        return 1.0 / self.maximum_entry_count if self.maximum_entry_count else 0.0
+
+    def asks(self, now: float) -> bool:
+        """Return True if this process asks its peers for parts of their shares."""
+        return self.is_new(now) and self.is_opening_complete
+
+    def give(self, incarnation: int, now: float) -> float:
+        """Give a part of what is left to a process that has just started; return the retries."""
+        if self.is_new(now):
             return 0.0
-        return EXTRA_MARGIN * self.extra / (self.maximum_entry_count + SPARE_ENTRIES)
+        left = [self.remaining(service, now) for service in list(self.services)]
+        available = min([self.fixed_share(now), *left])
+        return self.grants.give(incarnation, available, self.maximum_entry_count, now)
+
+    def receive_grant(self, giver: str, incarnation: int, retries: float) -> None:
+        """Record what a peer has given to this process, unless it was meant for a predecessor."""
+        if incarnation == self.incarnation:
+            self.grants.received[giver] = retries
 
     def spend(self, service: str, now: float) -> bool:
         """Count a retry against the budget; False if none is left.
--- a/verbenaward/direct/entry_peers.py
+++ b/verbenaward/direct/entry_peers.py
@@ -32,19 +32,21 @@
       zone: Its availability zone.
       front: Address for requests of callers.
       control: Address for other processes (setting `listen`).
+      incarnation: Start time of the process in nanoseconds; 0 from one of an older version.
     """
 
     vm: str
     zone: str
     front: str
     control: str
+    incarnation: int = 0
 
 
-def record_of(settings: Settings) -> bytes:
+def record_of(settings: Settings, incarnation: int = 0) -> bytes:
     """Return the encoded record under which an entry process registers itself in the store."""
     direct = settings.direct
     assert direct is not None
-    record = EntryRecord(settings.vm, settings.zone, direct.front, settings.listen)
+    record = EntryRecord(settings.vm, settings.zone, direct.front, settings.listen, incarnation)
     return msgspec.json.encode(record)
 
 
@@ -56,6 +58,14 @@
         return ""
 
 
+def incarnation_of_record(value: bytes) -> int:
+    """Return the incarnation in the record of an entry process; 0 if unknown or malformed."""
+    try:
+        return msgspec.json.decode(value, type=EntryRecord).incarnation
+    except DECODE_ERRORS:
+        return 0
+
+
 @dataclass(slots=True)
 class EntryPeer:
     """Another entry process.
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from aiohttp import web
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
@@ -40,6 +41,7 @@
 from ..schema.settings import DirectSettings, Settings
 from .addresses import addresses_for
 from .budget import SharedRetryBudget
+from .budget_membership import BudgetMembership
 from .connections import ConnectionRunner, Connections
 from .crash_tracker import CrashTracker
 from .draining import drain_front
@@ -112,18 +114,30 @@
         self.peer_fetcher = PeerFetcher(
             self.replica, self.follower, self.fetch_from_peers, self.fetch_kept_from_peers
         )
+        self.budget = SharedRetryBudget(
+            direct.retry_ratio,
+            direct.retry_extra,
+            direct.retry_window_seconds,
+            clock.now(),
+            time.time_ns(),
+        )
         self.exchange = StateExchange(
             settings,
             self.replica,
             self.fleet,
             self.crashes,
+            self.budget,
             self.is_ready,
             self.peer_fetcher.observe,
             lambda: not self.follower.reachable,
         )
         self.membership = GroupMembership(settings, self.fleet, self.exchange.peers)
-        self.budget = SharedRetryBudget(
-            direct.retry_ratio, direct.retry_extra, direct.retry_window_seconds, clock.now()
+        self.budget_membership = BudgetMembership(
+            self.budget,
+            self.replica,
+            self.store,
+            settings.listen,
+            lambda: self.front.leaving,
         )
         placer = Placer(self.fleet, settings.zone, direct.zones, direct.version_seconds)
         log = RequestLog()
@@ -163,6 +177,7 @@
             self.peer_fetcher.run(),
             self.exchange.run(),
             self.maintain_registration(),
+            self.budget_membership.run(),
             self.update_derived_state(),
             self.maintain_peer_group(),
         ):
@@ -303,7 +318,7 @@
         A restored store is written to at once.
         """
         key = ENTRY_PREFIX + self.settings.listen
-        value = record_of(self.settings)
+        value = record_of(self.settings, self.budget.incarnation)
         while not self.front.leaving:
             result = await self.store.keep_alive(key, value, LEASE_SECONDS)
             pause = RENEWAL_SECONDS if isinstance(result, Success) else REGISTRATION_RETRY_SECONDS
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import random
-import time
 from collections.abc import Callable
 
 from .. import clock
@@ -25,6 +24,8 @@
 from .broadcast.loads import apply_changed_loads, own_loads, report_ttl_seconds
 from .broadcast.sections import SharedState, sections_of
 from .broadcast_socket import open_broadcast_socket, send_to_all
+from .budget import SharedRetryBudget
+from .budget_grants import THOUSANDTHS
 from .crash_tracker import CrashTracker
 from .engine_notices import apply_engine_notice
 from .entry_peers import EntryPeer, chosen_watchers, is_older
@@ -53,6 +54,7 @@
       is_ready: Returns whether this process accepts requests.
       leaving: True once this process has been told to stop.
       limits: Grants of sends to backends that name a limit.
+      budget: Retry budget of this process.
       sections: Kinds of state that full broadcasts carry.
       incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
       sequence: Number of the last message sent.
@@ -69,6 +71,7 @@
         replica: StoreReplica,
         fleet: Fleet,
         crashes: CrashTracker,
+        budget: SharedRetryBudget,
         is_ready: Callable[[], bool],
         on_position: Callable[[Position, int], None],
         is_store_lost: Callable[[], bool],
@@ -80,6 +83,7 @@
           replica: Local replica of the key-value store.
           fleet: Configuration, backends and weights versions.
           crashes: Finds poison requests.
+          budget: Retry budget of this process, with its incarnation.
           is_ready: Returns whether this process accepts requests.
           on_position: Called for each full broadcast received, with the sender's position in the
             store's history and the checksum of what it keeps from before a restore.
@@ -110,11 +114,14 @@
                 self.peers,
                 crashes,
                 self.limits,
+                budget,
+                lambda message, control: self.send_to(message, control),
                 self.is_available,
                 lambda position, checksum: self.on_position(position, checksum),
             )
         )
-        self.incarnation = time.time_ns()
+        self.budget = budget
+        self.incarnation = budget.incarnation
         self.sequence = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.changed = asyncio.Event()
@@ -287,6 +294,10 @@
             return
         if message.limit_requests or message.limit_replies:
             self.limits.receive(message, peer.control, now)
+        elif message.grant_to:
+            self.budget.receive_grant(
+                peer.control, message.grant_to, message.grant_thousandths / THOUSANDTHS
+            )
         elif message.partial:
             self.apply_load_delta(peer, message, now)
         else:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -178,6 +178,14 @@
         "crashes",
     ),
     "pulse.malformed": kind("malformed state broadcast from {source}: {error}", "source", "error"),
+    "retry_opening.not_written": kind(
+        "which processes begin the deployment could not be written to the store", "reason"
+    ),
+    "retry_opening.written": kind(
+        "which processes begin the deployment was written to the store",
+        "members",
+        "is_complete",
+    ),
     "store.found": kind("the store answers again", "revision"),
     "store.lost": kind("the store does not answer: {error}", "error", "revision"),
     "store.read-from-peer": kind(
--- a/verbenaward/schema/messages.py
+++ b/verbenaward/schema/messages.py
@@ -253,6 +253,9 @@
     loaded_model: str = ""
     loaded_version: int = 0
     born_unix_ms: int = 0
+    asks_retries: bool = False
+    grant_to: int = 0
+    grant_thousandths: int = 0
 
 
 @dataclass(frozen=True, slots=True)
