Split the modules of streams and of sends

Change: delivery.py (what a caller has received), stream_attempt.py (one send of a stream), sends.py (records of sends); no logic changes.

--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -6,11 +6,11 @@
 
 from tests.direct_fakes import placer_of, request_of
 from tests.simulated_entries import SimulatedEntries
-from verbenaward.direct.attempts import Progress, Send
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.crash_tracker import fingerprint_of, part_keys_of
 from verbenaward.direct.forwarding import Forwarder
 from verbenaward.direct.request_log import RequestLog
+from verbenaward.direct.sends import Progress, Send
 from verbenaward.placement.request_types import RefusedError
 
 PREFILL_SECONDS = 0.25
--- a/tests/steps/evacuations.py
+++ b/tests/steps/evacuations.py
@@ -8,11 +8,11 @@
 from behave import given, then, when
 
 from tests.direct_fakes import NOW, placer_of, request_of
-from verbenaward.direct.attempts import Progress
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.crash_tracker import CrashTracker
 from verbenaward.direct.forwarding import Forwarder
 from verbenaward.direct.request_log import RequestLog
+from verbenaward.direct.sends import Progress
 from verbenaward.metrics import sample_sum
 from verbenaward.placement.fleet import Fleet
 from verbenaward.platform.key_value import KeyValueEntry, Position
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -14,10 +14,10 @@
 from hypothesis import strategies as st
 
 from tests.direct_fakes import ENGINE, NOW, fleet_of, placer_of, request_of
-from verbenaward.direct.attempts import Send
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.request_log import LineRateLimit
-from verbenaward.direct.streams import StreamAttempt
+from verbenaward.direct.sends import Send
+from verbenaward.direct.stream_attempt import StreamAttempt
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
 from verbenaward.metrics import sample_sum
 from verbenaward.placement.backends import first_event_seconds
--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -15,8 +15,9 @@
 from tests.direct_fakes import NOW, fleet_of, placer_of, request_of
 from tests.steps.platform_running import engines, plain, run, until
 from verbenaward import clock
-from verbenaward.direct.attempts import Attempts, Progress, Send
+from verbenaward.direct.attempts import Attempts
 from verbenaward.direct.request_log import RequestLog
+from verbenaward.direct.sends import Progress, Send
 from verbenaward.placement.backends import UNREACHABLE_BACKOFF_SECONDS
 from verbenaward.placement.placer import Choice
 from verbenaward.placement.request_types import WholeAnswer
--- a/tests/steps/streams.py
+++ b/tests/steps/streams.py
@@ -10,8 +10,8 @@
 from standins.platform_backend import STREAM_EVENTS
 from tests.event_streams import ENDS, MARK, dispatched, pieces_of
 from tests.steps.platform_running import engines, run
-from verbenaward.direct.attempts import Progress, Send
-from verbenaward.direct.streams import Delivery
+from verbenaward.direct.delivery import Delivery
+from verbenaward.direct.sends import Progress, Send
 from verbenaward.placement.memory_budget import HeldBytes, HeldPart, Purpose
 from verbenaward.requests.event_stream import EventStreamParser
 
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -17,11 +17,12 @@
 from ..placement.request_types import FailedAttempt, FailureKind, RefusedError, Request, WholeAnswer
 from ..platform.request_headers import BackendHeaders, BackendNotice
 from ..requests.refusals import not_run
-from .attempts import SERVER_ERROR, Attempts, Progress, Send
+from .attempts import SERVER_ERROR, Attempts
 from .budget import SharedRetryBudget
 from .crash_tracker import CrashTracker
 from .request_log import RequestLog
 from .sending import send_and_read
+from .sends import Progress, Send
 
 POLL_SECONDS = 0.02
 """Time between two looks for a backend while none is available."""
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -17,10 +17,11 @@
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from .crash_tracker import fingerprint_of, part_keys_of
+from .delivery import CallerGoneError
 from .draining import check_accepted, limited
 from .forwarding import Forwarder, is_stream
 from .slow_readers import WRITE_BUFFER_BYTES, raise_refusal, write_whole_answer
-from .streams import CallerGoneError, StreamCutError, StreamForwarder
+from .streams import StreamCutError, StreamForwarder
 
 DEFAULT_DEADLINE_SECONDS = 60.0
 """Deadline of a request whose caller names none."""
