Bodies with a Content-Encoding reach backends as they were sent

Cause: the server decodes bodies of requests unless auto_decompress is off; the clients had it off, the listeners of the entry process had not.

Change: the listeners do not decode. The limit on the size of a body now counts its bytes as received.

--- /dev/null
+++ b/tests/steps/unchanged.py
@@ -0,0 +1,130 @@
+"""Steps on requests and answers that pass an entry process byte by byte."""
+
+import asyncio
+import gzip
+import itertools
+import zlib
+
+from behave import given, then, when
+
+from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, free_address
+from standins.platform_backend import PlatformBackendStandIn
+from tests.steps.platform_running import run
+
+OWN = ("host", "x-attempt-id", "x-deadline-ms", "x-expect-instance", "x-tenant", "content-length")
+"""Headers that the steps do not compare: the entry process sets them, or every request has them."""
+BODIES = {
+    "a gzip body": gzip.compress(b"text" * 99),
+    "a zlib body": zlib.compress(b"text" * 99),
+    "random bytes": bytes(range(256)),
+    "text": b"text",
+    "chunked text": b"text",
+}
+BODILESS = (204, 205, 304)
+
+
+def head_of(first_line, headers):
+    lines = [name.encode() + b": " + value + b"\r\n" for name, value in headers]
+    return first_line + b"\r\n" + b"".join(lines) + b"\r\n"
+
+
+def framed(body, chunked):
+    """Return the header that frames a body, and the bytes to send; chunks end with a trailer."""
+    if not chunked:
+        return ("Content-Length", b"%d" % len(body)), body
+    sent = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\nX-Trailer: 1\r\n\r\n"
+    return ("Transfer-Encoding", b"chunked"), sent
+
+
+async def read_message(reader, has_body=True):
+    """Return the first line, the headers and the body of a message."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n"))[:-4].split(b"\r\n")
+    headers = [tuple(line.split(b": ", 1)) for line in lines]
+    headers = [(name.decode().lower(), value) for name, value in headers]
+    length = int(dict(headers).get("content-length", 0)) if has_body else 0
+    return first, headers, await reader.readexactly(length)
+
+
+def without(headers, names):
+    return [(name.lower(), value) for name, value in headers if name.lower() not in names]
+
+
+@given("the users' platform with a backend that records what it receives")
+def start_platform(context):
+    context.platform = PlatformStandIn()
+    context.attempts = itertools.count()
+    context.reply = lambda: (200, [], [], b"ok", False)
+
+    async def serve(reader, writer):
+        context.received = await read_message(reader)
+        status, interim, headers, body, chunked = context.reply()
+        identity = dict(context.received[1])["x-attempt-id"]
+        headers = [*headers, ("X-Attempt-Id", identity), ("X-Server-Signature", b"s")]
+        framing, body = framed(body, chunked)
+        if status in BODILESS:
+            body = b""
+        else:
+            headers = [*headers, framing]
+        for code in interim:
+            writer.write(head_of(b"HTTP/1.1 %d Interim" % code, [("Link", b"interim")]))
+        writer.write(head_of(b"HTTP/1.1 %d Status" % status, headers) + body)
+        writer.close()
+
+    async def start():
+        await context.platform.start()
+        backend = PlatformBackendStandIn("p-1", "plain", "zone-a")
+        backend.address = free_address(context.platform.next_host())
+        host, _, port = backend.address.rpartition(":")
+        server = await asyncio.start_server(serve, host, int(port))
+        context.add_cleanup(server.close)
+        context.platform.register(backend)
+        context.platform.write_configuration()
+
+    context.add_cleanup(lambda: run(context, context.platform.stop()))
+    run(context, start())
+
+
+def send(context, target=b"/book/x", headers=(), body=b"", chunked=False, method=b"POST"):
+    """Send a request, keep what was sent, and return the answer."""
+    context.sent = target, headers, body
+    framing, sent = framed(body, chunked)
+    own = [
+        ("Host", CALLER_HOST.encode()),
+        ("X-Attempt-Id", b"a-%d" % next(context.attempts)),
+        ("X-Deadline-Ms", b"3000"),
+        ("Authorization", b"Bearer " + API_KEY.encode()),
+    ]
+    context.received = None
+
+    async def exchange():
+        host, _, port = context.platform.entries[0].direct.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = head_of(method + b" " + target + b" HTTP/1.1", [*own, *headers, framing])
+        writer.write(head + sent)
+        try:
+            answer = await asyncio.wait_for(read_message(reader), 4)
+            writer.write_eof()
+            assert await asyncio.wait_for(reader.read(), 4) == b"", "bytes after the answer"
+            return answer
+        finally:
+            writer.close()
+
+    answer = run(context, exchange())
+    context.answer = int(answer[0].split()[1]), dict(answer[1]), answer[2]
+    return answer
+
+
+@when('a caller sends {body} with Content-Encoding "{encoding}"')
+def send_encoded(context, body, encoding):
+    headers = [("Content-Encoding", encoding.encode())]
+    send(context, headers=headers, body=BODIES[body], chunked="chunked" in body)
+
+
+@then("the backend received the target, the headers and the body as sent")
+def is_unchanged(context, method=b"POST"):
+    target, headers, body = context.sent
+    assert context.received, context.answer
+    line, received, received_body = context.received
+    assert line == method + b" " + target + b" HTTP/1.1", (line, target)
+    assert without(received, (*OWN, "connection")) == without(headers, ()), (received, headers)
+    assert received_body == body, (received_body, body)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -201,6 +201,7 @@
             max_field_size=MAXIMUM_HEADER_BYTES,
             read_bufsize=read_buffer,
             shutdown_timeout=0.1,
+            auto_decompress=False,
         )
         await runner.setup()
         site = web.TCPSite(
