The target of a request reaches its backend as its caller wrote it

Seen by callers: /x? arrived as /x, and /x#f? and /x?a# lost what follows the number sign; an encoded line feed (%0a) in a path was answered with 404 and without a verdict, though a route matched; of http://h/?a://b/ another part was taken for the path.

Cause: the URL that is given to the HTTP client was parsed, and its parts put together again without an empty query and without the fragment. The router's pattern does not match a line feed. The scheme of an absolute target was looked for in its query too.

Change: the whole target is passed as the path of a URL that is not parsed (targets.py); the pattern matches everything.

Not done: an absolute target without a path (http://h?a) still gets 404 from the router, without a verdict.

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -18,3 +18,26 @@
       | unknown  | random bytes |
       | gzip     | text         |
       | gzip     | chunked text |
+
+  # Guards against targets that are parsed and put together again on their way.
+  Scenario Outline: The target <target> reaches its backend as written
+    When a caller sends a request to "<target>"
+    Then the backend received the target, the headers and the body as sent
+
+    Examples:
+      | target                         |
+      | /book/x?                       |
+      | /book/x#f?                     |
+      | /book/x?a#                     |
+      | /book//x/../%2e                |
+      | /book/%2f%2F%e9%E9;a=b?+%20;?? |
+      | /book/%0a%00                   |
+
+  Scenario Outline: An absolute target is reduced to its path and query
+    When a caller sends a request to "<absolute>"
+    Then the backend received the target "<target>"
+
+    Examples:
+      | absolute              | target        |
+      | http://h/book/x?      | /book/x?      |
+      | http://h/book/?a://b/ | /book/?a://b/ |
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -120,6 +120,11 @@
     send(context, headers=headers, body=BODIES[body], chunked="chunked" in body)
 
 
+@when('a caller sends a request to "{target}"')
+def send_to(context, target):
+    send(context, target.encode())
+
+
 @then("the backend received the target, the headers and the body as sent")
 def is_unchanged(context, method=b"POST"):
     target, headers, body = context.sent
@@ -128,3 +133,9 @@
     assert line == method + b" " + target + b" HTTP/1.1", (line, target)
     assert without(received, (*OWN, "connection")) == without(headers, ()), (received, headers)
     assert received_body == body, (received_body, body)
+
+
+@then('the backend received the target "{target}"')
+def received_target(context, target):
+    assert context.received, context.answer
+    assert context.received[0] == f"POST {target} HTTP/1.1".encode(), context.received
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -16,6 +16,7 @@
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
+from ..targets import target_of
 from .crash_tracker import fingerprint_of, part_keys_of
 from .draining import check_accepted, limited
 from .forwarding import Forwarder, is_stream
@@ -205,7 +206,7 @@
         if table is None:
             message = "no configuration has been received yet"
             raise RefusedError(not_run(503, "starting", message, STARTING_RETRY_AFTER_SECONDS))
-        raw_path = path_of(caller)
+        raw_path = target_of(caller)
         route = table.find(caller.headers.get("Host", ""), raw_path.partition("?")[0])
         if route is None:
             raise RefusedError(not_run(404, "no-route", "no route matches this host and path"))
@@ -240,16 +241,6 @@
     return None if declared_bytes is None else min(declared_bytes, limit)
 
 
-def path_of(caller: web.Request) -> str:
-    """Return path and query as received; scheme and host of an absolute URL are removed."""
-    raw = caller.raw_path
-    if raw.startswith("/"):
-        return raw
-    _, _, rest = raw.partition("://")
-    slash = rest.find("/")
-    return rest[slash:] if slash >= 0 else "/"
-
-
 def authenticate(
     table: RouteTable, parsed_headers: CallerHeaders, is_public: bool
 ) -> tuple[str, int | None]:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -213,7 +213,7 @@
     def front_application(self) -> web.Application:
         """Return the application for requests of callers."""
         application = web.Application()
-        application.router.add_route("*", "/{path:.*}", self.front.handle)
+        application.router.add_route("*", r"/{path:[\s\S]*}", self.front.handle)
         application.on_response_prepare.append(record_begin)
         return application
 
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -10,7 +10,6 @@
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Failure as Failed
 from returns.result import Result, Success
-from yarl import URL
 
 from .. import clock
 from ..http_client import ConnectedResponse, send_once, was_reset
@@ -29,6 +28,7 @@
     read_backend_notice,
 )
 from ..sockets import keepalive_socket
+from ..targets import exact_url
 from .slow_readers import READ_BUFFER_BYTES, raise_refusal, small_buffer_socket
 
 CONNECT_SECONDS = 0.4
@@ -109,7 +109,7 @@
 
     sending = session.request(
         request.method,
-        URL(f"http://{view.backend.address}{request.raw_path}", encoded=True),
+        exact_url(f"http://{view.backend.address}", request.raw_path),
         headers=headers_for_backend(request.headers, values),
         data=request.body or None,
         allow_redirects=False,
