Values of a header that is repeated in another case are not lost

Seen by callers: of "X-R: 1, x-r: 2, X-R: 3" only the last two reached the backend. Found with the property test below.

Cause: aiohttp's client adds a repeated name only if it has the same case as before; in another case it replaces the values so far.

Change: a repeated name is forwarded in the case of its first occurrence (end_to_end_headers, used for requests and answers).

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -41,3 +41,18 @@
       | absolute              | target        |
       | http://h/book/x?      | /book/x?      |
       | http://h/book/?a://b/ | /book/?a://b/ |
+
+  # Guards against values that are lost when a name is repeated in another case.
+  Scenario: Repeated headers all reach their backend in their order
+    When a caller sends a request with the headers "X-R: 1, x-r: 2, X-R: 3, Cookie: a, cookie: b, X-R: 4"
+    Then the backend received the target, the headers and the body as sent
+
+  Scenario: Headers of one connection do not pass the entry process
+    When a caller sends a request with the headers "Connection: x-hop, X-Hop: 1, TE: trailers, Keep-Alive: 1"
+    Then the backend received no header of the caller
+
+  Scenario: Any request reaches its backend as sent
+    Then random requests reach the backend as sent
+
+  Scenario: Any answer reaches its caller as sent
+    Then random answers reach the caller as sent
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -6,6 +6,9 @@
 import zlib
 
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, free_address
 from standins.platform_backend import PlatformBackendStandIn
@@ -13,6 +16,7 @@
 
 OWN = ("host", "x-attempt-id", "x-deadline-ms", "x-expect-instance", "x-tenant", "content-length")
 """Headers that the steps do not compare: the entry process sets them, or every request has them."""
+ADDED = ("date", "server", "content-type", "content-length", "connection", "transfer-encoding")
 BODIES = {
     "a gzip body": gzip.compress(b"text" * 99),
     "a zlib body": zlib.compress(b"text" * 99),
@@ -20,7 +24,14 @@
     "text": b"text",
     "chunked text": b"text",
 }
+NAMES = st.sampled_from(("X-A", "x-a", "X-a", "X-B", "Cookie", "cookie", "Accept", "Via", "Link"))
+VALUES = st.text(st.characters(codec="utf-8", exclude_categories=("C", "Z")), max_size=8)
+HEADERS = st.lists(st.tuples(NAMES, VALUES.map(str.encode)), max_size=6)
+ENCODINGS = st.sampled_from((b"gzip", b"deflate", b"br", b"zstd", b"identity", b"x"))
+TARGETS = st.text("abC012/?#;:@&=+%.~!$'()*,-_|^\"<>{}`\\[]", max_size=20)
+SHORT_BODIES = st.binary(max_size=99)
 BODILESS = (204, 205, 304)
+FEW = settings(max_examples=40)
 
 
 def head_of(first_line, headers):
@@ -125,6 +136,12 @@
     send(context, target.encode())
 
 
+@when('a caller sends a request with the headers "{headers}"')
+def send_headers(context, headers):
+    pairs = [header.split(": ") for header in headers.split(", ")]
+    send(context, headers=[(name, value.encode()) for name, value in pairs])
+
+
 @then("the backend received the target, the headers and the body as sent")
 def is_unchanged(context, method=b"POST"):
     target, headers, body = context.sent
@@ -139,3 +156,45 @@
 def received_target(context, target):
     assert context.received, context.answer
     assert context.received[0] == f"POST {target} HTTP/1.1".encode(), context.received
+
+
+@then("the backend received no header of the caller")
+def no_header(context):
+    assert without(context.received[1], OWN) == [("connection", b"close")], context.received
+
+
+@then("random requests reach the backend as sent")
+def any_request(context):
+    methods = st.sampled_from((b"GET", b"POST", b"PUT", b"DELETE", b"PATCH", b"PROPFIND"))
+
+    @FEW
+    @for_all(methods, TARGETS, HEADERS, st.none() | ENCODINGS, SHORT_BODIES, st.booleans())
+    def check(method, target, headers, encoding, body, chunked):
+        if encoding:
+            headers = [*headers, ("Content-Encoding", encoding)]
+        send(context, b"/book/" + target.encode(), headers, body, chunked, method)
+        is_unchanged(context, method)
+
+    check()
+
+
+@then("random answers reach the caller as sent")
+def any_answer(context):
+    statuses = st.sampled_from((200, 201, 202, 203, 206, 299, 301, 400, 404, 418, *BODILESS))
+    interims = st.lists(st.sampled_from((100, 102, 103)), max_size=2)
+    answers = st.tuples(statuses, interims, HEADERS, SHORT_BODIES, st.booleans())
+
+    @FEW
+    @for_all(answers, st.none() | ENCODINGS)
+    def check(answer, encoding):
+        status, interim, headers, body, chunked = answer
+        if encoding:
+            headers = [*headers, ("Content-Encoding", encoding)]
+        context.reply = lambda: (status, interim, headers, body, chunked)
+        line, received, received_body = send(context)
+        assert int(line.split()[1]) == status, (line, answer)
+        arrived = without(received, (*ADDED, "x-attempt-id", "x-server-signature"))
+        assert arrived == without(headers, ()), (arrived, headers)
+        assert received_body == (b"" if status in BODILESS else body), received_body
+
+    check()
--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -187,14 +187,7 @@
 
 def headers_for_backend(headers: CIMultiDictProxy[str], values: BackendHeaders) -> CIMultiDict[str]:
     """Return the headers to send to a backend: the caller's and those that this process sets."""
-    hop_headers = connection_headers(headers)
-    result: CIMultiDict[str] = CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if (lower := name.lower()) not in HOP_BY_HOP
-        and lower not in UNFORWARDED_HEADERS
-        and lower not in hop_headers
-    )
+    result = end_to_end_headers(headers, UNFORWARDED_HEADERS)
     result[names.DEADLINE_MS] = str(max(1, int(values.remaining_seconds * MILLISECONDS)))
     result[names.EXPECTED_BACKEND] = values.backend
     if values.workspace:
@@ -210,11 +203,27 @@
 
 def headers_for_caller(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """Return the headers of a backend's answer that are forwarded to the caller."""
-    hop_headers = connection_headers(headers)
+    return end_to_end_headers(headers)
+
+
+def end_to_end_headers(
+    headers: CIMultiDictProxy[str], excluded: frozenset[str] = frozenset()
+) -> CIMultiDict[str]:
+    """Return the headers that do not concern a single connection, in their order.
+
+    A repeated name gets the case of its first occurrence: aiohttp's client keeps only the last
+    value of a name that it is given in several cases.
+
+    Args:
+      headers: Received headers.
+      excluded: Lower-case names of further headers to leave out.
+    """
+    left_out = HOP_BY_HOP | excluded | connection_headers(headers)
+    names_by_lower: dict[str, str] = {}
     return CIMultiDict(
-        (name, value)
+        (names_by_lower.setdefault(lower, name), value)
         for name, value in headers.items()
-        if (lower := name.lower()) not in HOP_BY_HOP and lower not in hop_headers
+        if (lower := name.lower()) not in left_out
     )
 
 
