An answer of a backend that switches protocols is a failed attempt

Seen by callers: a backend's answer with status 101 was forwarded as 101, though the request asked for no other protocol (Upgrade is not forwarded), so what follows on the connection was no answer of HTTP/1.1.

Cause: aiohttp's client takes 101 for a final answer, and any status with the signature header counted as valid.

Change: it is an invalid answer of a request that may have run.

Measured: the new scenario of tests/direct/unchanged.feature failed before; now 20 of 20, and tests/direct/requests.feature 56 of 56.

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -51,6 +51,10 @@
     When a caller sends a request with the headers "Connection: x-hop, X-Hop: 1, TE: trailers, Keep-Alive: 1"
     Then the backend received no header of the caller
 
+  Scenario: An answer that switches protocols is not forwarded
+    When the backend answers with status 101
+    Then the status is 502
+
   Scenario: Any request reaches its backend as sent
     Then random requests reach the backend as sent
 
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -142,6 +142,12 @@
     send(context, headers=[(name, value.encode()) for name, value in pairs])
 
 
+@when("the backend answers with status {status:d}")
+def answers_with(context, status):
+    context.reply = lambda: (status, [], [], b"", False)
+    send(context)
+
+
 @then("the backend received the target, the headers and the body as sent")
 def is_unchanged(context, method=b"POST"):
     target, headers, body = context.sent
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -31,6 +31,7 @@
 from ..targets import exact_url
 from .slow_readers import READ_BUFFER_BYTES, raise_refusal, small_buffer_socket
 
+SWITCHED_PROTOCOLS = 101
 CONNECT_SECONDS = 0.4
 """Timeout for a connection to a backend. A request that is still connecting when its backend asks
 for a pause must arrive within the half second that the backend allows for that."""
@@ -176,6 +177,9 @@
 ) -> Result[aiohttp.ClientResponse, FailedAttempt]:
     """Return the response if it is a valid answer to the request, else the failure."""
     status, headers = response.status, response.headers
+    if status == SWITCHED_PROTOCOLS:
+        message = "the backend switched protocols, for which the request did not ask"
+        return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     if not answers_request(headers, request.parsed_headers.request_id):
         message = "the answer belongs to another request"
         return Failed(FailedAttempt(FailureKind.INVALID, True, message))
