Services of the proxied mode receive the target and the body as sent

Seen by callers: a body with a Content-Encoding reached its service decoded, without the header, or was answered with 400 (br). /x? arrived as /x, %2F as a slash, percent-encoding in another form; an encoded line feed got 404. The query of a request to a model was dropped.

Cause: as in the direct mode, the server decoded bodies; the target was built from the decoded path and query and parsed once more by the client of the endpoint process, and Content-Encoding was not passed on.

Change: the listener does not decode; Content-Encoding goes with the request to the service; the target is the received one without its first three segments (targets.py). The entry process decodes the bodies of requests to models, which it reads itself: gzip and deflate as before, all members, up to the limit on bodies; others are refused with 415, malformed ones with 400, both as not run. An endpoint process refuses a target that does not fit into a request line: one of an older entry process may have spaces. The stand-in of a service shows what it received.

Not done: Content-Encoding of an answer is not passed on in this mode.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -38,7 +38,9 @@
         if "folder" in options:
             options["folder"] = Path(options["folder"])
         application = KINDS[kind](**options).application()
-        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.1, auto_decompress=False
+        )
         await runner.setup()
         await web.TCPSite(runner, host, port, backlog=1024).start()
     print("ready", flush=True)
--- a/standins/service.py
+++ b/standins/service.py
@@ -33,7 +33,7 @@
         install_faults(app, self.faults)
         app.router.add_get("/ledger", self.ledger)
         app.router.add_get("/healthz", self.health)
-        app.router.add_route("*", "/{path:.*}", self.serve)
+        app.router.add_route("*", r"/{path:[\s\S]*}", self.serve)
         return app
 
     async def ledger(self, request: web.Request) -> web.Response:
@@ -56,7 +56,9 @@
             await asyncio.sleep(self.work_seconds)
         finally:
             self.running -= 1
-        answer: dict[str, Any] = {"confirmed": digest, "key": key, "path": request.path}
+        answer: dict[str, Any] = {"confirmed": digest, "key": key, "path": request.raw_path}
+        if "Content-Encoding" in request.headers:
+            answer["encoding"] = request.headers["Content-Encoding"]
         headers = {"X-Request-Id": request_id}
         if self.faults.happens(self.faults.crossed):
             headers["X-Request-Id"] = "of-another-request"
--- /dev/null
+++ b/tests/requests/unchanged.feature
@@ -0,0 +1,18 @@
+Feature: What callers of the proxied mode send arrives unchanged
+
+  Background:
+    Given running processes with a service
+
+  # Guards against bodies that arrive decoded and targets that arrive in another form.
+  Scenario Outline: A request for <target> reaches the service as sent, with <body> of encoding "<encoding>"
+    When a caller sends <body> with Content-Encoding "<encoding>" to "<target>" of the service
+    Then the service received the target, the encoding and the body as sent
+
+    Examples:
+      | target           | encoding | body         |
+      | /x?              | gzip     | a gzip body  |
+      | //x%2f%2F%e9?+;= | br       | random bytes |
+      | /%0a%20?%0a%20#? | gzip     | text         |
+
+  Scenario: A target that does not fit into a request line is refused by the endpoint process
+    Then the endpoint process refuses the path "/a HTTP/1.1"
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -18,6 +18,7 @@
 from ..requests.attempt import BACKEND_CRASHED
 from ..requests.records import Answer
 from ..requests.refusals import may_have_run, not_run
+from ..targets import exact_url
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
@@ -39,6 +40,7 @@
       idempotency_key: Key sent to the backend; empty for an idempotent request.
       resume_tokens: Tokens of the answer that the caller has already received.
       deadline: Monotonic time in seconds after which the caller no longer waits.
+      content_encoding: How the caller has encoded the body; empty for not at all.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     idempotency_key: str
     resume_tokens: int
     deadline: float
+    content_encoding: str = ""
 
 
 class BackendClient:
@@ -72,7 +75,7 @@
         timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
         return self.session.request(
             call.method,
-            self.url + call.path,
+            exact_url(self.url, call.path),
             data=call_body(call),
             headers=call_headers(call),
             timeout=timeout,
@@ -127,6 +130,8 @@
         headers.PRIORITY: str(call.priority),
         "Content-Type": call.content_type,
     }
+    if call.content_encoding:
+        values["Content-Encoding"] = call.content_encoding
     if call.idempotency_key:
         values[headers.IDEMPOTENCY_KEY] = call.idempotency_key
     return values
--- a/verbenaward/endpoint/run_handler.py
+++ b/verbenaward/endpoint/run_handler.py
@@ -23,6 +23,7 @@
 from ..requests.events import CRASH_EVENT, is_done, received_events
 from ..requests.records import Answer, format_load
 from ..requests.refusals import may_have_run, not_run, response_of
+from ..targets import checked_target
 from .admission import AdmissionGate
 from .backend import BackendCall, BackendClient, is_answer_to
 
@@ -308,13 +309,14 @@
     call = BackendCall(
         request_id=values[headers.REQUEST_ID],
         method=values[headers.METHOD],
-        path=values[headers.PATH],
+        path=checked_target(values[headers.PATH]),
         body=body,
         content_type=values.get("Content-Type", "application/octet-stream"),
         priority=int(values.get(headers.PRIORITY, "0")),
         idempotency_key=values.get(headers.IDEMPOTENCY_KEY, ""),
         resume_tokens=int(values.get(headers.RESUME_TOKENS, "0")),
         deadline=now + int(values[headers.DEADLINE_MS]) / MILLISECONDS,
+        content_encoding=values.get("Content-Encoding", ""),
     )
     return RunRequest(
         call=call,
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -12,6 +12,7 @@
 from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun
 from ..membership.directory import Directory
 from ..requests import headers
+from ..requests.decoding import decoded, encoding_of
 from ..requests.dispatch import Dispatcher
 from ..requests.fair_queue import FairQueue
 from ..requests.limits import AdaptiveLimit
@@ -21,6 +22,7 @@
 from ..requests.streams import CallerGoneError, StreamRelay
 from ..schema.messages import MemberKind
 from ..schema.settings import Settings
+from ..targets import target_below, target_of
 from ..waiting import wait_at_most
 from .addresses import choose_addresses
 from .state import EntryState
@@ -29,6 +31,8 @@
 START_LIMIT = 64.0
 """Initial concurrency limit for each role of the manifest; it adapts from there."""
 MINIMUM_LIMIT = 1.0
+SERVICE_PREFIX_SEGMENTS = 3
+"""Path segments before the path that a service receives: /v1/services/NAME."""
 LEAVING_RETRY_SECONDS = 1.0
 """Retry delay of a refusal while the process stops; its headers name other processes."""
 
@@ -70,7 +74,7 @@
         app.router.add_post("/v1/chat/completions", self.serve_model)
         app.router.add_post("/v1/completions", self.serve_model)
         app.router.add_route("*", "/v1/services/{service}", self.serve_service)
-        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self.serve_service)
+        app.router.add_route("*", r"/v1/services/{service}/{path:[\s\S]*}", self.serve_service)
 
     async def addresses(self, request: web.Request) -> web.Response:
         """Answer with the entry addresses to use and for how long they may be cached."""
@@ -87,10 +91,13 @@
         body = await self.read_body(request)
         if isinstance(body, Refusal):
             return response_of(body, request_id_of(request.headers))
+        plain = decoded(body, encoding_of(request.headers), self.settings.entry.max_body_bytes)
+        if not isinstance(plain, Success):
+            return response_of(plain.failure(), request_id_of(request.headers))
         parsed = parse_model_request(
-            request.path,
+            target_of(request),
             request.headers,
-            body,
+            plain.unwrap(),
             self.state.follower.configuration,
             self.settings.entry.default_deadline_seconds,
             clock.now(),
@@ -102,17 +109,18 @@
         body = await self.read_body(request)
         if isinstance(body, Refusal):
             return response_of(body, request_id_of(request.headers))
-        query = f"?{request.query_string}" if request.query_string else ""
         parsed = parse_service_request(
             request.method,
             request.match_info["service"],
-            f"/{request.match_info.get('path', '')}{query}",
+            target_below(target_of(request), SERVICE_PREFIX_SEGMENTS),
             request.headers,
             body,
             self.state.follower.configuration,
             self.settings.entry.default_deadline_seconds,
             clock.now(),
         )
+        encoding = encoding_of(request.headers)
+        parsed = parsed.map(lambda item: dataclasses.replace(item, content_encoding=encoding))
         return await self.serve(parsed, request)
 
     async def read_body(self, request: web.Request) -> bytes | Refusal:
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -39,6 +39,7 @@
             max_line_size=MAXIMUM_HEADER_BYTES,
             max_field_size=MAXIMUM_HEADER_BYTES,
             shutdown_timeout=1.0,
+            auto_decompress=False,
         )
         await self.runner.setup()
         host, port = host_of(self.settings.listen), port_of(self.settings.listen)
--- a/verbenaward/requests/attempt.py
+++ b/verbenaward/requests/attempt.py
@@ -51,6 +51,8 @@
         headers.PRIORITY: str(request.priority),
         "Content-Type": request.content_type,
     }
+    if request.content_encoding:
+        values["Content-Encoding"] = request.content_encoding
     if request.is_model:
         values[headers.RELEASE] = view.active_release()
     if not request.idempotent:
--- a/verbenaward/requests/records.py
+++ b/verbenaward/requests/records.py
@@ -34,6 +34,7 @@
       fingerprint: Hash of its content, without its id: equal for a retried request.
       affinity: Routing key; requests with the same prompt prefix share it.
       is_model: True for a model, False for a plain service.
+      content_encoding: How the caller has encoded the body; empty for not at all.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     fingerprint: bytes
     affinity: str
     is_model: bool
+    content_encoding: str = ""
 
     @property
     def priority(self) -> int:
--- a/verbenaward/targets.py
+++ b/verbenaward/targets.py
@@ -9,6 +9,8 @@
 from aiohttp import web
 from yarl import URL
 
+VISIBLE = re.compile(r"/[!-~]*")
+PATH = re.compile(r"[^?#]*")
 SCHEME_AND_HOST = re.compile(r"[^/?#]*://[^/?#]*")
 
 
@@ -21,6 +23,24 @@
     return rest if rest.startswith("/") else f"/{rest}"
 
 
+def checked_target(target: str) -> str:
+    """Return a target that another process sent in a header, if it fits into a request line.
+
+    Raises:
+      ValueError: It does not.
+    """
+    if not VISIBLE.fullmatch(target):
+        raise ValueError(f"{target[:80]!r} is no path with a query")
+    return target
+
+
+def target_below(target: str, segments: int) -> str:
+    """Return a target without the first segments of its path."""
+    path_end = PATH.match(target).end()  # type: ignore[union-attr]
+    _, _, *below = target[:path_end].split("/", segments + 1)
+    return f"/{below[-1] if len(below) == segments else ''}{target[path_end:]}"
+
+
 def exact_url(base: str, target: str) -> URL:
     """Return a URL for which aiohttp's client sends exactly this target.
 
