--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -10,7 +10,6 @@
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 from returns.result import Failure as Failed
 from returns.result import Result, Success
-from yarl import URL
 
 from .. import clock
 from ..http_client import ConnectedResponse, send_once, was_reset
@@ -29,8 +28,10 @@
     read_backend_notice,
 )
 from ..sockets import keepalive_socket
+from ..targets import exact_url
 from .slow_readers import READ_BUFFER_BYTES, raise_refusal, small_buffer_socket
 
+SWITCHED_PROTOCOLS = 101
 CONNECT_SECONDS = 0.4
 """Timeout for a connection to a backend. A request that is still connecting when its backend asks
 for a pause must arrive within the half second that the backend allows for that."""
@@ -109,7 +110,7 @@
 
     sending = session.request(
         request.method,
-        URL(f"http://{view.backend.address}{request.raw_path}", encoded=True),
+        exact_url(f"http://{view.backend.address}", request.raw_path),
         headers=headers_for_backend(request.headers, values),
         data=request.body or None,
         allow_redirects=False,
@@ -176,6 +177,9 @@
 ) -> Result[aiohttp.ClientResponse, FailedAttempt]:
     """Return the response if it is a valid answer to the request, else the failure."""
     status, headers = response.status, response.headers
+    if status == SWITCHED_PROTOCOLS:
+        message = "the backend switched protocols, for which the request did not ask"
+        return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     if not answers_request(headers, request.parsed_headers.request_id):
         message = "the answer belongs to another request"
         return Failed(FailedAttempt(FailureKind.INVALID, True, message))
