The use of a backend whose registration lapsed ends before a leaving one's bound

A registration that ends soon after an outage cannot be told from one that lapsed in it, and the backend was used for 2.0 s from when the end was learned: the whole bound, and the time of a send came on top.

The grace now counts from the store's return, or its restore, which no such acknowledgement precedes, and ends 0.2 s, the time of a send, before the bound. An end that is learned later than that removes the backend at once; up to now it was taken for a lapse for 3.0 s. Backends register again within about 2 s of the return, so one that returns in the last 0.2 s is out of use for that time. `BackendView.lapsed_at` became `lapsed_until`; a step that waits for lapses names the new field.

--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -577,7 +577,7 @@
     store.compact_history()
     store.mode = "ok"
     role = context.platform.entries[0]
-    assert run(context, until(lambda: all(v.lapsed_at for v in role.fleet.backends.values())))
+    assert run(context, until(lambda: all(v.lapsed_until for v in role.fleet.backends.values())))
 
 
 @when("the first process is told to stop while a slow stream runs")
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -126,7 +126,8 @@
       slowness: Moving average of the ratio of the actual to the expected time to the first event,
         at the last sample.
       slowness_recorded_at: When its last sample was recorded, monotonic.
-      lapsed_at: When its registration lapsed in an outage of the store; 0 while it is registered.
+      lapsed_until: Time until which it is used though its registration lapsed in an outage of the
+        store, monotonic; 0 while it is registered.
       awaiting_first_event: Start of each request of this process that has no first event yet,
         without those that were late from the start.
       awaiting_levels: Level of each of these requests that has one.
@@ -155,7 +156,7 @@
     failure_recorded_at: float = math.inf
     slowness: float = 1.0
     slowness_recorded_at: float = math.inf
-    lapsed_at: float = 0.0
+    lapsed_until: float = 0.0
     awaiting_first_event: dict[int, float] = field(default_factory=dict)
     awaiting_levels: dict[int, int] = field(default_factory=dict)
     short_name: int = 0
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -27,11 +27,10 @@
 from .warm_up import WarmUpLog, rate_while_cold
 
 LOG = get_logger(__name__)
-LAPSED_GRACE_SECONDS = 2.0
-"""Time for which a backend stays in use after its registration lapsed in an outage of the
-store."""
-RECENT_OUTAGE_SECONDS = 3.0
-"""Time after a failed call to the store in which a registration that ends is treated as lapsed."""
+LAPSED_GRACE_SECONDS = 1.8
+"""Time after the return of the store for which a backend stays in use whose registration lapsed in
+the outage: the 2 s in which backends register again and those that leave get their last request,
+less 0.2 s for sending it."""
 ASSUMED_AGE_AT_START_SECONDS = 5.3
 """Assumed age of a target version that a process finds at its start."""
 MAXIMUM_DELAY_AT_START_SECONDS = 2.7
@@ -210,7 +209,7 @@
         if known.backend.weights != backend.weights:
             known.excluded_until = 0.0
         known.backend = backend
-        known.lapsed_at = 0.0
+        known.lapsed_until = 0.0
         self.apply_cold_rate(known)
         self.rebuild_service_index()
 
@@ -325,22 +324,29 @@
     def handle_deregistration(self, identity: str, now: float) -> None:
         """Remove a backend whose registration ended.
 
-        After an outage or a restore of the store it stays in use for `LAPSED_GRACE_SECONDS`, as it
-        may register again.
+        After an outage or a restore of the store it may have lapsed, and stays in use until
+        `LAPSED_GRACE_SECONDS` after the store's return, as it may register again. One that leaves
+        cannot be told from it.
         """
         view = self.backends.get(identity)
         if view is None:
             return
-        is_outage_recent = (
-            now - self.store_failed_at < RECENT_OUTAGE_SECONDS and self.store_failed_at > 0
-        )
-        if is_outage_recent or now - self.replica.restored_at < LAPSED_GRACE_SECONDS:
-            view.lapsed_at = now
+        in_use_until = self.store_returned_at() + LAPSED_GRACE_SECONDS
+        if now < in_use_until:
+            view.lapsed_until = in_use_until
             LOG.info("backend.lapsed", backend=identity)
             return
         LOG.info("backend.gone", backend=identity)
         self.remove(identity)
 
+    def store_returned_at(self) -> float:
+        """Return when the store last returned from an outage or a copy, monotonic.
+
+        It is minus infinity if it has done neither.
+        """
+        failed_at = self.store_failed_at if self.store_failed_at > 0 else -math.inf
+        return max(failed_at, self.replica.restored_at)
+
     def remove(self, identity: str) -> None:
         """Remove a backend."""
         if self.backends.pop(identity, None) is not None:
@@ -384,7 +390,7 @@
         """
         found = []
         for view in self.by_service.get(service, ()):
-            if view.lapsed_at and now - view.lapsed_at > LAPSED_GRACE_SECONDS:
+            if view.lapsed_until and now >= view.lapsed_until:
                 continue
             if not view.backend.is_leaving and not view.notices.is_leaving:
                 found.append(view)
