An odd value in the proxied mode costs only itself

A stored value with an unknown field nested 5,000 deep raised RecursionError where only msgspec.DecodeError was caught, and the tasks that follow the slot table or read claims ended with any malformed value: their process then renewed and acquired no slots.

Configurations, slot tables, claims, renewals and the status that the command line reads are decoded by one function, which raises DecodeError for both. A malformed slot table leaves the last good one in use, at its version, so nobody writes over it; one with another number of holders, or without them, was taken for a whole or an empty table and is malformed now. A malformed claim is that of another process (the key has not run here and is answered may-have-run), a malformed renewal is none. A malformed entry of the history is left out with a log line. The adapters for answers of the platform in JSON count such an answer as a failed call too.

--- a/verbenaward/configuration/store.py
+++ b/verbenaward/configuration/store.py
@@ -12,10 +12,13 @@
 from returns.result import Failure, Result, Success
 
 from ..data import EMPTY_CONFIGURATION, Configuration
+from ..logs import get_logger
 from ..platform.key_value import KeyValueEntry, KeyValueError, KeyValueFailure, KeyValueService
+from ..platform.stored_values import decode_value
 from ..schema.manifest import Manifest
 from .manifest import digest_of
 
+LOG = get_logger(__name__)
 HEAD_KEY = "verbenaward/configuration/head"
 HISTORY_PREFIX = "verbenaward/configuration/history/"
 WRITE_ATTEMPTS = 5
@@ -93,7 +96,7 @@
     Raises:
       msgspec.DecodeError: The bytes are not a configuration.
     """
-    return msgspec.json.decode(payload, type=Configuration)
+    return decode_value(payload, Configuration)
 
 
 async def read_head(service: KeyValueService) -> Result[Head, KeyValueError]:
@@ -232,7 +235,7 @@
     listed = await service.read_prefix(HISTORY_PREFIX)
     if not isinstance(listed, Success):
         return Failure(listed.failure())
-    recorded = {item.write_id: item for item in map(decode_entry, listed.unwrap().entries)}
+    recorded = {item.write_id: item for item in decode_entries(listed.unwrap().entries)}
     chain = [read.unwrap().configuration]
     while (previous := recorded.get(chain[-1].previous_write_id)) is not None:
         chain.append(previous)
@@ -253,7 +256,7 @@
     if not isinstance(listed, Success):
         return Failure(listed.failure())
     accepted = {item.write_id for item in chain.unwrap()}
-    recorded = map(decode_entry, listed.unwrap().entries)
+    recorded = decode_entries(listed.unwrap().entries)
     return Success(tuple(item for item in recorded if item.write_id not in accepted))
 
 
@@ -274,6 +277,15 @@
     return f"{HISTORY_PREFIX}{configuration.revision:08}-{configuration.write_id}"
 
 
-def decode_entry(entry: KeyValueEntry) -> Configuration:
-    """Return the configuration that an entry of the history holds."""
-    return decode_configuration(entry.value)
+def decode_entries(entries: tuple[KeyValueEntry, ...]) -> list[Configuration]:
+    """Return the configurations in entries of the history; malformed ones are logged and left out.
+
+    No process of this project writes a malformed entry, so none of them was accepted.
+    """
+    decoded = []
+    for entry in entries:
+        try:
+            decoded.append(decode_configuration(entry.value))
+        except msgspec.DecodeError as error:
+            LOG.warning("configuration.history_unreadable", key=entry.key, error=str(error))
+    return decoded
--- a/verbenaward/ctl/clients.py
+++ b/verbenaward/ctl/clients.py
@@ -12,6 +12,7 @@
 from ..data import Configuration
 from ..http_client import send_writes_once
 from ..platform.key_value import ADAPTERS, KeyValueService
+from ..platform.stored_values import decode_value
 from ..schema.messages import Acknowledgement, ConfigurationOffer
 from ..wire.rpc import call
 
@@ -77,7 +78,7 @@
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
     try:
         async with session.get(f"http://{address}/admin/status", timeout=timeout) as response:
-            return msgspec.json.decode(await response.read(), type=ProcessStatus)
+            return decode_value(await response.read(), ProcessStatus)
     except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
         return None
 
@@ -112,7 +113,7 @@
     try:
         async with session.post(f"http://{address}{path}", timeout=timeout) as response:
             return await response.json()
-    except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
+    except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, RecursionError):
         return None
 
 
--- a/verbenaward/platform/engine.py
+++ b/verbenaward/platform/engine.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ..registry import Registry
+from .declarations import DECODE_ERRORS
 
 
 class OrderKind(StrEnum):
@@ -133,5 +134,5 @@
                     return Failure(EngineError(text, stale_fence=response.status == 409))
                 state = await response.json()
                 return Success(EngineState(state["active"], tuple(state["loaded"]), state["fence"]))
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, asyncio.TimeoutError, *DECODE_ERRORS) as error:
             return Failure(EngineError(f"{method} {path}: {type(error).__name__} {error}"))
--- a/verbenaward/platform/key_value_http.py
+++ b/verbenaward/platform/key_value_http.py
@@ -7,6 +7,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
+from .declarations import DECODE_ERRORS
 from .key_value import (
     ADAPTERS,
     KeyValueEntry,
@@ -97,7 +98,7 @@
                 return Failure(await parse_error(response))
         except aiohttp.ClientConnectorError as error:
             return Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, str(error)))
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, asyncio.TimeoutError, *DECODE_ERRORS) as error:
             message = f"{method} {path}: {type(error).__name__} {error}"
             return Failure(KeyValueError(KeyValueFailure.UNKNOWN, message))
 
--- a/verbenaward/platform/vm_list.py
+++ b/verbenaward/platform/vm_list.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..registry import Registry
+from .declarations import DECODE_ERRORS
 
 CALL_TIMEOUT_SECONDS = 2.0
 
@@ -53,5 +54,5 @@
                 response.raise_for_status()
                 body = await response.json()
                 return Success(tuple(ListedVm(item["vm"], item["leaving"]) for item in body["vms"]))
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, asyncio.TimeoutError, *DECODE_ERRORS) as error:
             return Failure(f"{type(error).__name__} {error}")
--- a/verbenaward/requests/claims.py
+++ b/verbenaward/requests/claims.py
@@ -11,7 +11,8 @@
 
 from .. import clock, metrics
 from ..logs import get_logger
-from ..platform.key_value import KeyValueFailure, KeyValueService
+from ..platform.key_value import KeyValueEntry, KeyValueFailure, KeyValueService
+from ..platform.stored_values import decode_value
 from .slots import OwnWrite, may_run_without_claim
 from .tenures import Tenures
 
@@ -151,7 +152,7 @@
             return ClaimOutcome.NO_SERVICE
         self.last_success = clock.now()
         entry = read.unwrap()
-        is_own = entry is not None and msgspec.json.decode(entry.value, type=Claim) == self.owner
+        is_own = entry is not None and claim_of(entry) == self.owner
         return ClaimOutcome.CLAIMED if is_own else ClaimOutcome.TAKEN
 
     async def read_former_claims(self) -> None:
@@ -168,7 +169,7 @@
             tenure.former_claims = frozenset(
                 entry.key.removeprefix(prefix)
                 for entry in read.unwrap().entries
-                if msgspec.json.decode(entry.value, type=Claim) != self.owner
+                if claim_of(entry) != self.owner
             )
 
     def record_write(self, version: int, sent_at: float) -> None:
@@ -189,6 +190,15 @@
             return True
 
 
+def claim_of(entry: KeyValueEntry) -> Claim | None:
+    """Return the claim in an entry; None for a malformed one, which stands for another process."""
+    try:
+        return decode_value(entry.value, Claim)
+    except msgspec.DecodeError as error:
+        LOG.warning("claim.unreadable", key=entry.key, error=str(error))
+        return None
+
+
 def claim_name(key: str) -> str:
     """Return the name of an idempotency key in the key-value key of its claim."""
     return blake3(key.encode()).hexdigest(length=16)
--- a/verbenaward/requests/slot_manager.py
+++ b/verbenaward/requests/slot_manager.py
@@ -10,10 +10,10 @@
 from ..logs import get_logger
 from ..membership.directory import Directory
 from ..membership.own_record import OwnRecord
-from ..platform.key_value import KeyValueService
+from ..platform.key_value import KeyValueEntry, KeyValueService
 from ..platform.vm_list import VmList
 from ..schema.messages import Member, MemberStatus
-from .claims import Claim, ClaimTimes, ClaimWriter, outcome_of
+from .claims import Claim, ClaimTimes, ClaimWriter, claim_of, outcome_of
 from .keys import KeyRecords
 from .slots import (
     SLOT_COUNT,
@@ -162,7 +162,7 @@
         return self.claims.last_success >= self.claims.last_renewal_sent
 
     async def refresh(self) -> bool:
-        """Read the slot table; return False if the key-value service fails."""
+        """Read the slot table; return False if the key-value service fails or none is known."""
         result = await self.service.read(self.table_key)
         metrics.KEY_VALUE_CALLS.labels("read", outcome_of(result)).inc()
         if not isinstance(result, Success):
@@ -170,11 +170,23 @@
         self.claims.last_success = clock.now()
         entry = result.unwrap()
         if entry is None or entry.revision >= self.version:
-            self.table = decode_table(entry.value if entry else b"")
-            self.version = entry.revision if entry else 0
-            self.table_loaded = True
+            self.use_table(entry)
         self.claims.tenures.update(self.held_slots(), clock.now())
-        return True
+        return self.table_loaded
+
+    def use_table(self, entry: KeyValueEntry | None) -> None:
+        """Use the slot table in an entry; keep the last good one if it is malformed.
+
+        The version stays that of the table in use, so this process does not write over an entry
+        that it cannot read.
+        """
+        try:
+            self.table = decode_table(entry.value if entry else b"")
+        except msgspec.DecodeError as error:
+            LOG.error("slots.unreadable", key=self.table_key, error=str(error))
+            return
+        self.version = entry.revision if entry else 0
+        self.table_loaded = True
 
     async def renew(self) -> bool:
         """Write a renewal; return False if the write failed."""
@@ -297,8 +309,9 @@
         seen_ended_at = self.ended_at[former.vm, former.incarnation]
         read = await self.service.read(self.renewal_key(former.vm))
         entry = read.unwrap() if isinstance(read, Success) else None
+        renewal = claim_of(entry) if entry else None
         version = 0
-        if entry and msgspec.json.decode(entry.value, type=Claim).incarnation == former.incarnation:
+        if entry and renewal and renewal.incarnation == former.incarnation:
             version = entry.revision
         own_writes = tuple(self.claims.own_writes)
         evidence = Evidence(version, seen_ended_at, own_writes)
--- a/verbenaward/requests/slots.py
+++ b/verbenaward/requests/slots.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..membership.ring import hash64, rendezvous_order
+from ..platform.stored_values import decode_value
 
 SLOT_COUNT = 64
 """Slots of one role; part of the stored table, so it cannot change in a running cluster."""
@@ -42,6 +43,13 @@
     holders: tuple[SlotHolder, ...] = (SlotHolder(),) * SLOT_COUNT
 
 
+@dataclass(frozen=True, slots=True)
+class StoredTable:
+    """Stored form of a table; a value without holders is malformed, not a table without them."""
+
+    holders: tuple[SlotHolder, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class OwnWrite:
     """A successful write of this process: its version and the time it was sent, monotonic."""
@@ -144,4 +152,9 @@
     Raises:
       msgspec.DecodeError: The bytes are not a valid table.
     """
-    return msgspec.json.decode(payload, type=SlotTable) if payload else SlotTable()
+    if not payload:
+        return SlotTable()
+    holders = decode_value(payload, StoredTable).holders
+    if len(holders) != SLOT_COUNT:
+        raise msgspec.ValidationError(f"{len(holders)} holders, not {SLOT_COUNT}")
+    return SlotTable(holders)
