--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -245,12 +245,16 @@
 PROXIED_EVENTS = {
     "chunk.corrupt": kind("{peer} sent chunk {chunk} with a wrong digest", "chunk", "peer"),
     "claim.taken_by_other": kind("the claim {path} was taken by another writer", "path"),
+    "claim.unreadable": kind("malformed claim {key}: {error}", "key", "error"),
     "configuration.contradiction_refused": kind(
         "another document with revision {revision} from {source} was refused",
         "revision",
         "offered_write_id",
         "source",
     ),
+    "configuration.history_unreadable": kind(
+        "malformed entry {key} of the history: {error}", "key", "error"
+    ),
     "configuration.in_force": kind(
         "revision {revision} from {source} is in force", "revision", "source"
     ),
@@ -282,6 +286,7 @@
     "release.wanted": kind("release {release} is wanted", "release"),
     "request.failed": kind("internal error on {path}: {error}", "path", "error"),
     "slots.holder_gone": kind("the slots of {holder} are free: its VM has ended", "holder"),
+    "slots.unreadable": kind("malformed slot table {key}: {error}", "key", "error"),
     "slots.taken": kind("{slots} slots were taken, {held} are held", "slots", "held"),
     "table.refused": kind("the chunk table {source} was refused: {message}", "source", "message"),
     "task.failed": kind("a background task failed: {error}", "error"),
