A manifest is confirmed before it is used, and stored digests that chunks disprove are replaced

Cause: all chunks are verified by the manifest, and the manifest by nothing. The first answer of the origin was cached and stored under the condition that the key does not exist, and never read again. The new scenarios also showed that engines loaded without the last chunk if a manifest lacked its last digest.

Change: digests are used and stored once two answers of the origin are equal. If the origin sends the same bytes of a chunk twice that do not match, or the number of stored digests is not the declared one, a reader reads the manifest again; other digests that are confirmed replace the stored ones on condition of their revision (digests.replaced). Entry and endpoint processes follow the store. Versions with fewer digests than declared chunks are not loaded.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -431,6 +431,7 @@
     Attributes:
       versions: Chunks by version.
       corrupt_once: Indexes of chunks whose next response is corrupted, as zeros.
+      spoil_manifest: Returns a manifest's body as it is sent.
       sent_counts: Number of responses by version and index of the chunk.
       refused_indexes: Indexes of chunks that get status 503, in all versions.
       refused_versions: Versions whose chunks get status 503; their manifests are still served.
@@ -452,6 +453,7 @@
         self.link_free_at = 0.0
         self.versions: dict[int, list[bytes]] = {}
         self.corrupt_once: set[int] = set()
+        self.spoil_manifest: Callable[[bytes], bytes] = lambda body: body
         self.sent_counts: Counter[tuple[int, int]] = Counter()
         self.address = ""
         self.refused_indexes: set[int] = set()
@@ -479,15 +481,15 @@
         if version not in self.versions:
             return web.Response(status=410)
         digests = [hashlib.sha256(chunk).hexdigest() for chunk in self.versions[version]]
-        return web.json_response(
-            {
-                "model_name": request.match_info["model"],
-                "version": version,
-                "chunk_size_bytes": len(self.versions[version][0]),
-                "layers": 16,
-                "chunk_hashes": digests,
-            }
-        )
+        manifest = {
+            "model_name": request.match_info["model"],
+            "version": version,
+            "chunk_size_bytes": len(self.versions[version][0]),
+            "layers": 16,
+            "chunk_hashes": digests,
+        }
+        body = self.spoil_manifest(json.dumps(manifest).encode())
+        return web.Response(body=body, content_type="application/json")
 
     async def piece(self, request: web.Request) -> web.StreamResponse:
         """Return a chunk, corrupted if its index is in `corrupt_once`, which it then leaves."""
--- a/verbenaward/distribution/chunk_cache.py
+++ b/verbenaward/distribution/chunk_cache.py
@@ -55,6 +55,10 @@
             _, evicted = self.bodies.popitem(last=False)
             self.size_bytes -= len(evicted)
 
+    def remove(self, key: ChunkKey) -> None:
+        """Remove a chunk, if it is cached."""
+        self.size_bytes -= len(self.bodies.pop(key, b""))
+
     def indexes(self, model: str, version: int) -> frozenset[int]:
         """Return the indexes of the cached chunks of a version."""
         return frozenset(
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -26,19 +26,17 @@
 from .. import clock, metrics
 from ..logs import get_logger
 from ..placement.fleet import Fleet
-from ..platform.key_value import KeyValueService
-from ..platform.weights import WeightsManifest, fetch_chunk, fetch_manifest
-from ..replica.chunk_digests import (
-    DIGEST_BYTES,
-    newest_stored_version,
-    stored_digests,
-    write_digests,
-)
+from ..platform.key_value import KeyValueEntry, KeyValueService
+from ..platform.names import DIGESTS_PREFIX
+from ..platform.weights import fetch_chunk
+from ..replica.chunk_digests import DIGEST_BYTES, newest_stored_version
 from ..schema.settings import Settings
 from .chunk_cache import DIGESTS_INDEX, ChunkCache, ChunkKey
 from .chunk_runs import CHUNKS_PER_RUN
+from .confirmation import changed_chunks, split_digests
 from .inventory import encode_inventory
 from .origin_link import OriginLink
+from .origin_manifests import OriginManifests
 from .peer_calls import (
     CACHED_QUERY,
     ENDPOINT_PATH,
@@ -99,6 +97,7 @@
       cache: Chunks and digests.
       fetching: Running fetches by key.
       readers: Versions that this process reads from the origin, by model and version.
+      manifests: Manifests of the origin.
       link: The link to the origin.
       calls: Calls to other processes.
       uploads: Bodies that this process sends.
@@ -117,13 +116,13 @@
         store: KeyValueService,
     ) -> None:
         self.settings = settings
-        self.store = store
         self.fleet = fleet
         self.processes = ProcessMap(settings, fleet, entries)
         self.session = session
         self.cache = ChunkCache()
         self.fetching: dict[ChunkKey, asyncio.Task[bytes | None]] = {}
         self.readers: dict[tuple[str, int], VersionReader] = {}
+        self.manifests = OriginManifests(session, self.processes, store, fleet.replica)
         self.rng = random.Random()
         self.link = OriginLink()
         self.calls = PeerCalls(session)
@@ -132,6 +131,7 @@
         self.missing_digests = RecentFailures()
         self.background_tasks: set[asyncio.Task[None]] = set()
         fleet.version_listeners.append(self.start_reading)
+        fleet.replica.listeners.append(self.apply_stored_digests)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
 
     def add_routes(self, app: web.Application) -> None:
@@ -158,19 +158,80 @@
             reader = self.readers[model, version] = VersionReader(
                 model,
                 version,
-                [digests[at : at + DIGEST_BYTES] for at in range(0, len(digests), DIGEST_BYTES)],
+                split_digests(digests),
                 self.settings.listen,
                 lambda: self.processes.neighbours(model, version),
                 lambda: self.fleet.newest_version(model) <= version,
                 self.cache,
                 self.link,
                 partial(self.read_from_origin, model, version),
+                partial(self.doubt_digests, model, version),
                 self.calls,
             )
             metrics.READERS.set(len(self.readers))
             self.run_in_background(self.run_reader(reader))
         return reader
 
+    def doubt_digests(self, model: str, version: int, index: int, body: bytes) -> None:
+        """Read a manifest again if the origin repeats a chunk that does not match it."""
+        if self.manifests.doubt(model, version, index, body, clock.now()):
+            self.run_in_background(self.read_digests_again(model, version))
+
+    def check_stored_digests(self) -> None:
+        """Read manifests again whose stored digests are fewer or more than the declared chunks."""
+        now = clock.now()
+        services = self.fleet.table.configuration.services if self.fleet.table else ()
+        for engine in (item.engine for item in services if item.engine):
+            for model in engine.models:
+                version = newest_stored_version(self.fleet.replica, model)
+                digests = self.manifests.stored(model, version)
+                if not digests or not self.processes.is_reader(model, version):
+                    continue
+                number = len(digests) // DIGEST_BYTES
+                is_doubted = engine.chunk_count and number != engine.chunk_count
+                if is_doubted and self.manifests.starts_reading(model, version, digests, now):
+                    self.run_in_background(self.read_digests_again(model, version))
+
+    async def read_digests_again(self, model: str, version: int) -> None:
+        """Read doubted digests from the origin again, and replace them if it confirms others."""
+        self.known_digests(ChunkKey(model, version, DIGESTS_INDEX))
+        digests = await self.manifests.read_again(
+            model, version, lambda: self.fleet.newest_version(model) <= version
+        )
+        held = self.use_digests(model, version, digests) if digests else None
+        if digests and held:
+            self.manifests.replace(model, version, held, digests)
+            await self.manifests.write(model, version, digests)
+
+    def apply_stored_digests(self, entry: KeyValueEntry, now: float) -> None:
+        """Use the digests that another process has stored in place of other ones."""
+        if not entry.key.startswith(DIGESTS_PREFIX) or not entry.value:
+            return
+        model, _, number = entry.key.removeprefix(DIGESTS_PREFIX).rpartition("/")
+        if number.isdecimal() and self.manifests.follow(model, int(number), entry.value):
+            self.use_digests(model, int(number), entry.value)
+
+    def use_digests(self, model: str, version: int, digests: bytes) -> bytes | None:
+        """Use digests of a version in place of other ones, and drop what these have verified.
+
+        Returns:
+          The digests that were used before; None if no other ones were.
+        """
+        key = ChunkKey(model, version, DIGESTS_INDEX)
+        reader = self.readers.get((model, version))
+        held = self.cache.bodies.get(key) or (b"".join(reader.digests) if reader else b"")
+        if held in (b"", digests):
+            return None
+        changed = changed_chunks(held, digests)
+        self.cache.add(key, digests)
+        for index in changed:
+            self.cache.remove(ChunkKey(model, version, index))
+        if reader is not None:
+            reader.replace_digests(split_digests(digests), changed)
+        if self.fleet.newest_version(model) == version:
+            self.start_reading(model, version)
+        return held
+
     async def run_reader(self, reader: VersionReader) -> None:
         """Run a reader to its end, and forget it."""
         try:
@@ -207,7 +268,7 @@
         }
         for model, version in held:
             key = ChunkKey(model, version, DIGESTS_INDEX)
-            if key not in self.cache and self.missing_digests.working([str(key)], now):
+            if self.known_digests(key) is None and self.missing_digests.working([str(key)], now):
                 self.start_fetch(key)
 
     def find_unknown_versions(self) -> None:
@@ -258,7 +319,7 @@
         await asyncio.sleep(self.rng.uniform(0.0, LOST_DIGESTS_SECONDS))
         digests = self.cache.get(ChunkKey(model, version, DIGESTS_INDEX))
         if digests:
-            await write_digests(self.store, self.fleet.replica, model, version, digests)
+            await self.manifests.write(model, version, digests)
 
     async def serve_inventory(self, request: web.Request) -> web.StreamResponse:
         """Answer which chunks of a version this process holds, and which it is receiving."""
@@ -361,17 +422,19 @@
 
     async def get(self, key: ChunkKey) -> bytes | None:
         """Return a verified chunk, or the digests of a version; None if every source failed."""
-        cached = self.cache.get(key)
+        is_digests = key.index == DIGESTS_INDEX
+        cached = self.known_digests(key) if is_digests else self.cache.get(key)
         if cached is not None:
             return cached
-        if key.index == DIGESTS_INDEX and (
-            stored := stored_digests(self.fleet.replica, key.model, key.version)
-        ):
-            self.cache.add(key, stored)
-            return stored
         body: bytes | None = await asyncio.shield(self.start_fetch(key))
         return body
 
+    def known_digests(self, key: ChunkKey) -> bytes | None:
+        """Return the cached or stored digests of a version; None if there are none."""
+        if key not in self.cache and (stored := self.manifests.stored(key.model, key.version)):
+            self.cache.add(key, stored)
+        return self.cache.get(key)
+
     def start_fetch(self, key: ChunkKey) -> asyncio.Task[bytes | None]:
         """Return the running task that fetches a chunk; start one if there is none."""
         return self.fetching.get(key) or self.run_fetch(key, self.fetch(key))
@@ -386,17 +449,21 @@
 
     async def fetch(self, key: ChunkKey) -> bytes | None:
         """Fetch a chunk from one source after another, verify and cache it."""
-        digest = await self.digest_of(key)
-        if digest is None:
-            return None
         ends_at = clock.now() + FETCH_SECONDS
         for attempt in itertools.count():
+            # Digests may be replaced meanwhile.
+            digest = await self.digest_of(key)
+            if digest is None:
+                return None
             is_last = attempt >= DIGEST_ATTEMPTS if not digest else clock.now() > ends_at
             if is_last:
                 break
             result = await self.fetch_once(key, attempt)
             if isinstance(result, Success):
                 body: bytes = result.unwrap()
+                if not digest:
+                    # All processes use the stored ones, unless chunks have disproved them.
+                    body = self.known_digests(key) or body
                 if not digest or hashlib.sha256(body).digest() == digest:
                     self.cache.add(key, body)
                     return body
@@ -462,7 +529,7 @@
     async def fetch_digests_from_origin(
         self, model: str, version: int | None
     ) -> Result[bytes, str]:
-        """Fetch a manifest from the origin and write its digests to the store.
+        """Fetch a confirmed manifest from the origin and write its digests to the store.
 
         Processes that start later can then verify chunks without the origin.
 
@@ -470,16 +537,13 @@
           model: Name of the model.
           version: Version of its weights; None for the newest one that the origin has.
         """
-        origin = self.processes.origin()
-        if origin is None:
-            return Failure("no origin is declared")
-        manifest = await fetch_manifest(self.session, origin.origin, model, version)
-        digests = manifest.bind(lambda found: digests_of(found, model, version))
-        if isinstance(digests, Success):
-            number = manifest.unwrap().version
-            work = write_digests(self.store, self.fleet.replica, model, number, digests.unwrap())
-            self.run_in_background(work)
-        return digests
+        found = await self.manifests.read(model, version)
+        if not isinstance(found, Success):
+            return found.map(lambda _: b"")
+        manifest = found.unwrap()
+        digests = b"".join(manifest.digests)
+        self.run_in_background(self.manifests.write(model, manifest.version, digests))
+        return Success(digests)
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a task that nothing awaits."""
@@ -494,18 +558,3 @@
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
-
-
-def digests_of(manifest: WeightsManifest, model: str, version: int | None) -> Result[bytes, str]:
-    """Return the digests of a manifest, joined in the order of its chunks.
-
-    Args:
-      manifest: The manifest.
-      model: Expected model.
-      version: Expected version; None for any.
-    """
-    if manifest.model != model or version not in (None, manifest.version):
-        return Failure("the origin sent the manifest of another model or version")
-    if not manifest.digests or any(len(item) != DIGEST_BYTES for item in manifest.digests):
-        return Failure("the manifest has no digests or malformed ones")
-    return Success(b"".join(manifest.digests))
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -55,6 +55,8 @@
 the origin's chunks need the rest."""
 
 
+Doubt = Callable[[int, bytes], None]
+"""Receives a chunk of the origin that does not match its digest, by its index and body."""
 ReadChunk = Callable[[int, Callable[[], None]], Awaitable[Result[bytes, str]]]
 """Requests a chunk from the origin by its index; calls its second argument when the answer begins.
 """
@@ -92,6 +94,7 @@
       cache: Receives the chunks.
       link: The link to the origin.
       read_chunk: Requests a chunk from the origin.
+      doubt: Receives the chunks of the origin that do not match their digests.
       calls: Calls to other processes.
       requested: Chunks that other processes requested from this one as a reader.
       done: Chunks that this process has received, though they may be evicted by now.
@@ -121,6 +124,7 @@
         cache: ChunkCache,
         link: OriginLink,
         read_chunk: ReadChunk,
+        doubt: Doubt,
         calls: PeerCalls,
     ) -> None:
         self.model = model
@@ -132,6 +136,7 @@
         self.cache = cache
         self.link = link
         self.read_chunk = read_chunk
+        self.doubt = doubt
         self.calls = calls
         self.requested: set[int] = set()
         self.done: set[int] = set()
@@ -163,6 +168,16 @@
         self.requested.add(index)
         self.done.discard(index)
 
+    def replace_digests(self, digests: list[bytes], changed: set[int]) -> None:
+        """Read on with other digests; the chunks whose digests changed are missing again."""
+        self.digests = digests
+        self.done -= changed
+        self.requested &= set(range(len(digests)))
+        for index in changed:
+            del self.rejections[index]
+        self.corrupt_copies = {copy for copy in self.corrupt_copies if copy[1] not in changed}
+        self.progressed_at = clock.now()
+
     def missing(self, order: list[str]) -> list[int]:
         """Return the chunks that this process should still read or copy.
 
@@ -298,13 +313,15 @@
                 took = round(clock.now() - began, 3)
                 LOG.info("chunk.read", version=self.version, index=index, seconds=took)
                 return
+            self.doubt(index, result.unwrap())
         if answered:
             self.rejections[index] += 1
         await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     def accept(self, index: int, body: bytes) -> bool:
         """Cache a chunk if it is valid; False if not."""
-        if hashlib.sha256(body).digest() != self.digests[index]:
+        expected = self.digests[index] if index < len(self.digests) else b""
+        if hashlib.sha256(body).digest() != expected:
             metrics.CHUNKS.labels("corrupt").inc()
             LOG.warning("chunk.corrupt", model=self.model, version=self.version, index=index)
             return False
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -126,12 +126,29 @@
     "digests.stored": kind(
         "chunk digests of version {version} were written to the store", "model", "version"
     ),
+    "digests.replaced": kind(
+        "the origin's chunks did not match the stored digests of version {version}, which were"
+        " replaced",
+        "model",
+        "version",
+    ),
+    "digests.too-few": kind(
+        "version {version} has {digests} digests for {chunks} chunks and is not loaded",
+        "version",
+        "digests",
+        "chunks",
+    ),
     "digests.not-stored": kind(
         "chunk digests of version {version} could not be written to the store", "version", "error"
     ),
     "engine.ordered": kind(
         "the engine was ordered to load version {version}: {outcome}", "version", "outcome"
     ),
+    "manifest.differs": kind(
+        "the origin sent manifests of version {version} that differ; it is asked again",
+        "model",
+        "version",
+    ),
     "peer.changed": kind("readiness of {entry} changed to {ready}", "entry", "ready"),
     "entry.failed": kind("{entry} did not answer: {error}", "entry", "error"),
     "peer.discovered": kind("{entry} was discovered", "entry", "ready"),
--- a/verbenaward/replica/chunk_digests.py
+++ b/verbenaward/replica/chunk_digests.py
@@ -5,6 +5,8 @@
 or the origin.
 """
 
+from collections.abc import Collection
+
 from returns.result import Success
 
 from ..logs import get_logger
@@ -48,24 +50,38 @@
 
 
 async def write_digests(
-    store: KeyValueService, replica: StoreReplica, model: str, version: int, digests: bytes
+    store: KeyValueService,
+    replica: StoreReplica,
+    model: str,
+    version: int,
+    digests: bytes,
+    disproved: Collection[bytes] = (),
 ) -> None:
     """Write the digests of a version unless they are stored; then delete those of old versions.
 
+    Disproved digests are replaced on condition that they are still the stored ones.
+
     Args:
       store: The key-value store.
       replica: Local replica of it.
       model: Name of the model.
       version: Version of its weights.
       digests: Concatenated digests of its chunks, in order.
+      disproved: Digests of the version that are known to be wrong.
     """
-    if len(digests) > MAXIMUM_STORED_BYTES or stored_digests(replica, model, version):
+    held = replica.entries.get(digests_key(model, version))
+    replaced = held if held and held.value in disproved else None
+    if len(digests) > MAXIMUM_STORED_BYTES or (held and held.value and not replaced):
         return
-    result = await store.write(digests_key(model, version), digests, 0)
+    expected = replaced.revision if replaced else 0
+    result = await store.write(digests_key(model, version), digests, expected)
     if not isinstance(result, Success):
         if result.failure().failure is not KeyValueFailure.CONFLICT:
             LOG.warning("digests.not-stored", version=version, error=result.failure().message[:150])
         return
+    if replaced:
+        LOG.warning("digests.replaced", model=model, version=version, revision=result.unwrap())
+        return
     LOG.info("digests.stored", model=model, version=version, revision=result.unwrap())
     for old in outdated_entries(replica, model, version):
         await store.delete(old.key, old.revision)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -60,6 +60,7 @@
       has_answered: True once the engine has answered this process.
       early: Chunks that were fetched before, by index.
       late: Weights whose load was last logged as late; None for none.
+      short: Weights with fewer digests than declared chunks, as last logged; None for none.
       is_idle_logged: True if it was logged that no version is known to load.
     """
 
@@ -90,6 +91,7 @@
         self.has_answered = False
         self.early: dict[int, bytes] = {}
         self.late: HeldWeights | None = None
+        self.short: HeldWeights | None = None
         self.is_idle_logged = False
 
     async def run(self) -> None:
@@ -306,8 +308,8 @@
     ) -> bool:
         """Download and stage missing chunks; False if that ends without all of them.
 
-        It ends when other weights are wanted, or when no chunk has arrived for `ROUND_SECONDS`, as
-        the engine may have restarted without its staged chunks.
+        It ends when other weights are wanted, when the digests were replaced, or when no chunk has
+        arrived for `ROUND_SECONDS`, as the engine may have restarted without its staged chunks.
         """
         sink: Sink = partial(self.stage_chunk, wanted, digests)
         began = clock.now()
@@ -317,7 +319,7 @@
         try:
             while not running.done():
                 await asyncio.wait({running}, timeout=POLL_SECONDS)
-                if self.update_next_weights() != wanted:
+                if self.update_next_weights() != wanted or self.is_replaced(digests):
                     return False
                 if clock.now() - max(began, self.progressed_at) > ROUND_SECONDS:
                     return False
@@ -356,8 +358,9 @@
 
     async def digests_of(self, wanted: HeldWeights) -> VersionDigests | None:
         """Return a version's digests, from the store or an entry process; None on failure."""
-        if self.digests is not None and self.digests.weights == wanted:
-            return self.digests
+        known = self.digests
+        if known is not None and known.weights == wanted and not self.is_replaced(known):
+            return known
         body: bytes | None = stored_digests(self.replica, wanted.model, wanted.version)
         if not body:
             path = f"/weights/{wanted.model}/{wanted.version}"
@@ -369,9 +372,28 @@
         digests = tuple(
             body[start : start + DIGEST_BYTES] for start in range(0, len(body), DIGEST_BYTES)
         )
+        if self.lacks_chunks(wanted, len(digests)):
+            return None
         self.digests = VersionDigests(wanted, digests)
         return self.digests
 
+    def lacks_chunks(self, wanted: HeldWeights, count: int) -> bool:
+        """Return True, and log it once, if a version has fewer digests than declared chunks.
+
+        The engine would load the other chunks as they are, perhaps those of another version.
+        """
+        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
+        expected = declared.engine.chunk_count if declared and declared.engine else 0
+        if count < expected and self.short != wanted:
+            LOG.warning("digests.too-few", version=wanted.version, digests=count, chunks=expected)
+        self.short = wanted if count < expected else None
+        return count < expected
+
+    def is_replaced(self, known: VersionDigests) -> bool:
+        """Return True if the store holds other digests of a version: the origin's were wrong."""
+        stored = stored_digests(self.replica, known.weights.model, known.weights.version)
+        return bool(stored) and stored != b"".join(known.digests)
+
     def scheduled_at(self, wanted: HeldWeights) -> float | None:
         """Return when this engine should load newer weights, monotonic; None for at once."""
         held = max((item.version for item in self.held), default=0)
