A failing scenario: header values that are not UTF-8 lose bytes

Seen by callers: of the value caf\xe9 (ISO 8859-1, which HTTP/1.1 allows in a field) the backend received caf; a trial with raw sockets showed the same for an answer.

Cause: aiohttp decodes such bytes to surrogates, and its writer of headers leaves these out, in its client and its server.

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -47,6 +47,10 @@
     When a caller sends a request with the headers "X-R: 1, x-r: 2, X-R: 3, Cookie: a, cookie: b, X-R: 4"
     Then the backend received the target, the headers and the body as sent
 
+  Scenario: A header value that is not UTF-8 reaches its backend as sent
+    When a caller sends a request with a header value that is not UTF-8
+    Then the backend received the target, the headers and the body as sent
+
   Scenario: Headers of one connection do not pass the entry process
     When a caller sends a request with the headers "Connection: x-hop, X-Hop: 1, TE: trailers, Keep-Alive: 1"
     Then the backend received no header of the caller
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -142,6 +142,11 @@
     send(context, headers=[(name, value.encode()) for name, value in pairs])
 
 
+@when("a caller sends a request with a header value that is not UTF-8")
+def send_latin_1(context):
+    send(context, headers=[("X-R", b"caf\xe9")])
+
+
 @when("the backend answers with status {status:d}")
 def answers_with(context, status):
     context.reply = lambda: (status, [], [], b"", False)
