A request with a transfer coding other than chunked is refused

Seen by callers: a body sent with "Transfer-Encoding: gzip, chunked" reached its backend still in gzip and without the header that says so, and was answered with 200. Found by a trial with raw sockets.

Cause: the server undoes the chunks alone, and the header concerns one connection, so it is not forwarded.

Change: the direct mode answers 501, not run, as HTTP/1.1 asks of a server that does not understand a transfer coding.

The proxied mode is unchanged.

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -59,6 +59,12 @@
     When the backend answers with status 101
     Then the status is 502
 
+  # Guards against a body in a coding that its backend is not told of.
+  Scenario: A request with a transfer coding other than chunked is refused
+    When a caller sends a request with the transfer codings gzip and chunked
+    Then the status is 501
+    And the backend received nothing
+
   Scenario: Any request reaches its backend as sent
     Then random requests reach the backend as sent
 
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -44,7 +44,7 @@
     if not chunked:
         return ("Content-Length", b"%d" % len(body)), body
     sent = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\nX-Trailer: 1\r\n\r\n"
-    return ("Transfer-Encoding", b"chunked"), sent
+    return ("Transfer-Encoding", b"chunked" if chunked is True else chunked), sent
 
 
 async def read_message(reader, has_body=True):
@@ -147,6 +147,16 @@
     send(context, headers=[("X-R", b"caf\xe9")])
 
 
+@when("a caller sends a request with the transfer codings gzip and chunked")
+def send_transfer_coded(context):
+    send(context, body=b"text", chunked=b"gzip, chunked")
+
+
+@then("the backend received nothing")
+def received_nothing(context):
+    assert context.received is None, context.received
+
+
 @when("the backend answers with status {status:d}")
 def answers_with(context, status):
     context.reply = lambda: (status, [], [], b"", False)
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -168,11 +168,15 @@
         """Return the body of a request.
 
         Raises:
-          RefusedError: The body is too large, does not fit into the memory of the process or
-            arrives too slowly.
+          RefusedError: The body is too large, does not fit into the memory of the process, arrives
+            too slowly or is in a transfer coding other than chunked.
         """
         if not caller.body_exists:
             return b""
+        coding = caller.headers.get("Transfer-Encoding", "chunked")
+        if coding.strip().lower() != "chunked":
+            message = f"the transfer coding is not chunked alone: {coding[:80]!r}"
+            raise RefusedError(not_run(501, "transfer-coding", message))
         table = self.fleet.table
         # 4 MiB while no configuration is known.
         limit = table.configuration.limits.max_body_bytes if table else 4 * 1024 * 1024
