SIGHUP holds no daemon from starting

A SIGHUP in the first 0.35 s of a process ended it: the handler was installed once the event loop ran, after all imports and the reading of the settings; until then the signal has its default action.

The daemon module now imports nothing slow before it records SIGHUP, and reads its settings again once it has started if one came meanwhile, so that a changed file isn't missed either. The time from exec until Python runs the program can't be covered from within.

The new scenario (a daemon that waits for its settings gets SIGHUP) failed before and passes; operating.feature 17 passed.

--- a/tests/daemon_process.py
+++ b/tests/daemon_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import signal
 import sys
 import tempfile
@@ -13,6 +14,8 @@
 from verbenaward.schema.settings import DirectSettings
 
 READY_SECONDS = 10.0
+SIGNAL_SECONDS = 0.2
+"""Time after which a signal has been handled."""
 
 
 class DaemonProcess:
@@ -48,6 +51,22 @@
             command = (sys.executable, "-m", "verbenaward.daemon", str(self.settings_file))
             self.process = await asyncio.create_subprocess_exec(*command, stderr=log)
 
+    async def start_with_signal(self, number: signal.Signals) -> None:
+        """Start the process and send it a signal while it waits for its settings."""
+        text = self.settings_file.read_text()
+        sound = self.settings_file.with_suffix(".sound")
+        self.settings_file.rename(sound)
+        os.mkfifo(self.settings_file)
+        await self.start()
+        async with asyncio.timeout(READY_SECONDS):
+            pipe = await asyncio.to_thread(self.settings_file.open, "w")
+        sound.replace(self.settings_file)
+        self.send(number)
+        await asyncio.sleep(SIGNAL_SECONDS)
+        # A process that the signal has ended reads nothing.
+        with contextlib.suppress(BrokenPipeError), pipe:
+            pipe.write(text)
+
     async def wait_until_ready(self) -> None:
         """Wait until the process says that it is ready."""
         host, _, port = self.direct.readiness.rpartition(":")
--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -48,6 +48,12 @@
     When the logs are checked
     Then only the line without its field is found
 
+  # Guards against a reload that ends a process which starts, or is lost.
+  Scenario: A daemon that is told to reload while it reads its settings starts, and reads them again
+    Given the users' platform with two plain backends and two engines
+    When an entry process of its own gets SIGHUP while it reads its settings
+    Then it becomes ready, and has read its settings again
+
   # Guards against lines of connections, signals and the stop that cannot be told apart by process.
   Scenario: Every log line of a daemon names its VM and its role
     Given the users' platform with two plain backends and two engines
--- a/tests/steps/daemon_running.py
+++ b/tests/steps/daemon_running.py
@@ -25,6 +25,20 @@
     run(context, context.daemon.wait_until_ready())
 
 
+@when("an entry process of its own gets SIGHUP while it reads its settings")
+def signal_at_start(context):
+    context.daemon = DaemonProcess(context.platform)
+    context.add_cleanup(lambda: run(context, context.daemon.close()))
+    run(context, context.daemon.start_with_signal(signal.SIGHUP))
+
+
+@then("it becomes ready, and has read its settings again")
+def ready_and_reloaded(context):
+    run(context, context.daemon.wait_until_ready())
+    reloads = [line for line in context.daemon.lines() if line["event"] == "daemon.reload"]
+    assert [line["outcome"] for line in reloads] == ["taken"], reloads
+
+
 @when("it serves one request, refuses one and is told to stop")
 def serve_and_stop(context):
     async def serve():
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -1,18 +1,21 @@
 """The daemon: one process with one role.
 
 The command line is parsed with argparse, because the libraries of the command-line tool would
-take more memory than all state of the process.
+take more memory than all state of the process. All that is slow to import is imported when it is
+used, after SIGHUP is held.
 """
 
 import argparse
 import os
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from .configuration.settings import load_settings
-from .data import Fault
-from .logs import configure_logs, route_library_logs
-from .schema.settings import Settings
+from .early_signals import hold_reloads
+
+if TYPE_CHECKING:
+    from .data import Fault
+    from .schema.settings import Settings
 
 EXIT_BAD_SETTINGS = 2
 SETTINGS_VARIABLE = "VERBENAWARD_BOOT"
@@ -25,6 +28,8 @@
     given = build_parser().parse_args(arguments)
     if not given.settings_file:
         build_parser().error(f"no settings file: give its path or set {SETTINGS_VARIABLE} to it")
+    from .configuration.settings import load_settings
+
     path = Path(given.settings_file)
     checked = load_settings(path)
     if checked.value is None:
@@ -50,7 +55,7 @@
     return parser
 
 
-def format_faults(path: Path, faults: tuple[Fault, ...]) -> str:
+def format_faults(path: Path, faults: "tuple[Fault, ...]") -> str:
     """Format all faults of a settings file for the operator."""
     lines = [f"{path}: {len(faults)} fault(s); the daemon was not started"]
     for fault in faults:
@@ -61,7 +66,7 @@
     return "\n".join(lines) + "\n"
 
 
-def run(settings: Settings, settings_file: Path, log_level: str) -> None:
+def run(settings: "Settings", settings_file: Path, log_level: str) -> None:
     """Run a daemon until a signal stops it.
 
     Only the modules that the settings need are imported, to save memory.
@@ -71,6 +76,8 @@
       settings_file: File that they were read from.
       log_level: Lowest level that is logged.
     """
+    from .logs import configure_logs, route_library_logs
+
     configure_logs(log_level, vm=settings.vm, role=settings.role)
     route_library_logs()
     if settings.direct is not None:
@@ -85,6 +92,7 @@
 
 def run_from_command_line() -> None:
     """Run the daemon; entry point of the console script."""
+    hold_reloads()
     sys.exit(main(sys.argv[1:]))
 
 
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -13,6 +13,7 @@
 
 from .configuration.settings import load_settings
 from .data import Fault
+from .early_signals import take_held_reload
 from .logs import get_logger
 from .schema.settings import DirectSettings, Settings
 
@@ -78,6 +79,8 @@
         self.role = build_role(self.settings, direct)
         await self.role.start()
         LOG.info("daemon.started", listen=self.settings.listen)
+        if take_held_reload():
+            self.reload()
 
     def reload(self) -> None:
         """Read the settings file again; with an error in it the current settings stay in force."""
