FAILBACK: whoever receives fewer than half of the entry processes grants no limits

Cause: after 3 s of silence of the better processes each process took itself for the owner of a limit, also one that received nobody. Only sampled broadcasts (18 processes or more) had a check, of 8 peers, and it was passed over by the process of the best rank. Change: a process grants only if it receives broadcasts of at least half of the registered processes, itself included (direct/reach.py); in an even split, also of two, each half grants half of the rate; with sampled broadcasts the part is estimated. Up to 17 processes one that was cut off settles again, says in a broadcast that it may own limits, and grants once half of the processes and all that may own limits were received since. The check of 8 peers is replaced by this one. The last process of all grants nothing (of two: half) until the registry says that the others are gone.

--- a/tests/direct/limit_owners.feature
+++ b/tests/direct/limit_owners.feature
@@ -92,3 +92,31 @@
     Then the processes agreed on one owner in all that time
     And it gets no more in any 4 s than its limit allows
     And the limit is used again
+
+  Scenario Outline: <count> entry processes in parts of <parts> keep to the rate of a cold engine together
+    Given <count> entry processes, 1 engines and 200 requests a second for them
+    When they are split into parts of <parts>, and the engine is cold from 3.5 s to 10.5 s, and 10 s after
+    Then it gets fewer than 44 requests in any second
+    And at least <share> of its rate from 3.5 s to 7 s, and 0.9 in the last 4 s
+
+    Examples: single processes, even splits, larger parts
+      | count | parts    | share |
+      | 2     | 1, 1     | 0.9   |
+      | 3     | 2, 1     | 0.9   |
+      | 4     | 2, 1, 1  | 0.45  |
+      | 8     | 4, 4     | 0.9   |
+      | 9     | 6, 1, 1, 1 | 0.9 |
+      | 18    | 12, 5, 1 | 0.9   |
+      | 46    | 31, 15   | 0.9   |
+
+  Scenario Outline: The last of <count> entry processes grants <share> of a rate until the others' leases end
+    Given <count> entry processes, 1 engines and 200 requests a second for them
+    When the engine is cold for 30 s, and all but one are killed
+    Then <share> of the rate is used from 4 s to 6 s
+    And it gets fewer than 44 requests in any second
+    And 1 of the rate is used from 15 s to 25 s
+
+    Examples: by the number of processes
+      | count | share |
+      | 2     | 0.5   |
+      | 3     | 0     |
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -33,6 +33,7 @@
       exchange: State exchange under test.
       fault: One of the faults below; "" while it has none.
       failures: Failed calls in a row.
+      side: Processes of different sides do not reach each other; all reach the store.
     """
 
     def __init__(self, simulation, index, zone):
@@ -44,16 +45,21 @@
         self.exchange.peers.is_store_lost = lambda: self.failures > 0
         self.fault = ""
         self.failures = 0
+        self.side = 0
         self.is_fetching = False
 
     @property
     def replica(self):
         return self.exchange.replica
 
+    def reaches(self, other):
+        """Return True if messages between this process and another one arrive."""
+        return self.side == other.side and CUT_OFF not in (self.fault, other.fault)
+
     def sendto(self, payload, target):
         """Deliver a datagram to another process."""
         receiver = self.simulation.entries[target[1] - 9000]
-        if CUT_OFF in (self.fault, receiver.fault) or self.simulation.is_lost():
+        if not self.reaches(receiver) or self.simulation.is_lost():
             return
         source = ("127.0.0.1", int(self.exchange.settings.listen.rpartition(":")[2]))
         self.simulation.after(
@@ -78,7 +84,7 @@
     def fetch(self, peer):
         """Apply the changes that a peer has."""
         self.is_fetching = False
-        if CUT_OFF in (self.fault, peer.fault):
+        if not self.reaches(peer):
             return
         self.replica.apply(peer.replica.changes_after(self.replica.position), self.simulation.now)
 
--- a/tests/simulated_limits.py
+++ b/tests/simulated_limits.py
@@ -215,7 +215,7 @@
         """Register the engines, or change their registrations."""
         common = {"service": "engines", "zone": "z", "slots": 12, "state": "ready", "born": 1}
         for port, name in enumerate(self.engines, 1):
-            cold = {"address": f"h:{port}", "cold_remaining_ms": cold_seconds * 1000}
+            cold = {"address": f"h:{port}", "cold_remaining_ms": round(cold_seconds * 1000)}
             self.write(f"servers/{name}", {**common, **cold})
 
     def tell_all_but_owner(self, seconds):
--- a/tests/steps/limit_owners.py
+++ b/tests/steps/limit_owners.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter
 from functools import partial
-from itertools import pairwise
+from itertools import islice, pairwise
 from unittest import mock
 
 from behave import given, then, when
@@ -20,6 +20,7 @@
     most_in_a_window,
 )
 from verbenaward import clock
+from verbenaward.direct.role import LEASE_SECONDS
 from verbenaward.direct.send_limiter import SendLimiters
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.names import ENTRY_PREFIX
@@ -350,3 +351,64 @@
     count = len(context.simulation.network.entries)
     assert len(context.simulation.sent) <= messages * count * seconds
     assert 0 < sum(sent.values()) <= mean * count and max(sent.values()) <= most, sent
+
+
+@when(
+    "they are split into parts of {parts}, and the engine is cold from 3.5 s to 10.5 s, "
+    "and 10 s after"
+)
+def split(context, parts):
+    simulation = context.simulation
+    entries = iter(simulation.network.entries)
+    for side, size in enumerate(parts.split(", ")):
+        for entry in islice(entries, int(size)):
+            entry.side = side
+    go_on(context, 3.5)
+    simulation.register(18)
+    context.started = simulation.network.now
+    go_on(context, 7.0)
+    for entry in simulation.network.entries:
+        entry.side = 0
+    go_on(context, 10.0)
+
+
+@when("the engine is cold for {seconds:g} s, and all but one are killed")
+def all_but_one_killed(context, seconds):
+    simulation = context.simulation
+    simulation.register(seconds)
+    go_on(context, 1.0)
+    context.started = simulation.network.now
+    last, *others = range(len(simulation.network.entries))
+    for index in others:
+        simulation.shares[index] = 0
+        simulation.network.entries[index].fault = CUT_OFF
+        key = ENTRY_PREFIX + simulation.network.entries[index].exchange.settings.listen
+        simulation.network.after(LEASE_SECONDS, partial(simulation.write, key, None))
+    simulation.shares[last] = 1
+    simulation.network.run_until(context.started + seconds - 1.0)
+
+
+def rate_used(context, start, end):
+    return context.simulation.used(context.started + start, context.started + end) / (
+        COLD_PER_SECOND * (end - start)
+    )
+
+
+@then("it gets fewer than {count:d} requests in any second")
+def in_any_second(context, count):
+    times = context.simulation.reached["e-0"]
+    # The registration takes some milliseconds to each process.
+    most = most_in_a_window([at for at in times if at >= context.started + 0.2], 1.0)
+    assert most < count, most
+
+
+@then("at least {share:g} of its rate from {start:g} s to {end:g} s, and {last:g} in the last 4 s")
+def rate_used_at_least(context, share, start, end, last):
+    found = rate_used(context, start, end), rate_used(context, 13.0, 17.0)
+    assert found[0] >= share and found[1] >= last, found
+
+
+@then("{share:g} of the rate is used from {start:g} s to {end:g} s")
+def rate_used_exactly(context, share, start, end):
+    found = rate_used(context, start, end)
+    assert 0.9 * share <= found <= 1.1 * share, found
--- a/verbenaward/direct/broadcast/limits.py
+++ b/verbenaward/direct/broadcast/limits.py
@@ -17,7 +17,7 @@
     def fields(self, now: float) -> dict[str, Any]:
         """Return the known limits, and whether this process grants sends."""
         limits = self.state.limits
-        limits.readiness.observe(self.state.is_ready(), now)
+        limits.observe(self.state.is_ready(), now)
         return {
             "limits": limits.reports(now),
             "knows_limits": True,
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -11,18 +11,24 @@
 from dataclasses import dataclass
 
 from .. import clock
+from ..logs import get_logger
 from ..placement.backend_notices import IncarnationNotices, NoticeBook
 from ..schema.messages import LimitReply, LimitRequest, Pulse, ReportedLimit
 from .entry_peers import EntryPeer
 from .limit_owners import Readiness, is_candidate, is_owner, may_still_own, owner_of
+from .reach import HALF
 from .send_limiter import SendLimiters
-from .silent_owners import REPLY_SECONDS, SilentOwners, hears_enough
+from .silent_owners import REPLY_SECONDS, SilentOwners
 
+LOG = get_logger(__name__)
 UNANSWERED_SECONDS = 1.0
 """Time after which an owner that has not answered is asked again."""
 NOT_OWNER_SECONDS = 0.3
 """Time after which to ask again if no process owns the limit, or the one that was asked does not:
 the views of the processes differ for a moment."""
+HEALED_SECONDS = 1.2
+"""Time after an even split for which one half is still granted: the other owner has sent
+a broadcast by then."""
 MAXIMUM_PROBED = 2
 """Better processes up to which this one finds out whether they are there, when it is asked in their
 place. It is asked so only after others have found the better ones silent."""
@@ -45,12 +51,15 @@
       by_control: Peers by control address.
       is_sampled: Returns True if each broadcast reaches a sample of the peers only.
       send: Sends a message to the process with a control address.
+      share: Returns the share of each shared amount that this process may grant, by the present
+        time and the time from which on messages of peers count.
     """
 
     own: str
     by_control: dict[str, EntryPeer]
     is_sampled: Callable[[], bool]
     send: Callable[[Pulse, str], None]
+    share: Callable[[float, float], float]
 
 
 class LimitGrants:
@@ -62,6 +71,8 @@
       readiness: Since when this process may own limits.
       limiters: Sends that this process has granted.
       silent: Processes that were asked and have not answered or sent anything since.
+      partial_at: When this process last found that it may not grant whole limits, monotonic.
+      logged_share: Share of the limits that it may grant by the last log line.
       pending: Called with the time to wait, by the number of the question.
     """
 
@@ -71,10 +82,25 @@
         self.readiness = Readiness()
         self.limiters = SendLimiters()
         self.silent = SilentOwners()
+        self.partial_at = -math.inf
+        self.logged_share = 1.0
         self.pending: dict[int, Callable[[float], None]] = {}
         # An answer to an earlier incarnation of this process must not match a question of this one.
         self.number = random.randrange(2**30)
 
+    def observe(self, is_ready: bool, now: float) -> None:
+        """Record whether this process is ready; called with each full broadcast.
+
+        One that was cut off must settle again, as its view of the peers is old. With sampled
+        broadcasts all would go on asking it meanwhile, so it grants as soon as it is back.
+        """
+        share = self.peers.share(now, -math.inf)
+        if share != self.logged_share:
+            LOG.info("limits.share", share=share)
+            self.logged_share = share
+        is_connected = self.peers.is_sampled() or share > 0
+        self.readiness.observe(is_ready and is_connected, now)
+
     async def admits(self, notices: IncarnationNotices) -> bool:
         """Return True if a request may be sent to a backend now.
 
@@ -170,11 +196,30 @@
             return 0.0
         if not self.readiness.is_settled(now) or self.has_rival(notices.name, now):
             return NOT_OWNER_SECONDS
-        return self.limiters.acquire(notices.name, notices.limit_per_second(now), asker, now)
+        share = self.share(now)
+        if not share:
+            return NOT_OWNER_SECONDS
+        per_second = share * notices.limit_per_second(now)
+        return self.limiters.acquire(notices.name, per_second, asker, now)
+
+    def share(self, now: float) -> float:
+        """Return the share of limits that this process may grant.
+
+        Messages of peers from before it announced itself do not show that they know of it.
+        """
+        if self.peers.is_sampled():
+            return self.peers.share(now, -math.inf)
+        share = self.peers.share(now, self.readiness.announced_at)
+        if share < 1.0:
+            self.partial_at = now
+        elif now - self.partial_at < HEALED_SECONDS:
+            return HALF
+        return share
 
     def has_rival(self, name: int, now: float) -> bool:
         """Return True if a better process than this one may own a limit.
 
+        A worse one is a rival too until it is known to have received that this process owns it.
         With sampled broadcasts, this process replaces better ones that have not answered it for
         long, and goes on asking whether they are there.
         """
@@ -183,14 +228,21 @@
             peer
             for peer in self.peers.by_control.values()
             if may_still_own(peer, is_sampled, now)
-            and not is_owner(name, self.peers.own, [peer.control])
+            and not (self.is_known_to(peer) and is_owner(name, self.peers.own, [peer.control]))
         ]
         if not better or not is_sampled:
             return bool(better)
         present = [peer for peer in better if not self.silent.is_replaced(peer, now)]
         if len(present) <= MAXIMUM_PROBED:
             self.probe([peer for peer in better if self.silent.is_probe_due(peer, now)], now)
-        return bool(present) or not hears_enough(self.peers.by_control.values(), now)
+        return bool(present)
+
+    def is_known_to(self, peer: EntryPeer) -> bool:
+        """Return True if a peer has been in contact since this process announced itself.
+
+        With sampled broadcasts the registrations decide, so that no announcement is needed.
+        """
+        return self.peers.is_sampled() or peer.received_at > self.readiness.announced_at
 
     def probe(self, peers: list[EntryPeer], now: float) -> None:
         """Ask peers whether they are there."""
--- a/verbenaward/direct/limit_owners.py
+++ b/verbenaward/direct/limit_owners.py
@@ -27,10 +27,13 @@
     Attributes:
       ready_since: Monotonic; infinite while it is not ready.
       observed_at: When that was last observed, monotonic.
+      announced_at: When a broadcast first said that it may own limits; infinite if none has. A
+        process that learns of a better owner stops before that one begins.
     """
 
     ready_since: float = math.inf
     observed_at: float = -math.inf
+    announced_at: float = math.inf
 
     def observe(self, is_ready: bool, now: float) -> None:
         """Record whether the process is ready; called with each full broadcast."""
@@ -39,12 +42,14 @@
             self.ready_since = math.inf
         elif has_stalled or self.ready_since == math.inf:
             self.ready_since = now
+        is_settled = now - self.ready_since >= SETTLING_SECONDS
+        self.announced_at = min(self.announced_at, now) if is_settled else math.inf
         self.observed_at = now
 
     def is_settled(self, now: float) -> bool:
         """Return True if this process may own limits."""
         is_running = now - self.observed_at <= STALL_SECONDS
-        return is_running and now - self.ready_since >= SETTLING_SECONDS
+        return is_running and now >= self.announced_at
 
 
 def is_candidate(peer: EntryPeer, is_sampled: bool, now: float) -> bool:
--- a/verbenaward/direct/silent_owners.py
+++ b/verbenaward/direct/silent_owners.py
@@ -6,10 +6,9 @@
 have had no answer for longer than any stall that leaves the owner in charge.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .entry_peers import OTHER_GROUP_ALIVE_SECONDS, EntryPeer
+from .entry_peers import EntryPeer
 from .limit_owners import STALL_SECONDS
 
 REPLY_SECONDS = 0.1
@@ -21,10 +20,6 @@
 """Interval of the questions by which a process checks whether the owner answers again."""
 MINIMUM_UNANSWERED = 3
 """Questions without an answer after which an owner may be replaced; a few may be lost."""
-MINIMUM_HEARD_PEERS = 8
-"""Peers whose broadcasts a process must have received lately to replace an owner: it may be cut off
-itself. Each process receives about 16 broadcasts in 0.3 to 1 s, as each full broadcast goes to 16
-peers."""
 
 
 @dataclass(slots=True)
@@ -101,12 +96,3 @@
         """Return True if a peer is to be asked whether it is there."""
         silence = self.silence_of(peer)
         return silence is None or now - silence.last_at >= PROBE_SECONDS
-
-
-def hears_enough(peers: Iterable[EntryPeer], now: float) -> bool:
-    """Return True if recent broadcasts of enough peers show that this process is not cut off."""
-    heard = sum(
-        peer.last_broadcast is not None and now - peer.received_at < OTHER_GROUP_ALIVE_SECONDS
-        for peer in peers
-    )
-    return heard >= MINIMUM_HEARD_PEERS
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -31,6 +31,7 @@
 from .entry_peers import EntryPeer, chosen_watchers, is_older
 from .limit_grants import LimitGrants, Peers
 from .peer_table import MAXIMUM_TARGETS, PeerTable
+from .reach import RECEIVED_SECONDS, Sampling, grantable_share
 
 LOG = get_logger(__name__)
 MINIMUM_FULL_BROADCAST_SECONDS = 0.3
@@ -60,6 +61,7 @@
       sequence: Number of the last message sent.
       is_urgent: True if a full broadcast is to be sent at once.
       next_full_at: When the next periodic full broadcast is due, monotonic.
+      full_interval: Time from the last full broadcast to the next periodic one, in seconds.
       next_delta_at: When the allowed rate permits the next load delta, monotonic.
       sent_loads: Loads in the last message sent, by backend.
       sent_position: Position in the store's history in the last full broadcast sent.
@@ -104,6 +106,7 @@
                 self.peers.by_control,
                 lambda: self.peers.is_sampled,
                 lambda message, control: self.send_to(message, control),
+                lambda now, since: self.grantable_share(now, since),
             ),
         )
         self.sections = sections_of(
@@ -128,6 +131,7 @@
         self.is_urgent = False
         self.rng = random.Random()
         self.next_full_at = 0.0
+        self.full_interval = MAXIMUM_FULL_BROADCAST_SECONDS
         self.next_delta_at = 0.0
         self.sent_loads: dict[int, BackendLoad] = {}
         self.sent_position = Position()
@@ -225,6 +229,18 @@
             now + MINIMUM_FULL_BROADCAST_SECONDS,
             min(affordable_at, now + MAXIMUM_FULL_BROADCAST_SECONDS),
         )
+        self.full_interval = self.next_full_at - now
+
+    def grantable_share(self, now: float, since: float) -> float:
+        """Return the share of each shared amount that this process may grant.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+          since: Time from which on messages of peers count, monotonic.
+        """
+        peers = self.peers.by_control.values()
+        since = max(since, now - RECEIVED_SECONDS)
+        return grantable_share(peers, Sampling(MAXIMUM_TARGETS, self.full_interval), since, now)
 
     def send_load_delta(self, now: float) -> None:
         """Send the loads that have changed since the last message to the peer group."""
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -132,6 +132,9 @@
     "engine.ordered": kind(
         "the engine was ordered to load version {version}: {outcome}", "version", "outcome"
     ),
+    "limits.share": kind(
+        "this process may grant {share} of the limits that it owns, by the peers in reach", "share"
+    ),
     "peer.changed": kind("readiness of {entry} changed to {ready}", "entry", "ready"),
     "entry.failed": kind("{entry} did not answer: {error}", "entry", "error"),
     "peer.discovered": kind("{entry} was discovered", "entry", "ready"),
