--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -149,6 +149,9 @@
         "model",
         "version",
     ),
+    "limits.share": kind(
+        "this process may grant {share} of the limits that it owns, by the peers in reach", "share"
+    ),
     "peer.changed": kind("readiness of {entry} changed to {ready}", "entry", "ready"),
     "entry.failed": kind("{entry} did not answer: {error}", "entry", "error"),
     "peer.discovered": kind("{entry} was discovered", "entry", "ready"),
