A backend that starts with an earlier time of day is used once its old registration ends

Of several incarnations at one address the one that started last by its time of day is kept.

What is left out is recorded, and replaces the registration for which it was left out once that ends, or lapses, if the store took it later. One that it took earlier is of a process that had ended by then, and stays out.

--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -22,6 +22,7 @@
 from .backend_notices import NoticeBook, record_notice
 from .backends import BackendView
 from .evacuations import Evacuations
+from .left_out import LeftOutRegistrations
 from .regions import UnknownRegions
 from .routes import RouteTable, route_table_of
 from .warm_up import WarmUpLog, rate_while_cold
@@ -73,6 +74,7 @@
       table: Routes in force; None before a configuration is known.
       backends: Backends by identity.
       by_service: Backends by service.
+      left_out: Registrations that are not in use, as of an earlier incarnation.
       versions: Target versions of each model, the newest last.
       version_listeners: Called with the model and version of each target version that is set while
         this process runs.
@@ -89,6 +91,7 @@
         self.table: RouteTable | None = None
         self.backends: dict[str, BackendView] = {}
         self.by_service: dict[str, list[BackendView]] = {}
+        self.left_out = LeftOutRegistrations()
         self.versions: dict[str, list[LearnedVersion]] = {}
         self.version_listeners: list[Callable[[str, int], None]] = []
         self.store_failed_at = 0.0
@@ -143,6 +146,7 @@
     def apply_registration(self, entry: KeyValueEntry, now: float) -> None:
         """Apply the registration of a backend, or its deletion."""
         identity = entry.key.removeprefix(BACKEND_PREFIX)
+        self.left_out.forget(identity)
         if not entry.value:
             self.handle_deregistration(identity, now)
             return
@@ -188,6 +192,7 @@
         for view in self.others_at_address(backend):
             if view.backend.born_unix_ms > backend.born_unix_ms > 0:
                 self.remove(backend.identity)
+                self.left_out.record(backend)
                 return
             if 0 < view.backend.born_unix_ms < backend.born_unix_ms:
                 LOG.info("backend.gone", backend=view.backend.identity)
@@ -331,6 +336,10 @@
         view = self.backends.get(identity)
         if view is None:
             return
+        successor = self.left_out.successor_of(view.backend)
+        if successor is not None:
+            self.replace_ended(view.backend, successor, now)
+            return
         in_use_until = self.store_returned_at() + LAPSED_GRACE_SECONDS
         if now < in_use_until:
             view.lapsed_until = in_use_until
@@ -339,6 +348,14 @@
         LOG.info("backend.gone", backend=identity)
         self.remove(identity)
 
+    def replace_ended(self, ended: Backend, successor: str, now: float) -> None:
+        """Use the registration that was left out for one that has ended."""
+        LOG.info("backend.gone", backend=ended.identity)
+        self.remove(ended.identity)
+        entry = self.replica.entries.get(BACKEND_PREFIX + successor)
+        if entry is not None:
+            self.apply_registration(entry, now)
+
     def store_returned_at(self) -> float:
         """Return when the store last returned from an outage or a copy, monotonic.
 
