A registration that the store carries out late stays as long as it is renewed

A write of a registration without an answer was tried again under a new lease. If the store then carried out the first one, seconds late, the key was bound to its lease, which nobody renewed: it expired, the process renewed the second lease and stayed unregistered.

The lease is recorded before the write, and the next try renews it and writes under it, so a late write changes nothing; ending the registration ends this lease too, and a write that comes after it names an unknown lease and is rejected. `del` of a lease that was ended while a renewal was under way, a KeyError, is gone with it. A key that is missing for another reason is still not noticed.

--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -70,7 +70,9 @@
     Attributes:
       session: HTTP client.
       url: Base URL of the store.
-      leases: Lease of each key that this process keeps alive.
+      leases: Lease of each key that this process keeps alive, also while it is not known whether
+        the key was written.
+      written: Keys that were written under their lease.
       era: Era of the store in its last answer that has told one; 0 before that.
     """
 
@@ -78,6 +80,7 @@
         self.session = session
         self.url = url.rstrip("/")
         self.leases: dict[str, Lease] = {}
+        self.written: set[str] = set()
         self.era = 0
 
     async def read(self, key: str) -> Result[KeyValueEntry | None, KeyValueError]:
@@ -141,6 +144,8 @@
     ) -> Result[int, KeyValueError]:
         """Renew the lease of a key of this process, or write the key if the lease has expired.
 
+        A write without an answer may be carried out seconds later, so the next try uses its lease.
+
         Args:
           key: The key; no other process may write it.
           value: Value; a renewal does not write it again.
@@ -153,25 +158,31 @@
         if lease is not None:
             renewed = await self.call("POST", f"/kv-keep/{lease.id}")
             if isinstance(renewed, Success):
-                if renewed.unwrap().era == lease.era:
+                if renewed.unwrap().era != lease.era:
+                    lease = None
+                elif key in self.written:
                     return Success(0)
-            elif renewed.failure().failure is not KeyValueFailure.CONFLICT:
+            elif renewed.failure().failure is KeyValueFailure.CONFLICT:
+                lease = None
+            else:
                 return renewed.map(lambda _: 0)
-            del self.leases[key]
-        granted = await self.grant_lease(ttl_seconds)
-        if not isinstance(granted, Success):
-            return granted.map(lambda lease: lease.id)
-        lease = granted.unwrap()
+        if lease is None:
+            granted = await self.grant_lease(ttl_seconds)
+            if not isinstance(granted, Success):
+                return granted.map(lambda lease: lease.id)
+            lease = self.leases[key] = granted.unwrap()
+            self.written.discard(key)
         result = await self.commit(
             {"precondition": [], "write": [write_row(key, value, lease.id)], "remove": []}
         )
-        if isinstance(result, Success):
-            self.leases[key] = lease
+        if isinstance(result, Success) and self.leases.get(key) == lease:
+            self.written.add(key)
         return result
 
     async def end_lease(self, key: str) -> Result[int, KeyValueError]:
         """End the lease of a key of this process, which deletes the key."""
         lease = self.leases.pop(key, None)
+        self.written.discard(key)
         if lease is None or lease.era != self.era:
             return Success(0)
         path = f"/kv-lease-end/{lease.id}"
