--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -1,8 +1,8 @@
 """Runs the sends of one request: a silent send is kept until a successor answers.
 
-A backend may be silent for a moment and go on. So a send that is silent for too long is not
+A backend may be silent for a moment and then continue. So a send that is silent for too long is not
 cancelled: another backend gets the request beside it, if the route, the retry budget and a free
-slot allow that. The first of them that goes on supersedes the others.
+slot allow that. The first of them that continues supersedes the others.
 """
 
 import asyncio
@@ -20,7 +20,7 @@
 """Time from the first to the second look for a successor of silent sends; it doubles each time."""
 MAXIMUM_SUCCESSOR_POLL_SECONDS = 0.4
 LATE_WAKE_SECONDS = 0.3
-"""A wait that ends so much later shows that this process stood still, not that its backends did.
+"""A wait that ends so much later shows that this process was suspended, not that its backends were.
 Silence counts again after the same time, in which what they sent meanwhile is read."""
 SILENCE_POLL_SECONDS = 0.5
 """Longest time between two looks at the silence of the sends."""
@@ -76,7 +76,7 @@
       cancelled: Tasks of superseded sends.
       next_look_at: Time before which no successor is looked for, monotonic.
       look_seconds: Time from the next look for a successor to the one after it.
-      silence_counts_from: Time before which no silence counts, as this process stood still.
+      silence_counts_from: Time before which no silence counts, as this process was suspended.
     """
 
     def __init__(
@@ -230,7 +230,7 @@
         return answer.status < SERVER_ERROR and not self.progress.is_delivering
 
     def supersede_others(self, send: Send) -> bool:
-        """Cancel all other sends, as one goes on; return False if that one was cancelled."""
+        """Cancel all other sends, as one continues; return False if that one was cancelled."""
         if send.is_superseded:
             return False
         for other, task in list(self.running.items()):
--- a/verbenaward/direct/budget.py
+++ b/verbenaward/direct/budget.py
@@ -56,7 +56,7 @@
       opening_share: Share in the first window of a process of a fleet that begins; None for any
         other process.
       is_opening_complete: True once no process can join those that begin the fleet.
-      incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
+      incarnation: Start time of this process in nanoseconds, by which peers detect a restart.
       grants: Parts of the budget given to other processes, and received from them.
     """
 
--- a/verbenaward/direct/budget_membership.py
+++ b/verbenaward/direct/budget_membership.py
@@ -1,4 +1,4 @@
-"""Tells the retry budget of a process to which fleet it belongs, from the content of the store."""
+"""Derives from the content of the store to which fleet a process belongs, for its budget."""
 
 import asyncio
 from collections.abc import Callable
@@ -33,7 +33,7 @@
       replica: Local replica of the key-value store.
       store: The store.
       control: Control address of this process.
-      is_leaving: Returns True once this process has been told to stop.
+      is_leaving: Returns True once this process was ordered to stop.
       written: Last opening that this process has written; the replica may not have it yet.
     """
 
--- a/verbenaward/direct/budget_opening.py
+++ b/verbenaward/direct/budget_opening.py
@@ -76,7 +76,7 @@
     Attributes:
       records: Registrations of the entry processes, by control address.
       position: Position of the store up to which every change was read; 0 for none.
-      era: Era of the store; 0 if the store does not tell.
+      era: Era of the store; 0 if unknown.
     """
 
     records: Mapping[str, KeyValueEntry]
@@ -105,7 +105,7 @@
 def opening_due(
     opening: Opening | None, registrations: Registrations, starter: Starter
 ) -> Opening | None:
-    """Return what this process writes in place of the opening it knows; None for nothing now."""
+    """Return what this process writes in place of the known opening; None for nothing now."""
     known = opening or Opening()
     own = starter.control
     if known.is_complete or registrations.incarnation(own) != starter.incarnation:
--- a/verbenaward/direct/delivery.py
+++ b/verbenaward/direct/delivery.py
@@ -60,7 +60,7 @@
         return self.position.last_event_id
 
     async def open(self, headers: CIMultiDict[str]) -> None:
-        """Send the headers of the first backend that sent an event to the caller."""
+        """Send the headers of the first backend whose event is forwarded to the caller."""
         self.progress.is_delivering = True
         self.response = web.StreamResponse(status=OK, headers=headers)
         if self.held.budget.is_limited:
@@ -85,7 +85,7 @@
         position = dataclasses.replace(self.position)
         size = position.advance(received)
         has_events = any(event.end <= size for event in received.events)
-        # A part that begins anew, or line ends alone, must not supersede the send that may go on.
+        # A part that begins anew, or line ends alone, must not supersede a send that may continue.
         if has_events and not await self.take_over(attempt):
             return False
         if size and self.speaker is attempt:
@@ -101,7 +101,7 @@
         return has_events
 
     async def take_over(self, attempt: StreamAttempt) -> bool:
-        """Let a send go on with the stream from now on; False if another one does already."""
+        """Let a send continue the stream from now on; False if another one does already."""
         if not attempt.send.claim():
             return False
         attempt.end_start_deadline()
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -57,7 +57,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Return True once the process has been told to stop."""
+        """Return True once the process was ordered to stop."""
         return self.drain.times is not None
 
     async def handle(self, caller: web.Request) -> web.StreamResponse:
--- a/verbenaward/direct/limit_grants.py
+++ b/verbenaward/direct/limit_grants.py
@@ -92,7 +92,7 @@
         """Record whether this process is ready; called with each full broadcast.
 
         One that was cut off must settle again, as its view of the peers is old. With sampled
-        broadcasts all would go on asking it meanwhile, so it grants as soon as it is back.
+        broadcasts all would continue to ask it meanwhile, so it grants at once after a cut.
         """
         share = self.peers.share(now, -math.inf)
         if share != self.logged_share:
--- a/verbenaward/direct/peer_table.py
+++ b/verbenaward/direct/peer_table.py
@@ -53,7 +53,7 @@
       settings: Settings of the process.
       replica: Local replica of the key-value store.
       is_store_lost: Returns True if this process's last call to the store failed.
-      is_leaving: Returns True once this process has been told to stop.
+      is_leaving: Returns True once this process was ordered to stop.
       by_control: Peers by their control address.
       rng: Shuffles the peers that are asked.
     """
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -163,7 +163,7 @@
         )
 
     def superseded(self, request: Request, view: BackendView, by: BackendView) -> None:
-        """Log that a send is cancelled, as another backend goes on with the answer."""
+        """Log that a send is cancelled, as another backend continues the answer."""
         self.write(
             self.failures,
             "request.superseded",
--- a/verbenaward/direct/sends.py
+++ b/verbenaward/direct/sends.py
@@ -70,7 +70,7 @@
       answer_began_at: When the head of the answer arrived, monotonic; 0 while it has not.
       silent_at: Time from which it counts as silent, monotonic; infinite for never.
       is_recorded_silent: True while its backend is recorded as unresponsive for its silence.
-      is_superseded: True once another send goes on in its place, so that nothing of it may be
+      is_superseded: True once another send continues in its place, so that nothing of it may be
         forwarded.
       claim: Called before a part of its answer is forwarded; it supersedes the other sends, and
         returns False if this one was superseded.
--- a/verbenaward/direct/state_exchange.py
+++ b/verbenaward/direct/state_exchange.py
@@ -57,7 +57,7 @@
       limits: Grants of sends to backends that name a limit.
       budget: Retry budget of this process.
       sections: Kinds of state that full broadcasts carry.
-      incarnation: Start time of this process in nanoseconds, by which peers tell a restart.
+      incarnation: Start time of this process in nanoseconds, by which peers detect a restart.
       sequence: Number of the last message sent.
       is_urgent: True if a full broadcast is to be sent at once.
       next_full_at: When the next periodic full broadcast is due, monotonic.
--- a/verbenaward/direct/stream_attempt.py
+++ b/verbenaward/direct/stream_attempt.py
@@ -81,7 +81,7 @@
             self.limit.reschedule(cancel_at)
 
     def end_start_deadline(self) -> None:
-        """Let it go on, however old its weights become: it has begun."""
+        """End its start deadline: it has begun, so its weights may become too old for new ones."""
         self.has_begun = True
         if self.limit is not None:
             self.limit.reschedule(None)
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -169,7 +169,7 @@
         if was_reset(answer) or attempt.parser.unfinished_bytes:
             return attempt.broken("the stream was cut off")
         if not await delivery.take_over(attempt):
-            return FailedAttempt(FailureKind.SILENT, True, "another backend goes on")
+            return FailedAttempt(FailureKind.SILENT, True, "another backend continues the stream")
         assert delivery.response is not None
         send.silent_at = math.inf
         try:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 COMMON_FIELDS = ("vm", "role")
-"""Fields that each line has, whatever its event."""
+"""Fields that the lines of all events have."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +55,7 @@
         "backend", "version", "required",
     ),
     "request.superseded": kind(
-        "the send to {backend} was cancelled, as {by} goes on with the answer", "backend", "by"
+        "the send to {backend} was cancelled, as {by} continues the answer", "backend", "by"
     ),
     "request.cancelled": kind("the caller disconnected"),
     "request.cut": kind(
--- a/verbenaward/placement/backends.py
+++ b/verbenaward/placement/backends.py
@@ -307,7 +307,7 @@
         self.backoff_until = max(self.backoff_until, self.unresponsive_until)
 
     def record_responsive(self, now: float) -> None:
-        """Record that it goes on after a silence: the backoff for that ends."""
+        """Record that it answers again after a silence: the backoff for that ends."""
         if self.backoff_until <= self.unresponsive_until:
             self.backoff_until = min(self.backoff_until, now)
         self.unresponsive_until = min(self.unresponsive_until, now)
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -331,7 +331,7 @@
 
         After an outage or a restore of the store it may have lapsed, and stays in use until
         `LAPSED_GRACE_SECONDS` after the store's return, as it may register again. One that leaves
-        cannot be told from it.
+        cannot be distinguished from it.
         """
         view = self.backends.get(identity)
         if view is None:
