--- a/bench/soak_rows.py
+++ b/bench/soak_rows.py
@@ -24,6 +24,10 @@
 KILL_INTERVAL_SECONDS = 4.0
 ROLL_INTERVAL_SECONDS = 1.5
 STOP_SECONDS = 3.0
+SECOND_SIGNAL_SECONDS = 1.0
+"""From one SIGTERM to the next one to the same process, which is in its planned stop by then."""
+REPEATED_INTERVAL_SECONDS = 9.0
+"""From one process to the next one: longer than the grace period."""
 
 Trouble = Callable[[SoakDeployment, random.Random], Awaitable[None]]
 """Disturbs a deployment from the start of the traffic until it is cancelled."""
@@ -65,6 +69,11 @@
         ("silence", "sigterm"),
     ),
     "sigterm": Row("streams; SIGTERM in turn, no silence", STREAMS, ("sigterm",)),
+    "sigterm-twice": Row(
+        "streams; SIGTERM, and once more 1 s later, in turn from 14 s, 9 s apart",
+        STREAMS,
+        ("sigterm-twice",),
+    ),
     "silence-configuration": Row(
         "streams; silence, and a configuration each 3 s", STREAMS, ("silence", "configuration")
     ),
@@ -130,6 +139,18 @@
     await send_in_turn(deployment.entries, SIGTERM_INTERVAL_SECONDS)
 
 
+@TROUBLES.register("sigterm-twice")
+async def terminate_twice(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Send SIGTERM to the entry processes in turn, to each of them twice."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    while True:
+        for entry in deployment.entries:
+            entry.send(signal.SIGTERM)
+            await asyncio.sleep(SECOND_SIGNAL_SECONDS)
+            entry.send(signal.SIGTERM)
+            await asyncio.sleep(REPEATED_INTERVAL_SECONDS - SECOND_SIGNAL_SECONDS)
+
+
 @TROUBLES.register("roll")
 async def roll(deployment: SoakDeployment, rng: random.Random) -> None:
     """Send SIGTERM to the entry processes in turn, soon after each other."""
--- a/tests/direct/draining.feature
+++ b/tests/direct/draining.feature
@@ -49,3 +49,29 @@
     And the route of streams has a timeout of 30 s
     When the process begins to stop, and two streams of 60 and of 2000 tokens are asked for
     Then the short one is answered, and the long one is refused with a retry delay and has not run
+
+  # Guards against a second signal to stop that ends the process at once, with all that it answers.
+  Scenario Outline: A stream is whole though its process gets <second> after <first>
+    Given all engines are "slow"
+    And an entry process of its own with a grace period of 8 s that is ready
+    When a caller reads a stream, and the process gets <first> and then <second>, three times
+    Then the stream is whole
+    And its log names each signal that it got in its stop
+    And the process has ended within its grace period
+
+    Examples: series
+      | first   | second  |
+      | SIGTERM | SIGTERM |
+      | SIGTERM | SIGINT  |
+      | SIGINT  | SIGINT  |
+      | SIGTERM | SIGHUP  |
+
+  # Guards against a signal to stop that ends a process before it can say so, or is lost in its start.
+  Scenario Outline: A process that gets <signal> while it reads its settings ends by itself
+    When an entry process of its own gets <signal> while it reads its settings, and is let go on
+    Then it ends with the exit status 0 without becoming ready, and its log names <signal>
+
+    Examples: early
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 
 from standins.platform import API_KEY, CALLER_HOST, send_request
+from tests.daemon_process import DaemonProcess
 from tests.steps.daemon_running import start_daemon
 from tests.steps.platform_running import call, engines, plain, run, until
 from verbenaward import clock
@@ -18,6 +19,7 @@
 
 CALLERS = 8
 ANSWER_BYTES = 12_000_000
+SIGNAL_GAP_SECONDS = 0.1
 
 
 @given("an entry process of its own with a grace period of {seconds:g} s that is ready")
@@ -131,6 +133,69 @@
     run(context, read())
 
 
+@when("a caller reads a stream, and the process gets {first} and then {second}, three times")
+def stream_and_signals(context, first, second):
+    headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": "6000"}
+    headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
+
+    async def send_signals():
+        context.stopped_at = clock.now()
+        for name in (first, second, second, second):
+            if context.daemon.process.returncode is None:
+                context.daemon.send(signal.Signals[name])
+            await asyncio.sleep(SIGNAL_GAP_SECONDS)
+
+    async def read():
+        url = f"http://{context.daemon.direct.front}/stream/x"
+        async with (
+            asyncio.TaskGroup() as group,
+            aiohttp.ClientSession() as session,
+            session.post(url, headers=headers) as answer,
+        ):
+            context.read = await answer.content.readany()
+            group.create_task(send_signals())
+            context.is_complete = False
+            with contextlib.suppress(aiohttp.ClientError):
+                async for piece in answer.content.iter_any():
+                    context.read += piece
+                context.is_complete = True
+
+    context.signals = [second] * 3
+    run(context, read())
+    context.status = run(context, context.daemon.end())
+    context.ended_after = clock.now() - context.stopped_at
+
+
+@then("the stream is whole")
+def stream_whole(context):
+    events = engines(context)[0].stream_events
+    assert context.is_complete, f"cut after {len(context.read)} bytes"
+    assert context.read.count(b"\n\n") == events, context.read
+    assert context.status == 0, context.status
+
+
+@then("its log names each signal that it got in its stop")
+def log_names_signals(context):
+    lines = [line for line in context.daemon.lines() if line["event"] == "daemon.signal"]
+    assert [line["signal"] for line in lines] == context.signals, lines
+
+
+@when("an entry process of its own gets {name} while it reads its settings, and is let go on")
+def stop_signal_at_start(context, name):
+    context.daemon = DaemonProcess(context.platform)
+    context.add_cleanup(lambda: run(context, context.daemon.close()))
+    run(context, context.daemon.start_with_signal(signal.Signals[name]))
+
+
+@then("it ends with the exit status 0 without becoming ready, and its log names {name}")
+def ends_by_itself(context, name):
+    assert run(context, context.daemon.end()) == 0
+    lines = context.daemon.lines()
+    events = [line["event"] for line in lines]
+    assert "daemon.started" not in events, events
+    assert [line["signal"] for line in lines if line["event"] == "daemon.signal"] == [name], lines
+
+
 def ran(context, attempt):
     return sum(item.run_counts[attempt] for item in context.platform.backends.values())
 
