A second signal to stop no longer ends a process with all that it answers

What callers saw: streams cut, and whole requests closed without an answer, when an entry process in its planned stop got SIGTERM or SIGINT once more; supervisors and operators who type stop twice send it. Cause: the library that runs the services restores the former handlers of SIGINT and SIGTERM before its graceful stop begins. These were the default actions. Class: a signal that has its handler for a part of the process's life only. Change: all signals to stop are held from the first step of the process (as SIGHUP was), so what the library restores is a handler that writes the line daemon.signal. One that comes in the start stops the process without serving. Both modes run their service by service_loop.py. SIGKILL ends a process at once. The check on log events reads service_loop.py too, which direct mode uses as well.

--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -176,8 +176,9 @@
 
 @then("its log names each signal that it got in its stop")
 def log_names_signals(context):
-    lines = [line for line in context.daemon.lines() if line["event"] == "daemon.signal"]
-    assert [line["signal"] for line in lines] == context.signals, lines
+    named = {"daemon.signal", "daemon.reload"}
+    lines = [line for line in context.daemon.lines() if line["event"] in named]
+    assert [line.get("signal", "SIGHUP") for line in lines] == context.signals, lines
 
 
 @when("an entry process of its own gets {name} while it reads its settings, and is let go on")
--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -49,6 +49,8 @@
 
 DIRECT_FOLDERS = ("direct", "distribution", "placement", "replica", "weight_loading")
 """Packages of the direct mode."""
+SERVICE_MODULES = ("direct_service.py", "service_loop.py")
+"""Modules beside these packages that write lines in direct mode."""
 
 
 @given("a daemon of the direct mode with its settings file")
@@ -105,7 +107,7 @@
 def written_events(context):
     root = Path(verbenaward.__file__).parent
     files = [path for folder in DIRECT_FOLDERS for path in (root / folder).rglob("*.py")]
-    texts = [path.read_text() for path in (*files, root / "direct_service.py")]
+    texts = [path.read_text() for path in (*files, *(root / name for name in SERVICE_MODULES))]
     context.events = {
         name
         for text in texts
--- a/tests/steps/requests_draining.py
+++ b/tests/steps/requests_draining.py
@@ -60,12 +60,14 @@
     context.outcomes.append((sent_at, attempt, answer))
 
 
-@when("reservations and look-ups are sent from before {vm} is told to stop until it has ended")
-def send_around_stop(context, vm):
+@when("reservations and look-ups are sent from before {vm} gets {names} until it has ended")
+def send_around_stop(context, vm, names):
     async def stop():
         process = context.cluster.processes[vm].process
-        context.cluster.signal(vm, signal.SIGTERM)
         context.stopped_at = clock.now()
+        for name in names.split(", "):
+            context.cluster.signal(vm, signal.Signals[name])
+            await asyncio.sleep(INTERVAL_SECONDS)
         await asyncio.wait_for(process.wait(), 20)
         context.ended_after = clock.now() - context.stopped_at
 
--- a/verbenaward/daemon.py
+++ b/verbenaward/daemon.py
@@ -2,7 +2,7 @@
 
 The command line is parsed with argparse, because the libraries of the command-line tool would
 take more memory than all state of the process. All that is slow to import is imported when it is
-used, after SIGHUP is held.
+used, after the signals are held.
 """
 
 import argparse
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from .early_signals import hold_reloads
+from .early_signals import hold_signals
 
 if TYPE_CHECKING:
     from .data import Fault
@@ -92,7 +92,7 @@
 
 def run_from_command_line() -> None:
     """Run the daemon; entry point of the console script."""
-    hold_reloads()
+    hold_signals()
     sys.exit(main(sys.argv[1:]))
 
 
--- a/verbenaward/direct_service.py
+++ b/verbenaward/direct_service.py
@@ -5,7 +5,6 @@
 """
 
 import operator
-import signal
 from pathlib import Path
 from typing import Protocol
 
@@ -13,9 +12,10 @@
 
 from .configuration.settings import load_settings
 from .data import Fault
-from .early_signals import take_held_reload
+from .early_signals import HELD, RELOAD
 from .logs import get_logger
 from .schema.settings import DirectSettings, Settings
+from .service_loop import run_service
 
 LOG = get_logger(__name__)
 CLEANUP_SECONDS = 1.0
@@ -75,11 +75,11 @@
         direct = self.settings.direct
         if direct is None:
             raise ValueError("the settings have no section 'direct'")
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.loop.add_signal_handler(RELOAD, self.reload)
         self.role = build_role(self.settings, direct)
         await self.role.start()
         LOG.info("daemon.started", listen=self.settings.listen)
-        if take_held_reload():
+        if HELD.take(RELOAD):
             self.reload()
 
     def reload(self) -> None:
@@ -131,10 +131,4 @@
       grace_seconds: Time from the stop signal to the end of the process, in seconds.
     """
     service = DirectService(settings=settings, settings_file=settings_file)
-    with aiomisc.entrypoint(
-        service,
-        log_config=False,
-        pool_size=1,
-        shutdown_timeout=grace_seconds + CLEANUP_SECONDS,
-    ) as loop:
-        loop.run_forever()
+    run_service(service, grace_seconds + CLEANUP_SECONDS, pool_size=1)
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -15,6 +15,7 @@
 from .entry.role import EntryRole
 from .logs import get_logger
 from .schema.settings import Settings
+from .service_loop import run_service
 
 LOG = get_logger(__name__)
 BACKLOG = 1024
@@ -100,11 +101,6 @@
     Args:
       settings: Validated settings.
     """
-    service = DaemonService(settings=settings)
-    with aiomisc.entrypoint(
-        service,
-        log_config=False,
-        # The drain takes at most shutdown_seconds; the rest is for closing connections.
-        shutdown_timeout=settings.shutdown_seconds + settings.entry.address_ttl_seconds,
-    ) as loop:
-        loop.run_forever()
+    # The drain takes at most shutdown_seconds; the rest is for closing connections.
+    stop_seconds = settings.shutdown_seconds + settings.entry.address_ttl_seconds
+    run_service(DaemonService(settings=settings), stop_seconds)
