At the first start of all VMs no copy of the engines' version leaves the origin

Change: chunks are fetched early only if a backend of the service serves with weights, or the store has digests of a version, as after a loss of power; a first start of all VMs answers neither.

--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -702,6 +702,38 @@
     run(context, start())
 
 
+@given("the version of the engines is set as the target, and none of them has started")
+def engines_before_start(context):
+    async def prepare():
+        for backend in engines(context):
+            backend.staged_chunks = dict(enumerate(context.platform.origin.versions[1]))
+            context.platform.store.remove(f"servers/{backend.identity}")
+            await backend.site.stop()
+
+    value = json.dumps({"model_name": "model", "version": 1}).encode()
+    context.platform.store.put("op/version/model", value)
+    run(context, prepare())
+
+
+@when("endpoint processes start beside the engines, and the engines 1 second later")
+def endpoints_then_engines(context):
+    async def start():
+        for backend in engines(context):
+            await context.platform.add_endpoint(backend)
+        await asyncio.sleep(1.0)
+        for backend in engines(context):
+            backend.site = await backend.open_site()
+
+    run(context, start())
+
+
+@then("the origin has sent no chunk once the endpoint processes know what the engines hold")
+def origin_sent_nothing(context):
+    loaders = [role.engine_loader for role in context.platform.endpoints]
+    assert run(context, until(lambda: all(loader.held for loader in loaders)))
+    assert not context.platform.origin.sent_counts, context.platform.origin.sent_counts
+
+
 @then("the empty engine holds version 1 within {seconds:d} second of its start")
 @then("the empty engine holds version 1 within {seconds:d} seconds")
 def engine_holds(context, seconds):
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -60,6 +60,14 @@
     And the engine loaded only valid chunks of version 1
     And the origin sent each chunk of version 1 at most once
 
+  # Load: the first start of all VMs. Guards against copies of a version that the engines hold already.
+  Scenario: Nothing leaves the origin while engines that hold their version start for the first time
+    Given the users' platform with two plain backends and two engines
+    And the version of the engines is set as the target, and none of them has started
+    And one entry process that is ready
+    When endpoint processes start beside the engines, and the engines 1 second later
+    Then the origin has sent no chunk once the endpoint processes know what the engines hold
+
   Scenario: An entry process that stops leaves no fetch of weights running
     Given the users' platform with two plain backends and two engines
     And the origin does not answer
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from .. import clock, metrics
-from ..data import HeldWeights
+from ..data import Backend, HeldWeights
 from ..distribution.chunk_runs import chunk_order, chunk_run_name
 from ..distribution.readers import Inventory
 from ..logs import get_logger
@@ -24,6 +24,7 @@
     StalledVersion,
     SupersededVersion,
     continues_staging,
+    fetches_early,
     load_delay_seconds,
     load_order,
     returns_to_older,
@@ -229,14 +230,17 @@
         if declared is None or declared.engine is None:
             return None
         targets = {model: self.fleet.newest_version(model) for model in self.fleet.versions}
-        others = [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
         for model in declared.engine.models:
             stored = newest_stored_version(self.replica, model)
-            version = wanted_version(targets, model, others, stored)
+            version = wanted_version(targets, model, self.others(), stored)
             if version:
                 return HeldWeights(model, version)
         return None
 
+    def others(self) -> list[Backend]:
+        """Return the registered backends of the service, that of this VM included."""
+        return [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
+
     async def stage(self, wanted: HeldWeights) -> bool:
         """Fetch and stage the missing chunks; False on failure or when other weights are wanted."""
         digests = await self.digests_of(wanted)
@@ -263,7 +267,12 @@
         the link would be idle meanwhile.
         """
         wanted = self.newest()
-        digests = await self.digests_of(wanted) if wanted else None
+        if wanted is None:
+            return
+        stored = newest_stored_version(self.replica, wanted.model)
+        if not fetches_early(self.others(), stored):
+            return
+        digests = await self.digests_of(wanted)
         if digests is None:
             return
 
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -43,6 +43,20 @@
     return max(held, default=stored_version)
 
 
+def fetches_early(others: list[Backend], stored_version: int) -> bool:
+    """Return True if chunks are fetched before the engine has answered.
+
+    Load: VMs that are added beside engines in service, and VMs that all start again after their
+    engines have read weights. At the first start of all VMs the engines hold their weights, and a
+    copy would leave the origin for nobody.
+
+    Args:
+      others: Backends of the service.
+      stored_version: Newest version whose digests the store has, as somebody has read it; or 0.
+    """
+    return bool(stored_version) or any(backend.weights for backend in others)
+
+
 def load_order(zones: Mapping[str, str]) -> list[str]:
     """Return the addresses of engines in the order in which they load newer weights.
 
