--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -30,6 +30,7 @@
     returns_to_older,
     wanted_version,
 )
+from .staged_chunks import StagedChunks
 
 LOG = get_logger(__name__)
 POLL_SECONDS = 0.1
@@ -50,13 +51,11 @@
       fetcher: Fetches chunks from entry processes.
       notices: Notifies entry processes when the engine will accept no requests.
       digests: Digests of the version that was staged last; None before.
-      staged: Digests of the chunks that were verified and staged, by index.
-      staged_model: Model whose chunks are staged.
+      staged: Chunks that were verified and staged.
       next_weights: Weights that are staged and loaded next, sometimes older than the target
         version; None if there are none.
       superseded_by: Newest version for which it was decided whether to continue staging.
       given_up: Digests of the version that was given up for a newer one; None for none.
-      progressed_at: When a chunk was last staged, or other weights became the next ones, monotonic.
       held: Weights that the engine holds, as it last reported.
       has_answered: True once the engine has answered this process.
       early: Chunks that were fetched before, by index.
@@ -82,12 +81,10 @@
         self.fetcher = ChunkFetcher(settings, direct, replica, session)
         self.notices = LoadingNotices(settings.vm, direct.engine, self.fetcher)
         self.digests: VersionDigests | None = None
-        self.staged: dict[int, bytes] = {}
-        self.staged_model = ""
+        self.staged = StagedChunks(self.engine)
         self.next_weights: HeldWeights | None = None
         self.superseded_by: HeldWeights | None = None
         self.given_up: VersionDigests | None = None
-        self.progressed_at = 0.0
         self.held: tuple[HeldWeights, ...] = ()
         self.has_answered = False
         self.early: dict[int, bytes] = {}
@@ -150,7 +147,7 @@
     def give_up(self, current: HeldWeights, newest: HeldWeights) -> None:
         """Stage the newest weights next, and remember the present ones."""
         self.next_weights = newest
-        self.progressed_at = clock.now()
+        self.staged.progressed_at = clock.now()
         known = self.digests
         self.given_up = known if known is not None and known.weights == current else None
 
@@ -162,9 +159,9 @@
         if self.is_staged(newest):
             return False
         now = clock.now()
-        share = len(given_up.missing(self.staged)) / len(given_up.digests)
+        share = len(self.staged.missing(given_up)) / len(given_up.digests)
         stalled = StalledVersion(
-            now - self.progressed_at,
+            now - self.staged.progressed_at,
             share * self.staging_seconds(),
             self.fleet.start_deadline(
                 newest.model, given_up.weights.version, self.direct.version_seconds
@@ -175,14 +172,14 @@
     def is_staged(self, weights: HeldWeights) -> bool:
         """Return True if all chunks of weights are staged."""
         known = self.digests
-        return known is not None and known.weights == weights and not known.missing(self.staged)
+        return known is not None and known.weights == weights and not self.staged.missing(known)
 
     def should_finish_staging(self, current: HeldWeights, newest: HeldWeights) -> bool:
         """Return True if the current weights are loaded although a newer target version was set."""
         newer = self.fleet.first_newer_version(newest.model, newest.version - 1)
         if newer is None or self.digests is None or self.digests.weights != current:
             return False
-        missing = len(self.digests.missing(self.staged))
+        missing = len(self.staged.missing(self.digests))
         staging = self.staging_seconds()
         if not staging:
             return False
@@ -246,13 +243,12 @@
         digests = await self.digests_of(wanted)
         if digests is None:
             return False
-        if self.staged_model != wanted.model:
-            self.staged, self.staged_model = {}, wanted.model
-        missing = digests.missing(self.staged)
+        self.staged.use_model(wanted.model)
+        missing = self.staged.missing(digests)
         if not missing:
             return True
         started = clock.now()
-        missing = await self.without_present(wanted, digests, missing)
+        missing = await self.staged.find_present(digests, missing)
         missing = await self.stage_early(wanted, digests, missing)
         is_complete = await self.download_while_wanted(wanted, digests, missing)
         if is_complete:
@@ -305,7 +301,7 @@
             body = early.get(index, b"")
             if sha256(body) == digests.digests[index]:
                 await self.stage_chunk(wanted, digests, index, body)
-        return digests.missing(self.staged)
+        return self.staged.missing(digests)
 
     def fetch_order(self, missing: list[int]) -> list[int]:
         """Return missing chunks in the order in which this engine fetches them."""
@@ -330,41 +326,22 @@
                 await asyncio.wait({running}, timeout=POLL_SECONDS)
                 if self.update_next_weights() != wanted or self.is_replaced(digests):
                     return False
-                if clock.now() - max(began, self.progressed_at) > ROUND_SECONDS:
+                if clock.now() - max(began, self.staged.progressed_at) > ROUND_SECONDS:
                     return False
             await running
             return True
         finally:
             running.cancel()
 
-    async def without_present(
-        self, wanted: HeldWeights, digests: VersionDigests, missing: list[int]
-    ) -> list[int]:
-        """Return the missing chunks without those that are staged from before a restart."""
-        for index in missing:
-            present = await self.engine.staged_chunk(wanted.model, index)
-            if isinstance(present, Success) and sha256(present.unwrap()) == digests.digests[index]:
-                self.record_staged(index, digests.digests[index])
-        return digests.missing(self.staged)
-
     async def stage_chunk(
         self, wanted: HeldWeights, digests: VersionDigests, index: int, body: bytes
     ) -> bool:
         """Stage one chunk and announce the load that is planned; False if staging failed."""
-        self.staged.pop(index, None)
-        result = await self.engine.put_chunk(wanted.model, index, body)
-        if not isinstance(result, Success):
-            LOG.warning("chunk.staging-failed", index=index, error=result.failure()[:150])
+        if not await self.staged.stage(digests, index, body):
             return False
-        self.record_staged(index, digests.digests[index])
         self.announce_load(wanted, digests)
         return True
 
-    def record_staged(self, index: int, digest: bytes) -> None:
-        """Record that a valid chunk is staged."""
-        self.staged[index] = digest
-        self.progressed_at = clock.now()
-
     async def digests_of(self, wanted: HeldWeights) -> VersionDigests | None:
         """Return a version's digests, from the store or an entry process; None on failure."""
         known = self.digests
@@ -428,7 +405,7 @@
         if scheduled_at is None:
             return
         now = clock.now()
-        missing = len(digests.missing(self.staged))
+        missing = len(self.staged.missing(digests))
         metrics.MISSING_CHUNKS.set(missing)
         staged_at = now + self.staging_seconds() * missing / len(digests.digests)
         load_at = max(scheduled_at, staged_at)
@@ -472,7 +449,7 @@
             await asyncio.sleep(BUSY_RETRY_SECONDS)
             return
         assert self.digests is not None
-        if not await self.verify_staged(wanted, self.digests):
+        if not await self.staged.verify(self.digests):
             return
         if self.update_next_weights() != wanted:
             return
@@ -501,7 +478,7 @@
             return Inventory(frozenset(range(len(stored) // DIGEST_BYTES)))
         if known is None or known.weights != weights:
             return Inventory()
-        return Inventory(frozenset(range(len(known.digests))) - {*known.missing(self.staged)})
+        return Inventory(frozenset(range(len(known.digests))) - {*self.staged.missing(known)})
 
     async def staged_chunk(self, weights: HeldWeights, index: int) -> bytes | None:
         """Return a chunk that is staged for weights; None if there is none."""
@@ -510,17 +487,6 @@
         result = await self.engine.staged_chunk(weights.model, index)
         return result.value_or(None)
 
-    async def verify_staged(self, wanted: HeldWeights, digests: VersionDigests) -> bool:
-        """Return True if all staged chunks match their digests; the others are staged again."""
-        is_valid = True
-        for index, digest in enumerate(digests.digests):
-            present = await self.engine.staged_chunk(wanted.model, index)
-            if not isinstance(present, Success) or sha256(present.unwrap()) != digest:
-                LOG.warning("staged_chunk.corrupt", index=index, version=wanted.version)
-                self.staged.pop(index, None)
-                is_valid = False
-        return is_valid
-
 
 def holds_weights(report: EngineReport, wanted: HeldWeights) -> bool:
     """Return True if an engine holds the wanted weights or newer ones."""
