The check on successors of silent streams no longer depends on the uptime

Cause: a fault of the check, not of the product. The sends were silent from NOW = 1000 s of the fakes on, and Attempts compares that with the real clock, which counts from the boot of the machine. On a machine up for less than 1000 s no send was silent yet. Load was ruled out: 6 of 6 runs of the feature passed at an uptime of over 1100 s. Change: the sends are silent from the present time on; the check asks for the same 2 successors. Evidence: with a clock that starts at 5 s the scenario failed with 0 before (18 of 19 passed); now 19 of 19 pass with clocks that start at 5, 999 and 5000 s.

--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -217,7 +217,7 @@
     found = []
     for _ in range(count):
         attempts = Attempts(rules, request_of(), Progress(), None)
-        attempts.running[Send(choice, NOW, silent_at=NOW)] = asyncio.Future()
+        attempts.running[Send(choice, NOW, silent_at=clock.now())] = asyncio.Future()
         found.append(attempts)
     return found
 
