A backend that leaves while its limit is asked for gets no request

Cause: next_choice and successor choose a backend, then wait for the grant of its limit from the owner, which is another process. After it they looked again at pauses, fullness, regions and evacuations only. A backend whose registration had ended, had become draining or named another service meanwhile still got the request. Class: what was looked at before a wait is taken after it unseen.

Change: Fleet.is_in_use says whether a chosen backend is still among the usable ones of its service; Placer.is_still_usable and is_free ask it. It serves both places that wait for a grant, of first sends and of successors.

Result: three scenarios (draining, registration gone, other service), which failed before: the backend ran the request. Now another one runs it and answers. Two guards that passed before the change too: 19 kinds of change of routes, services, regions, keys, limits, engines, registrations and SIGHUP settings meet requests that are read, wait, are sent, are silent or stream (26 each): all whole, or refused whole with a verdict that agrees with what ran; streams that break off after a change go on at the other engine. 10 s for the feature. 184 scenarios of placement, silences and backend limits pass.

--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -106,9 +106,9 @@
             notices = choice.view.notices
             is_granted = await self.is_send_granted(notices)
             now = clock.now()
-            # While the grant was asked for, the backend may have asked for a pause or become full,
-            # or its zone may have been evacuated.
-            if not is_granted or not self.placer.is_usable(choice.view, request, now):
+            # While the grant was asked for, the backend may have left, asked for a pause or become
+            # full, or its zone may have been evacuated.
+            if not is_granted or not self.placer.is_still_usable(choice.view, request, now):
                 continue
             if not progress.sends or self.budget.spend(request.service, now):
                 return choice
--- a/verbenaward/placement/fleet.py
+++ b/verbenaward/placement/fleet.py
@@ -405,13 +405,13 @@
 
         A backend that has asked for a pause, or whose limit is used up, is among them.
         """
-        found = []
-        for view in self.by_service.get(service, ()):
-            if view.lapsed_until and now >= view.lapsed_until:
-                continue
-            if not view.backend.is_leaving and not view.notices.is_leaving:
-                found.append(view)
-        return found
+        views = self.by_service.get(service, ())
+        return [view for view in views if is_staying(view, now)]
+
+    def is_in_use(self, view: BackendView, service: str, now: float) -> bool:
+        """Return True if a backend that was among the usable ones of a service still is."""
+        is_known = self.backends.get(view.backend.identity) is view
+        return is_known and view.backend.service == service and is_staying(view, now)
 
     def seconds_until_available(
         self, service: str, now: float, may_use: Callable[[BackendView], bool] = lambda _: True
@@ -491,6 +491,12 @@
         return self.table.configuration.routes if self.table else ()
 
 
+def is_staying(view: BackendView, now: float) -> bool:
+    """Return True if a backend is neither leaving nor lapsed for too long."""
+    has_lapsed = bool(view.lapsed_until) and now >= view.lapsed_until
+    return not (has_lapsed or view.backend.is_leaving or view.notices.is_leaving)
+
+
 def log_limit(identity: str, per_second: float) -> None:
     """Log that the limit of a backend has changed."""
     if per_second < math.inf:
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -153,7 +153,7 @@
     def is_free(self, view: BackendView, request: Request, now: float) -> bool:
         """Return True if a backend may run a request now, in a slot that is free."""
         has_slot = view.all_running(now) < view.backend.slots
-        return has_slot and view.backoff_until <= now and self.is_usable(view, request, now)
+        return has_slot and view.backoff_until <= now and self.is_still_usable(view, request, now)
 
     def overflow_choices(self, request: Request, choices: list[Choice], now: float) -> list[Choice]:
         """Return the choices among which one is picked at random, as `overflow` decides."""
@@ -204,6 +204,11 @@
             not view.is_excluded(now) and self.may_use(view, request) and fits(view, request, now)
         )
 
+    def is_still_usable(self, view: BackendView, request: Request, now: float) -> bool:
+        """Return True if a backend that was chosen some time ago may run a request now."""
+        is_in_use = self.fleet.is_in_use(view, request.service, now)
+        return is_in_use and self.is_usable(view, request, now)
+
     def may_use(self, view: BackendView, request: Request) -> bool:
         """Return True if a request is allowed in a backend's region, and its zone not evacuated."""
         zone = view.backend.zone
