Whether chunks are fetched early is decided by the first content of the store

Cause: engines of a first start do not answer at the same moment. Change: the decision is made once, with the first content of the store that the process has read; no engine was in service then, and no digests were stored.

--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -715,13 +715,13 @@
     run(context, prepare())
 
 
-@when("endpoint processes start beside the engines, and the engines 1 second later")
+@when("endpoint processes start beside the engines, and these later, 1 second apart")
 def endpoints_then_engines(context):
     async def start():
         for backend in engines(context):
             await context.platform.add_endpoint(backend)
-        await asyncio.sleep(1.0)
         for backend in engines(context):
+            await asyncio.sleep(1.0)
             backend.site = await backend.open_site()
 
     run(context, start())
--- a/tests/weight_loading/weight_loading.feature
+++ b/tests/weight_loading/weight_loading.feature
@@ -65,7 +65,7 @@
     Given the users' platform with two plain backends and two engines
     And the version of the engines is set as the target, and none of them has started
     And one entry process that is ready
-    When endpoint processes start beside the engines, and the engines 1 second later
+    When endpoint processes start beside the engines, and these later, 1 second apart
     Then the origin has sent no chunk once the endpoint processes know what the engines hold
 
   Scenario: An entry process that stops leaves no fetch of weights running
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -58,6 +58,8 @@
       given_up: Digests of the version that was given up for a newer one; None for none.
       held: Weights that the engine holds, as it last reported.
       has_answered: True once the engine has answered this process.
+      fetches_early: True if it fetches chunks before the engine has answered, as decided by the
+        first content of the store that this process has read; None before.
       early: Chunks that were fetched before, by index.
       late: Weights whose load was last logged as late; None for none.
       short: Weights with fewer digests than declared chunks, as last logged; None for none.
@@ -87,6 +89,7 @@
         self.given_up: VersionDigests | None = None
         self.held: tuple[HeldWeights, ...] = ()
         self.has_answered = False
+        self.fetches_early: bool | None = None
         self.early: dict[int, bytes] = {}
         self.late: HeldWeights | None = None
         self.short: HeldWeights | None = None
@@ -222,18 +225,19 @@
 
     def newest(self) -> HeldWeights | None:
         """Return the weights of the target version, or else those last in use."""
-        table = self.fleet.table
-        declared = table.services.get(self.direct.service) if table else None
-        if declared is None or declared.engine is None:
-            return None
         targets = {model: self.fleet.newest_version(model) for model in self.fleet.versions}
-        for model in declared.engine.models:
-            stored = newest_stored_version(self.replica, model)
+        for model, stored in self.stored_versions().items():
             version = wanted_version(targets, model, self.others(), stored)
             if version:
                 return HeldWeights(model, version)
         return None
 
+    def stored_versions(self) -> dict[str, int]:
+        """Return the newest version whose digests the store has, 0 for none, by model."""
+        declared = self.fleet.table.services.get(self.direct.service) if self.fleet.table else None
+        models = declared.engine.models if declared and declared.engine else ()
+        return {model: newest_stored_version(self.replica, model) for model in models}
+
     def others(self) -> list[Backend]:
         """Return the registered backends of the service, that of this VM included."""
         return [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
@@ -262,13 +266,10 @@
         The engine of a VM that has just been added takes longer to start than this process, and
         the link would be idle meanwhile.
         """
-        wanted = self.newest()
-        if wanted is None:
-            return
-        stored = newest_stored_version(self.replica, wanted.model)
-        if not fetches_early(self.others(), stored):
-            return
-        digests = await self.digests_of(wanted)
+        if self.fetches_early is None and self.replica.revision:
+            self.fetches_early = fetches_early(self.others(), self.stored_versions())
+        wanted = self.newest() if self.fetches_early else None
+        digests = await self.digests_of(wanted) if wanted else None
         if digests is None:
             return
 
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -43,18 +43,19 @@
     return max(held, default=stored_version)
 
 
-def fetches_early(others: list[Backend], stored_version: int) -> bool:
-    """Return True if chunks are fetched before the engine has answered.
+def fetches_early(others: list[Backend], stored_versions: Mapping[str, int]) -> bool:
+    """Return True if a process that has just started fetches before its engine has answered.
 
     Load: VMs that are added beside engines in service, and VMs that all start again after their
     engines have read weights. At the first start of all VMs the engines hold their weights, and a
-    copy would leave the origin for nobody.
+    copy would leave the origin for nobody; such a process finds no engine in service.
 
     Args:
-      others: Backends of the service.
-      stored_version: Newest version whose digests the store has, as somebody has read it; or 0.
+      others: Backends of the service that were registered when the process started.
+      stored_versions: Newest version by model whose digests the store had, as somebody has read
+        it; 0 for none.
     """
-    return bool(stored_version) or any(backend.weights for backend in others)
+    return any(stored_versions.values()) or any(backend.weights for backend in others)
 
 
 def load_order(zones: Mapping[str, str]) -> list[str]:
