Numbers of a configuration by which nothing can be decided are malformed

Cause: the parser took any number, and the deciding code divides by slots and read_per_s and draws by the weights of a traffic split. With 0 there, or weights that add up to 0 or less, each request of the route got the status 500 of the HTTP library, without a verdict, until the next configuration. A negative time refused all requests of its route.

Change: times, rates, weights and sizes are parsed by amount, like the limits of cold backends before; slots, step_ms and read_per_s must be above 0. A configuration that breaks this is unreadable, which is logged, and the last one stays in force. A split in which no service has a weight is sound: its requests are refused as without a backend (503, not-run, Retry-After), by the same way as those of a service without backends.

--- a/tests/direct/changed_configurations.feature
+++ b/tests/direct/changed_configurations.feature
@@ -25,3 +25,19 @@
       | draining                    |
       | registrations gone          |
       | registered as other service |
+
+  # Guards against a status 500 without a verdict for each request, until the next configuration.
+  Scenario Outline: With a configuration whose <field> is <value> requests are <handled>
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    When a configuration comes whose <field> is <value>, and then a stream and a look-up
+    Then they are <handled>
+
+    Examples: values that the deciding code divides by, or adds up
+      | field      | value | handled                      |
+      | weight     | 0     | refused as without a backend |
+      | weight     | -1    | served by the last one       |
+      | slots      | 0     | served by the last one       |
+      | read_per_s | 0     | served by the last one       |
+      | step_ms    | -8    | served by the last one       |
+      | timeout_ms | -1    | served by the last one       |
--- a/tests/steps/changed_configurations.py
+++ b/tests/steps/changed_configurations.py
@@ -33,10 +33,9 @@
     platform.configuration = lambda: {**original(), **sections}
 
 
-def change_engine(platform):
+def change_engine(platform, **fields):
     services = platform.configuration()["services"]
-    engine = {**services[1]["inference_engine"], "slots": 1, "kv_capacity_tokens": 10}
-    services[1]["inference_engine"] = {**engine, "read_per_s": 1.0, "model_list": []}
+    services[1]["inference_engine"] = {**services[1]["inference_engine"], **fields}
     change(platform, services=services)
 
 
@@ -88,7 +87,9 @@
     "limits": lambda p: change(
         p, limits={"max_body_bytes": 1, "idle_timeout_ms": 1, "header_timeout_ms": 1}
     ),
-    "engines": change_engine,
+    "engines": lambda p: change_engine(
+        p, slots=1, kv_capacity_tokens=10, read_per_s=1.0, model_list=[]
+    ),
     **{name: of_all(change_one) for name, change_one in CHANGES_OF_ONE.items()},
     "SIGHUP": reload,
 }
@@ -263,3 +264,33 @@
     context.bad = None
     role.front.forwarder.is_send_granted = grant
     context.answer = call(context, "/look/x")
+
+
+@when("a configuration comes whose {field} is {value:d}, and then a stream and a look-up")
+def unsound_configuration(context, field, value):
+    platform, role = context.platform, context.platform.entries[0]
+    if field == "weight":
+        shares = [{"service": name, "weight": value} for name in ("plain", "engines")]
+        override_routes(platform, traffic_split=shares)
+    elif field == "timeout_ms":
+        override_routes(platform, timeout_ms=value)
+    else:
+        change_engine(platform, **{field: value})
+    revision = role.replica.revision
+    platform.write_configuration()
+    assert run(context, until(lambda: role.replica.revision > revision))
+    context.answers = [call(context, path) for path in ("/stream/x", "/look/x")]
+
+
+@then("they are served by the last one")
+def served_anyway(context):
+    assert [status for status, _, _ in context.answers] == [200, 200], context.answers
+    table = context.platform.entries[0].fleet.table
+    assert table.configuration.version < context.platform.configuration_version
+
+
+@then("they are refused as without a backend")
+def refused_whole(context):
+    found = [(status, headers.get("X-Verdict")) for status, headers, _ in context.answers]
+    assert found == [(503, "not-run")] * 2, context.answers
+    assert all(headers["X-Reason"] == "no-backend" for _, headers, _ in context.answers)
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -381,11 +381,11 @@
         return not_run(503, reason, message, wait * self.rng.uniform(1.0, 1.0 + spread))
 
     def pick_service(self, shares: tuple[ServiceShare, ...]) -> str:
-        """Return one service of a route, chosen at random by weight."""
+        """Return one service of a route, chosen at random by weight; empty if none has a weight."""
         if len(shares) == 1:
             return shares[0].service
         weights = [share.weight for share in shares]
-        return self.rng.choices(shares, weights)[0].service
+        return self.rng.choices(shares, weights)[0].service if any(weights) else ""
 
 
 def rank_of(request: Request, is_late: bool) -> int | None:
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -80,10 +80,10 @@
         host=str(item["hostname"]).lower(),
         prefix=str(item["path_prefix"]),
         kind=KIND_BY_NAME[item["kind"]],
-        shares=tuple(ServiceShare(str(part["service"]), float(part["weight"])) for part in split),
-        timeout_seconds=float(item.get("timeout_ms") or 0) / MILLISECONDS,
-        target_seconds=float(item.get("target_latency_ms") or 0) / MILLISECONDS,
-        gap_seconds=float(item.get("gap_target_ms") or 0) / MILLISECONDS,
+        shares=tuple(parse_share(part) for part in split),
+        timeout_seconds=amount(item, "timeout_ms") / MILLISECONDS,
+        target_seconds=amount(item, "target_latency_ms") / MILLISECONDS,
+        gap_seconds=amount(item, "gap_target_ms") / MILLISECONDS,
         priority=int(item.get("priority") or 0),
         attempts=max(1, int(item.get("max_attempts") or 1)),
         is_public=bool(item.get("public")),
@@ -92,6 +92,17 @@
     )
 
 
+def parse_share(part: dict[str, Any]) -> ServiceShare:
+    """Parse one part of a traffic split.
+
+    Raises:
+      KeyError: It has no service or no weight.
+    """
+    if "weight" not in part:
+        raise KeyError("weight")
+    return ServiceShare(str(part["service"]), amount(part, "weight"))
+
+
 def parse_service(item: dict[str, Any]) -> ServiceDeclaration:
     """Parse one service."""
     engine = item.get("inference_engine")
@@ -109,15 +120,15 @@
     """Parse the properties that a service declares for its engines."""
     usual = item.get("usual") or {}
     return EngineProfile(
-        slots=int(item["slots"]),
-        step_seconds=float(item["step_ms"]) / MILLISECONDS,
-        sequence_seconds=float(item.get("per_seq_ms") or 0) / MILLISECONDS,
-        read_tokens_per_second=float(item["read_per_s"]),
+        slots=max(1, int(positive_amount(item, "slots"))),
+        step_seconds=positive_amount(item, "step_ms") / MILLISECONDS,
+        sequence_seconds=amount(item, "per_seq_ms") / MILLISECONDS,
+        read_tokens_per_second=positive_amount(item, "read_per_s"),
         read_tokens_per_pass=max(1, int(item.get("chunk") or DEFAULT_TOKENS_PER_PASS)),
         steps_per_event=max(1, int(item.get("step_size") or 1)),
         # Mean lengths in tokens; 1000 and 100 if the declaration gives none.
-        usual_prompt_tokens=float(usual.get("prompt") or 1000),
-        usual_answer_tokens=float(usual.get("answer") or 100),
+        usual_prompt_tokens=amount(usual, "prompt") or 1000.0,
+        usual_answer_tokens=amount(usual, "answer") or 100.0,
         models=tuple(str(model["name"]) for model in item.get("model_list") or ()),
         chunk_count=int(item.get("chunk_count") or 0),
         chunk_bytes=int(item.get("chunk_size_bytes") or 0),
@@ -167,7 +178,7 @@
     """Parse the limits of callers; absent or zero values get the defaults."""
     default = CallerLimits()
     return CallerLimits(
-        int(item.get("max_body_bytes") or default.max_body_bytes),
+        int(amount(item, "max_body_bytes")) or default.max_body_bytes,
         amount(item, "idle_timeout_ms") / MILLISECONDS or default.idle_seconds,
         amount(item, "header_timeout_ms") / MILLISECONDS or default.header_seconds,
     )
@@ -277,6 +288,19 @@
     return float(value)
 
 
+def positive_amount(item: dict[str, Any], key: str) -> float:
+    """Return a field that must be a number above 0.
+
+    Raises:
+      TypeError: It is not a number, or a boolean.
+      ValueError: It is missing, 0, negative or too large.
+    """
+    value = amount(item, key)
+    if not value:
+        raise ValueError(f"{key} is missing or 0")
+    return value
+
+
 def parse_target_version(entry: KeyValueEntry) -> Result[TargetVersion, Fault]:
     """Parse the target version of a model; a Fault with the reason if it is malformed."""
     try:
