The rest of a body is not taken for the header of the next request

Cause: a connection counted as idle once an answer was written, though its request was refused early (413, 503 for memory, 501) and its body still came. The rest of that body began the phase of a header, whose limit then ran: the caller got a 408 after its answer, and its connection was closed, also when the body was complete by then, in place of the answer to the next request. A configuration that lowers max_body_bytes or header_timeout_ms makes it likely.

Change: a connection is idle once the answer is written and the request is read. The library stops reading the rest after 10 s and closes the connection, as before.

Result: a scenario with limits of 1,000 bytes and 300 ms, which failed before with 413 and 408: now 413, then 200, and the connection is kept.

--- a/tests/direct/changed_configurations.feature
+++ b/tests/direct/changed_configurations.feature
@@ -41,3 +41,11 @@
       | read_per_s | 0     | served by the last one       |
       | step_ms    | -8    | served by the last one       |
       | timeout_ms | -1    | served by the last one       |
+
+  # Guards against a 408 that follows another answer, in place of the answer to the next request.
+  Scenario: The rest of a body that was refused is not taken for the header of a request
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And limits of 1000 bytes for bodies, 15000 ms for idle connections and 300 ms for headers
+    When a caller gets a refusal amid its body, sends the rest over 0.8 s, and then looks up
+    Then it gets a 413 and then the answer of a backend, and its connection is kept
--- a/tests/steps/changed_configurations.py
+++ b/tests/steps/changed_configurations.py
@@ -3,12 +3,14 @@
 import asyncio
 import dataclasses
 import json
+import re
 import time
 
 import aiohttp
-from behave import then, when
+from behave import given, then, when
 
 from standins.platform import PlatformStandIn, free_address, send_request
+from tests.steps.connections import LOOK, Caller, head_of
 from tests.steps.platform_running import call, run, until
 
 EVENTS = 60
@@ -294,3 +296,38 @@
     found = [(status, headers.get("X-Verdict")) for status, headers, _ in context.answers]
     assert found == [(503, "not-run")] * 2, context.answers
     assert all(headers["X-Reason"] == "no-backend" for _, headers, _ in context.answers)
+
+
+@given(
+    "limits of {size:d} bytes for bodies, {idle:d} ms for idle connections and {header:d} ms for "
+    "headers"
+)
+def limits(context, size, idle, header):
+    fields = {"max_body_bytes": size, "idle_timeout_ms": idle, "header_timeout_ms": header}
+    change(context.platform, limits=fields)
+    context.platform.write_configuration()
+    fleet, version = context.platform.entries[0].fleet, context.platform.configuration_version
+    assert run(context, until(lambda: fleet.table.configuration.version == version))
+
+
+@when("a caller gets a refusal amid its body, sends the rest over {seconds:g} s, and then looks up")
+def refused_amid_body(context, seconds):
+    async def send():
+        head = head_of("POST /book/x", "Content-Length: 3000")
+        context.caller = await Caller().open(context, head + bytes(1500))
+        assert await until(lambda: context.caller.received)
+        for _ in range(3):
+            context.caller.writer.write(bytes(500))
+            await asyncio.sleep(seconds / 3)
+        context.caller.writer.write(LOOK)
+        await asyncio.sleep(0.4)
+        context.is_kept = context.caller.closed_after is None
+        context.caller.writer.close()
+
+    run(context, send())
+
+
+@then("it gets a 413 and then the answer of a backend, and its connection is kept")
+def both_answers(context):
+    found = re.findall(rb"HTTP/1.1 (\d+)", context.caller.received)
+    assert found == [b"413", b"200"] and context.is_kept, context.caller.received
--- a/verbenaward/direct/connections.py
+++ b/verbenaward/direct/connections.py
@@ -175,11 +175,14 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
-        """Write the rest of an answer, after which the connection is idle."""
+        """Write the rest of an answer; once the request is read too, the connection is idle.
+
+        A request that is refused early may still send its body.
+        """
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            self.connections.table.ended(self, clock.now())
+            request.content.on_eof(lambda: self.connections.table.ended(self, clock.now()))
 
     def end(self, cause: Cause) -> None:
         """Close the connection; at once if that is the only way to release its descriptor."""
