--- a/tests/steps/changed_configurations.py
+++ b/tests/steps/changed_configurations.py
@@ -3,12 +3,14 @@
 import asyncio
 import dataclasses
 import json
+import re
 import time
 
 import aiohttp
-from behave import then, when
+from behave import given, then, when
 
 from standins.platform import PlatformStandIn, free_address, send_request
+from tests.steps.connections import LOOK, Caller, head_of
 from tests.steps.platform_running import call, run, until
 
 EVENTS = 60
@@ -33,10 +35,9 @@
     platform.configuration = lambda: {**original(), **sections}
 
 
-def change_engine(platform):
+def change_engine(platform, **fields):
     services = platform.configuration()["services"]
-    engine = {**services[1]["inference_engine"], "slots": 1, "kv_capacity_tokens": 10}
-    services[1]["inference_engine"] = {**engine, "read_per_s": 1.0, "model_list": []}
+    services[1]["inference_engine"] = {**services[1]["inference_engine"], **fields}
     change(platform, services=services)
 
 
@@ -88,7 +89,9 @@
     "limits": lambda p: change(
         p, limits={"max_body_bytes": 1, "idle_timeout_ms": 1, "header_timeout_ms": 1}
     ),
-    "engines": change_engine,
+    "engines": lambda p: change_engine(
+        p, slots=1, kv_capacity_tokens=10, read_per_s=1.0, model_list=[]
+    ),
     **{name: of_all(change_one) for name, change_one in CHANGES_OF_ONE.items()},
     "SIGHUP": reload,
 }
@@ -263,3 +266,68 @@
     context.bad = None
     role.front.forwarder.is_send_granted = grant
     context.answer = call(context, "/look/x")
+
+
+@when("a configuration comes whose {field} is {value:d}, and then a stream and a look-up")
+def unsound_configuration(context, field, value):
+    platform, role = context.platform, context.platform.entries[0]
+    if field == "weight":
+        shares = [{"service": name, "weight": value} for name in ("plain", "engines")]
+        override_routes(platform, traffic_split=shares)
+    elif field == "timeout_ms":
+        override_routes(platform, timeout_ms=value)
+    else:
+        change_engine(platform, **{field: value})
+    revision = role.replica.revision
+    platform.write_configuration()
+    assert run(context, until(lambda: role.replica.revision > revision))
+    context.answers = [call(context, path) for path in ("/stream/x", "/look/x")]
+
+
+@then("they are served by the last one")
+def served_anyway(context):
+    assert [status for status, _, _ in context.answers] == [200, 200], context.answers
+    table = context.platform.entries[0].fleet.table
+    assert table.configuration.version < context.platform.configuration_version
+
+
+@then("they are refused as without a backend")
+def refused_whole(context):
+    found = [(status, headers.get("X-Verdict")) for status, headers, _ in context.answers]
+    assert found == [(503, "not-run")] * 2, context.answers
+    assert all(headers["X-Reason"] == "no-backend" for _, headers, _ in context.answers)
+
+
+@given(
+    "limits of {size:d} bytes for bodies, {idle:d} ms for idle connections and {header:d} ms for "
+    "headers"
+)
+def limits(context, size, idle, header):
+    fields = {"max_body_bytes": size, "idle_timeout_ms": idle, "header_timeout_ms": header}
+    change(context.platform, limits=fields)
+    context.platform.write_configuration()
+    fleet, version = context.platform.entries[0].fleet, context.platform.configuration_version
+    assert run(context, until(lambda: fleet.table.configuration.version == version))
+
+
+@when("a caller gets a refusal amid its body, sends the rest over {seconds:g} s, and then looks up")
+def refused_amid_body(context, seconds):
+    async def send():
+        head = head_of("POST /book/x", "Content-Length: 3000")
+        context.caller = await Caller().open(context, head + bytes(1500))
+        assert await until(lambda: context.caller.received)
+        for _ in range(3):
+            context.caller.writer.write(bytes(500))
+            await asyncio.sleep(seconds / 3)
+        context.caller.writer.write(LOOK)
+        await asyncio.sleep(0.4)
+        context.is_kept = context.caller.closed_after is None
+        context.caller.writer.close()
+
+    run(context, send())
+
+
+@then("it gets a 413 and then the answer of a backend, and its connection is kept")
+def both_answers(context):
+    found = re.findall(rb"HTTP/1.1 (\d+)", context.caller.received)
+    assert found == [b"413", b"200"] and context.is_kept, context.caller.received
