Header values that are not UTF-8 pass an entry process byte by byte

What callers saw: of the value caf\xe9 the backend received caf, and of an answer's value the caller; the same in streams. Cause: aiohttp's parser keeps such bytes as lone surrogates (PEP 383), and its writer of headers leaves surrogates out. Class: heads that are written by another rule than the one that they were read by. Change: header_bytes.py writes heads that are not ASCII, by the parser's own rule. Hooks: the client's request class takes another writer in write_bytes (a request without a body gets an empty one, without Content-Length if it had none); the server's request factory hands over another writer. ASCII heads go through aiohttp's own code. Control characters are refused with ValueError before anything is written, as by aiohttp. Not in the proxied mode, which passes on Content-Type and the body.

--- a/tests/direct/unchanged.feature
+++ b/tests/direct/unchanged.feature
@@ -47,10 +47,31 @@
     When a caller sends a request with the headers "X-R: 1, x-r: 2, X-R: 3, Cookie: a, cookie: b, X-R: 4"
     Then the backend received the target, the headers and the body as sent
 
-  Scenario: A header value that is not UTF-8 reaches its backend as sent
-    When a caller sends a request with a header value that is not UTF-8
+  # Guards against bytes of headers that aiohttp's writer leaves out.
+  Scenario Outline: A header value that is not UTF-8 reaches its backend as sent
+    When a caller sends a <method> request with <body> and header values that are not UTF-8
     Then the backend received the target, the headers and the body as sent
 
+    Examples:
+      | method | body    |
+      | POST   | text    |
+      | POST   | no body |
+      | GET    | no body |
+
+  # Guards against bytes of headers that aiohttp's writer leaves out.
+  Scenario Outline: A header value that is not UTF-8 reaches the caller in <kind>
+    When the backend answers a request to <target> with header values that are not UTF-8
+    Then the caller received these values and the whole body
+
+    Examples:
+      | kind           | target  |
+      | a whole answer | /book/x |
+      | a stream       | /look/x |
+
+  # Guards against a header that is written as two (header injection).
+  Scenario: A head with a control character is not written
+    Then no head with a control character in its first line, a name or a value is written
+
   Scenario: Headers of one connection do not pass the entry process
     When a caller sends a request with the headers "Connection: x-hop, X-Hop: 1, TE: trailers, Keep-Alive: 1"
     Then the backend received no header of the caller
--- a/tests/steps/unchanged.py
+++ b/tests/steps/unchanged.py
@@ -4,15 +4,18 @@
 import gzip
 import itertools
 import zlib
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, free_address
 from standins.platform_backend import PlatformBackendStandIn
 from tests.steps.platform_running import run
+from verbenaward.header_bytes import HeadWriter
 
 OWN = ("host", "x-attempt-id", "x-deadline-ms", "x-expect-instance", "x-tenant", "content-length")
 """Headers that the steps do not compare: the entry process sets them, or every request has them."""
@@ -22,11 +25,16 @@
     "a zlib body": zlib.compress(b"text" * 99),
     "random bytes": bytes(range(256)),
     "text": b"text",
+    "no body": b"",
     "chunked text": b"text",
 }
 NAMES = st.sampled_from(("X-A", "x-a", "X-a", "X-B", "Cookie", "cookie", "Accept", "Via", "Link"))
-VALUES = st.text(st.characters(codec="utf-8", exclude_categories=("C", "Z")), max_size=8)
-HEADERS = st.lists(st.tuples(NAMES, VALUES.map(str.encode)), max_size=6)
+TEXTS = st.text(st.characters(codec="utf-8", exclude_categories=("C", "Z")), max_size=8)
+OCTETS = st.lists(st.sampled_from([*range(0x21, 0x7F), *range(0x80, 0x100)]), max_size=8)
+VALUES = TEXTS.map(str.encode) | OCTETS.map(bytes)
+HEADERS = st.lists(st.tuples(NAMES, VALUES), max_size=6)
+LATIN_1 = [("X-R", b"caf\xe9"), ("X-R", b"\xff\xc3\xa9 \x80")]
+STREAM = b"data: 1\n\ndata: [DONE]\n\n"
 ENCODINGS = st.sampled_from((b"gzip", b"deflate", b"br", b"zstd", b"identity", b"x"))
 TARGETS = st.text("abC012/?#;:@&=+%.~!$'()*,-_|^\"<>{}`\\[]", max_size=20)
 SHORT_BODIES = st.binary(max_size=99)
@@ -52,6 +60,9 @@
     first, *lines = (await reader.readuntil(b"\r\n\r\n"))[:-4].split(b"\r\n")
     headers = [tuple(line.split(b": ", 1)) for line in lines]
     headers = [(name.decode().lower(), value) for name, value in headers]
+    if dict(headers).get("transfer-encoding") == b"chunked":
+        chunked = await reader.readuntil(b"\r\n0\r\n\r\n")
+        return first, headers, b"".join(chunked.split(b"\r\n")[1::2])
     length = int(dict(headers).get("content-length", 0)) if has_body else 0
     return first, headers, await reader.readexactly(length)
 
@@ -63,6 +74,7 @@
 @given("the users' platform with a backend that records what it receives")
 def start_platform(context):
     context.platform = PlatformStandIn()
+    context.platform.route_overrides["look"] = {"kind": "streaming"}
     context.attempts = itertools.count()
     context.reply = lambda: (200, [], [], b"ok", False)
 
@@ -97,7 +109,7 @@
 
 def send(context, target=b"/book/x", headers=(), body=b"", chunked=False, method=b"POST"):
     """Send a request, keep what was sent, and return the answer."""
-    context.sent = target, headers, body
+    context.sent = method, target, headers, body
     framing, sent = framed(body, chunked)
     own = [
         ("Host", CALLER_HOST.encode()),
@@ -142,9 +154,37 @@
     send(context, headers=[(name, value.encode()) for name, value in pairs])
 
 
-@when("a caller sends a request with a header value that is not UTF-8")
-def send_latin_1(context):
-    send(context, headers=[("X-R", b"caf\xe9")])
+@when("a caller sends a {method} request with {body} and header values that are not UTF-8")
+def send_latin_1(context, method, body):
+    send(context, headers=LATIN_1, body=BODIES[body], method=method.encode())
+
+
+@when("the backend answers a request to {target} with header values that are not UTF-8")
+def answer_latin_1(context, target):
+    headers = [*LATIN_1, ("Content-Type", b"text/event-stream")]
+    context.reply = lambda: (200, [], headers, STREAM, True)
+    context.answered = send(context, target.encode())
+
+
+@then("the caller received these values and the whole body")
+def received_latin_1(context):
+    _, headers, body = context.answered
+    assert [header for header in headers if header[0] == "x-r"] == without(LATIN_1, ()), headers
+    assert body == STREAM, body
+
+
+@then("no head with a control character in its first line, a name or a value is written")
+def no_control_character(context):
+    for code in (*range(0x09), *range(0x0A, 0x20), 0x7F):
+        bad = f"caf\udce9{chr(code)}X-B: 1"
+        for line, name, value in ((bad, "X-A", "1"), ("GET /", bad, "\xe9"), ("GET /", "X-A", bad)):
+            writer = HeadWriter(mock.Mock(), context.loop)
+            try:
+                run(context, writer.write_headers(line, CIMultiDict({name: value})))
+            except ValueError:
+                assert not writer.transport.write.called
+                continue
+            raise AssertionError(f"written: {line!r} {name!r} {value!r}")
 
 
 @when("a caller sends a request with the transfer codings gzip and chunked")
@@ -164,8 +204,8 @@
 
 
 @then("the backend received the target, the headers and the body as sent")
-def is_unchanged(context, method=b"POST"):
-    target, headers, body = context.sent
+def is_unchanged(context):
+    method, target, headers, body = context.sent
     assert context.received, context.answer
     line, received, received_body = context.received
     assert line == method + b" " + target + b" HTTP/1.1", (line, target)
@@ -194,7 +234,7 @@
         if encoding:
             headers = [*headers, ("Content-Encoding", encoding)]
         send(context, b"/book/" + target.encode(), headers, body, chunked, method)
-        is_unchanged(context, method)
+        is_unchanged(context)
 
     check()
 
--- a/verbenaward/direct/connections.py
+++ b/verbenaward/direct/connections.py
@@ -14,6 +14,7 @@
 
 from .. import clock, metrics
 from ..data import CallerLimits
+from ..header_bytes import head_writer
 from ..logs import get_logger
 from ..placement.connection_limits import (
     LIMITED_KINDS,
@@ -216,10 +217,13 @@
         loop = asyncio.get_running_loop()
         return ConnectionHandler(self, self.limiter, self.kind, loop=loop, **self.options)
 
-    def begin(self, message: Any, payload: Any, protocol: Any, *arguments: Any) -> web.BaseRequest:
-        """Record that a request begins and return it."""
+    def begin(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+    ) -> web.BaseRequest:
+        """Record that a request begins and return it, with a writer that keeps bytes of headers."""
         self.limiter.table.began(protocol, clock.now())
-        return self.inner.request_factory(message, payload, protocol, *arguments)
+        writer = head_writer(writer, protocol)
+        return self.inner.request_factory(message, payload, protocol, writer, task)
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request; with a refusal if its connection is one too many."""
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -12,6 +12,7 @@
 from returns.result import Result, Success
 
 from .. import clock
+from ..header_bytes import HeadRequest
 from ..http_client import ConnectedResponse, send_once, was_reset
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, HeldPart, Purpose
@@ -72,6 +73,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_once,),
+        request_class=HeadRequest,
         response_class=ConnectedResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
