An answer with a control character in a header reaches its caller

What callers saw: 500 without a verdict for a whole answer, and a closed connection for a stream, though the backend had run the request and answered, when a header of the answer had a character such as \x01, \x0b or DEL. Cause: aiohttp's client takes such an answer, and its writer of headers raises ValueError, which the front does not expect. Class: heads that are read by a rule more lenient than the one that they are written by. Change: the writer of the front writes these heads itself; RFC 9110 (section 5.5) lets a recipient retain the characters. Line ends and NUL are refused as before; aiohttp's parsers do not take them (the caller gets 502, may-have-run).

--- a/verbenaward/header_bytes.py
+++ b/verbenaward/header_bytes.py
@@ -1,9 +1,12 @@
 """Writes the heads of HTTP messages byte by byte as they were received.
 
 aiohttp's parser keeps bytes of a head that are not UTF-8 as lone surrogates (PEP 383), and its
-writer leaves these out. ASCII heads, which are nearly all, are still written by aiohttp.
+writer leaves these out. It takes control characters in an answer, which RFC 9110 (section 5.5)
+lets a recipient retain, and its writer refuses them. Other ASCII heads, which are nearly all, are
+still written by aiohttp.
 """
 
+import contextlib
 import re
 
 import aiohttp
@@ -14,8 +17,8 @@
 from aiohttp.http import StreamWriter
 from multidict import CIMultiDict
 
-CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-"""Characters that a first line, name or value must not have: some end it, and begin another one."""
+LINE_END = re.compile(r"[\0\r\n]")
+"""Characters that may end a line or a text; what follows would be taken for another header."""
 
 
 def is_ascii(first_line: str, headers: CIMultiDict[str]) -> bool:
@@ -27,12 +30,12 @@
     """Return the bytes of a head.
 
     Raises:
-      ValueError: It has a control character, such as a line end, or one that stands for no byte.
+      ValueError: It has a line end or NUL in a line, or a character that stands for no byte.
     """
     parts = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
     for part in parts:
-        if CONTROL_CHARACTER.search(part):
-            raise ValueError(f"a control character in the head of a message: {part[:80]!r}")
+        if LINE_END.search(part):
+            raise ValueError(f"a line end or NUL in a line of a message's head: {part[:80]!r}")
     return "\r\n".join((*parts, "", "")).encode("utf-8", "surrogateescape")
 
 
@@ -43,12 +46,14 @@
         """Write the head of a message.
 
         Raises:
-          ValueError: It has a control character, such as a line end.
+          ValueError: It has a line end or NUL in a line.
           ClientConnectionResetError: The connection is closed.
         """
         if is_ascii(status_line, headers):
-            await super().write_headers(status_line, headers)
-            return
+            # It raises ValueError for any control character; `encode_head` refuses only some.
+            with contextlib.suppress(ValueError):
+                await super().write_headers(status_line, headers)
+                return
         head = encode_head(status_line, headers)
         transport = self.transport
         if transport is None or transport.is_closing():
@@ -94,7 +99,7 @@
         """Write the body, after the head if that is not ASCII.
 
         Raises:
-          ValueError: The head has a control character.
+          ValueError: The head has a line end or NUL in a line.
         """
         if not is_ascii(self.first_line, self.headers):
             assert conn.protocol is not None
