Guards: answers of each kind that fall silent at any byte are whole

No fault was found, and no logic is changed; the scenarios stay as guards. Change: the stand-in of a backend can fall silent once in each run at any byte of its answer (before, in and after the head, in the body with a length, in chunks or without framing, in an event, at the end).

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -10,7 +10,8 @@
 import struct
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -49,6 +50,21 @@
 """What backends send whose answers don't end, by mode: the beginning, and what they repeat."""
 
 
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """A silence in the middle of an answer.
+
+    Attributes:
+      framing: "length", "chunked", or "unframed" for a body that ends with its connection.
+      share: Share of the bytes of the answer, with its head, that are sent before the silence.
+      seconds: Length of the silence.
+    """
+
+    framing: str
+    share: float
+    seconds: float
+
+
 class PlatformBackendStandIn:
     """HTTP backend, a plain service or an engine, whose mode selects a fault.
 
@@ -76,6 +92,7 @@
       last_event_ids: Event ids after which streams were to go on; empty for whole ones.
       sent_events: Events of streams sent so far.
       silent_until: Time until which it sends nothing, and then goes on, monotonic.
+      silences: Silences of the next runs of an attempt, by attempt id; they may be shared.
       unread_seconds: Time after which it cuts off a stream that is not read; None for never.
       crashing_part: Part of a prompt that crashes an engine as it begins to answer; empty for none.
       restart_seconds: Time after which it is back after a crash, in seconds.
@@ -140,6 +157,7 @@
         self.last_event_ids: list[str] = []
         self.sent_events = 0
         self.silent_until = 0.0
+        self.silences: dict[str, list[Silence]] = {}
         self.unread_seconds: float | None = None
         self.crashing_part = ""
         self.endless_bytes = 0
@@ -272,9 +290,11 @@
             del headers["X-Server-Signature"]
         if self.mode == "failing":
             return web.Response(status=500, headers=headers, text="failed")
+        body = f"{self.identity} ran {attempt}".encode() * 40
+        if self.silences.get(attempt):
+            await self.send_with_silence(request, headers, body, self.silences[attempt].pop(0))
         if request.path.startswith("/stream"):
             return await self.stream(request, headers)
-        body = f"{self.identity} ran {attempt}".encode() * 40
         if request.path.startswith("/look"):
             body += self.padding.encode()
         if self.mode in ("truncated", "unframed-reset"):
@@ -330,6 +350,31 @@
         reset_connection(request)
         raise AssertionError
 
+    async def send_with_silence(
+        self, request: web.Request, headers: dict[str, str], body: bytes, silence: Silence
+    ) -> None:
+        """Send an answer that is silent once, and close the connection.
+
+        Raises:
+          CancelledError: Always, to end the handler.
+        """
+        assert request.transport is not None
+        pieces = [body[:100], body[100:]]
+        if request.path.startswith("/stream"):
+            headers = {**headers, "Content-Type": "text/event-stream", "X-Weight-Versions": "1"}
+            first = int(request.headers.get("Last-Event-Id", "0")) + 1
+            pieces = [
+                f"id: {index}\ndata: piece {index}\n\n".encode()
+                for index in range(first, self.stream_events + 1)
+            ]
+        answer = framed(headers, pieces, silence.framing)
+        sent = round(silence.share * len(answer))
+        request.transport.write(answer[:sent])  # type: ignore[attr-defined]
+        await asyncio.sleep(silence.seconds)
+        request.transport.write(answer[sent:])  # type: ignore[attr-defined]
+        request.transport.close()
+        raise asyncio.CancelledError
+
     async def stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
         """Send the events after the caller's Last-Event-Id."""
         response = web.StreamResponse(
@@ -544,6 +589,17 @@
     return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
 
 
+def framed(headers: dict[str, str], pieces: Iterable[bytes], framing: str) -> bytes:
+    """Return the bytes of an answer with a body in one of the framings of `Silence`."""
+    body = b"".join(pieces)
+    ends = {"length": {"Content-Length": str(len(body))}, "chunked": {"Transfer-Encoding": framing}}
+    lines = {**headers, **ends.get(framing, {"Connection": "close"})}
+    head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {lines[name]}\r\n" for name in lines)
+    if framing == "chunked":
+        body = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+    return head.encode() + b"\r\n" + body
+
+
 def parts_of(request: web.Request) -> list[str]:
     """Return the ids of the parts of a request's prompt, without the last, which is its own."""
     entries = request.headers.get("X-Prompt-Prefix-Hash", "").split(",")
