--- /dev/null
+++ b/tests/direct/unexpected_errors.feature
@@ -0,0 +1,12 @@
+Feature: Requests whose handling fails unexpectedly
+  # Guards against whole requests that end without an answer, a verdict or a log line.
+
+  Background:
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the log lines about requests are collected
+
+  Scenario: Answers with a control character in a header reach their callers
+    Given all backends send a control character in a header
+    When callers book, look something up and open a stream
+    Then each gets the complete answer, with a space in its place
--- /dev/null
+++ b/tests/steps/unexpected_errors.py
@@ -0,0 +1,36 @@
+"""Steps on requests whose handling fails unexpectedly."""
+
+import asyncio
+
+from behave import given, then, when
+
+from standins.platform_backend import framed
+from tests.steps.platform_running import call
+
+EVENT = b"id: 1\ndata: 1\n\n"
+
+
+@given("all backends send a control character in a header")
+def control_character(context):
+    async def run_with_character(request, attempt):
+        headers = {"X-Attempt-Id": attempt, "X-Server-Signature": "s", "X-Note": "a\x01b"}
+        headers["Content-Type"] = "text/event-stream"
+        request.transport.write(framed(headers, [EVENT], "length"))
+        await asyncio.sleep(0.01)
+        request.transport.close()
+        raise asyncio.CancelledError
+
+    context.paths = ("book", "look", "stream")
+    for backend in context.platform.backends.values():
+        backend.run = run_with_character
+
+
+@then("each gets the complete answer, with a space in its place")
+def complete_answers(context):
+    seen = [(status, headers.get("X-Note"), body) for status, headers, body in context.answers]
+    assert seen == [(200, "a b", EVENT)] * len(context.paths), context.answers
+
+
+@when("callers book, look something up and open a stream")
+def each_kind(context):
+    context.answers = [call(context, f"/{kind}/x", f"u-{kind}") for kind in context.paths]
