A stream that is cut no longer looks complete to an HTTP/1.0 caller

What callers saw: a stream whose engine broke off and that could not be resumed ended, for an HTTP/1.0 caller, like a complete one. Cause: the answer to such a caller has no chunks and ends with its connection. To abort a connection closes it, which sends a regular end (FIN) unless unread bytes happen to be there; only with chunks does that show as a cut. Change: abort_connection resets the connection of an HTTP/1.0 caller. It is now the only copy, in sockets.py; the two places of the proxied mode that end a begun stream had the same cause and use it too (by reading: no scenario plays an HTTP/1.0 caller there). HTTP/1.1 is unchanged, as a reset could drop what was sent.

--- a/tests/direct/unexpected_errors.feature
+++ b/tests/direct/unexpected_errors.feature
@@ -10,3 +10,8 @@
     Given all backends send a control character in a header
     When callers book, look something up and open a stream
     Then each gets the complete answer, with a space in its place
+
+  Scenario: A stream that cannot be resumed does not look complete to an HTTP/1.0 caller
+    Given all engines are "truncated-event"
+    When an HTTP/1.0 caller opens a stream at "/stream/once/x"
+    Then its connection is reset in the middle of the stream
--- a/tests/steps/unexpected_errors.py
+++ b/tests/steps/unexpected_errors.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from standins.platform_backend import framed
-from tests.steps.platform_running import call
+from tests.steps.platform_running import call, open_raw, run
 
 EVENT = b"id: 1\ndata: 1\n\n"
 
@@ -34,3 +34,25 @@
 @when("callers book, look something up and open a stream")
 def each_kind(context):
     context.answers = [call(context, f"/{kind}/x", f"u-{kind}") for kind in context.paths]
+
+
+@when('an HTTP/1.0 caller opens a stream at "{path}"')
+def old_caller(context, path):
+    async def read():
+        reader, writer, head = await open_raw(context, path)
+        head = head.replace("HTTP/1.1", "HTTP/1.0")
+        writer.write((head + "X-Model: model\r\nX-Token-Usage: 300,60\r\n\r\n").encode())
+        try:
+            async with asyncio.timeout(2.0):
+                return await reader.read(-1)
+        except ConnectionResetError:
+            return "reset"
+        finally:
+            writer.close()
+
+    context.answers = [run(context, read())]
+
+
+@then("its connection is reset in the middle of the stream")
+def was_reset(context):
+    assert context.answers == ["reset"], context.answers
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -16,6 +16,7 @@
 from ..placement.routes import RouteTable
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
+from ..sockets import abort_connection
 from ..targets import target_of
 from .crash_tracker import fingerprint_of, part_keys_of
 from .delivery import CallerGoneError
@@ -281,9 +282,3 @@
         headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
     text = f"{refusal.verdict.value}: {refusal.message}\n"
     return web.Response(status=refusal.status, headers=headers, text=text)
-
-
-def abort_connection(caller: web.Request) -> None:
-    """Abort the connection of a caller, so that a partial answer does not look complete."""
-    if caller.transport is not None:
-        caller.transport.abort()
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -22,6 +22,7 @@
 from ..requests.streams import CallerGoneError, StreamRelay
 from ..schema.messages import MemberKind
 from ..schema.settings import Settings
+from ..sockets import abort_connection
 from ..targets import target_below, target_of
 from ..waiting import wait_at_most
 from .addresses import choose_addresses
@@ -171,8 +172,7 @@
                 raise
         message = "this process had to end before the answer"
         if has_begun(caller):
-            if caller.transport is not None:
-                caller.transport.abort()
+            abort_connection(caller)
             raise CallerGoneError(message)
         return self.with_addresses(
             response_of(may_have_run("leaving", message), request.request_id)
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -9,6 +9,7 @@
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
+from ..sockets import abort_connection
 from . import headers
 from .attempt import (
     BACKEND_CRASHED,
@@ -240,8 +241,7 @@
         """Refuse a stream that has not started, or abort the connection of one that has."""
         if progress.response is None:
             return response_of(refusal, request.request_id)
-        if caller.transport is not None:
-            caller.transport.abort()
+        abort_connection(caller)
         return progress.response
 
 
--- a/verbenaward/sockets.py
+++ b/verbenaward/sockets.py
@@ -6,7 +6,7 @@
 import termios
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 IDLE_SECONDS = 1
 """Idle time of a connection before the first keepalive probe."""
@@ -36,6 +36,20 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
 
 
+def abort_connection(caller: web.BaseRequest) -> None:
+    """Abort the connection of a caller, so that a partial answer does not look complete.
+
+    An answer to an HTTP/1.0 caller has no chunks and ends with its connection, so that is reset.
+    """
+    transport = caller.transport
+    if transport is None:
+        return
+    connection = transport.get_extra_info("socket")
+    if caller.version < HttpVersion11 and connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 def buffered_bytes(caller: web.BaseRequest) -> int:
     """Return the bytes written to a caller that this process still holds."""
     return 0 if caller.transport is None else caller.transport.get_write_buffer_size()
