--- a/verbenaward/platform/request_headers.py
+++ b/verbenaward/platform/request_headers.py
@@ -31,7 +31,6 @@
 )
 """Headers of a caller that are not forwarded; this process sets those that a backend needs."""
 KEY_SCHEME = "bearer "
-CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -203,13 +202,8 @@
 
 
 def headers_for_caller(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
-    """Return the headers of a backend's answer that are forwarded to the caller.
-
-    The client accepts control characters in a value, which the server cannot send; they become
-    spaces (RFC 9110, section 5.5).
-    """
-    kept = end_to_end_headers(headers)
-    return CIMultiDict((name, CONTROL_CHARACTER.sub(" ", value)) for name, value in kept.items())
+    """Return the headers of a backend's answer that are forwarded to the caller."""
+    return end_to_end_headers(headers)
 
 
 def end_to_end_headers(
