--- a/bench/soak_counting.py
+++ b/bench/soak_counting.py
@@ -51,6 +51,7 @@
       reason: Header X-Reason, or the error.
       is_whole: True if the body is the whole answer of a backend.
       event_times: When its events were received; empty if it is no stream.
+      verdict: Header X-Verdict: "not-run", "may-have-run", "ran", or empty.
     """
 
     attempt: str
@@ -62,6 +63,7 @@
     reason: str = ""
     is_whole: bool = False
     event_times: tuple[float, ...] = ()
+    verdict: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bench/soak_verdicts.py
@@ -0,0 +1,219 @@
+"""Verdicts on what happened in a soak: pure functions over its history; no network and no clock."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from verbenaward.registry import Registry
+
+from .soak_counting import (
+    Outcome,
+    RequestResult,
+    RetryLimit,
+    classify,
+    repeat_times,
+    worst_window,
+)
+
+KILL_SECONDS = 0.2
+"""A killed process still accepts connections for less than this."""
+DEADLINE_MARGIN_SECONDS = 0.1
+"""An entry process ends an answer this long before its deadline at the earliest."""
+LATE_SHARE = 5 / 6
+"""Share of the grace period after which its end may cut an answer."""
+LINGER_SECONDS = 3.0
+"""A process that stops takes requests for so long; the answers to these may end with it."""
+UNREAD_SECONDS = 1.0
+"""A request may cross the close of its connection; it then ends sooner than this."""
+IN_FORCE_SECONDS = 5.0
+"""Time after which a replaced configuration is in force nowhere."""
+ENDS_BY_SIGTERM = (0, -15, -1)
+"""Statuses of a process that got SIGTERM: graceful, or by a signal at the very start or end."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessEnd:
+    """The end of a process.
+
+    Attributes:
+      name: Name of its VM.
+      status: Its exit status, negative for a signal.
+      signals: Names of the signals that it got.
+    """
+
+    name: str
+    status: int
+    signals: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """What happened in a soak. Times are in seconds since the traffic began.
+
+    Attributes:
+      results: What the callers have seen.
+      allowed_seconds: Longest time that each request may take by its deadline and the timeouts of
+        its route, by attempt.
+      unsafe: Attempts that are not idempotent.
+      runs: How often backends began to run each attempt.
+      arrivals: When attempts arrived at backends.
+      kills: When entry processes got SIGKILL, by name.
+      stops: When running entry processes first got SIGTERM, by name.
+      resumptions: When entry processes got SIGCONT, by name; they read nothing before it.
+      grace_seconds: Time from SIGTERM to the end of a process.
+      ends: The ends of all processes.
+      limit: Limit on repeats.
+    """
+
+    results: Sequence[RequestResult]
+    allowed_seconds: Mapping[str, float]
+    unsafe: frozenset[str]
+    runs: Mapping[str, int]
+    arrivals: Sequence[tuple[float, str]]
+    kills: Mapping[str, Sequence[float]]
+    stops: Mapping[str, Sequence[float]]
+    resumptions: Mapping[str, Sequence[float]]
+    grace_seconds: float
+    ends: Sequence[ProcessEnd]
+    limit: RetryLimit
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One thing that breaks a verdict.
+
+    Attributes:
+      verdict: Name of the verdict.
+      subject: Attempt id, name of a VM, or window.
+      detail: What was seen.
+    """
+
+    verdict: str
+    subject: str
+    detail: str
+
+
+Verdict = Callable[[History], list[tuple[str, str]]]
+"""Returns subject and detail of each violation."""
+VERDICTS: Registry[Verdict] = Registry("verdict")
+
+
+def judge(history: History) -> list[Violation]:
+    """Return all that breaks a verdict."""
+    return [
+        Violation(name, subject, detail)
+        for name, verdict in VERDICTS.items.items()
+        for subject, detail in verdict(history)
+    ]
+
+
+@VERDICTS.register("no sound answer is cut")
+def cut_answers(history: History) -> list[tuple[str, str]]:
+    """Return answers that began and did not end, and that nothing excuses."""
+    return [
+        (item.attempt, f"cut after {item.ended_at - item.sent_at:.2f} s by {item.entry}")
+        for item in history.results
+        if classify(item) is Outcome.CUT and not excuse(history, item)
+    ]
+
+
+@VERDICTS.register("every request gets an answer")
+def unanswered_requests(history: History) -> list[tuple[str, str]]:
+    """Return requests that a process read and whose connection it ended without an answer.
+
+    It has read those that it passed on, and those that it closed some time after their sending
+    if it ran all the while.
+    """
+    passed_on = {attempt for _, attempt in history.arrivals}
+
+    def was_read(item: RequestResult) -> bool:
+        times = history.resumptions.get(item.entry, ())
+        has_run = not any(item.sent_at <= at <= item.ended_at for at in times)
+        is_late = item.ended_at - item.sent_at > UNREAD_SECONDS
+        return item.attempt in passed_on or (has_run and is_late)
+
+    return [
+        (item.attempt, f"closed after {item.ended_at - item.sent_at:.2f} s by {item.entry}")
+        for item in history.results
+        if classify(item) is Outcome.CLOSED and was_read(item) and not excuse(history, item)
+    ]
+
+
+@VERDICTS.register("an unsafe request runs at most once")
+def repeated_runs(history: History) -> list[tuple[str, str]]:
+    """Return unsafe requests that ran more than once."""
+    return [
+        (attempt, f"ran {history.runs[attempt]} times")
+        for attempt in sorted(history.unsafe)
+        if history.runs.get(attempt, 0) > 1
+    ]
+
+
+@VERDICTS.register("not-run is true")
+def false_refusals(history: History) -> list[tuple[str, str]]:
+    """Return requests that ran although their answer says that they did not."""
+    return [
+        (item.attempt, f"{item.status} {item.reason}, ran {history.runs[item.attempt]} times")
+        for item in history.results
+        if item.verdict == "not-run" and history.runs.get(item.attempt, 0)
+    ]
+
+
+@VERDICTS.register("repeats stay within their limit")
+def exceeded_windows(history: History) -> list[tuple[str, str]]:
+    """Return the worst window if it has more repeats than allowed."""
+    sent = [item.sent_at for item in history.results]
+    worst = worst_window(sent, repeat_times(history.arrivals), history.limit)
+    if worst is None or worst.repeats <= worst.bound:
+        return []
+    return [(f"window at {worst.start:.2f} s", f"{worst.repeats} repeats of {worst.bound:.0f}")]
+
+
+@VERDICTS.register("no process ends by itself")
+def own_ends(history: History) -> list[tuple[str, str]]:
+    """Return processes that ended without a signal to end, or with an error."""
+    return [
+        (end.name, f"status {end.status} after {', '.join(sorted(end.signals)) or 'no signal'}")
+        for end in history.ends
+        if not is_ordered(end)
+    ]
+
+
+def is_ordered(end: ProcessEnd) -> bool:
+    """Return True if a process ended as a signal to end has told it."""
+    if "SIGKILL" in end.signals:
+        return True
+    return "SIGTERM" in end.signals and end.status in ENDS_BY_SIGTERM
+
+
+def excuse(history: History, result: RequestResult) -> str:
+    """Return why an answer may have ended before its end; empty if nothing excuses it."""
+    start, end = result.sent_at, result.ended_at
+    kills, stops = history.kills.get(result.entry, ()), history.stops.get(result.entry, ())
+    late = LATE_SHARE * history.grace_seconds
+    if any(start - KILL_SECONDS <= at <= end for at in kills):
+        return "process killed"
+    if end - start >= history.allowed_seconds[result.attempt] - DEADLINE_MARGIN_SECONDS:
+        return "at its deadline"
+    if any(start <= at + LINGER_SECONDS and end >= at + late for at in stops):
+        return "at the end of the grace period"
+    return ""
+
+
+def shortest_timeout(
+    timeouts: Sequence[tuple[float, Mapping[str, float]]], prefix: str, start: float, end: float
+) -> float:
+    """Return the shortest timeout of a route that was in force in a span; infinite without one.
+
+    Args:
+      timeouts: When configurations were written, in order, with their timeouts by path prefix.
+      prefix: Path prefix of the route.
+      start: Start of the span, in seconds.
+      end: Its end.
+    """
+    replaced = [at for at, _ in timeouts[1:]] + [float("inf")]
+    found = [
+        by_prefix[prefix]
+        for (at, by_prefix), until in zip(timeouts, replaced, strict=True)
+        if prefix in by_prefix and at <= end and until + IN_FORCE_SECONDS >= start
+    ]
+    return min(found, default=float("inf"))
