--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
     ablate,
     config,
     direct_hop,
+    drawn,
     footprint,
     once,
     policies,
@@ -17,12 +18,13 @@
     tokens,
     update,
 )
-from .registry import BENCHES, print_result, raise_file_limit
+from .registry import BENCHES, BROKEN, print_result, raise_file_limit
 
 __all__ = [
     "ablate",
     "config",
     "direct_hop",
+    "drawn",
     "footprint",
     "once",
     "policies",
@@ -44,6 +46,8 @@
     arguments = [item for item in sys.argv[2:] if item != "--json"]
     result = asyncio.run(BENCHES.find(sys.argv[1])(arguments))
     print_result(result, "--json" in sys.argv)
+    if result.get(BROKEN):
+        raise SystemExit(1)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/drawn_plan.py
@@ -0,0 +1,166 @@
+"""The plan of a drawn soak: pure functions of its seed; no network and no clock."""
+
+import random
+from dataclasses import dataclass
+
+from .soak_traffic import AT_END, WITHIN, Load, PlannedRequest, draw_requests
+
+KEPT_SHARE = 0.5
+STREAMS = Load("/assist/", "POST", 6060, KEPT_SHARE)
+LOOKS = Load("/look/", "GET", 2180, KEPT_SHARE)
+BOOKINGS = Load("/book/", "POST", 4060, KEPT_SHARE)
+"""Unsafe requests."""
+FULL_STREAM_RATE = 84.0
+"""Streams a second that six engines carry."""
+PLAIN_RATES = (10.0, 40.0)
+ERROR_SHARES = (0.0, 0.0, 0.1, 0.4)
+FOR_GOOD_SECONDS = 3600.0
+TARGETS = 10_000
+"""Targets are drawn below this, far above the number of processes or backends."""
+ENTRY_COUNTS = (3, 6, 9)
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """A kind of trouble that comes again and again, in bursts.
+
+    Attributes:
+      kind: Name of the action.
+      share: Share of the seeds that have it.
+      pauses: Shortest and longest pause between bursts, in seconds.
+      burst: Most troubles of a burst.
+      gaps: Shortest and longest time from one trouble of a burst to the next, in seconds.
+      lengths: Shortest and longest duration of one, in seconds.
+      width: Most processes or backends that one trouble meets at once.
+      details: Forms of it, of which each trouble draws one.
+    """
+
+    kind: str
+    share: float
+    pauses: tuple[float, float]
+    burst: int = 3
+    gaps: tuple[float, float] = (0.05, 1.5)
+    lengths: tuple[float, float] = (0.0, 0.0)
+    width: int = 1
+    details: tuple[str, ...] = ("",)
+
+
+CONFIGURATIONS = (
+    "same",
+    "timeouts",
+    "attempts",
+    "targets",
+    "regions",
+    "workspace-regions",
+    "limits",
+    "route-name",
+    "route-away",
+    "service",
+    "split",
+    "key-away",
+    "engine",
+)
+ALL_SERIES = (
+    Series("silence", 0.95, (0.5, 4.0), lengths=(0.5, 3.0), width=3, details=("", WITHIN, AT_END)),
+    Series("silence", 0.3, (12.0, 40.0), 1, lengths=(FOR_GOOD_SECONDS,) * 2, details=("", WITHIN)),
+    Series("sigterm", 0.7, (4.0, 12.0), 2, width=2),
+    Series("sigterm-again", 0.7, (5.0, 12.0), 2, lengths=(0.05, 4.0)),
+    Series("sighup", 0.7, (1.0, 6.0), width=3, details=("same", "changed", "fixed")),
+    Series("sigkill", 0.35, (8.0, 20.0), 2),
+    Series("stop", 0.5, (4.0, 12.0), 2, lengths=(0.2, 3.0), width=2),
+    Series("configuration", 0.9, (1.0, 5.0), lengths=(0.5, 6.0), details=CONFIGURATIONS),
+    Series("leave", 0.5, (4.0, 12.0), 2, lengths=(1.0, 5.0), details=("lapse", "draining")),
+    Series("lapse", 0.4, (4.0, 12.0), 2, width=2),
+)
+"""`leave` is a registration of a backend that ends, `lapse` the lease of an entry process."""
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One planned trouble.
+
+    Attributes:
+      at: When it begins, in seconds since the traffic began.
+      kind: Name of the action.
+      targets: Numbers of the entry processes or backends, to be taken modulo how many there are.
+      seconds: Its duration.
+      detail: Its form.
+      number: Seed of what the action itself draws.
+    """
+
+    at: float
+    kind: str
+    targets: tuple[int, ...]
+    seconds: float
+    detail: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrawnPlan:
+    """All that is planned for one seed.
+
+    Attributes:
+      rates: Loads, and their requests a second.
+      requests: Requests in their order.
+      troubles: Troubles in their order.
+      error_share: Share of the plain backends' answers that are 500.
+      entries: Number of entry processes.
+    """
+
+    rates: tuple[tuple[Load, float], ...]
+    requests: tuple[PlannedRequest, ...]
+    troubles: tuple[Trouble, ...]
+    error_share: float
+    entries: int
+
+
+def draw_plan(seed: int, seconds: float, entries: int | None, rate: float | None) -> DrawnPlan:
+    """Return the plan of a seed.
+
+    Args:
+      seed: Seed of all that is drawn.
+      seconds: Duration of the traffic.
+      entries: Number of entry processes; drawn if None.
+      rate: Streams a second; drawn from a third of what the engines carry to all of it if None.
+    """
+    rng = random.Random(f"{seed} plan")
+    drawn_rate = rng.uniform(FULL_STREAM_RATE / 3, FULL_STREAM_RATE)
+    rates = (
+        (STREAMS, rate or drawn_rate),
+        (LOOKS, rng.uniform(*PLAIN_RATES)),
+        (BOOKINGS, rng.uniform(*PLAIN_RATES)),
+    )
+    error_share = rng.choice(ERROR_SHARES)
+    drawn_entries = rng.choice(ENTRY_COUNTS)
+    troubles = [trouble for series in ALL_SERIES for trouble in draw_series(rng, series, seconds)]
+    troubles.sort(key=lambda item: item.at)
+    requests = draw_requests(seed, rates, seconds)
+    return DrawnPlan(rates, requests, tuple(troubles), error_share, entries or drawn_entries)
+
+
+def draw_series(rng: random.Random, series: Series, seconds: float) -> list[Trouble]:
+    """Return the troubles of one series; none if the seed does not have it."""
+    if rng.random() >= series.share:
+        return []
+    troubles = []
+    at = rng.uniform(*series.pauses)
+    while at < seconds:
+        for _ in range(rng.randint(1, series.burst)):
+            troubles.append(draw_trouble(rng, series, at))
+            at += rng.uniform(*series.gaps)
+        at += rng.uniform(*series.pauses)
+    return [item for item in troubles if item.at < seconds]
+
+
+def draw_trouble(rng: random.Random, series: Series, at: float) -> Trouble:
+    """Return one trouble of a series."""
+    width = rng.randint(1, series.width)
+    return Trouble(
+        at=at,
+        kind=series.kind,
+        targets=tuple(rng.randrange(TARGETS) for _ in range(width)),
+        seconds=rng.uniform(*series.lengths),
+        detail=rng.choice(series.details),
+        number=rng.randrange(2**32),
+    )
--- /dev/null
+++ b/bench/drawn_troubles.py
@@ -0,0 +1,152 @@
+"""Actions of a drawn soak: they carry out planned troubles on its processes and backends."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from verbenaward.registry import Registry
+
+from .drawn_configurations import CHANGES, declare_services
+from .drawn_plan import DrawnPlan, Trouble
+from .soak_deployment import SoakDaemon, SoakDeployment, SoakWorker
+
+Action = Callable[[SoakDeployment, Trouble], Awaitable[None]]
+ACTIONS: Registry[Action] = Registry("action")
+AWAY_SECONDS = 0.6
+SETTINGS = {
+    "same": [{}],
+    "changed": [
+        {"address_ttl_seconds": 1.5},
+        {"pulse_bytes_per_second": 5000},
+        {"version_seconds": 9},
+    ],
+    "fixed": [{"memory_megabytes": 280}],
+}
+"""Changes of the settings before SIGHUP; those that are fixed need a restart."""
+
+
+async def disturb(deployment: SoakDeployment, plan: DrawnPlan, began_at: float) -> None:
+    """Begin each trouble of a plan at its time, whether or not earlier ones have ended."""
+    for trouble in plan.troubles:
+        await asyncio.sleep(max(0.0, began_at + trouble.at - deployment.record.now()))
+        deployment.record.write("trouble", kind=trouble.kind, detail=trouble.detail)
+        deployment.background(ACTIONS.find(trouble.kind)(deployment, trouble))
+
+
+def declare_first(deployment: SoakDeployment) -> None:
+    """Write the configuration on which all others are based."""
+    deployment.change_configuration(declare_services)
+    deployment.first_body = deployment.store.items["op/config"][0]
+
+
+def chosen_entries(deployment: SoakDeployment, trouble: Trouble) -> list[SoakDaemon]:
+    """Return the entry processes that a trouble meets."""
+    entries = deployment.entries
+    return [entries[number] for number in sorted({item % len(entries) for item in trouble.targets})]
+
+
+def chosen_workers(deployment: SoakDeployment, trouble: Trouble) -> list[SoakWorker]:
+    """Return the backends that a trouble meets."""
+    workers = list(deployment.workers.values())
+    return [workers[number] for number in sorted({item % len(workers) for item in trouble.targets})]
+
+
+def send(entry: SoakDaemon, number: signal.Signals) -> None:
+    """Send a signal that a process handles, once it handles signals."""
+    if entry.has_begun:
+        entry.send(number)
+
+
+@ACTIONS.register("silence")
+async def fall_silent(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let backends be silent at once."""
+    workers = chosen_workers(deployment, trouble)
+    silences = [item.fall_silent(trouble.seconds, trouble.detail) for item in workers]
+    await asyncio.gather(*silences)
+
+
+@ACTIONS.register("sigterm")
+async def terminate(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Send SIGTERM, also to a process that is stopping."""
+    for entry in chosen_entries(deployment, trouble):
+        send(entry, signal.SIGTERM)
+
+
+@ACTIONS.register("sigterm-again")
+async def terminate_again(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Send SIGTERM, and once more to the same process."""
+    await terminate(deployment, trouble)
+    await asyncio.sleep(trouble.seconds)
+    await terminate(deployment, trouble)
+
+
+@ACTIONS.register("sighup")
+async def reload(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Write the settings anew and send SIGHUP."""
+    changes = random.Random(trouble.number).choice(SETTINGS[trouble.detail])
+    for entry in chosen_entries(deployment, trouble):
+        entry.write_settings(changes)
+        send(entry, signal.SIGHUP)
+
+
+@ACTIONS.register("sigkill")
+async def kill(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Send SIGKILL."""
+    for entry in chosen_entries(deployment, trouble):
+        entry.send(signal.SIGKILL)
+
+
+@ACTIONS.register("stop")
+async def stop(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Stop processes for a while."""
+    entries = chosen_entries(deployment, trouble)
+    for entry in entries:
+        entry.send(signal.SIGSTOP)
+    await asyncio.sleep(trouble.seconds)
+    for entry in entries:
+        entry.send(signal.SIGCONT)
+
+
+@ACTIONS.register("configuration")
+async def configure(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Write a changed configuration, and the first one again unless another has come.
+
+    One that takes away what callers need is in force for a short time only.
+    """
+
+    def change(body: dict[str, Any]) -> None:
+        CHANGES.find(trouble.detail)(body, random.Random(trouble.number))
+
+    version = deployment.change_configuration(change)
+    is_away = trouble.detail.endswith("-away")
+    await asyncio.sleep(AWAY_SECONDS if is_away else trouble.seconds)
+    if deployment.config_version == version:
+        deployment.change_configuration(lambda body: None)
+
+
+@ACTIONS.register("leave")
+async def leave(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let backends report that they are draining, or their registrations end, for a while."""
+    workers = chosen_workers(deployment, trouble)
+    for worker in workers:
+        if trouble.detail == "draining":
+            worker.state = "draining"
+            worker.register()
+        else:
+            worker.deregister()
+    await asyncio.sleep(trouble.seconds)
+    for worker in workers:
+        worker.return_to_store()
+
+
+@ACTIONS.register("lapse")
+async def lapse(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let the leases of entry processes lapse."""
+    store = deployment.store
+    for entry in chosen_entries(deployment, trouble):
+        own = f"{entry.ip}:{deployment.ports['internal']}"
+        held = {lease for key, (_, _, lease) in store.items.items() if key.endswith(f"/{own}")}
+        for lease in held & store.leases.keys():
+            store.drop_lease(lease)
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -9,6 +9,8 @@
 
 Bench = Callable[[Sequence[str]], Awaitable[dict[str, Any]]]
 BENCHES: Registry[Bench] = Registry("benchmark")
+BROKEN = "broken"
+"""Field of a result that lists what broke a verdict; the exit status is 1 unless it is empty."""
 WANTED_OPEN_FILES = 65_536
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -29,6 +29,8 @@
 )
 from .soak_deployment import SoakDeployment, SoakPlan
 from .soak_rows import ROWS, TROUBLES, Row
+from .soak_traffic import draw_requests
+from .soak_verdicts import KILL_SECONDS
 
 ZONES = 3
 STREAM_RATE = 36.0
@@ -46,8 +48,6 @@
     extra=int(BOUNDS["retry_budget_extra"]),
     window_seconds=float(BOUNDS["retry_window_s"]),
 )
-KILL_SECONDS = 0.2
-"""A killed process still accepts connections for less than this."""
 LAG_POLL_SECONDS = 0.02
 
 
@@ -87,54 +87,59 @@
         prog="python -m bench soak",
         description=(
             "Run rows of the soak, one after the other: entry and endpoint processes, and\n"
-            "stand-ins of backends and callers, on loopback. Needs target/deps\n"
-            "(review/build.sh).\n\n"
+            "stand-ins of backends and callers, on loopback. Without target/deps the daemons\n"
+            "run with the interpreter of this process.\n\n"
             f"rows:\n{rows}"
         ),
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument("rows", nargs="+", metavar="ROW", help="names of rows, see above")
     parser.add_argument("--seed", type=int, default=1, help="of what is drawn (default 1)")
+    add_common_options(parser)
+    parser.add_argument(
+        "--restart-seconds",
+        type=number_between(0, 60),
+        default=0.1,
+        help="from the end of a process to its next start (default 0.1)",
+    )
+    options = parser.parse_args(arguments)
+    unknown = [name for name in options.rows if name not in ROWS]
+    if unknown:
+        parser.error(f"unknown row {unknown[0]!r}; known: {', '.join(ROWS)}")
+    return options
+
+
+def add_common_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that the rows and the drawn soak have in common."""
     parser.add_argument(
         "--seconds", type=number_between(5, 3600), default=40.0, help="of traffic (default 40)"
     )
     parser.add_argument(
         "--rate",
         type=number_between(1, 500),
-        help="requests a second (default: streams 36, others 60, 90 with more entry processes);"
-        " six engines carry 84 streams a second",
+        help="requests a second, in a drawn soak streams a second; six engines carry 84 streams a"
+        " second (default of rows: streams 36, others 60, 90 with more entry processes)",
     )
     parser.add_argument(
-        "--entries", type=entry_count, default=3, help="entry processes: 3, 6, 9 ... (default 3)"
-    )
-    parser.add_argument(
-        "--restart-seconds",
-        type=number_between(0, 60),
-        default=0.1,
-        help="from the end of a process to its next start (default 0.1)",
+        "--entries",
+        type=entry_count,
+        default=3,
+        help="entry processes: 3, 6, 9 ... (default 3, in a drawn soak drawn)",
     )
     parser.add_argument(
         "--daemons",
         type=daemon_folder,
         default=ROOT,
         metavar="FOLDER",
-        help="checkout whose code the daemons run, with target/deps (default: this one)",
+        help="checkout whose code the daemons run (default: this one)",
     )
     parser.add_argument(
         "--keep-logs",
-        type=Path,
+        type=folder_to_fill,
         metavar="FOLDER",
-        help="keep record, settings and logs of each row in FOLDER/ROW-SEED",
+        help="keep record, settings and logs of each run in a folder of FOLDER",
     )
     parser.add_argument("--json", action="store_true", help="print one line of JSON")
-    options = parser.parse_args(arguments)
-    unknown = [name for name in options.rows if name not in ROWS]
-    if unknown:
-        parser.error(f"unknown row {unknown[0]!r}; known: {', '.join(ROWS)}")
-    kept = options.keep_logs
-    if kept is not None and kept.exists() and not kept.is_dir():
-        parser.error(f"--keep-logs: {kept} is no folder")
-    return options
 
 
 def number_between(low: float, high: float) -> Any:
@@ -165,15 +170,26 @@
     """Read the folder of a checkout.
 
     Raises:
-      ArgumentTypeError: It lacks the deploy file or the dependencies.
+      ArgumentTypeError: It lacks the deploy file.
     """
     folder = Path(text).resolve()
-    for needed in ("deploy/system.toml", "target/deps"):
-        if not (folder / needed).exists():
-            raise argparse.ArgumentTypeError(f"{folder} has no {needed}")
+    if not (folder / "deploy/system.toml").exists():
+        raise argparse.ArgumentTypeError(f"{folder} has no deploy/system.toml")
     return folder
 
 
+def folder_to_fill(text: str) -> Path:
+    """Read the path of a folder that is made if there is none.
+
+    Raises:
+      ArgumentTypeError: Something else is there.
+    """
+    path = Path(text)
+    if path.exists() and not path.is_dir():
+        raise argparse.ArgumentTypeError(f"{path} is no folder")
+    return path
+
+
 @BENCHES.register("soak")
 async def bench_soak(arguments: Sequence[str]) -> dict[str, Any]:
     """Run the rows named in the arguments."""
@@ -196,18 +212,25 @@
     )
     plain_rate = PLAIN_RATES.get(options.entries, LARGE_PLAIN_RATE)
     rate = options.rate or (STREAM_RATE if is_stream else plain_rate)
+    kept = options.keep_logs and options.keep_logs / f"{name}-{options.seed}"
+    async with running(plan, kept) as deployment:
+        figures = await play(deployment, row, rate, options)
+    return {"rate": rate, "entries": options.entries, "seconds": options.seconds, **figures}
+
+
+@contextlib.asynccontextmanager
+async def running(plan: SoakPlan, kept: Path | None) -> AsyncIterator[SoakDeployment]:
+    """Run a deployment; keep its record, settings and logs in a folder if one is given."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         deployment = SoakDeployment(plan, Path(folder))
         try:
             await deployment.start_plan()
-            figures = await play(deployment, row, rate, options)
+            yield deployment
         finally:
-            if options.keep_logs is not None:
-                kept = options.keep_logs / f"{name}-{options.seed}"
+            if kept is not None:
                 deployment.keep_logs(kept)
                 (kept / "record.txt").write_bytes((Path(folder) / "record.txt").read_bytes())
             await deployment.stop()
-    return {"rate": rate, "entries": options.entries, "seconds": options.seconds, **figures}
 
 
 async def play(
@@ -215,11 +238,12 @@
 ) -> dict[str, Any]:
     """Send the traffic of a row beside its troubles and return the figures."""
     await asyncio.sleep(SETTLING_SECONDS)
-    callers = Callers(deployment, row.load, options.seed)
+    callers = Callers(deployment, options.seed)
+    requests = draw_requests(options.seed, ((row.load, rate),), options.seconds)
     lags: list[float] = []
     try:
         async with playing(deployment, row, options), polling_lag(lags):
-            await callers.run(rate, options.seconds)
+            await callers.run(requests)
     finally:
         await callers.close()
     return {**summarize(deployment, row, callers), "max_loop_lag_ms": round(1000 * max(lags))}
@@ -267,12 +291,7 @@
 def summarize(deployment: SoakDeployment, row: Row, callers: Callers) -> dict[str, Any]:
     """Return the figures of a row."""
     results = callers.results
-    arrivals = [
-        (at - callers.began_at, attempt)
-        for worker in deployment.workers.values()
-        for at, attempt in worker.received
-    ]
-    repeats = repeat_times(arrivals)
+    repeats = repeat_times(arrivals_of(deployment, callers))
     worst = worst_window([item.sent_at for item in results], repeats, LIMIT)
     refused = [item for item in results if classify(item) is Outcome.REFUSED]
     figures: dict[str, Any] = {
@@ -290,6 +309,15 @@
     return figures
 
 
+def arrivals_of(deployment: SoakDeployment, callers: Callers) -> list[tuple[float, str]]:
+    """Return when requests arrived at backends, since the traffic began."""
+    return [
+        (at - callers.began_at, attempt)
+        for worker in deployment.workers.values()
+        for at, attempt in worker.received
+    ]
+
+
 def lost_requests(deployment: SoakDeployment, callers: Callers) -> list[LostRequest]:
     """Return the requests that were cut or closed, but not by the end of a killed process."""
     entries = {entry.name: entry for entry in deployment.entries}
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -1,10 +1,9 @@
 """Callers of a soak: they ask the directory for addresses and send one request after another."""
 
 import asyncio
-import itertools
 import random
 import re
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
 
 import aiohttp
 
@@ -13,38 +12,16 @@
 
 from .soak_counting import Ending, RequestResult
 from .soak_deployment import SoakDeployment
+from .soak_traffic import SUBJECTS, PlannedRequest
 
 ADDRESS_SECONDS = 2.0
 """How long a caller keeps the addresses of the directory (`address_ttl_seconds`)."""
 CONNECT_SECONDS = 1.0
-KEPT_SHARE = 0.5
-"""Share of the streams that are sent on kept connections."""
 LONGEST_GAP_SECONDS = 3.2
 """A stream is left after a gap of max(2 s, 4 x target, 8 x gap target)."""
-SUBJECTS = 60
 EVENT_PATTERN = re.compile(rb"id: \d+\n[^\n]*\n\n")
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Requests that are sent evenly.
-
-    Attributes:
-      prefix: Prefix of their paths.
-      method: Their method.
-      deadline_ms: Value of X-Deadline-Ms.
-    """
-
-    prefix: str
-    method: str
-    deadline_ms: int
-
-    @property
-    def is_stream(self) -> bool:
-        """True if the answers are streams."""
-        return self.prefix == "/assist/"
-
-
 class Addresses:
     """Addresses that the directory has named to the callers of one zone."""
 
@@ -77,18 +54,14 @@
       began_at: When the traffic began, since the record began.
     """
 
-    def __init__(self, deployment: SoakDeployment, load: Load, seed: int) -> None:
+    def __init__(self, deployment: SoakDeployment, seed: int) -> None:
         self.deployment = deployment
-        self.load = load
-        self.rng = random.Random(f"{seed} callers")
-        self.numbers = itertools.count(1)
+        self.rng = random.Random(f"{seed} addresses")
         self.results: list[RequestResult] = []
         self.began_at = 0.0
         self.sending: set[asyncio.Task[None]] = set()
-        timeout = aiohttp.ClientTimeout(total=load.deadline_ms / 1000, sock_connect=CONNECT_SECONDS)
         self.kept, self.single = (
             aiohttp.ClientSession(
-                timeout=timeout,
                 connector=aiohttp.TCPConnector(limit=0, force_close=is_single),
                 middlewares=(send_once,),
                 auto_decompress=False,
@@ -100,47 +73,43 @@
         """Return the time since the traffic began, in seconds."""
         return self.deployment.record.now() - self.began_at
 
-    async def run(self, per_second: float, seconds: float) -> None:
-        """Send requests from all zones, and wait until the last one has ended."""
+    async def run(
+        self, requests: Sequence[PlannedRequest], on_begin: Callable[[], None] = lambda: None
+    ) -> None:
+        """Send requests from all zones in turn, and wait until the last one has ended.
+
+        Args:
+          requests: Requests in their order.
+          on_begin: Called when the traffic begins.
+        """
         addresses = [Addresses(self.deployment, zone) for zone in ZONES]
         refreshing = [self.deployment.background(item.keep_fresh()) for item in addresses]
         while not all(item.named for item in addresses):
             await asyncio.sleep(0.05)
         self.began_at = self.deployment.record.now()
-        rate = per_second / len(addresses)
-        await asyncio.gather(
-            *(
-                self.send_evenly(item, rate, index / per_second, seconds)
-                for index, item in enumerate(addresses)
-            )
-        )
-        await asyncio.gather(*self.sending)
-        for task in refreshing:
-            task.cancel()
-
-    async def send_evenly(
-        self, addresses: Addresses, per_second: float, first_at: float, seconds: float
-    ) -> None:
-        """Send requests of one zone evenly, also while earlier ones are unanswered."""
-        for number in range(round(seconds * per_second)):
-            due = first_at + number / per_second
-            await asyncio.sleep(max(0.0, due - self.now()))
-            entry = addresses.choose(self.rng)
+        on_begin()
+        for number, request in enumerate(requests):
+            await asyncio.sleep(max(0.0, request.at - self.now()))
+            known = addresses[number % len(addresses)]
+            entry = known.choose(self.rng)
             if entry is not None:
-                task = asyncio.create_task(self.send(addresses, entry))
+                task = asyncio.create_task(self.send(request, known, entry))
                 self.sending.add(task)
                 task.add_done_callback(self.sending.discard)
+        await asyncio.gather(*self.sending)
+        for task in refreshing:
+            task.cancel()
 
-    async def send(self, addresses: Addresses, entry: Daemon) -> None:
+    async def send(self, request: PlannedRequest, addresses: Addresses, entry: Daemon) -> None:
         """Send one request and record what became of it."""
-        attempt = f"{next(self.numbers):08x}{self.rng.randrange(2**32):08x}"
-        path = f"{self.load.prefix}{self.rng.randrange(SUBJECTS)}"
-        is_kept = self.load.is_stream and self.rng.random() < KEPT_SHARE
-        reader = AnswerReader(self, attempt, path)
+        attempt, path = request.attempt, request.path
+        reader = AnswerReader(self, request)
         sent_at = self.now()
-        self.deployment.record.write("sent", id=attempt, path=path, to=entry.name, kept=is_kept)
-        session = self.kept if is_kept else self.single
-        ending, error = await reader.read(session, entry, self.headers(attempt))
+        self.deployment.record.write(
+            "sent", id=attempt, path=path, to=entry.name, kept=request.is_kept
+        )
+        session = self.kept if request.is_kept else self.single
+        ending, error = await reader.read(session, entry, headers_of(request))
         if ending is Ending.NO_CONNECTION:
             addresses.failed.add(entry.name)
         result = RequestResult(
@@ -153,6 +122,7 @@
             reason=reader.reason or error,
             is_whole=reader.status == 200 and is_whole(path, attempt, bytes(reader.body)),
             event_times=tuple(reader.event_times),
+            verdict=reader.verdict,
         )
         self.results.append(result)
         self.deployment.record.write(
@@ -160,23 +130,6 @@
             whole=result.is_whole, events=len(result.event_times), reason=result.reason,
         )  # fmt: skip
 
-    def headers(self, attempt: str) -> dict[str, str]:
-        """Return the headers of a request."""
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": str(self.load.deadline_ms),
-            "Authorization": f"Bearer {KEY}",
-        }
-        if self.load.is_stream:
-            part = f"{self.rng.randrange(SUBJECTS):08x}:40,{self.rng.randrange(2**32):08x}:560"
-            headers |= {
-                "X-Model": MODEL,
-                "X-Token-Usage": "600,60",
-                "X-Prompt-Prefix-Hash": part,
-            }
-        return headers
-
     async def close(self) -> None:
         """Close all connections."""
         for task in tuple(self.sending):
@@ -185,22 +138,38 @@
         await self.single.close()
 
 
+def headers_of(request: PlannedRequest) -> dict[str, str]:
+    """Return the headers of a request."""
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": request.attempt,
+        "X-Deadline-Ms": str(request.load.deadline_ms),
+        "Authorization": f"Bearer {KEY}",
+    }
+    if request.load.is_stream:
+        rng = random.Random(request.attempt)
+        part = f"{rng.randrange(SUBJECTS):08x}:40,{rng.randrange(2**32):08x}:560"
+        headers |= {"X-Model": MODEL, "X-Token-Usage": "600,60", "X-Prompt-Prefix-Hash": part}
+    return headers
+
+
 class AnswerReader:
     """Reads the answer of one request.
 
     Attributes:
       status: Its status; 0 without an answer.
       reason: Its header X-Reason.
+      verdict: Its header X-Verdict.
       body: What was received of its body.
       event_times: When its events were received, since the traffic began.
     """
 
-    def __init__(self, callers: Callers, attempt: str, path: str) -> None:
+    def __init__(self, callers: Callers, request: PlannedRequest) -> None:
         self.callers = callers
-        self.attempt = attempt
-        self.path = path
+        self.request = request
         self.status = 0
         self.reason = ""
+        self.verdict = ""
         self.body = bytearray()
         self.event_times: list[float] = []
 
@@ -208,11 +177,15 @@
         self, session: aiohttp.ClientSession, entry: Daemon, headers: dict[str, str]
     ) -> tuple[Ending, str]:
         """Send the request and read its answer; return how it ended, and the error."""
-        method, url = self.callers.load.method, f"http://{entry.front}{self.path}"
+        load, url = self.request.load, f"http://{entry.front}{self.request.path}"
+        timeout = aiohttp.ClientTimeout(load.deadline_ms / 1000, sock_connect=CONNECT_SECONDS)
         try:
-            async with session.request(method, url, headers=headers) as answer:
+            async with session.request(
+                load.method, url, headers=headers, timeout=timeout
+            ) as answer:
                 self.status = answer.status
                 self.reason = answer.headers.get("X-Reason", "")
+                self.verdict = answer.headers.get("X-Verdict", "")
                 await self.read_body(answer)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Ending.NO_CONNECTION, type(error).__name__
@@ -235,7 +208,7 @@
             if not data:
                 return
             self.body += data
-            if self.callers.load.is_stream:
+            if self.request.load.is_stream:
                 now = self.callers.now()
                 new = len(EVENT_PATTERN.findall(self.body)) - len(self.event_times)
                 self.event_times.extend([now] * new)
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -1,19 +1,26 @@
 """Real processes on loopback for a soak: daemons that restart, and backends that fall silent."""
 
 import asyncio
+import contextlib
+import json
 import os
 import random
 import shutil
 import signal
+import sys
 import tomllib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from aiohttp import web
 
 from review.harness import ZONES, Daemon, Deployment, Worker, render
 
+from .soak_traffic import AT_END, WITHIN
+from .soak_verdicts import ProcessEnd
+
 FIRST_EVENT_SECONDS = 0.06
 EVENT_GAP_SECONDS = 0.12
 EVENTS = 10
@@ -29,6 +36,18 @@
     "max_attempts": 2,
 }
 """Idempotent route whose first send may last 1.09 s, half of the timeout."""
+BOOK_ROUTE = {
+    "name": "r-b",
+    "path_prefix": "/book/",
+    "kind": "non_idempotent",
+    "service": "beds",
+    "timeout_ms": 4000,
+    "target_latency_ms": 600,
+    "priority": 2,
+    "max_attempts": 1,
+}
+"""Route of unsafe requests, whose timeout is longer than any silence that ends."""
+DEPENDENCIES = Path("target", "deps")
 OWN_PATHS = ("/report", "/order", "/stage-get", "/stage-put")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -42,6 +61,7 @@
       entries_per_zone: Entry processes in each of the three zones.
       models_per_zone: Engines in each zone.
       plain: Plain backends.
+      services: Services of the plain backends, in turn.
       error_share: Share of the plain backends' answers that are 500.
       restart_seconds: Time from the end of a process to its next start.
       seed: Seed of what the backends draw.
@@ -51,6 +71,7 @@
     entries_per_zone: int = 1
     models_per_zone: int = 2
     plain: int = 0
+    services: tuple[str, ...] = ("beds",)
     error_share: float = 0.0
     restart_seconds: float = 0.1
     seed: int = 1
@@ -61,8 +82,12 @@
 
     Attributes:
       terminated_at: When it got SIGTERM, since the record began.
+      stop_times: When its processes first got SIGTERM.
       kill_times: When it got SIGKILL.
+      resume_times: When it got SIGCONT.
       starts: How often its process was started.
+      signals: Names of the signals that the running process got.
+      ends: The ends of its processes.
     """
 
     deployment: "SoakDeployment"
@@ -70,22 +95,47 @@
     def __init__(self, deployment: "SoakDeployment", role: str, name: str, ip: str, zone: str):
         super().__init__(deployment, role, name, ip, zone)
         self.terminated_at: list[float] = []
+        self.stop_times: list[float] = []
         self.kill_times: list[float] = []
+        self.resume_times: list[float] = []
         self.starts = 0
+        self.signals: set[str] = set()
+        self.ends: list[ProcessEnd] = []
+        self.log_bytes = 0
+
+    @property
+    def log_file(self) -> Path:
+        """Log of all its processes."""
+        return self.deployment.folder / f"{self.name}.log"
+
+    @property
+    def has_begun(self) -> bool:
+        """True if the process has logged something: it handles signals by then."""
+        return self.process is not None and self.log_file.stat().st_size > self.log_bytes
+
+    def write_settings(self, changes: dict[str, object] | None = None) -> Path:
+        """Write its settings file, with changes to the section direct; return the path."""
+        folder = self.deployment.plan.daemons
+        template = self.deployment.deploy["roles"][self.role]["template"]
+        settings = json.loads(render((folder / template).read_text(), self.settings()))
+        settings["direct"] |= changes or {}
+        path = self.deployment.folder / f"{self.name}.settings"
+        path.write_text(json.dumps(settings, indent=1))
+        return path
 
     async def run(self) -> None:
         """Keep the process running until cancelled."""
         folder = self.deployment.plan.daemons
-        role = self.deployment.deploy["roles"][self.role]
-        path = self.deployment.folder / f"{self.name}.settings"
-        path.write_text(render((folder / role["template"]).read_text(), self.settings()))
+        command = command_of(folder, self.deployment.deploy["roles"][self.role]["run"])
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
-        environment["PYTHONPATH"] = str(folder / "target" / "deps")
-        environment["VERBENAWARD_BOOT"] = str(path)
+        environment["PYTHONPATH"] = str(folder / DEPENDENCIES)
+        environment["VERBENAWARD_BOOT"] = str(self.write_settings())
         while True:
-            with (self.deployment.folder / f"{self.name}.log").open("ab") as log:
+            with self.log_file.open("ab") as log:
+                self.log_bytes = self.log_file.stat().st_size
+                self.signals = set()
                 self.process = await asyncio.create_subprocess_exec(
-                    *role["run"].split(), cwd=folder, env=environment, stdout=log, stderr=log
+                    *command, cwd=folder, env=environment, stdout=log, stderr=log
                 )
             pid = self.process.pid
             self.starts += 1
@@ -93,16 +143,33 @@
             status = await self.process.wait()
             self.process = None
             self.deployment.record.write("ended", machine=self.name, pid=pid, status=status)
+            self.ends.append(ProcessEnd(self.name, status, frozenset(self.signals)))
             if pid not in self.killed:
                 self.exits.append((self.deployment.record.now(), status))
             await asyncio.sleep(self.deployment.plan.restart_seconds)
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it runs."""
-        times = {signal.SIGTERM: self.terminated_at, signal.SIGKILL: self.kill_times}
-        if self.process is not None and number in times:
-            times[number].append(self.deployment.record.now())
-        super().send(number)
+        """Send a signal to the process, if it runs.
+
+        Not by the functions of `subprocess`, which take the status of one that has just ended.
+        """
+        if self.process is None:
+            return
+        now = self.deployment.record.now()
+        if number is signal.SIGTERM:
+            self.terminated_at.append(now)
+            if number.name not in self.signals:
+                self.stop_times.append(now)
+        if number is signal.SIGCONT:
+            self.resume_times.append(now)
+        if number is signal.SIGKILL:
+            self.kill_times.append(now)
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.killed.add(self.process.pid)
+        self.signals.add(number.name)
+        self.deployment.record.write("signal", machine=self.name, signal=number.name)
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, number)
 
     def was_killed(self, start: float, end: float) -> bool:
         """Return True if it got SIGKILL between two times."""
@@ -114,12 +181,23 @@
         return now - before[-1] if before else None
 
 
+def command_of(folder: Path, command: str) -> list[str]:
+    """Return the words of a role's command.
+
+    Where the dependencies of the deploy file are not built, this process's interpreter runs it.
+    """
+    words = command.split()
+    return words if (folder / DEPENDENCIES).exists() else [sys.executable, *words[1:]]
+
+
 class SoakWorker(Worker):
     """A backend that falls silent: it keeps its connections and sends no byte on them.
 
     Attributes:
       received: When requests arrived, with their attempt ids, also those that it rejects.
       speaking: Set unless it is silent.
+      silences: Number of silences that overlap at present.
+      place: Place of the latest silence in an answer.
       rng: Draws which of its answers are errors.
       error_share: Share of its whole answers that are 500.
     """
@@ -129,9 +207,35 @@
         self.received: list[tuple[float, str]] = []
         self.speaking = asyncio.Event()
         self.speaking.set()
+        self.silences = 0
+        self.place = ""
         self.rng = random.Random(f"{deployment.plan.seed} {identity}")
         self.error_share = deployment.plan.error_share
 
+    async def fall_silent(self, seconds: float, place: str = "") -> None:
+        """Be silent for some seconds, then go on unless another silence is under way.
+
+        Args:
+          seconds: How long.
+          place: WITHIN, AT_END, or empty for between two events and before the head.
+        """
+        self.record.write("silent", worker=self.identity, seconds=f"{seconds:.2f}", place=place)
+        self.silences += 1
+        self.place = place
+        self.speaking.clear()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.silences -= 1
+            if not self.silences:
+                self.speaking.set()
+                self.record.write("speaks", worker=self.identity)
+
+    def return_to_store(self) -> None:
+        """Register again after `deregister`."""
+        self.is_gone, self.registered, self.state = False, b"", "ready"
+        self.register()
+
     def application(self) -> web.Application:
         """Build the HTTP application."""
 
@@ -147,27 +251,48 @@
         app.middlewares.append(hold)
         return app
 
-    async def whole(self, request: web.Request, attempt: str) -> web.Response:
+    async def whole(self, request: web.Request, attempt: str) -> web.StreamResponse:  # type: ignore[override]
         """Answer as a plain backend, or with its own error."""
         answer = await super().whole(request, attempt)
+        body = answer.body
+        assert isinstance(body, bytes)
+        if not self.speaking.is_set() and self.place == WITHIN:
+            response = web.StreamResponse(headers=self.headers(attempt))
+            response.content_length = len(body)
+            await response.prepare(request)
+            await self.write(response, body)
+            return response
         await self.speaking.wait()
         if self.rng.random() < self.error_share:
             return web.Response(status=500, headers=self.headers(attempt))
         return answer
 
+    async def write(self, response: web.StreamResponse, data: bytes) -> None:
+        """Write an event or a body: none or half of it while the backend is silent."""
+        half = len(data) // 2 if self.place == WITHIN and not self.speaking.is_set() else 0
+        if half:
+            await response.write(data[:half])
+        await self.speaking.wait()
+        await response.write(data[half:])
+
     async def stream(self, request: web.Request, attempt: str) -> web.StreamResponse:
         """Answer with a stream of events, which stops while the backend is silent."""
         headers = {"Content-Type": "text/event-stream", "X-Weight-Versions": str(self.version)}
         response = web.StreamResponse(headers={**headers, **self.headers(attempt)})
         await asyncio.sleep(FIRST_EVENT_SECONDS)
-        await self.speaking.wait()
+        if self.place != WITHIN:
+            await self.speaking.wait()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for index in range(first, EVENTS + 1):
             if index > first:
                 await asyncio.sleep(EVENT_GAP_SECONDS)
-            await self.speaking.wait()
-            await response.write(f"id: {index}\ndata: {attempt} {index}\n\n".encode())
+            event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
+            if self.place == AT_END:
+                await response.write(event)
+            else:
+                await self.write(response, event)
+        await self.speaking.wait()
         await response.write_eof()
         return response
 
@@ -178,6 +303,8 @@
     Attributes:
       plan: What is started.
       network: First two bytes of the addresses.
+      first_body: First configuration, on which all changed ones are based.
+      timeouts: When configurations were written, with the timeouts of their routes in seconds.
     """
 
     entries: list[SoakDaemon]
@@ -190,7 +317,9 @@
         self.deploy = tomllib.loads((plan.daemons / "deploy" / "system.toml").read_text())
         self.store_address = f"{self.network}.0.1:{self.ports['store']}"
         self.origin_address = f"{self.network}.0.2:{self.ports['origin']}"
-        self.more_routes = [LOOK_ROUTE]
+        self.more_routes = [LOOK_ROUTE, BOOK_ROUTE]
+        self.first_body = b""
+        self.timeouts: list[tuple[float, dict[str, float]]] = []
 
     async def add_worker(
         self, identity: str, service: str, zone: str, ip: str, version: int = 0
@@ -205,6 +334,19 @@
         self.background(worker.beat())
         return worker
 
+    def change_configuration(self, change: Callable[[dict[str, Any]], None]) -> int:
+        """Write the first configuration with a change; return its version."""
+        self.first_body = self.first_body or self.store.items["op/config"][0]
+        body = json.loads(self.first_body)
+        change(body)
+        self.config_version += 3
+        body["version"] = self.config_version
+        self.store.put("op/config", json.dumps(body).encode())
+        self.record.write("configuration", version=self.config_version)
+        timeouts = {item["path_prefix"]: item["timeout_ms"] / 1000 for item in body["routes"]}
+        self.timeouts.append((self.record.now(), timeouts))
+        return self.config_version
+
     async def start_plan(self) -> None:
         """Start everything and wait until all entry processes are ready.
 
@@ -223,7 +365,8 @@
                 await self.add_engine(zone, zone_index, index)
         for index in range(self.plan.plain):
             zone = list(ZONES)[index % len(ZONES)]
-            await self.add_worker(f"i-p{index}", "beds", zone, f"{self.network}.9.{index + 1}")
+            service = self.plan.services[index // len(ZONES) % len(self.plan.services)]
+            await self.add_worker(f"i-p{index}", service, zone, f"{self.network}.9.{index + 1}")
         for daemon in (*self.entries, *self.endpoints):
             daemon.keeper = asyncio.create_task(daemon.run())
         await self.wait_ready(25.0)
--- a/bench/soak_rows.py
+++ b/bench/soak_rows.py
@@ -8,10 +8,10 @@
 
 from verbenaward.registry import Registry
 
-from .soak_callers import Load
 from .soak_deployment import STREAM_SECONDS, SoakDaemon, SoakDeployment, SoakWorker
+from .soak_traffic import Load
 
-STREAMS = Load("/assist/", "POST", 6060)
+STREAMS = Load("/assist/", "POST", 6060, kept_share=0.5)
 LOOKS = Load("/look/", "GET", 2180)
 CHECKS = Load("/check/", "GET", 618)
 SILENCE_SECONDS = 1.4
@@ -105,14 +105,7 @@
     """Let a backend that is drawn each time be silent, then go on."""
     while True:
         await asyncio.sleep(SILENCE_INTERVAL_SECONDS - SILENCE_SECONDS)
-        worker = rng.choice(loaded_workers(deployment))
-        deployment.record.write("silent", worker=worker.identity)
-        worker.speaking.clear()
-        try:
-            await asyncio.sleep(SILENCE_SECONDS)
-        finally:
-            worker.speaking.set()
-        deployment.record.write("speaks", worker=worker.identity)
+        await rng.choice(loaded_workers(deployment)).fall_silent(SILENCE_SECONDS)
 
 
 @TROUBLES.register("dark")
--- /dev/null
+++ b/bench/soak_traffic.py
@@ -0,0 +1,80 @@
+"""The requests of a soak, drawn from its seed; no network and no clock."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+SUBJECTS = 60
+WITHIN, AT_END = "within", "end"
+"""Places of a silence: half an event or body, and the whole body without its end, is sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests that are sent evenly.
+
+    Attributes:
+      prefix: Prefix of their paths.
+      method: Their method.
+      deadline_ms: Value of X-Deadline-Ms.
+      kept_share: Share that is sent on kept connections.
+    """
+
+    prefix: str
+    method: str
+    deadline_ms: int
+    kept_share: float = 0.0
+
+    @property
+    def is_stream(self) -> bool:
+        """True if the answers are streams."""
+        return self.prefix == "/assist/"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """One request of a soak.
+
+    Attributes:
+      at: When it is sent, in seconds since the traffic began.
+      attempt: Value of X-Attempt-Id.
+      load: What it belongs to.
+      subject: Last part of its path.
+      is_kept: True if it is sent on a kept connection.
+    """
+
+    at: float
+    attempt: str
+    load: Load
+    subject: int
+    is_kept: bool
+
+    @property
+    def path(self) -> str:
+        """Its path."""
+        return f"{self.load.prefix}{self.subject}"
+
+
+def draw_requests(
+    seed: int, rates: Sequence[tuple[Load, float]], seconds: float
+) -> tuple[PlannedRequest, ...]:
+    """Return the requests of a seed in their order.
+
+    Args:
+      seed: Seed of what is drawn.
+      rates: Loads, and their requests a second.
+      seconds: Duration of the traffic.
+    """
+    rng = random.Random(f"{seed} callers")
+    due = [(number / rate, load) for load, rate in rates for number in range(round(seconds * rate))]
+    due.sort(key=lambda item: item[0])
+    return tuple(
+        PlannedRequest(
+            at=at,
+            attempt=f"{number:08x}{rng.randrange(2**32):08x}",
+            load=load,
+            subject=rng.randrange(SUBJECTS),
+            is_kept=rng.random() < load.kept_share,
+        )
+        for number, (at, load) in enumerate(due, start=1)
+    )
