--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -48,6 +48,8 @@
 
 KEPT_SEEDS = Path(__file__).with_name("kept_seeds.json")
 LOADS = {STREAMS: "streams", LOOKS: "whole answers", BOOKINGS: "unsafe"}
+READ_SECONDS = 1.0
+"""A request has the timeout that its route has when it is read, this long after its sending."""
 LATEST_RUN_SECONDS = 1.0
 """Time after the last answer in which a run may still begin that an answer has denied."""
 SHOWN = 5
@@ -267,7 +269,8 @@
     allowed = {}
     for result in callers.results:
         load = planned[result.attempt].load
-        timeout = shortest_timeout(timeouts, load.prefix, result.sent_at, result.ended_at)
+        read_by = result.sent_at + READ_SECONDS
+        timeout = shortest_timeout(timeouts, load.prefix, result.sent_at, read_by)
         allowed[result.attempt] = min(timeout, load.deadline_ms / 1000)
     return History(
         results=callers.results,
--- a/bench/soak_verdicts.py
+++ b/bench/soak_verdicts.py
@@ -207,7 +207,7 @@
     Args:
       timeouts: When configurations were written, in order, with their timeouts by path prefix.
       prefix: Path prefix of the route.
-      start: Start of the span, in seconds.
+      start: Start of the span in which a request was read, in seconds.
       end: Its end.
     """
     replaced = [at for at, _ in timeouts[1:]] + [float("inf")]
