Requests that came to a suspended process are read before its planned stop closes them

Cause: on its return the overdue timer fires first; the listener closes before the connections in its queue are accepted. Change: the listener closes 0.1 s after the time from which requests are refused, so what has come gets its refusal, not run. Evidence: draining.feature, new scenario: failed 2 of 2 before (the call on a new connection was reset), passes 4 of 4; all 13 scenarios of the feature pass.

--- a/tests/direct/draining.feature
+++ b/tests/direct/draining.feature
@@ -66,6 +66,13 @@
       | SIGINT  | SIGINT  |
       | SIGTERM | SIGHUP  |
 
+  # Guards against closing what was sent to a process while it was suspended, before it is read.
+  Scenario: Requests that come while a stopping process is suspended get answers
+    Given an entry process of its own with a grace period of 8 s that is ready
+    When it stops, and is suspended until after it refuses requests, with calls on a kept and a new connection meanwhile
+    Then both calls are answered
+    And the process has ended within its grace period
+
   # Guards against a signal to stop that ends a process before it can say so, or is lost in its start.
   Scenario Outline: A process that gets <signal> while it reads its settings ends by itself
     When an entry process of its own gets <signal> while it reads its settings, and is let go on
--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -15,7 +15,7 @@
 from tests.steps.daemon_running import start_daemon
 from tests.steps.platform_running import call, engines, plain, run, until
 from verbenaward import clock
-from verbenaward.drain_times import DrainTimes
+from verbenaward.drain_times import LINGER_SECONDS, DrainTimes
 
 CALLERS = 8
 ANSWER_BYTES = 12_000_000
@@ -181,6 +181,44 @@
     assert [line.get("signal", "SIGHUP") for line in lines] == context.signals, lines
 
 
+@when(
+    "it stops, and is suspended until after it refuses requests, with calls on a kept and a new"
+    " connection meanwhile"
+)
+def calls_while_suspended(context):
+    headers = {"Host": CALLER_HOST, "X-Deadline-Ms": "6000", "Authorization": f"Bearer {API_KEY}"}
+    url = f"http://{context.daemon.direct.front}/look/x"
+
+    async def call(session, attempt):
+        try:
+            async with session.post(url, headers={**headers, "X-Attempt-Id": attempt}) as answer:
+                await answer.read()
+                return answer.status
+        except aiohttp.ClientError as error:
+            return type(error).__name__
+
+    async def play():
+        async with aiohttp.ClientSession() as kept, aiohttp.ClientSession() as new:
+            await call(kept, "s-1")
+            context.stopped_at = clock.now()
+            context.daemon.send(signal.SIGTERM)
+            await asyncio.sleep(SIGNAL_GAP_SECONDS)
+            context.daemon.send(signal.SIGSTOP)
+            calls = asyncio.gather(call(kept, "s-2"), call(new, "s-3"))
+            await asyncio.sleep(LINGER_SECONDS)
+            context.daemon.send(signal.SIGCONT)
+            context.statuses = await calls
+            context.status = await context.daemon.end()
+            context.ended_after = clock.now() - context.stopped_at
+
+    run(context, play())
+
+
+@then("both calls are answered")
+def both_answered(context):
+    assert context.statuses == [503, 503], context.statuses
+
+
 @when("an entry process of its own gets {name} while it reads its settings, and is let go on")
 def stop_signal_at_start(context, name):
     context.daemon = DaemonProcess(context.platform)
--- a/verbenaward/direct/draining.py
+++ b/verbenaward/direct/draining.py
@@ -11,6 +11,8 @@
 from ..placement.backends import residence_seconds
 from ..placement.request_types import RefusedError, Request
 
+READ_SECONDS = 0.1
+"""Time in which requests that came before the listener closes are read, and refused."""
 RETRY_AFTER_SECONDS = 0.01
 """Retry delay of a refusal while the process stops; another one may serve the request at once."""
 
@@ -59,6 +61,8 @@
     """
     assert drain.times is not None
     await asyncio.sleep(max(0.0, drain.times.closes_at - clock.now()))
+    # After a suspension the timer fires before what has come meanwhile is accepted and read.
+    await asyncio.sleep(READ_SECONDS)
     for site in list(runner.sites):
         await site.stop()
     await drain.wait_until_answered(runner)
