--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -4,13 +4,14 @@
 import asyncio
 import json
 import sys
+import traceback
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from typing import Any
 
-from review.harness import BOUNDS, CouldNotRunError
+from review.harness import BOUNDS
 
 from .drawn_plan import BOOKINGS, LOOKS, STREAMS, DrawnPlan, draw_plan
 from .drawn_troubles import declare_first, disturb
@@ -126,17 +127,21 @@
 
 @BENCHES.register("drawn")
 async def bench_drawn(arguments: Sequence[str]) -> dict[str, Any]:
-    """Run the seeds named in the arguments."""
+    """Run the seeds named in the arguments; an interrupt ends them with the table so far."""
     options = parse(arguments)
     results = []
     not_run = []
-    for run in chosen_runs(options):
-        try:
-            results.append(await run_seed(run))
-            print(table_line(results[-1]), file=sys.stderr, flush=True)
-        except (CouldNotRunError, OSError) as error:
-            not_run.append(f"seed {run.seed}: {type(error).__name__} {error}")
-            print(f"could not run {not_run[-1]}", file=sys.stderr, flush=True)
+    try:
+        for run in chosen_runs(options):
+            try:
+                results.append(await run_seed(run))
+                print(table_line(results[-1]), file=sys.stderr, flush=True)
+            except Exception as error:
+                # One seed must not take the table of all others with it; the status will be 1.
+                traceback.print_exc()
+                not_run.append(f"seed {run.seed}: {type(error).__name__} {error}")
+    except asyncio.CancelledError:
+        not_run.append("the rest: interrupted")
     return report(results, not_run)
 
 
