An unexpected error in the handling of a request ends in a complete refusal and a line

What callers saw: 500 without verdict, so that they could not know whether an unsafe request may be sent again; for a begun stream a connection that closed, which an HTTP/1.0 caller takes for the end. What operators saw: a line of the library without the id. Cause: Front.handle knows refusals, cut streams and callers that have gone; any other exception was left to the library. Change: such an error ends in a complete 502 with the verdict not-run if nothing was sent (UnsentError, raised in accept and by the first choice of a backend), else may-have-run; a begun answer is aborted as cut streams are. The line request.unexpected names the request, the status and the error with its traceback. A caller that leaves before the head of its stream is sent counts as gone.

--- a/tests/steps/unexpected_errors.py
+++ b/tests/steps/unexpected_errors.py
@@ -1,6 +1,7 @@
 """Steps on requests whose handling fails unexpectedly."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
@@ -8,6 +9,22 @@
 from tests.steps.platform_running import call, open_raw, run
 
 EVENT = b"id: 1\ndata: 1\n\n"
+PLACES = {
+    "the search for a route": lambda front: (front, "build_request"),
+    "the choice of a backend": lambda front: (front.forwarder.placer, "choose"),
+    "the record of a backend": lambda front: (front.forwarder, "record_answered"),
+    "the record of an event": lambda front: (front.streams, "clear_parts"),
+}
+
+
+@given("{place} fails unexpectedly")
+def fails(context, place):
+    owner, name = PLACES[place](context.platform.entries[0].front)
+    # The end of a stream is sent before its record.
+    context.paths = ("book", "look") if name == "record_answered" else ("book", "look", "stream")
+    patch = mock.patch.object(owner, name, side_effect=KeyError("unexpected"))
+    patch.start()
+    context.add_cleanup(patch.stop)
 
 
 @given("all backends send a control character in a header")
@@ -36,6 +53,21 @@
     context.answers = [call(context, f"/{kind}/x", f"u-{kind}") for kind in context.paths]
 
 
+@then('each gets a complete 502 that says "{verdict}"')
+def complete_refusals(context, verdict):
+    seen = [(status, headers.get("X-Verdict")) for status, headers, _ in context.answers]
+    assert seen == [(502, verdict)] * len(context.paths), context.answers
+
+
+@then('the last line of each is "{event}" with the error')
+def last_lines(context, event):
+    last = {values["request"]: (name, values) for name, values in context.lines}
+    assert len(last) == len(context.answers), last
+    for name, values in last.values():
+        assert name == event, last
+        assert "KeyError" in values["message"] and values["exc_info"], values
+
+
 @when('an HTTP/1.0 caller opens a stream at "{path}"')
 def old_caller(context, path):
     async def read():
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -142,6 +142,8 @@
         return f"its connection was aborted in the middle: {final.values.get('reason')}"
     if final.event == "request.stopped":
         return "the process that had passed it on had to end before its answer"
+    if final.event == "request.unexpected":
+        return f"an unexpected error in this process ended it: {final.values.get('message')}"
     if final.event == "request.turned-away":
         return f"it was rejected before a backend was chosen: {final.values.get('message')}"
     failures = [line for line in request_lines if line.event == "request.failed"]
--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -12,7 +12,7 @@
 
 from .. import clock
 from ..placement.placer import Choice
-from ..placement.request_types import FailedAttempt, RefusedError, Request, WholeAnswer
+from ..placement.request_types import FailedAttempt, RefusedError, Request, UnsentError, WholeAnswer
 from .request_log import RequestLog
 from .sends import Progress, Send
 
@@ -102,6 +102,7 @@
 
         Raises:
           RefusedError: No backend answered it.
+          UnsentError: The choice of a backend failed unexpectedly, and nothing was sent.
         """
         try:
             while True:
@@ -112,6 +113,10 @@
                         if self.progress.answer is None:
                             raise
                         return self.progress.answer
+                    except Exception as error:
+                        if self.sends:
+                            raise
+                        raise UnsentError(error) from error
                     self.start(choice)
                 await self.wait()
                 answer = self.take_answer()
--- a/verbenaward/direct/delivery.py
+++ b/verbenaward/direct/delivery.py
@@ -60,12 +60,19 @@
         return self.position.last_event_id
 
     async def open(self, headers: CIMultiDict[str]) -> None:
-        """Send the headers of the first backend whose event is forwarded to the caller."""
+        """Send the headers of the first backend whose event is forwarded to the caller.
+
+        Raises:
+          CallerGoneError: The caller has closed its connection.
+        """
         self.progress.is_delivering = True
         self.response = web.StreamResponse(status=OK, headers=headers)
         if self.held.budget.is_limited:
             limit_send_buffers(self.caller)
-        await self.response.prepare(self.caller)
+        try:
+            await self.response.prepare(self.caller)
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
 
     async def forward_events(self, piece: bytes, attempt: StreamAttempt) -> bool:
         """Forward the whole events received so far; return True if there was one.
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -12,8 +12,9 @@
 from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
 from ..placement.placer import may_have_run_refusal
 from ..placement.regions import allowed_regions
-from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
+from ..placement.request_types import RefusedError, Request, UnsentError, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
+from ..platform import names
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from ..sockets import abort_connection
@@ -66,13 +67,47 @@
         held = HeldBytes(self.memory)
         with self.drain.in_progress():
             try:
-                response = await self.answer_in_time(caller, held)
-                await self.finish(caller, response, held)
+                return await self.answer_whole(caller, held)
             except (StreamCutError, CallerGoneError):
                 abort_connection(caller)
                 raise asyncio.CancelledError from None
             finally:
                 held.release()
+
+    async def answer_whole(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
+        """Answer a request; if its handling fails unexpectedly, with a refusal that says so.
+
+        Raises:
+          StreamCutError: Part of an answer was sent, and it could not be completed.
+          CallerGoneError: The caller closed its connection or does not read.
+        """
+        try:
+            response = await self.answer_in_time(caller, held)
+            await self.finish(caller, response, held)
+        except (StreamCutError, CallerGoneError):
+            raise
+        except Exception as error:
+            response = self.failed(caller, error)
+            await self.finish(caller, response, held)
+        return response
+
+    def failed(self, caller: web.Request, error: Exception) -> web.Response:
+        """Log that the handling of a request failed unexpectedly, and return its refusal.
+
+        Raises:
+          StreamCutError: Part of an answer was sent.
+        """
+        message = "an unexpected error in this process"
+        refusal, cause = may_have_run_refusal(502, "internal", message), error
+        if isinstance(error, UnsentError):
+            refusal, cause = not_run(502, "internal", message), error.error
+        is_cut = caller.writer.output_size > 0
+        request_id = caller.headers.get(names.REQUEST_ID, "")
+        self.forwarder.log.unexpected(request_id, 0 if is_cut else refusal.status, cause)
+        if is_cut:
+            raise StreamCutError(message) from error
+        response = refusal_response(refusal)
+        response.force_close()
         return response
 
     async def answer_in_time(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
@@ -153,6 +188,7 @@
 
         Raises:
           RefusedError: It is refused before a backend is chosen.
+          UnsentError: That failed unexpectedly.
         """
         received_at = clock.now()
         try:
@@ -164,6 +200,8 @@
             request_id = read_caller_headers(caller.headers).request_id
             self.forwarder.log.refused_early(request_id, error.refusal)
             raise
+        except Exception as error:
+            raise UnsentError(error) from error
 
     async def read_body(self, caller: web.Request, held: HeldBytes) -> bytes:
         """Return the body of a request.
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -96,6 +96,23 @@
             status=status,
         )
 
+    def unexpected(self, request_id: str, status: int, error: Exception) -> None:
+        """Log that the handling of a request failed with an error that nothing expects.
+
+        Args:
+          request_id: Its id.
+          status: Status that its caller gets; 0 if its connection is aborted.
+          error: The error; the line has its traceback.
+        """
+        self.write_line(
+            self.failures,
+            "request.unexpected",
+            request=request_id,
+            status=status,
+            message=f"{type(error).__name__} {error}"[:200],
+            exc_info=error,
+        )
+
     def sent(
         self, request: Request, choice: Choice, sends: int, limit_seconds: float | None = None
     ) -> None:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -68,6 +68,11 @@
         "was aborted in the middle of a stream)",
         "status",
     ),
+    "request.unexpected": kind(
+        "an unexpected error in this process ended it, with status {status} (0: its connection was "
+        "aborted in the middle of a stream): {message}",
+        "status", "message",
+    ),
 }  # fmt: skip
 
 STATE_CHANGE_EVENTS = {
--- a/verbenaward/placement/request_types.py
+++ b/verbenaward/placement/request_types.py
@@ -122,3 +122,15 @@
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(refusal.message)
         self.refusal = refusal
+
+
+class UnsentError(Exception):
+    """Raised when the handling of a request fails unexpectedly before it is sent to a backend.
+
+    Attributes:
+      error: The unexpected error.
+    """
+
+    def __init__(self, error: Exception) -> None:
+        super().__init__(str(error))
+        self.error = error
