Proxied mode: a request gives up its place only for a retry that it holds

Cause: a first attempt asked its endpoint to refuse it where it would have to wait, if the retry budget had a reserve at that time. The retry was taken only after the refusal. Many requests at once looked at the same reserve; those that found it spent paused and came back behind requests that had come later. Class: a shared amount is looked at long before it is taken.

Change: take_no_wait takes the retry from the budget at the decision. The history of the request holds it: next_step spends that one first, and what is not needed is given back when the request ends, or when the endpoint has admitted its stream.

Result: two endpoints with four slots and 16 places, six retries, 20 requests at once and 16 more 5 ms later, in virtual time: before 16 of the first 20 and all 16 later ones were served, now all 20 and 12 of 16; 32 in both.

--- a/tests/steps/requests_stream_forms.py
+++ b/tests/steps/requests_stream_forms.py
@@ -52,7 +52,7 @@
             "vm", backend, AdmissionGate(4, 4), str, False, None, lambda size: None, lambda: None
         )
         address = await serve(stack, "POST", handler.serve)
-        dispatcher = SimpleNamespace(session=session, allows_no_wait=lambda *_: False)
+        dispatcher = SimpleNamespace(session=session, take_no_wait=lambda *_: False)
         view = EndpointView(Member(vm="vm", address=address))
         request = dataclasses.replace(request_of("w", clock.now() + 5.0), stream=True, body=b"{}")
         for _ in range(attempts):
--- a/tests/steps/requests_streams.py
+++ b/tests/steps/requests_streams.py
@@ -58,7 +58,7 @@
         failures = []
         async with aiohttp.ClientSession() as session:
             dispatcher = SimpleNamespace(
-                session=session, allows_no_wait=lambda request, history: False
+                session=session, take_no_wait=lambda request, history: False
             )
             for address in (f"127.0.0.1:{port}", *addresses):
                 view = EndpointView(Member(vm="vm", address=address))
--- a/verbenaward/requests/budget.py
+++ b/verbenaward/requests/budget.py
@@ -26,9 +26,16 @@
         """Add the tokens of a first attempt."""
         self.tokens = min(MAXIMUM_TOKENS, self.tokens + self.ratio)
 
-    def has_reserve(self) -> bool:
-        """Return True if at least RESERVE_TOKENS are available."""
-        return self.tokens >= RESERVE_TOKENS
+    def take_in_advance(self) -> bool:
+        """Take a token for a retry that may follow; return False if only the reserve is left."""
+        if self.tokens < RESERVE_TOKENS:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        """Return a token that was taken in advance and is not needed."""
+        self.tokens = min(MAXIMUM_TOKENS, self.tokens + 1.0)
 
     def spend(self) -> bool:
         """Take a token for a retry; return False if none is available."""
--- a/verbenaward/requests/dispatch.py
+++ b/verbenaward/requests/dispatch.py
@@ -79,12 +79,21 @@
         """
         history = AttemptHistory()
         self.budget.earn()
+        try:
+            return await self.run_attempts(request, queue, history)
+        finally:
+            history.give_back()
+
+    async def run_attempts(
+        self, request: Request, queue: FairQueue, history: AttemptHistory
+    ) -> Result[Answer, Refusal]:
+        """Make attempts until one of them is answered or none may follow."""
         while True:
             chosen = await self.wait_for_endpoint(request, history)
             if not isinstance(chosen, Success):
                 return Failure(history.final_refusal(chosen.failure()))
             view = chosen.unwrap()
-            result = await self.attempt(request, view, self.allows_no_wait(request, history))
+            result = await self.attempt(request, view, self.take_no_wait(request, history))
             if isinstance(result, Success):
                 queue.limit.record_success(queue.running)
                 return result
@@ -98,13 +107,15 @@
                 await asyncio.sleep(history.pause_seconds() * self.rng.uniform(0.5, 1.0))
                 history.pauses += 1
 
-    def allows_no_wait(self, request: Request, history: AttemptHistory) -> bool:
+    def take_no_wait(self, request: Request, history: AttemptHistory) -> bool:
         """Return True if the endpoint may refuse instead of queueing the request.
 
-        This holds for the first attempt of an idempotent request, while the retry budget has a
-        reserve for the retry that a refusal costs.
+        This holds for the first attempt of an idempotent request, if the retry budget can spare
+        the retry that a refusal costs. It is taken now: later others might have spent it, and the
+        request would have given up its place in a queue for nothing.
         """
-        return request.idempotent and not history.failures and self.budget.has_reserve()
+        is_first = request.idempotent and not history.failures
+        return is_first and history.take_in_advance(self.budget)
 
     async def attempt(
         self, request: Request, view: EndpointView, no_wait: bool
--- a/verbenaward/requests/retries.py
+++ b/verbenaward/requests/retries.py
@@ -45,6 +45,7 @@
       pauses: Number of pauses so far.
       may_have_run: True once the request may have run in an attempt.
       holder: VM that the last refusal named as holder of the key's slot; empty if none.
+      lender: Budget from which a retry was taken in advance; None if none is held.
     """
 
     failures: list[AttemptFailure] = field(default_factory=list)
@@ -52,6 +53,26 @@
     pauses: int = 0
     may_have_run: bool = False
     holder: str = ""
+    lender: RetryBudget | None = None
+
+    def take_in_advance(self, budget: RetryBudget) -> bool:
+        """Take a retry that may follow from the budget; return False if it has none to spare."""
+        if budget.take_in_advance():
+            self.lender = budget
+        return self.lender is not None
+
+    def give_back(self) -> None:
+        """Return the retry that was taken in advance, if it was not spent."""
+        if self.lender is not None:
+            self.lender.give_back()
+            self.lender = None
+
+    def spend(self, budget: RetryBudget) -> bool:
+        """Spend the retry that was taken in advance, else one of the budget; False for none."""
+        if self.lender is None:
+            return budget.spend()
+        self.lender = None
+        return True
 
     def record_failure(self, failure: AttemptFailure) -> None:
         """Add a failed attempt."""
@@ -115,11 +136,11 @@
         return after_unknown_outcome(request, history, budget)
     if last.reason in REDIRECT_REASONS and history.redirects <= MAXIMUM_REDIRECTS:
         return NextStep.RETRY
-    if last.reason in CAPACITY_REASONS and not budget.spend():
+    if last.reason in CAPACITY_REASONS and not history.spend(budget):
         return NextStep.PAUSE
     if last.status < 500 and last.reason not in CAPACITY_REASONS:
         return NextStep.GIVE_UP
-    if last.reason in CAPACITY_REASONS or budget.spend():
+    if last.reason in CAPACITY_REASONS or history.spend(budget):
         return NextStep.RETRY
     return NextStep.PAUSE
 
@@ -144,4 +165,4 @@
         )
     if unknown_outcomes > MAXIMUM_UNKNOWN_OUTCOMES:
         return NextStep.GIVE_UP
-    return NextStep.RETRY if budget.spend() else NextStep.PAUSE
+    return NextStep.RETRY if history.spend(budget) else NextStep.PAUSE
--- a/verbenaward/requests/streams.py
+++ b/verbenaward/requests/streams.py
@@ -86,6 +86,20 @@
         workspace = metrics.WORKSPACES.bounded(request.workspace)
         progress = StreamProgress(labels=(workspace, request.request_class))
         self.dispatcher.budget.earn()
+        try:
+            return await self.run_attempts(request, caller, history, progress, queue)
+        finally:
+            history.give_back()
+
+    async def run_attempts(
+        self,
+        request: Request,
+        caller: web.Request,
+        history: AttemptHistory,
+        progress: StreamProgress,
+        queue: FairQueue,
+    ) -> web.StreamResponse:
+        """Make attempts until the stream is complete or none may follow."""
         while True:
             result = await self.attempt(request, caller, history, progress, queue)
             if isinstance(result, Success):
@@ -152,7 +166,7 @@
             total=max(0.0, request.deadline - now) + RESPONSE_GRACE_SECONDS,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
         )
-        no_wait = self.dispatcher.allows_no_wait(request, history)
+        no_wait = self.dispatcher.take_no_wait(request, history)
         values = attempt_headers(request, view, alone, no_wait, progress.tokens, now)
         try:
             async with self.dispatcher.session.post(
@@ -161,6 +175,8 @@
                 failure = failure_of(request, view, answer)
                 if failure is not None:
                     return Failure(failure)
+                # The endpoint has admitted the stream, which may last long.
+                history.give_back()
                 progress.release = answer.headers.get(headers.RELEASE, "")
                 await self.forward_events(request, caller, answer, progress)
         except CallerGoneError:
