--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -135,7 +135,8 @@
         for run in chosen_runs(options):
             try:
                 results.append(await run_seed(run))
-                print(table_line(results[-1]), file=sys.stderr, flush=True)
+                lines = (table_line(results[-1]), *broken_lines(results[-1]))
+                print("\n".join(lines), file=sys.stderr, flush=True)
             except Exception as error:
                 # One seed must not take the table of all others with it; the status will be 1.
                 traceback.print_exc()
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 
 from review.harness import ZONES, Daemon, Deployment, Worker, render
@@ -120,8 +121,10 @@
         settings = json.loads(render((folder / template).read_text(), self.settings()))
         settings["direct"] |= changes or {}
         path = self.deployment.folder / f"{self.name}.settings"
-        path.write_text(json.dumps(settings, indent=1))
-        return path
+        # A process that starts now reads the old ones or the new ones, as a whole.
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(settings, indent=1))
+        return written.replace(path)
 
     async def run(self) -> None:
         """Keep the process running until cancelled."""
@@ -245,7 +248,11 @@
                 attempt = request.headers.get("X-Attempt-Id", "")
                 self.received.append((self.record.now(), attempt))
             await self.speaking.wait()
-            return await handler(request)
+            try:
+                return await handler(request)
+            except aiohttp.ClientConnectionResetError:
+                # The caller has left; nobody reads this answer.
+                return web.Response(status=499)
 
         app = super().application()
         app.middlewares.append(hold)
