A planned stop reads what has come before it closes, also with too little processor time

Change: the listener closes once no request has come for 0.1 s, 1 s later at most. What comes meanwhile is refused, not run.

--- a/verbenaward/direct/draining.py
+++ b/verbenaward/direct/draining.py
@@ -12,7 +12,9 @@
 from ..placement.request_types import RefusedError, Request
 
 READ_SECONDS = 0.1
-"""Time in which requests that came before the listener closes are read, and refused."""
+"""Time without a new request after which all that came before it has been read."""
+READ_LIMIT_SECONDS = 1.0
+"""Longest time for which a process that stops waits for that, beside callers that go on sending."""
 RETRY_AFTER_SECONDS = 0.01
 """Retry delay of a refusal while the process stops; another one may serve the request at once."""
 
@@ -52,6 +54,24 @@
     return dataclasses.replace(request, deadline=drain.deadline(request.deadline))
 
 
+async def read_what_came(runner: web.AppRunner, answers_at: float) -> None:
+    """Let requests that have come be read, and refused, before their connections are closed.
+
+    After a suspension, or with too little processor time, the timer that ends the acceptance fires
+    before the connections in the listener's queue are accepted and read.
+
+    Args:
+      runner: Server for callers.
+      answers_at: When all that is left is answered, monotonic, in seconds.
+    """
+    assert runner.server is not None
+    last = min(answers_at, clock.now() + READ_LIMIT_SECONDS)
+    seen = -1
+    while seen != runner.server.requests_count and (seen < 0 or clock.now() < last):
+        seen = runner.server.requests_count
+        await asyncio.sleep(READ_SECONDS)
+
+
 async def drain_front(runner: web.AppRunner, drain: DrainingRequests) -> None:
     """Serve on for a limited time, close the listener and wait for the last answers.
 
@@ -61,8 +81,7 @@
     """
     assert drain.times is not None
     await asyncio.sleep(max(0.0, drain.times.closes_at - clock.now()))
-    # After a suspension the timer fires before what has come meanwhile is accepted and read.
-    await asyncio.sleep(READ_SECONDS)
+    await read_what_came(runner, drain.times.answers_at)
     for site in list(runner.sites):
         await site.stop()
     await drain.wait_until_answered(runner)
