Proxied mode: callers get the Content-Encoding of an answer

Cause: endpoint and entry process pass the body of a whole answer on as received, and of its headers the media type only. A caller of a service that encodes its answers got gzip data that was named application/json.

Change: an answer keeps its encoding, from the backend to the record of its idempotency key and to the caller; body_headers gives both headers in both processes. Looked for elsewhere: the direct mode passes all headers on. Streams of the proxied mode are read event by event, and one with an encoding still fails.

--- a/standins/service.py
+++ b/standins/service.py
@@ -1,7 +1,9 @@
 """Stand-in for a plain HTTP service whose requests must not run twice, such as reservations."""
 
 import asyncio
+import gzip
 import hashlib
+import json
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -45,7 +47,10 @@
         return web.json_response({"ok": True})
 
     async def serve(self, request: web.Request) -> web.Response:
-        """Run one request; the response repeats the body's digest and the idempotency key."""
+        """Run one request; the response repeats the body's digest and the idempotency key.
+
+        It is encoded if the path begins with /gzip.
+        """
         body = await request.read()
         digest = hashlib.sha256(body).hexdigest()
         key = request.headers.get("Idempotency-Key", "")
@@ -65,4 +70,8 @@
             answer["confirmed"] = "of-another-request"
         if self.faults.happens(self.faults.truncate) and request.transport:
             request.transport.close()
-        return web.json_response(answer, headers=headers)
+        content = json.dumps(answer).encode()
+        if request.path.startswith("/gzip"):
+            headers["Content-Encoding"] = "gzip"
+            content = gzip.compress(content)
+        return web.Response(body=content, headers=headers, content_type="application/json")
--- a/tests/steps/requests_unchanged.py
+++ b/tests/steps/requests_unchanged.py
@@ -73,6 +73,14 @@
     assert received == context.sent, (received, context.sent)
 
 
+@then('the answer has the Content-Encoding "{encoding}", and decoded it is that of the service')
+def is_encoded(context, encoding):
+    line, headers, body = context.answer
+    assert line == b"HTTP/1.1 200 OK", context.answer
+    assert dict(headers).get("content-encoding") == encoding.encode(), headers
+    assert json.loads(gzip.decompress(body))["path"] == context.sent[0], body
+
+
 @then('{body} with Content-Encoding "{encoding}" is decoded to {result}')
 @then('{body} with Content-Encoding "" is decoded to {result}')
 def is_decoded(context, body, result, encoding=""):
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -16,6 +16,7 @@
 from ..http_client import send_once, was_reset
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED
+from ..requests.decoding import encoding_of
 from ..requests.records import Answer
 from ..requests.refusals import may_have_run, not_run
 from ..targets import exact_url
@@ -99,7 +100,10 @@
                     message = "the answer has the id of another request"
                     return Failure(may_have_run("crossed-answer", message))
                 content_type = response.headers.get("Content-Type", "application/octet-stream")
-                return Success(Answer(response.status, content_type, body, vm, release, Load()))
+                encoding = encoding_of(response.headers)
+                return Success(
+                    Answer(response.status, content_type, body, vm, release, Load(), encoding)
+                )
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return Failure(await self.classify_failure(error))
 
--- a/verbenaward/endpoint/run_handler.py
+++ b/verbenaward/endpoint/run_handler.py
@@ -276,8 +276,7 @@
             return self.refuse(result.failure(), run_request)
         answer = result.unwrap()
         self.on_answer_bytes(len(answer.body))
-        values = self.answer_headers(run_request)
-        values["Content-Type"] = answer.content_type
+        values = {**self.answer_headers(run_request), **answer.body_headers()}
         values[headers.BODY_DIGEST] = body_digest(answer.body)
         return web.Response(status=answer.status, body=answer.body, headers=values)
 
--- a/verbenaward/entry/front.py
+++ b/verbenaward/entry/front.py
@@ -215,7 +215,7 @@
         values = {
             headers.REQUEST_ID: request.request_id,
             headers.VERDICT: Verdict.RAN.value,
-            "Content-Type": answer.content_type,
+            **answer.body_headers(),
         }
         if answer.release:
             values[headers.RELEASE] = answer.release
--- a/verbenaward/requests/attempt.py
+++ b/verbenaward/requests/attempt.py
@@ -5,11 +5,13 @@
 
 import aiohttp
 from blake3 import blake3
+from multidict import CIMultiDictProxy
 from returns.result import Failure, Result, Success
 
 from .. import clock
 from ..data import Refusal, Verdict
 from . import headers
+from .decoding import encoding_of
 from .endpoints import EndpointView
 from .records import Answer, AttemptFailure, Request, parse_load
 from .refusals import may_have_run, not_run
@@ -129,7 +131,7 @@
     request: Request,
     view: EndpointView,
     status: int,
-    values: Mapping[str, str],
+    values: CIMultiDictProxy[str],
     body: bytes,
 ) -> Result[Answer, AttemptFailure]:
     """Return the answer of an endpoint, or the failure if it refused or sent another answer."""
@@ -143,7 +145,8 @@
     release = values.get(headers.RELEASE, "")
     if verdict is Verdict.RAN:
         content_type = values.get("Content-Type", "application/octet-stream")
-        return Success(Answer(status, content_type, body, vm, release, load))
+        encoding = encoding_of(values)
+        return Success(Answer(status, content_type, body, vm, release, load, encoding))
     refusal = refusal_of(verdict, status, values)
     crashed = refusal.reason == BACKEND_CRASHED
     return Failure(AttemptFailure(refusal, vm, crashed, release))
--- a/verbenaward/requests/records.py
+++ b/verbenaward/requests/records.py
@@ -64,7 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A complete answer of a backend, with the endpoint's VM, release and load."""
+    """A complete answer of a backend, with the endpoint's VM, release and load.
+
+    Attributes:
+      status: HTTP status.
+      content_type: Media type of the body.
+      body: Body as the backend has sent it.
+      vm: VM of the endpoint.
+      release: Release that the engine serves, in hexadecimal; empty for a plain service.
+      load: Load of the endpoint process.
+      content_encoding: How the backend has encoded the body; empty for not at all.
+    """
 
     status: int
     content_type: str
@@ -72,6 +82,14 @@
     vm: str
     release: str
     load: Load
+    content_encoding: str = ""
+
+    def body_headers(self) -> dict[str, str]:
+        """Return the HTTP headers that describe the body."""
+        values = {"Content-Type": self.content_type}
+        if self.content_encoding:
+            values["Content-Encoding"] = self.content_encoding
+        return values
 
 
 @dataclass(frozen=True, slots=True)
