Proxied mode: a guard for requests whose service is taken away

Nothing was found: a request keeps the role that it was parsed with, the queues of entry and endpoint processes do not look at the manifest again, and an endpoint process without a release goes on serving.

--- a/tests/steps/requests_unchanged.py
+++ b/tests/steps/requests_unchanged.py
@@ -25,18 +25,17 @@
 
 
 @given("running processes with a service")
-def start_cluster(context):
+def start_cluster(context, **options):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     version = make_version(Path(folder.name), "v1", 65536, 1)
-    plan = ClusterPlan(
-        entries=1, engines=0, services=1, origin_folder=Path(folder.name), log_level="critical"
-    )
+    context.manifest = manifest_of(version)
+    plan = ClusterPlan(1, 0, 1, origin_folder=Path(folder.name), log_level="critical", **options)
 
     async def start():
         context.cluster = Cluster(plan)
         await context.cluster.start()
-        await apply_or_fail(context.cluster, manifest_of(version))
+        await apply_or_fail(context.cluster, context.manifest)
         assert await wait_until_slots_held(context.cluster, "reservation", 20)
 
     context.add_cleanup(lambda: run(context, context.cluster.stop()))
