Signals to stop that come at the same time no longer cut off a stop

Cause: the library starts one stop for each signal that comes before its first stop has begun to run, and the second one, which has nothing to do, ends the event loop. Change: the library's handlers are not used. The step on lines now asks for the first signal too.

--- a/tests/direct/draining.feature
+++ b/tests/direct/draining.feature
@@ -54,17 +54,19 @@
   Scenario Outline: A stream is whole though its process gets <second> after <first>
     Given all engines are "slow"
     And an entry process of its own with a grace period of 8 s that is ready
-    When a caller reads a stream, and the process gets <first> and then <second>, three times
+    When a caller reads a stream, and the process gets <first> and then <second>, three times, <when>
     Then the stream is whole
-    And its log names each signal that it got in its stop
+    And its log names each signal that it got
     And the process has ended within its grace period
 
     Examples: series
-      | first   | second  |
-      | SIGTERM | SIGTERM |
-      | SIGTERM | SIGINT  |
-      | SIGINT  | SIGINT  |
-      | SIGTERM | SIGHUP  |
+      | first   | second  | when                  |
+      | SIGTERM | SIGTERM | 0.1 s apart           |
+      | SIGTERM | SIGINT  | 0.1 s apart           |
+      | SIGINT  | SIGINT  | 0.1 s apart           |
+      | SIGTERM | SIGHUP  | 0.1 s apart           |
+      | SIGTERM | SIGINT  | at once               |
+      | SIGINT  | SIGTERM | while it is suspended |
 
   # Guards against closing what was sent to a process while it was suspended, before it is read.
   Scenario: Requests that come while a stopping process is suspended get answers
--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -133,17 +133,23 @@
     run(context, read())
 
 
-@when("a caller reads a stream, and the process gets {first} and then {second}, three times")
-def stream_and_signals(context, first, second):
+@when(
+    "a caller reads a stream, and the process gets {first} and then {second}, three times, {when}"
+)
+def stream_and_signals(context, first, second, when):
     headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": "6000"}
     headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
 
     async def send_signals():
         context.stopped_at = clock.now()
+        if when == "while it is suspended":
+            context.daemon.send(signal.SIGSTOP)
         for name in (first, second, second, second):
             if context.daemon.process.returncode is None:
                 context.daemon.send(signal.Signals[name])
-            await asyncio.sleep(SIGNAL_GAP_SECONDS)
+            if is_apart:
+                await asyncio.sleep(SIGNAL_GAP_SECONDS)
+        context.daemon.send(signal.SIGCONT)
 
     async def read():
         url = f"http://{context.daemon.direct.front}/stream/x"
@@ -160,7 +166,9 @@
                     context.read += piece
                 context.is_complete = True
 
-    context.signals = [second] * 3
+    is_apart = when == "0.1 s apart"
+    # The kernel merges equal signals that are pending at the same time.
+    context.signals = [first, *[second] * 3] if is_apart else {first, second}
     run(context, read())
     context.status = run(context, context.daemon.end())
     context.ended_after = clock.now() - context.stopped_at
@@ -174,11 +182,12 @@
     assert context.status == 0, context.status
 
 
-@then("its log names each signal that it got in its stop")
+@then("its log names each signal that it got")
 def log_names_signals(context):
     named = {"daemon.signal", "daemon.reload"}
     lines = [line for line in context.daemon.lines() if line["event"] in named]
-    assert [line.get("signal", "SIGHUP") for line in lines] == context.signals, lines
+    names = [line.get("signal", "SIGHUP") for line in lines]
+    assert context.signals in (names, set(names)), lines
 
 
 @when(
--- a/verbenaward/early_signals.py
+++ b/verbenaward/early_signals.py
@@ -1,8 +1,8 @@
-"""Handles the signals of a process while nothing else does: in its start, and in its stop.
+"""Handles the signals of a process from its first step to its end.
 
-The library that runs the services handles SIGINT and SIGTERM from the end of the start to the
-first of them. Before and after that it leaves the handlers of this module in place, as the default
-actions end the process with everything that it is answering. Nothing slow is imported here.
+SIGINT and SIGTERM are recorded here all the time, SIGHUP until a role handles it. The default
+actions would end the process with everything that it is answering, also in its graceful stop.
+Nothing slow is imported here.
 """
 
 import signal
@@ -21,11 +21,13 @@
     Attributes:
       received: These signals, oldest first.
       observer: Called with each of them, for its log line; None while there is no log.
+      notify: Called after each of them, while something waits for one.
     """
 
     def __init__(self) -> None:
         self.received: list[signal.Signals] = []
         self.observer: Observer | None = None
+        self.notify: Callable[[], object] | None = None
 
     def record(self, number: int, _: FrameType | None = None) -> None:
         """Record a signal; the handler of all signals that are held."""
@@ -33,6 +35,8 @@
         self.received.append(received)
         if self.observer is not None:
             self.observer(received)
+        if self.notify is not None:
+            self.notify()
 
     def observe(self, observer: Observer) -> None:
         """Call an observer with the signals so far and with each one from now on."""
@@ -42,9 +46,11 @@
 
     def take(self, *wanted: signal.Signals) -> bool:
         """Return True if one of some signals was held since the last call."""
-        was_held = any(item in wanted for item in self.received)
-        self.received = [item for item in self.received if item not in wanted]
-        return was_held
+        # Signals that come meanwhile are appended, and must not be lost.
+        found = [item for item in self.received if item in wanted]
+        for item in found:
+            self.received.remove(item)
+        return bool(found)
 
 
 HELD = HeldSignals()
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -126,9 +126,8 @@
     ),
     "configuration.unreadable": kind("malformed configuration: {fault}", "fault"),
     "daemon.reload": kind("reload of the settings: {outcome}", "outcome"),
-    "daemon.signal": kind(
-        "{signal} came while the process was starting or stopping; it cuts off nothing", "signal"
-    ),
+    "daemon.signal": kind("received {signal}", "signal"),
+    "daemon.stop-too-long": kind("the graceful stop took longer than {seconds} s", "seconds"),
     "daemon.started": kind("the process started as {role}", "listen"),
     "daemon.stopped": kind("the process stopped"),
     "digests.stored": kind(
@@ -295,6 +294,7 @@
         "service_head",
     ),
     "daemon.signal": STATE_CHANGE_EVENTS["daemon.signal"],
+    "daemon.stop-too-long": STATE_CHANGE_EVENTS["daemon.stop-too-long"],
     "daemon.started": STATE_CHANGE_EVENTS["daemon.started"],
     "daemon.stopped": STATE_CHANGE_EVENTS["daemon.stopped"],
     "drain.ended": kind("drain ended with {in_flight} requests in flight", "in_flight"),
