A reload that changes version_seconds applies to sends that wait

Cause: the start deadline of a send could only become earlier. After a SIGHUP with a longer bound, or with none, sends that waited for their first event were still cancelled at the old one: a retry was spent, and a stream with one attempt got 502. It was also reckoned from the weights that the backend holds now, so that after it had loaded others a shorter bound was not applied either.

Change: limit_start sets the deadline that is in force now, reckoned from the version that the backend held when the request was sent to it.

--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -172,6 +172,19 @@
     When a request that is expected to start in time is sent there
     Then the send is cancelled before, though it may not be retried
 
+  # Guards against sends that are cancelled for a version bound that is no longer in force.
+  Scenario Outline: A version bound of <bound> s in place of 8 s applies to sends that wait
+    Given a backend on whose weights nothing may start from 2 s on
+    When a request is sent there, the backend loads version 2, and the bound becomes <bound> s
+    Then the send is cancelled between <least> and <most> s later
+
+    Examples: bounds that a reload of the settings brings
+      | bound | least | most |
+      | 8     | 1.4   | 1.8  |
+      | 7     | 0.4   | 0.8  |
+      | 60    | 53.4  | 53.8 |
+      | 0     | inf   | inf  |
+
   Scenario: A backend that delays its first events gets no more requests
     Given two backends, one of which has delayed a first event for 1 s
     When a request is placed
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import time
@@ -14,6 +15,7 @@
 from hypothesis import strategies as st
 
 from tests.direct_fakes import ENGINE, NOW, fleet_of, placer_of, request_of
+from verbenaward.data import HeldWeights
 from verbenaward.direct.budget import SharedRetryBudget
 from verbenaward.direct.request_log import LineRateLimit
 from verbenaward.direct.sends import Send
@@ -421,8 +423,19 @@
     ]
 
 
+@when("a request is sent there, the backend loads version 2, and the bound becomes {bound:g} s")
+def bound_changes(context, bound):
+    send_in_time(context, bound)
+
+
+@then("the send is cancelled between {least:g} and {most:g} s later")
+def cancelled_between(context, least, most):
+    wait = math.inf if context.wait is None else context.wait
+    assert least <= wait <= most, wait
+
+
 @when("a request that is expected to start in time is sent there")
-def send_in_time(context):
+def send_in_time(context, bound=None):
     placer = placer_of(context.fleet)
     forwarder = SimpleNamespace(placer=placer, load_changed=lambda: None)
     send = Send(placer.choose(request_of(), set(), NOW), NOW)
@@ -431,6 +444,10 @@
         attempt = StreamAttempt(forwarder, send, request_of())
         async with asyncio.timeout(None) as attempt.limit:
             attempt.limit_start(NOW)
+            if bound is not None:
+                send.choice.view.record_loaded(HeldWeights("model", 2), NOW)
+                placer.version_seconds = bound
+                attempt.limit_start(NOW)
             when = attempt.limit.when()
             context.wait = None if when is None else when - asyncio.get_running_loop().time()
             await asyncio.sleep(0)
--- a/verbenaward/direct/stream_attempt.py
+++ b/verbenaward/direct/stream_attempt.py
@@ -39,6 +39,7 @@
       parser: Parser of its answer.
       paused_seconds: Time for which it was paused as the caller did not read.
       limit: Timeout by which its start deadline is kept.
+      held_when_sent: Version of the model that its backend held when it was sent; 0 for none.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.awaits_first_event = True
         self.has_begun = False
         self.limit: asyncio.Timeout | None = None
+        self.held_when_sent = choice.view.held_version(request.parsed_headers.model)
         is_late = forwarder.placer.is_late(request, started_at)
         self.level = queue_level(request.level, is_late)
         choice.view.record_started(self.tokens, self.level)
@@ -67,18 +69,22 @@
         forwarder.load_changed()
 
     def limit_start(self, now: float) -> None:
-        """Cancel the send before its start deadline, if that has become earlier.
+        """Cancel the send before the start deadline that is in force now.
+
+        A target version makes it earlier, and a reload of the settings earlier or later.
 
         Args:
           now: Present time, monotonic, in seconds.
         """
-        deadline = self.forwarder.placer.start_deadline(self.choice.view, self.request)
-        if self.has_begun or self.limit is None or deadline == math.inf:
+        if self.has_begun or self.limit is None or self.limit.expired():
+            return
+        deadline = self.forwarder.placer.start_deadline(
+            self.choice.view, self.request, self.held_when_sent
+        )
+        if deadline == math.inf:
+            self.limit.reschedule(None)
             return
-        cancel_at = loop_time() + max(0.0, deadline - START_MARGIN_SECONDS - now)
-        when = self.limit.when()
-        if when is None or cancel_at < when:
-            self.limit.reschedule(cancel_at)
+        self.limit.reschedule(loop_time() + max(0.0, deadline - START_MARGIN_SECONDS - now))
 
     def end_start_deadline(self) -> None:
         """End its start deadline: it has begun, so its weights may become too old for new ones."""
--- a/verbenaward/placement/placer.py
+++ b/verbenaward/placement/placer.py
@@ -244,15 +244,26 @@
             return 0
         return self.fleet.required_version(request.parsed_headers.model, self.version_seconds, at)
 
-    def start_deadline(self, view: BackendView, request: Request) -> float:
-        """Return the time by which a request must start at a backend, monotonic."""
+    def start_deadline(
+        self, view: BackendView, request: Request, held_when_sent: int | None = None
+    ) -> float:
+        """Return the time by which a request must start at a backend, monotonic.
+
+        Args:
+          view: The backend.
+          request: The request.
+          held_when_sent: Version that the backend held when the request was sent to it; None for
+            the one that it holds now.
+        """
         if (
             not request.parsed_headers.model
             or not self.version_seconds
             or view.backend.weights is None
         ):
             return math.inf
-        held = view.held_version(request.parsed_headers.model)
+        held = held_when_sent
+        if held is None:
+            held = view.held_version(request.parsed_headers.model)
         return self.fleet.start_deadline(request.parsed_headers.model, held, self.version_seconds)
 
     def expected_seconds(
