Readers claim a chunk before they query each other, and query those that were late

What was seen: 3 to 6 chunks leave the origin twice where 2 may when a reader is killed beside load, so the origin's narrow link carries copies while engines wait for the version. Also, a process whose answer was late once was not queried for 2 s, though others took it for a reader. Class: a check of others before the own intent is visible to them. Change: a reader announces the chunk before the query that decides (of two, the one that is answered later sees the other's claim), and leaves it if another one receives or claims it. The own share still takes one query a chunk. Processes whose inventory still counts are queried. No change on the wire: claims stand among the chunks being received.

--- a/tests/distribution/readers.feature
+++ b/tests/distribution/readers.feature
@@ -22,3 +22,8 @@
   Scenario: Inventories pass through their message unchanged
     When processes send inventories of up to 300 chunks
     Then they are received as they were sent, and malformed ones give an error
+
+  # Guards against two readers that query each other before either has announced the chunk.
+  Scenario: Readers that choose the same chunk at one moment read it once
+    When one of two readers starts up to 0.1 s after the other and queries take 0.01 s
+    Then the only chunk is read once whenever it starts
--- a/tests/steps/chunk_readers.py
+++ b/tests/steps/chunk_readers.py
@@ -1,11 +1,17 @@
 """Steps on the readers of a version, as decisions without a network."""
 
+import asyncio
+import hashlib
+from unittest import mock
+
 from behave import then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from verbenaward.distribution.chunk_cache import ChunkCache
 from verbenaward.distribution.inventory import decode_inventory, encode_inventory
+from verbenaward.distribution.origin_link import OriginLink
 from verbenaward.distribution.readers import (
     ORIGIN_READERS,
     Inventory,
@@ -13,6 +19,8 @@
     reader_order,
     readers_of_chunk,
 )
+from verbenaward.distribution.recent_failures import RecentFailures
+from verbenaward.distribution.version_reader import Neighbours, VersionReader
 
 CHUNKS = 12
 ORDER = ["a", "b", "c", "d"]
@@ -177,3 +185,58 @@
     check()
     for body in (b"", b"[]", b'{"held": 1}', b'{"held": "?"}', b"\xff"):
         assert isinstance(decode_inventory(body), Failure), body
+
+
+class TwoReaders:
+    """Two readers of a version of one chunk, whose queries of each other take a time."""
+
+    def __init__(self, query_seconds):
+        self.query_seconds, self.reads = query_seconds, 0
+        self.failures = RecentFailures()
+        digests = [hashlib.sha256(b"chunk").digest()]
+        order = reader_order("model", 2, ORDER[:2])
+        near = Neighbours(order, [], [], [], [])
+        self.readers = {
+            name: VersionReader(
+                *("model", 2, digests, name, lambda: near, lambda: True),
+                *(ChunkCache(), OriginLink(), self.read_chunk, mock.Mock(), self),
+            )
+            for name in order
+        }
+
+    async def inventory(self, control, _):
+        await asyncio.sleep(self.query_seconds / 2)
+        reader = self.readers[control]
+        inventory = Inventory(frozenset(reader.done), reader.announced)
+        await asyncio.sleep(self.query_seconds / 2)
+        return Success(inventory)
+
+    async def fetch(self, *_):
+        return Success(b"chunk")
+
+    async def read_chunk(self, _, on_answer):
+        self.reads += 1
+        on_answer()
+        await asyncio.sleep(0.05)
+        return Success(b"chunk")
+
+    async def run(self, start_seconds):
+        first, second = self.readers.values()
+        running = asyncio.create_task(second.run())
+        await asyncio.sleep(start_seconds)
+        await asyncio.gather(running, first.run())
+        return self.reads
+
+
+@when("one of two readers starts up to 0.1 s after the other and queries take {seconds:g} s")
+def start_two(context, seconds):
+    async def play():
+        starts = [index * 0.004 for index in range(26)]
+        return await asyncio.gather(*(TwoReaders(seconds).run(start) for start in starts))
+
+    context.reads = context.loop.run_until_complete(asyncio.wait_for(play(), 10))
+
+
+@then("the only chunk is read once whenever it starts")
+def read_once(context):
+    assert set(context.reads) == {1}, context.reads
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -329,7 +329,7 @@
             return web.Response(status=400)
         reader = self.readers.get((model, version))
         held = self.cache.indexes(model, version)
-        receiving = frozenset(reader.receiving) if reader else frozenset()
+        receiving = reader.announced if reader else frozenset()
         return web.Response(body=encode_inventory(Inventory(held, receiving)))
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -99,10 +99,13 @@
       requested: Chunks that other processes requested from this one as a reader.
       done: Chunks that this process has received, though they may be evicted by now.
       receiving: Chunks that it is receiving from the origin.
+      claimed: Chunk that it requests next unless another reader has it or claims it too; None for
+        none.
       rejections: How often the origin answered a request for a chunk without its valid bytes.
       inventories: What other processes have, by control address.
       endpoints: Those of them that are endpoint processes.
       remote_entries: Those of them that are entry processes of other regions.
+      queried: Processes that the last query of the other readers went to.
       silent: Processes that did not answer the last query.
       answered_at: When a process last answered a query, monotonic, by its control address.
       copies: Running copies of chunks from other processes, by index.
@@ -141,10 +144,12 @@
         self.requested: set[int] = set()
         self.done: set[int] = set()
         self.receiving: set[int] = set()
+        self.claimed: int | None = None
         self.rejections: Counter[int] = Counter()
         self.inventories: dict[str, Inventory] = {}
         self.endpoints: set[str] = set()
         self.remote_entries: set[str] = set()
+        self.queried: set[str] = set()
         self.silent: set[str] = set()
         self.answered_at: dict[str, float] = {}
         self.copies: dict[int, asyncio.Task[None]] = {}
@@ -154,6 +159,12 @@
         self.queried_at = -math.inf
         self.query_seconds = 0.0
 
+    @property
+    def announced(self) -> frozenset[int]:
+        """Chunks that other readers leave to this one: it receives them or is about to."""
+        claimed = () if self.claimed is None else (self.claimed,)
+        return frozenset((*self.receiving, *claimed))
+
     @property
     def path(self) -> str:
         """Path of the version below that of entry or endpoint processes."""
@@ -240,28 +251,52 @@
           False if none can be had now, True if the next one may be tried at once.
         """
         async with self.link.turn:
-            index = await self.choose(neighbours, missing)
+            index = self.chosen(neighbours, missing)
+            if index is None or self.position(neighbours, index):
+                index = await self.choose(neighbours, missing)
             if index is None:
                 return False
-            if position := position_of(self.listen, readers_of_chunk(neighbours.order, index)):
-                # Another reader may have chosen the same chunk of a lost one at this moment.
-                await asyncio.sleep(position * ASSIST_DELAY_SECONDS)
-                if await self.choose(neighbours, missing) != index:
-                    return True
-            await self.link.request(lambda on_answer: self.read(index, on_answer))
-            # An overdue request keeps no other reader from the chunk.
-            self.receiving.discard(index)
-            return index in self.done
+            # Readers that chose the same chunk of a lost one at this moment take turns.
+            await asyncio.sleep(self.position(neighbours, index) * ASSIST_DELAY_SECONDS)
+            try:
+                return await self.claim_and_read(neighbours, missing, index)
+            finally:
+                self.claimed = None
 
-    async def choose(self, neighbours: Neighbours, missing: list[int]) -> int | None:
-        """Return the chunk to request next, and start to copy what others hold.
+    async def claim_and_read(self, neighbours: Neighbours, missing: list[int], index: int) -> bool:
+        """Request a chunk, unless another reader has it, receives it or claims it too.
 
-        The origin is used at the same time as narrow links: a missing chunk that only processes
-        behind one hold was requested, and is read unless it is being copied.
+        The claim comes before the query: of two readers that claim a chunk, the one whose query is
+        answered later sees the claim of the other one.
+
+        Returns:
+          False if the request failed, True if the next one may be tried at once.
         """
+        self.claimed = index
+        if await self.choose(neighbours, missing) != index:
+            return True
+        await self.link.request(lambda on_answer: self.read(index, on_answer))
+        # An overdue request keeps no other reader from the chunk.
+        self.receiving.discard(index)
+        return index in self.done
+
+    def position(self, neighbours: Neighbours, index: int) -> int:
+        """Return the position of this process among the readers of a chunk."""
+        return position_of(self.listen, readers_of_chunk(neighbours.order, index))
+
+    async def choose(self, neighbours: Neighbours, missing: list[int]) -> int | None:
+        """Return the chunk to request next, and start to copy what others hold."""
         if not self.has_own_share_left(neighbours.order, missing):
             await self.query_readers(neighbours)
         self.start_copies(missing)
+        return self.chosen(neighbours, missing)
+
+    def chosen(self, neighbours: Neighbours, missing: list[int]) -> int | None:
+        """Return the chunk to request next by the inventories known.
+
+        The origin is used at the same time as narrow links: a missing chunk that only processes
+        behind one hold was requested, and is read unless it is being copied.
+        """
         lacking = [index for index in missing if not self.has(index)]
         near = {
             control: inventory
@@ -302,6 +337,7 @@
             on_answer()
 
         self.receiving.add(index)
+        self.claimed = None
         began = clock.now()
         try:
             result = await self.read_chunk(index, begin)
@@ -331,11 +367,17 @@
         return True
 
     async def query_readers(self, neighbours: Neighbours) -> None:
-        """Update the inventories of the other readers, and of those that replace lost ones."""
+        """Update the inventories of the other readers, and of those that replace lost ones.
+
+        One whose inventory still counts may only be busy, or have been replaced as a reader by a
+        process that has just started.
+        """
         began = clock.now()
         working = self.calls.failures.working(neighbours.order, began)
-        others = {*working[:ORIGIN_READERS], *neighbours.leaving} - {self.listen}
-        await self.query(sorted(others), ENTRY_PATH)
+        former = self.queried & self.inventories.keys()
+        readers = {*working[:ORIGIN_READERS], *neighbours.leaving, *former}
+        self.queried = readers - {self.listen}
+        await self.query(sorted(self.queried), ENTRY_PATH)
         self.queried_at = clock.now()
         self.query_seconds = self.queried_at - began
 
