The wait for what has come counts only time in which the process ran

Cause, by the review: one quiet 0.1 s on the clock ended the wait before a planned stop closes its listener, also if the process had no processor time in it. Change: a look that ends late counts for nothing, and the limit of 1 s begins anew after it, within the grace period.

--- a/verbenaward/direct/draining.py
+++ b/verbenaward/direct/draining.py
@@ -65,11 +65,16 @@
       answers_at: When all that is left is answered, monotonic, in seconds.
     """
     assert runner.server is not None
-    last = min(answers_at, clock.now() + READ_LIMIT_SECONDS)
-    seen = -1
-    while seen != runner.server.requests_count and (seen < 0 or clock.now() < last):
+    last = clock.now() + READ_LIMIT_SECONDS
+    while (began := clock.now()) < answers_at:
         seen = runner.server.requests_count
         await asyncio.sleep(READ_SECONDS)
+        now = clock.now()
+        if now - began > 2 * READ_SECONDS:
+            # This process had no processor time, so it has read nothing meanwhile.
+            last = now + READ_LIMIT_SECONDS
+        elif runner.server.requests_count == seen or now >= last:
+            return
 
 
 async def drain_front(runner: web.AppRunner, drain: DrainingRequests) -> None:
