Digests that are stored later let a waiting endpoint process fetch early

Cause, by the review: whether chunks are fetched before the engine answers was decided for good by the first content of the store. After a loss of power of all VMs before any digests were stored, each process stayed idle until its engine had started. Change: digests that are stored while no engine of the service holds weights allow it later; at a first start the engines do. Result: weight_loading.feature, 29 passed, 0 failed, 2 known red.

--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -58,8 +58,8 @@
       given_up: Digests of the version that was given up for a newer one; None for none.
       held: Weights that the engine holds, as it last reported.
       has_answered: True once the engine has answered this process.
-      fetches_early: True if it fetches chunks before the engine has answered, as decided by the
-        first content of the store that this process has read; None before.
+      fetches_early: True if it fetches chunks before the engine has answered; None until the store
+        has been read.
       early: Chunks that were fetched before, by index.
       late: Weights whose load was last logged as late; None for none.
       short: Weights with fewer digests than declared chunks, as last logged; None for none.
@@ -266,8 +266,9 @@
         The engine of a VM that has just been added takes longer to start than this process, and
         the link would be idle meanwhile.
         """
-        if self.fetches_early is None and self.replica.revision:
-            self.fetches_early = fetches_early(self.others(), self.stored_versions())
+        if not self.fetches_early and self.replica.revision:
+            is_first = self.fetches_early is None
+            self.fetches_early = fetches_early(self.others(), self.stored_versions(), is_first)
         wanted = self.newest() if self.fetches_early else None
         digests = await self.digests_of(wanted) if wanted else None
         if digests is None:
--- a/verbenaward/weight_loading/plan.py
+++ b/verbenaward/weight_loading/plan.py
@@ -43,19 +43,24 @@
     return max(held, default=stored_version)
 
 
-def fetches_early(others: list[Backend], stored_versions: Mapping[str, int]) -> bool:
-    """Return True if a process that has just started fetches before its engine has answered.
+def fetches_early(
+    others: list[Backend], stored_versions: Mapping[str, int], is_first: bool
+) -> bool:
+    """Return True if a process that has started fetches before its engine has answered.
 
     Load: VMs that are added beside engines in service, and VMs that all start again after their
-    engines have read weights. At the first start of all VMs the engines hold their weights, and a
-    copy would leave the origin for nobody; such a process finds no engine in service.
+    engines have lost their weights. At the first start of all VMs the engines hold their weights,
+    and a copy would leave the origin for nobody. Such a process finds no engine in service in the
+    store at first, and digests later only once an engine is.
 
     Args:
-      others: Backends of the service that were registered when the process started.
-      stored_versions: Newest version by model whose digests the store had, as somebody has read
-        it; 0 for none.
+      others: Registered backends of the service.
+      stored_versions: Newest version by model whose digests the store has; 0 for none.
+      is_first: True for the first content of the store that the process has read.
     """
-    return any(stored_versions.values()) or any(backend.weights for backend in others)
+    is_served = any(backend.weights for backend in others)
+    is_stored = any(stored_versions.values())
+    return is_served or is_stored if is_first else is_stored and not is_served
 
 
 def load_order(zones: Mapping[str, str]) -> list[str]:
