Streams that are answered in a stop close their connections

Cause: in a stop only whole answers and refusals said that their connection closes. Streams kept theirs, so that a caller could send its next request on it just when the process closed it, and got no answer.

Change: the head of every answer in a stop says that the connection closes, and the connection of a stream that began before the stop closes with its end. Both new scenarios failed before and pass now.

What was ruled out in the trials on the code before: all requests that the front began were answered or cut in a stream. No connection closed with a request that was read and not begun, or with unread bytes. At 26 closes of the listener no connection waited to be accepted, and none was without its first request. So the bytes of a try that was cut never reached the process: by exclusion it crosses the close of a kept connection, which the rule leaves out. The bytes themselves were not seen.

Not changed: the proxied mode does not announce the close either (by reading).

--- a/tests/direct/draining.feature
+++ b/tests/direct/draining.feature
@@ -75,3 +75,16 @@
       | signal  |
       | SIGTERM |
       | SIGINT  |
+
+  # Guards against streams in a stop whose callers may use their connections again, which are then closed unanswered.
+  Scenario Outline: The connection of a stream that <begins> the order to stop ends with the stream
+    Given all engines are "slow"
+    And one entry process that is ready
+    When a caller reads a stream that <begins> the order to stop, on a kept connection
+    Then the stream is whole, and its connection is closed with it
+    And the head of the answer says that the connection is <named>
+
+    Examples: begin
+      | begins        | named  |
+      | begins before | kept   |
+      | begins after  | closed |
--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -20,6 +20,7 @@
 CALLERS = 8
 ANSWER_BYTES = 12_000_000
 SIGNAL_GAP_SECONDS = 0.1
+CLOSE_SECONDS = 1.0
 
 
 @given("an entry process of its own with a grace period of {seconds:g} s that is ready")
@@ -55,6 +56,54 @@
     context.ended_after = clock.now() - context.stopped_at
 
 
+STREAM_LINES = (
+    "POST /stream/x HTTP/1.1",
+    f"Host: {CALLER_HOST}",
+    "X-Attempt-Id: s-1",
+    "X-Deadline-Ms: 3000",
+    "X-Model: model",
+    f"Authorization: Bearer {API_KEY}",
+    "Content-Length: 0",
+)
+
+
+@when("a caller reads a stream that begins {order} the order to stop, on a kept connection")
+def stream_in_stop(context, order):
+    (role,) = context.platform.entries
+    host, _, port = role.direct.front.rpartition(":")
+
+    def begin():
+        role.front.drain.begin(DrainTimes.begun(clock.now(), 8.0))
+
+    async def read():
+        reader, writer = await asyncio.open_connection(host, int(port))
+        if order == "after":
+            begin()
+        writer.write("".join(f"{line}\r\n" for line in (*STREAM_LINES, "")).encode())
+        context.head = await reader.readuntil(b"\r\n\r\n")
+        if order == "before":
+            begin()
+        context.read = await reader.readuntil(b"\r\n0\r\n\r\n")
+        context.is_closed = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_SECONDS):
+                context.is_closed = await reader.read() == b""
+        writer.close()
+
+    run(context, read())
+
+
+@then("the stream is whole, and its connection is closed with it")
+def stream_closed(context):
+    assert context.read.count(b"\n\n") == engines(context)[0].stream_events, context.read
+    assert context.is_closed
+
+
+@then("the head of the answer says that the connection is {named}")
+def head_names(context, named):
+    assert (b"connection: close" in context.head.lower()) == (named == "closed"), context.head
+
+
 async def book(context, session, attempt, deadline_ms):
     headers = {"X-Deadline-Ms": f"{deadline_ms}"}
     address = context.daemon.direct.front
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -105,10 +105,10 @@
         Raises:
           CallerGoneError: The caller closed its connection or does not read.
         """
+        # The head of a stream that began before the stop could not announce it.
+        self.drain.close_after(response)
         if not isinstance(response, web.Response):
             return
-        if self.leaving:
-            response.force_close()
         try:
             async with self.drain.limit(FLUSH_SECONDS):
                 if self.memory.is_limited and (response.content_length or 0) > WRITE_BUFFER_BYTES:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -215,6 +215,7 @@
         application = web.Application()
         application.router.add_route("*", r"/{path:[\s\S]*}", self.front.handle)
         application.on_response_prepare.append(record_begin)
+        application.on_response_prepare.append(self.front.drain.announce_close)
         return application
 
     def readiness_application(self) -> web.Application:
--- a/verbenaward/draining.py
+++ b/verbenaward/draining.py
@@ -93,6 +93,20 @@
         """Return the deadline that an accepted request can keep, monotonic, in seconds."""
         return deadline if self.times is None else self.times.deadline(deadline)
 
+    def close_after(self, response: web.StreamResponse) -> None:
+        """Have the connection of an answer closed with its end once the process stops.
+
+        A caller that used it again would find it closed, without an answer.
+        """
+        if self.times is not None:
+            response.force_close()
+
+    async def announce_close(self, _: web.Request, response: web.StreamResponse) -> None:
+        """Say in an answer that its connection closes; for the signal `on_response_prepare`."""
+        if self.times is not None:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def wait_until_answered(self, runner: web.AppRunner | None = None) -> None:
         """Wait until all requests are answered, but not for longer than the stop allows.
 
