A request whose send is logged has its end in the log

Cause: lines about sends and about ends took from the same limit a second, so the end of a request could be dropped where its send was written, and an engineer could not tell that from a request that ended in silence. A caller that left before its body was whole, and an unexpected error, had no line at all; a request that the stop ended had a line that said that its caller had left.

Change: a line about a send is written only if there is room for the line about the end too, which is reserved; the limit a second stays. request.cancelled says how the connection ended, request.unanswered names an unexpected error, and request.ended is the line of a request that got the answer that a backend had given before.

A request of which the send was dropped may still lack both lines; dropped counts them.

--- a/tests/direct/operating.feature
+++ b/tests/direct/operating.feature
@@ -70,3 +70,27 @@
     When a caller opens a stream that may not be resumed
     Then the connection ends without a complete answer
     And the last line of that request is "request.cut" with its reason, events, time and retries left
+
+  # Guards against requests whose end no line tells, beside lines that were dropped.
+  Scenario: A request whose send was logged has its end in the log, however many lines are dropped
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And all plain backends are "slow"
+    And the log of requests takes 6 lines a second
+    When callers send 30 look-ups at once
+    Then lines were dropped, and each request whose send was logged has one line about its end
+    And no more lines were written than the limit allows
+
+  # Guards against requests that end in silence.
+  Scenario Outline: The log says why a request has no answer: <cause>
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And the log lines about requests are collected
+    When a request ends without an answer, as <cause>
+    Then the last line of that request is "<event>" and its reason names <reason>
+
+    Examples: causes
+      | cause                                       | event              | reason       |
+      | its caller leaves before its body is whole  | request.cancelled  | the caller   |
+      | its caller leaves before it is answered     | request.cancelled  | the caller   |
+      | an unexpected error is raised               | request.unanswered | RuntimeError |
--- a/verbenaward/ctl/log_analysis.py
+++ b/verbenaward/ctl/log_analysis.py
@@ -137,7 +137,11 @@
     if final is None:
         return "no final line was found: the request was cut off, or its last line was dropped"
     if final.event == "request.cancelled":
-        return "the caller disconnected before it was answered"
+        return f"its connection ended before its answer: {final.values.get('reason')}"
+    if final.event == "request.unanswered":
+        return f"an unexpected error ended it: {final.values.get('reason')}"
+    if final.event == "request.ended":
+        return f"it ended with status {final.values.get('status')}"
     if final.event == "request.cut":
         return f"its connection was aborted in the middle: {final.values.get('reason')}"
     if final.event == "request.stopped":
--- a/verbenaward/direct/delivery.py
+++ b/verbenaward/direct/delivery.py
@@ -42,7 +42,6 @@
       held: Bytes held for the request.
       progress: Sends of the request.
       speaker: The send whose events are forwarded; None before the first one.
-      is_complete: True once the end of the stream was sent.
     """
 
     caller: web.Request
@@ -52,7 +51,6 @@
     response: web.StreamResponse | None = None
     position: StreamPosition = field(default_factory=StreamPosition)
     writes: int = 0
-    is_complete: bool = False
 
     @property
     def last_event_id(self) -> str:
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -86,11 +86,7 @@
         attempts = Attempts[WholeAnswer](
             self, request, progress, lambda send: self.attempt(request, progress, send)
         )
-        try:
-            return await attempts.run()
-        except asyncio.CancelledError:
-            self.log.cancelled(request)
-            raise
+        return await attempts.run()
 
     async def next_choice(self, request: Request, progress: Progress) -> Choice:
         """Return the backend of the next send, and count a retry against the budget.
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -1,12 +1,14 @@
 """HTTP interface of an entry process for callers."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 from aiohttp import web
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
-from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun
+from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun, has_ended, record_end
 from ..placement.fleet import Fleet
 from ..placement.levels import level_of, urgency_of
 from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
@@ -14,6 +16,7 @@
 from ..placement.regions import allowed_regions
 from ..placement.request_types import RefusedError, Request, WholeAnswer, labels_of
 from ..placement.routes import RouteTable
+from ..platform import names
 from ..platform.request_headers import CallerHeaders, read_caller_headers
 from ..requests.refusals import not_run
 from ..targets import target_of
@@ -63,17 +66,37 @@
     async def handle(self, caller: web.Request) -> web.StreamResponse:
         """Handle a request of a caller: answer, refuse, or abort its connection."""
         held = HeldBytes(self.memory)
-        with self.drain.in_progress():
+        with self.drain.in_progress(), self.log_lost(caller):
             try:
                 response = await self.answer_in_time(caller, held)
                 await self.finish(caller, response, held)
-            except (StreamCutError, CallerGoneError):
-                abort_connection(caller)
-                raise asyncio.CancelledError from None
             finally:
                 held.release()
+        self.forwarder.log.ended(caller.headers.get(names.REQUEST_ID, ""), response.status)
         return response
 
+    @contextlib.contextmanager
+    def log_lost(self, caller: web.Request) -> Iterator[None]:
+        """Log why a request ends without an answer; abort the connection of a partial one."""
+        began_at, log = clock.now(), self.forwarder.log
+        request_id = caller.headers.get(names.REQUEST_ID, "")
+        try:
+            yield
+        except StreamCutError:
+            abort_connection(caller)
+            raise asyncio.CancelledError from None
+        except CallerGoneError as error:
+            log.cancelled(request_id, clock.now() - began_at, str(error))
+            abort_connection(caller)
+            raise asyncio.CancelledError from None
+        except asyncio.CancelledError:
+            if not has_ended(caller):
+                log.cancelled(request_id, clock.now() - began_at, self.drain.cause_of_close())
+            raise
+        except Exception as error:
+            log.unanswered(request_id, error)
+            raise
+
     async def answer_in_time(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
         """Return the answer of a request or its refusal, before the process has to end.
 
@@ -117,6 +140,7 @@
                 else:
                     await response.prepare(caller)
                     await response.write_eof()
+                record_end(caller)
         except (ConnectionError, TimeoutError) as error:
             raise CallerGoneError(str(error)) from error
 
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -1,7 +1,8 @@
 """Log lines about the decisions on each request, with a rate limit.
 
 Lines over the limit are dropped, and the next line carries their number. Failures have a limit of
-their own, so that usual lines do not displace them.
+their own, so that usual lines do not displace them. A line about a send is written only if there is
+room for the line about the end of its request too: one without the other is no dropped line.
 """
 
 import math
@@ -36,47 +37,95 @@
     refilled_at: float = 0.0
     dropped: int = 0
 
-    def acquire(self, now: float) -> bool:
-        """Take one line from the bucket; count a dropped line and return False if it is empty."""
+    def acquire(self, now: float, lines: int = 1) -> bool:
+        """Take lines from the bucket; count a dropped line and return False if it lacks them.
+
+        Args:
+          now: Present time, monotonic, in seconds.
+          lines: The line to be written now and those reserved with it; 0 if it was reserved.
+        """
         grown = self.available + (now - self.refilled_at) * self.per_second
         self.available = min(self.per_second, grown)
         self.refilled_at = now
-        if self.available < 1.0:
+        if self.available < lines:
             self.dropped += 1
             return False
-        self.available -= 1.0
+        self.available -= lines
         return True
 
 
 class RequestLog:
-    """Writes rate-limited log lines about requests."""
+    """Writes rate-limited log lines about requests.
+
+    Attributes:
+      usual: Limit on usual lines.
+      failures: Limit on lines about failures.
+      reserved: Ids of the requests in progress for whose last line there is room.
+    """
 
     def __init__(self) -> None:
+        self.reserved: set[str] = set()
         self.usual = LineRateLimit(USUAL_LINES_PER_SECOND)
         self.failures = LineRateLimit(FAILURE_LINES_PER_SECOND)
 
     def write(self, limit: LineRateLimit, event: str, request: Request, **values: Any) -> None:
         """Write a line about a request, with its id and age, if the limit allows."""
-        held = round((clock.now() - request.received_at) * 1000, 1)
-        self.write_line(
-            limit, event, request=request.parsed_headers.request_id, held_ms=held, **values
-        )
+        self.write_line(limit, event, **id_and_age(request), **values)
 
-    def write_line(self, limit: LineRateLimit, event: str, **values: Any) -> None:
-        """Write a line, with the number of lines dropped before it, if the limit allows."""
-        if not limit.acquire(clock.now()):
-            return
+    def write_line(self, limit: LineRateLimit, event: str, lines: int = 1, **values: Any) -> bool:
+        """Write a line, with the number of lines dropped before it, if the limit allows.
+
+        Args:
+          limit: The limit.
+          event: Event of the line.
+          lines: The line and those reserved with it; 0 if it was reserved.
+          **values: Fields of the line.
+
+        Returns:
+          True if it was written.
+        """
+        if not limit.acquire(clock.now(), lines):
+            return False
         if limit.dropped:
             values["dropped"] = limit.dropped
             limit.dropped = 0
         LOG.info(event, **values)
+        return True
+
+    def write_end(self, limit: LineRateLimit, event: str, request: str, **values: Any) -> None:
+        """Write a line about the end of a request, if it was reserved or the limit allows.
+
+        Args:
+          limit: The limit.
+          event: Event of the line.
+          request: Id of the request.
+          **values: Fields of the line.
+        """
+        lines = 0 if request in self.reserved else 1
+        self.reserved.discard(request)
+        self.write_line(limit, event, lines=lines, request=request, **values)
+
+    def ended(self, request_id: str, status: int) -> None:
+        """Log the end of a request whose sends were logged, unless a line has said it.
+
+        Args:
+          request_id: Its id.
+          status: Status that its caller got.
+        """
+        if request_id in self.reserved:
+            self.write_end(
+                self.usual,
+                "request.ended",
+                request_id,
+                status=status,
+            )
 
     def refused_early(self, request_id: str, refusal: Refusal) -> None:
         """Log that a request was refused before a backend was chosen."""
-        self.write_line(
+        self.write_end(
             self.failures,
             "request.turned-away",
-            request=request_id,
+            request_id,
             reason=refusal.reason,
             status=refusal.status,
             message=refusal.message,
@@ -89,10 +138,10 @@
           request_id: Its id.
           status: Status that its caller gets; 0 if its connection is aborted.
         """
-        self.write_line(
+        self.write_end(
             self.failures,
             "request.stopped",
-            request=request_id,
+            request_id,
             status=status,
         )
 
@@ -101,10 +150,12 @@
     ) -> None:
         """Log that a request was sent to a backend, with the expected wait and its limit."""
         now = clock.now()
-        self.write(
+        request_id = request.parsed_headers.request_id
+        if self.write_line(
             self.usual,
             "request.sent",
-            request,
+            lines=1 if request_id in self.reserved else 2,
+            **id_and_age(request),
             route=request.route.name,
             backend=choice.view.backend.identity,
             registered=choice.view.backend.revision,
@@ -116,7 +167,8 @@
             start_within_ms=milliseconds_until(choice.start_deadline, now),
             sends=sends,
             caller_ms=round((request.parsed_headers.deadline_seconds or 0.0) * 1000),
-        )
+        ):
+            self.reserved.add(request_id)
 
     def refused(
         self,
@@ -128,10 +180,10 @@
         """Count and log a refusal, with the expected wait and the one that was allowed."""
         metrics.REFUSALS.labels(str(request.level or 0), refusal.reason).inc()
         expected = round(choice.expected_seconds * 1000) if choice else None
-        self.write(
+        self.write_end(
             self.failures,
             "request.refused",
-            request,
+            **id_and_age(request),
             route=request.route.name,
             urgency=request.level or 0,
             reason=refusal.reason,
@@ -192,10 +244,10 @@
           retries_left: Retries that this process may still send to the service.
           reason: Why the stream cannot be completed.
         """
-        self.write(
+        self.write_end(
             self.failures,
             "request.cut",
-            request,
+            **id_and_age(request),
             route=request.route.name,
             reason=reason[:200],
             events=writes,
@@ -203,20 +255,58 @@
             retries_left=round(retries_left, 1),
         )
 
-    def cancelled(self, request: Request) -> None:
-        """Log that the caller closed its connection."""
-        self.write(self.usual, "request.cancelled", request)
+    def cancelled(self, request_id: str, held_seconds: float, reason: str) -> None:
+        """Log that a request ended as its connection did.
+
+        Args:
+          request_id: Its id.
+          held_seconds: Time since it arrived.
+          reason: How the connection ended.
+        """
+        held = round(held_seconds * 1000, 1)
+        self.write_end(
+            self.usual,
+            "request.cancelled",
+            request_id,
+            held_ms=held,
+            reason=reason[:200],
+        )
+
+    def unanswered(self, request_id: str, error: BaseException) -> None:
+        """Log that an unexpected error ended a request.
+
+        Args:
+          request_id: Its id.
+          error: The error.
+        """
+        self.write_end(
+            self.failures,
+            "request.unanswered",
+            request_id,
+            reason=f"{type(error).__name__} {error}"[:200],
+        )
 
     def answered(
         self, request: Request, status: int, sends: int, first_seconds: float = 0.0
     ) -> None:
         """Log that a request was answered; for a stream, with the time to its first event."""
         first_ms = round(first_seconds * 1000)
-        self.write(
-            self.usual, "request.answered", request, status=status, sends=sends, first_ms=first_ms
+        self.write_end(
+            self.usual,
+            "request.answered",
+            **id_and_age(request),
+            status=status,
+            sends=sends,
+            first_ms=first_ms,
         )
 
 
+def id_and_age(request: Request) -> dict[str, Any]:
+    """Return the fields that name a request, and how long it has been held."""
+    held = round((clock.now() - request.received_at) * 1000, 1)
+    return {"request": request.parsed_headers.request_id, "held_ms": held}
+
+
 def milliseconds_until(deadline: float, now: float) -> int | None:
     """Return the time until a deadline, for a log line; None if there is no deadline."""
     return round((deadline - now) * 1000) if deadline < math.inf else None
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from .. import clock
+from ..draining import record_end
 from ..http_client import was_reset
 from ..placement.engine_memory import counted_tokens
 from ..placement.memory_budget import MEMORY_REASON
@@ -93,10 +94,6 @@
                     forwarder.log.refused(request, error.refusal, None)
                 raise self.cut(request, delivery, error.refusal.message) from None
             raise
-        except (asyncio.CancelledError, CallerGoneError):
-            if not delivery.is_complete:
-                forwarder.log.cancelled(request)
-            raise
         if isinstance(result, WholeAnswer) and delivery.response is not None:
             raise self.cut(request, delivery, f"a backend answered with status {result.status}")
         return result
@@ -174,7 +171,7 @@
         send.silent_at = math.inf
         try:
             await delivery.response.write_eof()
-            delivery.is_complete = True
+            record_end(caller=delivery.caller)
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
         send.choice.view.record_success(clock.now())
--- a/verbenaward/draining.py
+++ b/verbenaward/draining.py
@@ -15,6 +15,7 @@
 FLUSH_SECONDS = 0.2
 """Time for writing out the last answers, after which the process ends."""
 HAS_BEGUN = web.RequestKey("has_begun", bool)
+HAS_ENDED = web.RequestKey("has_ended", bool)
 
 
 class DrainingRequests:
@@ -93,6 +94,12 @@
         """Return the deadline that an accepted request can keep, monotonic, in seconds."""
         return deadline if self.times is None else self.times.deadline(deadline)
 
+    def cause_of_close(self) -> str:
+        """Return why the connection of a request was closed before its answer."""
+        if self.times is not None and clock.now() >= self.times.answers_at:
+            return "this process closed the connection at the end of its stop"
+        return "the caller closed the connection"
+
     def close_after(self, response: web.StreamResponse) -> None:
         """Have the connection of an answer closed with its end once the process stops.
 
@@ -143,6 +150,16 @@
     return bool(caller.get(HAS_BEGUN, False))
 
 
+def record_end(caller: web.Request) -> None:
+    """Record that the whole answer of a request was written."""
+    caller[HAS_ENDED] = True
+
+
+def has_ended(caller: web.Request) -> bool:
+    """Return True if the whole answer of a request was written."""
+    return bool(caller.get(HAS_ENDED, False))
+
+
 def has_unsent(runner: web.AppRunner | None) -> bool:
     """Return True if a connection of a server still has bytes to write."""
     server = runner.server if runner is not None else None
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -57,7 +57,9 @@
     "request.superseded": kind(
         "the send to {backend} was cancelled, as {by} continues the answer", "backend", "by"
     ),
-    "request.cancelled": kind("the caller disconnected"),
+    "request.cancelled": kind("it got no whole answer: {reason}", "reason"),
+    "request.unanswered": kind("an unexpected error ended it: {reason}", "reason"),
+    "request.ended": kind("it ended with status {status}", "status"),
     "request.cut": kind(
         "its connection was aborted after {events} writes of events: {reason}; {left_ms} ms were "
         "left, and retries for {retries_left} sends",
