--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -1,12 +1,14 @@
 """HTTP interface of an entry process for callers."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 from aiohttp import web
 
 from .. import clock, metrics
 from ..data import Refusal, Verdict
-from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun
+from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun, has_ended, record_end
 from ..placement.fleet import Fleet
 from ..placement.levels import level_of, urgency_of
 from ..placement.memory_budget import COPIES, MEMORY_REASON, HeldBytes, MemoryBudget, Purpose
@@ -65,14 +67,13 @@
     async def handle(self, caller: web.Request) -> web.StreamResponse:
         """Handle a request of a caller: answer, refuse, or abort its connection."""
         held = HeldBytes(self.memory)
-        with self.drain.in_progress():
+        with self.drain.in_progress(), self.log_lost(caller):
             try:
-                return await self.answer_whole(caller, held)
-            except (StreamCutError, CallerGoneError):
-                abort_connection(caller)
-                raise asyncio.CancelledError from None
+                response = await self.answer_whole(caller, held)
             finally:
                 held.release()
+        self.forwarder.log.ended(caller.headers.get(names.REQUEST_ID, ""), response.status)
+        return response
 
     async def answer_whole(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
         """Answer a request; if its handling fails unexpectedly, with a refusal that says so.
@@ -110,6 +111,28 @@
         response.force_close()
         return response
 
+    @contextlib.contextmanager
+    def log_lost(self, caller: web.Request) -> Iterator[None]:
+        """Log why a request ends without an answer; abort the connection of a partial one."""
+        began_at, log = clock.now(), self.forwarder.log
+        request_id = caller.headers.get(names.REQUEST_ID, "")
+        try:
+            yield
+        except StreamCutError:
+            abort_connection(caller)
+            raise asyncio.CancelledError from None
+        except CallerGoneError as error:
+            log.cancelled(request_id, clock.now() - began_at, str(error))
+            abort_connection(caller)
+            raise asyncio.CancelledError from None
+        except asyncio.CancelledError:
+            if not has_ended(caller):
+                log.cancelled(request_id, clock.now() - began_at, self.drain.cause_of_close())
+            raise
+        except Exception as error:
+            log.unexpected(request_id, 0, error)
+            raise
+
     async def answer_in_time(self, caller: web.Request, held: HeldBytes) -> web.StreamResponse:
         """Return the answer of a request or its refusal, before the process has to end.
 
@@ -141,10 +164,10 @@
         Raises:
           CallerGoneError: The caller closed its connection or does not read.
         """
+        # The head of a stream that began before the stop could not announce it.
+        self.drain.close_after(response)
         if not isinstance(response, web.Response):
             return
-        if self.leaving:
-            response.force_close()
         try:
             async with self.drain.limit(FLUSH_SECONDS):
                 if self.memory.is_limited and (response.content_length or 0) > WRITE_BUFFER_BYTES:
@@ -153,6 +176,7 @@
                 else:
                     await response.prepare(caller)
                     await response.write_eof()
+                record_end(caller)
         except (ConnectionError, TimeoutError) as error:
             raise CallerGoneError(str(error)) from error
 
