--- a/tests/steps/draining.py
+++ b/tests/steps/draining.py
@@ -158,37 +158,35 @@
         backend.stream_events = count
 
 
-@when("a caller reads a long stream, and the process is told to stop meanwhile")
-def long_stream(context):
-    headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": "30000"}
+async def read_stream(context, deadline_ms, meanwhile):
+    """Read a stream to its end; something else begins once its first events are there."""
+    headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": f"{deadline_ms}"}
     headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
+    url = f"http://{context.daemon.direct.front}/stream/x"
+    context.is_complete = False
+    async with (
+        asyncio.TaskGroup() as group,
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers) as answer,
+    ):
+        context.read = await answer.content.readany()
+        group.create_task(meanwhile)
+        with contextlib.suppress(aiohttp.ClientError):
+            async for piece in answer.content.iter_any():
+                context.read += piece
+            context.is_complete = True
 
-    async def read():
-        url = f"http://{context.daemon.direct.front}/stream/x"
-        async with (
-            asyncio.TaskGroup() as group,
-            aiohttp.ClientSession() as session,
-            session.post(url, headers=headers) as answer,
-        ):
-            context.read = await answer.content.readany()
-            group.create_task(stop(context))
-            with contextlib.suppress(aiohttp.ClientError):
-                async for piece in answer.content.iter_any():
-                    context.read += piece
-                context.is_complete = True
 
-    context.is_complete = False
+@when("a caller reads a long stream, and the process is told to stop meanwhile")
+def long_stream(context):
     context.outcomes = [(0.0, "s-1", None)]
-    run(context, read())
+    run(context, read_stream(context, 30_000, stop(context)))
 
 
 @when(
     "a caller reads a stream, and the process gets {first} and then {second}, three times, {when}"
 )
 def stream_and_signals(context, first, second, when):
-    headers = {"Host": CALLER_HOST, "X-Attempt-Id": "s-1", "X-Deadline-Ms": "6000"}
-    headers |= {"Authorization": f"Bearer {API_KEY}", "X-Model": "model"}
-
     async def send_signals():
         context.stopped_at = clock.now()
         if when == "while it is suspended":
@@ -200,25 +198,10 @@
                 await asyncio.sleep(SIGNAL_GAP_SECONDS)
         context.daemon.send(signal.SIGCONT)
 
-    async def read():
-        url = f"http://{context.daemon.direct.front}/stream/x"
-        async with (
-            asyncio.TaskGroup() as group,
-            aiohttp.ClientSession() as session,
-            session.post(url, headers=headers) as answer,
-        ):
-            context.read = await answer.content.readany()
-            group.create_task(send_signals())
-            context.is_complete = False
-            with contextlib.suppress(aiohttp.ClientError):
-                async for piece in answer.content.iter_any():
-                    context.read += piece
-                context.is_complete = True
-
     is_apart = when == "0.1 s apart"
     # The kernel merges equal signals that are pending at the same time.
     context.signals = [first, *[second] * 3] if is_apart else {first, second}
-    run(context, read())
+    run(context, read_stream(context, 6_000, send_signals()))
     context.status = run(context, context.daemon.end())
     context.ended_after = clock.now() - context.stopped_at
 
