--- a/verbenaward/requests/dispatch.py
+++ b/verbenaward/requests/dispatch.py
@@ -112,7 +112,7 @@
 
         This holds for the first attempt of an idempotent request, if the retry budget can spare
         the retry that a refusal costs. It is taken now: later others might have spent it, and the
-        request would have given up its place in a queue for nothing.
+        request would have left its queue for nothing.
         """
         is_first = request.idempotent and not history.failures
         return is_first and history.take_in_advance(self.budget)
--- a/verbenaward/weight_loading/engine_loader.py
+++ b/verbenaward/weight_loading/engine_loader.py
@@ -227,7 +227,7 @@
         """Return the weights of the target version, or else those last in use."""
         targets = {model: self.fleet.newest_version(model) for model in self.fleet.versions}
         for model, stored in self.stored_versions().items():
-            version = wanted_version(targets, model, self.others(), stored)
+            version = wanted_version(targets, model, self.backends(), stored)
             if version:
                 return HeldWeights(model, version)
         return None
@@ -238,7 +238,7 @@
         models = declared.engine.models if declared and declared.engine else ()
         return {model: newest_stored_version(self.replica, model) for model in models}
 
-    def others(self) -> list[Backend]:
+    def backends(self) -> list[Backend]:
         """Return the registered backends of the service, that of this VM included."""
         return [view.backend for view in self.fleet.by_service.get(self.direct.service, ())]
 
@@ -268,7 +268,7 @@
         """
         if not self.fetches_early and self.replica.revision:
             is_first = self.fetches_early is None
-            self.fetches_early = fetches_early(self.others(), self.stored_versions(), is_first)
+            self.fetches_early = fetches_early(self.backends(), self.stored_versions(), is_first)
         wanted = self.newest() if self.fetches_early else None
         digests = await self.digests_of(wanted) if wanted else None
         if digests is None:
--- a/verbenaward/weight_loading/staged_chunks.py
+++ b/verbenaward/weight_loading/staged_chunks.py
@@ -13,7 +13,7 @@
 
 
 class StagedChunks:
-    """Stages chunks in the engine, and knows which ones it has.
+    """Stages chunks in the engine, and records which of them are verified.
 
     Attributes:
       engine: Port to the engine.
