The scenario on lines of refusals looks where every line is written

Cause: a refusal is the end of a request and is written by write_end since; the step replaced RequestLog.write, a function inside the log, and found no call. The product writes the line as before. Change: the step replaces write_line, through which each line goes; the fields that it checks are the same.

--- a/tests/steps/admission.py
+++ b/tests/steps/admission.py
@@ -189,7 +189,7 @@
     request = replace(request_of(), level=2)
     choice = Choice(fleet_of(1).backends["e-0"], 0.6, 0, 0.6)
     log = RequestLog()
-    with patch.object(log, "write") as write:
+    with patch.object(log, "write_line") as write:
         log.refused(request, not_run(503, "overload", "full", 1.2), choice, 0.04)
     context.fields = write.call_args.kwargs
 
