--- a/tests/direct/backend_limits.feature
+++ b/tests/direct/backend_limits.feature
@@ -12,7 +12,7 @@
     Then it has got no more requests in any 4 s than its limit allows
     And every caller was served
 
-    Examples:
+    Examples: kinds
       | kind   | limit |
       | plain  | 1     |
       | plain  | 0     |
