--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -367,7 +367,7 @@
         return True
 
     async def query_readers(self, neighbours: Neighbours) -> None:
-        """Update the inventories of the other readers, and of those that replace lost ones.
+        """Update the inventories of the other readers, and of processes in place of lost ones.
 
         One whose inventory still counts may only be busy, or have been replaced as a reader by a
         process that has just started.
