--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 
 from . import (
     ablate,
+    budget_designs,
     config,
     direct_hop,
     drawn,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "ablate",
+    "budget_designs",
     "config",
     "direct_hop",
     "drawn",
--- /dev/null
+++ b/bench/budget_designs.py
@@ -0,0 +1,199 @@
+"""Benchmark `budget-designs`: designs of the retry budget, weighed by the rule's own count."""
+
+import argparse
+import math
+from collections import deque
+from collections.abc import Sequence
+from typing import Any
+
+from verbenaward.direct.budget import SharedRetryBudget
+
+from .budget_simulation import (
+    Design,
+    Played,
+    RetryBudget,
+    burst_after_calm,
+    draw_phases,
+    move,
+    play,
+    steady,
+)
+from .registry import BENCHES
+from .soak_counting import RetryLimit
+
+COUNTS = (3, 9, 46, 370)
+NEW_SECONDS = 12.0
+"""Age up to which the sliding design takes a process for new."""
+
+
+class SlidingWindow:
+    """The ratio of the requests of a window that ends now; a new process uses a part of it."""
+
+    def __init__(self, limit: RetryLimit, count: int, started_at: float, margin: float) -> None:
+        self.limit, self.count, self.started_at, self.margin = limit, count, started_at, margin
+        self.requests: deque[float] = deque()
+        self.retries: deque[float] = deque()
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a request."""
+        self.requests.append(now)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Count a retry; False if none is left."""
+        for times in (self.requests, self.retries):
+            while times and times[0] <= now - self.limit.window_seconds:
+                times.popleft()
+        is_new = now - self.started_at < NEW_SECONDS
+        part = 1.0 - self.margin if is_new else self.margin
+        allowed = part * self.limit.ratio * len(self.requests)
+        if not is_new:
+            allowed += self.margin * self.limit.extra / self.count
+        if len(self.retries) + 1 > allowed:
+            return False
+        self.retries.append(now)
+        return True
+
+
+class SinceEachRetry:
+    """In every span up to now: a fixed share, and credit of its requests and of a time before it.
+
+    Attributes:
+      inside: Credit of a request in the span, as a part of the ratio.
+      before: Credit of a request in the time before the span.
+      kept_seconds: Length of that time.
+    """
+
+    def __init__(
+        self,
+        limit: RetryLimit,
+        count: int,
+        started_at: float,
+        inside: float,
+        before: float,
+        kept_seconds: float,
+        margin: float,
+    ) -> None:
+        self.limit, self.count, self.started_at, self.margin = limit, count, started_at, margin
+        self.inside, self.before, self.kept_seconds = inside, before, kept_seconds
+        self.requests: deque[float] = deque()
+        self.retries: deque[float] = deque()
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a request."""
+        self.requests.append(now)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Count a retry; False if none is left."""
+        window = self.limit.window_seconds
+        while self.requests and self.requests[0] < now - window - self.kept_seconds:
+            self.requests.popleft()
+        while self.retries and self.retries[0] < now - window:
+            self.retries.popleft()
+        starts = [*self.retries, now]
+        is_new = now - self.started_at < NEW_SECONDS
+        fixed = 0.0 if is_new else self.margin * self.limit.extra / self.count
+        requests = list(self.requests)
+        older = within = 0
+        for position, start in enumerate(starts):
+            while older < len(requests) and requests[older] < start - self.kept_seconds:
+                older += 1
+            while within < len(requests) and requests[within] < start:
+                within += 1
+            credit = self.inside * (len(requests) - within) + self.before * (within - older)
+            if len(starts) - position > fixed + self.margin * self.limit.ratio * credit:
+                return False
+        self.retries.append(now)
+        return True
+
+
+def sliding(margin: float) -> Design:
+    """Return the design of one sliding window a process."""
+    return lambda limit, count, at: SlidingWindow(limit, count, at, margin)
+
+
+def spans(inside: float, before: float, kept_seconds: float, margin: float) -> Design:
+    """Return the design that bounds every span up to now."""
+    return lambda limit, count, at: SinceEachRetry(
+        limit, count, at, inside, before, kept_seconds, margin
+    )
+
+
+def product(limit: RetryLimit, count: int, started_at: float) -> RetryBudget:
+    """Return the budget of the product."""
+    budget = SharedRetryBudget(limit.ratio, limit.extra, limit.window_seconds, started_at)
+    budget.update_entry_count(count)
+    return budget
+
+
+DESIGNS: dict[str, Design] = {
+    "product": product,
+    "sliding 0.85": sliding(0.85),
+    "sliding 0.55": sliding(0.55),
+    "spans, all credit inside": spans(1.0, 0.0, 0.0, 0.85),
+    "spans, 3/4 inside, 1/4 a window before": spans(0.75, 0.25, 10.0, 0.85),
+    "spans, half and half": spans(0.5, 0.5, 10.0, 0.85),
+    "spans, credit kept for 2 s": spans(1.0, 1.0, 2.0, 0.85),
+}
+
+
+def worst_share(played: Played) -> float:
+    """Return the largest part of the bound that a window has used."""
+    worst = played.worst()
+    return round(worst.share, 3) if worst is not None else 0.0
+
+
+def answered(played: Played, start: float, seconds: float) -> float:
+    """Return the share of the requests for a retry in a time that were granted."""
+    asked, retried = (
+        sum(start <= at < start + seconds for at in times)
+        for times in (played.asked, played.retried)
+    )
+    return round(retried / asked, 3) if asked else math.nan
+
+
+def weigh(design: Design, seeds: range) -> dict[str, Any]:
+    """Return the figures of a design: shares of the bound, and shares of the retries granted."""
+    drawn = {
+        f"{kind}, {count} processes": max(
+            worst_share(play(design, count, draw_phases(count, seed, kind == "stalls"), seed))
+            for seed in seeds
+        )
+        for kind in ("moves", "stalls")
+        for count in COUNTS
+    }
+    calm = play(design, 3, steady(60.0, 3), 1)
+    started = play(design, 3, steady(60.0, 3, calm=1.0), 1)
+    moved = play(design, 3, move(60.0), 1)
+    return {
+        "worst share, burst of 150": worst_share(play(design, 3, burst_after_calm(150.0), 1)),
+        "worst share, move at 190": worst_share(play(design, 3, move(190.0), 1)),
+        "worst share drawn": drawn,
+        "granted in the first 1 s of failures": answered(calm, 20.0, 1.0),
+        "granted in the first 3 s": answered(calm, 20.0, 3.0),
+        "granted in the first 10 s": answered(calm, 20.0, 10.0),
+        "granted in steady failures": answered(calm, 30.0, 20.0),
+        "granted in the first 10 s after a calm of 1 s": answered(started, 1.0, 10.0),
+        "granted in 10 s after a move": answered(moved, 22.0, 10.0),
+        "granted in steady failures, 370 processes, 600 a second": answered(
+            play(design, 370, steady(600.0, 370), 1), 30.0, 20.0
+        ),
+        "granted in 10 s, new processes": answered(fresh(design), 20.0, 10.0),
+    }
+
+
+def fresh(design: Design) -> Played:
+    """Play processes that are all killed as failures begin."""
+    calm, failing = steady(60.0, 3)
+    killed = type(failing)(failing.until, failing.rate, failing.used, 0.9, 0.0, (0, 1, 2))
+    return play(design, 3, (calm, killed), 1)
+
+
+@BENCHES.register("budget-designs")
+async def bench_budget_designs(arguments: Sequence[str]) -> dict[str, Any]:
+    """Weigh all designs, or those named."""
+    parser = argparse.ArgumentParser(prog="python -m bench budget-designs")
+    parser.add_argument("designs", nargs="*", default=list(DESIGNS), metavar="DESIGN")
+    parser.add_argument("--seeds", type=int, default=20, help="drawn plays a size (default 20)")
+    parser.add_argument("--json", action="store_true", help="print one line of JSON")
+    options = parser.parse_args(arguments)
+    return {name: weigh(DESIGNS[name], range(options.seeds)) for name in options.designs}
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -211,7 +211,7 @@
         seed=options.seed,
     )
     plain_rate = PLAIN_RATES.get(options.entries, LARGE_PLAIN_RATE)
-    rate = options.rate or (STREAM_RATE if is_stream else plain_rate)
+    rate = options.rate or row.rate or (STREAM_RATE if is_stream else plain_rate)
     kept = options.keep_logs and options.keep_logs / f"{name}-{options.seed}"
     async with running(plan, kept) as deployment:
         figures = await play(deployment, row, rate, options)
@@ -239,7 +239,8 @@
     """Send the traffic of a row beside its troubles and return the figures."""
     await asyncio.sleep(SETTLING_SECONDS)
     callers = Callers(deployment, options.seed)
-    requests = draw_requests(options.seed, ((row.load, rate),), options.seconds)
+    drawn = draw_requests(options.seed, ((row.load, rate),), options.seconds)
+    requests = [item for item in drawn if row.span[0] <= item.at <= row.span[1]]
     lags: list[float] = []
     try:
         async with playing(deployment, row, options), polling_lag(lags):
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -42,8 +42,9 @@
 
     def choose(self, rng: random.Random) -> Daemon | None:
         """Return an entry process, not one that has failed since the last answer if possible."""
-        usable = [entry for entry in self.named if entry.name not in self.failed]
-        return rng.choice(usable or self.named) if self.named else None
+        named: Sequence[Daemon] = self.deployment.used_entries or self.named
+        usable = [entry for entry in named if entry.name not in self.failed]
+        return rng.choice(usable or named) if named else None
 
 
 class Callers:
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -312,6 +312,7 @@
       network: First two bytes of the addresses.
       first_body: First configuration, on which all changed ones are based.
       timeouts: When configurations were written, with the timeouts of their routes in seconds.
+      used_entries: Entry processes that callers use; those of the directory if empty.
     """
 
     entries: list[SoakDaemon]
@@ -327,6 +328,7 @@
         self.more_routes = [LOOK_ROUTE, BOOK_ROUTE]
         self.first_body = b""
         self.timeouts: list[tuple[float, dict[str, float]]] = []
+        self.used_entries: list[SoakDaemon] = []
 
     async def add_worker(
         self, identity: str, service: str, zone: str, ip: str, version: int = 0
--- a/bench/soak_rows.py
+++ b/bench/soak_rows.py
@@ -28,6 +28,12 @@
 """From one SIGTERM to the next one to the same process, which is in its planned stop by then."""
 REPEATED_INTERVAL_SECONDS = 9.0
 """From one process to the next one: longer than the grace period."""
+BURST_SECONDS = 10.0
+CALM_START_SECONDS = 2.5
+"""Time from the start of a burst to its first errors."""
+MOVE_SECONDS = 2.0
+"""Time from the first errors until callers move to another entry process."""
+MOST_ERRORS = 0.9
 
 Trouble = Callable[[SoakDeployment, random.Random], Awaitable[None]]
 """Disturbs a deployment from the start of the traffic until it is cancelled."""
@@ -43,12 +49,16 @@
       load: Its requests.
       troubles: Names of its troubles.
       error_share: Share of the plain backends' answers that are 500.
+      rate: Requests a second; 0 for the usual rate.
+      span: When requests are sent, in seconds.
     """
 
     description: str
     load: Load
     troubles: tuple[str, ...] = ()
     error_share: float = 0.0
+    rate: float = 0.0
+    span: tuple[float, float] = (0.0, float("inf"))
 
     @property
     def counted_from(self) -> float:
@@ -91,6 +101,25 @@
     "errors-stopped": Row(
         "the same; from 14 s one after the other is stopped for 3 s", CHECKS, ("stop",), ERRORS
     ),
+    "burst": Row(
+        "plain backends; a burst of 10 s after a calm, errors from its 2.5 s on",
+        CHECKS,
+        ("late-errors",),
+        rate=150.0,
+        span=(FIRST_FAULT_SECONDS - CALM_START_SECONDS, FIRST_FAULT_SECONDS + 7.5),
+    ),
+    "move": Row(
+        "plain backends, all callers at one entry process; errors, and 2 s later they move",
+        CHECKS,
+        ("late-errors", "move"),
+        rate=150.0,
+    ),
+    "move-sigterm": Row(
+        "the same, and the process that they leave gets SIGTERM",
+        CHECKS,
+        ("late-errors", "move", "sigterm-left"),
+        rate=150.0,
+    ),
 }
 
 
@@ -100,6 +129,30 @@
     return [item for item in workers if item.is_model] or workers
 
 
+@TROUBLES.register("late-errors")
+async def fail_late(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let most answers of the backends be errors from FIRST_FAULT_SECONDS on."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS)
+    for worker in deployment.workers.values():
+        worker.error_share = MOST_ERRORS
+
+
+@TROUBLES.register("move")
+async def move(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let all callers use one entry process, then another one."""
+    first, second = deployment.entries[:2]
+    deployment.used_entries = [first]
+    await asyncio.sleep(FIRST_FAULT_SECONDS + MOVE_SECONDS)
+    deployment.used_entries = [second]
+
+
+@TROUBLES.register("sigterm-left")
+async def terminate_left(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Send SIGTERM to the process that the callers leave."""
+    await asyncio.sleep(FIRST_FAULT_SECONDS + MOVE_SECONDS)
+    deployment.entries[0].send(signal.SIGTERM)
+
+
 @TROUBLES.register("silence")
 async def silence(deployment: SoakDeployment, rng: random.Random) -> None:
     """Let a backend that is drawn each time be silent, then go on."""
--- a/tests/direct/retry_budget.feature
+++ b/tests/direct/retry_budget.feature
@@ -70,3 +70,24 @@
     Given a fleet that runs an older version
     When it is replaced process by process
     Then the opening names nobody
+
+  # Guards against BUDGET broken by credit of requests that came before callers burst or moved.
+  Scenario Outline: Callers that <change> as backends begin to fail keep to the retry budget
+    When callers of established entry processes <change> at 60 to 600 requests per second
+    Then the rule counts no window with more repeats than the bound
+
+    Examples: changes
+      | change |
+      | burst  |
+      | move   |
+
+  Scenario Outline: Drawn moves, bursts, kills and late arrivals keep to the retry budget
+    When callers of <count> entry processes move, burst and fail in <plays> drawn plays
+    Then the rule counts no window with more repeats than the bound
+
+    Examples: sizes
+      | count | plays |
+      | 3     | 40    |
+      | 9     | 40    |
+      | 46    | 20    |
+      | 370   | 20    |
--- a/tests/steps/retry_budgets.py
+++ b/tests/steps/retry_budgets.py
@@ -4,6 +4,8 @@
 
 from behave import given, then, when
 
+from bench.budget_designs import product
+from bench.budget_simulation import burst_after_calm, draw_phases, move, play
 from tests.direct_fakes import NOW, exchange_of
 from tests.simulated_budgets import SimulatedFleet
 from verbenaward.direct.budget import EXTRA_MARGIN
@@ -161,3 +163,24 @@
     given = context.before - context.old.budget.fixed_share(NOW + 1.0)
     received = context.new.budget.fixed_share(NOW + 1.0)
     assert given == received > 0.0, (given, received)
+
+
+@when("callers of established entry processes {change} at 60 to 600 requests per second")
+def callers_change(context, change):
+    phases = {"burst": burst_after_calm, "move": move}[change]
+    context.played = [play(product, 3, phases(rate), 1) for rate in (60.0, 190.0, 600.0)]
+
+
+@when("callers of {count:d} entry processes move, burst and fail in {plays:d} drawn plays")
+def callers_drawn(context, count, plays):
+    context.played = [
+        play(product, count, draw_phases(count, seed, has_stalls=seed % 2 == 1), seed)
+        for seed in range(plays)
+    ]
+
+
+@then("the rule counts no window with more repeats than the bound")
+def rule_kept(context):
+    worst = [(seed, played.worst()) for seed, played in enumerate(context.played)]
+    broken = [(seed, item) for seed, item in worst if item and item.repeats > item.bound]
+    assert any(item for _, item in worst) and not broken, broken
