Budget: each span since a retry is bounded by the requests around it

Callers saw: more repeats than the route's budget when callers burst after a calm, or move to another process, while backends fail.

Cause: each process spent on the requests of the 10 s before its send. The rule counts fixed windows; counts that are taken at other moments do not add up. Credit of requests before the window was spent in it, and once more by the requests that came in it.

Change: from each retry up to now a process sends at most its fixed share and the credit of the requests from half a window before that retry to half a window after it. That is one of the windows of the rule, and linear in the requests, so it holds for the sum wherever callers are. A process that has just started uses the credit of its own requests, as nobody else can.

--- a/bench/budget_designs.py
+++ b/bench/budget_designs.py
@@ -2,8 +2,11 @@
 
 import argparse
 import math
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import pairwise
 from typing import Any
 
 from verbenaward.direct.budget import SharedRetryBudget
@@ -54,28 +57,36 @@
         return True
 
 
-class SinceEachRetry:
-    """In every span up to now: a fixed share, and credit of its requests and of a time before it.
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """Parts of the ratio that a request adds to a span, by where it lies from the span's start.
+
+    The rule takes the best of three windows, so any mean of them is below its bound: with weights
+    a, b, c of the window before, the one half before and the window itself, which add up to 1, the
+    parts below are a, a + b, b + c, c.
 
     Attributes:
-      inside: Credit of a request in the span, as a part of the ratio.
-      before: Credit of a request in the time before the span.
-      kept_seconds: Length of that time.
+      before: More than half a window before it.
+      just_before: Up to half a window before it.
+      early: Up to half a window after it.
+      late: Later than that.
     """
 
+    before: float
+    just_before: float
+    early: float
+    late: float
+
+
+class SinceEachRetry:
+    """In every span from a retry up to now: a fixed share, and credit of requests around it."""
+
     def __init__(
-        self,
-        limit: RetryLimit,
-        count: int,
-        started_at: float,
-        inside: float,
-        before: float,
-        kept_seconds: float,
-        margin: float,
+        self, limit: RetryLimit, count: int, started_at: float, weights: Weights, margin: float
     ) -> None:
         self.limit, self.count, self.started_at, self.margin = limit, count, started_at, margin
-        self.inside, self.before, self.kept_seconds = inside, before, kept_seconds
-        self.requests: deque[float] = deque()
+        self.weights = weights
+        self.requests: list[float] = []
         self.retries: deque[float] = deque()
 
     def record_request(self, service: str, now: float) -> None:
@@ -84,38 +95,36 @@
 
     def spend(self, service: str, now: float) -> bool:
         """Count a retry; False if none is left."""
-        window = self.limit.window_seconds
-        while self.requests and self.requests[0] < now - window - self.kept_seconds:
-            self.requests.popleft()
-        while self.retries and self.retries[0] < now - window:
+        while self.retries and self.retries[0] < now - self.limit.window_seconds:
             self.retries.popleft()
-        starts = [*self.retries, now]
         is_new = now - self.started_at < NEW_SECONDS
         fixed = 0.0 if is_new else self.margin * self.limit.extra / self.count
-        requests = list(self.requests)
-        older = within = 0
-        for position, start in enumerate(starts):
-            while older < len(requests) and requests[older] < start - self.kept_seconds:
-                older += 1
-            while within < len(requests) and requests[within] < start:
-                within += 1
-            credit = self.inside * (len(requests) - within) + self.before * (within - older)
-            if len(starts) - position > fixed + self.margin * self.limit.ratio * credit:
+        for position, start in enumerate([*self.retries, now]):
+            credit = self.margin * self.limit.ratio * self.weighted(start)
+            if len(self.retries) + 1 - position > fixed + credit:
                 return False
         self.retries.append(now)
         return True
 
+    def weighted(self, start: float) -> float:
+        """Return the requests around the start of a span, by their weights."""
+        window, weights = self.limit.window_seconds, self.weights
+        offsets = (-window, -window / 2, 0.0, window / 2)
+        edges = [bisect_left(self.requests, start + offset) for offset in offsets]
+        counts = [b - a for a, b in pairwise((*edges, len(self.requests)))]
+        parts = (weights.before, weights.just_before, weights.early, weights.late)
+        return sum(part * count for part, count in zip(parts, counts, strict=True))
+
 
 def sliding(margin: float) -> Design:
     """Return the design of one sliding window a process."""
     return lambda limit, count, at: SlidingWindow(limit, count, at, margin)
 
 
-def spans(inside: float, before: float, kept_seconds: float, margin: float) -> Design:
-    """Return the design that bounds every span up to now."""
-    return lambda limit, count, at: SinceEachRetry(
-        limit, count, at, inside, before, kept_seconds, margin
-    )
+def spans(before: float, half_before: float, inside: float, margin: float = 0.85) -> Design:
+    """Return the design that bounds every span up to now, by the weights of the rule's windows."""
+    weights = Weights(before, before + half_before, half_before + inside, inside)
+    return lambda limit, count, at: SinceEachRetry(limit, count, at, weights, margin)
 
 
 def product(limit: RetryLimit, count: int, started_at: float) -> RetryBudget:
@@ -129,10 +138,11 @@
     "product": product,
     "sliding 0.85": sliding(0.85),
     "sliding 0.55": sliding(0.55),
-    "spans, all credit inside": spans(1.0, 0.0, 0.0, 0.85),
-    "spans, 3/4 inside, 1/4 a window before": spans(0.75, 0.25, 10.0, 0.85),
-    "spans, half and half": spans(0.5, 0.5, 10.0, 0.85),
-    "spans, credit kept for 2 s": spans(1.0, 1.0, 2.0, 0.85),
+    "spans, window itself": spans(0.0, 0.0, 1.0),
+    "spans, half a window before": spans(0.0, 1.0, 0.0),
+    "spans, window before and itself": spans(0.5, 0.0, 0.5),
+    "spans, 3/4 half before, 1/4 itself": spans(0.0, 0.75, 0.25),
+    "spans, 1/4, 1/2, 1/4": spans(0.25, 0.5, 0.25),
 }
 
 
--- a/tests/steps/retry_budgets.py
+++ b/tests/steps/retry_budgets.py
@@ -90,7 +90,7 @@
 @then("the new process has sent at least {share:g} of an established one's share of the fixed part")
 def has_got_parts(context, share):
     sent = [
-        (len(new.services["s"].retries), EXTRA_MARGIN * new.extra * other.share(21.0))
+        (new.services["s"].sent_retries(21.0, 10.0), EXTRA_MARGIN * new.extra * other.share(21.0))
         for new, other in context.pairs
     ]
     assert all(retries >= share * fixed for retries, fixed in sent), sent
--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -32,7 +32,7 @@
     budget = context.platform.entries[0].budget
     budget.ratio, budget.extra = 0.0, 0.0
     assert budget.remaining("engines", 0.0) <= 0
-    budget.remaining = lambda service, now: 1.0 - len(budget.window_of(service, now).retries)
+    budget.remaining = lambda service, now: 1.0 - budget.window_of(service).sent_retries(now, 10.0)
 
 
 @given("no retry is left in the budget for {seconds:g} s from the break on")
@@ -286,7 +286,7 @@
     role.front.forwarder.is_send_granted = grant
     started = clock.now()
     role.budget.remaining = lambda service, now: (
-        (now - started) / seconds - len(role.budget.window_of(service, now).retries)
+        (now - started) / seconds - role.budget.window_of(service).sent_retries(now, 10.0)
     )
 
 
--- a/verbenaward/direct/budget.py
+++ b/verbenaward/direct/budget.py
@@ -1,26 +1,27 @@
 """Retry budget that all entry processes share without coordination.
 
 The bound limits the retries to a service in any window, that is the sends beyond the first of each
-request. Each process may use its share of the fixed part plus the ratio of its own requests, so
-the sum stays under the bound however requests and retries are spread over the processes.
-
-A process that has just started knows neither what its predecessor has spent in this window nor,
-at first, how many processes there are. So until it has run for a window it uses only what
-established processes leave of the ratio, and nothing of the fixed part. This answers restarts of
-all processes, again and again, while backends fail. A process of a fleet that begins has no
-predecessor, and its share is given by the opening (see `budget_opening`). Any other one gets parts
-of the shares of established processes (see `budget_grants`).
+request. Each process may use its share of the fixed part plus credit of its own requests, so the
+sum stays under the bound however requests and retries are spread over the processes, and however
+callers move between them (see `retry_window`).
+
+The credit of a request is its process's own, so a process that has just started may use it at once.
+But it knows neither what its predecessor has spent of the fixed part nor, at first, how many
+processes there are. So until it has run for a window it uses nothing of the fixed part. A process
+of a fleet that begins has no predecessor, and its share is given by the opening (see
+`budget_opening`). Any other one gets parts of the shares of established processes (see
+`budget_grants`).
 """
 
 import math
-from collections import deque
-from dataclasses import dataclass, field
 
 from .. import metrics
 from .budget_grants import RetryGrants
+from .retry_window import RetryWindow
 
 RATIO_MARGIN = 0.85
-"""Share of the ratio that is used: a request may leave the window before its retries do."""
+"""Share of the ratio that is used: retries arrive later than they are sent, by up to some seconds
+at a backend that stands still, so more than a window's may arrive in one."""
 EXTRA_MARGIN = 0.85
 """Share of the fixed part that is used; the rest is a reserve for processes that joined while
 others were cut off, whose shares do not shrink."""
@@ -28,20 +29,6 @@
 """Time in which the other processes count one that joins."""
 
 
-@dataclass(slots=True)
-class ServiceWindow:
-    """Times of the requests and retries of one service, the oldest first."""
-
-    requests: deque[float] = field(default_factory=deque)
-    retries: deque[float] = field(default_factory=deque)
-
-    def drop_expired(self, now: float, window_seconds: float) -> None:
-        """Drop times that are older than the window."""
-        for times in (self.requests, self.retries):
-            while times and times[0] <= now - window_seconds:
-                times.popleft()
-
-
 class SharedRetryBudget:
     """Limits the retries that one entry process may send.
 
@@ -78,7 +65,7 @@
         self.is_opening_complete = False
         self.incarnation = incarnation
         self.grants = RetryGrants()
-        self.services: dict[str, ServiceWindow] = {}
+        self.services: dict[str, RetryWindow] = {}
 
     def update_entry_count(self, entry_count: int) -> None:
         """Set the number of entry processes; the share of this one never grows again."""
@@ -87,14 +74,12 @@
 
     def record_request(self, service: str, now: float) -> None:
         """Count a request of a caller, which adds to the budget."""
-        self.window_of(service, now).requests.append(now)
+        self.window_of(service).record_request(now, self.window_seconds)
 
     def remaining(self, service: str, now: float) -> float:
         """Return the retries that may still be sent in this window."""
-        window = self.window_of(service, now)
-        margin = 1.0 - RATIO_MARGIN if self.is_new(now) else RATIO_MARGIN
-        allowed = self.fixed_share(now) + margin * self.ratio * len(window.requests)
-        return allowed - len(window.retries)
+        fixed, credit = self.fixed_share(now), RATIO_MARGIN * self.ratio
+        return self.window_of(service).remaining(fixed, credit, now, self.window_seconds)
 
     def is_new(self, now: float) -> bool:
         """Return True while a predecessor of this process may have sent retries in the window."""
@@ -143,12 +128,10 @@
         """
         if self.remaining(service, now) < 1.0:
             return False
-        self.services[service].retries.append(now)
+        self.window_of(service).record_retry(now, self.window_seconds)
         metrics.RETRIES_SENT.labels(service).inc()
         return True
 
-    def window_of(self, service: str, now: float) -> ServiceWindow:
-        """Return the window of a service, without expired times."""
-        window = self.services.setdefault(service, ServiceWindow())
-        window.drop_expired(now, self.window_seconds)
-        return window
+    def window_of(self, service: str) -> RetryWindow:
+        """Return the window of a service."""
+        return self.services.setdefault(service, RetryWindow())
