Reads of other processes and services have a limit in bytes

Operators of systems like ours saw machines that ran out of memory as a faulty worker sent bytes without end. Here answers of requests had a limit, but reports, staged chunks, chunks of the origin, manifests, the store and its watches, peers, the list of VMs, control messages and the proxied mode's answers were read whole whatever their length, for as long as their timeout.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -40,3 +40,27 @@
     Then it may have run each time
     When the proxied mode calls it and the answer without a length is closed after its body
     Then it has answered each time
+
+  # Guards against a process that ends, or stops, as another one sends bytes without end.
+  Scenario Outline: A call for <what> ends at its limit
+    Given a server that sends "a <form> body" without end
+    Then a call for <what> fails as the answer is longer than its limit
+
+    Examples: calls
+      | what                     | form    |
+      | a report of an engine    | chunked |
+      | a report of an engine    | plain   |
+      | a report of an engine    | long    |
+      | a staged chunk           | chunked |
+      | a chunk of the origin    | plain   |
+      | a manifest               | chunked |
+      | a key of the store       | chunked |
+      | a watch of the store     | plain   |
+      | changes of a peer        | chunked |
+      | an inventory of a peer   | plain   |
+      | a control message        | chunked |
+      | a proxied answer         | chunked |
+      | a list of VMs            | plain   |
+      | a key of the service     | long    |
+      | the state of an engine   | plain   |
+      | the status of a process  | chunked |
--- a/verbenaward/ctl/clients.py
+++ b/verbenaward/ctl/clients.py
@@ -9,6 +9,7 @@
 import msgspec
 import uvloop
 
+from ..bounded_reading import LARGEST_MESSAGE_BYTES, LARGEST_REPORT_BYTES, read_at_most
 from ..data import Configuration
 from ..http_client import send_writes_once
 from ..platform.key_value import ADAPTERS, KeyValueService
@@ -78,7 +79,7 @@
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
     try:
         async with session.get(f"http://{address}/admin/status", timeout=timeout) as response:
-            return decode_value(await response.read(), ProcessStatus)
+            return decode_value(await read_at_most(response, LARGEST_MESSAGE_BYTES), ProcessStatus)
     except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
         return None
 
@@ -112,7 +113,7 @@
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
     try:
         async with session.post(f"http://{address}{path}", timeout=timeout) as response:
-            return await response.json()
+            return msgspec.json.decode(await read_at_most(response, LARGEST_REPORT_BYTES))
     except (aiohttp.ClientError, asyncio.TimeoutError, ValueError, RecursionError):
         return None
 
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -12,6 +12,7 @@
 from returns.result import Result, Success
 
 from .. import clock
+from ..bounded_reading import LARGEST_ANSWER_BYTES
 from ..header_bytes import HeadRequest
 from ..http_client import ConnectedResponse, send_once, was_reset
 from ..placement.backends import BackendView
@@ -44,8 +45,6 @@
 """Time for which the head of an answer is awaited after its request was given up: a backend that
 refuses it at its deadline may ask for a pause. It must be far below the time within which a backend
 is to see that its caller has gone."""
-LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
-"""Longest body of an answer that is read whole; a process may read many at the same time."""
 LARGEST_HEADER_BYTES = 64 * 1024
 """Longest status line or header field that a backend may send."""
 
--- a/verbenaward/distribution/peer_calls.py
+++ b/verbenaward/distribution/peer_calls.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import clock, metrics
+from ..bounded_reading import LARGEST_CHUNK_BYTES, read_at_most
 from .inventory import decode_inventory
 from .readers import Inventory
 from .recent_failures import RecentFailures
@@ -98,7 +99,7 @@
             async with self.session.request(
                 method, url, params=parameters, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await read_at_most(response, LARGEST_CHUNK_BYTES)
                 if response.status == HTTP_OK:
                     return Success(body)
                 return Failure(CallFailure(f"{url}: status {response.status}"))
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import clock
+from ..bounded_reading import LARGEST_ANSWER_BYTES, read_at_most
 from ..data import Load, Refusal
 from ..http_client import send_once, was_reset
 from ..requests import headers
@@ -93,7 +94,7 @@
         """
         try:
             async with self.open_call(call) as response:
-                body = await response.read()
+                body = await read_at_most(response, LARGEST_ANSWER_BYTES)
                 if was_reset(response):
                     raise aiohttp.ClientPayloadError("the connection was reset")
                 if not is_answer_to(call, response.headers):
--- a/verbenaward/platform/engine.py
+++ b/verbenaward/platform/engine.py
@@ -7,8 +7,10 @@
 from typing import Protocol
 
 import aiohttp
+import msgspec
 from returns.result import Failure, Result, Success
 
+from ..bounded_reading import LARGEST_REPORT_BYTES, read_at_most
 from ..registry import Registry
 from .declarations import DECODE_ERRORS
 
@@ -121,18 +123,19 @@
         return await self.call("POST", "/orders", asdict(order), timeout_seconds)
 
     async def call(
-        self, method: str, path: str, body: object, timeout_seconds: float
+        self, method: str, path: str, order: object, timeout_seconds: float
     ) -> Result[EngineState, EngineError]:
         """Send one request and parse the state in its answer; status 409 means a stale fence."""
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         try:
             async with self.session.request(
-                method, self.url + path, json=body, timeout=timeout
+                method, self.url + path, json=order, timeout=timeout
             ) as response:
+                body = await read_at_most(response, LARGEST_REPORT_BYTES)
                 if response.status != 200:
-                    text = (await response.text())[:200]
+                    text = body.decode(errors="replace")[:200]
                     return Failure(EngineError(text, stale_fence=response.status == 409))
-                state = await response.json()
+                state = msgspec.json.decode(body)
                 return Success(EngineState(state["active"], tuple(state["loaded"]), state["fence"]))
         except (aiohttp.ClientError, asyncio.TimeoutError, *DECODE_ERRORS) as error:
             return Failure(EngineError(f"{method} {path}: {type(error).__name__} {error}"))
--- a/verbenaward/platform/key_value_http.py
+++ b/verbenaward/platform/key_value_http.py
@@ -5,8 +5,10 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 from returns.result import Failure, Result, Success
 
+from ..bounded_reading import LARGEST_REPORT_BYTES, LARGEST_STORE_BYTES, read_at_most
 from .declarations import DECODE_ERRORS
 from .key_value import (
     ADAPTERS,
@@ -94,7 +96,8 @@
                 method, self.url + path, params=query, data=body, timeout=timeout
             ) as response:
                 if response.status == 200:
-                    return Success(await response.json())
+                    payload = await read_at_most(response, LARGEST_STORE_BYTES)
+                    return Success(msgspec.json.decode(payload))
                 return Failure(await parse_error(response))
         except aiohttp.ClientConnectorError as error:
             return Failure(KeyValueError(KeyValueFailure.UNAVAILABLE, str(error)))
@@ -107,7 +110,8 @@
     """Return the typed error for a response with another status than 200."""
     failure = FAILURE_BY_STATUS.get(response.status, KeyValueFailure.UNAVAILABLE)
     retry_after = parse_number(response.headers.get(RETRY_AFTER, "")) or 0.0
-    return KeyValueError(failure, (await response.text())[:200], retry_after)
+    text = (await read_at_most(response, LARGEST_REPORT_BYTES)).decode(errors="replace")
+    return KeyValueError(failure, text[:200], retry_after)
 
 
 def parse_snapshot(body: Any) -> KeyValueSnapshot:
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import metrics
+from ..bounded_reading import LARGEST_STORE_BYTES, read_at_most
 from . import names
 from .declarations import DECODE_ERRORS
 from .key_value import (
@@ -255,7 +256,7 @@
             async with self.session.request(
                 method, self.url + path, params=query, json=body, timeout=timeout
             ) as response:
-                payload = await response.read()
+                payload = await read_at_most(response, LARGEST_STORE_BYTES)
                 era = self.observe_era(response.headers.get(names.STORE_ERA, ""))
                 if response.status == 200:
                     return Success(StoreAnswer(msgspec.json.decode(payload), era))
--- a/verbenaward/platform/sources.py
+++ b/verbenaward/platform/sources.py
@@ -8,6 +8,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
+from ..bounded_reading import LARGEST_CHUNK_BYTES, read_at_most
 from ..registry import Registry
 from .names import RETRY_AFTER
 from .request_headers import parse_number
@@ -87,7 +88,9 @@
             ) as response:
                 if response.status not in (200, 206):
                     return Failure(await parse_error(response))
-                return Success(await response.read())
+                return Success(
+                    await read_at_most(response, byte_range.length or LARGEST_CHUNK_BYTES)
+                )
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             return Failure(SourceError(f"{byte_range.path}: {type(error).__name__} {error}"))
 
--- a/verbenaward/platform/vm_list.py
+++ b/verbenaward/platform/vm_list.py
@@ -6,8 +6,10 @@
 from typing import Protocol
 
 import aiohttp
+import msgspec
 from returns.result import Failure, Result, Success
 
+from ..bounded_reading import LARGEST_MESSAGE_BYTES, read_at_most
 from ..registry import Registry
 from .declarations import DECODE_ERRORS
 
@@ -52,7 +54,7 @@
         try:
             async with self.session.get(self.url, timeout=timeout) as response:
                 response.raise_for_status()
-                body = await response.json()
+                body = msgspec.json.decode(await read_at_most(response, LARGEST_MESSAGE_BYTES))
                 return Success(tuple(ListedVm(item["vm"], item["leaving"]) for item in body["vms"]))
         except (aiohttp.ClientError, asyncio.TimeoutError, *DECODE_ERRORS) as error:
             return Failure(f"{type(error).__name__} {error}")
--- a/verbenaward/platform/weights.py
+++ b/verbenaward/platform/weights.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..bounded_reading import LARGEST_CHUNK_BYTES, LARGEST_REPORT_BYTES, read_at_most
 from ..data import HeldWeights
 from .declarations import DECODE_ERRORS, parse_held_weights
 from .names import (
@@ -94,6 +95,7 @@
     body: bytes | None = None,
     on_answer: Callable[[], None] = lambda: None,
     silence_seconds: float | None = None,
+    limit: int = LARGEST_CHUNK_BYTES,
 ) -> Result[tuple[int, bytes], str]:
     """Send one request and return the status and body of its answer.
 
@@ -106,6 +108,7 @@
       body: Body of the request.
       on_answer: Called when the answer begins.
       silence_seconds: Longest time without a byte; None for no limit.
+      limit: Longest body of the answer, in bytes.
     """
     timeout = aiohttp.ClientTimeout(
         total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=silence_seconds
@@ -115,7 +118,7 @@
             method, url, params=query, data=body, timeout=timeout
         ) as response:
             on_answer()
-            return Success((response.status, await response.read()))
+            return Success((response.status, await read_at_most(response, limit)))
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         return Failure(f"{method} {url}: {type(error).__name__} {error}")
 
@@ -204,18 +207,20 @@
 
     async def report(self) -> Result[EngineReport, str]:
         """Query the state of the engine."""
-        result = await self.request("GET", REPORT_PATH)
+        result = await self.request("GET", REPORT_PATH, limit=LARGEST_REPORT_BYTES)
         return result.bind(body_if_ok).bind(parse_report)
 
     async def put_chunk(self, model: str, index: int, chunk: bytes) -> Result[bytes, str]:
         """Write a chunk to the staging area, over any earlier one with the same index."""
         query = {"sample_count": str(index)}
-        result = await self.request("PUT", STAGE_PUT_PATH + model, query, chunk)
+        path = STAGE_PUT_PATH + model
+        result = await self.request("PUT", path, query, chunk, LARGEST_REPORT_BYTES)
         return result.bind(body_if_success)
 
     async def staged_chunk(self, model: str, index: int) -> Result[bytes, str]:
         """Read a chunk back from the staging area."""
-        result = await self.request("GET", STAGE_GET_PATH + model, {"sample_count": str(index)})
+        query = {"sample_count": str(index)}
+        result = await self.request("GET", STAGE_GET_PATH + model, query)
         return result.bind(body_if_ok)
 
     async def order_load(
@@ -236,15 +241,23 @@
             "switch_mode": "wait",
             "precondition": accepted_orders,
         }
-        result = await self.request("POST", ORDER_PATH, body=msgspec.json.encode(order))
+        body = msgspec.json.encode(order)
+        result = await self.request("POST", ORDER_PATH, body=body, limit=LARGEST_REPORT_BYTES)
         return result.map(lambda answer: OUTCOME_BY_STATUS.get(answer[0], OrderOutcome.UNKNOWN))
 
     async def request(
-        self, method: str, path: str, query: dict[str, str] | None = None, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: bytes | None = None,
+        limit: int = LARGEST_CHUNK_BYTES,
     ) -> Result[tuple[int, bytes], str]:
-        """Send one request to the engine."""
+        """Send one request to the engine and read an answer of at most `limit` bytes."""
         url = f"http://{self.address}{path}"
-        return await call(self.session, method, url, ENGINE_TIMEOUT_SECONDS, query, body)
+        return await call(
+            self.session, method, url, ENGINE_TIMEOUT_SECONDS, query, body, limit=limit
+        )
 
 
 def body_if_success(answer: tuple[int, bytes]) -> Result[bytes, str]:
--- a/verbenaward/replica/peer_transfer.py
+++ b/verbenaward/replica/peer_transfer.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from .. import clock
+from ..bounded_reading import LARGEST_STORE_BYTES, read_at_most
 from ..logs import get_logger
 from ..platform.key_value import KeyValueEntry, Position
 from ..schema.messages import StoredItem, StoredItems
@@ -165,7 +166,7 @@
     requested_at = clock.now()
     try:
         async with session.get(url, params=query, timeout=timeout) as response:
-            body = await response.read()
+            body = await read_at_most(response, LARGEST_STORE_BYTES)
             return (
                 changes_from_message(decode(StoredItems, body), requested_at, known_era)
                 if response.status == HTTP_OK
--- a/verbenaward/requests/attempt.py
+++ b/verbenaward/requests/attempt.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import clock
+from ..bounded_reading import LARGEST_ANSWER_BYTES, read_at_most
 from ..data import Refusal, Verdict
 from . import headers
 from .decoding import encoding_of
@@ -102,7 +103,7 @@
             headers=attempt_headers(request, view, alone, no_wait, 0, now),
             timeout=timeout,
         ) as response:
-            body = await response.read()
+            body = await read_at_most(response, LARGEST_ANSWER_BYTES)
             return parse_answer(request, view, response.status, response.headers, body)
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         return Failure(failure_of_exception(view, error))
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from .. import clock
+from ..bounded_reading import LARGEST_CHUNK_BYTES, read_at_most
 from ..direct.entry_peers import zone_of_record
 from ..distribution.chunk_runs import entry_order
 from ..distribution.peer_calls import HOLDER_HEADER
@@ -161,7 +162,7 @@
         query = {LACKING_QUERY: str(self.lacking), **({RATE_QUERY: f"{rate:.0f}"} if rate else {})}
         try:
             async with self.session.get(url, params=query, timeout=timeout) as response:
-                body = await response.read()
+                body = await read_at_most(response, LARGEST_CHUNK_BYTES)
                 return body if response.status == HTTP_OK else None
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             LOG.warning(
--- a/verbenaward/weights/table_finder.py
+++ b/verbenaward/weights/table_finder.py
@@ -5,6 +5,7 @@
 import aiohttp
 from returns.result import Success
 
+from ..bounded_reading import LARGEST_MESSAGE_BYTES, read_at_most
 from ..logs import get_logger
 from ..membership.ring import rendezvous_order
 from ..platform.sources import ByteRange
@@ -68,7 +69,9 @@
         timeout = aiohttp.ClientTimeout(total=PEER_WAIT_SECONDS + 0.5)
         try:
             async with self.context.session.get(url, timeout=timeout) as response:
-                return await response.read() if response.status == 200 else None
+                if response.status != 200:
+                    return None
+                return await read_at_most(response, LARGEST_MESSAGE_BYTES)
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return None
 
--- a/verbenaward/weights/transfer.py
+++ b/verbenaward/weights/transfer.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from .. import clock, metrics
+from ..bounded_reading import read_at_most
 from ..logs import get_logger
 from ..schema.messages import ChunksHeld, Member
 from ..waiting import is_set_within
@@ -231,7 +232,7 @@
                     return b""
                 if response.status != 200:
                     return None
-                return await response.read()
+                return await read_at_most(response, chunk.length)
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
             return None
 
--- a/verbenaward/wire/rpc.py
+++ b/verbenaward/wire/rpc.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from .. import metrics
+from ..bounded_reading import LARGEST_MESSAGE_BYTES, read_at_most
 from ..schema import messages
 from .codec import MalformedMessageError, decode, encode
 
@@ -55,7 +56,7 @@
         async with session.post(
             url, data=payload, headers=CALL_HEADERS, timeout=timeout
         ) as response:
-            body = await response.read()
+            body = await read_at_most(response, LARGEST_MESSAGE_BYTES)
             if response.status != 200:
                 return Failure(f"{kind} to {address}: status {response.status}")
             count_message(kind, "received", len(body) + RESPONSE_HEADER_BYTES)
