Interim answers without end no longer stop the event loop

Cause: aiohttp reads interim answers as long as they come, and parses all that has arrived at once, some ten thousand of them in one step of the event loop.

Change: the protocol of our HTTP clients drops interim answers, parses 4 KiB at once before the head, and ends the call at the 17th of them.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -41,6 +41,20 @@
     When the proxied mode calls it and the answer without a length is closed after its body
     Then it has answered each time
 
+  # Guards against interim answers without end, which stopped all other requests of the process.
+  Scenario Outline: The client for <peers> ends a call whose interim answers do not end
+    Given a server that sends "<what>" without end
+    Then the client for <peers> ends a call with the error "more than 16 interim answers"
+
+    Examples: servers
+      | peers            | what            |
+      | backends         | 100 Continue    |
+      | backends         | 102 Processing  |
+      | backends         | 103 Early Hints |
+      | proxied backends | 100 Continue    |
+      | proxied peers    | 100 Continue    |
+      | the platform     | 100 Continue    |
+
   # Guards against a process that ends, or stops, as another one sends bytes without end.
   Scenario Outline: A call for <what> ends at its limit
     Given a server that sends "a <form> body" without end
--- a/verbenaward/control.py
+++ b/verbenaward/control.py
@@ -14,6 +14,7 @@
 from .configuration.follower import ConfigurationFollower
 from .configuration.settings import host_of
 from .http_client import ConnectedResponse, send_writes_once
+from .interim_answers import AnswerConnector
 from .logs import get_logger
 from .membership.directory import Directory
 from .membership.heartbeat import HeartbeatSender
@@ -124,7 +125,7 @@
     options: dict[str, Any] = {"force_close": True}
     if not force_close:
         options = {"keepalive_timeout": KEEPALIVE_SECONDS}
-    connector = aiohttp.TCPConnector(
+    connector = AnswerConnector(
         limit=CONNECTIONS,
         limit_per_host=CONNECTIONS_PER_HOST,
         local_addr=(host_of(settings.listen), 0),
--- a/verbenaward/ctl/apply.py
+++ b/verbenaward/ctl/apply.py
@@ -21,6 +21,7 @@
     unaccepted_proposals,
 )
 from ..data import Configuration
+from ..interim_answers import AnswerConnector
 from ..platform.key_value import KeyValueService
 from ..schema.manifest import Manifest
 from ..schema.messages import ConfigurationOffer
@@ -87,7 +88,7 @@
         digest=bytes.fromhex(configuration.digest),
         document=encode_configuration(configuration),
     )
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=AnswerConnector()) as session:
         await send_offer(session, entries, offer)
 
 
--- a/verbenaward/ctl/clients.py
+++ b/verbenaward/ctl/clients.py
@@ -12,6 +12,7 @@
 from ..bounded_reading import LARGEST_MESSAGE_BYTES, LARGEST_REPORT_BYTES, read_at_most
 from ..data import Configuration
 from ..http_client import send_writes_once
+from ..interim_answers import AnswerConnector
 from ..platform.key_value import ADAPTERS, KeyValueService
 from ..platform.stored_values import decode_value
 from ..schema.messages import Acknowledgement, ConfigurationOffer
@@ -68,7 +69,9 @@
     """Run an async operation on the key-value service at a URL and return its result."""
 
     async def run() -> Value:
-        async with aiohttp.ClientSession(middlewares=(send_writes_once,)) as session:
+        async with aiohttp.ClientSession(
+            connector=AnswerConnector(), middlewares=(send_writes_once,)
+        ) as session:
             return await operation(ADAPTERS.find("http")(session, url))
 
     return uvloop.run(run())
--- a/verbenaward/ctl/commands_status.py
+++ b/verbenaward/ctl/commands_status.py
@@ -9,6 +9,7 @@
 
 from ..configuration.store import read_head
 from ..data import Configuration
+from ..interim_answers import AnswerConnector
 from ..platform.key_value import KeyValueService
 from . import options
 from .clients import post, run_with_key_value
@@ -89,7 +90,7 @@
         member = next((item for item in fleet.members if item.vm == vm), None)
         if member is None:
             return None
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(connector=AnswerConnector()) as session:
             return await post(session, member.address, "/admin/drain") is not None
 
     drained = uvloop.run(operation())
--- a/verbenaward/ctl/status.py
+++ b/verbenaward/ctl/status.py
@@ -9,6 +9,7 @@
 
 from ..configuration.manifest import release_digest
 from ..data import Configuration
+from ..interim_answers import AnswerConnector
 from .clients import MemberStatusReport, ProcessStatus, read_entry_statuses, read_statuses
 
 WAIT_POLL_SECONDS = 0.2
@@ -57,7 +58,7 @@
 
 async def load_fleet(seeds: Sequence[str]) -> FleetStatus:
     """Return the state of all VMs, starting from the addresses of some entry processes."""
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=AnswerConnector()) as session:
         entries = await read_entry_statuses(session, seeds)
     return FleetStatus(entries, newest_members(entries))
 
@@ -196,7 +197,7 @@
         for item in fleet.members
         if item.kind == "endpoint" and item.role in digests and item.status != "gone"
     ]
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=AnswerConnector()) as session:
         statuses = await read_statuses(session, [item.address for item in assigned])
     keys = sorted({(item.role, item.region, item.zone) for item in assigned})
     return tuple(
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -15,6 +15,7 @@
 from ..bounded_reading import LARGEST_ANSWER_BYTES
 from ..header_bytes import HeadRequest
 from ..http_client import ConnectedResponse, send_once, was_reset
+from ..interim_answers import AnswerConnector
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, HeldPart, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
@@ -66,7 +67,7 @@
       has_memory_limit: True to keep the buffers of each connection small.
     """
     socket_factory = small_buffer_socket if has_memory_limit else keepalive_socket
-    connector = aiohttp.TCPConnector(
+    connector = AnswerConnector(
         limit=0, force_close=True, socket_factory=socket_factory, use_dns_cache=False
     )
     return aiohttp.ClientSession(
--- a/verbenaward/direct_shared.py
+++ b/verbenaward/direct_shared.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 
 from .http_client import send_writes_once
+from .interim_answers import AnswerConnector
 from .platform.key_value import ADAPTERS, LeasingService
 from .schema.settings import Settings
 from .sockets import keepalive_socket
@@ -12,7 +13,7 @@
 def platform_session() -> aiohttp.ClientSession:
     """Return an HTTP client for the store, the origin of weights and other processes."""
     # Idle connections stay open for 10 s.
-    connector = aiohttp.TCPConnector(limit=0, socket_factory=keepalive_socket, keepalive_timeout=10)
+    connector = AnswerConnector(limit=0, socket_factory=keepalive_socket, keepalive_timeout=10)
     return aiohttp.ClientSession(connector=connector, middlewares=(send_writes_once,))
 
 
