Callers that send bytes without end no longer stop the requests of others

Cause: aiohttp limits lines and decoded bodies, but reads empty lines, framing and what comes after an early refusal as long as it comes, and parses what has arrived at once.

Change: each connection counts the bytes since its last request began.

--- a/tests/direct/connections.feature
+++ b/tests/direct/connections.feature
@@ -37,3 +37,29 @@
     When callers look something up 5 times without success
     Then they are refused for lack of descriptors, and no backend is blamed
     When there are descriptors again, the next look-up is served
+
+  # Guards against callers whose bytes without end stop the requests of all others.
+  Scenario Outline: A caller that sends <what> without end is cut off
+    Given one entry process that is ready
+    When a caller sends <what> without end
+    Then its connection ends before 64 MiB
+    And a look-up of another caller is served
+
+    Examples: bytes
+      | what                |
+      | empty lines         |
+      | a request line      |
+      | a header name       |
+      | a header value      |
+      | header lines        |
+      | a chunk size        |
+      | a chunk extension   |
+      | chunks of one byte  |
+      | trailers            |
+      | a body that is long |
+
+  # Guards against a limit on bytes that cuts off callers who send much, but ask for all of it.
+  Scenario: Callers whose bodies, heads or pipelines are large are served
+    Given one entry process that is ready
+    When a caller pipelines 2000 look-ups, and bodies of 1 MB in chunks of 64 bytes
+    Then each of its requests has an answer
--- a/verbenaward/direct/connections.py
+++ b/verbenaward/direct/connections.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from .. import clock, metrics
+from ..arriving_bytes import BoundedHandler, BoundedRunner, BoundedServer
 from ..data import CallerLimits
 from ..header_bytes import head_writer
 from ..logs import get_logger
@@ -137,7 +138,7 @@
         }
 
 
-class ConnectionHandler(web.RequestHandler):
+class ConnectionHandler(BoundedHandler):
     """One connection, which reports to `Connections`.
 
     Attributes:
@@ -185,6 +186,12 @@
         finally:
             request.content.on_eof(lambda: self.connections.table.ended(self, clock.now()))
 
+    def abort_excess(self) -> None:
+        """Abort the connection of a caller that sends bytes without end."""
+        LOG.warning("connection.excess", kind=self.kind.value, raw_bytes=self.arriving.raw)
+        metrics.CONNECTIONS_CLOSED.labels(Cause.EXCESS.value).inc()
+        super().abort_excess()
+
     def end(self, cause: Cause) -> None:
         """Close the connection; at once if that is the only way to release its descriptor."""
         if self.wire is None:
@@ -196,24 +203,20 @@
             self.wire.abort()
 
 
-class ConnectionServer(web.Server):
+class ConnectionServer(BoundedServer):
     """Makes the handlers of the connections to one listener, and refuses their requests.
 
     Attributes:
-      inner: Server of the application.
       limiter: The connections of the process.
       kind: What the connections to this listener are for.
-      options: Options of the handlers.
     """
 
     def __init__(
         self, inner: web.Server, limiter: Connections, kind: Kind, options: dict[str, Any]
     ) -> None:
-        super().__init__(self.answer, request_factory=self.begin, handler_cancellation=True)
-        self.inner = inner
+        super().__init__(inner, options)
         self.limiter = limiter
         self.kind = kind
-        self.options = options
 
     def __call__(self) -> ConnectionHandler:
         """Return the handler of a new connection."""
@@ -225,22 +228,17 @@
     ) -> web.BaseRequest:
         """Record that a request begins and return it, with a writer that keeps bytes of headers."""
         self.limiter.table.began(protocol, clock.now())
-        writer = head_writer(writer, protocol)
-        return self.inner.request_factory(message, payload, protocol, writer, task)
+        return super().begin(message, payload, protocol, head_writer(writer, protocol), task)
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request; with a refusal if its connection is one too many."""
         if self.limiter.table.is_refused(request.protocol):
             return self.limiter.refuse(request)
-        response: web.StreamResponse = await self.inner.request_handler(request)
-        return response
+        return await super().answer(request)
 
 
-class ConnectionRunner(web.AppRunner):
-    """Runs an application whose connections are kept within their limits.
-
-    Requests are cancelled if their callers leave.
-    """
+class ConnectionRunner(BoundedRunner):
+    """Runs an application whose connections are kept within their limits."""
 
     def __init__(
         self,
@@ -250,13 +248,12 @@
         shutdown_timeout: float,
         **options: Any,
     ) -> None:
-        super().__init__(application, shutdown_timeout=shutdown_timeout)
+        super().__init__(application, shutdown_timeout, **options)
         self.connections = connections
         self.kind = kind
-        self.options = options
         if kind in LIMITED_KINDS:
             self.options["keepalive_timeout"] = UNUSED_KEEPALIVE_SECONDS
 
-    async def _make_server(self) -> web.Server:
-        inner = await super()._make_server()
-        return ConnectionServer(inner, self.connections, self.kind, self.options)
+    async def _make_server(self) -> BoundedServer:
+        bounded = await super()._make_server()
+        return ConnectionServer(bounded.inner, self.connections, self.kind, self.options)
--- a/verbenaward/placement/connection_limits.py
+++ b/verbenaward/placement/connection_limits.py
@@ -73,7 +73,7 @@
 
     IDLE, HEADER: a limit of the configuration. ROOM: for another connection. REFUSED: no request
     came to be refused. DROPPED: no descriptor is left to refuse it. UNREAD: the caller did not read
-    the end of its answer.
+    the end of its answer. EXCESS: the caller sent bytes without end.
     """
 
     IDLE = "idle"
@@ -82,6 +82,7 @@
     REFUSED = "refused"
     DROPPED = "dropped"
     UNREAD = "unread"
+    EXCESS = "excess"
 
 
 def reserved_descriptors(descriptors: float) -> float:
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -8,6 +8,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from .admin import AdminInterface, ProxiedRole
+from .arriving_bytes import BoundedRunner
 from .configuration.settings import host_of, port_of
 from .control import ControlPlane, build_control
 from .draining import record_begin, wait_until_sent
@@ -33,10 +34,9 @@
         self.drained = False
         self.control = build_control(self.settings)
         self.role = build_role(self.control)
-        self.runner = web.AppRunner(
+        self.runner = BoundedRunner(
             self.build_application(),
             access_log=None,
-            handler_cancellation=True,
             max_line_size=MAXIMUM_HEADER_BYTES,
             max_field_size=MAXIMUM_HEADER_BYTES,
             shutdown_timeout=1.0,
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from .. import clock
+from ..arriving_bytes import BoundedRunner
 from ..configuration.settings import host_of, port_of
 from ..data import HeldWeights
 from ..direct_shared import leasing_store, platform_session, serve_metrics
@@ -67,7 +68,7 @@
         self.turn = asyncio.Semaphore(1)
         self.uploads = Uploads()
         self.tasks: list[asyncio.Task[None]] = []
-        self.runner = web.AppRunner(web.Application(), access_log=None)
+        self.runner = BoundedRunner(web.Application(), access_log=None)
 
     async def start(self) -> None:
         """Start all tasks."""
