--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -12,6 +12,7 @@
 from ..configuration.settings import host_of, port_of
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.relay import ChunkRelay
+from ..distribution.relay_answers import RelayAnswers
 from ..drain_times import DrainTimes
 from ..draining import record_begin
 from ..logs import get_logger
@@ -236,7 +237,7 @@
         application.router.add_get(ITEMS_PATH, self.answer_items)
         application.router.add_get(KEPT_PATH, self.answer_kept)
         application.router.add_get("/metrics", serve_metrics)
-        self.relay.add_routes(application)
+        RelayAnswers(self.relay).add_routes(application)
         return application
 
     def is_ready(self) -> bool:
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -1,4 +1,4 @@
-"""Relay of weights: entry processes receive chunks, cache and serve them.
+"""Relay of weights: entry processes receive chunks, cache and pass them on.
 
 Entry VMs have fast links and endpoint VMs slow ones. A few entry processes in the region of the
 origin, the readers of a version, read it from the origin (`version_reader`). In every other region
@@ -12,7 +12,6 @@
 import asyncio
 import hashlib
 import itertools
-import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
@@ -20,7 +19,6 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 from returns.result import Failure, Result, Success
 
 from .. import clock, metrics
@@ -34,41 +32,29 @@
 from .chunk_cache import DIGESTS_INDEX, ChunkCache, ChunkKey
 from .chunk_runs import CHUNKS_PER_RUN
 from .confirmation import changed_chunks, split_digests
-from .inventory import encode_inventory
 from .origin_link import OriginLink
 from .origin_manifests import OriginManifests
 from .peer_calls import (
-    CACHED_QUERY,
     ENDPOINT_PATH,
     ENTRY_PATH,
-    HOLDER_HEADER,
-    INVENTORY_NAME,
     READER_QUERY,
     CallFailure,
     PeerCalls,
 )
 from .process_map import EntryProcess, ProcessMap
-from .readers import ORIGIN_READERS, Inventory, readers_of_chunk
+from .readers import ORIGIN_READERS, readers_of_chunk
 from .recent_failures import RecentFailures
-from .upload_order import Receiver
-from .uploads import Uploads, rate_of
+from .uploads import Uploads
 from .version_reader import VersionReader
 
 LOG = get_logger(__name__)
-INVENTORY_PATH = ENTRY_PATH + "/{model}/{version}/" + INVENTORY_NAME
-CHUNK_PATH = ENTRY_PATH + "/{model}/{version}/{index}"
-DIGESTS_PATH = ENTRY_PATH + "/{model}/{version}"
 ORIGIN_TIMEOUT_SECONDS = 6.0
 """Timeout of a chunk request to the origin."""
 ORIGIN_SILENCE_SECONDS = 1.0
 """Longest time without a byte from the origin, after which the chunk is requested again."""
-LOCATE_POLL_SECONDS = 0.05
-"""Interval at which a process that lacks a chunk checks whether another reader has it."""
 WAIT_SECONDS = 1.0
-"""Longest wait for a chunk that is not available, after which the request is answered with 503. It
-is shorter than the time after which a silent process counts as unreachable."""
-LOCATE_WAIT_SECONDS = 2.0
-"""The same for a HEAD request, which endpoint processes send for all missing chunks."""
+"""Longest wait for a chunk that is not available, after which a request is answered with 503. It is
+shorter than the time after which a silent process counts as unreachable."""
 FETCH_SECONDS = 20.0
 """Time for which a chunk is tried that no source has; later requests start again."""
 UNKNOWN_VERSION = 0
@@ -90,7 +76,7 @@
 
 
 class ChunkRelay:
-    """Serves chunks and digests; concurrent requests for one share a fetch.
+    """Gets chunks and digests; concurrent requests for one share a fetch.
 
     Attributes:
       processes: The processes that read, relay or hold chunks.
@@ -134,12 +120,6 @@
         fleet.replica.listeners.append(self.apply_stored_digests)
         fleet.replica.era_listeners.append(lambda _: self.write_lost_digests())
 
-    def add_routes(self, app: web.Application) -> None:
-        """Add the routes of digests, inventories and chunks to an application."""
-        app.router.add_get(DIGESTS_PATH, self.serve)
-        app.router.add_get(INVENTORY_PATH, self.serve_inventory)
-        app.router.add_get(CHUNK_PATH, self.serve)
-
     def start_reading(self, model: str, version: int) -> None:
         """Start to read a target version, if this process is one of its readers."""
         if self.processes.is_reader(model, version):
@@ -321,68 +301,6 @@
         if digests:
             await self.manifests.write(model, version, digests)
 
-    async def serve_inventory(self, request: web.Request) -> web.StreamResponse:
-        """Answer which chunks of a version this process holds, and which it is receiving."""
-        try:
-            model, version = request.match_info["model"], int(request.match_info["version"])
-        except ValueError:
-            return web.Response(status=400)
-        reader = self.readers.get((model, version))
-        held = self.cache.indexes(model, version)
-        receiving = reader.announced if reader else frozenset()
-        return web.Response(body=encode_inventory(Inventory(held, receiving)))
-
-    async def serve(self, request: web.Request) -> web.StreamResponse:
-        """Answer a request for a chunk, or for a version's digests in the order of its chunks."""
-        try:
-            version = int(request.match_info["version"])
-            index = int(request.match_info.get("index", DIGESTS_INDEX))
-        except ValueError:
-            return web.Response(status=400)
-        model = request.match_info["model"]
-        key = ChunkKey(model, version, index)
-        if CACHED_QUERY in request.query:
-            cached = self.cache.get(key)
-            if cached is None:
-                return web.Response(status=404)
-            return await self.uploads.send(request, cached, math.inf, Receiver.READER)
-        is_for_reader = READER_QUERY in request.query
-        if request.method == "HEAD":
-            return await self.answer_location(key, is_for_reader)
-        body = await self.get_in_time(key, WAIT_SECONDS, is_for_reader)
-        if body is None:
-            return web.Response(status=503)
-        if not is_for_reader:
-            self.read_ahead(model, version, index)
-        receiver = Receiver.REGION if is_for_reader else Receiver.ENGINE
-        return await self.uploads.send(request, body, rate_of(request), receiver)
-
-    async def answer_location(self, key: ChunkKey, is_for_reader: bool) -> web.Response:
-        """Answer a HEAD request once this process or another reader of the zone has a chunk.
-
-        A caller gets what that reader has from there, so that it does not cross the link of this
-        process first.
-        """
-        getting = asyncio.create_task(self.get_in_time(key, LOCATE_WAIT_SECONDS, is_for_reader))
-        try:
-            while not getting.done():
-                await asyncio.wait({getting}, timeout=LOCATE_POLL_SECONDS)
-                holder = None if getting.done() else self.other_holder(key)
-                if holder is not None:
-                    return web.Response(headers={"Content-Length": "0", HOLDER_HEADER: holder})
-            body = getting.result()
-        finally:
-            getting.cancel()
-        # Without a length the client takes the connection to end with the answer.
-        length = {"Content-Length": str(len(body or b""))}
-        return web.Response(status=503 if body is None else 200, headers=length)
-
-    def other_holder(self, key: ChunkKey) -> str | None:
-        """Return another reader of the zone that has a chunk; None if none is known."""
-        reader = self.readers.get((key.model, key.version))
-        holders = reader.readers_with(key.index) if reader else []
-        return next((item for item in holders if self.processes.is_in_own_zone(item)), None)
-
     async def get_in_time(self, key: ChunkKey, seconds: float, is_for_reader: bool) -> bytes | None:
         """Return a chunk, or None after a time; the fetch then goes on.
 
