Drawn soak: moves, bursts, errors that begin, faults of the store, bad links

Drawn now, beside what was: all callers move to one or two processes, bursts of whole answers, times in which half to all plain answers are errors, a store that is down, silent, resets or limits, and a proxy before the internal port of each entry process that loses, delays and doubles datagrams or is cut. Not built: links to backends, store and origin.

--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -202,6 +202,7 @@
         services=("beds", "rooms"),
         error_share=drawn.error_share,
         seed=options.seed,
+        has_links=drawn.has_links,
     )
     kept = options.keep_logs and options.keep_logs / f"drawn-{options.seed}"
     lags: list[float] = []
--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -71,8 +71,29 @@
     Series("configuration", 0.9, (1.0, 5.0), lengths=(0.5, 6.0), details=CONFIGURATIONS),
     Series("leave", 0.5, (4.0, 12.0), 2, lengths=(1.0, 5.0), details=("lapse", "draining")),
     Series("lapse", 0.4, (4.0, 12.0), 2, width=2),
+    Series("errors", 0.6, (5.0, 15.0), 2, lengths=(1.0, 10.0), details=("0.5", "0.9", "1")),
+    Series("move", 0.5, (2.0, 8.0), 4, (0.5, 3.0), lengths=(1.0, 10.0), width=2),
+    Series(
+        "store",
+        0.4,
+        (6.0, 15.0),
+        1,
+        lengths=(0.5, 5.0),
+        details=("down", "silent", "reset", "limited"),
+    ),
+    Series("link", 0.9, (2.0, 8.0), 3, lengths=(0.3, 5.0), width=3, details=("bad", "cut")),
 )
-"""`leave` is a registration of a backend that ends, `lapse` the lease of an entry process."""
+"""`leave` is a registration of a backend that ends, `lapse` the lease of an entry process, `errors`
+are answers of all plain backends, a `move` brings all callers to some entry processes, and `store`
+is a fault of the key-value store."""
+LINKED_SHARE = 0.4
+"""Share of the seeds whose entry processes reach each other over links that can be bad."""
+BURST_SHARE = 0.5
+"""Share of the seeds that have bursts of whole answers."""
+BURST_RATES = (50.0, 200.0)
+"""Requests a second in a burst."""
+BURST_SECONDS = (3.0, 10.0)
+BURST_PAUSES = (5.0, 15.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +127,7 @@
       troubles: Troubles in their order.
       error_share: Share of the plain backends' answers that are 500.
       entries: Number of entry processes.
+      has_links: Whether they reach each other over links that can be bad.
     """
 
     rates: tuple[tuple[Load, float], ...]
@@ -113,6 +135,7 @@
     troubles: tuple[Trouble, ...]
     error_share: float
     entries: int
+    has_links: bool
 
 
 def draw_plan(seed: int, seconds: float, entries: int | None, rate: float | None) -> DrawnPlan:
@@ -135,8 +158,30 @@
     drawn_entries = rng.choice(ENTRY_COUNTS)
     troubles = [trouble for series in ALL_SERIES for trouble in draw_series(rng, series, seconds)]
     troubles.sort(key=lambda item: item.at)
-    requests = draw_requests(seed, rates, seconds)
-    return DrawnPlan(rates, requests, tuple(troubles), error_share, entries or drawn_entries)
+    rates_and_spans = [(load, rate, (0.0, seconds)) for load, rate in rates]
+    requests = draw_requests(seed, [*rates_and_spans, *draw_bursts(seed, seconds)])
+    return DrawnPlan(
+        rates,
+        requests,
+        tuple(troubles),
+        error_share,
+        entries or drawn_entries,
+        random.Random(f"{seed} links").random() < LINKED_SHARE,
+    )
+
+
+def draw_bursts(seed: int, seconds: float) -> list[tuple[Load, float, tuple[float, float]]]:
+    """Return the bursts of a seed: load, requests a second, and when it begins and ends."""
+    rng = random.Random(f"{seed} bursts")
+    bursts: list[tuple[Load, float, tuple[float, float]]] = []
+    if rng.random() >= BURST_SHARE:
+        return bursts
+    at = rng.uniform(*BURST_PAUSES)
+    while at < seconds:
+        end = min(seconds, at + rng.uniform(*BURST_SECONDS))
+        bursts.append((LOOKS, rng.uniform(*BURST_RATES), (at, end)))
+        at = end + rng.uniform(*BURST_PAUSES)
+    return bursts
 
 
 def draw_series(rng: random.Random, series: Series, seconds: float) -> list[Trouble]:
--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -11,10 +11,13 @@
 from .drawn_configurations import CHANGES, declare_services
 from .drawn_plan import DrawnPlan, Trouble
 from .soak_deployment import SoakDaemon, SoakDeployment, SoakWorker
+from .soak_links import SoakLink
 
 Action = Callable[[SoakDeployment, Trouble], Awaitable[None]]
 ACTIONS: Registry[Action] = Registry("action")
 AWAY_SECONDS = 0.6
+BAD_SHARE = 0.2
+"""Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
 SETTINGS = {
     "same": [{}],
     "changed": [
@@ -146,7 +149,53 @@
     """Let the leases of entry processes lapse."""
     store = deployment.store
     for entry in chosen_entries(deployment, trouble):
-        own = f"{entry.ip}:{deployment.ports['internal']}"
+        address = f"{entry.ip}:{deployment.ports['internal']}"
+        own = store.shown.get(address, address)
         held = {lease for key, (_, _, lease) in store.items.items() if key.endswith(f"/{own}")}
         for lease in held & store.leases.keys():
             store.drop_lease(lease)
+
+
+@ACTIONS.register("errors")
+async def fail(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let a share of the answers of all plain backends be errors for a while."""
+    workers = [item for item in deployment.workers.values() if not item.is_model]
+    for worker in workers:
+        worker.error_share = float(trouble.detail)
+    await asyncio.sleep(trouble.seconds)
+    for worker in workers:
+        worker.error_share = deployment.plan.error_share
+
+
+@ACTIONS.register("move")
+async def move(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let all callers use some entry processes for a while, unless they move again before."""
+    chosen = chosen_entries(deployment, trouble)
+    deployment.used_entries = chosen
+    await asyncio.sleep(trouble.seconds)
+    if deployment.used_entries is chosen:
+        deployment.used_entries = []
+
+
+@ACTIONS.register("store")
+async def break_store(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let the store answer errors, nothing, or close connections for a while."""
+    deployment.store.mode = trouble.detail
+    await asyncio.sleep(trouble.seconds)
+    deployment.store.mode = "ok"
+
+
+@ACTIONS.register("link")
+async def worsen_links(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let links lose, delay and double datagrams, or cut them, for a while."""
+    links = [
+        deployment.links.get(f"{entry.ip}:{deployment.ports['internal']}")
+        for entry in chosen_entries(deployment, trouble)
+    ]
+    found = [link for link in links if isinstance(link, SoakLink)]
+    for link in found:
+        link.is_cut = trouble.detail == "cut"
+        link.bad_share = BAD_SHARE
+    await asyncio.sleep(trouble.seconds)
+    for link in found:
+        link.is_cut, link.bad_share = False, 0.0
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -239,8 +239,8 @@
     """Send the traffic of a row beside its troubles and return the figures."""
     await asyncio.sleep(SETTLING_SECONDS)
     callers = Callers(deployment, options.seed)
-    drawn = draw_requests(options.seed, ((row.load, rate),), options.seconds)
-    requests = [item for item in drawn if row.span[0] <= item.at <= row.span[1]]
+    span = (row.span[0], min(row.span[1], options.seconds))
+    requests = draw_requests(options.seed, ((row.load, rate, span),))
     lags: list[float] = []
     try:
         async with playing(deployment, row, options), polling_lag(lags):
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -19,6 +19,7 @@
 
 from review.harness import ZONES, Daemon, Deployment, Worker, render
 
+from .soak_links import SoakLink
 from .soak_traffic import AT_END, WITHIN
 from .soak_verdicts import ProcessEnd
 
@@ -48,6 +49,8 @@
     "max_attempts": 1,
 }
 """Route of unsafe requests, whose timeout is longer than any silence that ends."""
+FIRST_LINK_NETWORK, LINK_NETWORKS = 192, 60
+"""Second bytes of the addresses of links, above those of the processes."""
 DEPENDENCIES = Path("target", "deps")
 OWN_PATHS = ("/report", "/order", "/stage-get", "/stage-put")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -66,6 +69,7 @@
       error_share: Share of the plain backends' answers that are 500.
       restart_seconds: Time from the end of a process to its next start.
       seed: Seed of what the backends draw.
+      has_links: True if the entry processes reach each other over links that can be bad.
     """
 
     daemons: Path
@@ -76,6 +80,7 @@
     error_share: float = 0.0
     restart_seconds: float = 0.1
     seed: int = 1
+    has_links: bool = False
 
 
 class SoakDaemon(Daemon):
@@ -329,6 +334,7 @@
         self.first_body = b""
         self.timeouts: list[tuple[float, dict[str, float]]] = []
         self.used_entries: list[SoakDaemon] = []
+        self.has_links = plan.has_links
 
     async def add_worker(
         self, identity: str, service: str, zone: str, ip: str, version: int = 0
@@ -376,10 +382,23 @@
             zone = list(ZONES)[index % len(ZONES)]
             service = self.plan.services[index // len(ZONES) % len(self.plan.services)]
             await self.add_worker(f"i-p{index}", service, zone, f"{self.network}.9.{index + 1}")
+        if self.has_links:
+            await self.open_links()
         for daemon in (*self.entries, *self.endpoints):
             daemon.keeper = asyncio.create_task(daemon.run())
         await self.wait_ready(25.0)
 
+    async def open_links(self) -> None:
+        """Put a proxy before the internal port of each entry process."""
+        shown_network = f"127.{FIRST_LINK_NETWORK + os.getpid() % LINK_NETWORKS}"
+        for entry in self.entries:
+            own = f"{entry.ip}:{self.ports['internal']}"
+            shown = own.replace(self.network, shown_network, 1)
+            self.store.shown[own] = shown
+            self.links[own] = SoakLink(own, shown, self.links, self.plan.seed)
+        for link in self.links.values():
+            self.servers.append(await link.open())
+
     async def add_engine(self, zone: str, zone_index: int, index: int) -> None:
         """Add an engine that holds version 1, with its endpoint process."""
         ip = f"{self.network}.{zone_index + 1}.{index + 101}"
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -56,17 +56,20 @@
 
 
 def draw_requests(
-    seed: int, rates: Sequence[tuple[Load, float]], seconds: float
+    seed: int, flows: Sequence[tuple[Load, float, tuple[float, float]]]
 ) -> tuple[PlannedRequest, ...]:
     """Return the requests of a seed in their order.
 
     Args:
       seed: Seed of what is drawn.
-      rates: Loads, and their requests a second.
-      seconds: Duration of the traffic.
+      flows: Loads, their requests a second, and when these begin and end.
     """
     rng = random.Random(f"{seed} callers")
-    due = [(number / rate, load) for load, rate in rates for number in range(round(seconds * rate))]
+    due = [
+        (start + number / rate, load)
+        for load, rate, (start, end) in flows
+        for number in range(round((end - start) * rate))
+    ]
     due.sort(key=lambda item: item[0])
     return tuple(
         PlannedRequest(
