Drawn soak: callers move soon after errors begin, bursts last up to 20 s

Change: half of the times callers move to one process 0.5 to 3 s after the first errors, and bursts last 3 to 20 s in place of 3 to 10 s.

--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -92,7 +92,7 @@
 """Share of the seeds that have bursts of whole answers."""
 BURST_RATES = (50.0, 200.0)
 """Requests a second in a burst."""
-BURST_SECONDS = (3.0, 10.0)
+BURST_SECONDS = (3.0, 20.0)
 BURST_PAUSES = (5.0, 15.0)
 
 
--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -4,18 +4,22 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 from verbenaward.registry import Registry
 
 from .drawn_configurations import CHANGES, declare_services
-from .drawn_plan import DrawnPlan, Trouble
+from .drawn_plan import TARGETS, DrawnPlan, Trouble
 from .soak_deployment import SoakDaemon, SoakDeployment, SoakWorker
 from .soak_links import SoakLink
 
 Action = Callable[[SoakDeployment, Trouble], Awaitable[None]]
 ACTIONS: Registry[Action] = Registry("action")
 AWAY_SECONDS = 0.6
+MOVE_SHARE = 0.5
+MOVE_PAUSES = (0.5, 3.0)
+"""Shortest and longest time from the first errors until callers move, in seconds."""
 BAD_SHARE = 0.2
 """Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
 SETTINGS = {
@@ -158,15 +162,28 @@
 
 @ACTIONS.register("errors")
 async def fail(deployment: SoakDeployment, trouble: Trouble) -> None:
-    """Let a share of the answers of all plain backends be errors for a while."""
+    """Let a share of the answers of all plain backends be errors for a while.
+
+    Half of the times all callers move to one process soon after the first errors.
+    """
     workers = [item for item in deployment.workers.values() if not item.is_model]
     for worker in workers:
         worker.error_share = float(trouble.detail)
+    rng = random.Random(trouble.number)
+    if rng.random() < MOVE_SHARE:
+        moving = replace(trouble, targets=(rng.randrange(TARGETS),))
+        deployment.background(move_later(deployment, moving, rng.uniform(*MOVE_PAUSES)))
     await asyncio.sleep(trouble.seconds)
     for worker in workers:
         worker.error_share = deployment.plan.error_share
 
 
+async def move_later(deployment: SoakDeployment, trouble: Trouble, pause_seconds: float) -> None:
+    """Move the callers after a pause."""
+    await asyncio.sleep(pause_seconds)
+    await move(deployment, trouble)
+
+
 @ACTIONS.register("move")
 async def move(deployment: SoakDeployment, trouble: Trouble) -> None:
     """Let all callers use some entry processes for a while, unless they move again before."""
