--- a/tests/steps/platform_pauses.py
+++ b/tests/steps/platform_pauses.py
@@ -9,10 +9,17 @@
 
 @when('a source of weights and the key-value service refuse with the pause "{value}"')
 def refuse(context, value):
-    async def text():
-        return ""
-
-    response = SimpleNamespace(status=503, headers={"Retry-After": value}, text=text)
+    async def no_pieces():
+        for piece in ():
+            yield piece
+
+    response = SimpleNamespace(
+        status=503,
+        headers={"Retry-After": value},
+        method="GET",
+        content_length=0,
+        content=SimpleNamespace(iter_any=no_pieces),
+    )
 
     async def parse():
         return [await module.parse_error(response) for module in (sources, key_value_http)]
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -169,6 +169,12 @@
         "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
     ),
     "library.message": kind("a library reports: {message}", "message"),
+    "connection.excess": kind(
+        "a caller sent bytes without end, {raw_bytes} since its last request; its connection was"
+        " aborted",
+        "kind",
+        "raw_bytes",
+    ),
     "connections.available": kind(
         "connections are taken again: {open} are open, {busy} of them with a request",
         "open",
