--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,8 +6,8 @@
 import random
 import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator, Sequence
-from dataclasses import asdict, dataclass
+from collections.abc import AsyncIterator, Mapping, Sequence
+from dataclasses import asdict, dataclass, replace
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
@@ -27,9 +27,10 @@
     share_later_than,
     worst_window,
 )
+from .soak_deadly import DeadlyHistory, late_sends
 from .soak_deployment import SoakDeployment, SoakPlan
-from .soak_rows import ROWS, TROUBLES, Row
-from .soak_traffic import draw_requests
+from .soak_rows import DEADLY_LOADS, ROWS, TROUBLES, Row
+from .soak_traffic import PlannedRequest, draw_deadly, draw_requests
 from .soak_verdicts import KILL_SECONDS
 
 ZONES = 3
@@ -49,6 +50,8 @@
     window_seconds=float(BOUNDS["retry_window_s"]),
 )
 LAG_POLL_SECONDS = 0.02
+STEP_SECONDS = 5
+"""Steps in which refusals as poison are counted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,8 +207,8 @@
     plan = SoakPlan(
         daemons=options.daemons,
         entries_per_zone=options.entries // ZONES,
-        models_per_zone=ENGINES_PER_ZONE if is_stream else 0,
-        plain=0 if is_stream else PLAIN_BACKENDS,
+        models_per_zone=row.engines_per_zone if is_stream else 0,
+        plain=row.plain if is_stream else PLAIN_BACKENDS,
         error_share=row.error_share,
         restart_seconds=options.restart_seconds,
         seed=options.seed,
@@ -240,14 +243,35 @@
     await asyncio.sleep(SETTLING_SECONDS)
     callers = Callers(deployment, options.seed)
     span = (row.span[0], min(row.span[1], options.seconds))
-    requests = draw_requests(options.seed, ((row.load, rate, span),))
+    requests = planned_requests(row, rate, span, options)
     lags: list[float] = []
     try:
         async with playing(deployment, row, options), polling_lag(lags):
             await callers.run(requests)
     finally:
         await callers.close()
-    return {**summarize(deployment, row, callers), "max_loop_lag_ms": round(1000 * max(lags))}
+    deadly = deadly_paths(requests)
+    return {
+        **summarize(deployment, row, callers, deadly),
+        "deadly": deadly_figures(deployment, callers, deadly),
+        "max_loop_lag_ms": round(1000 * max(lags)),
+    }
+
+
+def planned_requests(
+    row: Row, rate: float, span: tuple[float, float], options: argparse.Namespace
+) -> list[PlannedRequest]:
+    """Return the requests of a row in their order, deadly ones included."""
+    flows = ((row.load, rate, span), *((load, more, span) for load, more in row.more))
+    requests = list(draw_requests(options.seed, flows))
+    if row.has_own_bodies:
+        requests = [
+            replace(item, body=item.attempt.encode()) if item.load.is_stream else item
+            for item in requests
+        ]
+    if row.is_deadly:
+        requests += draw_deadly(options.seed, DEADLY_LOADS, options.seconds)
+    return sorted(requests, key=lambda item: item.at)
 
 
 @contextlib.asynccontextmanager
@@ -289,16 +313,27 @@
         task.cancel()
 
 
-def summarize(deployment: SoakDeployment, row: Row, callers: Callers) -> dict[str, Any]:
-    """Return the figures of a row."""
-    results = callers.results
-    repeats = repeat_times(arrivals_of(deployment, callers))
+def summarize(
+    deployment: SoakDeployment, row: Row, callers: Callers, deadly: Mapping[str, str]
+) -> dict[str, Any]:
+    """Return the figures of a row; what callers got is counted without the deadly requests."""
+    results = [item for item in callers.results if item.attempt not in deadly]
+    repeats = repeat_times(
+        item for item in arrivals_of(deployment, callers) if item[1] not in deadly
+    )
     worst = worst_window([item.sent_at for item in results], repeats, LIMIT)
     refused = [item for item in results if classify(item) is Outcome.REFUSED]
     figures: dict[str, Any] = {
         "requests": len(results),
         **count_outcomes(results),
         "refused_reasons": dict(Counter(item.reason for item in refused)),
+        "refused_as_poison_from": dict(
+            Counter(
+                f"{int(item.sent_at // STEP_SECONDS * STEP_SECONDS)} s"
+                for item in sorted(refused, key=lambda item: item.sent_at)
+                if item.reason == "poison"
+            )
+        ),
         "repeats": len(repeats),
         "worst_window": worst and {**asdict(worst), "start": round(worst.start, 2)},
         "starts": sum(entry.starts for entry in deployment.entries),
@@ -310,6 +345,46 @@
     return figures
 
 
+def deadly_figures(
+    deployment: SoakDeployment, callers: Callers, deadly: Mapping[str, str]
+) -> dict[str, Any]:
+    """Return crashes, and sends that came too late, by the path of each deadly request."""
+    history = deadly_history(deployment, callers, deadly)
+    return {
+        path: {
+            "crashes": len(history.crashes.get(path, ())),
+            "sends": sum(history.paths.get(attempt) == path for _, attempt in history.arrivals),
+            "late": len(late_sends(history, path)),
+        }
+        for path in sorted(set(deadly.values()))
+    }
+
+
+def deadly_history(
+    deployment: SoakDeployment, callers: Callers, deadly: Mapping[str, str]
+) -> DeadlyHistory:
+    """Return what happened to the deadly requests of a soak."""
+    began_at = callers.began_at
+    crashes: dict[str, list[float]] = {}
+    for worker in deployment.workers.values():
+        for at, path in worker.crash_times:
+            crashes.setdefault(path, []).append(at - began_at)
+    return DeadlyHistory(
+        paths=deadly,
+        entries={item.attempt: item.entry for item in callers.results},
+        crashes=crashes,
+        arrivals=[item for item in arrivals_of(deployment, callers) if item[1] in deadly],
+        signals={
+            entry.name: [at - began_at for at in entry.disturbed_at] for entry in deployment.entries
+        },
+    )
+
+
+def deadly_paths(requests: Sequence[PlannedRequest]) -> dict[str, str]:
+    """Return the paths of the deadly requests, by attempt."""
+    return {item.attempt: item.path for item in requests if item.is_deadly}
+
+
 def arrivals_of(deployment: SoakDeployment, callers: Callers) -> list[tuple[float, str]]:
     """Return when requests arrived at backends, since the traffic began."""
     return [
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -148,7 +148,8 @@
         "Authorization": f"Bearer {KEY}",
     }
     if request.load.is_stream:
-        rng = random.Random(request.attempt)
+        # A deadly request comes again with the same prompt.
+        rng = random.Random(request.path if request.is_deadly else request.attempt)
         part = f"{rng.randrange(SUBJECTS):08x}:40,{rng.randrange(2**32):08x}:560"
         headers |= {"X-Model": MODEL, "X-Token-Usage": "600,60", "X-Prompt-Prefix-Hash": part}
     return headers
@@ -182,7 +183,11 @@
         timeout = aiohttp.ClientTimeout(load.deadline_ms / 1000, sock_connect=CONNECT_SECONDS)
         try:
             async with session.request(
-                load.method, url, headers=headers, timeout=timeout
+                load.method,
+                url,
+                headers=headers,
+                timeout=timeout,
+                data=self.request.body or None,
             ) as answer:
                 self.status = answer.status
                 self.reason = answer.headers.get("X-Reason", "")
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -1,32 +1,24 @@
-"""Real processes on loopback for a soak: daemons that restart, and backends that fall silent."""
+"""Real processes on loopback for a soak: daemons that restart, and stand-ins of backends."""
 
 import asyncio
 import contextlib
 import json
 import os
-import random
 import shutil
 import signal
 import sys
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-from aiohttp import web
-
-from review.harness import ZONES, Daemon, Deployment, Worker, render
+from review.harness import ZONES, Daemon, Deployment, render
 
 from .soak_links import SoakLink
-from .soak_traffic import AT_END, WITHIN
 from .soak_verdicts import ProcessEnd
+from .soak_workers import SoakWorker
 
-FIRST_EVENT_SECONDS = 0.06
-EVENT_GAP_SECONDS = 0.12
-EVENTS = 10
-STREAM_SECONDS = FIRST_EVENT_SECONDS + (EVENTS - 1) * EVENT_GAP_SECONDS
 LOOK_ROUTE = {
     "name": "r-l",
     "path_prefix": "/look/",
@@ -52,8 +44,6 @@
 FIRST_LINK_NETWORK, LINK_NETWORKS = 192, 60
 """Second bytes of the addresses of links, above those of the processes."""
 DEPENDENCIES = Path("target", "deps")
-OWN_PATHS = ("/report", "/order", "/stage-get", "/stage-put")
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +81,7 @@
       stop_times: When its processes first got SIGTERM.
       kill_times: When it got SIGKILL.
       resume_times: When it got SIGCONT.
+      disturbed_at: When it got any signal or was started.
       starts: How often its process was started.
       signals: Names of the signals that the running process got.
       ends: The ends of its processes.
@@ -104,6 +95,7 @@
         self.stop_times: list[float] = []
         self.kill_times: list[float] = []
         self.resume_times: list[float] = []
+        self.disturbed_at: list[float] = []
         self.starts = 0
         self.signals: set[str] = set()
         self.ends: list[ProcessEnd] = []
@@ -147,6 +139,7 @@
                 )
             pid = self.process.pid
             self.starts += 1
+            self.disturbed_at.append(self.deployment.record.now())
             self.deployment.record.write("start", machine=self.name, pid=pid)
             status = await self.process.wait()
             self.process = None
@@ -164,6 +157,7 @@
         if self.process is None:
             return
         now = self.deployment.record.now()
+        self.disturbed_at.append(now)
         if number is signal.SIGTERM:
             self.terminated_at.append(now)
             if number.name not in self.signals:
@@ -198,117 +192,6 @@
     return words if (folder / DEPENDENCIES).exists() else [sys.executable, *words[1:]]
 
 
-class SoakWorker(Worker):
-    """A backend that falls silent: it keeps its connections and sends no byte on them.
-
-    Attributes:
-      received: When requests arrived, with their attempt ids, also those that it rejects.
-      speaking: Set unless it is silent.
-      silences: Number of silences that overlap at present.
-      place: Place of the latest silence in an answer.
-      rng: Draws which of its answers are errors.
-      error_share: Share of its whole answers that are 500.
-    """
-
-    def __init__(self, deployment: "SoakDeployment", identity: str, service: str, zone: str):
-        super().__init__(deployment, identity, service, zone)
-        self.received: list[tuple[float, str]] = []
-        self.speaking = asyncio.Event()
-        self.speaking.set()
-        self.silences = 0
-        self.place = ""
-        self.rng = random.Random(f"{deployment.plan.seed} {identity}")
-        self.error_share = deployment.plan.error_share
-
-    async def fall_silent(self, seconds: float, place: str = "") -> None:
-        """Be silent for some seconds, then go on unless another silence is under way.
-
-        Args:
-          seconds: How long.
-          place: WITHIN, AT_END, or empty for between two events and before the head.
-        """
-        self.record.write("silent", worker=self.identity, seconds=f"{seconds:.2f}", place=place)
-        self.silences += 1
-        self.place = place
-        self.speaking.clear()
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            self.silences -= 1
-            if not self.silences:
-                self.speaking.set()
-                self.record.write("speaks", worker=self.identity)
-
-    def return_to_store(self) -> None:
-        """Register again after `deregister`."""
-        self.is_gone, self.registered, self.state = False, b"", "ready"
-        self.register()
-
-    def application(self) -> web.Application:
-        """Build the HTTP application."""
-
-        @web.middleware
-        async def hold(request: web.Request, handler: Handler) -> web.StreamResponse:
-            if not request.path.startswith(OWN_PATHS):
-                attempt = request.headers.get("X-Attempt-Id", "")
-                self.received.append((self.record.now(), attempt))
-            await self.speaking.wait()
-            try:
-                return await handler(request)
-            except aiohttp.ClientConnectionResetError:
-                # The caller has left; nobody reads this answer.
-                return web.Response(status=499)
-
-        app = super().application()
-        app.middlewares.append(hold)
-        return app
-
-    async def whole(self, request: web.Request, attempt: str) -> web.StreamResponse:  # type: ignore[override]
-        """Answer as a plain backend, or with its own error."""
-        answer = await super().whole(request, attempt)
-        body = answer.body
-        assert isinstance(body, bytes)
-        if not self.speaking.is_set() and self.place == WITHIN:
-            response = web.StreamResponse(headers=self.headers(attempt))
-            response.content_length = len(body)
-            await response.prepare(request)
-            await self.write(response, body)
-            return response
-        await self.speaking.wait()
-        if self.rng.random() < self.error_share:
-            return web.Response(status=500, headers=self.headers(attempt))
-        return answer
-
-    async def write(self, response: web.StreamResponse, data: bytes) -> None:
-        """Write an event or a body: none or half of it while the backend is silent."""
-        half = len(data) // 2 if self.place == WITHIN and not self.speaking.is_set() else 0
-        if half:
-            await response.write(data[:half])
-        await self.speaking.wait()
-        await response.write(data[half:])
-
-    async def stream(self, request: web.Request, attempt: str) -> web.StreamResponse:
-        """Answer with a stream of events, which stops while the backend is silent."""
-        headers = {"Content-Type": "text/event-stream", "X-Weight-Versions": str(self.version)}
-        response = web.StreamResponse(headers={**headers, **self.headers(attempt)})
-        await asyncio.sleep(FIRST_EVENT_SECONDS)
-        if self.place != WITHIN:
-            await self.speaking.wait()
-        await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for index in range(first, EVENTS + 1):
-            if index > first:
-                await asyncio.sleep(EVENT_GAP_SECONDS)
-            event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
-            if self.place == AT_END:
-                await response.write(event)
-            else:
-                await self.write(response, event)
-        await self.speaking.wait()
-        await response.write_eof()
-        return response
-
-
 class SoakDeployment(Deployment):
     """The processes and stand-ins of one soak, on loopback addresses of their own.
 
--- a/bench/soak_rows.py
+++ b/bench/soak_rows.py
@@ -8,12 +8,15 @@
 
 from verbenaward.registry import Registry
 
-from .soak_deployment import STREAM_SECONDS, SoakDaemon, SoakDeployment, SoakWorker
+from .soak_deployment import SoakDaemon, SoakDeployment
 from .soak_traffic import Load
+from .soak_workers import STREAM_SECONDS, Failure, SoakWorker
 
 STREAMS = Load("/assist/", "POST", 6060, kept_share=0.5)
 LOOKS = Load("/look/", "GET", 2180)
 CHECKS = Load("/check/", "GET", 618)
+BOOKINGS = Load("/book/", "POST", 4060)
+DEADLY_LOADS = (STREAMS, LOOKS, BOOKINGS)
 SILENCE_SECONDS = 1.4
 SILENCE_INTERVAL_SECONDS = 2.5
 FIRST_FAULT_SECONDS = 14.0
@@ -34,6 +37,16 @@
 MOVE_SECONDS = 2.0
 """Time from the first errors until callers move to another entry process."""
 MOST_ERRORS = 0.9
+HERD_FROM_SECONDS = 8.0
+HERD_KILL_SECONDS = 9.0
+HERD_STOP_SECONDS = 12.0
+"""From one planned stop of all entry processes to the next: longer than the grace period."""
+STILL_FROM_SECONDS = 6.0
+STILL_SECONDS = (2.0, 9.0)
+STILL_PAUSES = (0.5, 3.0)
+MOST_STILL = 5
+RESETS_FROM_SECONDS = 8.0
+RESETS_SECONDS = 3.0
 
 Trouble = Callable[[SoakDeployment, random.Random], Awaitable[None]]
 """Disturbs a deployment from the start of the traffic until it is cancelled."""
@@ -51,6 +64,11 @@
       error_share: Share of the plain backends' answers that are 500.
       rate: Requests a second; 0 for the usual rate.
       span: When requests are sent, in seconds.
+      engines_per_zone: Engines in each zone.
+      plain: Plain backends beside engines.
+      more: Further loads, and their requests a second.
+      is_deadly: True if a request of each kind crashes the backends that run it.
+      has_own_bodies: True if no two streams are equal.
     """
 
     description: str
@@ -59,6 +77,11 @@
     error_share: float = 0.0
     rate: float = 0.0
     span: tuple[float, float] = (0.0, float("inf"))
+    engines_per_zone: int = 2
+    plain: int = 0
+    more: tuple[tuple[Load, float], ...] = ()
+    is_deadly: bool = False
+    has_own_bodies: bool = False
 
     @property
     def counted_from(self) -> float:
@@ -120,6 +143,86 @@
         ("late-errors", "move", "sigterm-left"),
         rate=150.0,
     ),
+    "deadly": Row(
+        "a stream, a look-up and an unsafe request crash each backend that runs them",
+        STREAMS,
+        engines_per_zone=3,
+        plain=3,
+        is_deadly=True,
+    ),
+    "deadly-kill": Row(
+        "the same; from 8 s on all entry processes are killed each 9 s",
+        STREAMS,
+        ("kill-herd",),
+        engines_per_zone=3,
+        plain=3,
+        is_deadly=True,
+    ),
+    "deadly-sigterm": Row(
+        "the same; from 8 s on all entry processes get SIGTERM each 12 s",
+        STREAMS,
+        ("sigterm-herd",),
+        engines_per_zone=3,
+        plain=3,
+        is_deadly=True,
+    ),
+    "still-500": Row(
+        "streams; nine answers in ten are 500 from 6 s on; engines stand still and answer reports",
+        STREAMS,
+        ("stand-still", "stream-errors"),
+        rate=85.0,
+        engines_per_zone=3,
+    ),
+    "still-503": Row(
+        "the same with refusals that prove that nothing ran",
+        STREAMS,
+        ("stand-still", "stream-refusals"),
+        rate=85.0,
+        engines_per_zone=3,
+    ),
+    "frozen-500": Row(
+        "nine answers in ten are 500; engines stand still and answer nothing",
+        STREAMS,
+        ("freeze", "stream-errors"),
+        rate=85.0,
+        engines_per_zone=3,
+    ),
+    "frozen-503": Row(
+        "the same with refusals that prove that nothing ran",
+        STREAMS,
+        ("freeze", "stream-refusals"),
+        rate=85.0,
+        engines_per_zone=3,
+    ),
+    "resets": Row(
+        "streams of their own and look-ups; for 3 s nine answers in ten are resets",
+        STREAMS,
+        ("resets",),
+        rate=85.0,
+        engines_per_zone=3,
+        plain=3,
+        more=((LOOKS, 3.0),),
+        has_own_bodies=True,
+    ),
+    "head-resets": Row(
+        "the same; the head of the answer, then a reset",
+        STREAMS,
+        ("head-resets",),
+        rate=85.0,
+        engines_per_zone=3,
+        plain=3,
+        more=((LOOKS, 3.0),),
+        has_own_bodies=True,
+    ),
+    "equal-resets": Row(
+        "resets before the answer; streams of 60 kinds",
+        STREAMS,
+        ("resets",),
+        rate=85.0,
+        engines_per_zone=3,
+        plain=3,
+        more=((LOOKS, 3.0),),
+    ),
 }
 
 
@@ -231,3 +334,92 @@
             entry.send(signal.SIGSTOP)
             await asyncio.sleep(STOP_SECONDS)
             entry.send(signal.SIGCONT)
+
+
+@TROUBLES.register("kill-herd")
+async def kill_herd(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Kill all entry processes at the same moment, with time to be in touch in between."""
+    await send_to_all(deployment, signal.SIGKILL, HERD_KILL_SECONDS)
+
+
+@TROUBLES.register("sigterm-herd")
+async def terminate_herd(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Send SIGTERM to all entry processes at the same moment, as a planned stop of a site."""
+    await send_to_all(deployment, signal.SIGTERM, HERD_STOP_SECONDS)
+
+
+async def send_to_all(
+    deployment: SoakDeployment, number: signal.Signals, interval_seconds: float
+) -> None:
+    """Send a signal to all entry processes again and again."""
+    await asyncio.sleep(HERD_FROM_SECONDS)
+    while True:
+        for entry in deployment.entries:
+            entry.send(number)
+        await asyncio.sleep(interval_seconds)
+
+
+@TROUBLES.register("stand-still")
+async def stand_still(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let engines stand still that answer reports."""
+    await halt_engines(deployment, rng, answers_reports=True)
+
+
+@TROUBLES.register("freeze")
+async def freeze(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let engines stand still that answer nothing."""
+    await halt_engines(deployment, rng, answers_reports=False)
+
+
+async def halt_engines(
+    deployment: SoakDeployment, rng: random.Random, answers_reports: bool
+) -> None:
+    """Let up to MOST_STILL engines stand still at once, again and again."""
+    await asyncio.sleep(STILL_FROM_SECONDS)
+    engines = loaded_workers(deployment)
+    while True:
+        chosen = rng.sample(engines, rng.randint(2, min(MOST_STILL, len(engines))))
+        seconds = rng.uniform(*STILL_SECONDS)
+        await asyncio.gather(*(item.stand_still(seconds, answers_reports) for item in chosen))
+        await asyncio.sleep(rng.uniform(*STILL_PAUSES))
+
+
+@TROUBLES.register("stream-errors")
+async def fail_streams(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let most answers of the engines be 500 from STILL_FROM_SECONDS on."""
+    await asyncio.sleep(STILL_FROM_SECONDS)
+    set_failure(deployment, Failure.ERROR, MOST_ERRORS)
+
+
+@TROUBLES.register("stream-refusals")
+async def refuse_streams(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let most answers of the engines be 503 and not executed from STILL_FROM_SECONDS on."""
+    await asyncio.sleep(STILL_FROM_SECONDS)
+    set_failure(deployment, Failure.REFUSAL, MOST_ERRORS)
+
+
+@TROUBLES.register("resets")
+async def reset(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let most answers of all backends be resets for a while."""
+    await fail_once(deployment, Failure.RESET)
+
+
+@TROUBLES.register("head-resets")
+async def reset_after_head(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let most answers of all backends end after their head for a while."""
+    await fail_once(deployment, Failure.HEAD_RESET)
+
+
+async def fail_once(deployment: SoakDeployment, failure: Failure) -> None:
+    """Let most answers of all backends fail for RESETS_SECONDS."""
+    await asyncio.sleep(RESETS_FROM_SECONDS)
+    set_failure(deployment, failure, MOST_ERRORS)
+    await asyncio.sleep(RESETS_SECONDS)
+    set_failure(deployment, Failure.ERROR, 0.0)
+
+
+def set_failure(deployment: SoakDeployment, failure: Failure, share: float) -> None:
+    """Let a share of the runs of all backends fail from now on."""
+    deployment.record.write("failure", kind=failure.value, share=share)
+    for worker in deployment.workers.values():
+        worker.failure, worker.error_share, worker.fails_streams = failure, share, True
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -7,6 +7,10 @@
 SUBJECTS = 60
 WITHIN, AT_END = "within", "end"
 """Places of a silence: half an event or body, and the whole body without its end, is sent."""
+DEADLY = "deadly"
+"""Last part of the path of a request that crashes each backend that begins to run it."""
+DEADLY_GAPS = (0.1, 3.0)
+"""Shortest and longest time from one arrival of a deadly request to the next, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +45,8 @@
       load: What it belongs to.
       subject: Last part of its path.
       is_kept: True if it is sent on a kept connection.
+      is_deadly: True if it crashes each backend that begins to run it.
+      body: Its body.
     """
 
     at: float
@@ -48,11 +54,13 @@
     load: Load
     subject: int
     is_kept: bool
+    is_deadly: bool = False
+    body: bytes = b""
 
     @property
     def path(self) -> str:
         """Its path."""
-        return f"{self.load.prefix}{self.subject}"
+        return f"{self.load.prefix}{DEADLY if self.is_deadly else self.subject}"
 
 
 def draw_requests(
@@ -81,3 +89,16 @@
         )
         for number, (at, load) in enumerate(due, start=1)
     )
+
+
+def draw_deadly(seed: int, loads: Sequence[Load], seconds: float) -> tuple[PlannedRequest, ...]:
+    """Return one deadly request of each load, which comes again and again."""
+    rng = random.Random(f"{seed} deadly")
+    found = []
+    for load in loads:
+        at = rng.uniform(*DEADLY_GAPS)
+        while at < seconds:
+            attempt = f"dead{len(found):04x}{rng.randrange(2**32):08x}"
+            found.append(PlannedRequest(at, attempt, load, 0, False, is_deadly=True))
+            at += rng.uniform(*DEADLY_GAPS)
+    return tuple(found)
--- a/bench/soak_verdicts.py
+++ b/bench/soak_verdicts.py
@@ -46,6 +46,25 @@
     signals: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a backend has read.
+
+    Attributes:
+      at: When it was read.
+      attempt: Its attempt id.
+      worker: Incarnation of the backend.
+      deadline_seconds: Time that it was handed on with; None without one.
+      is_late: True if the backend stood still when it came.
+    """
+
+    at: float
+    attempt: str
+    worker: str
+    deadline_seconds: float | None
+    is_late: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class History:
     """What happened in a soak. Times are in seconds since the traffic began.
--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -105,3 +105,17 @@
       | answered       | 5       | 1      | none        | none   | none        |
       | answered       | 3       | 2      | quarantined | none   | none        |
       | answered       | 4       | 4      | poison      | poison | poison      |
+
+  Scenario Outline: A request that crashes backends stays refused though all <count> entry processes end at once again and again, and <store>
+    Given <count> entry processes that get a request again and again that crashes each backend
+    When all of them end at once four times, and <store>
+    Then they send it 3 times at most later than 3 s after the third crash
+
+    Examples: ends
+      | count | store                            |
+      | 3     | the store answers                |
+      | 9     | the store answers                |
+      | 17    | the store answers                |
+      | 9     | the store is away as they start  |
+      | 9     | the store comes back from a copy |
+      | 9     | halves are cut from each other   |
--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -101,7 +101,7 @@
         now = self.simulation.now
         if self.fault == TURNED_AWAY or (self.fault and now >= until + SILENCE_SECONDS):
             self.fail()
-        elif not self.fault and (now >= until or self.simulation.revision > self.replica.revision):
+        elif not self.fault and (now >= until or self.simulation.is_ahead_of(self.replica)):
             self.succeed(called_at)
         else:
             self.simulation.after(2 * self.simulation.delay, lambda: self.watch(called_at, until))
@@ -109,10 +109,8 @@
     def succeed(self, called_at):
         """Apply what the store answered, and watch again."""
         self.note_failures(0)
-        known = tuple(self.simulation.items)
-        self.replica.apply(
-            Changes(self.simulation.revision, False, known, called_at), self.simulation.now
-        )
+        is_restored = self.replica.era != self.simulation.era
+        self.replica.apply(self.simulation.changes(is_restored, called_at), self.simulation.now)
         self.simulation.after(2 * self.simulation.delay, self.follow)
 
     def fail(self):
@@ -136,6 +134,7 @@
       entries: The processes.
       revision: Revision of the store.
       items: Its items.
+      era: Its era, which rises when it is restored.
       delay: One-way delay of every message, in seconds.
       loss_share: Share of the datagrams that are lost.
     """
@@ -149,6 +148,7 @@
         self.scheduled = 0
         self.revision = 1
         self.items = []
+        self.era = 0
         self.entries = [
             SimulatedEntry(self, index, f"zone-{index % zones}") for index in range(count)
         ]
@@ -183,10 +183,18 @@
         old.fault = CUT_OFF
         entry = self.entries[index] = SimulatedEntry(self, index, old.exchange.settings.zone)
         entry.exchange.incarnation = old.exchange.incarnation + 1
-        entry.replica.apply(Changes(self.revision, True, tuple(self.items), self.now), self.now)
+        entry.replica.apply(self.changes(True, self.now), self.now)
         entry.broadcast()
         entry.follow()
 
+    def is_ahead_of(self, replica):
+        """Return True if the store has changes that a replica lacks."""
+        return (self.era, self.revision) > (replica.era, replica.revision)
+
+    def changes(self, is_snapshot, called_at):
+        """Return all that the store holds, as it answers a call made at a time."""
+        return Changes(self.revision, is_snapshot, tuple(self.items), called_at, self.era)
+
     def change(self):
         """Make a change in the store."""
         self.revision += 1
