Evidence of crashes outlives an end of all entry processes

What callers saw: a request that crashes backends went on to be sent after each kill or planned stop of all entry processes; each time it cost every such request two backends again. Cause: the evidence was held by processes that may all end together. Change: each crash is written to the store as a small key with a lease, by the process that saw it, or a second later by the one that is appointed for the key; an answer deletes it. Whoever starts has it with its first read, before it accepts requests.

--- a/tests/simulated_entries.py
+++ b/tests/simulated_entries.py
@@ -5,6 +5,7 @@
 
 from tests.direct_fakes import exchange_of
 from verbenaward.direct.entry_peers import record_of
+from verbenaward.direct.stored_crashes import StoredCrashes
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.platform.names import ENTRY_PREFIX
 from verbenaward.replica.follower import (
@@ -33,6 +34,7 @@
       exchange: State exchange under test.
       fault: One of the faults below; "" while it has none.
       failures: Failed calls in a row.
+      stored: Decides which evidence of crashes is written to the store.
       side: Processes of different sides do not reach each other; all reach the store.
     """
 
@@ -43,6 +45,9 @@
         self.exchange.rng = random.Random(index)
         self.exchange.on_position = self.observe_position
         self.exchange.peers.is_store_lost = lambda: self.failures > 0
+        self.stored = StoredCrashes(
+            self.exchange.crashes, self.exchange.replica, self.exchange.peers
+        )
         self.fault = ""
         self.failures = 0
         self.side = 0
--- a/tests/simulated_restarts.py
+++ b/tests/simulated_restarts.py
@@ -5,7 +5,7 @@
 
 from bench.soak_deadly import DeadlyHistory, late_sends
 from tests.simulated_entries import CUT_OFF, SimulatedEntries
-from verbenaward.platform.key_value import KeyValueEntry
+from verbenaward.platform.key_value import KeyValueEntry, KeyValueFailure
 
 KEY = b"deadly"
 RUN_SECONDS = 0.03
@@ -17,6 +17,8 @@
 DOWN_SECONDS = 1.0
 """Time from the end of a process until its successor accepts requests."""
 ATTEMPTS = 2
+STORE_SECONDS = 0.01
+"""Time of a call to the store."""
 
 
 class SimulatedRestarts:
@@ -99,6 +101,22 @@
 
     def keep_store(self, index, entry):
         """Carry out what a process wants to write to the store, until it ends."""
+        if entry.fault == CUT_OFF:
+            return
+        write = None if self.is_store_away else entry.stored.next_write(self.now)
+        if write is not None:
+            self.network.after(STORE_SECONDS, lambda: self.carry_out(entry, write))
+        self.network.after(2 * STORE_SECONDS, lambda: self.keep_store(index, entry))
+
+    def carry_out(self, entry, write):
+        """Write to the store if the key is there as expected."""
+        held = [item for item in self.network.items if item.key == write.name]
+        revision = held[-1].revision if held and held[-1].value else 0
+        if revision != write.expected_revision:
+            entry.stored.record_not_written(KeyValueFailure.CONFLICT, self.now)
+            return
+        self.write(write.name, write.value)
+        entry.stored.record_written(write, self.network.revision, self.now)
 
     def end_all(self, indices=None):
         """End processes at once; their successors read the store and accept requests later."""
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -88,8 +88,16 @@
     answered_at: float = 0.0
 
     def add(self, crash: BackendCrash) -> bool:
-        """Add a crash; return True if it counts and was not known."""
-        if crash.backend in self.crashes or crash.at <= self.answered_at:
+        """Add a crash; return True if it counts and was not known.
+
+        Of several times of one crash the earliest is closest, as reports of it take time.
+        """
+        if crash.at <= self.answered_at:
+            return False
+        known = self.crashes.get(crash.backend)
+        if known is not None:
+            if crash.at < known.at:
+                self.crashes[crash.backend] = crash
             return False
         if len(self.crashes) >= MAXIMUM_CRASHES:
             oldest = min(self.crashes.values(), key=lambda item: item.at)
--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -13,7 +13,7 @@
 
 from ..logs import get_logger
 from ..requests.quarantine import MAXIMUM_FINGERPRINTS, QuarantineState
-from ..schema.messages import CrashedBackend, CrashEvidence
+from ..schema.messages import CrashEvidence
 from .crash_evidence import (
     PART_RULE,
     RECORD_LIFETIME_SECONDS,
@@ -23,6 +23,7 @@
     EvidenceRule,
     blamed_keys,
 )
+from .crash_messages import answered_at_of, crashes_of, message_of
 
 LOG = get_logger(__name__)
 FINGERPRINT_BYTES = 16
@@ -30,8 +31,6 @@
 """Limit on the records in a full broadcast; the next one contains those left out."""
 MAXIMUM_BROADCAST_PARTS = 12
 """Limit on those of them that are about parts of prompts; more requests share these."""
-MAXIMUM_BROADCAST_CRASHES = 16
-"""Limit on the crashes of one record in a broadcast; the latest ones are sent."""
 MAXIMUM_ANSWERED_PARTS = 5_000
 """Limit on the parts whose last answer is remembered; the one answered longest ago is dropped."""
 NEWS_SECONDS = 10.0
@@ -40,9 +39,8 @@
 ANSWER_STEP_SECONDS = 1.0
 """A peer's last answer counts if it clears crashes, or is later by this than the last one known.
 The reported age does not include network delays, so one that circulates seems to get younger."""
-MILLISECONDS_PER_SECOND = 1000
-MAXIMUM_AGE_MS = 2**32 - 1
-"""Largest age that a message holds."""
+STORED_DELAY_SECONDS = 3.0
+"""Longest time that evidence usually takes through the store to a process that follows it."""
 
 
 def part_keys_of(service: str, parts: tuple[str, ...]) -> tuple[bytes, ...]:
@@ -73,6 +71,7 @@
       running: Requests of this process in flight by key, of those keys that have evidence.
       broadcast_at: When each record was last broadcast, monotonic.
       logged: Last state of each key that was logged.
+      changed: Keys whose records this process has changed, until the store is up to date.
       is_appointed: Returns whether this process alone tries quarantined requests with a key.
       on_news: Called when this process has evidence that its peers lack.
     """
@@ -90,6 +89,7 @@
         self.running: Counter[bytes] = Counter()
         self.broadcast_at: dict[bytes, float] = {}
         self.logged: dict[bytes, QuarantineState] = {}
+        self.changed: set[bytes] = set()
 
     def state_of(self, key: bytes, now: float) -> QuarantineState:
         """Return whether a key is quarantined or poison because backends crashed with it."""
@@ -214,8 +214,9 @@
             self.record_news(key, now)
 
     def record_news(self, key: bytes, now: float) -> None:
-        """Record that this process has changed a record: it is broadcast first."""
+        """Record that this process has changed a record: it is broadcast first, and stored."""
         self.broadcast_at.pop(key, None)
+        self.changed.add(key)
         self.update_explained()
         self.log_change(key, now)
         self.on_news()
@@ -254,6 +255,7 @@
         """Drop the record of a key."""
         for table in (self.records, self.broadcast_at, self.logged):
             table.pop(key, None)
+        self.changed.discard(key)
 
     def merge(self, received: tuple[CrashEvidence, ...], now: float) -> None:
         """Add the evidence that another entry process has broadcast.
@@ -267,22 +269,33 @@
         for evidence in received:
             rule = PART_RULE if evidence.is_part else REQUEST_RULE
             record = self.record_of(evidence.key, rule, now)
-            answered_at = now - evidence.answered_ms / MILLISECONDS_PER_SECOND
+            answered_at = answered_at_of(evidence, now)
             is_later = answered_at >= record.answered_at + ANSWER_STEP_SECONDS
-            if evidence.answered_ms and (is_later or 0 < record.last_crash_at < answered_at):
+            if answered_at and (is_later or 0 < record.last_crash_at < answered_at):
                 record.clear(answered_at)
-            for crash in evidence.crashes:
-                record.add(
-                    BackendCrash(
-                        crash.backend,
-                        now - crash.age_ms / MILLISECONDS_PER_SECOND,
-                        now - crash.sent_ms / MILLISECONDS_PER_SECOND,
-                    )
-                )
+            for crash in crashes_of(evidence, now):
+                record.add(crash)
         self.update_explained()
         for evidence in received:
             self.log_change(evidence.key, now)
 
+    def merge_stored(self, evidence: CrashEvidence, now: float) -> None:
+        """Add evidence that was read from the store.
+
+        How long it was there is unknown, so its crashes seem to be later than they were. To a
+        process that knows of an answer they count only if they are later by more than that.
+        """
+        is_new = evidence.key not in self.records
+        record = self.record_of(evidence.key, PART_RULE if evidence.is_part else REQUEST_RULE, now)
+        known_answer_at = record.answered_at
+        if is_new:
+            record.answered_at = max(known_answer_at, answered_at_of(evidence, now))
+        for crash in crashes_of(evidence, now):
+            if not known_answer_at or crash.at > known_answer_at + STORED_DELAY_SECONDS:
+                record.add(crash)
+        self.update_explained()
+        self.log_change(evidence.key, now)
+
     def evidence_to_broadcast(self, now: float) -> tuple[CrashEvidence, ...]:
         """Return the evidence that the next full broadcast should contain.
 
@@ -328,22 +341,3 @@
 def is_expired(record: CrashRecord, now: float) -> bool:
     """Return True if a record is too old to matter."""
     return now - newest_at(record) > RECORD_LIFETIME_SECONDS
-
-
-def message_of(key: bytes, record: CrashRecord, now: float) -> CrashEvidence:
-    """Return the message with the evidence on a key."""
-    newest = sorted(record.crashes.values(), key=lambda crash: crash.at)
-    return CrashEvidence(
-        key,
-        tuple(
-            CrashedBackend(crash.backend, age_ms(crash.at, now), age_ms(crash.sent_at, now))
-            for crash in newest[-MAXIMUM_BROADCAST_CRASHES:]
-        ),
-        max(1, age_ms(record.answered_at, now)) if record.answered_at else 0,
-        record.rule is PART_RULE,
-    )
-
-
-def age_ms(at: float, now: float) -> int:
-    """Return the age of a time in milliseconds."""
-    return min(MAXIMUM_AGE_MS, max(0, round((now - at) * MILLISECONDS_PER_SECOND)))
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -44,6 +44,7 @@
 from .budget import SharedRetryBudget
 from .budget_membership import BudgetMembership
 from .connections import ConnectionRunner, Connections
+from .crash_keeper import CrashKeeper
 from .crash_tracker import CrashTracker
 from .draining import drain_front
 from .entry_peers import record_of
@@ -55,6 +56,7 @@
 from .sending import backend_session
 from .slow_readers import READ_BUFFER_BYTES
 from .state_exchange import StateExchange
+from .stored_crashes import StoredCrashes
 
 LOG = get_logger(__name__)
 LEASE_SECONDS = 6.0
@@ -102,7 +104,7 @@
         self.fleet.use_zones(direct.zones)
         self.crashes = CrashTracker(
             lambda key, now: self.exchange.peers.is_appointed(key, now),
-            lambda: self.exchange.request_full_broadcast(),
+            lambda: self.announce_crashes(),
         )
         self.follower = StoreFollower(
             self.store,
@@ -132,6 +134,9 @@
             self.peer_fetcher.observe,
             lambda: not self.follower.reachable,
         )
+        self.crash_keeper = CrashKeeper(
+            StoredCrashes(self.crashes, self.replica, self.exchange.peers), self.store
+        )
         self.membership = GroupMembership(settings, self.fleet, self.exchange.peers)
         self.budget_membership = BudgetMembership(
             self.budget,
@@ -179,6 +184,7 @@
             self.exchange.run(),
             self.maintain_registration(),
             self.budget_membership.run(),
+            self.crash_keeper.run(),
             self.update_derived_state(),
             self.maintain_peer_group(),
         ):
@@ -240,6 +246,11 @@
         RelayAnswers(self.relay).add_routes(application)
         return application
 
+    def announce_crashes(self) -> None:
+        """Have new evidence of crashes sent to the peers and to the store at once."""
+        self.exchange.request_full_broadcast()
+        self.crash_keeper.changed.set()
+
     def is_ready(self) -> bool:
         """Return True if this process can serve requests."""
         is_full = self.connections.is_full(clock.now())
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -216,6 +216,12 @@
         "state",
         "crashes",
     ),
+    "crashes.unreadable": kind(
+        "the evidence of crashes at {key} of the store is ignored: {error}", "key", "error"
+    ),
+    "crashes.not_written": kind(
+        "the evidence of crashes on {key} was not written to the store: {reason}", "key", "reason"
+    ),
     "pulse.malformed": kind("malformed state broadcast from {source}: {error}", "source", "error"),
     "retry_opening.not_written": kind(
         "which processes begin the deployment could not be written to the store", "reason"
