Retries count until a backend has read them

What callers saw: with engines that stand still for 2 to 9 s while nine answers in ten fail, a service got more repeats in a window than allowed. Cause: the budget counted a retry at its sending, for one window; a backend that goes on reads what was sent over 19 s. The first send of a request counts as well, as its successor arrives before it. Change: a retry counts in every span until all but one sends of its request are known to be read (their backend has answered them, or anything that was sent to it later), and for one window from then; a backend without a sign of life holds them for 30 s.

--- a/bench/budget_designs.py
+++ b/bench/budget_designs.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from heapq import heappop, heappush
 from itertools import pairwise
 from typing import Any
 
@@ -19,12 +20,15 @@
     draw_phases,
     move,
     play,
+    standstills,
     steady,
 )
 from .registry import BENCHES
 from .soak_counting import RetryLimit
 
 COUNTS = (3, 9, 46, 370)
+STALLS = {"moves": 0.0, "stalls": 2.5, "standstills": 9.0}
+"""Longest time for which backends stand still, by the kind of drawn plays."""
 NEW_SECONDS = 12.0
 """Age up to which the sliding design takes a process for new."""
 
@@ -41,7 +45,7 @@
         """Count a request."""
         self.requests.append(now)
 
-    def spend(self, service: str, now: float) -> bool:
+    def spend(self, service: str, now: float, read_at: float) -> bool:
         """Count a retry; False if none is left."""
         for times in (self.requests, self.retries):
             while times and times[0] <= now - self.limit.window_seconds:
@@ -94,7 +98,7 @@
         """Count a request."""
         self.requests.append(now)
 
-    def spend(self, service: str, now: float) -> bool:
+    def spend(self, service: str, now: float, read_at: float) -> bool:
         """Count a retry; False if none is left."""
         while self.retries and self.retries[0] < now - self.limit.window_seconds:
             self.retries.popleft()
@@ -128,15 +132,49 @@
     return lambda limit, count, at: SinceEachRetry(limit, count, at, weights, margin)
 
 
+class ProductBudget:
+    """The budget of the product.
+
+    Attributes:
+      is_held: True if a retry counts until it was read, as in the product; else when it is sent.
+      unread: When retries will have been read, the earliest first.
+    """
+
+    def __init__(
+        self, limit: RetryLimit, count: int, started_at: float, is_held: bool = True
+    ) -> None:
+        self.budget = SharedRetryBudget(limit.ratio, limit.extra, limit.window_seconds, started_at)
+        self.budget.update_entry_count(count)
+        self.is_held = is_held
+        self.unread: list[float] = []
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a request."""
+        self.budget.record_request(service, now)
+
+    def spend(self, service: str, now: float, read_at: float) -> bool:
+        """Count a retry; False if none is left."""
+        while self.unread and self.unread[0] <= now:
+            self.budget.record_read(service, heappop(self.unread))
+        if not self.budget.spend(service, now):
+            return False
+        heappush(self.unread, read_at if self.is_held else now)
+        return True
+
+
 def product(limit: RetryLimit, count: int, started_at: float) -> RetryBudget:
     """Return the budget of the product."""
-    budget = SharedRetryBudget(limit.ratio, limit.extra, limit.window_seconds, started_at)
-    budget.update_entry_count(count)
-    return budget
+    return ProductBudget(limit, count, started_at)
+
+
+def at_sending(limit: RetryLimit, count: int, started_at: float) -> RetryBudget:
+    """Return the same, but each retry counts when it is sent only."""
+    return ProductBudget(limit, count, started_at, is_held=False)
 
 
 DESIGNS: dict[str, Design] = {
     "product": product,
+    "at sending": at_sending,
     "sliding 0.85": sliding(0.85),
     "sliding 0.55": sliding(0.55),
     "spans, window itself": spans(0.0, 0.0, 1.0),
@@ -167,10 +205,10 @@
     """Return the figures of a design: shares of the bound, and shares of the retries granted."""
     drawn = {
         f"{kind}, {count} processes": max(
-            worst_share(play(design, count, draw_phases(count, seed, kind == "stalls"), seed))
+            worst_share(play(design, count, draw_phases(count, seed, STALLS[kind]), seed))
             for seed in seeds
         )
-        for kind in ("moves", "stalls")
+        for kind in STALLS
         for count in COUNTS
     }
     calm = play(design, 3, steady(60.0, 3), 1)
@@ -179,6 +217,8 @@
     return {
         "worst share, burst of 150": worst_share(play(design, 3, burst_after_calm(150.0), 1)),
         "worst share, move at 190": worst_share(play(design, 3, move(190.0), 1)),
+        "worst share, standstills at 85": worst_share(play(design, 9, standstills(85.0), 1)),
+        "granted in standstills": answered(play(design, 9, standstills(85.0), 1), 20.0, 44.0),
         "worst share drawn": drawn,
         "granted in the first 1 s of failures": answered(calm, 20.0, 1.0),
         "granted in the first 3 s": answered(calm, 20.0, 3.0),
--- a/bench/budget_simulation.py
+++ b/bench/budget_simulation.py
@@ -23,8 +23,14 @@
     def record_request(self, service: str, now: float) -> None:
         """Count a request."""
 
-    def spend(self, service: str, now: float) -> bool:
-        """Count a retry; False if none is left."""
+    def spend(self, service: str, now: float, read_at: float) -> bool:
+        """Count a retry; False if none is left.
+
+        Args:
+          service: Service that it is sent to.
+          now: Present time, in seconds.
+          read_at: When all sends of its request will have been read, which shows only then.
+        """
 
 
 Design = Callable[[RetryLimit, int, float], RetryBudget]
@@ -100,12 +106,14 @@
             budget = budgets[rng.choice(phase.used)]
             budget.record_request(SERVICE, now)
             played.sent.append(now)
-            played.arrivals.append((arrival(phase, now, rng), number))
+            first_at = arrival(phase, now, rng)
+            played.arrivals.append((first_at, number))
             if rng.random() < phase.failing_share:
                 played.asked.append(now)
-                if budget.spend(SERVICE, now):
+                retry_at = arrival(phase, now, rng)
+                if budget.spend(SERVICE, now, max(first_at, retry_at)):
                     played.retried.append(now)
-                    played.arrivals.append((arrival(phase, now, rng), number))
+                    played.arrivals.append((retry_at, number))
         now = phase.until
     return played
 
@@ -115,20 +123,20 @@
     return phase.until if rng.random() < phase.stalled_share else now
 
 
-def draw_phases(count: int, seed: int, has_stalls: bool = False) -> tuple[Phase, ...]:
+def draw_phases(count: int, seed: int, longest_stall: float = 0.0) -> tuple[Phase, ...]:
     """Draw phases: callers that move, bursts, pauses, failures, kills, and backends that stall.
 
     Args:
       count: Number of processes.
       seed: Seed of what is drawn.
-      has_stalls: True if backends stand still, so that sends arrive late.
+      longest_stall: Longest time for which backends stand still, so that sends arrive late.
     """
     rng = random.Random(f"{seed} phases")
     rate = rng.choice([20.0, 60.0, 190.0, 600.0])
     phases, now, used, failing = [], 0.0, list(range(count)), 0.0
     while now < 45.0:
         length = rng.choice([0.5, 1.0, 2.0, 2.5, 4.0, 5.0, 7.5, 10.0])
-        is_stalled = has_stalls and length <= 2.5 and rng.random() < 0.3
+        is_stalled = 0 < length <= longest_stall and rng.random() < 0.3
         if rng.random() < 0.5:
             used = rng.sample(range(count), rng.choice([1, min(2, count), max(1, count // 2)]))
         if rng.random() < 0.6:
@@ -141,7 +149,7 @@
                 rate=rate * rng.choice([0.0, 0.1, 1.0, 1.0, 1.0, 4.0]),
                 used=tuple(used),
                 failing_share=failing,
-                stalled_share=rng.choice([1 / 6, 1 / 3]) if is_stalled else 0.0,
+                stalled_share=rng.choice([1 / 6, 1 / 3, 5 / 9]) if is_stalled else 0.0,
                 killed=tuple(rng.sample(range(count), rng.randint(1, count))) if is_killing else (),
             )
         )
@@ -175,3 +183,13 @@
         Phase(calm, rate, everywhere),
         Phase(calm + 30.0, rate, everywhere, failing_share=0.9),
     )
+
+
+def standstills(rate: float, count: int = 9) -> tuple[Phase, ...]:
+    """Return steady failures in which backends stand still for up to 9 s, again and again."""
+    everywhere = tuple(range(count))
+    phases = [Phase(20.0, rate, everywhere)]
+    for seconds, share in ((9.0, 5 / 9), (1.0, 0.0), (7.0, 1 / 3), (3.0, 5 / 9), (2.0, 0.0)) * 2:
+        until = phases[-1].until + seconds
+        phases.append(Phase(until, rate, everywhere, failing_share=0.9, stalled_share=share))
+    return tuple(phases)
--- a/tests/direct/retry_budget.feature
+++ b/tests/direct/retry_budget.feature
@@ -93,3 +93,26 @@
       | 9     | 40    |
       | 46    | 20    |
       | 370   | 20    |
+
+  # Guards against BUDGET broken by retries that count when they are sent, and are read much later.
+  Scenario Outline: Retries to backends that stand still for up to 9 s keep to the retry budget
+    When callers of <count> entry processes fail at backends that stand still for up to 9 s
+    Then the rule counts no window with more repeats than the bound
+
+    Examples: sizes
+      | count |
+      | 3     |
+      | 9     |
+      | 46    |
+      | 370   |
+
+  Scenario Outline: A retry counts until the backend of each send <sign>, and for one window from then
+    Given a request whose first send is given up without a sign, and whose retry is answered
+    When the backend of the first send <sign> 25 s later
+    Then the retry counts 5 s before that and 9 s after it, and not 11 s after it
+
+    Examples: signs
+      | sign                          |
+      | answers a later request       |
+      | breaks the connection         |
+      | has shown no life for too long |
--- a/tests/simulated_budgets.py
+++ b/tests/simulated_budgets.py
@@ -189,6 +189,7 @@
                 process.budget.record_request(SERVICE, self.now)
                 requests += 1
             while self.is_failing and process.budget.spend(SERVICE, self.now):
+                process.budget.record_read(SERVICE, self.now)
                 retries += 1
         self.requests.append(requests)
         self.retries.append(retries)
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -50,7 +50,10 @@
             for _ in range(rng.randrange(5)):
                 budget.record_request("s", now)
                 requests.append(now)
-            retries += [now for _ in range(wanted) if budget.spend("s", now)]
+            for _ in range(wanted):
+                if budget.spend("s", now):
+                    budget.record_read("s", now)
+                    retries.append(now)
             in_window = sum(now - 10.0 < at for at in retries)
             allowed = 0.2 * sum(now - 10.0 < at for at in requests) + 100.0
             assert in_window <= allowed, (in_window, allowed)
--- a/tests/steps/retry_budgets.py
+++ b/tests/steps/retry_budgets.py
@@ -5,14 +5,20 @@
 from behave import given, then, when
 
 from bench.budget_designs import product
-from bench.budget_simulation import burst_after_calm, draw_phases, move, play
+from bench.budget_simulation import burst_after_calm, draw_phases, move, play, standstills
 from tests.direct_fakes import NOW, exchange_of
 from tests.simulated_budgets import RATIO, SimulatedFleet
-from verbenaward.direct.budget import EXTRA_MARGIN
+from verbenaward.direct.budget import EXTRA_MARGIN, SharedRetryBudget
 from verbenaward.direct.budget_opening import NOBODY, opening_of
+from verbenaward.direct.unread_sends import (
+    LONGEST_STANDSTILL_SECONDS,
+    RequestCharges,
+    UnreadSends,
+)
 from verbenaward.platform.names import ENTRY_PREFIX, OPENING_KEY
 from verbenaward.wire.codec import encode
 
+DRAWN_STANDSTILLS = 15
 SEEDS = {2: 10, 3: 10, 9: 10, 46: 3, 370: 1}
 """Fleets that are played, by their size."""
 
@@ -183,7 +189,7 @@
 @when("callers of {count:d} entry processes move, burst and fail in {plays:d} drawn plays")
 def callers_drawn(context, count, plays):
     context.played = [
-        play(product, count, draw_phases(count, seed, has_stalls=seed % 2 == 1), seed)
+        play(product, count, draw_phases(count, seed, longest_stall=2.5 * (seed % 2)), seed)
         for seed in range(plays)
     ]
 
@@ -193,3 +199,58 @@
     worst = [(seed, played.worst()) for seed, played in enumerate(context.played)]
     broken = [(seed, item) for seed, item in worst if item and item.repeats > item.bound]
     assert any(item for _, item in worst) and not broken, broken
+
+
+@when("callers of {count:d} entry processes fail at backends that stand still for up to 9 s")
+def callers_at_standstills(context, count):
+    context.played = [
+        play(product, count, standstills(rate, count), seed)
+        for rate in (20.0, 85.0, 300.0)
+        for seed in range(2)
+    ]
+    context.played += [
+        play(product, count, draw_phases(count, seed, longest_stall=9.0), seed)
+        for seed in range(DRAWN_STANDSTILLS)
+    ]
+
+
+@given("a request whose first send is given up without a sign, and whose retry is answered")
+def unread_first(context):
+    context.budget = SharedRetryBudget(0.2, 100.0, 10.0)
+    context.budget.update_entry_count(1)
+    context.unread = unread = UnreadSends(context.budget)
+    charges = RequestCharges("s")
+    context.first = unread.record_sent(charges, 1, NOW)
+    assert unread.spend(charges, NOW + 2.0)
+    unread.record_sent(charges, 2, NOW + 2.0)
+    unread.record_life(2, NOW + 2.0, NOW + 2.1)
+    context.sign_at = NOW + 25.0
+
+
+@when("the backend of the first send answers a later request 25 s later")
+def answers_later(context):
+    context.give_sign = lambda: context.unread.record_life(1, NOW + 24.0, context.sign_at)
+
+
+@when("the backend of the first send breaks the connection 25 s later")
+def breaks(context):
+    context.give_sign = lambda: context.unread.record_read(context.first, context.sign_at)
+
+
+@when("the backend of the first send has shown no life for too long 25 s later")
+def no_life(context):
+    context.sign_at = NOW + LONGEST_STANDSTILL_SECONDS
+    context.give_sign = lambda: context.unread.drop_expired(context.sign_at)
+
+
+@then("the retry counts 5 s before that and 9 s after it, and not 11 s after it")
+def counts_until(context):
+    def used(at):
+        full = EXTRA_MARGIN * context.budget.extra
+        return round(full - context.budget.remaining("s", at), 6)
+
+    before = used(context.sign_at - 5.0)
+    context.give_sign()
+    assert [before, used(context.sign_at + 9.0), used(context.sign_at + 11.0)] == [1, 1, 0]
+    context.unread.drop_expired(context.sign_at + LONGEST_STANDSTILL_SECONDS)
+    assert not context.unread.by_backend
--- a/tests/steps/silences.py
+++ b/tests/steps/silences.py
@@ -230,6 +230,9 @@
         self.looks = 0
         self.log = RequestLog()
 
+    def record_start(self, progress, send):
+        pass
+
     async def next_choice(self, request, progress):
         return Choice(next(iter(self.placer.fleet.backends.values())), 0.1, 0, 0.1)
 
--- a/verbenaward/direct/attempts.py
+++ b/verbenaward/direct/attempts.py
@@ -51,6 +51,9 @@
     ) -> Choice | None:
         """Return a backend for a send beside silent ones; None if there is none now."""
 
+    def record_start(self, progress: Progress, send: Send) -> None:
+        """Record a send that begins now."""
+
     def record_failure(
         self, request: Request, progress: Progress, send: Send, failed: FailedAttempt
     ) -> None:
@@ -131,6 +134,7 @@
         send = Send(choice, clock.now())
         send.claim = lambda: self.supersede_others(send)
         send.reserve()
+        self.rules.record_start(self.progress, send)
         self.sends.append(send)
         self.progress.in_flight += 1
         self.running[send] = asyncio.ensure_future(self.execute(send))
--- a/verbenaward/direct/budget.py
+++ b/verbenaward/direct/budget.py
@@ -20,8 +20,8 @@
 from .retry_window import RetryWindow
 
 RATIO_MARGIN = 0.85
-"""Share of the ratio that is used: retries arrive later than they are sent, by up to some seconds
-at a backend that stands still, so more than a window's may arrive in one."""
+"""Share of the ratio that is used; the rest is a reserve for requests that their process reads
+late, and for retries that a predecessor has sent and that a backend reads later."""
 EXTRA_MARGIN = 0.85
 """Share of the fixed part that is used; the rest is a reserve for processes that joined while
 others were cut off, whose shares do not shrink."""
@@ -122,16 +122,24 @@
     def spend(self, service: str, now: float) -> bool:
         """Count a retry against the budget; False if none is left.
 
+        It counts in every span until `record_read`.
+
         Args:
           service: Service that the retry is sent to.
           now: Present time, monotonic, in seconds.
         """
         if self.remaining(service, now) < 1.0:
             return False
-        self.window_of(service).record_retry(now, self.window_seconds)
+        self.window_of(service).unread += 1
         metrics.RETRIES_SENT.labels(service).inc()
         return True
 
+    def record_read(self, service: str, now: float) -> None:
+        """Record that a backend has read a retry by now: it counts for one window from now on."""
+        window = self.window_of(service)
+        window.unread -= 1
+        window.record_retry(now, self.window_seconds)
+
     def window_of(self, service: str) -> RetryWindow:
         """Return the window of a service."""
         return self.services.setdefault(service, RetryWindow())
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -23,6 +23,7 @@
 from .request_log import RequestLog
 from .sending import send_and_read
 from .sends import Progress, Send
+from .unread_sends import RequestCharges, UnreadSends
 
 POLL_SECONDS = 0.02
 """Time between two looks for a backend while none is available."""
@@ -48,6 +49,7 @@
       session: HTTP client for backends.
       placer: Chooses backends and decides on admission.
       budget: Limits retries.
+      unread: Sends that backends may not have read yet.
       crashes: Finds poison requests.
       log: Writes log lines about requests.
       load_changed: Called when the load that this process puts on a backend has changed.
@@ -70,6 +72,7 @@
         self.session = session
         self.placer = placer
         self.budget = budget
+        self.unread = UnreadSends(budget)
         self.crashes = crashes
         self.log = log
         self.load_changed = load_changed
@@ -82,7 +85,7 @@
           RefusedError: No backend answered it.
         """
         self.budget.record_request(request.service, clock.now())
-        progress = Progress()
+        progress = Progress(charges=RequestCharges(request.service))
         attempts = Attempts[WholeAnswer](
             self, request, progress, lambda send: self.attempt(request, progress, send)
         )
@@ -106,7 +109,7 @@
             # full, or its zone may have been evacuated.
             if not is_granted or not self.placer.is_still_usable(choice.view, request, now):
                 continue
-            if not progress.sends or self.budget.spend(request.service, now):
+            if not progress.sends or self.unread.spend(progress.charges, now):
                 return choice
             if not progress.is_delivering or now >= until:
                 self.give_up(request, progress, "the retry budget is used up")
@@ -223,7 +226,7 @@
         now = clock.now()
         if not is_needed() or not self.placer.is_free(choice.view, request, now):
             return None
-        return choice if self.budget.spend(request.service, now) else None
+        return choice if self.unread.spend(progress.charges, now) else None
 
     def may_send_again(self, request: Request, progress: Progress, now: float) -> bool:
         """Return True if time, budget and quarantine allow one more send of a request now."""
@@ -268,6 +271,7 @@
     def record_notice(self, view: BackendView, notice: BackendNotice, sent_at: float) -> None:
         """Record what a backend says of itself in an answer to a request sent at `sent_at`."""
         now = clock.now()
+        self.unread.record_life(view.notices.name, sent_at, now)
         self.placer.fleet.record_notice(view, notice, sent_at, now, self.placer.rng.random())
 
     def backend_headers_for(self, request: Request, choice: Choice, now: float) -> BackendHeaders:
@@ -314,12 +318,19 @@
         message = f"status {answer.status}"
         return Failure(FailedAttempt(FailureKind.SERVER_ERROR, True, message))
 
+    def record_start(self, progress: Progress, send: Send) -> None:
+        """Record a send that begins now."""
+        backend = send.choice.view.notices.name
+        send.unread = self.unread.record_sent(progress.charges, backend, send.sent_at)
+
     def record_failure(
         self, request: Request, progress: Progress, send: Send, failed: FailedAttempt
     ) -> None:
         """Record a failed send: at the backend, for the crash tracker and for the request."""
         view = send.choice.view
         now = clock.now()
+        if send.unread is not None and failed.failure is not FailureKind.SILENT:
+            self.unread.record_read(send.unread, now)
         self.log.failed(request, view, failed)
         if failed.failure is FailureKind.NO_DESCRIPTOR:
             # Nothing was sent, so this says nothing of the backend.
--- a/verbenaward/direct/retry_window.py
+++ b/verbenaward/direct/retry_window.py
@@ -10,6 +10,9 @@
 With half of the ratio as credit the right side is below the mean of what both windows allow, and
 linear in the requests. It holds for every t at every process, wherever callers are (it is tightest
 where t is the time of a retry), so it holds for the sums.
+
+What counts is when a backend reads a retry. One that is not known to have been read may be read at
+any time, so it counts in every span until then.
 """
 
 from collections import deque
@@ -44,11 +47,13 @@
       requests: Times of the requests of the last window, the oldest first.
       request_count: Requests since the start of the process.
       slots: Retries of the last window, the oldest first.
+      unread: Further retries that backends may not have read yet.
     """
 
     requests: deque[float] = field(default_factory=deque)
     request_count: int = 0
     slots: deque[Slot] = field(default_factory=deque)
+    unread: int = 0
 
     def record_request(self, now: float, window_seconds: float) -> None:
         """Count a request."""
@@ -57,7 +62,7 @@
         self.request_count += 1
 
     def record_retry(self, now: float, window_seconds: float) -> None:
-        """Count a retry."""
+        """Count a retry that is read now."""
         self.drop_expired(now, window_seconds)
         older = self.request_count - len(self.requests)
         last = self.slots[-1] if self.slots else None
@@ -75,9 +80,9 @@
             self.slots.popleft()
 
     def sent_retries(self, now: float, window_seconds: float) -> int:
-        """Return the retries of the last window."""
+        """Return the retries of the last window, and those that were not read yet."""
         self.drop_expired(now, window_seconds)
-        return sum(slot.retries for slot in self.slots)
+        return sum(slot.retries for slot in self.slots) + self.unread
 
     def remaining(self, fixed: float, ratio: float, now: float, window_seconds: float) -> float:
         """Return the retries that may still be sent now.
@@ -95,4 +100,4 @@
         for slot in reversed(self.slots):
             retries += slot.retries
             least = min(least, credit * (self.request_count - slot.older) - retries)
-        return fixed + least
+        return fixed + least - self.unread
--- a/verbenaward/direct/sends.py
+++ b/verbenaward/direct/sends.py
@@ -6,6 +6,7 @@
 
 from ..placement.placer import Choice
 from ..placement.request_types import WholeAnswer
+from .unread_sends import RequestCharges, UnreadSend
 
 ANSWER_START_SECONDS = 0.5
 """Time from the head of an answer within which a backend crashes if a part of the prompt is to
@@ -23,6 +24,7 @@
       not_run: Ended sends that certainly did not run.
       in_flight: Sends without an outcome; each may have run.
       answer: Last server error of a backend, returned if no retry does better.
+      charges: What its sends cost the retry budget.
       is_delivering: True once the head of its stream was sent to the caller.
       is_resumable: False once a part was sent after which another backend could only begin anew.
     """
@@ -33,6 +35,7 @@
     not_run: int = 0
     in_flight: int = 0
     answer: WholeAnswer | None = None
+    charges: RequestCharges = field(default_factory=lambda: RequestCharges(""))
     is_delivering: bool = False
     is_resumable: bool = True
 
@@ -75,6 +78,7 @@
       claim: Called before a part of its answer is forwarded; it supersedes the other sends, and
         returns False if this one was superseded.
       is_reserved: True while it counts as load of its backend though it has not begun.
+      unread: Its record while its backend may not have read it; None before it is recorded.
     """
 
     choice: Choice
@@ -85,6 +89,7 @@
     is_superseded: bool = False
     claim: Callable[[], bool] = field(default=lambda: True)
     is_reserved: bool = False
+    unread: UnreadSend | None = None
 
     @property
     def backend(self) -> str:
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -32,6 +32,7 @@
 from .sending import read_answer, send_request
 from .sends import Progress, Send
 from .stream_attempt import StreamAttempt, first_event_seconds
+from .unread_sends import RequestCharges
 
 
 class StreamCutError(Exception):
@@ -72,7 +73,7 @@
           StreamCutError: Part of the stream was sent, and it could not be completed.
         """
         forwarder = self.forwarder
-        progress = Progress()
+        progress = Progress(charges=RequestCharges(request.service))
         delivery = Delivery(caller, request.held, progress)
         attempts = Attempts[web.StreamResponse](
             forwarder,
