Backends that live on take back the blame of the requests they reset

Cause: a reset or an answer that is cut off counted as the crash of its backend, for good. Change: an incarnation whose registration still stands 2 s after it has answered a later request, or 6 s after the supposed crash, has not crashed; its crash is withdrawn from all keys. A registration that is replaced (another start) or ends keeps the blame. Neither counts in an outage of the store. The stand-in of a backend that crashes now comes back with a later start, as the platform's does; the check on it is unchanged.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -262,8 +262,9 @@
         raise asyncio.CancelledError
 
     async def restart(self) -> None:
-        """Listen again after a crash."""
+        """Start again after a crash, as a new incarnation under the same id."""
         await asyncio.sleep(self.restart_seconds)
+        self.born_unix_ms += 1
         assert self.open_site is not None
         self.site = await self.open_site()
 
--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -119,3 +119,16 @@
       | 9     | the store is away as they start  |
       | 9     | the store comes back from a copy |
       | 9     | halves are cut from each other   |
+
+  Scenario Outline: A look-up whose backends reset it and live on is answered <seconds> s later, <others>
+    Given the users' platform with two plain backends and two engines
+    And one entry process that is ready
+    And all plain backends are "reset"
+    When the same look-up is sent 4 times, and then the backends answer again
+    And <others> for <seconds> s
+    Then the same look-up is answered
+
+    Examples: proofs of life
+      | seconds | others                          |
+      | 4       | other look-ups are answered     |
+      | 8       | nothing else is sent            |
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -33,6 +33,36 @@
         run(context, asyncio.sleep(1.1))
 
 
+@when("the same look-up is sent {count:d} times, and then the backends answer again")
+def look_at_resets(context, count):
+    answers = []
+    for index in range(count):
+        answers.append(call(context, "/look/sound", f"a-{index}")[0])
+        # A backend whose answer broke is avoided for a moment.
+        run(context, asyncio.sleep(0.2))
+    assert answers[-1] == 503, answers
+    for backend in plain(context):
+        backend.mode = "ok"
+
+
+@when("other look-ups are answered for {seconds:g} s")
+def look_elsewhere(context, seconds):
+    for index in range(int(seconds / 0.2)):
+        call(context, f"/look/other-{index}", f"b-{index}")
+        run(context, asyncio.sleep(0.2))
+
+
+@when("nothing else is sent for {seconds:g} s")
+def wait_only(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@then("the same look-up is answered")
+def look_answered(context):
+    status, headers, _ = call(context, "/look/sound", "a-last")
+    assert status == 200, (status, headers)
+
+
 @then("{count:d} backends crashed")
 def crashed(context, count):
     crashes = sum(item.crashes for item in plain(context))
--- a/verbenaward/direct/crash_evidence.py
+++ b/verbenaward/direct/crash_evidence.py
@@ -112,6 +112,14 @@
             name: crash for name, crash in self.crashes.items() if crash.at > self.answered_at
         }
 
+    def withdraw(self, backend: int, alive_at: float) -> bool:
+        """Drop the crash of a backend that lived later on; return True if there was one."""
+        crash = self.crashes.get(backend)
+        if crash is None or crash.at > alive_at:
+            return False
+        del self.crashes[backend]
+        return True
+
     @property
     def last_crash_at(self) -> float:
         """Return the time of the last crash; 0 if there was none."""
--- a/verbenaward/direct/crash_tracker.py
+++ b/verbenaward/direct/crash_tracker.py
@@ -71,6 +71,9 @@
       running: Requests of this process in flight by key, of those keys that have evidence.
       broadcast_at: When each record was last broadcast, monotonic.
       logged: Last state of each key that was logged.
+      crashed_at: When each backend that has a part in the evidence crashed last, monotonic.
+      alive_at: Time at which a backend is known to have lived, though a connection to it had ended
+        as in a crash, monotonic.
       changed: Keys whose records this process has changed, until the store is up to date.
       is_appointed: Returns whether this process alone tries quarantined requests with a key.
       on_news: Called when this process has evidence that its peers lack.
@@ -89,6 +92,8 @@
         self.running: Counter[bytes] = Counter()
         self.broadcast_at: dict[bytes, float] = {}
         self.logged: dict[bytes, QuarantineState] = {}
+        self.crashed_at: dict[int, float] = {}
+        self.alive_at: dict[int, float] = {}
         self.changed: set[bytes] = set()
 
     def state_of(self, key: bytes, now: float) -> QuarantineState:
@@ -160,7 +165,7 @@
           now: Present time, monotonic, in seconds.
           rule: Rule that applies to the key.
         """
-        self.record_of(key, rule, now).add(BackendCrash(backend, now, sent_at))
+        self.add_crash(self.record_of(key, rule, now), BackendCrash(backend, now, sent_at))
         self.record_news(key, now)
 
     def record_part_crash(
@@ -274,7 +279,7 @@
             if answered_at and (is_later or 0 < record.last_crash_at < answered_at):
                 record.clear(answered_at)
             for crash in crashes_of(evidence, now):
-                record.add(crash)
+                self.add_crash(record, crash)
         self.update_explained()
         for evidence in received:
             self.log_change(evidence.key, now)
@@ -292,10 +297,40 @@
             record.answered_at = max(known_answer_at, answered_at_of(evidence, now))
         for crash in crashes_of(evidence, now):
             if not known_answer_at or crash.at > known_answer_at + STORED_DELAY_SECONDS:
-                record.add(crash)
+                self.add_crash(record, crash)
         self.update_explained()
         self.log_change(evidence.key, now)
 
+    def add_crash(self, record: CrashRecord, crash: BackendCrash) -> None:
+        """Add a crash to a record, unless the backend is known to have lived later on."""
+        if crash.at <= self.alive_at.get(crash.backend, 0.0):
+            return
+        record.add(crash)
+        self.crashed_at[crash.backend] = max(crash.at, self.crashed_at.get(crash.backend, 0.0))
+
+    def record_alive(self, backend: int, alive_at: float, now: float) -> None:
+        """Withdraw the crashes of a backend that lived later on: only connections have ended.
+
+        Args:
+          backend: Hash that names the incarnation of the backend.
+          alive_at: Time at which it is known to have lived, monotonic, in seconds.
+          now: Present time, monotonic, in seconds.
+        """
+        self.alive_at[backend] = max(alive_at, self.alive_at.get(backend, 0.0))
+        if self.crashed_at.get(backend, 0.0) <= alive_at:
+            self.crashed_at.pop(backend, None)
+        keys = [key for key, record in self.records.items() if record.withdraw(backend, alive_at)]
+        self.update_explained()
+        for key in keys:
+            self.log_change(key, now)
+        LOG.info("crashes.withdrawn", backend=backend, keys=len(keys))
+
+    def forget_backends(self, now: float) -> None:
+        """Forget backends whose last crash or sign of life is too old to matter."""
+        for times in (self.crashed_at, self.alive_at):
+            for backend in [name for name, at in times.items() if is_too_old(at, now)]:
+                del times[backend]
+
     def evidence_to_broadcast(self, now: float) -> tuple[CrashEvidence, ...]:
         """Return the evidence that the next full broadcast should contain.
 
@@ -340,4 +375,9 @@
 
 def is_expired(record: CrashRecord, now: float) -> bool:
     """Return True if a record is too old to matter."""
-    return now - newest_at(record) > RECORD_LIFETIME_SECONDS
+    return is_too_old(newest_at(record), now)
+
+
+def is_too_old(at: float, now: float) -> bool:
+    """Return True if evidence of a time is too old to matter."""
+    return now - at > RECORD_LIFETIME_SECONDS
--- a/verbenaward/direct/forwarding.py
+++ b/verbenaward/direct/forwarding.py
@@ -23,6 +23,7 @@
 from .request_log import RequestLog
 from .sending import send_and_read
 from .sends import Progress, Send
+from .survivors import Survivors
 from .unread_sends import RequestCharges, UnreadSends
 
 POLL_SECONDS = 0.02
@@ -51,6 +52,7 @@
       budget: Limits retries.
       unread: Sends that backends may not have read yet.
       crashes: Finds poison requests.
+      survivors: Finds backends that were taken for crashed and live on.
       log: Writes log lines about requests.
       load_changed: Called when the load that this process puts on a backend has changed.
       is_send_granted: Returns True if the limit of a backend allows a request now.
@@ -74,6 +76,7 @@
         self.budget = budget
         self.unread = UnreadSends(budget)
         self.crashes = crashes
+        self.survivors = Survivors(crashes, placer.fleet)
         self.log = log
         self.load_changed = load_changed
         self.is_send_granted = is_send_granted
@@ -272,6 +275,7 @@
         """Record what a backend says of itself in an answer to a request sent at `sent_at`."""
         now = clock.now()
         self.unread.record_life(view.notices.name, sent_at, now)
+        self.survivors.record_answer(view.notices.name, sent_at, now)
         self.placer.fleet.record_notice(view, notice, sent_at, now, self.placer.rng.random())
 
     def backend_headers_for(self, request: Request, choice: Choice, now: float) -> BackendHeaders:
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -367,6 +367,7 @@
                 self.budget.update_entry_count(len(self.exchange.peers.entries(now)))
                 RETRY_SHARE.set(self.budget.fixed_share(now))
             self.front.forwarder.unread.drop_expired(now)
+            self.front.forwarder.survivors.update(complete_until, now)
             self.relay.fetch_held_digests()
             self.relay.check_stored_digests()
             self.relay.find_unknown_versions()
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -219,6 +219,11 @@
     "crashes.unreadable": kind(
         "the evidence of crashes at {key} of the store is ignored: {error}", "key", "error"
     ),
+    "crashes.withdrawn": kind(
+        "the backend with the hash {backend} lives on; its crash is withdrawn from {keys} keys",
+        "backend",
+        "keys",
+    ),
     "crashes.not_written": kind(
         "the evidence of crashes on {key} was not written to the store: {reason}", "key", "reason"
     ),
