Drawn soak: deadly requests, ends of all processes, backends that fail or stand still

Change: series of their own seed beside the earlier ones (which stay as they were drawn): kill-all, sigterm-all, backends that stand still, answers of all backends that fail; deadly requests in six seeds of ten; verdicts on deadly requests, on the number of backends and on deadlines, each as the rule counts. An answer that a backend broke off is excused.

--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -3,13 +3,14 @@
 import random
 from dataclasses import dataclass
 
-from .soak_traffic import AT_END, WITHIN, Load, PlannedRequest, draw_requests
+from .soak_traffic import AT_END, WITHIN, Load, PlannedRequest, draw_deadly, draw_requests
 
 KEPT_SHARE = 0.5
 STREAMS = Load("/assist/", "POST", 6060, KEPT_SHARE)
 LOOKS = Load("/look/", "GET", 2180, KEPT_SHARE)
 BOOKINGS = Load("/book/", "POST", 4060, KEPT_SHARE)
 """Unsafe requests."""
+LOADS = (STREAMS, LOOKS, BOOKINGS)
 FULL_STREAM_RATE = 84.0
 """Streams a second that six engines carry."""
 PLAIN_RATES = (10.0, 40.0)
@@ -86,6 +87,23 @@
 """`leave` is a registration of a backend that ends, `lapse` the lease of an entry process, `errors`
 are answers of all plain backends, a `move` brings all callers to some entry processes, and `store`
 is a fault of the key-value store."""
+ALL_AT_ONCE = (
+    Series("kill-all", 0.35, (6.0, 14.0), 1),
+    Series("sigterm-all", 0.35, (8.0, 16.0), 1),
+    Series("still", 0.5, (2.0, 8.0), 2, (0.5, 3.0), (2.0, 9.0), 4, ("reports", "nothing")),
+    Series(
+        "failing",
+        0.5,
+        (3.0, 10.0),
+        1,
+        lengths=(3.0, 15.0),
+        details=("500", "503", "reset", "head-reset"),
+    ),
+)
+"""Series of their own seed, beside those above: ends of all entry processes, backends that stand
+still, and answers of all backends that fail."""
+DEADLY_SHARE = 0.6
+"""Share of the seeds with requests that crash the backends that run them."""
 LINKED_SHARE = 0.4
 """Share of the seeds whose entry processes reach each other over links that can be bad."""
 BURST_SHARE = 0.5
@@ -157,9 +175,15 @@
     error_share = rng.choice(ERROR_SHARES)
     drawn_entries = rng.choice(ENTRY_COUNTS)
     troubles = [trouble for series in ALL_SERIES for trouble in draw_series(rng, series, seconds)]
+    more = random.Random(f"{seed} all at once")
+    troubles += [
+        trouble for series in ALL_AT_ONCE for trouble in draw_series(more, series, seconds)
+    ]
+    deadly = draw_deadly(seed, LOADS, seconds) if more.random() < DEADLY_SHARE else ()
     troubles.sort(key=lambda item: item.at)
     rates_and_spans = [(load, rate, (0.0, seconds)) for load, rate in rates]
     requests = draw_requests(seed, [*rates_and_spans, *draw_bursts(seed, seconds)])
+    requests = tuple(sorted((*requests, *deadly), key=lambda item: item.at))
     return DrawnPlan(
         rates,
         requests,
--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -11,8 +11,9 @@
 
 from .drawn_configurations import CHANGES, declare_services
 from .drawn_plan import TARGETS, DrawnPlan, Trouble
-from .soak_deployment import SoakDaemon, SoakDeployment, SoakWorker
+from .soak_deployment import SoakDaemon, SoakDeployment
 from .soak_links import SoakLink
+from .soak_workers import Failure, SoakWorker
 
 Action = Callable[[SoakDeployment, Trouble], Awaitable[None]]
 ACTIONS: Registry[Action] = Registry("action")
@@ -22,6 +23,7 @@
 """Shortest and longest time from the first errors until callers move, in seconds."""
 BAD_SHARE = 0.2
 """Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
+FAILING_SHARES = (0.3, 0.6, 0.9)
 SETTINGS = {
     "same": [{}],
     "changed": [
@@ -105,6 +107,42 @@
         entry.send(signal.SIGKILL)
 
 
+@ACTIONS.register("kill-all")
+async def kill_all(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Send SIGKILL to all entry processes at once."""
+    for entry in deployment.entries:
+        entry.send(signal.SIGKILL)
+
+
+@ACTIONS.register("sigterm-all")
+async def terminate_all(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Send SIGTERM to all entry processes at once."""
+    for entry in deployment.entries:
+        send(entry, signal.SIGTERM)
+
+
+@ACTIONS.register("still")
+async def stand_still(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let backends stand still, which answer reports or nothing."""
+    workers = chosen_workers(deployment, trouble)
+    halts = [item.stand_still(trouble.seconds, trouble.detail == "reports") for item in workers]
+    await asyncio.gather(*halts)
+
+
+@ACTIONS.register("failing")
+async def fail_everywhere(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let a share of the runs of all backends fail for a while, those of engines too."""
+    share = random.Random(trouble.number).choice(FAILING_SHARES)
+    workers = list(deployment.workers.values())
+    for worker in workers:
+        worker.failure, worker.error_share = Failure(trouble.detail), share
+        worker.fails_streams = True
+    await asyncio.sleep(trouble.seconds)
+    for worker in workers:
+        worker.failure, worker.error_share = Failure.ERROR, deployment.plan.error_share
+        worker.fails_streams = False
+
+
 @ACTIONS.register("stop")
 async def stop(deployment: SoakDeployment, trouble: Trouble) -> None:
     """Stop processes for a while."""
--- a/bench/soak_deadly.py
+++ b/bench/soak_deadly.py
@@ -30,6 +30,9 @@
     signals: Mapping[str, Sequence[float]]
 
 
+NO_DEADLY_REQUESTS = DeadlyHistory({}, {}, {}, (), {})
+
+
 def late_sends(history: DeadlyHistory, path: str) -> list[float]:
     """Return when a deadly request reached backends that it should not have reached any more.
 
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -200,6 +200,7 @@
       network: First two bytes of the addresses.
       first_body: First configuration, on which all changed ones are based.
       timeouts: When configurations were written, with the timeouts of their routes in seconds.
+      most_attempts: Largest `max_attempts` that a configuration has given each route.
       used_entries: Entry processes that callers use; those of the directory if empty.
     """
 
@@ -216,6 +217,7 @@
         self.more_routes = [LOOK_ROUTE, BOOK_ROUTE]
         self.first_body = b""
         self.timeouts: list[tuple[float, dict[str, float]]] = []
+        self.most_attempts: dict[str, int] = {}
         self.used_entries: list[SoakDaemon] = []
         self.has_links = plan.has_links
 
@@ -243,6 +245,9 @@
         self.record.write("configuration", version=self.config_version)
         timeouts = {item["path_prefix"]: item["timeout_ms"] / 1000 for item in body["routes"]}
         self.timeouts.append((self.record.now(), timeouts))
+        for item in body["routes"]:
+            known = self.most_attempts.get(item["path_prefix"], 0)
+            self.most_attempts[item["path_prefix"]] = max(known, item["max_attempts"])
         return self.config_version
 
     async def start_plan(self) -> None:
--- a/bench/soak_verdicts.py
+++ b/bench/soak_verdicts.py
@@ -1,7 +1,7 @@
 """Verdicts on what happened in a soak: pure functions over its history; no network and no clock."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from verbenaward.registry import Registry
 
@@ -14,6 +14,13 @@
     repeat_times,
     worst_window,
 )
+from .soak_deadly import (
+    ALLOWED_SENDS,
+    NO_DEADLY_REQUESTS,
+    DeadlyHistory,
+    is_in_touch,
+    late_sends,
+)
 
 KILL_SECONDS = 0.2
 """A killed process still accepts connections for less than this."""
@@ -27,6 +34,14 @@
 """A request may cross the close of its connection; it then ends sooner than this."""
 IN_FORCE_SECONDS = 5.0
 """Time after which a replaced configuration is in force nowhere."""
+ALLOWED_EXCESS = 3
+"""Attempts that may run on more backends than their route allows."""
+DEADLINE_SLACK_SECONDS = 0.5
+"""How much longer than allowed a deadline may be that is handed on."""
+ALLOWED_LONG_DEADLINES = 20
+LONG_DEADLINE_SHARE = 0.2
+"""More deadlines that are too long break the rule, if they are more than this part of them and of
+the late repeats."""
 ENDS_BY_SIGTERM = (0, -15, -1)
 """Statuses of a process that got SIGTERM: graceful, or by a signal at the very start or end."""
 
@@ -84,6 +99,13 @@
       grace_seconds: Time from SIGTERM to the end of a process.
       ends: The ends of all processes.
       limit: Limit on repeats.
+      read: The same arrivals with what was handed on with them.
+      own_seconds: Deadline with which each attempt was sent.
+      most_backends: Most backends that may run each attempt.
+      runs_at: Attempts that began to run, with the incarnation of the backend.
+      ended_backends: Incarnations of backends that have crashed.
+      broken_off: Attempts whose answer a backend has broken off.
+      deadly: Requests that crash the backends that run them.
     """
 
     results: Sequence[RequestResult]
@@ -98,6 +120,13 @@
     grace_seconds: float
     ends: Sequence[ProcessEnd]
     limit: RetryLimit
+    read: Sequence[Arrival] = ()
+    own_seconds: Mapping[str, float] = field(default_factory=dict)
+    most_backends: Mapping[str, int] = field(default_factory=dict)
+    runs_at: Sequence[tuple[str, str]] = ()
+    ended_backends: frozenset[str] = frozenset()
+    broken_off: frozenset[str] = frozenset()
+    deadly: DeadlyHistory = NO_DEADLY_REQUESTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +237,70 @@
     return history.services.get(attempt) == service
 
 
+@VERDICTS.register("a deadly request is not sent on")
+def deadly_requests(history: History) -> list[tuple[str, str]]:
+    """Return requests that are sent on too often though they have crashed three backends."""
+    found = []
+    for path in sorted(set(history.deadly.paths.values())):
+        late = late_sends(history.deadly, path)
+        if len(late) > ALLOWED_SENDS:
+            found.append((path, f"{len(late)} sends too late, first at {late[0]:.2f} s"))
+    return found
+
+
+@VERDICTS.register("no request runs on more backends than its route allows")
+def excess_runs(history: History) -> list[tuple[str, str]]:
+    """Return the requests that have run on too many, if they are too many themselves."""
+    backends: dict[str, set[str]] = {}
+    for attempt, backend in history.runs_at:
+        if backend not in history.ended_backends:
+            backends.setdefault(attempt, set()).add(backend)
+    found = [
+        (attempt, f"ran on {len(names)} backends of {history.most_backends[attempt]}")
+        for attempt, names in backends.items()
+        if len(names) > history.most_backends.get(attempt, len(names))
+    ]
+    return found if len(found) > ALLOWED_EXCESS else []
+
+
+@VERDICTS.register("no more time is handed on than is left")
+def long_deadlines(history: History) -> list[tuple[str, str]]:
+    """Return arrivals of whole answers with a deadline that is too long, if they are many.
+
+    What a backend has read late was sent before, so nothing is known of it.
+    """
+    firsts: dict[str, Arrival] = {}
+    found, late_repeats = [], 0
+    sent_at = {item.attempt: item.sent_at for item in history.results}
+    counted = [
+        item
+        for item in sorted(history.read, key=lambda item: item.at)
+        if item.attempt in history.own_seconds
+        and not item.is_late
+        and is_in_touch(history.deadly, item.attempt, item.at)
+    ]
+    for item in counted:
+        first = firsts.setdefault(item.attempt, item)
+        is_late_repeat = item.at > first.at + DEADLINE_SLACK_SECONDS
+        late_repeats += is_late_repeat
+        own = history.own_seconds[item.attempt]
+        ends_at = max(end_of(first), sent_at.get(item.attempt, item.at) + own)
+        given = item.deadline_seconds
+        is_long = given is None or given > own + DEADLINE_SLACK_SECONDS
+        if is_long or (is_late_repeat and end_of(item) > ends_at + DEADLINE_SLACK_SECONDS):
+            found.append((item.attempt, f"handed on with {given} s of {own} s at {item.at:.2f} s"))
+    is_broken = len(found) > max(
+        ALLOWED_LONG_DEADLINES, LONG_DEADLINE_SHARE * (len(found) + late_repeats)
+    )
+    return found if is_broken else []
+
+
+def end_of(arrival: Arrival) -> float:
+    """Return when the time ends with which a request was handed on; infinite without one."""
+    given = arrival.deadline_seconds
+    return float("inf") if given is None else arrival.at + given
+
+
 @VERDICTS.register("no process ends by itself")
 def own_ends(history: History) -> list[tuple[str, str]]:
     """Return processes that ended without a signal to end, or with an error."""
@@ -232,6 +325,8 @@
     late = LATE_SHARE * history.grace_seconds
     if any(start - KILL_SECONDS <= at <= end for at in kills):
         return "process killed"
+    if result.attempt in history.broken_off:
+        return "broken off by a backend"
     if end - start >= history.allowed_seconds[result.attempt] - DEADLINE_MARGIN_SECONDS:
         return "at its deadline"
     if any(start <= at + LINGER_SECONDS and end >= at + late for at in stops):
--- a/tests/bench/soak_verdicts.feature
+++ b/tests/bench/soak_verdicts.feature
@@ -21,6 +21,11 @@
       | a request runs that was answered not-run                   | not-run is true                     |
       | a request runs on a second backend before it is answered not-run | not-run is true               |
       | 8 requests are repeated twice within a second              | repeats stay within their limit     |
+      | a deadly request is sent on 4 times too late               | a deadly request is not sent on     |
+      | 4 requests run on 3 backends                               | no request runs on more backends than its route allows |
+      | 21 requests are handed on without a deadline               | no more time is handed on than is left |
+      | 21 requests are handed on with 0.6 s more than they have   | no more time is handed on than is left |
+      | 21 late repeats end after their first send and their caller | no more time is handed on than is left |
       | a process ends without a signal                            | no process ends by itself           |
       | a process ends after SIGHUP                                | no process ends by itself           |
       | a process ends with an error after SIGTERM                 | no process ends by itself           |
@@ -45,6 +50,13 @@
       | a safe request runs twice                         |
       | 6 requests are repeated twice within a second     |
       | 7 requests of two services are repeated twice within a second |
+      | a deadly request is sent on 3 times too late      |
+      | a deadly request is sent on 4 times by processes that were started 2 s before |
+      | 3 requests run on 3 backends                      |
+      | 4 requests run on 3 backends, of which one has crashed |
+      | 20 requests are handed on without a deadline      |
+      | 21 requests that stood unread are handed on without a deadline |
+      | a stream is cut by its backend                    |
       | a process ends after SIGTERM                      |
       | a process ends after SIGKILL                      |
 
--- a/tests/steps/soak_verdicts.py
+++ b/tests/steps/soak_verdicts.py
@@ -5,7 +5,8 @@
 from behave import given, then, when
 
 from bench.soak_counting import Ending, RequestResult, RetryLimit
-from bench.soak_verdicts import History, ProcessEnd, judge, shortest_timeout
+from bench.soak_deadly import DeadlyHistory
+from bench.soak_verdicts import Arrival, History, ProcessEnd, judge, shortest_timeout
 
 LIMIT = RetryLimit(ratio=0.2, extra=2, window_seconds=10.0)
 REQUESTS = 150
@@ -113,6 +114,70 @@
     return dataclasses.replace(history, ends=(end,))
 
 
+def deadly(history, count, started_before=10.0):
+    """Three crashes at 5 to 7 s, and further sends of the same request from 11 s on."""
+    late = [11.0 + number for number in range(count)]
+    names = [f"dead{number}" for number in range(3 + count)]
+    found = DeadlyHistory(
+        paths=dict.fromkeys(names, "/look/deadly"),
+        entries=dict.fromkeys(names, "edge-1"),
+        crashes={"/look/deadly": (5.0, 6.0, 7.0)},
+        arrivals=tuple(zip((4.9, 5.9, 6.9, *late), names, strict=True)),
+        signals={"edge-1": tuple(at - started_before for at in late)},
+    )
+    return dataclasses.replace(history, deadly=found)
+
+
+def run_on(history, requests, backends, ended=()):
+    names = [item.attempt for item in history.results]
+    runs = [(name, f"b{number}") for name in names[:requests] for number in range(backends)]
+    return dataclasses.replace(
+        history,
+        runs_at=runs,
+        most_backends=dict.fromkeys(names, 2),
+        ended_backends=frozenset(ended),
+    )
+
+
+def handed_on(history, count, deadline_seconds, is_late=False):
+    found = [
+        Arrival(item.sent_at + 0.1, item.attempt, "b1", deadline_seconds, is_late)
+        for item in history.results[:count]
+    ]
+    own = {item.attempt: 2.0 for item in history.results}
+    return dataclasses.replace(history, read=found, own_seconds=own)
+
+
+def late_repeats(history, count):
+    history = handed_on(history, count, 1.9)
+    repeats = [dataclasses.replace(item, at=item.at + 1.0) for item in history.read]
+    return dataclasses.replace(history, read=(*history.read, *repeats))
+
+
+change("a deadly request is sent on 4 times too late")(lambda history: deadly(history, 4))
+change("a deadly request is sent on 3 times too late")(lambda history: deadly(history, 3))
+change("a deadly request is sent on 4 times by processes that were started 2 s before")(
+    lambda history: deadly(history, 4, started_before=2.0)
+)
+change("4 requests run on 3 backends")(lambda history: run_on(history, 4, 3))
+change("3 requests run on 3 backends")(lambda history: run_on(history, 3, 3))
+change("4 requests run on 3 backends, of which one has crashed")(
+    lambda history: run_on(history, 4, 3, ended=("b2",))
+)
+change("21 requests are handed on without a deadline")(lambda history: handed_on(history, 21, None))
+change("20 requests are handed on without a deadline")(lambda history: handed_on(history, 20, None))
+change("21 requests are handed on with 0.6 s more than they have")(
+    lambda history: handed_on(history, 21, 2.6)
+)
+change("21 requests that stood unread are handed on without a deadline")(
+    lambda history: handed_on(history, 21, None, is_late=True)
+)
+change("21 late repeats end after their first send and their caller")(
+    lambda history: late_repeats(history, 21)
+)
+change("a stream is cut by its backend")(
+    lambda history: dataclasses.replace(cut(history), broken_off=frozenset([STREAM]))
+)
 change("a stream ends after 3 of its events")(
     lambda history: ended(
         history, STREAM, is_whole=False, event_times=(5.1, 5.2, 5.3), ending=Ending.COMPLETE
