--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -88,7 +88,7 @@
 are answers of all plain backends, a `move` brings all callers to some entry processes, and `store`
 is a fault of the key-value store."""
 ALL_AT_ONCE = (
-    Series("kill-all", 0.35, (6.0, 14.0), 1),
+    Series("kill-all", 0.35, (5.0, 9.0), 1),
     Series("sigterm-all", 0.35, (8.0, 16.0), 1),
     Series("still", 0.5, (2.0, 8.0), 2, (0.5, 3.0), (2.0, 9.0), 4, ("reports", "nothing")),
     Series(
