An outage of the store proves no backend alive

Cause, by reading: registrations may not end while the store is away, so that one that still stood after an outage was taken for a sign that its backend had not crashed. The two scenarios of backends that live on now begin 4 s after the start of the process, as its first read is such a time; they pass.

--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -33,6 +33,11 @@
         run(context, asyncio.sleep(1.1))
 
 
+@given("it has run for {seconds:g} s")
+def has_run(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
 @when("the same look-up is sent {count:d} times, and then the backends answer again")
 def look_at_resets(context, count):
     answers = []
--- a/verbenaward/direct/survivors.py
+++ b/verbenaward/direct/survivors.py
@@ -9,20 +9,25 @@
   before its registration is known here;
 - or for longer than the platform keeps the registration of a backend that is silent.
 
-Neither counts while the store is away, as it ends no registrations then.
+Time in which the store is away counts for neither, as it may end no registrations then.
 """
 
+import math
 from dataclasses import dataclass
 
 from ..placement.fleet import Fleet
 from ..replica.store_replica import KEPT_REGISTRATION_SECONDS
 from .crash_tracker import CrashTracker
+from .peer_table import STORE_DOWN_SECONDS
 
 NEXT_REGISTRATION_SECONDS = 2.0
 """Time after an answer within which the registration of the incarnation that has sent it is known
 here: a heartbeat, and the way through the store."""
+OUTLIVED_SECONDS = KEPT_REGISTRATION_SECONDS + STORE_DOWN_SECONDS
+"""Time after a crash in which the registration ends, also if an outage of the store that is too
+short to be noticed has held that up."""
 SETTLING_SECONDS = 3.0
-"""Time after an outage of the store in which registrations that ended in it come back."""
+"""Time after an outage of the store in which registrations come back, or are replaced."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +50,14 @@
       tracker: Evidence of crashes.
       fleet: Backends that are registered.
       answers: Answers by the name of the backend's incarnation.
+      away_until: Time until which the store was away, or its return was too recent, monotonic.
     """
 
     def __init__(self, tracker: CrashTracker, fleet: Fleet) -> None:
         self.tracker = tracker
         self.fleet = fleet
         self.answers: dict[int, Answer] = {}
+        self.away_until = -math.inf
 
     def record_answer(self, backend: int, sent_at: float, now: float) -> None:
         """Record that an answer of a backend came to a request that was sent at a time."""
@@ -66,7 +73,9 @@
           now: Present time, monotonic, in seconds.
         """
         self.tracker.forget_backends(now)
-        if not self.tracker.crashed_at:
+        if now - complete_until > STORE_DOWN_SECONDS:
+            self.away_until = now + SETTLING_SECONDS
+        if not self.tracker.crashed_at or now < self.away_until:
             self.answers.clear()
             return
         registered = self.registered()
@@ -83,9 +92,8 @@
 
     def has_outlived(self, crashed_at: float, complete_until: float) -> bool:
         """Return True if the registration of a crashed backend would have ended by now."""
-        store_back_at = self.fleet.replica.outage_until + SETTLING_SECONDS
-        since = max(crashed_at, store_back_at, self.fleet.started_at)
-        return complete_until >= since + KEPT_REGISTRATION_SECONDS
+        since = max(crashed_at, self.away_until, self.fleet.started_at)
+        return complete_until >= since + OUTLIVED_SECONDS
 
     def registered(self) -> set[int]:
         """Return the names of the incarnations whose registrations stand and tell their start."""
