--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -18,15 +18,10 @@
 from .registry import BENCHES, BROKEN
 from .soak import (
     ENGINES_PER_ZONE,
-    LIMIT,
     PLAIN_BACKENDS,
     SETTLING_SECONDS,
     ZONES,
     add_common_options,
-    arrivals_of,
-    deadly_history,
-    deadly_paths,
-    describe,
     polling_lag,
     running,
 )
@@ -38,6 +33,7 @@
     count_outcomes,
 )
 from .soak_deployment import SoakDaemon, SoakDeployment, SoakPlan
+from .soak_figures import LIMIT, arrivals_of, deadly_history, deadly_paths, describe
 from .soak_traffic import PlannedRequest
 from .soak_verdicts import (
     History,
