Evidence in the store that can't be read is replaced

Cause, found in review: such a value was ignored with its revision, so that each write on the key came into conflict, five times a second. Change: its revision is known; it holds no crash. Result: three scenarios on what is written over, deleted and ignored; they pass.

--- a/tests/direct/poison.feature
+++ b/tests/direct/poison.feature
@@ -145,3 +145,19 @@
       | it answers under the same id, and its next start is registered 1.5 s later |
       | the store is away from the crash on for 8 s                                |
       | the store is away as the next incarnation answers under the same id        |
+
+  Scenario Outline: Evidence in the store <form> is replaced by the next crash
+    Given a process whose store holds evidence <form>
+    When it sees a backend crash with that request
+    Then it writes both the known crashes and this one over the revision that the store holds
+
+    Examples: forms
+      | form                       |
+      | of another process         |
+      | that nobody can read       |
+
+  Scenario: An answer deletes the evidence in the store, and one that comes late does not bring it back
+    Given a process whose store holds evidence of another process
+    When it sees the request answered
+    Then it deletes the key at the revision that the store holds
+    And the same evidence once more from the store changes nothing
--- a/verbenaward/direct/stored_crashes.py
+++ b/verbenaward/direct/stored_crashes.py
@@ -116,16 +116,21 @@
             return
         try:
             key = bytes.fromhex(entry.key.removeprefix(CRASHES_PREFIX))
-            evidence = decode(CrashEvidence, entry.value) if entry.value else None
-        except (ValueError, MalformedMessageError) as error:
-            LOG.warning("crashes.unreadable", key=entry.key, error=str(error)[:100])
+        except ValueError:
+            LOG.warning("crashes.unreadable", key=entry.key, error="the key is not hexadecimal")
             return
-        if evidence is None:
-            self.stored.pop(key, None)
+        self.stored.pop(key, None)
+        if not entry.value:
             return
+        try:
+            evidence = decode(CrashEvidence, entry.value)
+        except MalformedMessageError as error:
+            LOG.warning("crashes.unreadable", key=entry.key, error=str(error)[:100])
+            evidence = CrashEvidence(key)
         backends = frozenset(crash.backend for crash in evidence.crashes)
         self.stored[key] = StoredEvidence(entry.revision, entry.era, backends)
-        self.tracker.merge_stored(evidence, now)
+        if evidence.crashes:
+            self.tracker.merge_stored(evidence, now)
 
     def next_write(self, now: float) -> EvidenceWrite | None:
         """Return the most urgent write that is due; None for none now."""
