Other regions wait while an engine is loaded over a narrow link

Cause: a receiver was expected to ask again within 0.5 s, but the queries between two chunks take up to 1.1 s over such links, so bodies for other regions began in each pause. Change: it is expected for 2 s.

--- a/tests/distribution/uploads.feature
+++ b/tests/distribution/uploads.feature
@@ -15,3 +15,8 @@
     When bodies for any receivers wait, and the link carries any rate
     Then one that has begun goes first, then engines, and among them the one that lacks least
     And bodies for others begin only if those that wait take less than 0.25 s
+
+  # Guards against bodies for other regions that take the link between two chunks of an engine.
+  Scenario: Over a narrow link other regions wait in the pauses of an engine that is being loaded
+    When a body for another region waits at a narrow link, and an engine got one 1.1 s ago
+    Then it does not begin, but 2.5 s after the engine got one it does
--- a/tests/steps/uploads.py
+++ b/tests/steps/uploads.py
@@ -1,11 +1,13 @@
 """Steps on the order in which a process sends bodies, as decisions without a network."""
 
+import asyncio
 import math
 
 from behave import then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from tests.direct_fakes import NOW
 from verbenaward.distribution.upload_order import (
     LinkRate,
     PendingSlice,
@@ -14,7 +16,7 @@
     next_slice,
     updated_rate,
 )
-from verbenaward.distribution.uploads import SLICE_BYTES
+from verbenaward.distribution.uploads import SLICE_BYTES, Upload, Uploads
 
 SLICES = st.builds(
     PendingSlice,
@@ -130,3 +132,28 @@
 def link_is_used(context, part, seconds):
     assert min(context.shares) >= part / 10, context.shares
     assert context.most <= 1.0 + SLICE_BYTES / (32 * 1024), context.most
+
+
+@when("a body for another region waits at a narrow link, and an engine got one {seconds:g} s ago")
+def body_for_region(context, seconds):
+    async def wait():
+        context.uploads = Uploads()
+        return Upload(None, 1, Receiver.REGION, remaining=49_152, turn=asyncio.Event())
+
+    upload = context.loop.run_until_complete(wait())
+    context.uploads.running.append(upload)
+    context.pause = seconds
+
+
+def next_after(context, pause):
+    """Return the body that may begin at a pause after one for an engine."""
+    uploads = context.uploads
+    uploads.rate = LinkRate(NOW, 0, bytes_per_second=100_000.0)
+    uploads.requested_at = {Receiver.REGION: NOW, Receiver.ENGINE: NOW - pause}
+    return uploads.next_upload(NOW)
+
+
+@then("it does not begin, but {seconds:g} s after the engine got one it does")
+def begins_later(context, seconds):
+    assert next_after(context, context.pause) is None
+    assert next_after(context, seconds) is context.uploads.running[0]
--- a/verbenaward/distribution/uploads.py
+++ b/verbenaward/distribution/uploads.py
@@ -34,8 +34,9 @@
 """Longest number of chunks that is read from a query."""
 POLL_SECONDS = 0.002
 """Interval at which acknowledgements are looked for while slices wait."""
-URGENT_SECONDS = 0.5
-"""Time after a body for which the next request of its receiver is expected."""
+URGENT_SECONDS = 2.0
+"""Time after a body for which the next request of its receiver is expected. Over a narrow link the
+queries between two chunks take up to 1.1 s."""
 STALLED_SECONDS = 0.5
 """Time without an acknowledgement after which a receiver no longer holds back the others."""
 ABANDONED_SECONDS = 3.0
