--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -195,12 +195,13 @@
     plan = SoakPlan(
         daemons=options.daemons,
         entries_per_zone=drawn.entries // ZONES,
-        models_per_zone=ENGINES_PER_ZONE,
+        models_per_zone=options.engines_per_zone or ENGINES_PER_ZONE,
         plain=PLAIN_BACKENDS,
         services=("beds", "rooms"),
         error_share=drawn.error_share,
         seed=options.seed,
         has_links=drawn.has_links,
+        idle_routes=options.idle_routes,
     )
     kept = options.keep_logs and options.keep_logs / f"drawn-{options.seed}"
     lags: list[float] = []
--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -102,6 +102,13 @@
 )
 """Series of their own seed, beside those above: ends of all entry processes, backends that stand
 still, and answers of all backends that fail."""
+STORE_AND_DARK = (
+    Series("dark-end", 0.5, (2.0, 8.0), 2, (0.5, 3.0), lengths=(1.0, 4.5), width=4),
+    Series("leases", 0.3, (5.0, 12.0), 1),
+    Series("restore", 0.25, (8.0, 20.0), 1, lengths=(0.5, 5.0)),
+)
+"""Series of a third seed: engines that hang and are back under a new id, leases that the store
+forgets, and a store that comes back from a copy."""
 DEADLY_SHARE = 0.6
 """Share of the seeds with requests that crash the backends that run them."""
 LINKED_SHARE = 0.4
@@ -179,6 +186,10 @@
     troubles += [
         trouble for series in ALL_AT_ONCE for trouble in draw_series(more, series, seconds)
     ]
+    third = random.Random(f"{seed} store and dark")
+    troubles += [
+        trouble for series in STORE_AND_DARK for trouble in draw_series(third, series, seconds)
+    ]
     deadly = draw_deadly(seed, LOADS, seconds) if more.random() < DEADLY_SHARE else ()
     troubles.sort(key=lambda item: item.at)
     rates_and_spans = [(load, rate, (0.0, seconds)) for load, rate in rates]
--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -10,7 +10,7 @@
 from verbenaward.registry import Registry
 
 from .drawn_configurations import CHANGES, declare_services
-from .drawn_plan import TARGETS, DrawnPlan, Trouble
+from .drawn_plan import FOR_GOOD_SECONDS, TARGETS, DrawnPlan, Trouble
 from .soak_deployment import SoakDaemon, SoakDeployment
 from .soak_links import SoakLink
 from .soak_workers import Failure, SoakWorker
@@ -23,6 +23,9 @@
 """Shortest and longest time from the first errors until callers move, in seconds."""
 BAD_SHARE = 0.2
 """Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
+POWER_LOSS = "power-loss"
+"""What is recorded in place of the path of a request that crashes a backend."""
+OPERATOR_PREFIX = "op/"
 FAILING_SHARES = (0.3, 0.6, 0.9)
 SETTINGS = {
     "same": [{}],
@@ -254,3 +257,37 @@
     await asyncio.sleep(trouble.seconds)
     for link in found:
         link.is_cut, link.bad_share = False, 0.0
+
+
+@ACTIONS.register("dark-end")
+async def end_in_the_dark(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let backends lose power: what was sent to them hangs until they are back under a new id."""
+
+    async def lose_power(worker: SoakWorker) -> None:
+        if worker.is_gone or not worker.reading.is_set():
+            return
+        halt = asyncio.create_task(worker.stand_still(FOR_GOOD_SECONDS, answers_reports=False))
+        await asyncio.sleep(trouble.seconds)
+        worker.unread.clear()
+        await worker.crash(POWER_LOSS)
+        halt.cancel()
+
+    await asyncio.gather(*(lose_power(item) for item in chosen_workers(deployment, trouble)))
+
+
+@ACTIONS.register("leases")
+async def forget_leases(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let the store forget all leases, with what was written under them."""
+    for lease in tuple(deployment.store.leases):
+        deployment.store.drop_lease(lease)
+
+
+@ACTIONS.register("restore")
+async def restore_store(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let the store come back from a copy of some seconds before, but for the operator's keys."""
+    store = deployment.store
+    copy = store.copy()
+    await asyncio.sleep(trouble.seconds)
+    kept = {key: value for key, value in copy.items.items() if not key.startswith(OPERATOR_PREFIX)}
+    own = {key: value for key, value in store.items.items() if key.startswith(OPERATOR_PREFIX)}
+    store.restore(replace(copy, items={**kept, **own}))
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -77,6 +77,21 @@
         default=3,
         help="entry processes: 3, 6, 9 ... (default 3, in a drawn soak drawn)",
     )
+    parser.add_argument(
+        "--engines-per-zone",
+        type=int,
+        choices=range(1, 41),
+        metavar="N",
+        help="engines in each zone (default of the row, 2 in a drawn soak)",
+    )
+    parser.add_argument(
+        "--idle-routes",
+        type=int,
+        choices=range(0, 1001),
+        default=0,
+        metavar="N",
+        help="routes of the configuration that no request uses (default 0)",
+    )
     parser.add_argument(
         "--daemons",
         type=daemon_folder,
@@ -155,11 +170,12 @@
     plan = SoakPlan(
         daemons=options.daemons,
         entries_per_zone=options.entries // ZONES,
-        models_per_zone=row.engines_per_zone if is_stream else 0,
+        models_per_zone=options.engines_per_zone or row.engines_per_zone if is_stream else 0,
         plain=row.plain if is_stream else PLAIN_BACKENDS,
         error_share=row.error_share,
         restart_seconds=options.restart_seconds,
         seed=options.seed,
+        idle_routes=options.idle_routes,
     )
     plain_rate = PLAIN_RATES.get(options.entries, LARGE_PLAIN_RATE)
     rate = options.rate or row.rate or (STREAM_RATE if is_stream else plain_rate)
--- a/bench/soak_deployment.py
+++ b/bench/soak_deployment.py
@@ -60,6 +60,7 @@
       restart_seconds: Time from the end of a process to its next start.
       seed: Seed of what the backends draw.
       has_links: True if the entry processes reach each other over links that can be bad.
+      idle_routes: Routes of the configuration that no request uses.
     """
 
     daemons: Path
@@ -71,6 +72,7 @@
     restart_seconds: float = 0.1
     seed: int = 1
     has_links: bool = False
+    idle_routes: int = 0
 
 
 class SoakDaemon(Daemon):
@@ -192,6 +194,11 @@
     return words if (folder / DEPENDENCIES).exists() else [sys.executable, *words[1:]]
 
 
+def idle_route(number: int) -> dict[str, Any]:
+    """Return a route that no request uses; it makes the configuration as large as a site's."""
+    return {**LOOK_ROUTE, "name": f"r-idle-{number}", "path_prefix": f"/idle-{number}/"}
+
+
 class SoakDeployment(Deployment):
     """The processes and stand-ins of one soak, on loopback addresses of their own.
 
@@ -214,7 +221,8 @@
         self.deploy = tomllib.loads((plan.daemons / "deploy" / "system.toml").read_text())
         self.store_address = f"{self.network}.0.1:{self.ports['store']}"
         self.origin_address = f"{self.network}.0.2:{self.ports['origin']}"
-        self.more_routes = [LOOK_ROUTE, BOOK_ROUTE]
+        idle = [idle_route(number) for number in range(plan.idle_routes)]
+        self.more_routes = [LOOK_ROUTE, BOOK_ROUTE, *idle]
         self.first_body = b""
         self.timeouts: list[tuple[float, dict[str, float]]] = []
         self.most_attempts: dict[str, int] = {}
