--- a/tests/daemon_process.py
+++ b/tests/daemon_process.py
@@ -19,23 +19,24 @@
 
 
 class DaemonProcess:
-    """An entry process that runs beside the event loop of a test."""
+    """A process of the direct mode that runs beside the event loop of a test."""
 
-    def __init__(self, platform: PlatformStandIn, **direct) -> None:
+    def __init__(self, platform: PlatformStandIn, role: str = "entry", **direct) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.log_file = Path(self.folder.name) / "entry.log"
         self.settings_file = Path(self.folder.name) / "entry.json"
+        self.listen = f"{platform.next_host()}:{platform.control_port}"
         addresses = {name: free_address() for name in ("front", "readiness", "directory")}
         self.direct = DirectSettings(zones=ZONES, pulse_bytes_per_second=100_000, **addresses)
         self.direct = dataclasses.replace(self.direct, **direct)
         shown = {name: getattr(self.direct, name) for name in (*addresses, "zones", *direct)}
         settings = {
             "format": 1,
-            "role": "entry",
-            "vm": "entry-real",
+            "role": role,
+            "vm": f"{role}-real",
             "region": ZONES["zone-a"],
             "zone": "zone-a",
-            "listen": f"{platform.next_host()}:{platform.control_port}",
+            "listen": self.listen,
             "platform": {
                 "key_value": f"http://{platform.store_address}",
                 "key_value_adapter": "leased",
