What all connections hold is one sum, at every listener of both modes

What callers saw: a crowd of some hundred clients ended a process by its memory, or took all descriptors of a listener. Cause: limits on one connection stood for limits on all: 512 KiB of a head each, up to 32 requests parsed ahead each, raw bytes after Upgrade and CONNECT, and no limit on connections at readiness, internal addresses, endpoint processes and in the proxied mode. Change: the table of connections knows all listeners and what each connection holds, a part of the memory budget (half of what memory_megabytes leaves, else the new setting connection_megabytes). Over it the oldest unfinished head is closed first, then waiting requests, unread answers and idle connections; a running request never. A head has max_header_bytes. The server of the direct mode and that of all others are one module.

--- a/standins/unruly_clients.py
+++ b/standins/unruly_clients.py
@@ -60,6 +60,7 @@
 LARGEST_HEAD = GET + 3 * long_field(5000) + b"\r\n"
 """A whole head just below 16 KiB, which is no fault by itself."""
 LONG_BODY = b"Content-Length: 100000000"
+ALLOWED_BODY = b"Content-Length: 4000000"
 HABITS = {
     "a request line without end": Habit(b"GET /", LETTERS),
     "a header line without end": Habit(GET + b"X-A: ", LETTERS),
@@ -81,6 +82,15 @@
     "400 KB of empty lines and a head without end": Habit(200_000 * b"\r\n" + GET),
     "bodies of 60 KB that stop": Habit(head(b"POST /look/x", LONG_BODY) + b"a" * 60_000),
     "bodies of 1 MB that stop": Habit(head(b"POST /look/x", LONG_BODY), LETTERS),
+    "bodies of 3 MB for a model that stop": Habit(
+        head(b"POST /v1/chat/completions", ALLOWED_BODY), LETTERS, 3_000_000
+    ),
+    "bodies of 3 MB for a run that stop": Habit(
+        head(b"POST /run", ALLOWED_BODY), LETTERS, 3_000_000
+    ),
+    "control messages of 3 MB that stop": Habit(
+        head(b"POST /control/ConfigurationOffer", ALLOWED_BODY), LETTERS, 3_000_000
+    ),
     "a body in chunks of one byte without end": Habit(CHUNKED, repeated(b"1\r\na\r\n")),
     "trailers without end": Habit(CHUNKED + b"0\r\n", repeated(b"X-A: b\r\n")),
     "pipelined requests and reads no answer": Habit(b"", repeated(GET + b"\r\n"), is_reading=False),
--- a/tests/memory/crowds.feature
+++ b/tests/memory/crowds.feature
@@ -115,3 +115,10 @@
       | role     |
       | entry    |
       | endpoint |
+
+  # Guards against limits on crowds that callers within all limits meet.
+  Scenario: Callers whose heads are as long as allowed are all served
+    Given an entry process with 300 MB and 4100 descriptors
+    When 300 callers have sent all but the end of heads of 16384 bytes
+    Then each of them is served once it sends the end
+    And it lives, below 300 MB and 1000 open descriptors
--- a/tests/placement/connection_limits.feature
+++ b/tests/placement/connection_limits.feature
@@ -16,6 +16,13 @@
     When an idle connection and one with half a header are swept at 14.9, 17.5 and 17.6 s
     Then the connections were closed at 17.6 s
 
+  Scenario: For want of memory the oldest unfinished head is closed first, a running request never
+    Guards against limits on each connection that do not add up to a limit on all.
+    Given a table with memory for 100 KB in connections
+    When connections hold 20 KB each: a running request, an unread answer, a waiting one and heads
+    Then a larger one closes the older head, the younger, the waiting one and the unread answer
+    And what is left is counted
+
   Scenario: No sequence of events takes more descriptors than there are
     Guards against connections that are counted twice or for ever.
     When connections open, send, end and are swept in any order, the limits hold
--- a/tests/steps/connection_limits.py
+++ b/tests/steps/connection_limits.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from verbenaward.placement.connection_limits import (
+    CONNECTION_BYTES,
     Cause,
     ConnectionTable,
     Kind,
@@ -100,7 +101,9 @@
 
 @when("connections open, send, end and are swept in any order, the limits hold")
 def any_order(context):
-    events = st.sampled_from(("opened", "received", "began", "ended", "lost", "sweep", "shortage"))
+    events = st.sampled_from(
+        ("opened", "received", "began", "ended", "lost", "sweep", "shortage", "held")
+    )
     steps = st.lists(st.tuples(events, st.integers(0, 30), st.floats(0, 3)), max_size=200)
 
     @for_all(st.integers(1, 40), steps)
@@ -117,6 +120,8 @@
                 is_open.add(connection)
                 if table.opened(connection, Kind.CALLER, now) is Verdict.DROP:
                     table.end(connection, Cause.DROPPED, now)
+            elif event == "held":
+                table.hold(connection, int(seconds * 1e7), now, is_waiting=seconds > 2)
             elif event == "lost":
                 is_open.discard(connection)
                 table.lost(connection)
@@ -126,13 +131,52 @@
             counted = sum(len(members) for members in table.members.values())
             assert counted == len(table.phase_of) <= len(is_open)
             assert table.open_by_kind.total() == counted
+            assert table.memory.connection_bytes == sum(table.held_bytes.values())
+            assert {*table.waiting, *table.unread} <= set(table.held_bytes)
         for connection in is_open:
             table.lost(connection)
         assert not table.kinds and not table.open_by_kind.total() and table.in_use == 0
+        assert table.memory.connection_bytes == 0
 
     check()
 
 
+@given("a table with memory for 100 KB in connections")
+def table_with_memory(context):
+    context.connections, context.closed = table_of(1000)
+    context.connections.memory.connection_limit_bytes = 100_000
+
+
+@when("connections hold 20 KB each: a running request, an unread answer, a waiting one and heads")
+def hold_much(context):
+    table, size = context.connections, 20_000 - CONNECTION_BYTES
+    for now, name in enumerate(("running", "unread", "waiting", "old head", "young head")):
+        table.opened(name, Kind.CALLER, now)
+        table.received(name, now)
+        if not name.endswith("head"):
+            table.began(name, now)
+        table.hold(name, size, now, is_waiting=name == "waiting", is_unread=name == "unread")
+    assert not context.closed and table.memory.connection_bytes == 100_000
+
+
+@then("a larger one closes the older head, the younger, the waiting one and the unread answer")
+def closed_in_order(context):
+    table = context.connections
+    expected = ["old head", "young head", "waiting", "unread"]
+    for count, name in enumerate(expected):
+        table.hold("running", 20_001 + 20_000 * count - CONNECTION_BYTES, 9.0)
+        assert context.closed[count:] == [(name, Cause.MEMORY)], context.closed
+
+
+@then("what is left is counted")
+def left_counted(context):
+    table = context.connections
+    table.hold("running", 500_000, 9.0)
+    assert len(context.closed) == 4 and table.memory.connection_bytes == 500_000 + CONNECTION_BYTES
+    table.lost("running")
+    assert table.memory.connection_bytes == 0
+
+
 @when("configurations limit the idle time to {texts}, none can be read for that field")
 def malformed_limits(context, texts):
     for text in texts.replace(" and", ",").split(", "):
--- a/tests/steps/crowds.py
+++ b/tests/steps/crowds.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
@@ -11,12 +12,20 @@
 from standins.platform import free_address
 from standins.unruly_clients import HABITS, Crowd
 from tests.daemon_process import DaemonProcess
-from tests.limited_process import DescriptorPeak, limit_descriptors, peak_megabytes
+from tests.limited_process import (
+    DescriptorPeak,
+    limit_descriptors,
+    open_descriptors,
+    peak_megabytes,
+)
 from tests.steps.connections import LOOK
 from tests.steps.platform_running import run
 
 CROWD_SECONDS = 2.0
+LIMIT_SECONDS = 1.5
+"""A process reads its limit of descriptors each second."""
 ANSWER_SECONDS = 20.0
+UNSENT_BYTES = 100
 METRICS = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -102,6 +111,7 @@
     vm = {"entry": "entry-0", "endpoint": "engine-0"}[role]
     process, address = context.cluster.processes[vm].process, context.cluster.address_of(vm)
     limit_descriptors(process.pid, count)
+    run(context, asyncio.sleep(LIMIT_SECONDS))
     context.limited = Limited(
         process, {"internal address": address}, (address, HEALTH), process.pid
     )
@@ -133,6 +143,49 @@
     assert most < count, f"{most} descriptors, {peak:.0f} MB"
 
 
+def padded(head, size):
+    """Return a head with further lines, which the backends take, up to a size in bytes."""
+    lines = [b"X-Padding: " + b"a" * 4000 for _ in range((size - len(head)) // 4100)]
+    lines.append(b"X-Padding: " + b"a" * (size - len(head) - sum(len(item) + 2 for item in lines)))
+    lines[-1] = lines[-1][: -len(b"X-Padding: \r\n")]
+    longer = b"\r\n".join((head[:-4], *lines, b"", b""))
+    assert len(longer) == size, len(longer)
+    return longer
+
+
+@when("{count:d} callers have sent all but the end of heads of {size:d} bytes")
+def send_long_heads(context, count, size):
+    context.descriptors = DescriptorPeak(context.limited.pid)
+    context.crowd = Crowd("", HABITS["nothing"], count, opened=count)
+    host, _, port = context.limited.addresses["address for callers"].rpartition(":")
+    head = padded(LOOK, size)
+    context.unfinished = []
+
+    async def send():
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head[:-UNSENT_BYTES])
+            await writer.drain()
+            context.unfinished.append((reader, writer, head[-UNSENT_BYTES:]))
+        context.descriptors.most = open_descriptors(context.limited.pid)
+
+    run(context, send())
+
+
+@then("each of them is served once it sends the end")
+def long_heads_served(context):
+    async def finish():
+        statuses = []
+        for reader, writer, rest in context.unfinished:
+            writer.write(rest)
+            statuses.append(int((await reader.readline()).split(b" ")[1]))
+            writer.transport.abort()
+        return statuses
+
+    statuses = run(context, finish())
+    assert set(statuses) == {200}, Counter(statuses)
+
+
 @then("an ordinary request is answered")
 def ordinary_answered(context):
     assert run(context, ask_until(*context.limited.ordinary)) == 200
--- a/verbenaward/arriving_bytes.py
+++ b/verbenaward/arriving_bytes.py
@@ -1,18 +1,21 @@
-"""Limits on the bytes that the caller of an HTTP server sends without asking anything.
+"""Counts of the bytes that the caller of an HTTP server sends, by what they are.
 
-aiohttp limits a line and a decoded body, but not empty lines, the framing of a body, or what comes
-after an early refusal. Bytes without end there take the time of all other requests of the process.
+aiohttp limits a line, the number of lines and a decoded body, but not a whole head, empty lines,
+the framing of a body, or what comes after an early refusal. Bytes without end there take the time
+and the memory of all other requests of the process.
 """
 
-import asyncio
-from typing import Any
+from collections import deque
+from dataclasses import dataclass
 
-from aiohttp import StreamReader, web
+from aiohttp import StreamReader
 
 from .bounded_reading import KIBIBYTE, MEBIBYTE
 
-HEAD_BYTES = 512 * KIBIBYTE
-"""Most bytes up to the head of a request: that of the longest head, and what is read at once."""
+HEAD_SLACK_BYTES = KIBIBYTE
+"""Bytes that a head may have over its limit, for empty lines before it."""
+PIPELINED_BYTES = 512 * KIBIBYTE
+"""Most bytes from one request to the next: what is read at once may hold many short ones."""
 FRAMING_BYTES = 64 * KIBIBYTE
 """Most bytes of a body's framing beyond its own length, trailers included."""
 UNREAD_BODY_BYTES = 8 * MEBIBYTE
@@ -20,140 +23,151 @@
 the refusal, which is lost if the connection is closed meanwhile."""
 RAW_BYTES_PER_BODY_BYTE = 2
 """Most bytes on the wire for each byte of a body; chunks of 8 bytes need two."""
-SLICE_BYTES = 16 * KIBIBYTE
-"""What is parsed at once, so that a line that is too long ends early."""
+OTHER_PROTOCOL_BYTES = 16 * KIBIBYTE
+"""Most bytes after a request for another protocol, before its answer, which refuses that."""
+COPIES_OF_BODY = 2
+"""How often a body is held while its parts are joined."""
+COPIES_OF_HEAD = 3
+"""How often the parser holds the bytes of a head: as they came, as bytes and as text of a field."""
+LINE_BYTES = 400
+"""Memory of the objects for a header line beyond its bytes."""
+
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(slots=True)
+class WaitingRequest:
+    """Memory of a request that was parsed and has not begun, in bytes.
+
+    Attributes:
+      head: Memory of its head.
+      body: Bytes of its body so far.
+    """
+
+    head: int
+    body: int = 0
+
+
+def head_cost(piece: bytes) -> int:
+    """Return the memory that the parser takes for a part of a head, in bytes."""
+    return COPIES_OF_HEAD * len(piece) + LINE_BYTES * piece.count(b"\n")
 
 
 class ArrivingBytes:
-    """Counts what arrives on a connection since the latest request began.
+    """Counts what arrives on a connection since the latest request began, and what is held of it.
 
     Attributes:
       raw: Bytes since then.
       allowed: Most bytes that may come while no body is read.
       body: Body of the request while it may be read; None else.
       body_before: Bytes of the body that had come by then.
+      head: Bytes of a head that has not ended.
+      held_head: Memory that the parser holds for it.
+      waiting: Requests that have not begun, in their order.
+      counts_bodies: True if the body of a request stays in the memory until its answer, and its
+        handler does not count it.
+      current: Memory of the request that is being answered.
+      other_protocol: Bytes after a request for another protocol.
     """
 
-    __slots__ = ("allowed", "body", "body_before", "raw")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "allowed",
+        "body",
+        "body_before",
+        "counts_bodies",
+        "current",
+        "head",
+        "held_head",
+        "other_protocol",
+        "raw",
+        "waiting",
+    )
+
+    def __init__(self, counts_bodies: bool = False) -> None:
+        self.counts_bodies = counts_bodies
         self.raw = 0
-        self.allowed = HEAD_BYTES
+        self.allowed = PIPELINED_BYTES
         self.body: StreamReader | None = None
         self.body_before = 0
+        self.head = 0
+        self.held_head = 0
+        self.waiting: deque[WaitingRequest] = deque()
+        self.current = 0
+        self.other_protocol = 0
+
+    @property
+    def held(self) -> int:
+        """Return the memory that the connection holds for what has arrived, in bytes."""
+        waiting = sum(item.head + item.body for item in self.waiting)
+        return self.held_head + waiting + self.current + self.other_protocol
 
     def begin(self, body: StreamReader) -> None:
-        """Count for a request whose head has been read."""
+        """Count for a request that begins."""
         self.raw = 0
-        self.allowed = HEAD_BYTES
+        self.allowed = PIPELINED_BYTES
         self.body = body
         self.body_before = body.total_bytes
+        begun = self.waiting.popleft() if self.waiting else WaitingRequest(0)
+        self.current = begun.head
+        if self.counts_bodies:
+            self.current += COPIES_OF_BODY * begun.body
 
     def end(self) -> None:
         """Count for what comes after an answer."""
         is_unread = self.body is not None and not self.body.is_eof()
         self.raw = 0
-        self.allowed = UNREAD_BODY_BYTES if is_unread else HEAD_BYTES
+        self.allowed = UNREAD_BODY_BYTES if is_unread else PIPELINED_BYTES
         self.body = None
-
-    def add(self, size: int) -> None:
-        """Count bytes that have arrived."""
-        self.raw += size
+        self.current = 0
+        self.other_protocol = 0
+
+    def add_head(self, piece: bytes, requests: int) -> None:
+        """Count a part of a head, and the requests whose heads have ended in it.
+
+        What follows the last of them in the piece is counted with that one.
+        """
+        self.raw += len(piece)
+        if not requests:
+            self.head += len(piece)
+            self.held_head += head_cost(piece)
+            return
+        end = piece.find(HEAD_END) + len(HEAD_END) if requests == 1 else 0
+        heads = piece[:end] if end >= len(HEAD_END) else piece
+        held = (self.held_head + head_cost(heads)) // requests
+        self.waiting.extend(WaitingRequest(held) for _ in range(requests))
+        self.waiting[-1].body += len(piece) - len(heads)
+        self.head = self.held_head = 0
+
+    def add_body(self, piece: bytes) -> None:
+        """Count a part of a body; what a request that waits has got stays in the memory."""
+        self.raw += len(piece)
+        if self.waiting:
+            self.waiting[-1].body += len(piece)
+        elif self.counts_bodies and self.body is not None:
+            self.current += COPIES_OF_BODY * len(piece)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return True if requests wait, or the rest of a body is awaited that is counted here."""
+        is_incomplete = self.body is not None and not self.body.is_eof()
+        return bool(self.waiting) or (self.counts_bodies and is_incomplete)
+
+    def add_other_protocol(self, piece: bytes) -> None:
+        """Count bytes after a request for another protocol."""
+        self.raw += len(piece)
+        self.other_protocol += len(piece)
+
+    def drop(self, piece: bytes) -> None:
+        """Count bytes that are not parsed, as no request can follow any more."""
+        self.raw += len(piece)
 
     def are_too_many(self) -> bool:
         """Return True if more has arrived than any caller needs to send."""
+        if self.other_protocol > OTHER_PROTOCOL_BYTES:
+            return True
         if self.body is None:
             return self.raw > self.allowed
         allowed = self.allowed if self.body.is_eof() else FRAMING_BYTES
         body_bytes = self.body.total_bytes - self.body_before
         return self.raw > allowed + RAW_BYTES_PER_BODY_BYTE * body_bytes
-
-
-class BoundedHandler(web.RequestHandler):
-    """One connection of a caller, which ends if it sends bytes without end.
-
-    Attributes:
-      arriving: Its counters.
-    """
-
-    __slots__ = ("arriving",)
-
-    def __init__(self, manager: web.Server, **options: Any) -> None:
-        super().__init__(manager, **options)
-        self.arriving = ArrivingBytes()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what has arrived, in slices; abort the connection if it is too much."""
-        if not data:
-            super().data_received(data)
-        for start in range(0, len(data), SLICE_BYTES):
-            if self.transport is None:
-                return
-            piece = data[start : start + SLICE_BYTES]
-            self.arriving.add(len(piece))
-            super().data_received(piece)
-            if self.arriving.are_too_many():
-                self.abort_excess()
-                return
-
-    def abort_excess(self) -> None:
-        """Abort the connection: its caller does not read, or sends what is no request."""
-        transport = self.transport
-        self.force_close()
-        if transport is not None:
-            transport.abort()
-
-    async def finish_response(
-        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
-    ) -> tuple[web.StreamResponse, bool]:
-        """Write the rest of an answer."""
-        try:
-            return await super().finish_response(request, resp, start_time)
-        finally:
-            self.arriving.end()
-
-
-class BoundedServer(web.Server):
-    """Makes the handlers of the connections to one listener.
-
-    Attributes:
-      inner: Server of the application.
-      options: Options of the handlers.
-    """
-
-    def __init__(self, inner: web.Server, options: dict[str, Any]) -> None:
-        super().__init__(self.answer, request_factory=self.begin, handler_cancellation=True)
-        self.inner = inner
-        self.options = options
-
-    def __call__(self) -> BoundedHandler:
-        """Return the handler of a new connection."""
-        return BoundedHandler(self, loop=asyncio.get_running_loop(), **self.options)
-
-    def begin(
-        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-    ) -> web.BaseRequest:
-        """Record that a request begins and return it."""
-        protocol.arriving.begin(payload)
-        return self.inner.request_factory(message, payload, protocol, writer, task)
-
-    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer a request."""
-        response: web.StreamResponse = await self.inner.request_handler(request)
-        return response
-
-
-class BoundedRunner(web.AppRunner):
-    """Runs an application whose callers cannot send bytes without end.
-
-    Requests are cancelled if their callers leave.
-    """
-
-    def __init__(
-        self, application: web.Application, shutdown_timeout: float = 60.0, **options: Any
-    ) -> None:
-        super().__init__(application, shutdown_timeout=shutdown_timeout)
-        self.options = options
-
-    async def _make_server(self) -> BoundedServer:
-        return BoundedServer(await super()._make_server(), self.options)
--- a/verbenaward/data.py
+++ b/verbenaward/data.py
@@ -234,11 +234,13 @@
       max_body_bytes: Largest request body, in bytes.
       idle_seconds: Longest time without a request on a caller's connection, in seconds.
       header_seconds: Longest time to receive the header of a request, in seconds.
+      max_header_bytes: Longest header of a request with its first line, in bytes.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
     idle_seconds: float = 15.0
     header_seconds: float = 10.0
+    max_header_bytes: int = 16 * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenaward/direct/front.py
+++ b/verbenaward/direct/front.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from .. import clock, metrics
-from ..data import Refusal, Verdict
+from ..data import Verdict
 from ..draining import FLUSH_SECONDS, DrainingRequests, has_begun, has_ended, record_end
 from ..placement.fleet import Fleet
 from ..placement.levels import level_of, urgency_of
@@ -18,7 +18,7 @@
 from ..placement.routes import RouteTable
 from ..platform import names
 from ..platform.request_headers import CallerHeaders, read_caller_headers
-from ..requests.refusals import not_run
+from ..requests.refusals import not_run, plain_response_of
 from ..sockets import abort_connection
 from ..targets import target_of
 from .crash_tracker import fingerprint_of, part_keys_of
@@ -107,7 +107,7 @@
         self.forwarder.log.unexpected(request_id, 0 if is_cut else refusal.status, cause)
         if is_cut:
             raise StreamCutError(message) from error
-        response = refusal_response(refusal)
+        response = plain_response_of(refusal)
         response.force_close()
         return response
 
@@ -145,7 +145,7 @@
             async with self.drain.limit() as limit:
                 return await self.answer(caller, held)
         except RefusedError as error:
-            return refusal_response(error.refusal)
+            return plain_response_of(error.refusal)
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -154,7 +154,7 @@
         self.forwarder.log.stopped(request_id, 0 if is_cut else refusal.status)
         if is_cut:
             raise StreamCutError(refusal.message)
-        return refusal_response(refusal)
+        return plain_response_of(refusal)
 
     async def finish(
         self, caller: web.Request, response: web.StreamResponse, held: HeldBytes
@@ -335,12 +335,3 @@
     if timeout_seconds:
         left = min(left, timeout_seconds)
     return max(0.0, left - DEADLINE_MARGIN_SECONDS)
-
-
-def refusal_response(refusal: Refusal) -> web.Response:
-    """Return the HTTP response of a refusal."""
-    headers = {"X-Reason": refusal.reason, "X-Verdict": refusal.verdict.value}
-    if refusal.retry_after_seconds > 0:
-        headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
-    text = f"{refusal.verdict.value}: {refusal.message}\n"
-    return web.Response(status=refusal.status, headers=headers, text=text)
--- a/verbenaward/direct/role.py
+++ b/verbenaward/direct/role.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from .. import clock
-from ..configuration.settings import host_of, port_of
+from ..bounded_server import BoundedRunner, open_listener
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.relay import ChunkRelay
 from ..distribution.relay_answers import RelayAnswers
@@ -43,7 +43,7 @@
 from .addresses import addresses_for
 from .budget import SharedRetryBudget
 from .budget_membership import BudgetMembership
-from .connections import ConnectionRunner, Connections
+from .connections import EntryConnections
 from .crash_keeper import CrashKeeper
 from .crash_tracker import CrashTracker
 from .draining import drain_front
@@ -66,10 +66,6 @@
 LONG_POLL_STEP_SECONDS = 0.03
 """Interval at which a long poll looks for a newer revision."""
 MAXIMUM_LONG_POLL_SECONDS = 10.0
-KEEPALIVE_SECONDS = 75.0
-"""Idle time of connections of other processes; callers' ones have that of the configuration."""
-BACKLOG = 512
-MAXIMUM_HEADER_BYTES = 16 * 1024
 REGISTRATION_RETRY_SECONDS = 0.5
 """Pause after a failed write of the registration."""
 DERIVED_STATE_INTERVAL_SECONDS = 0.1
@@ -147,7 +143,7 @@
         )
         placer = Placer(self.fleet, settings.zone, direct.zones, direct.version_seconds)
         log = RequestLog()
-        self.connections = Connections(log)
+        self.connections = EntryConnections(log, self.memory)
         self.front = Front(
             self.fleet,
             Forwarder(
@@ -198,23 +194,16 @@
         read_buffer: int = DEFAULT_CHUNK_SIZE,
     ) -> None:
         """Serve an application at an address, with a read buffer for each connection."""
-        runner = ConnectionRunner(
+        runner = BoundedRunner(
             application,
             self.connections,
             kind,
             access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            max_line_size=MAXIMUM_HEADER_BYTES,
-            max_field_size=MAXIMUM_HEADER_BYTES,
             read_bufsize=read_buffer,
             shutdown_timeout=0.1,
             auto_decompress=False,
         )
-        await runner.setup()
-        site = web.TCPSite(
-            runner, host_of(address), port_of(address), backlog=BACKLOG, reuse_address=True
-        )
-        await site.start()
+        await open_listener(runner, address)
         self.runners.append(runner)
 
     def front_application(self) -> web.Application:
--- a/verbenaward/events.py
+++ b/verbenaward/events.py
@@ -169,31 +169,6 @@
         "malformed evacuation of zone {zone}, which is in force: {fault}", "zone", "fault"
     ),
     "library.message": kind("a library reports: {message}", "message"),
-    "connection.excess": kind(
-        "a caller sent bytes without end, {raw_bytes} since its last request; its connection was"
-        " aborted",
-        "kind",
-        "raw_bytes",
-    ),
-    "connections.available": kind(
-        "connections are taken again: {open} are open, {busy} of them with a request",
-        "open",
-        "busy",
-    ),
-    "connections.full": kind(
-        "not ready: no descriptors for more connections; {open} are open, {busy} of them with a "
-        "request, limit {limit}",
-        "open",
-        "busy",
-        "limit",
-    ),
-    "connections.short": kind(
-        "{closed} idle connections were closed to make room; {open} are open, limit {limit}",
-        "closed",
-        "open",
-        "busy",
-        "limit",
-    ),
     "memory.enough": kind("memory is available again: {held} of {limit} bytes are held", "held"),
     "memory.short": kind(
         "no memory for more bytes of kind {purpose}: {held} are held, {limit} allowed",
@@ -285,9 +260,42 @@
     "zone.unknown": kind("zone {zone} is to be evacuated, but is not in the settings", "zone"),
 }
 
-DIRECT_EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS}
+CONNECTION_EVENTS = {
+    "connection.excess": kind(
+        "{closed} callers sent bytes without end or heads that are too long, the last one"
+        " {raw_bytes} bytes since its last request; their connections were closed",
+        "kind",
+        "raw_bytes",
+        "closed",
+    ),
+    "connections.available": kind(
+        "connections are taken again: {open} are open, {busy} of them with a request",
+        "open",
+        "busy",
+    ),
+    "connections.full": kind(
+        "not ready: no descriptors for more connections; {open} are open, {busy} of them with a "
+        "request, limit {limit}",
+        "open",
+        "busy",
+        "limit",
+    ),
+    "connections.short": kind(
+        "{closed} connections were closed to make room and {closed_for_memory} for want of memory;"
+        " {unreadable} requests could not be parsed; {open} are open, limit {limit}",
+        "closed",
+        "closed_for_memory",
+        "unreadable",
+        "open",
+        "busy",
+        "limit",
+    ),
+}
+
+DIRECT_EVENTS = {**REQUEST_EVENTS, **STATE_CHANGE_EVENTS, **CONNECTION_EVENTS}
 
 PROXIED_EVENTS = {
+    **CONNECTION_EVENTS,
     "chunk.corrupt": kind("{peer} sent chunk {chunk} with a wrong digest", "chunk", "peer"),
     "claim.taken_by_other": kind("the claim {path} was taken by another writer", "path"),
     "claim.unreadable": kind("malformed claim {key}: {error}", "key", "error"),
--- a/verbenaward/placement/connection_limits.py
+++ b/verbenaward/placement/connection_limits.py
@@ -1,15 +1,18 @@
-"""Which connections an entry process accepts, refuses and closes, by its limit of descriptors.
+"""Which connections a process accepts, refuses and closes, by its descriptors and its memory.
 
 A connection of a caller costs one descriptor while it is idle and two while its request runs, as
-each request has a connection to a backend. A reserve is kept for all other purposes.
+each request has a connection to a backend. A reserve is kept for all other purposes. What all
+connections hold is part of one sum, the `MemoryBudget` of the process.
 """
 
+import itertools
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 from enum import Enum, StrEnum
 
 from ..data import CallerLimits
+from .memory_budget import MemoryBudget
 
 RESERVED_SHARE = 0.25
 """Share of the limit that is reserved at most."""
@@ -23,6 +26,8 @@
 """Idle time from which a connection may be closed for another: its request may be on its way."""
 CLOSING_SECONDS = 10.0
 """Time in which the rest of an answer must be read from a connection that is being closed."""
+CONNECTION_BYTES = 6 * 1024
+"""Memory of an open connection by itself: handler, task, parser and transport."""
 SHORTAGE_REASON = "connections"
 """Reason of a refusal for want of descriptors."""
 SHORTAGE_CLOSINGS = 32
@@ -44,10 +49,12 @@
 
 LIMITED_KINDS = frozenset((Kind.CALLER, Kind.DIRECTORY))
 """Kinds that callers open, to which the limits of the configuration apply."""
+OTHER_LIMITS = CallerLimits(idle_seconds=75.0)
+"""Limits for other processes and the platform, which keep connections for longer."""
 
 
 class Phase(Enum):
-    """State of a limited connection.
+    """State of a connection.
 
     IDLE: no request. HEADER: a part of a request's header has arrived. BUSY: a request runs.
     REFUSED: its request is answered with a refusal. CLOSING: unsent bytes of its answer are left.
@@ -73,7 +80,9 @@
 
     IDLE, HEADER: a limit of the configuration. ROOM: for another connection. REFUSED: no request
     came to be refused. DROPPED: no descriptor is left to refuse it. UNREAD: the caller did not read
-    the end of its answer. EXCESS: the caller sent bytes without end.
+    the end of its answer. EXCESS: the caller sent bytes without end. LONG_HEAD: the header of a
+    request was too long. MEMORY: the process had no memory for
+    what the connection holds.
     """
 
     IDLE = "idle"
@@ -83,6 +92,8 @@
     DROPPED = "dropped"
     UNREAD = "unread"
     EXCESS = "excess"
+    LONG_HEAD = "long-head"
+    MEMORY = "memory"
 
 
 def reserved_descriptors(descriptors: float) -> float:
@@ -90,31 +101,62 @@
     return min(RESERVED_DESCRIPTORS, RESERVED_SHARE * descriptors)
 
 
+class PhaseMembers:
+    """Connections by phase, the earliest first, with the start of the phase."""
+
+    def __init__(self) -> None:
+        self.members: dict[Phase, OrderedDict[Hashable, float]] = {
+            phase: OrderedDict() for phase in Phase
+        }
+
+    def __getitem__(self, phase: Phase) -> OrderedDict[Hashable, float]:
+        return self.members[phase]
+
+    def values(self) -> Iterable[OrderedDict[Hashable, float]]:
+        """Return the connections of each phase."""
+        return self.members.values()
+
+    @property
+    def unused(self) -> int:
+        """Return the number of connections without a whole request."""
+        return len(self.members[Phase.IDLE]) + len(self.members[Phase.HEADER])
+
+
 class ConnectionTable:
     """The open connections of a process.
 
     Attributes:
       descriptors: Limit of the process; infinite for none.
       limits: Limits of the configuration in force.
+      memory: What the process holds, connections included.
       close: Closes a connection for a cause.
       open_by_kind: Number of open connections.
       kinds: Kind of each open connection.
-      phase_of: Phase of each limited connection.
-      members: Limited connections by phase, the earliest first, with the start of the phase.
+      phase_of: Phase of each connection.
+      members: Connections of callers.
+      other_members: Connections of other processes and the platform.
+      held_bytes: Memory that each connection holds.
+      waiting: Connections with requests that wait for the answer before them, and since when.
+      unread: Connections whose callers do not read, and since when.
       full_until: Time until which the process is not ready, monotonic.
       swept_at: When the connections were last looked through, monotonic.
     """
 
-    def __init__(self, close: Callable[[Hashable, Cause], None]) -> None:
+    def __init__(
+        self, close: Callable[[Hashable, Cause], None], memory: MemoryBudget | None = None
+    ) -> None:
         self.descriptors = math.inf
         self.limits = CallerLimits()
+        self.memory = memory or MemoryBudget()
         self.close = close
         self.open_by_kind: Counter[Kind] = Counter()
         self.kinds: dict[Hashable, Kind] = {}
         self.phase_of: dict[Hashable, Phase] = {}
-        self.members: dict[Phase, OrderedDict[Hashable, float]] = {
-            phase: OrderedDict() for phase in Phase
-        }
+        self.members = PhaseMembers()
+        self.other_members = PhaseMembers()
+        self.held_bytes: dict[Hashable, int] = {}
+        self.waiting: OrderedDict[Hashable, float] = OrderedDict()
+        self.unread: OrderedDict[Hashable, float] = OrderedDict()
         self.full_until = -math.inf
         self.swept_at = -math.inf
 
@@ -126,33 +168,46 @@
     @property
     def in_use(self) -> int:
         """Return the descriptors in use, but for connections that are refused or closing."""
-        others = sum(
-            count for kind, count in self.open_by_kind.items() if kind not in LIMITED_KINDS
-        )
-        unused = len(self.members[Phase.IDLE]) + len(self.members[Phase.HEADER])
-        return others + unused + 2 * len(self.members[Phase.BUSY])
+        others = self.other_members.unused + len(self.other_members[Phase.BUSY])
+        return others + self.members.unused + 2 * len(self.members[Phase.BUSY])
+
+    def limits_of(self, connection: Hashable) -> CallerLimits:
+        """Return the limits on a connection."""
+        return self.limits if self.kinds.get(connection) in LIMITED_KINDS else OTHER_LIMITS
+
+    def members_with(self, connection: Hashable) -> PhaseMembers:
+        """Return the connections to which one belongs."""
+        is_limited = self.kinds[connection] in LIMITED_KINDS
+        return self.members if is_limited else self.other_members
 
     def move(self, connection: Hashable, phase: Phase, now: float) -> None:
-        """Begin a phase of a limited connection."""
+        """Begin a phase of a connection."""
+        members = self.members_with(connection)
         previous = self.phase_of.get(connection)
         if previous is not None:
-            del self.members[previous][connection]
+            del members[previous][connection]
         self.phase_of[connection] = phase
-        self.members[phase][connection] = now
+        members[phase][connection] = now
 
     def opened(self, connection: Hashable, kind: Kind, now: float) -> Verdict:
         """Record a new connection and return what is done with it; others may be closed for it."""
         self.kinds[connection] = kind
         self.open_by_kind[kind] += 1
-        if kind not in LIMITED_KINDS:
-            return Verdict.ACCEPT
-        if self.make_room(1, now):
-            self.move(connection, Phase.IDLE, now)
+        has_room = self.make_room(1, now)
+        self.move(connection, Phase.IDLE if has_room else Phase.REFUSED, now)
+        self.hold(connection, 0, now)
+        if self.phase_of[connection] is not Phase.REFUSED:
             return Verdict.ACCEPT
-        self.move(connection, Phase.REFUSED, now)
-        extra = len(self.members[Phase.REFUSED]) + len(self.members[Phase.CLOSING])
         limit = REFUSED_SHARE * reserved_descriptors(self.descriptors)
-        return Verdict.REFUSE if extra <= limit else Verdict.DROP
+        return Verdict.REFUSE if self.count_extra() <= limit else Verdict.DROP
+
+    def count_extra(self) -> int:
+        """Return the number of connections that are refused or closing."""
+        return sum(
+            len(members[phase])
+            for members in (self.members, self.other_members)
+            for phase in (Phase.REFUSED, Phase.CLOSING)
+        )
 
     def received(self, connection: Hashable, now: float) -> None:
         """Record bytes of a connection; on an idle one they begin a header."""
@@ -178,12 +233,72 @@
 
     def lost(self, connection: Hashable) -> None:
         """Record that a connection has ended."""
-        kind = self.kinds.pop(connection, None)
-        if kind is not None:
-            self.open_by_kind[kind] -= 1
+        if connection not in self.kinds:
+            return
+        self.release(connection)
         phase = self.phase_of.pop(connection, None)
         if phase is not None:
-            del self.members[phase][connection]
+            del self.members_with(connection)[phase][connection]
+        self.open_by_kind[self.kinds.pop(connection)] -= 1
+
+    def hold(
+        self,
+        connection: Hashable,
+        size: int,
+        now: float,
+        is_waiting: bool = False,
+        is_unread: bool = False,
+    ) -> None:
+        """Record what a connection holds; if that is too much together, some are closed.
+
+        Args:
+          connection: The connection.
+          size: Bytes beyond those of the connection by itself.
+          now: Present time, monotonic, in seconds.
+          is_waiting: True if requests wait for the answer before them.
+          is_unread: True if its caller does not read.
+        """
+        if self.phase_of.get(connection) in (None, Phase.CLOSING):
+            return
+        grown = CONNECTION_BYTES + size - self.held_bytes.get(connection, 0)
+        self.held_bytes[connection] = CONNECTION_BYTES + size
+        self.memory.hold_for_connections(grown)
+        for members, is_member in ((self.waiting, is_waiting), (self.unread, is_unread)):
+            if is_member:
+                members.setdefault(connection, now)
+            else:
+                members.pop(connection, None)
+        if grown > 0 and self.memory.is_over:
+            self.free_memory(now)
+
+    def release(self, connection: Hashable) -> None:
+        """Record that a connection holds nothing from now on."""
+        self.memory.hold_for_connections(-self.held_bytes.pop(connection, 0))
+        self.waiting.pop(connection, None)
+        self.unread.pop(connection, None)
+
+    def free_memory(self, now: float) -> None:
+        """Close connections until the rest fits into the memory, or none may be closed."""
+        while self.memory.is_over:
+            connection = self.closable_for_memory(now)
+            if connection is None:
+                return
+            self.end(connection, Cause.MEMORY, now)
+
+    def closable_for_memory(self, now: float) -> Hashable | None:
+        """Return the connection that is closed first for want of memory.
+
+        That is the one whose header is unfinished for longest, then the one with requests that wait
+        for longest, then the one whose answer is unread for longest, then the longest idle one. A
+        request that runs and is read is never ended for others.
+        """
+        header = self.earliest(Phase.HEADER)
+        if header is not None:
+            return header
+        for members in (self.waiting, self.unread):
+            if members:
+                return next(iter(members))
+        return self.closable_in(Phase.IDLE, now)
 
     def make_room(self, count: int, now: float) -> bool:
         """Close the connections that are idle longest until `count` more fit.
@@ -199,11 +314,29 @@
             self.end(connection, Cause.ROOM, now)
         return True
 
+    def earliest(self, phase: Phase) -> Hashable | None:
+        """Return the connection that is in a phase for longest."""
+        firsts = [
+            (since, connection)
+            for members in (self.members[phase], self.other_members[phase])
+            for connection, since in itertools.islice(members.items(), 1)
+        ]
+        return min(firsts, key=lambda item: item[0])[1] if firsts else None
+
+    def closable_in(self, phase: Phase, now: float) -> Hashable | None:
+        """Return the connection that is in a phase for longest, if it may be closed for another."""
+        first = self.earliest(phase)
+        if first is None or now - self.members_with(first)[phase][first] < CLOSABLE_SECONDS:
+            return None
+        return first
+
     def closable(self, now: float) -> Hashable | None:
-        """Return the connection that is idle longest, if it may be closed for another."""
-        idle = self.members[Phase.IDLE]
-        first = next(iter(idle), None)
-        return first if first is not None and now - idle[first] >= CLOSABLE_SECONDS else None
+        """Return the connection that is closed first for another one.
+
+        That is the longest idle one, then the one whose header is unfinished for longest.
+        """
+        idle = self.closable_in(Phase.IDLE, now)
+        return idle if idle is not None else self.closable_in(Phase.HEADER, now)
 
     def is_full(self, now: float) -> bool:
         """Return True if the process cannot take a connection, or could not a moment ago."""
@@ -225,6 +358,7 @@
     def end(self, connection: Hashable, cause: Cause, now: float) -> None:
         """Close a connection; it stays recorded until it has ended."""
         self.move(connection, Phase.CLOSING, now)
+        self.release(connection)
         self.close(connection, cause)
 
     def sweep(self, now: float) -> None:
@@ -236,16 +370,17 @@
         self.swept_at = now
         if has_stalled:
             return
-        for phase, seconds, cause in (
-            (Phase.IDLE, self.limits.idle_seconds, Cause.IDLE),
-            (Phase.HEADER, self.limits.header_seconds, Cause.HEADER),
-            (Phase.REFUSED, REFUSED_SECONDS, Cause.REFUSED),
-        ):
-            members = self.members[phase]
-            while members and now - next(iter(members.values())) >= seconds:
-                self.end(next(iter(members)), cause, now)
-        closing = self.members[Phase.CLOSING]
-        while closing and now - next(iter(closing.values())) >= CLOSING_SECONDS:
-            connection = next(iter(closing))
-            self.lost(connection)
-            self.close(connection, Cause.UNREAD)
+        for members, limits in ((self.members, self.limits), (self.other_members, OTHER_LIMITS)):
+            for phase, seconds, cause in (
+                (Phase.IDLE, limits.idle_seconds, Cause.IDLE),
+                (Phase.HEADER, limits.header_seconds, Cause.HEADER),
+                (Phase.REFUSED, REFUSED_SECONDS, Cause.REFUSED),
+            ):
+                found = members[phase]
+                while found and now - next(iter(found.values())) >= seconds:
+                    self.end(next(iter(found)), cause, now)
+            closing = members[Phase.CLOSING]
+            while closing and now - next(iter(closing.values())) >= CLOSING_SECONDS:
+                connection = next(iter(closing))
+                self.lost(connection)
+                self.close(connection, Cause.UNREAD)
--- a/verbenaward/placement/memory_budget.py
+++ b/verbenaward/placement/memory_budget.py
@@ -1,8 +1,8 @@
 """Bytes that an entry process holds for callers and backends that send or read slowly.
 
-The budget covers what grows with the load: request bodies, whole answers, and streams whose callers
-do not read. A body of declared length is checked before it is read; all other bytes are counted as
-they arrive.
+The budget covers what grows with the load: request bodies, whole answers, streams whose callers do
+not read, and all connections with their heads, waiting requests and unread answers. A body of
+declared length is checked before it is read; all other bytes are counted as they arrive.
 """
 
 import random
@@ -40,6 +40,14 @@
 a random extension of up to the same time keeps callers from returning at once."""
 RECOVERED_SHARE = 0.5
 """Share of the capacity below which a shortage is over."""
+CONNECTION_SHARE = 0.5
+"""Share of the capacity that connections may fill, so that a crowd of them leaves room for the
+bodies and answers of others."""
+DEFAULT_CONNECTION_BYTES = 48 * BYTES_PER_MEGABYTE
+"""Most bytes that connections hold in a process without a memory limit: 4,000 of them with usual
+heads, below the memory of any VM."""
+CONNECTION_PURPOSE = "connection"
+"""Label of the gauge for what connections hold."""
 MEMORY_REASON = "memory"
 """Reason of a refusal for lack of memory."""
 
@@ -56,6 +64,11 @@
     STREAM = "stream"
 
 
+def connection_budget(limit_megabytes: float) -> "MemoryBudget":
+    """Return the budget of a process that limits only what its connections hold."""
+    return MemoryBudget(connection_limit_bytes=int(limit_megabytes * BYTES_PER_MEGABYTE))
+
+
 def capacity_of(limit_megabytes: float) -> int:
     """Return the bytes that a process with a memory limit may hold; 0 for no limit."""
     limit = limit_megabytes * BYTES_PER_MEGABYTE
@@ -69,13 +82,18 @@
 
     Attributes:
       capacity_bytes: Limit on the bytes held for all purposes; 0 for no limit.
-      held: Bytes held, by purpose.
+      held: Bytes held for requests, by purpose.
+      connection_limit_bytes: Most bytes that connections hold if there is no limit on all.
+      connection_bytes: Bytes held for connections: heads that are being received, requests that
+        wait and answers that are not read.
       is_short: True from a refusal until less than half of the capacity is held.
       rng: Randomises retry delays.
     """
 
     capacity_bytes: int = 0
     held: Counter[Purpose] = field(default_factory=Counter)
+    connection_limit_bytes: int = DEFAULT_CONNECTION_BYTES
+    connection_bytes: int = 0
     is_short: bool = False
     rng: random.Random = field(default_factory=random.Random)
 
@@ -84,6 +102,27 @@
         """Return True if there is a limit."""
         return self.capacity_bytes > 0
 
+    @property
+    def total_bytes(self) -> int:
+        """Return the bytes held for requests and connections."""
+        return self.held.total() + self.connection_bytes
+
+    @property
+    def is_over(self) -> bool:
+        """Return True if connections hold more than the process has memory for."""
+        if not self.is_limited:
+            return self.connection_bytes > self.connection_limit_bytes
+        is_crowded = self.connection_bytes > CONNECTION_SHARE * self.capacity_bytes
+        return is_crowded or self.total_bytes > self.capacity_bytes
+
+    def hold_for_connections(self, size: int) -> None:
+        """Count bytes that connections hold from now on; negative for bytes that are released."""
+        self.connection_bytes += size
+
+    def publish(self) -> None:
+        """Set the gauge of what connections hold, which changes too often to set it each time."""
+        metrics.BUFFERED_BYTES.labels(CONNECTION_PURPOSE).set(self.connection_bytes)
+
     def check_body(self, declared_bytes: int | None) -> Result[None, Refusal]:
         """Return whether a request may send its body, a refusal if it would not fit.
 
@@ -96,7 +135,7 @@
     def check(self, purpose: Purpose, size: int) -> Result[None, Refusal]:
         """Return whether this many more bytes may be held for a purpose, else a refusal."""
         share = BODY_SHARE if purpose is Purpose.REQUEST_BODY else 1.0
-        if not self.is_limited or self.held.total() + size <= share * self.capacity_bytes:
+        if not self.is_limited or self.total_bytes + size <= share * self.capacity_bytes:
             return Success(None)
         metrics.MEMORY_REFUSALS.labels(purpose.value).inc()
         if not self.is_short:
--- a/verbenaward/platform/declarations.py
+++ b/verbenaward/platform/declarations.py
@@ -181,6 +181,7 @@
         int(amount(item, "max_body_bytes")) or default.max_body_bytes,
         amount(item, "idle_timeout_ms") / MILLISECONDS or default.idle_seconds,
         amount(item, "header_timeout_ms") / MILLISECONDS or default.header_seconds,
+        int(amount(item, "max_header_bytes")) or default.max_header_bytes,
     )
 
 
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -3,25 +3,27 @@
 In proxied mode an endpoint process in front of each backend receives all its requests.
 """
 
+import asyncio
+
 import aiomisc
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from .admin import AdminInterface, ProxiedRole
-from .arriving_bytes import BoundedRunner
-from .configuration.settings import host_of, port_of
+from .bounded_server import BoundedRunner, Connections, open_listener
 from .control import ControlPlane, build_control
 from .draining import record_begin, wait_until_sent
 from .endpoint.role import EndpointRole
 from .entry.role import EntryRole
 from .logs import get_logger
+from .placement.connection_limits import Kind
+from .placement.memory_budget import connection_budget
 from .schema.settings import Settings
 from .service_loop import run_service
 
 LOG = get_logger(__name__)
 BACKLOG = 1024
 CONTROL_PREFIX = "/control/"
-MAXIMUM_HEADER_BYTES = 16 * 1024
 
 
 class DaemonService(aiomisc.Service):
@@ -34,17 +36,17 @@
         self.drained = False
         self.control = build_control(self.settings)
         self.role = build_role(self.control)
+        self.connections = Connections(connection_budget(self.settings.connection_megabytes))
+        self.sweeping = asyncio.create_task(self.connections.run())
         self.runner = BoundedRunner(
             self.build_application(),
+            self.connections,
+            Kind.CONTROL,
             access_log=None,
-            max_line_size=MAXIMUM_HEADER_BYTES,
-            max_field_size=MAXIMUM_HEADER_BYTES,
             shutdown_timeout=1.0,
             auto_decompress=False,
         )
-        await self.runner.setup()
-        host, port = host_of(self.settings.listen), port_of(self.settings.listen)
-        await web.TCPSite(self.runner, host, port, backlog=BACKLOG, reuse_address=True).start()
+        await open_listener(self.runner, self.settings.listen, BACKLOG)
         self.role.start()
         LOG.info("daemon.started", listen=self.settings.listen)
 
@@ -69,6 +71,7 @@
         """Drain, then stop."""
         await self.drain_once()
         await wait_until_sent(self.runner)
+        self.sweeping.cancel()
         await self.runner.cleanup()
         await self.control.close()
         LOG.info("daemon.stopped")
--- a/verbenaward/requests/refusals.py
+++ b/verbenaward/requests/refusals.py
@@ -47,3 +47,12 @@
 def may_have_run(reason: str, message: str) -> Refusal:
     """Return a refusal, with status 504, for a request that may have run."""
     return Refusal(Verdict.MAY_HAVE_RUN, 504, reason, message)
+
+
+def plain_response_of(refusal: Refusal) -> web.Response:
+    """Return the HTTP response for a refusal as plain text, for callers of the direct mode."""
+    headers = {"X-Reason": refusal.reason, "X-Verdict": refusal.verdict.value}
+    if refusal.retry_after_seconds > 0:
+        headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
+    text = f"{refusal.verdict.value}: {refusal.message}\n"
+    return web.Response(status=refusal.status, headers=headers, text=text)
--- a/verbenaward/schema/settings.py
+++ b/verbenaward/schema/settings.py
@@ -135,4 +135,5 @@
     links: LinkSettings = field(default_factory=lambda: LinkSettings())
     membership: MembershipSettings = field(default_factory=lambda: MembershipSettings())
     direct: DirectSettings | None = None
+    connection_megabytes: float = 48
     shutdown_seconds: float = 60
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -6,15 +6,16 @@
 from aiohttp import web
 
 from .. import clock
-from ..arriving_bytes import BoundedRunner
-from ..configuration.settings import host_of, port_of
+from ..bounded_server import BoundedRunner, Connections, open_listener
 from ..data import HeldWeights
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.inventory import encode_inventory
 from ..distribution.peer_calls import ENDPOINT_PATH, INVENTORY_NAME
 from ..distribution.upload_order import Receiver
 from ..distribution.uploads import Uploads
+from ..placement.connection_limits import Kind
 from ..placement.fleet import Fleet
+from ..placement.memory_budget import MemoryBudget, capacity_of
 from ..platform.names import ALL_KEYS_PREFIX
 from ..replica.first_read import read_from_seeds, seed_controls
 from ..replica.follower import StoreFollower
@@ -41,6 +42,7 @@
       engine_reporter: Reports what the engine holds and how many requests it has.
       turn: Allows one chunk at a time to be sent.
       uploads: The chunks that are sent.
+      connections: The connections to this process.
     """
 
     def __init__(self, settings: Settings, direct: DirectSettings) -> None:
@@ -68,21 +70,23 @@
         self.turn = asyncio.Semaphore(1)
         self.uploads = Uploads()
         self.tasks: list[asyncio.Task[None]] = []
-        self.runner = BoundedRunner(web.Application(), access_log=None)
+        self.connections = Connections(MemoryBudget(capacity_of(direct.memory_megabytes)))
+        self.runner = BoundedRunner(
+            web.Application(), self.connections, Kind.CONTROL, access_log=None
+        )
 
     async def start(self) -> None:
         """Start all tasks."""
         self.runner.app.router.add_get("/metrics", serve_metrics)
         self.runner.app.router.add_get(STAGED_INVENTORY_PATH, self.answer_inventory)
         self.runner.app.router.add_get(STAGED_PATH, self.answer_staged)
-        await self.runner.setup()
-        listen = self.settings.listen
-        await web.TCPSite(self.runner, host_of(listen), port_of(listen)).start()
+        await open_listener(self.runner, self.settings.listen)
         for work in (
             self.follower.run(),
             self.entry_poller.run(),
             self.engine_loader.run(),
             self.engine_reporter.run(),
+            self.connections.run(),
         ):
             self.tasks.append(asyncio.create_task(work))
 
