The first error of the parser ends the connection

What callers saw: lines over the parser's limit, another protocol's preface and endless trailers cost a process two to four times what was sent, and a traceback each in the log. Cause: after its first error the library's parser was fed each further slice, failed again, and queued one more error that held its bytes; the traceback of each refers to the error, so that nothing was freed before a collection of cycles. Change: the first error is answered with 400 (not run) and ends the connection; behind a running request what follows is dropped unparsed. The limit on a head comes before the parser's limits on lines, which are 64 KiB now.

--- a/verbenaward/bounded_server.py
+++ b/verbenaward/bounded_server.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from aiohttp import StreamReader, web
+from aiohttp.web_protocol import _ErrInfo
 
 from . import clock, metrics
 from .arriving_bytes import HEAD_SLACK_BYTES, ArrivingBytes
@@ -48,8 +49,9 @@
 RECEIVE_BUFFER_BYTES = 64 * KIBIBYTE
 """Receive buffer of a connection, which the kernel doubles: it limits what is read at once, and
 what is not read while a request waits. Without a limit it grows to several megabytes."""
-LONGEST_LINE_BYTES = 16 * KIBIBYTE
-"""Longest line that the parser takes."""
+LONGEST_LINE_BYTES = 64 * KIBIBYTE
+"""Longest line that the parser takes. It is above the usual limit on a whole head, which is checked
+first, as each error of the parser costs far more."""
 LONGEST_MESSAGE = 200
 """Characters of a parser's message in the answer; it repeats what was received."""
 BACKLOG = 512
@@ -62,8 +64,12 @@
         b"HTTP/1.1 431 Request Header Fields Too Large\r\nX-Reason: long-header\r\n"
         b"X-Verdict: not-run\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
     ),
+    Cause.UNREADABLE: (
+        b"HTTP/1.1 400 Bad Request\r\nX-Reason: unreadable\r\nX-Verdict: not-run\r\n"
+        b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+    ),
 }
-"""Answers to headers that did not arrive in time, are too long."""
+"""Answers to headers that did not arrive in time, are too long or cannot be parsed."""
 ABORTING = (Cause.UNREAD, Cause.DROPPED, Cause.EXCESS, Cause.MEMORY)
 """Causes after which nothing that is left to write is of use."""
 
@@ -263,6 +269,14 @@
             is_unread=self._paused,
         )
 
+    @property
+    def has_failed(self) -> bool:
+        """Return True if the last that was parsed is an error, after which no request can follow.
+
+        aiohttp's parser would fail again with each further piece, and queue an error that holds it.
+        """
+        return bool(self._messages) and isinstance(self._messages[-1][0], _ErrInfo)
+
     @property
     def longest_head(self) -> int:
         """Return the most bytes that a head may have."""
@@ -294,12 +308,18 @@
 
     def parse(self, piece: bytes) -> None:
         """Parse a piece and count it as what it is."""
+        if self.has_failed:
+            self.arriving.drop(piece)
+            return
         if self._upgraded:
             self.arriving.add_other_protocol(piece)
             super().data_received(piece)
             return
         was_in_head, before = self.is_in_head, self._request_count
         super().data_received(piece)
+        if self.has_failed:
+            self.end_unreadable()
+            return
         requests = self._request_count - before
         if requests:
             body = self._messages[-1][1]
@@ -309,6 +329,19 @@
         else:
             self.arriving.add_body(piece)
 
+    def end_unreadable(self) -> None:
+        """End the connection after an error of the parser, unless a request has to be answered.
+
+        Then the error is answered after that one.
+        """
+        error = self._messages[-1][0]
+        assert isinstance(error, _ErrInfo)
+        # The traceback refers to the error and the bytes, so nothing of them would be freed.
+        error.exc.with_traceback(None)
+        if not self._request_in_progress and len(self._messages) == 1:
+            self.connections.unreadable += 1
+            self.table.end(self, Cause.UNREADABLE, clock.now())
+
     def end_excess(self, cause: Cause) -> None:
         """End the connection of a caller that sends more than any one may."""
         now = clock.now()
--- a/verbenaward/placement/connection_limits.py
+++ b/verbenaward/placement/connection_limits.py
@@ -81,7 +81,7 @@
     IDLE, HEADER: a limit of the configuration. ROOM: for another connection. REFUSED: no request
     came to be refused. DROPPED: no descriptor is left to refuse it. UNREAD: the caller did not read
     the end of its answer. EXCESS: the caller sent bytes without end. LONG_HEAD: the header of a
-    request was too long. MEMORY: the process had no memory for
+    request was too long. UNREADABLE: it cannot be parsed. MEMORY: the process had no memory for
     what the connection holds.
     """
 
@@ -93,6 +93,7 @@
     UNREAD = "unread"
     EXCESS = "excess"
     LONG_HEAD = "long-head"
+    UNREADABLE = "unreadable"
     MEMORY = "memory"
 
 
