Bodies of the proxied mode and of control messages are part of the sum

Change: where handlers read whole bodies, these count until the answer; the oldest that is unfinished is closed first.

--- a/tests/memory/crowds.feature
+++ b/tests/memory/crowds.feature
@@ -82,6 +82,10 @@
       | endpoint | short header lines without end                       |
       | endpoint | 31 header lines of 16 KB and no end                  |
       | endpoint | pipelined heads of 15 KB and reads no answer         |
+      | entry    | bodies of 3 MB for a model that stop                 |
+      | entry    | control messages of 3 MB that stop                   |
+      | endpoint | bodies of 3 MB for a run that stop                   |
+      | endpoint | control messages of 3 MB that stop                   |
 
   # Guards against connections without a request that take all descriptors of a process.
   Scenario Outline: An entry process keeps descriptors as a crowd at its <listener> sends nothing
--- a/verbenaward/bounded_server.py
+++ b/verbenaward/bounded_server.py
@@ -223,7 +223,7 @@
         self.connections = connections
         self.kind = kind
         self.wire: asyncio.Transport | None = None
-        self.arriving = ArrivingBytes()
+        self.arriving = ArrivingBytes(counts_bodies=kind is not Kind.CALLER)
         self.latest_body: StreamReader | None = None
 
     @property
