Keys that end by themselves share leases

What callers saw: nothing; the platform's price. Cause: a write with a time to live requested a lease of its own. Change: a lease is used for further keys for a tenth of its time; these end that much sooner. Any failed write forgets it, as the store may have. Measured: 10 keys take 11 calls in place of 20 (the scenario failed before).

--- a/tests/steps/standins_platform_store.py
+++ b/tests/steps/standins_platform_store.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 from behave import given, then, when
+from returns.result import Success
 
 from standins.platform import PlatformStandIn
 from verbenaward.platform.leased_store import Lease, LeasedStore, write_row
@@ -53,3 +54,36 @@
 def nothing_written(context):
     assert "404" in context.committed.failure().message, context.committed
     assert not context.platform.store.items, context.platform.store.items
+
+
+@when("one client writes {count:d} keys that last {seconds:g} s")
+def write_keys(context, count, seconds):
+    before = context.platform.store.calls
+
+    async def write(store):
+        return [await store.write(f"key-{index}", b"1", 0, seconds) for index in range(count)]
+
+    results = use_store(context, write)
+    assert all(isinstance(item, Success) for item in results), results
+    context.calls = context.platform.store.calls - before
+
+
+@then("the store got {count:d} calls for them")
+def count_calls(context, count):
+    assert context.calls == count, context.calls
+    assert len(context.platform.store.items) == count - 1
+
+
+@when("the store forgets all leases, the client writes another key within two tries")
+def write_after_loss(context):
+    store_stand_in = context.platform.store
+
+    async def write(store):
+        await store.write("first", b"1", 0, 60.0)
+        for lease in tuple(store_stand_in.leases):
+            store_stand_in.drop_lease(lease)
+        return [await store.write("second", b"1", 0, 60.0) for _ in range(2)]
+
+    results = use_store(context, write)
+    assert any(isinstance(item, Success) for item in results), results
+    assert "second" in store_stand_in.items
--- a/verbenaward/platform/leased_store.py
+++ b/verbenaward/platform/leased_store.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .. import metrics
+from .. import clock, metrics
 from ..bounded_reading import LARGEST_STORE_BYTES, read_at_most
 from . import names
 from .declarations import DECODE_ERRORS
@@ -41,6 +41,8 @@
 keep_alive() rely.
 """
 MILLISECONDS = 1000
+SHARED_SHARE = 0.1
+"""Part of its time for which further keys are written under a lease; they end that much sooner."""
 EMPTY_EVACUATION = b" "
 """Stands for the value of an evacuation that was written without one; malformed as well."""
 
@@ -64,6 +66,19 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class SharedLease:
+    """A lease under which several keys are written that nobody renews.
+
+    Attributes:
+      lease: The lease.
+      until: Time until which keys are written under it, monotonic.
+    """
+
+    lease: Lease
+    until: float
+
+
 @ADAPTERS.register("leased")
 class LeasedStore:
     """The platform's key-value store with leases, reached over HTTP.
@@ -74,6 +89,7 @@
       leases: Lease of each key that this process keeps alive, also while it is not known whether
         the key was written.
       written: Keys that were written under their lease.
+      shared: Lease of keys that nobody renews, by their time to live in seconds.
       era: Era of the store in its last answer that has told one; 0 before that.
     """
 
@@ -82,6 +98,7 @@
         self.url = url.rstrip("/")
         self.leases: dict[str, Lease] = {}
         self.written: set[str] = set()
+        self.shared: dict[float, SharedLease] = {}
         self.era = 0
 
     async def read(self, key: str) -> Result[KeyValueEntry | None, KeyValueError]:
@@ -120,20 +137,39 @@
     async def write(
         self, key: str, value: bytes, expected_version: int, ttl_seconds: float = 0.0
     ) -> Result[int, KeyValueError]:
-        """Write a value by compare-and-swap and return the new version."""
+        """Write a value by compare-and-swap and return the new version.
+
+        A key with a time to live ends up to a tenth of it sooner, as keys share leases.
+        """
         lease = 0
         if ttl_seconds:
-            granted = await self.grant_lease(ttl_seconds)
+            granted = await self.shared_lease(ttl_seconds)
             if not isinstance(granted, Success):
                 return granted.map(lambda lease: lease.id)
             lease = granted.unwrap().id
-        return await self.commit(
+        result = await self.commit(
             {
                 "precondition": [{"key": key, "revision": expected_version}],
                 "write": [write_row(key, value, lease)],
                 "remove": [],
             }
         )
+        if not isinstance(result, Success):
+            # The store may have forgotten the lease.
+            self.shared.pop(ttl_seconds, None)
+        return result
+
+    async def shared_lease(self, ttl_seconds: float) -> Result[Lease, KeyValueError]:
+        """Return a lease of this time that was granted lately, or request one."""
+        now = clock.now()
+        shared = self.shared.get(ttl_seconds)
+        if shared is not None and now < shared.until and shared.lease.era == self.era:
+            return Success(shared.lease)
+        granted = await self.grant_lease(ttl_seconds)
+        if isinstance(granted, Success):
+            until = now + SHARED_SHARE * ttl_seconds
+            self.shared[ttl_seconds] = SharedLease(granted.unwrap(), until)
+        return granted
 
     async def delete(self, key: str, expected_version: int) -> Result[int, KeyValueError]:
         """Delete a key by compare-and-swap and return the revision of the store."""
