--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -15,6 +15,7 @@
 
 from .drawn_plan import BOOKINGS, LOOKS, STREAMS, DrawnPlan, draw_plan
 from .drawn_troubles import declare_first, disturb
+from .process_usage import peak_megabytes
 from .registry import BENCHES, BROKEN
 from .soak import (
     ENGINES_PER_ZONE,
@@ -305,4 +306,10 @@
         ended_backends=frozenset().union(*(item.ended for item in deployment.workers.values())),
         broken_off=frozenset().union(*(item.broken_off for item in deployment.workers.values())),
         deadly=deadly_history(deployment, callers, deadly_paths(requests)),
+        peaks={
+            entry.name: peak_megabytes(entry.process.pid)
+            for entry in deployment.entries
+            if entry.process is not None
+        },
+        memory_megabytes=deployment.entries[0].settings()["limits"]["memory_mb"],
     )
--- a/bench/drawn_plan.py
+++ b/bench/drawn_plan.py
@@ -3,9 +3,13 @@
 import random
 from dataclasses import dataclass
 
+from standins.unruly_clients import HABITS
+
 from .soak_traffic import AT_END, WITHIN, Load, PlannedRequest, draw_deadly, draw_requests
 
 KEPT_SHARE = 0.5
+PROXIED_HABITS = ("bodies of 3 MB", "control messages")
+"""Beginnings of the names of habits that only the proxied mode has paths for."""
 STREAMS = Load("/assist/", "POST", 6060, KEPT_SHARE)
 LOOKS = Load("/look/", "GET", 2180, KEPT_SHARE)
 BOOKINGS = Load("/book/", "POST", 4060, KEPT_SHARE)
@@ -109,6 +113,17 @@
 )
 """Series of a third seed: engines that hang and are back under a new id, leases that the store
 forgets, and a store that comes back from a copy."""
+CROWDS = (
+    Series(
+        "crowd",
+        0.5,
+        (3.0, 10.0),
+        2,
+        lengths=(1.0, 6.0),
+        details=tuple(item for item in HABITS if not item.startswith(PROXIED_HABITS)),
+    ),
+)
+"""Series of a fourth seed: clients that do not behave, at one listener of an entry process."""
 DEADLY_SHARE = 0.6
 """Share of the seeds with requests that crash the backends that run them."""
 LINKED_SHARE = 0.4
@@ -190,6 +205,8 @@
     troubles += [
         trouble for series in STORE_AND_DARK for trouble in draw_series(third, series, seconds)
     ]
+    fourth = random.Random(f"{seed} crowds")
+    troubles += [trouble for series in CROWDS for trouble in draw_series(fourth, series, seconds)]
     deadly = draw_deadly(seed, LOADS, seconds) if more.random() < DEADLY_SHARE else ()
     troubles.sort(key=lambda item: item.at)
     rates_and_spans = [(load, rate, (0.0, seconds)) for load, rate in rates]
--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any
 
+from standins.unruly_clients import HABITS, Crowd
 from verbenaward.registry import Registry
 
 from .drawn_configurations import CHANGES, declare_services
@@ -23,6 +24,9 @@
 """Shortest and longest time from the first errors until callers move, in seconds."""
 BAD_SHARE = 0.2
 """Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
+CROWD_COUNTS = (10, 80)
+"""Fewest and most connections of a crowd at once."""
+CROWDED_PORTS = ("front", "directory", "readiness", "internal")
 POWER_LOSS = "power-loss"
 """What is recorded in place of the path of a request that crashes a backend."""
 OPERATOR_PREFIX = "op/"
@@ -291,3 +295,14 @@
     kept = {key: value for key, value in copy.items.items() if not key.startswith(OPERATOR_PREFIX)}
     own = {key: value for key, value in store.items.items() if key.startswith(OPERATOR_PREFIX)}
     store.restore(replace(copy, items={**kept, **own}))
+
+
+@ACTIONS.register("crowd")
+async def crowd(deployment: SoakDeployment, trouble: Trouble) -> None:
+    """Let a crowd of clients that do not behave come to one listener of an entry process."""
+    rng = random.Random(trouble.number)
+    entry = chosen_entries(deployment, trouble)[0]
+    port = deployment.ports[rng.choice(CROWDED_PORTS)]
+    clients = Crowd(f"{entry.ip}:{port}", HABITS[trouble.detail], rng.randint(*CROWD_COUNTS))
+    await clients.run(trouble.seconds)
+    deployment.record.write("crowd-left", machine=entry.name, closed=clients.closed)
--- a/bench/process_usage.py
+++ b/bench/process_usage.py
@@ -24,3 +24,13 @@
     except OSError:
         return 0.0
     return pages * PAGE_BYTES / 2**20
+
+
+def peak_megabytes(pid: int) -> float:
+    """Return the peak of the resident memory of a process; 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    peaks = [int(line.split()[1]) for line in lines if line.startswith("VmHWM:")]
+    return peaks[0] * 1024 / 1e6 if peaks else 0.0
--- a/bench/soak_verdicts.py
+++ b/bench/soak_verdicts.py
@@ -106,6 +106,8 @@
       ended_backends: Incarnations of backends that have crashed.
       broken_off: Attempts whose answer a backend has broken off.
       deadly: Requests that crash the backends that run them.
+      peaks: Peak memory of each running process at the end, in MB, by name.
+      memory_megabytes: Memory of the machine of each entry process.
     """
 
     results: Sequence[RequestResult]
@@ -127,6 +129,8 @@
     ended_backends: frozenset[str] = frozenset()
     broken_off: frozenset[str] = frozenset()
     deadly: DeadlyHistory = NO_DEADLY_REQUESTS
+    peaks: Mapping[str, float] = field(default_factory=dict)
+    memory_megabytes: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,6 +305,17 @@
     return float("inf") if given is None else arrival.at + given
 
 
+@VERDICTS.register("no process needs more memory than its machine has")
+def excess_memory(history: History) -> list[tuple[str, str]]:
+    """Return processes whose peak memory is above that of their machine."""
+    limit = history.memory_megabytes
+    return [
+        (name, f"{peak:.0f} MB of {limit:.0f}")
+        for name, peak in history.peaks.items()
+        if peak > limit
+    ]
+
+
 @VERDICTS.register("no process ends by itself")
 def own_ends(history: History) -> list[tuple[str, str]]:
     """Return processes that ended without a signal to end, or with an error."""
--- a/tests/bench/soak_verdicts.feature
+++ b/tests/bench/soak_verdicts.feature
@@ -29,6 +29,7 @@
       | a process ends without a signal                            | no process ends by itself           |
       | a process ends after SIGHUP                                | no process ends by itself           |
       | a process ends with an error after SIGTERM                 | no process ends by itself           |
+      | a process has needed 301 MB of 300                         | no process needs more memory than its machine has |
 
   Scenario Outline: What callers lose otherwise breaks no verdict
     Given the history of a soak without a fault
@@ -58,6 +59,7 @@
       | 21 requests that stood unread are handed on without a deadline |
       | a stream is cut by its backend                    |
       | a process ends after SIGTERM                      |
+      | a process has needed 299 MB of 300                |
       | a process ends after SIGKILL                      |
 
   Scenario Outline: The shortest timeout that was in force is allowed
--- a/tests/limited_process.py
+++ b/tests/limited_process.py
@@ -8,14 +8,6 @@
 SAMPLE_SECONDS = 0.05
 
 
-def peak_megabytes(pid):
-    """Return the peak of the resident memory of a process."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * 1024 / 1e6
-    raise AssertionError("the process has ended")
-
-
 def limit_descriptors(pid, count):
     """Set the limit of a process on open descriptors."""
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, count))
--- a/tests/steps/crowds.py
+++ b/tests/steps/crowds.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from bench.cluster import Cluster, ClusterPlan
+from bench.process_usage import peak_megabytes
 from standins.platform import free_address
 from standins.unruly_clients import HABITS, Crowd
 from tests.daemon_process import DaemonProcess
@@ -16,7 +17,6 @@
     DescriptorPeak,
     limit_descriptors,
     open_descriptors,
-    peak_megabytes,
 )
 from tests.steps.connections import LOOK
 from tests.steps.platform_running import run
@@ -139,7 +139,7 @@
 def has_lived(context, megabytes, count):
     peak, most = peak_megabytes(context.limited.pid), context.descriptors.most
     print(f"peak {peak:.0f} MB, {most} descriptors, {context.crowd.opened} connections")
-    assert peak < megabytes, f"{peak:.0f} MB, {most} descriptors"
+    assert 0 < peak < megabytes, f"{peak:.0f} MB, {most} descriptors"
     assert most < count, f"{most} descriptors, {peak:.0f} MB"
 
 
--- a/tests/steps/soak_verdicts.py
+++ b/tests/steps/soak_verdicts.py
@@ -260,6 +260,14 @@
 )
 
 
+def needed(history, megabytes):
+    return dataclasses.replace(history, peaks={"edge-1": megabytes}, memory_megabytes=300.0)
+
+
+change("a process has needed 301 MB of 300")(lambda history: needed(history, 301.0))
+change("a process has needed 299 MB of 300")(lambda history: needed(history, 299.0))
+
+
 @given("the history of a soak without a fault")
 def given_sound_history(context):
     context.history = sound_history()
