Other processes and the platform leave callers half of the descriptors

What callers would have seen: beside 400 long polls at the internal address of an entry process with 200 descriptors a look-up got no answer (scenario, failed before). Change: in the direct mode they take at most half of the capacity, and up to half of the reserve while callers fill it. Crowds of the drawn soak have up to 250 clients.

--- a/bench/drawn_troubles.py
+++ b/bench/drawn_troubles.py
@@ -24,7 +24,7 @@
 """Shortest and longest time from the first errors until callers move, in seconds."""
 BAD_SHARE = 0.2
 """Share of the datagrams on a bad link that are lost; as many are late, and as many doubled."""
-CROWD_COUNTS = (10, 80)
+CROWD_COUNTS = (20, 250)
 """Fewest and most connections of a crowd at once."""
 CROWDED_PORTS = ("front", "directory", "readiness", "internal")
 POWER_LOSS = "power-loss"
--- a/standins/unruly_clients.py
+++ b/standins/unruly_clients.py
@@ -101,6 +101,7 @@
     "requests for all items and reads no answer": Habit(
         b"", repeated(head(b"GET /items/0")), is_reading=False
     ),
+    "long polls for items": Habit(head(b"GET /items/999999999999?wait=10")),
     "nothing": Habit(b""),
 }
 """Habits by what their clients send."""
--- a/tests/memory/crowds.feature
+++ b/tests/memory/crowds.feature
@@ -120,6 +120,12 @@
       | entry    |
       | endpoint |
 
+  # Guards against connections of other processes that leave no descriptor for callers.
+  Scenario: Callers are served beside a crowd that keeps requests open at the internal address
+    Given an entry process with 300 MB and 200 descriptors
+    When 400 clients at its internal address send "long polls for items", a caller is served meanwhile
+    Then it lives, below 300 MB and 195 open descriptors
+
   # Guards against limits on crowds that callers within all limits meet.
   Scenario: Callers whose heads are as long as allowed are all served
     Given an entry process with 300 MB and 4100 descriptors
--- a/tests/placement/connection_limits.feature
+++ b/tests/placement/connection_limits.feature
@@ -16,6 +16,13 @@
     When an idle connection and one with half a header are swept at 14.9, 17.5 and 17.6 s
     Then the connections were closed at 17.6 s
 
+  Scenario: Other processes take half of the descriptors, and some of the reserve beside callers
+    Guards against a crowd at an internal address that leaves callers no descriptor.
+    Given a table for 40 descriptors
+    When 20 processes keep requests open
+    Then 15 of them are accepted, and 7 callers with requests
+    And beside 15 callers with requests 5 processes are accepted
+
   Scenario: For want of memory the oldest unfinished head is closed first, a running request never
     Guards against limits on each connection that do not add up to a limit on all.
     Given a table with memory for 100 KB in connections
--- a/tests/steps/connection_limits.py
+++ b/tests/steps/connection_limits.py
@@ -8,6 +8,7 @@
 
 from verbenaward.placement.connection_limits import (
     CONNECTION_BYTES,
+    OTHER_SHARE,
     Cause,
     ConnectionTable,
     Kind,
@@ -141,6 +142,37 @@
     check()
 
 
+def accepted_count(table, kind, count):
+    """Return how many of some connections are accepted and get a request."""
+    verdicts = [table.opened((kind, index), kind, 0.0) for index in range(count)]
+    for index in range(count):
+        table.began((kind, index), 0.0)
+    return verdicts.count(Verdict.ACCEPT)
+
+
+@when("20 processes keep requests open")
+def open_others(context):
+    context.connections.other_share = OTHER_SHARE
+    context.accepted = accepted_count(context.connections, Kind.CONTROL, 20)
+
+
+@then("15 of them are accepted, and 7 callers with requests")
+def half_accepted(context):
+    table = context.connections
+    assert context.accepted == 15 and table.other_in_use == 15, context.accepted
+    accepted_count(table, Kind.CALLER, 20)
+    assert len(table.members[Phase.BUSY]) == 7, table.in_use
+
+
+@then("beside 15 callers with requests 5 processes are accepted")
+def reserve_accepted(context):
+    table, _ = table_of(40)
+    table.other_share = OTHER_SHARE
+    accepted_count(table, Kind.CALLER, 30)
+    assert table.in_use == table.capacity == 30
+    assert accepted_count(table, Kind.CONTROL, 20) == 5
+
+
 @given("a table with memory for 100 KB in connections")
 def table_with_memory(context):
     context.connections, context.closed = table_of(1000)
--- a/tests/steps/crowds.py
+++ b/tests/steps/crowds.py
@@ -117,8 +117,23 @@
     )
 
 
+@when('{count:d} clients at its {listener} send "{habit}", a caller is served meanwhile')
+def send_crowd_beside_caller(context, count, listener, habit):
+    async def ask_in_the_middle():
+        await asyncio.sleep(CROWD_SECONDS / 2)
+        return await ask(*context.limited.ordinary)
+
+    asking = context.loop.create_task(ask_in_the_middle())
+    play_crowd(context, count, listener, habit)
+    assert run(context, asking) == 200
+
+
 @when('{count:d} clients at its {listener} send "{habit}"')
 def send_crowd(context, count, listener, habit):
+    play_crowd(context, count, listener, habit)
+
+
+def play_crowd(context, count, listener, habit):
     limited = context.limited
     crowd = Crowd(limited.addresses[listener], HABITS[habit], count)
     context.descriptors = DescriptorPeak(limited.pid)
--- a/verbenaward/direct/connections.py
+++ b/verbenaward/direct/connections.py
@@ -4,6 +4,7 @@
 
 from ..bounded_server import Connections
 from ..data import Refusal
+from ..placement.connection_limits import OTHER_SHARE
 from ..placement.memory_budget import MemoryBudget
 from ..platform import names
 from .request_log import RequestLog
@@ -18,6 +19,7 @@
 
     def __init__(self, log: RequestLog, memory: MemoryBudget) -> None:
         super().__init__(memory)
+        self.table.other_share = OTHER_SHARE
         self.log = log
 
     def log_refused(self, request: web.BaseRequest, refusal: Refusal) -> None:
--- a/verbenaward/placement/connection_limits.py
+++ b/verbenaward/placement/connection_limits.py
@@ -20,6 +20,11 @@
 """Descriptors for files (200), calls to peers and the store, and connections that are refused."""
 REFUSED_SHARE = 0.25
 """Share of the reserve for connections that are accepted only to be refused or closed."""
+OTHER_SHARE = 0.5
+"""Share of the capacity that connections of other processes and the platform may take where callers
+have a listener of their own."""
+OTHER_RESERVED_SHARE = 0.5
+"""Share of the reserve up to which these are accepted also while callers fill the capacity."""
 REFUSED_SECONDS = 1.0
 """Time in which a connection that is refused must send its request."""
 CLOSABLE_SECONDS = 0.5
@@ -129,6 +134,7 @@
     Attributes:
       descriptors: Limit of the process; infinite for none.
       limits: Limits of the configuration in force.
+      other_share: Share of the capacity for other processes and the platform.
       memory: What the process holds, connections included.
       close: Closes a connection for a cause.
       open_by_kind: Number of open connections.
@@ -148,6 +154,7 @@
     ) -> None:
         self.descriptors = math.inf
         self.limits = CallerLimits()
+        self.other_share = 1.0
         self.memory = memory or MemoryBudget()
         self.close = close
         self.open_by_kind: Counter[Kind] = Counter()
@@ -169,8 +176,13 @@
     @property
     def in_use(self) -> int:
         """Return the descriptors in use, but for connections that are refused or closing."""
-        others = self.other_members.unused + len(self.other_members[Phase.BUSY])
-        return others + self.members.unused + 2 * len(self.members[Phase.BUSY])
+        callers = self.members.unused + 2 * len(self.members[Phase.BUSY])
+        return self.other_in_use + callers
+
+    @property
+    def other_in_use(self) -> int:
+        """Return the descriptors that other processes and the platform use."""
+        return self.other_members.unused + len(self.other_members[Phase.BUSY])
 
     def limits_of(self, connection: Hashable) -> CallerLimits:
         """Return the limits on a connection."""
@@ -194,7 +206,7 @@
         """Record a new connection and return what is done with it; others may be closed for it."""
         self.kinds[connection] = kind
         self.open_by_kind[kind] += 1
-        has_room = self.make_room(1, now)
+        has_room = self.make_room(1, now) if kind in LIMITED_KINDS else self.admit_other(now)
         self.move(connection, Phase.IDLE if has_room else Phase.REFUSED, now)
         self.hold(connection, 0, now)
         if self.phase_of[connection] is not Phase.REFUSED:
@@ -315,29 +327,39 @@
             self.end(connection, Cause.ROOM, now)
         return True
 
-    def earliest(self, phase: Phase) -> Hashable | None:
-        """Return the connection that is in a phase for longest."""
+    def admit_other(self, now: float) -> bool:
+        """Make room for a connection of another process or the platform; return False for none."""
+        while self.other_in_use + 1 > self.other_share * self.capacity:
+            connection = self.closable(now, self.other_members)
+            if connection is None:
+                return False
+            self.end(connection, Cause.ROOM, now)
+        reserved = OTHER_RESERVED_SHARE * reserved_descriptors(self.descriptors)
+        return self.make_room(1, now) or self.other_in_use + 1 <= reserved
+
+    def earliest(self, phase: Phase, *groups: PhaseMembers) -> Hashable | None:
+        """Return the connection that is in a phase for longest, of some groups or of all."""
         firsts = [
             (since, connection)
-            for members in (self.members[phase], self.other_members[phase])
-            for connection, since in itertools.islice(members.items(), 1)
+            for group in groups or (self.members, self.other_members)
+            for connection, since in itertools.islice(group[phase].items(), 1)
         ]
         return min(firsts, key=lambda item: item[0])[1] if firsts else None
 
-    def closable_in(self, phase: Phase, now: float) -> Hashable | None:
+    def closable_in(self, phase: Phase, now: float, *groups: PhaseMembers) -> Hashable | None:
         """Return the connection that is in a phase for longest, if it may be closed for another."""
-        first = self.earliest(phase)
+        first = self.earliest(phase, *groups)
         if first is None or now - self.members_with(first)[phase][first] < CLOSABLE_SECONDS:
             return None
         return first
 
-    def closable(self, now: float) -> Hashable | None:
-        """Return the connection that is closed first for another one.
+    def closable(self, now: float, *groups: PhaseMembers) -> Hashable | None:
+        """Return the connection that is closed first for another one, of some groups or of all.
 
         That is the longest idle one, then the one whose header is unfinished for longest.
         """
-        idle = self.closable_in(Phase.IDLE, now)
-        return idle if idle is not None else self.closable_in(Phase.HEADER, now)
+        idle = self.closable_in(Phase.IDLE, now, *groups)
+        return idle if idle is not None else self.closable_in(Phase.HEADER, now, *groups)
 
     def is_full(self, now: float) -> bool:
         """Return True if the process cannot take a connection, or could not a moment ago."""
