--- a/tests/direct/decisions.feature
+++ b/tests/direct/decisions.feature
@@ -100,6 +100,11 @@
     When an entry process broadcasts, stops and restarts with an older time
     Then its new broadcasts are accepted once the old ones have stopped
 
+  Scenario: A line names a request with the first 128 characters of its id
+    Guards against callers whose ids, as long as a head, fill the log.
+    When a request with an id of 10000 characters is turned away
+    Then the line has 128 of them
+
   Scenario: A slow reader of the log causes lost lines, but no delay
     When 2000 lines are written to a pipe that nobody reads, and then it is read
     Then writing took less than a second
--- a/tests/steps/platform_decisions.py
+++ b/tests/steps/platform_decisions.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -16,8 +17,9 @@
 
 from tests.direct_fakes import ENGINE, NOW, fleet_of, placer_of, request_of
 from verbenaward.data import HeldWeights
+from verbenaward.direct import request_log
 from verbenaward.direct.budget import SharedRetryBudget
-from verbenaward.direct.request_log import LineRateLimit
+from verbenaward.direct.request_log import LineRateLimit, RequestLog
 from verbenaward.direct.sends import Send
 from verbenaward.direct.stream_attempt import StreamAttempt
 from verbenaward.logs import LOST_LINES_KEY, LineWriter
@@ -29,6 +31,7 @@
 from verbenaward.platform.key_value import KeyValueEntry
 from verbenaward.replica.peer_transfer import changes_from_message, changes_to_message
 from verbenaward.replica.store_replica import Changes, StoreReplica
+from verbenaward.requests.refusals import not_run
 
 
 @when("any number of entry processes retry as often as their budgets allow")
@@ -282,6 +285,22 @@
     assert context.budget.dropped == context.wanted - context.written
 
 
+@when("a request with an id of {count:d} characters is turned away")
+def turn_away(context, count):
+    context.line = {}
+
+    def record(event, **values):
+        context.line.update(values)
+
+    with mock.patch.object(request_log.LOG, "info", record):
+        RequestLog().refused_early("a" * count, not_run(404, "no-route", "no route"))
+
+
+@then("the line has {count:d} of them")
+def shortened(context, count):
+    assert context.line["request"] == "a" * count, context.line
+
+
 @given("one engine that loads other weights in {seconds:g} s and one with more load")
 def about_to_load(context, seconds):
     context.fleet = fleet_of(2)
--- a/verbenaward/direct/request_log.py
+++ b/verbenaward/direct/request_log.py
@@ -19,6 +19,8 @@
 LOG = get_logger(__name__)
 USUAL_LINES_PER_SECOND = 60.0
 FAILURE_LINES_PER_SECOND = 100.0
+LONGEST_LOGGED_ID = 128
+"""Characters of a request's id in a line; a caller may send one as long as a head."""
 
 
 @dataclass(slots=True)
@@ -86,6 +88,8 @@
         """
         if not limit.acquire(clock.now(), lines):
             return False
+        if "request" in values:
+            values["request"] = values["request"][:LONGEST_LOGGED_ID]
         if limit.dropped:
             values["dropped"] = limit.dropped
             limit.dropped = 0
