A head that is too long is not answered in the place of a request before it

Cause: 431 and 408 are written at once; behind a request that is answered or waits they would be taken for its answer. Found in review, not seen. Change: the connection is aborted in that case. Existing scenarios of connections pass.

--- a/verbenaward/bounded_server.py
+++ b/verbenaward/bounded_server.py
@@ -258,7 +258,7 @@
     def record_held(self) -> None:
         """Report what the connection holds."""
         arriving, wire = self.arriving, self.wire
-        unread = wire.get_write_buffer_size() if self._paused and wire is not None else 0
+        unread = wire.get_write_buffer_size() if self.writing_paused and wire is not None else 0
         # Without a paused queue of requests the handler reads on soon.
         unparsed = 2 * RECEIVE_BUFFER_BYTES if self._buffer_paused else 0
         self.table.hold(
@@ -266,7 +266,7 @@
             arriving.held + unread + unparsed,
             clock.now(),
             is_waiting=arriving.is_waiting,
-            is_unread=self._paused,
+            is_unread=self.writing_paused,
         )
 
     @property
@@ -383,14 +383,22 @@
         if self.wire is None:
             return
         answer = CLOSING_ANSWERS.get(cause)
-        if answer is not None and not self._request_in_progress and not self.wire.is_closing():
+        # An answer now would be taken for that of a request before.
+        is_aborted = cause in ABORTING or (answer is not None and self.has_requests)
+        if answer is not None and not is_aborted and not self.wire.is_closing():
             self.wire.write(answer)
         self.force_close()
-        if cause in ABORTING or (answer is not None and self._request_in_progress):
+        if is_aborted:
             self.wire.abort()
-        if cause in ABORTING or answer is not None:
+        if is_aborted or answer is not None:
             self.drop_requests()
 
+    @property
+    def has_requests(self) -> bool:
+        """Return True if a request is being answered or waits."""
+        is_waiting = any(not isinstance(message, _ErrInfo) for message, _ in self._messages)
+        return self._request_in_progress or is_waiting
+
     def drop_requests(self) -> None:
         """Release the requests that wait; nobody can get their answers."""
         self._messages.clear()
