Connections to an endpoint process hold at most a 32nd of its memory

What was seen: pipelined heads of 15 KB at an endpoint process, 71 to 73 MB of 70. Cause: the share of connections was that of an entry process, whose callers send bodies and read answers; here only other processes call, and most memory is the process itself. What a connection had not parsed was also kept until its end was processed. Change: a share of its own; the parser is released with the connection.

--- a/verbenaward/bounded_server.py
+++ b/verbenaward/bounded_server.py
@@ -400,9 +400,11 @@
         return self._request_in_progress or is_waiting
 
     def drop_requests(self) -> None:
-        """Release the requests that wait; nobody can get their answers."""
+        """Release the requests that wait, parsed or not; nobody can get their answers."""
         self._messages.clear()
         self._message_tail = b""
+        # It holds what is not parsed, and many connections may end before one is closed.
+        self._parser = None
         if self._task_handler is not None:
             self._task_handler.cancel()
 
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -15,7 +15,7 @@
 from ..distribution.uploads import Uploads
 from ..placement.connection_limits import Kind
 from ..placement.fleet import Fleet
-from ..placement.memory_budget import MemoryBudget, capacity_of
+from ..placement.memory_budget import connection_budget
 from ..platform.names import ALL_KEYS_PREFIX
 from ..replica.first_read import read_from_seeds, seed_controls
 from ..replica.follower import StoreFollower
@@ -27,6 +27,9 @@
 
 UPLOAD_SHARE = 0.7
 """Share of the link's rate for chunks sent to other VMs; the engine's streams get the rest."""
+CONNECTION_SHARE = 1 / 32
+"""Share of the memory limit for connections: only other processes call this one, with short heads,
+and most of the memory is the process itself and its chunks."""
 STAGED_PATH = ENDPOINT_PATH + "/{model}/{version}/{index}"
 STAGED_INVENTORY_PATH = ENDPOINT_PATH + "/{model}/{version}/" + INVENTORY_NAME
 
@@ -70,7 +73,8 @@
         self.turn = asyncio.Semaphore(1)
         self.uploads = Uploads()
         self.tasks: list[asyncio.Task[None]] = []
-        self.connections = Connections(MemoryBudget(capacity_of(direct.memory_megabytes)))
+        megabytes = CONNECTION_SHARE * direct.memory_megabytes or settings.connection_megabytes
+        self.connections = Connections(connection_budget(megabytes))
         self.runner = BoundedRunner(
             web.Application(), self.connections, Kind.CONTROL, access_log=None
         )
