--- a/tests/steps/operating.py
+++ b/tests/steps/operating.py
@@ -49,7 +49,7 @@
 
 DIRECT_FOLDERS = ("direct", "distribution", "placement", "replica", "weight_loading")
 """Packages of the direct mode."""
-SERVICE_MODULES = ("bounded_server.py", "direct_service.py", "service_loop.py")
+SERVICE_MODULES = ("connections.py", "direct_service.py", "service_loop.py")
 """Modules beside these packages that write lines in direct mode."""
 
 
--- a/verbenaward/direct/connections.py
+++ b/verbenaward/direct/connections.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from ..bounded_server import Connections
+from ..connections import Connections
 from ..data import Refusal
 from ..placement.connection_limits import OTHER_SHARE
 from ..placement.memory_budget import MemoryBudget
--- a/verbenaward/proxied_service.py
+++ b/verbenaward/proxied_service.py
@@ -10,7 +10,8 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from .admin import AdminInterface, ProxiedRole
-from .bounded_server import BoundedRunner, Connections, open_listener
+from .bounded_server import BoundedRunner, open_listener
+from .connections import Connections
 from .control import ControlPlane, build_control
 from .draining import record_begin, wait_until_sent
 from .endpoint.role import EndpointRole
--- a/verbenaward/weight_loading/role.py
+++ b/verbenaward/weight_loading/role.py
@@ -6,7 +6,8 @@
 from aiohttp import web
 
 from .. import clock
-from ..bounded_server import BoundedRunner, Connections, open_listener
+from ..bounded_server import BoundedRunner, open_listener
+from ..connections import Connections
 from ..data import HeldWeights
 from ..direct_shared import leasing_store, platform_session, serve_metrics
 from ..distribution.inventory import encode_inventory
