--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -500,11 +500,13 @@
         """Return the digests of the pieces of a version."""
         return [hashlib.sha256(piece).hexdigest() for piece in self.origin.versions[version]]
 
-    async def add_worker(self, name: str, zone: str, is_model: bool = True) -> Worker:
+    async def add_worker(
+        self, name: str, zone: str, is_model: bool = True, kind: type[Worker] = Worker
+    ) -> Worker:
         """Start a worker and register it."""
         address = f"{self.next_host()}:{self.ports['app']}"
         service = "assist" if is_model else "core"
-        worker = Worker(name, service, zone, address, self.record, self.digests, is_model)
+        worker = kind(name, service, zone, address, self.record, self.digests, is_model)
         if is_model:
             worker.staged = {i: Piece(body) for i, body in enumerate(self.origin.versions[1])}
         host, _, port = address.rpartition(":")
