--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -709,11 +709,15 @@
 
     async def main() -> int:
         deployment = Deployment(record)
+        played = asyncio.current_task()
+        assert played is not None
+        # A script that is told to stop ends its processes first.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, played.cancel)
         try:
             async with asyncio.timeout(LONGEST_RUN_SECONDS):
                 await deployment.start_platform()
                 return await play(deployment, is_troubled)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.write(f"the case could not run: {type(error).__name__} {error}")
             return COULD_NOT_RUN
         finally:
