A status code that is none is no answer

Cause: the HTTP parser reads any three digits, and nothing behind it asked whether they are a status code. What it makes of a head can also depend on where a packet ends. Change: one rule of a sound head, answer_heads.py, over the lines as they were received, before the parser gets any of them: HTTP/1.0 or 1.1, a status from 100 to 599. The protocol that all HTTP clients of both modes use (interim_answers.py, now answer_protocol.py) collects a head until its empty line, judges each line as it is complete, and gives the parser whole, sound heads only, so the verdict does not depend on packets. A head that is not sound ends the call as one that the parser refuses does: the request may have run. Decided: HTTP/2.0 in a status line and empty lines before it are refused too. Our framing rules are those of HTTP/1, and RFC 9112 lets only servers skip empty lines.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -33,6 +33,19 @@
       | proxied peers          |
       | the platform           |
 
+  # Guards against verdicts that depend on the client, or on where a packet of the answer ends.
+  Scenario Outline: The client for <peers> takes no answer whose head is not sound
+    Given a server that answers with raw bytes
+    Then the client for <peers> takes no answer with a wrong <part>, wherever it is cut
+    And it takes a sound one each time
+
+    Examples: of the status line
+      | peers            | part        |
+      | backends         | status line |
+      | proxied backends | status line |
+      | proxied peers    | status line |
+      | the platform     | status line |
+
   # Guards against a short body that the proxied mode passes on as whole.
   Scenario: An answer without a length that is reset is not complete in the proxied mode
     Given a server that ends its answers early
--- /dev/null
+++ b/tests/steps/broken_answers.py
@@ -0,0 +1,149 @@
+"""Steps on answers that are broken in their head or at their end."""
+
+import aiohttp
+from behave import given, then, when
+
+from standins.platform import PlatformStandIn, free_address
+from standins.platform_backend import PlatformBackendStandIn
+from standins.raw_answers import RawAnswerStandIn, at_once, byte_by_byte, cut_at
+from tests.steps.cut_answers import CLIENTS
+from tests.steps.platform_running import call, run
+
+BACKENDS = (("p-1", "plain"), ("p-2", "plain"), ("e-1", "engines"), ("e-2", "engines"))
+PATHS = ("book", "look", "stream", "stream/once")
+"""A request that runs once, an idempotent one, and streams that may and may not be resumed."""
+WAYS = {"at once": at_once, "byte by byte": byte_by_byte}
+STATUS_LINE = "HTTP/1.1 200 OK"
+FIELDS = (
+    "X-Attempt-Id: ATTEMPT",
+    "X-Server-Signature: s",
+    "Content-Type: text/event-stream",
+    "Content-Length: 24",
+)
+BODY = b"id: 1\ndata: piece one\n\n\n"
+
+
+def answer_of(lines, body=BODY):
+    """Return the bytes of an answer with these lines in its head."""
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode("latin-1") + body
+
+
+@given("the users' platform with backends that answer with raw bytes")
+def start_raw_backends(context):
+    context.platform = PlatformStandIn()
+    context.raw_backends = []
+
+    async def start():
+        await context.platform.start()
+        for identity, service in BACKENDS:
+            backend = PlatformBackendStandIn(identity, service, "zone-a")
+            backend.address = free_address(context.platform.next_host())
+            raw = RawAnswerStandIn()
+            await raw.start(backend.address)
+            context.add_cleanup(raw.close)
+            context.raw_backends.append(raw)
+            context.platform.register(backend)
+        context.platform.write_configuration()
+
+    context.add_cleanup(lambda: run(context, context.platform.stop()))
+    run(context, start())
+
+
+def forget_failures(context):
+    """Let no request be refused for what the ones before it showed of the backends."""
+    for view in context.platform.entries[0].fleet.backends.values():
+        view.failure_share, view.slowness, view.backoff_until = 0.0, 1.0, 0.0
+
+
+def ask(context, path, body=b""):
+    """Send a request, once it is known that it will be tried."""
+    forget_failures(context)
+    context.asked = getattr(context, "asked", 0) + 1
+    return call(context, f"/{path}/{context.asked}", f"a-{context.asked}", body=body)
+
+
+def ask_each(context, answers, ways=WAYS):
+    """Send a request of each kind for each answer, and for each way in which it is written."""
+    context.outcomes = []
+    for answer in answers:
+        for way, cut in ways.items():
+            for raw in context.raw_backends:
+                raw.answer, raw.cut = answer, cut
+            context.outcomes += [(answer, way, path, ask(context, path)) for path in PATHS]
+
+
+@when('the backends answer each kind of request with the status line "{line}"')
+def answer_with_status_line(context, line):
+    ask_each(context, [answer_of((line, *FIELDS))])
+
+
+@then("each caller gets the answer")
+def each_answered(context):
+    wrong = [item for item in context.outcomes if (item[3][0], item[3][2]) != (200, BODY)]
+    assert not wrong, wrong
+
+
+@then("each caller gets a 502 that says that it may have run")
+def each_broken(context):
+    assert context.outcomes
+    wrong = [item for item in context.outcomes if not is_may_have_run(item[3])]
+    assert not wrong, wrong
+
+
+def is_may_have_run(answer):
+    status, headers, _ = answer
+    has_signature = "X-Server-Signature" in headers
+    return (status, headers.get("X-Verdict"), has_signature) == (502, "may-have-run", False)
+
+
+SOUND = b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabc"
+UNSOUND = {
+    "status line": (
+        *(SOUND.replace(b"200", code) for code in (b"000", b"099", b"600", b"999", b"20", b"2000")),
+        *(SOUND.replace(b"HTTP/1.1", name) for name in (b"HTTP/2.0", b"HTTP/9.9", b"ICY")),
+        b"\r\n" + SOUND,
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + SOUND.replace(b"200", b"600"),
+        b"abc",
+    ),
+}
+"""What is not an answer, by the part of the head that is wrong."""
+
+
+@given("a server that answers with raw bytes")
+def start_raw_server(context):
+    context.server, context.address = RawAnswerStandIn(), free_address()
+    run(context, context.server.start(context.address))
+    context.add_cleanup(context.server.close)
+
+
+def cuts_of(answer):
+    return (at_once, byte_by_byte, *(cut_at(place) for place in range(1, len(answer))))
+
+
+async def taken_answers(context, peers, answers):
+    """Return the answers that a client takes, each with its bytes and the status and body read."""
+    server, taken = context.server, []
+    async with CLIENTS[peers]() as session:
+        for answer in answers:
+            server.answer = answer
+            for cut in cuts_of(answer):
+                server.cut = cut
+                try:
+                    async with session.get(f"http://{context.address}/") as response:
+                        taken.append((answer, response.status, await response.read()))
+                except aiohttp.ClientError:
+                    continue
+    return taken
+
+
+@then("the client for {peers} takes no answer with a wrong {part}, wherever it is cut")
+def takes_no_unsound(context, peers, part):
+    context.peers = peers
+    taken = run(context, taken_answers(context, peers, UNSOUND[part]))
+    assert not taken, taken
+
+
+@then("it takes a sound one each time")
+def takes_sound(context):
+    taken = run(context, taken_answers(context, context.peers, [SOUND]))
+    assert taken == [(SOUND, 200, b"abc")] * len(cuts_of(SOUND)), taken
--- /dev/null
+++ b/tests/steps/broken_proxied_answers.py
@@ -0,0 +1,96 @@
+"""Steps on broken answers of backends in the proxied mode."""
+
+import contextlib
+import dataclasses
+from types import SimpleNamespace
+
+from behave import given, then, when
+from returns.result import Success
+
+from standins.platform import free_address
+from standins.raw_answers import RawAnswerStandIn
+from tests.fakes import request_of
+from tests.steps.broken_answers import WAYS, answer_of
+from tests.steps.cut_answers import CLIENTS
+from tests.steps.platform_running import run
+from tests.steps.requests_stream_forms import serve
+from tests.steps.requests_streams import FakeResponse
+from verbenaward import clock
+from verbenaward.data import Verdict
+from verbenaward.endpoint.admission import AdmissionGate
+from verbenaward.endpoint.backend import BackendClient
+from verbenaward.endpoint.run_handler import RunHandler
+from verbenaward.requests.attempt import run_attempt
+from verbenaward.requests.endpoints import EndpointView
+from verbenaward.requests.retries import AttemptHistory
+from verbenaward.requests.streams import StreamProgress, StreamRelay
+from verbenaward.schema.messages import Member
+
+STREAM = b"data: 1\n\ndata: [DONE]\n\n"
+FIELDS = ("Content-Type: text/event-stream", f"Content-Length: {len(STREAM)}")
+SECONDS = 3.0
+
+
+@given("a backend of the proxied mode that answers with raw bytes")
+def start_raw_backend(context):
+    context.raw, context.address = RawAnswerStandIn(), free_address()
+    run(context, context.raw.start(context.address))
+    context.add_cleanup(context.raw.close)
+
+
+async def ask(context, body):
+    """Send a request and a stream through an endpoint process; return the results by kind."""
+    async with contextlib.AsyncExitStack() as stack:
+        to_backend = await stack.enter_async_context(CLIENTS["proxied backends"]())
+        to_endpoint = await stack.enter_async_context(CLIENTS["proxied peers"]())
+        handler = RunHandler(
+            "vm",
+            BackendClient(f"http://{context.address}", to_backend),
+            AdmissionGate(4, 4),
+            str,
+            False,
+            None,
+            lambda size: None,
+            lambda: None,
+        )
+        view = EndpointView(Member(vm="vm", address=await serve(stack, "POST", handler.serve)))
+        request = dataclasses.replace(request_of("w", clock.now() + SECONDS), body=body)
+        answer = await run_attempt(to_endpoint, request, view, False, False)
+        progress = StreamProgress(response=FakeResponse(), labels=("w", "standard"))
+        relay = StreamRelay(SimpleNamespace(session=to_endpoint, take_no_wait=lambda *_: False))
+        stream = dataclasses.replace(request, stream=True)
+        streamed = await relay.relay(stream, None, view, False, AttemptHistory(), progress)
+        return {"request": answer, "stream": streamed}, progress.response.body
+
+
+def ask_each(context, answers, body=b"{}"):
+    """Ask for each answer, and for each way in which it is written."""
+    context.outcomes = []
+    for context.raw.answer in answers:
+        for way, context.raw.cut in WAYS.items():
+            context.outcomes.append((context.raw.answer, way, *run(context, ask(context, body))))
+
+
+@when('it answers a request and a stream with the status line "{line}"')
+def answer_with_status_line(context, line):
+    ask_each(context, [answer_of((line, *FIELDS), STREAM)])
+
+
+@then("both are answered")
+def both_answered(context):
+    for _, _, results, streamed in context.outcomes:
+        assert results["request"].unwrap().body == STREAM, results
+        assert isinstance(results["stream"], Success), results
+        assert streamed == STREAM + b"<end>", streamed
+
+
+@then("both may have run and have no answer")
+def both_may_have_run(context):
+    assert context.outcomes
+    for answer, way, results, streamed in context.outcomes:
+        verdicts = {
+            kind: result.swap().value_or(None) and result.failure().refusal.verdict
+            for kind, result in results.items()
+        }
+        assert set(verdicts.values()) == {Verdict.MAY_HAVE_RUN}, (answer, way, results)
+        assert not streamed, (answer, way, streamed)
--- /dev/null
+++ b/verbenaward/answer_heads.py
@@ -0,0 +1,103 @@
+"""The rule of what a sound head of an HTTP answer is (RFC 9110, RFC 9112).
+
+Parsers are lenient: a status of 000 passes, and what they make of a line can depend on where a
+packet ends. So the lines are judged here as they were received, before a parser gets any of them.
+"""
+
+import re
+from dataclasses import dataclass
+from enum import StrEnum
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\0\r]*)?")
+"""RFC 9112, section 4; the blank before an empty reason may be missing."""
+FIRST_BYTES = b"HTTP/1."
+"""What each status line begins with, so that other protocols are told without a line end."""
+LINE_OVERHEAD_BYTES = 64
+"""What a line has beside the text that a parser's limit on lines counts: blanks, line end."""
+
+
+class HeadFault(StrEnum):
+    """Why the head of an answer is not sound."""
+
+    STATUS_LINE = "no status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599"
+    TOO_LONG = "a line that is too long, or too many lines"
+
+
+@dataclass(frozen=True, slots=True)
+class HeadLimits:
+    """Limits on what is kept of a head that is not complete.
+
+    Attributes:
+      line_bytes: Longest line.
+      lines: Most lines.
+    """
+
+    line_bytes: int
+    lines: int
+
+
+def fault_of_line(line: bytes, is_first: bool) -> HeadFault | None:
+    """Return what is wrong with a line of a head, without its line end.
+
+    Args:
+      line: The line; not the empty one that ends the head.
+      is_first: True for the status line.
+    """
+    if is_first:
+        return None if STATUS_LINE.fullmatch(line) else HeadFault.STATUS_LINE
+    return None
+
+
+class HeadReader:
+    """Collects a head until its empty line, and judges each line as it becomes complete.
+
+    The verdict does not depend on how the bytes are cut into packets.
+
+    Attributes:
+      limits: Limits on the head.
+      head: What has come of the head; once it is complete, also what came behind it.
+      lines: Complete lines so far.
+      line_start: Where the first line begins that is not complete.
+      end: Where the head ends, behind its empty line; 0 while it is not complete.
+      fault: What is wrong with the head; None for nothing so far.
+    """
+
+    def __init__(self, limits: HeadLimits) -> None:
+        self.limits = limits
+        self.head = bytearray()
+        self.lines = 0
+        self.line_start = 0
+        self.end = 0
+        self.fault: HeadFault | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Add what has arrived, until the head is complete or has a fault."""
+        searched = len(self.head)
+        self.head += data
+        if not self.head.startswith(FIRST_BYTES[: len(self.head)]):
+            self.fault = HeadFault.STATUS_LINE
+        while self.fault is None and not self.end:
+            line_end = self.head.find(b"\n", max(searched, self.line_start))
+            self.judge_length(len(self.head) if line_end < 0 else line_end)
+            if line_end < 0 or self.fault is not None:
+                return
+            self.end_line(line_end)
+
+    def judge_length(self, line_end: int) -> None:
+        """Set the fault if the line that ends there is too long, or one too many."""
+        is_too_long = line_end - self.line_start > self.limits.line_bytes
+        if is_too_long or self.lines > self.limits.lines:
+            self.fault = HeadFault.TOO_LONG
+
+    def end_line(self, line_end: int) -> None:
+        """Judge the line that a line feed ends; an empty one ends the head.
+
+        A line feed without a carriage return is a line end too (RFC 9112, section 2.2).
+        """
+        line = bytes(self.head[self.line_start : line_end]).removesuffix(b"\r")
+        self.line_start = line_end + 1
+        if line:
+            self.fault = fault_of_line(line, is_first=self.lines == 0)
+            self.lines += 1
+        else:
+            self.end = self.line_start
--- /dev/null
+++ b/verbenaward/answer_protocol.py
@@ -0,0 +1,131 @@
+"""Reads HTTP answers from a connection: only sound heads pass, and no interim answers.
+
+No client of ours asks for an interim answer (status 1xx). They are dropped, and end a call if too
+many come: aiohttp reads them as long as they come.
+"""
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from .answer_heads import LINE_OVERHEAD_BYTES, HeadFault, HeadLimits, HeadReader
+
+FIRST_INTERIM, FIRST_FINAL, SWITCHED_PROTOCOLS = 100, 200, 101
+MOST_INTERIM_ANSWERS = 16
+
+
+class TooManyInterimAnswersError(aiohttp.http.HttpProcessingError):
+    """A server has sent more interim answers than a call may have."""
+
+    def __init__(self) -> None:
+        super().__init__(code=502, message=f"more than {MOST_INTERIM_ANSWERS} interim answers")
+
+
+class UnsoundHeadError(aiohttp.http.HttpProcessingError):
+    """What a server has sent does not begin as an answer does."""
+
+    def __init__(self, fault: HeadFault) -> None:
+        super().__init__(code=502, message=f"the head of the answer is not sound: {fault}")
+
+
+class AnswerProtocol(ResponseHandler):
+    """Reads answers from a connection, without the interim ones before them.
+
+    The parser gets a head once it is complete and sound, in one piece.
+
+    Attributes:
+      awaits_head: True from a call to the head of its answer.
+      limits: Limits on a head.
+      head: What has come of a head.
+      interim_answers: Interim answers since the call.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        super().__init__(loop)
+        self.awaits_head = False
+        self.limits = HeadLimits(0, 0)
+        self.head = HeadReader(self.limits)
+        self.interim_answers = 0
+
+    def set_response_params(
+        self,
+        *,
+        max_line_size: int = 8190,
+        max_field_size: int = 8190,
+        max_headers: int = 128,
+        **options: Any,
+    ) -> None:
+        """Begin to read the answer to a call; the defaults of the limits are aiohttp's."""
+        longest = max(max_line_size, max_field_size) + LINE_OVERHEAD_BYTES
+        self.limits = HeadLimits(longest, max_headers + 1)
+        self.head = HeadReader(self.limits)
+        self.awaits_head = True
+        self.interim_answers = 0
+        super().set_response_params(
+            max_line_size=max_line_size,
+            max_field_size=max_field_size,
+            max_headers=max_headers,
+            **options,
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived, once it is known to follow a sound head."""
+        if self.awaits_head:
+            data = self.read_heads(data)
+            if not data:
+                return
+        super().data_received(data)
+
+    def read_heads(self, data: bytes) -> bytes:
+        """Judge and parse heads, and return what follows that of the answer."""
+        while self.awaits_head and self.exception() is None:
+            self.head.feed(data)
+            if self.head.fault is not None:
+                self.end_call(UnsoundHeadError(self.head.fault))
+            elif self.head.end:
+                data = self.parse_head()
+            else:
+                # The parser, which renews the limit on silence, does not see these bytes yet.
+                self.start_timeout()
+                return b""
+        return data if self.exception() is None else b""
+
+    def parse_head(self) -> bytes:
+        """Parse a head that is complete and sound, and return what came behind it."""
+        received, end = bytes(self.head.head), self.head.end
+        self.head = HeadReader(self.limits)
+        super().data_received(received[:end])
+        return received[end:]
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Pass a parsed answer on unless it is an interim one."""
+        code = data[0].code
+        if FIRST_INTERIM <= code < FIRST_FINAL and code != SWITCHED_PROTOCOLS:
+            self.count_interim()
+            return
+        self.awaits_head = False
+        super().feed_data(data, size)
+
+    def count_interim(self) -> None:
+        """Count an interim answer; end the call if there are too many."""
+        self.interim_answers += 1
+        if self.interim_answers > MOST_INTERIM_ANSWERS:
+            self.end_call(TooManyInterimAnswersError())
+
+    def end_call(self, error: aiohttp.http.HttpProcessingError) -> None:
+        """End a call without an answer, and its connection."""
+        self.awaits_head = False
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class AnswerConnector(aiohttp.TCPConnector):
+    """Makes connections that are read by `AnswerProtocol`."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # aiohttp has no other way to say how a connection is read.
+        self._factory: Any = functools.partial(AnswerProtocol, loop=self._loop)
--- a/verbenaward/control.py
+++ b/verbenaward/control.py
@@ -11,10 +11,10 @@
 
 import aiohttp
 
+from .answer_protocol import AnswerConnector
 from .configuration.follower import ConfigurationFollower
 from .configuration.settings import host_of
 from .http_client import ConnectedResponse, send_writes_once
-from .interim_answers import AnswerConnector
 from .logs import get_logger
 from .membership.directory import Directory
 from .membership.heartbeat import HeartbeatSender
--- a/verbenaward/ctl/apply.py
+++ b/verbenaward/ctl/apply.py
@@ -8,6 +8,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
+from ..answer_protocol import AnswerConnector
 from ..configuration.manifest import Change, differences
 from ..configuration.store import (
     ApplyOutcome,
@@ -21,7 +22,6 @@
     unaccepted_proposals,
 )
 from ..data import Configuration
-from ..interim_answers import AnswerConnector
 from ..platform.key_value import KeyValueService
 from ..schema.manifest import Manifest
 from ..schema.messages import ConfigurationOffer
--- a/verbenaward/ctl/clients.py
+++ b/verbenaward/ctl/clients.py
@@ -9,10 +9,10 @@
 import msgspec
 import uvloop
 
+from ..answer_protocol import AnswerConnector
 from ..bounded_reading import LARGEST_MESSAGE_BYTES, LARGEST_REPORT_BYTES, read_at_most
 from ..data import Configuration
 from ..http_client import send_writes_once
-from ..interim_answers import AnswerConnector
 from ..platform.key_value import ADAPTERS, KeyValueService
 from ..platform.stored_values import decode_value
 from ..schema.messages import Acknowledgement, ConfigurationOffer
--- a/verbenaward/ctl/commands_status.py
+++ b/verbenaward/ctl/commands_status.py
@@ -7,9 +7,9 @@
 import uvloop
 from returns.result import Success
 
+from ..answer_protocol import AnswerConnector
 from ..configuration.store import read_head
 from ..data import Configuration
-from ..interim_answers import AnswerConnector
 from ..platform.key_value import KeyValueService
 from . import options
 from .clients import post, run_with_key_value
--- a/verbenaward/ctl/status.py
+++ b/verbenaward/ctl/status.py
@@ -7,9 +7,9 @@
 
 import aiohttp
 
+from ..answer_protocol import AnswerConnector
 from ..configuration.manifest import release_digest
 from ..data import Configuration
-from ..interim_answers import AnswerConnector
 from .clients import MemberStatusReport, ProcessStatus, read_entry_statuses, read_statuses
 
 WAIT_POLL_SECONDS = 0.2
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -12,10 +12,10 @@
 from returns.result import Result, Success
 
 from .. import clock
+from ..answer_protocol import SWITCHED_PROTOCOLS, AnswerConnector
 from ..bounded_reading import LARGEST_ANSWER_BYTES
 from ..header_bytes import HeadRequest
 from ..http_client import ConnectedResponse, send_once, was_reset
-from ..interim_answers import SWITCHED_PROTOCOLS, AnswerConnector
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, HeldPart, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
--- a/verbenaward/direct_shared.py
+++ b/verbenaward/direct_shared.py
@@ -3,8 +3,8 @@
 import aiohttp
 from aiohttp import web
 
+from .answer_protocol import AnswerConnector
 from .http_client import send_writes_once
-from .interim_answers import AnswerConnector
 from .platform.key_value import ADAPTERS, LeasingService
 from .schema.settings import Settings
 from .sockets import keepalive_socket
