A body without a length is whole only by proof of its end

Cause: the parser takes any end of the connection for the end of such a body, so the readers looked for the reset afterwards. But that end also cancels the task that writes the request, which closes the connection, and aiohttp forgets the error as it closes. Where the process read the body after that (a turn or two of the event loop), nothing said reset any more. Other readers (store, origin, other processes, verbenactl) never looked. Change: the protocol of all HTTP clients asks for proof in place of looking for a reset. A body without length and chunks is whole only if the server closed its side, no error came, and the request had left the process by then; otherwise the body ends with an error for whoever reads it. `was_reset` and the response class for it are gone. Early answers with a length or chunks, and ends in order after the upload, stay whole (tests).

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -88,6 +88,7 @@
       route_overrides: Fields to override by route name; None leaves the route out.
       api_keys: API keys of the workspace in the configuration.
       workspace_fields: Further fields of that workspace.
+      max_body_bytes: Longest body of a request, in the configuration.
       direct_settings: Further fields of DirectSettings for processes that start later.
       control_port: Port of the control messages, the same on the host of each process.
       entry_megabits: Link of entry processes that start later, in Mbit/s; 0 for no limit.
@@ -107,6 +108,7 @@
         self.route_overrides: dict[str, dict[str, Any]] = {}
         self.api_keys = [API_KEY]
         self.workspace_fields: dict[str, Any] = {}
+        self.max_body_bytes = 100_000
         self.direct_settings: dict[str, Any] = {}
         self.control_port = free_address("0.0.0.0").rpartition(":")[2]
         self.host_count = 0
@@ -214,7 +216,7 @@
                 {"name": "engines", "health_path": "/healthz", "inference_engine": engine},
                 {"name": "files", "origin_server": self.origin.address, "zone": "zone-a"},
             ],
-            "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+            "limits": {"max_body_bytes": self.max_body_bytes, "idle_timeout_ms": 15_000},
             "tenants": [
                 {"name": "one", "api_keys": self.api_keys, "priority": 1, **self.workspace_fields}
             ],
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -4,9 +4,23 @@
 import socket
 import struct
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 
-WRITE_TURNS = 2
-"""Turns of the event loop after a write, in which its reader gets it before what follows."""
+
+class Ending(StrEnum):
+    """What becomes of the connection behind an answer.
+
+    STAY: it is read on and stays open until the requester closes it.
+    """
+
+    CLOSE = "close"
+    RESET = "reset"
+    STAY = "stay"
+
+
+READ_BYTES = 65536
+RECEIVE_BUFFER_BYTES = 4096
+"""Receive buffer of a connection: what is not read soon waits at the sender."""
 
 Cut = Callable[[bytes], Iterable[bytes]]
 """Cuts the bytes of an answer into the pieces in which they are written."""
@@ -33,7 +47,9 @@
     Attributes:
       answer: The bytes; ATTEMPT stands for the id of the attempt that is answered.
       cut: Cuts them into the pieces in which they are written.
-      resets: True to reset the connection after the answer, False to close it.
+      turns: Turns of the event loop after each piece, in which its reader gets it before what
+        follows.
+      ending: What becomes of the connection behind the answer.
       reads_body: False to answer as soon as the head of a request has come.
       requests: Number of requests so far.
       server: The listening socket; None before `start`.
@@ -42,7 +58,8 @@
     def __init__(self) -> None:
         self.answer = b""
         self.cut: Cut = at_once
-        self.resets = False
+        self.turns = 2
+        self.ending = Ending.CLOSE
         self.reads_body = True
         self.requests = 0
         self.server: asyncio.Server | None = None
@@ -50,7 +67,9 @@
     async def start(self, address: str) -> None:
         """Listen at an address."""
         host, _, port = address.rpartition(":")
-        self.server = await asyncio.start_server(self.serve, host, int(port))
+        listener = socket.create_server((host, int(port)))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.server = await asyncio.start_server(self.serve, sock=listener)
 
     def close(self) -> None:
         """Stop listening."""
@@ -68,9 +87,12 @@
             if writer.transport.is_closing():
                 return
             writer.write(piece)
-            for _ in range(WRITE_TURNS):
+            for _ in range(self.turns):
                 await asyncio.sleep(0)
-        if self.resets:
+        if self.ending is Ending.STAY:
+            while await reader.read(READ_BYTES):
+                pass
+        if self.ending is Ending.RESET:
             linger = struct.pack("ii", 1, 0)
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -1,16 +1,16 @@
 Feature: What a backend sends is an answer only if its head and its end are sound
   Both plain backends and both engines answer each request with the same raw bytes.
 
-  Background:
+  Scenario: A sound answer of such a backend reaches its caller, however its bytes come
     Given the users' platform with backends that answer with raw bytes
     And one entry process that is ready
-
-  Scenario: A sound answer of such a backend reaches its caller, however its bytes come
     When the backends answer each kind of request with the status line "HTTP/1.1 200 OK"
     Then each caller gets the answer
 
   # Guards against a status that is none and reaches callers: "HTTP/1.1 0", with the backend's signature.
   Scenario Outline: An answer with the status line "<line>" reaches no caller
+    Given the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
     When the backends answer each kind of request with the status line "<line>"
     Then each caller gets a 502 that says that it may have run
 
@@ -32,3 +32,39 @@
       | HTTP/1.x 200 OK  |
       | HTTP/9.9 200 OK  |
       | ICY 200 OK       |
+
+  # Guards against a part of a body that is passed on as whole: the reset of an answer without a length went unseen.
+  Scenario Outline: An answer to a long upload without a length that ends in a <end> is not whole, on the loop of <loop>
+    Given the event loop of <loop>
+    And the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    And the process reads each body <late> ms after its head, as a busy one does
+    When they answer uploads of <kilobytes> KB before they read them, without a length, and <end> them after 0 to 5 turns
+    Then each caller gets a 502 that says that it may have run
+
+    Examples: ends
+      | loop    | kilobytes | end   | late |
+      | asyncio | 3500      | reset | 20   |
+      | uvloop  | 3500      | reset | 20   |
+      | uvloop  | 3500      | reset | 0    |
+      | uvloop  | 0         | reset | 20   |
+      | asyncio | 3500      | close | 20   |
+      | uvloop  | 3500      | close | 20   |
+
+  # Such an answer is whole: its length, its last chunk or the end of the connection in order says so.
+  Scenario Outline: An answer to an upload of <kilobytes> KB <when> it is read is whole if it has <framing>, on the loop of <loop>
+    Given the event loop of <loop>
+    And the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When they answer uploads of <kilobytes> KB <when> they read them, with <framing>
+    Then each caller gets the answer
+
+    Examples: sound
+      | loop    | kilobytes | when   | framing   |
+      | asyncio | 3500      | before | a length  |
+      | asyncio | 3500      | before | chunks    |
+      | uvloop  | 3500      | before | a length  |
+      | uvloop  | 3500      | before | chunks    |
+      | asyncio | 3500      | after  | its end   |
+      | uvloop  | 3500      | after  | its end   |
+      | uvloop  | 0         | after  | its end   |
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -21,8 +21,8 @@
     When a key is written on the condition that it is new
     Then the outcome is unknown, and the service read 1 calls
 
-  # Guards against a head without its empty line that is taken for a whole answer without a body.
-  Scenario Outline: The client for <peers> takes no answer that is cut in its head or its framed body
+  # Guards against a head without its empty line that is taken for a whole answer without a body, and a reset for its end.
+  Scenario Outline: The client for <peers> takes no answer that is cut in its head or its framed body, or reset in another
     Given a server that ends its answers early
     Then the client for <peers> gets no answer that is cut at any byte
 
--- a/tests/requests/broken_answers.feature
+++ b/tests/requests/broken_answers.feature
@@ -18,3 +18,13 @@
       | HTTP/1.1 099 OK |
       | HTTP/1.1 600 OK |
       | HTTP/1.1 999 OK |
+
+  # Guards against a part of a body that is passed on as whole.
+  Scenario Outline: An answer without a length to a long upload that is not read passes no process if it ends in a <end>
+    When it answers an upload without a length before it reads it, and <end> it, to a process that reads late
+    Then the upload may have run
+
+    Examples: ends
+      | end   |
+      | reset |
+      | close |
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -1,14 +1,21 @@
 """Steps on answers that are broken in their head or at their end."""
 
+import asyncio
+from unittest import mock
+
 import aiohttp
+import uvloop
 from behave import given, then, when
 
 from standins.platform import PlatformStandIn, free_address
 from standins.platform_backend import PlatformBackendStandIn
-from standins.raw_answers import RawAnswerStandIn, at_once, byte_by_byte, cut_at
+from standins.raw_answers import Ending, RawAnswerStandIn, at_once, byte_by_byte, cut_at
 from tests.steps.cut_answers import CLIENTS
 from tests.steps.platform_running import call, run
+from verbenaward.direct import sending
 
+LONGEST_UPLOAD = 4_000_000
+"""Longest upload, in bytes; more than the buffers of a connection between two processes hold."""
 BACKENDS = (("p-1", "plain"), ("p-2", "plain"), ("e-1", "engines"), ("e-2", "engines"))
 PATHS = ("book", "look", "stream", "stream/once")
 """A request that runs once, an idempotent one, and streams that may and may not be resumed."""
@@ -31,6 +38,7 @@
 @given("the users' platform with backends that answer with raw bytes")
 def start_raw_backends(context):
     context.platform = PlatformStandIn()
+    context.platform.max_body_bytes = LONGEST_UPLOAD
     context.raw_backends = []
 
     async def start():
@@ -147,3 +155,61 @@
 def takes_sound(context):
     taken = run(context, taken_answers(context, context.peers, [SOUND]))
     assert taken == [(SOUND, 200, b"abc")] * len(cuts_of(SOUND)), taken
+
+
+LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+"""They differ in what they report of the end of a connection; the daemons run on uvloop."""
+UPLOADS = ("book", "look") * 3
+UNFRAMED = FIELDS[:-1]
+FRAMINGS = {
+    "a length": (FIELDS, BODY),
+    "chunks": ((*UNFRAMED, "Transfer-Encoding: chunked"), b"18\r\n" + BODY + b"\r\n0\r\n\r\n"),
+    "its end": (UNFRAMED, BODY),
+}
+
+
+@given("the event loop of {name}")
+def use_loop(context, name):
+    context.loop.close()
+    context.loop = LOOPS[name]()
+    context.add_cleanup(context.loop.close)
+
+
+def upload(context, kilobytes):
+    return [(path, ask(context, path, b"x" * 1000 * kilobytes)) for path in UPLOADS]
+
+
+@given("the process reads each body {milliseconds:d} ms after its head, as a busy one does")
+def read_late(context, milliseconds):
+    read_answer = sending.read_answer
+
+    async def read_after_head(*arguments):
+        await asyncio.sleep(milliseconds / 1000)
+        return await read_answer(*arguments)
+
+    patch = mock.patch.object(sending, "read_answer", read_after_head)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when(
+    "they answer uploads of {kilobytes:d} KB before they read them, without a length, and {end}"
+    " them after {first:d} to {last:d} turns"
+)
+def answer_unframed(context, kilobytes, end, first, last):
+    context.outcomes = []
+    for turns in range(first, last + 1):
+        for raw in context.raw_backends:
+            raw.answer = answer_of((STATUS_LINE, *UNFRAMED), BODY[:5])
+            raw.turns, raw.ending, raw.reads_body = turns, Ending(end), False
+        context.outcomes += [(turns, end, *outcome) for outcome in upload(context, kilobytes)]
+
+
+@when("they answer uploads of {kilobytes:d} KB {when} they read them, with {framing}")
+def answer_framed(context, kilobytes, when, framing):
+    fields, body = FRAMINGS[framing]
+    for raw in context.raw_backends:
+        raw.answer = answer_of((STATUS_LINE, *fields), body)
+        raw.reads_body = when == "after"
+        raw.ending = Ending.CLOSE if raw.reads_body else Ending.STAY
+    context.outcomes = [(kilobytes, framing, *outcome) for outcome in upload(context, kilobytes)]
--- a/tests/steps/broken_proxied_answers.py
+++ b/tests/steps/broken_proxied_answers.py
@@ -1,24 +1,27 @@
 """Steps on broken answers of backends in the proxied mode."""
 
+import asyncio
 import contextlib
 import dataclasses
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from returns.result import Success
 
 from standins.platform import free_address
-from standins.raw_answers import RawAnswerStandIn
+from standins.raw_answers import Ending, RawAnswerStandIn
 from tests.fakes import request_of
-from tests.steps.broken_answers import WAYS, answer_of
+from tests.steps.broken_answers import LONGEST_UPLOAD, WAYS, answer_of
 from tests.steps.cut_answers import CLIENTS
 from tests.steps.platform_running import run
 from tests.steps.requests_stream_forms import serve
 from tests.steps.requests_streams import FakeResponse
 from verbenaward import clock
 from verbenaward.data import Verdict
+from verbenaward.endpoint import backend
 from verbenaward.endpoint.admission import AdmissionGate
-from verbenaward.endpoint.backend import BackendClient
+from verbenaward.endpoint.backend import BackendCall, BackendClient
 from verbenaward.endpoint.run_handler import RunHandler
 from verbenaward.requests.attempt import run_attempt
 from verbenaward.requests.endpoints import EndpointView
@@ -29,6 +32,8 @@
 STREAM = b"data: 1\n\ndata: [DONE]\n\n"
 FIELDS = ("Content-Type: text/event-stream", f"Content-Length: {len(STREAM)}")
 SECONDS = 3.0
+LATE_SECONDS = 0.02
+"""Time after a head at which a busy process reads the body."""
 
 
 @given("a backend of the proxied mode that answers with raw bytes")
@@ -94,3 +99,33 @@
         }
         assert set(verdicts.values()) == {Verdict.MAY_HAVE_RUN}, (answer, way, results)
         assert not streamed, (answer, way, streamed)
+
+
+@when(
+    "it answers an upload without a length before it reads it, and {end} it, to a process that"
+    " reads late"
+)
+def answer_upload(context, end):
+    context.raw.answer = answer_of(("HTTP/1.1 200 OK", FIELDS[0]), STREAM)
+    context.raw.ending, context.raw.reads_body = Ending(end), False
+    read_at_most = backend.read_at_most
+
+    async def read_late(*arguments):
+        await asyncio.sleep(LATE_SECONDS)
+        return await read_at_most(*arguments)
+
+    async def send():
+        async with CLIENTS["proxied backends"]() as session:
+            client = BackendClient(f"http://{context.address}", session)
+            body, deadline = b"x" * LONGEST_UPLOAD, clock.now() + SECONDS
+            sent = BackendCall("id", "POST", "/", body, "a/b", 0, "", 0, deadline)
+            return await client.run(sent, "vm", "")
+
+    with mock.patch.object(backend, "read_at_most", read_late):
+        context.result = run(context, send())
+
+
+@then("the upload may have run")
+def upload_may_have_run(context):
+    assert context.result.swap().value_or(None), context.result
+    assert context.result.failure().verdict is Verdict.MAY_HAVE_RUN, context.result
--- a/tests/steps/cut_answers.py
+++ b/tests/steps/cut_answers.py
@@ -32,8 +32,9 @@
     HEAD + b"Transfer-Encoding: chunked\r\n\r\n10\r\n" + b"x" * 16 + b"\r\n0\r\n\r\n",
     b"HTTP/1.1 103 Early Hints\r\n\r\n" + HEAD + b"Content-Length: 0\r\n\r\n",
 )
-UNFRAMED = HEAD + b"Connection: close\r\n\r\n" + b"x" * 24
-UNFRAMED_HEAD = len(UNFRAMED) - 24
+BODY_BYTES = 24
+UNFRAMED = HEAD + b"Connection: close\r\n\r\n" + b"x" * BODY_BYTES
+UNFRAMED_HEAD = len(UNFRAMED) - BODY_BYTES
 MARKS = 11
 """Places at which a head is cut."""
 
@@ -79,8 +80,9 @@
         async with CLIENTS[peers]() as session:
             answers = [(whole, whole[:size]) for whole in FRAMED for size in range(len(whole))]
             answers += [(UNFRAMED, UNFRAMED[:size]) for size in range(UNFRAMED_HEAD)]
+            unframed = [(UNFRAMED, UNFRAMED[: UNFRAMED_HEAD + size]) for size in range(BODY_BYTES)]
             for resets in (False, True):
-                for _, context.server.answer in answers:
+                for _, context.server.answer in (*answers, *(unframed if resets else ())):
                     context.server.resets = resets
                     try:
                         taken = await read(session)
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -1,4 +1,10 @@
-"""Reads HTTP answers from a connection: only sound heads pass, and no interim answers.
+"""Reads HTTP answers from a connection: only sound heads and sound ends pass, no interim answers.
+
+A body with a length or in chunks says itself where it ends. One without ends with its connection,
+and is whole only if this shows that nothing went wrong: the request had been written, and then the
+server closed the connection in order. Other ends are errors of the body, for all that read it.
+aiohttp tells neither: it takes any end for that of such a body, and forgets a reset when the body's
+end cancels the writing of the request.
 
 No client of ours asks for an interim answer (status 1xx). They are dropped, and end a call if too
 many come: aiohttp reads them as long as they come.
@@ -30,6 +36,14 @@
         super().__init__(code=502, message=f"the head of the answer is not sound: {fault}")
 
 
+class UnprovenEndError(aiohttp.ClientPayloadError):
+    """The connection of a body without a length has ended otherwise than in order."""
+
+    def __init__(self, cause: BaseException | None) -> None:
+        reason = f"was lost: {cause!r}" if cause else "was closed before the request was written"
+        super().__init__(f"the answer has no length, and its connection {reason}")
+
+
 class AnswerProtocol(ResponseHandler):
     """Reads answers from a connection, without the interim ones before them.
 
@@ -40,6 +54,9 @@
       limits: Limits on a head.
       head: What has come of a head.
       interim_answers: Interim answers since the call.
+      is_request_written: Whether the request of the call has been given to the transport.
+      ends_with_connection: Whether the body of the answer does.
+      is_closed_in_order: Whether the server has closed its side after the whole request was sent.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -48,6 +65,9 @@
         self.limits = HeadLimits(0, 0)
         self.head = HeadReader(self.limits)
         self.interim_answers = 0
+        self.is_request_written = False
+        self.ends_with_connection = False
+        self.is_closed_in_order = False
 
     def set_response_params(
         self,
@@ -63,6 +83,7 @@
         self.head = HeadReader(self.limits)
         self.awaits_head = True
         self.interim_answers = 0
+        self.is_request_written = self.ends_with_connection = self.is_closed_in_order = False
         super().set_response_params(
             max_line_size=max_line_size,
             max_field_size=max_field_size,
@@ -88,7 +109,7 @@
                 data = self.parse_head()
             else:
                 # The parser, which renews the limit on silence, does not see these bytes yet.
-                self.start_timeout()
+                super().start_timeout()
                 return b""
         return data if self.exception() is None else b""
 
@@ -101,13 +122,33 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass a parsed answer on unless it is an interim one."""
-        code = data[0].code
-        if FIRST_INTERIM <= code < FIRST_FINAL and code != SWITCHED_PROTOCOLS:
+        message, _ = data
+        if FIRST_INTERIM <= message.code < FIRST_FINAL and message.code != SWITCHED_PROTOCOLS:
             self.count_interim()
             return
         self.awaits_head = False
+        self.ends_with_connection = not message.chunked and "Content-Length" not in message.headers
         super().feed_data(data, size)
 
+    def start_timeout(self) -> None:
+        """Begin to wait for the answer; aiohttp calls this once the request is written."""
+        self.is_request_written = True
+        super().start_timeout()
+
+    def eof_received(self) -> None:
+        """Note whether the whole request was sent when the server closed its side."""
+        is_sent = self.transport is not None and not self.transport.get_write_buffer_size()
+        self.is_closed_in_order = self.is_request_written and is_sent
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer; a body that ends with the connection is whole only by a sound end."""
+        body = self._payload
+        is_sound = exc is None and self.is_closed_in_order
+        if body is not None and self.ends_with_connection and not (is_sound or body.is_eof()):
+            body.set_exception(UnprovenEndError(exc))
+        super().connection_lost(exc)
+
     def count_interim(self) -> None:
         """Count an interim answer; end the call if there are too many."""
         self.interim_answers += 1
--- a/verbenaward/control.py
+++ b/verbenaward/control.py
@@ -14,7 +14,7 @@
 from .answer_protocol import AnswerConnector
 from .configuration.follower import ConfigurationFollower
 from .configuration.settings import host_of
-from .http_client import ConnectedResponse, send_writes_once
+from .http_client import send_writes_once
 from .logs import get_logger
 from .membership.directory import Directory
 from .membership.heartbeat import HeartbeatSender
@@ -134,7 +134,6 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_writes_once,),
-        response_class=ConnectedResponse,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
     )
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -15,7 +15,7 @@
 from ..answer_protocol import SWITCHED_PROTOCOLS, AnswerConnector
 from ..bounded_reading import LARGEST_ANSWER_BYTES
 from ..header_bytes import HeadRequest
-from ..http_client import ConnectedResponse, send_once, was_reset
+from ..http_client import send_once
 from ..placement.backends import BackendView
 from ..placement.memory_budget import COPIES, HeldBytes, HeldPart, Purpose
 from ..placement.request_types import FailedAttempt, FailureKind, Request, WholeAnswer
@@ -73,7 +73,6 @@
         connector=connector,
         middlewares=(send_once,),
         request_class=HeadRequest,
-        response_class=ConnectedResponse,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -261,7 +260,5 @@
                 return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     except (aiohttp.ClientError, OSError) as error:
         return Failed(FailedAttempt(FailureKind.BROKEN, True, f"{type(error).__name__} {error}"))
-    if was_reset(response):
-        return Failed(FailedAttempt(FailureKind.BROKEN, True, "the connection was reset"))
     headers = headers_for_caller(response.headers)
     return Success(WholeAnswer(response.status, headers, bytes(body)))
--- a/verbenaward/direct/streams.py
+++ b/verbenaward/direct/streams.py
@@ -15,7 +15,6 @@
 
 from .. import clock
 from ..draining import record_end
-from ..http_client import was_reset
 from ..placement.engine_memory import counted_tokens
 from ..placement.memory_budget import MEMORY_REASON
 from ..placement.request_types import (
@@ -164,7 +163,7 @@
                     self.clear_parts(request, send)
         except (aiohttp.ClientError, OSError) as error:
             return attempt.broken(f"{type(error).__name__} {error}")
-        if was_reset(answer) or attempt.parser.unfinished_bytes:
+        if attempt.parser.unfinished_bytes:
             return attempt.broken("the stream was cut off")
         if not await delivery.take_over(attempt):
             return FailedAttempt(FailureKind.SILENT, True, "another backend continues the stream")
--- a/verbenaward/endpoint/backend.py
+++ b/verbenaward/endpoint/backend.py
@@ -14,7 +14,7 @@
 from .. import clock
 from ..bounded_reading import LARGEST_ANSWER_BYTES, read_at_most
 from ..data import Load, Refusal
-from ..http_client import send_once, was_reset
+from ..http_client import send_once
 from ..requests import headers
 from ..requests.attempt import BACKEND_CRASHED
 from ..requests.decoding import encoding_of
@@ -95,8 +95,6 @@
         try:
             async with self.open_call(call) as response:
                 body = await read_at_most(response, LARGEST_ANSWER_BYTES)
-                if was_reset(response):
-                    raise aiohttp.ClientPayloadError("the connection was reset")
                 if not is_answer_to(call, response.headers):
                     message = "the answer has the id of another request"
                     return Failure(may_have_run("crossed-answer", message))
--- a/verbenaward/http_client.py
+++ b/verbenaward/http_client.py
@@ -1,4 +1,4 @@
-"""What the HTTP clients add to aiohttp's: no call is sent again by itself, and resets are seen.
+"""What the HTTP clients add to aiohttp's: no call is sent again by itself.
 
 aiohttp repeats a GET, HEAD, OPTIONS, TRACE, PUT or DELETE whose connection was lost, though the
 other side may have acted on it, and reports only the outcome of the second send.
@@ -6,8 +6,6 @@
 
 import aiohttp
 from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 
 READ_METHODS = ("GET", "HEAD")
 
@@ -42,29 +40,3 @@
     if request.method in READ_METHODS:
         return await handler(request)
     return await send_once(request, handler)
-
-
-class ConnectedResponse(aiohttp.ClientResponse):
-    """A response that keeps its connection's protocol, which shows a reset.
-
-    The response gives its connection back once its body has ended, which may be before its head
-    is looked at.
-    """
-
-    protocol: ResponseHandler | None = None
-
-    async def start(self, connection: Connection) -> "ConnectedResponse":
-        """Read the head of the response."""
-        self.protocol = connection.protocol
-        await super().start(connection)
-        return self
-
-
-def was_reset(response: aiohttp.ClientResponse) -> bool:
-    """Return True if the connection of a response was reset instead of closed.
-
-    An answer without a length ends when its connection closes, and aiohttp's parser takes a reset
-    for such an end.
-    """
-    protocol = response.protocol if isinstance(response, ConnectedResponse) else None
-    return protocol is not None and isinstance(protocol.exception(), aiohttp.ClientOSError)
