A head with a line that is no field is no answer

Cause: the parser is lenient. It judges names that it knows otherwise than others, its verdict depends on where a packet ends, and what it hands on no longer shows a blank before a line. Change: each line of a head, as received, is a token, its colon and a value without NUL and CR. That holds for all clients, and before the parser, so not for one place, name or cut. Decided: a line that begins with a blank is refused anywhere. RFC 9112 (5.2) lets a gateway answer a folded line with 502, and a fold can't be told from a broken name; on the first line (2.2) it must be refused or dropped. Held before, with tests: names that the parser does not know with a blank or control byte, lines without colon or name.

--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -33,6 +33,35 @@
       | HTTP/9.9 200 OK  |
       | ICY 200 OK       |
 
+  # Guards against lines that are passed on, and bodies that are cut or framed by them.
+  Scenario Outline: An answer with the line "<line>" in its head reaches no caller
+    Given the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When the head of the answer has a line "<line>" in any place
+    Then each caller gets a 502 that says that it may have run
+
+    Examples: passed on before, in one place or way at least
+      | line                          |
+      | Connection : 3                |
+      | Upgrade : 3                   |
+      | Connection x: 3               |
+      | Content-Length x: 3           |
+      | Content-Length : 3            |
+      | Transfer-Encoding x: chunked  |
+      | Transfer-Encoding : chunked   |
+      | \x20X-Foo: bar               |
+      | \tX-Foo: bar                 |
+
+    Examples: refused by the parser as well
+      | line          |
+      | X Foo: bar    |
+      | X-Foo : bar   |
+      | X-\x01Foo: bar |
+      | X-\x7fFoo: bar |
+      | X-Foo\x0b: bar |
+      | X-Foo         |
+      | : bar         |
+
   # Guards against a part of a body that is passed on as whole: the reset of an answer without a length went unseen.
   Scenario Outline: An answer to a long upload without a length that ends in a <end> is not whole, on the loop of <loop>
     Given the event loop of <loop>
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -46,6 +46,17 @@
       | proxied peers    | status line |
       | the platform     | status line |
 
+    Examples: of a field
+      | peers            | part         |
+      | backends         | known name   |
+      | backends         | other name   |
+      | backends         | leading byte |
+      | backends         | value        |
+      | proxied backends | known name   |
+      | proxied peers    | known name   |
+      | the platform     | known name   |
+      | the platform     | leading byte |
+
   # Guards against a short body that the proxied mode passes on as whole.
   Scenario: An answer without a length that is reset is not complete in the proxied mode
     Given a server that ends its answers early
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -105,6 +105,23 @@
 
 
 SOUND = b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabc"
+KNOWN_NAMES = (b"Connection", b"Upgrade", b"Content-Length", b"Transfer-Encoding")
+"""Names that a parser itself reads."""
+WRONG_BYTES = b" \t\0\x01\x0b\x0c\r\x7f\x80(,;="
+"""Bytes that a name may not hold."""
+
+
+def with_line(line):
+    """Return answers with a line in the first, the middle and the last place of the fields."""
+    first, *fields = SOUND.split(b"\r\n\r\n")[0].split(b"\r\n")
+    heads = ([first, *fields[:n], line, *fields[n:], b"", b"abc"] for n in range(len(fields) + 1))
+    return tuple(b"\r\n".join(head) for head in heads)
+
+
+def with_lines(lines):
+    return tuple(answer for line in lines for answer in with_line(line))
+
+
 UNSOUND = {
     "status line": (
         *(SOUND.replace(b"200", code) for code in (b"000", b"099", b"600", b"999", b"20", b"2000")),
@@ -113,6 +130,14 @@
         b"HTTP/1.1 103 Early Hints\r\n\r\n" + SOUND.replace(b"200", b"600"),
         b"abc",
     ),
+    "known name": with_lines(
+        name + end for name in KNOWN_NAMES for end in (b" : 3", b" x: 3", b"\t: 3", b"\x01: 3")
+    ),
+    "other name": with_lines(
+        (*(b"X%cB: 1" % byte for byte in WRONG_BYTES), b"X-B : 1", b"X-B\x0b: 1", b": 1", b"X-B")
+    ),
+    "leading byte": with_lines(b"%cX-B: 1" % byte for byte in WRONG_BYTES),
+    "value": with_lines(b"X-B: 1%c2" % byte for byte in b"\0\r"),
 }
 """What is not an answer, by the part of the head that is wrong."""
 
@@ -213,3 +238,12 @@
         raw.reads_body = when == "after"
         raw.ending = Ending.CLOSE if raw.reads_body else Ending.STAY
     context.outcomes = [(kilobytes, framing, *outcome) for outcome in upload(context, kilobytes)]
+
+
+@when('the head of the answer has a line "{line}" in any place')
+def answer_with_line(context, line):
+    line = line.encode().decode("unicode_escape")
+    # No second length, which would be refused for itself.
+    fields = UNFRAMED if line.lower().startswith(("content-l", "transfer-e")) else FIELDS
+    heads = ((*fields[:place], line, *fields[place:]) for place in range(len(fields) + 1))
+    ask_each(context, [answer_of((STATUS_LINE, *head)) for head in heads])
--- a/verbenaward/answer_heads.py
+++ b/verbenaward/answer_heads.py
@@ -10,6 +10,9 @@
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\0\r]*)?")
 """RFC 9112, section 4; the blank before an empty reason may be missing."""
+FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\0\r]*")
+"""RFC 9112, section 5: the name is a token, next to its colon. Control bytes of a value other than
+these stay, as RFC 9110 (section 5.5) lets a recipient do."""
 FIRST_BYTES = b"HTTP/1."
 """What each status line begins with, so that other protocols are told without a line end."""
 LINE_OVERHEAD_BYTES = 64
@@ -20,6 +23,7 @@
     """Why the head of an answer is not sound."""
 
     STATUS_LINE = "no status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599"
+    FIELD_LINE = "a line that is no name, colon and value of a field"
     TOO_LONG = "a line that is too long, or too many lines"
 
 
@@ -40,12 +44,13 @@
     """Return what is wrong with a line of a head, without its line end.
 
     Args:
-      line: The line; not the empty one that ends the head.
+      line: The line; not the empty one that ends the head. One that begins with a blank is wrong:
+        whether it goes on with the line before it can't be told from a name with a blank before it.
       is_first: True for the status line.
     """
     if is_first:
         return None if STATUS_LINE.fullmatch(line) else HeadFault.STATUS_LINE
-    return None
+    return None if FIELD_LINE.fullmatch(line) else HeadFault.FIELD_LINE
 
 
 class HeadReader:
