A body in another framing than one length or chunks is no answer

Cause: the parser takes a body in a coding that it does not know for one that ends with its connection. Change: the rule of a sound head has its framing in it: no such field, one length of up to 19 digits, or `chunked` once and alone in HTTP/1.1. No client of ours asks for another coding. Decided: two equal lengths and both fields at once stay refused (RFC 9112, 6.3); a coding in HTTP/1.0 is faulty framing (6.1). Blanks behind the size of a chunk stay allowed. Parsers read them, and no part of them reaches callers.

--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -62,6 +62,23 @@
       | X-Foo         |
       | : bar         |
 
+  # Guards against the sizes of chunks as a part of the body, as the coding itself is not passed on.
+  Scenario Outline: An answer in chunks with the transfer coding "<coding>" reaches no caller
+    Given the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When the backends frame each kind of answer by the coding "<coding>"
+    Then each caller gets a 502 that says that it may have run
+
+    Examples: passed on before
+      | coding            |
+      | xchunked          |
+      | gzip              |
+      | chunked, identity |
+      | chunked;a         |
+      | chunked,          |
+      | \x0bchunked       |
+      | chunked, chunked  |
+
   # Guards against a part of a body that is passed on as whole: the reset of an answer without a length went unseen.
   Scenario Outline: An answer to a long upload without a length that ends in a <end> is not whole, on the loop of <loop>
     Given the event loop of <loop>
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -57,6 +57,13 @@
       | the platform     | known name   |
       | the platform     | leading byte |
 
+    Examples: of the framing
+      | peers            | part    |
+      | backends         | framing |
+      | proxied backends | framing |
+      | proxied peers    | framing |
+      | the platform     | framing |
+
   # Guards against a short body that the proxied mode passes on as whole.
   Scenario: An answer without a length that is reset is not complete in the proxied mode
     Given a server that ends its answers early
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -122,7 +122,46 @@
     return tuple(answer for line in lines for answer in with_line(line))
 
 
+CODINGS = (
+    *("xchunked", "gzip", "identity", "chunked, identity", "gzip, chunked", "chunked, chunked"),
+    *("chunked;a", "chunked,", ",chunked", "\x0bchunked", "chunked\x0b", '"chunked"', "chunke", ""),
+)
+"""Transfer codings other than chunked alone."""
+LENGTHS = (
+    "+3",
+    "-3",
+    "3 3",
+    "3, 3",
+    "3,",
+    "0x3",
+    "",
+    "3;a",
+    "\x0b3",
+    "\xb2",
+    "3" * 20,
+    "1e0",
+    "3.0",
+)
+CHUNKED_BODY = b"3\r\nabc\r\n0\r\n\r\n"
+
+
+def framed_by(fields, version="HTTP/1.1"):
+    """Return an answer with only these fields, and a body in chunks."""
+    lines = (f"{version} 200 OK", *fields, "", "")
+    return "\r\n".join(lines).encode("latin-1") + CHUNKED_BODY
+
+
 UNSOUND = {
+    "framing": (
+        *(framed_by([f"Transfer-Encoding: {coding}"]) for coding in CODINGS),
+        *(framed_by([f"Content-Length: {length}"]) for length in LENGTHS),
+        framed_by(["Transfer-Encoding: chunked"] * 2),
+        framed_by(["Transfer-Encoding: chunked"], "HTTP/1.0"),
+        framed_by(["Transfer-Encoding: chunked", "Content-Length: 3"]),
+        framed_by(["content-length: 18", "X-A: 1", "TRANSFER-ENCODING:chunked"]),
+        framed_by(["Content-Length: 18", "Content-Length: 18"]),
+        framed_by(["Content-Length: 3", "Content-Length: 4"]),
+    ),
     "status line": (
         *(SOUND.replace(b"200", code) for code in (b"000", b"099", b"600", b"999", b"20", b"2000")),
         *(SOUND.replace(b"HTTP/1.1", name) for name in (b"HTTP/2.0", b"HTTP/9.9", b"ICY")),
@@ -247,3 +286,11 @@
     fields = UNFRAMED if line.lower().startswith(("content-l", "transfer-e")) else FIELDS
     heads = ((*fields[:place], line, *fields[place:]) for place in range(len(fields) + 1))
     ask_each(context, [answer_of((STATUS_LINE, *head)) for head in heads])
+
+
+@when('the backends frame each kind of answer by the coding "{coding}"')
+def answer_with_coding(context, coding):
+    coding = coding.encode().decode("unicode_escape")
+    chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
+    fields = (*UNFRAMED, f"Transfer-Encoding: {coding}")
+    ask_each(context, [answer_of((STATUS_LINE, *fields), chunks)])
--- a/verbenaward/answer_heads.py
+++ b/verbenaward/answer_heads.py
@@ -13,6 +13,11 @@
 FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\0\r]*")
 """RFC 9112, section 5: the name is a token, next to its colon. Control bytes of a value other than
 these stay, as RFC 9110 (section 5.5) lets a recipient do."""
+FRAMING_FIELD = re.compile(
+    rb"^(transfer-encoding|content-length):([^\r\n]*)", re.IGNORECASE | re.MULTILINE
+)
+LENGTH = re.compile(rb"[0-9]{1,19}")
+"""A length that fits into 64 bits."""
 FIRST_BYTES = b"HTTP/1."
 """What each status line begins with, so that other protocols are told without a line end."""
 LINE_OVERHEAD_BYTES = 64
@@ -24,6 +29,7 @@
 
     STATUS_LINE = "no status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599"
     FIELD_LINE = "a line that is no name, colon and value of a field"
+    FRAMING = "a framing other than one length, or one coding that is chunked and no length"
     TOO_LONG = "a line that is too long, or too many lines"
 
 
@@ -53,9 +59,30 @@
     return None if FIELD_LINE.fullmatch(line) else HeadFault.FIELD_LINE
 
 
+def fault_of_framing(head: bytes) -> HeadFault | None:
+    """Return what is wrong with how a whole head says where the body ends.
+
+    A client can't tell the end of a body in another coding than chunked, none of which it asks for
+    (RFC 9112, sections 6.1 and 7). HTTP/1.0 has no codings. A message with both a coding and a
+    length, or several of either, has more than one end.
+    """
+    fields = [(name.lower(), value.strip(b" \t")) for name, value in FRAMING_FIELD.findall(head)]
+    if not fields:
+        return None
+    if len(fields) > 1:
+        return HeadFault.FRAMING
+    name, value = fields[0]
+    if name == b"content-length":
+        return None if LENGTH.fullmatch(value) else HeadFault.FRAMING
+    is_chunked = value.lower() == b"chunked" and head.startswith(b"HTTP/1.1")
+    return None if is_chunked else HeadFault.FRAMING
+
+
 class HeadReader:
     """Collects a head until its empty line, and judges each line as it becomes complete.
 
+    The framing, which is a matter of several lines, is judged at the end.
+
     The verdict does not depend on how the bytes are cut into packets.
 
     Attributes:
@@ -106,3 +133,4 @@
             self.lines += 1
         else:
             self.end = self.line_start
+            self.fault = fault_of_framing(bytes(self.head[: self.end]))
