Tests: every other reader of answers refuses broken ones

What was seen: other readers than those of requests never looked for a reset, and judge by status. A write to the store or the key-value service whose answer was broken counted as unavailable, as if no connection had been made, though it may have happened: it was repeated or taken back on that ground. No change of the product here: such answers are errors of the call now, a write's outcome is unknown, an order's too. Places that judge by `status >= 500`, `< 500` or a table (forwarding.py, retries.py, refusals.py, entry/verdicts.py) get 200 to 599 only. Not shown by a run: calls of verbenactl other than its status; they use the same connector.

--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -19,6 +19,7 @@
 
 
 READ_BYTES = 65536
+AFTERTHOUGHT_SECONDS = 0.01
 RECEIVE_BUFFER_BYTES = 4096
 """Receive buffer of a connection: what is not read soon waits at the sender."""
 
@@ -49,6 +50,7 @@
       cut: Cuts them into the pieces in which they are written.
       turns: Turns of the event loop after each piece, in which its reader gets it before what
         follows.
+      afterthought: Bytes that follow on an open connection once the answer has been read.
       ending: What becomes of the connection behind the answer.
       reads_body: False to answer as soon as the head of a request has come.
       requests: Number of requests so far.
@@ -60,6 +62,7 @@
         self.cut: Cut = at_once
         self.turns = 2
         self.ending = Ending.CLOSE
+        self.afterthought = b""
         self.reads_body = True
         self.requests = 0
         self.server: asyncio.Server | None = None
@@ -89,6 +92,9 @@
             writer.write(piece)
             for _ in range(self.turns):
                 await asyncio.sleep(0)
+        if self.afterthought:
+            await asyncio.sleep(AFTERTHOUGHT_SECONDS)
+            writer.write(self.afterthought)
         if self.ending is Ending.STAY:
             while await reader.read(READ_BYTES):
                 pass
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -109,3 +109,38 @@
       | a key of the service     | long    |
       | the state of an engine   | plain   |
       | the status of a process  | chunked |
+
+  # Guards against a part of a chunk or a report that is taken for the whole: these readers never looked for a reset.
+  Scenario Outline: A call for <what> fails if its answer is broken
+    Given a server that answers with raw bytes
+    Then a call for <what> fails on each broken answer
+
+    Examples: calls
+      | what                     |
+      | a report of an engine    |
+      | a staged chunk           |
+      | a chunk of the origin    |
+      | a manifest               |
+      | a key of the store       |
+      | a watch of the store     |
+      | a renewal of a lease     |
+      | changes of a peer        |
+      | an inventory of a peer   |
+      | a chunk of a peer        |
+      | a control message        |
+      | a proxied answer         |
+      | a list of VMs            |
+      | a key of the service     |
+      | the state of an engine   |
+      | the status of a process  |
+      | an order to load         |
+
+  # Guards against a write that is repeated, or taken back, as if it could not have happened.
+  Scenario Outline: A write to <store> whose answer is broken may have happened
+    Given a server that answers with raw bytes
+    Then a write to <store> has an unknown outcome after each broken answer
+
+    Examples: stores
+      | store       |
+      | the store   |
+      | the service |
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -6,13 +6,28 @@
 import aiohttp
 import uvloop
 from behave import given, then, when
+from returns.result import Failure
 
 from standins.platform import PlatformStandIn, free_address
 from standins.platform_backend import PlatformBackendStandIn
-from standins.raw_answers import Ending, RawAnswerStandIn, at_once, byte_by_byte, cut_at
+from standins.raw_answers import (
+    AFTERTHOUGHT_SECONDS,
+    Ending,
+    RawAnswerStandIn,
+    at_once,
+    byte_by_byte,
+    cut_at,
+)
 from tests.steps.cut_answers import CLIENTS
+from tests.steps.endless_bytes import CALL_SECONDS, CALLS
 from tests.steps.platform_running import call, run
 from verbenaward.direct import sending
+from verbenaward.direct_shared import platform_session
+from verbenaward.distribution.peer_calls import PeerCalls
+from verbenaward.platform.key_value import KeyValueFailure
+from verbenaward.platform.key_value_http import HttpKeyValueService
+from verbenaward.platform.leased_store import Lease, LeasedStore
+from verbenaward.platform.weights import LocalEngine
 
 LONGEST_UPLOAD = 4_000_000
 """Longest upload, in bytes; more than the buffers of a connection between two processes hold."""
@@ -152,6 +167,10 @@
 
 
 UNSOUND = {
+    "protocol": (
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nabc",
+        b"HTTP/1.1 101 Switching Protocols\r\nContent-Length: 0\r\n\r\n",
+    ),
     "framing": (
         *(framed_by([f"Transfer-Encoding: {coding}"]) for coding in CODINGS),
         *(framed_by([f"Content-Length: {length}"]) for length in LENGTHS),
@@ -192,6 +211,10 @@
     return (at_once, byte_by_byte, *(cut_at(place) for place in range(1, len(answer))))
 
 
+VERDICT_SECONDS = 2.0
+"""Longest time for the verdict on an answer; whatever it is, the server ends the connection."""
+
+
 async def taken_answers(context, peers, answers):
     """Return the answers that a client takes, each with its bytes and the status and body read."""
     server, taken = context.server, []
@@ -201,10 +224,15 @@
             for cut in cuts_of(answer):
                 server.cut = cut
                 try:
-                    async with session.get(f"http://{context.address}/") as response:
+                    async with (
+                        asyncio.timeout(VERDICT_SECONDS),
+                        session.get(f"http://{context.address}/") as response,
+                    ):
                         taken.append((answer, response.status, await response.read()))
                 except aiohttp.ClientError:
                     continue
+                except TimeoutError:
+                    return [*taken, (answer, "no verdict")]
     return taken
 
 
@@ -294,3 +322,90 @@
     chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
     fields = (*UNFRAMED, f"Transfer-Encoding: {coding}")
     ask_each(context, [answer_of((STATUS_LINE, *fields), chunks)])
+
+
+BROKEN = (
+    *((SOUND.replace(b"200", code), Ending.CLOSE) for code in (b"000", b"600", b"999")),
+    (SOUND.replace(b"X-A:", b"Connection :"), Ending.CLOSE),
+    (framed_by(["Transfer-Encoding: xchunked"]), Ending.CLOSE),
+    (b"HTTP/1.1 200 OK\r\n\r\nabc", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\n\r\n", Ending.RESET),
+)
+"""Broken answers, and what becomes of their connections."""
+
+
+def keep_lease(session, address):
+    store = LeasedStore(session, f"http://{address}")
+    store.leases["key"], store.written = Lease(1, 0), {"key"}
+    return store.keep_alive("key", b"", 3.0)
+
+
+FURTHER_CALLS = {
+    "a renewal of a lease": keep_lease,
+    "a chunk of a peer": lambda s, a: PeerCalls(s).fetch(a, "/p"),
+    "an order to load": lambda s, a: LocalEngine(s, a).order_load("m", 1, 0),
+}
+WRITES = {
+    "the store": lambda s, a: LeasedStore(s, f"http://{a}").write("key", b"", 0),
+    "the service": lambda s, a: HttpKeyValueService(s, f"http://{a}").write("key", b"", 0),
+}
+
+
+def results_of(context, send):
+    """Return the result of a call for each broken answer."""
+
+    async def send_each():
+        results = []
+        for context.server.answer, context.server.ending in BROKEN:
+            async with platform_session() as session:
+                call_ = send(session, context.address)
+                results.append(await asyncio.wait_for(call_, CALL_SECONDS))
+        return results
+
+    return run(context, send_each())
+
+
+@then("a call for {what} fails on each broken answer")
+def call_fails(context, what):
+    results = results_of(context, {**CALLS, **FURTHER_CALLS}[what])
+    taken = [(*pair,) for pair in zip(BROKEN, results, strict=True) if not is_failure(pair[1])]
+    assert not taken, taken
+
+
+def is_failure(result):
+    return isinstance(result, Failure)
+
+
+@then("a write to {store} has an unknown outcome after each broken answer")
+def write_unknown(context, store):
+    results = [result.failure().failure for result in results_of(context, WRITES[store])]
+    assert results == [KeyValueFailure.UNKNOWN] * len(BROKEN), results
+
+
+async def body_of(session, address):
+    try:
+        async with (
+            asyncio.timeout(VERDICT_SECONDS),
+            session.get(f"http://{address}/") as response,
+        ):
+            return response.status, await response.read()
+    except (TimeoutError, aiohttp.ClientError) as error:
+        return repr(error)
+
+
+@then("no call for {peers} gets what came behind the answer to the one before")
+def no_afterthought(context, peers):
+    context.server.answer, context.server.ending = SOUND, Ending.STAY
+    afterthoughts = (SOUND.replace(b"abc", b"old"), SOUND.replace(b"200", b"600"), b"HTTP/1.1 2")
+
+    async def read_each():
+        bodies = []
+        async with CLIENTS[peers]() as session:
+            for context.server.afterthought in afterthoughts:
+                for _ in range(2):
+                    bodies.append(await body_of(session, context.address))
+                    await asyncio.sleep(5 * AFTERTHOUGHT_SECONDS)
+        return bodies
+
+    bodies = run(context, read_each())
+    assert bodies == [(200, b"abc")] * 2 * len(afterthoughts), bodies
