What comes behind an answer is no answer to the next call

What was seen: on a connection that is kept (store, origin, other processes, peers of the proxied mode), an answer that the server sent behind the one before, unasked, was taken for that of the next call; its head passed unjudged, also with the status 600. Cause: the parser of a finished call goes on reading, and its answers wait in the queue from which the next call reads. The pool only asks whether the connection is open. Calls to backends never reuse connections, so requests of callers were not concerned. Change: anything that comes behind a whole answer ends its connection.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -144,3 +144,13 @@
       | store       |
       | the store   |
       | the service |
+
+  # Guards against an answer that nobody asked for, taken for that of the next call, its head unjudged.
+  Scenario Outline: What comes behind a whole answer is no answer to the next call for <peers>
+    Given a server that answers with raw bytes
+    Then no call for <peers> gets what came behind the answer to the one before
+
+    Examples: clients that keep connections
+      | peers         |
+      | proxied peers |
+      | the platform  |
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -6,6 +6,8 @@
 aiohttp tells neither: it takes any end for that of such a body, and forgets a reset when the body's
 end cancels the writing of the request.
 
+Nothing that comes behind an answer is one: the next call gets a new connection.
+
 No client of ours asks for an interim answer (status 1xx). They are dropped, and end a call if too
 many come: aiohttp reads them as long as they come.
 """
@@ -97,8 +99,15 @@
             data = self.read_heads(data)
             if not data:
                 return
+        elif data and self.is_answered():
+            self.abort_connection()
+            return
         super().data_received(data)
 
+    def is_answered(self) -> bool:
+        """Return True if the last call has its whole answer."""
+        return self._parser is not None and (self._payload is None or self._payload.is_eof())
+
     def read_heads(self, data: bytes) -> bytes:
         """Judge and parse heads, and return what follows that of the answer."""
         while self.awaits_head and self.exception() is None:
@@ -121,14 +130,17 @@
         return received[end:]
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Pass a parsed answer on unless it is an interim one."""
+        """Pass the parsed answer on; interim ones are dropped, and there is no second one."""
         message, _ = data
-        if FIRST_INTERIM <= message.code < FIRST_FINAL and message.code != SWITCHED_PROTOCOLS:
+        if not self.awaits_head:
+            self.abort_connection()
+        elif FIRST_INTERIM <= message.code < FIRST_FINAL and message.code != SWITCHED_PROTOCOLS:
             self.count_interim()
-            return
-        self.awaits_head = False
-        self.ends_with_connection = not message.chunked and "Content-Length" not in message.headers
-        super().feed_data(data, size)
+        else:
+            self.awaits_head = False
+            has_length = "Content-Length" in message.headers
+            self.ends_with_connection = not message.chunked and not has_length
+            super().feed_data(data, size)
 
     def start_timeout(self) -> None:
         """Begin to wait for the answer; aiohttp calls this once the request is written."""
@@ -159,6 +171,10 @@
         """End a call without an answer, and its connection."""
         self.awaits_head = False
         self.set_exception(error)
+        self.abort_connection()
+
+    def abort_connection(self) -> None:
+        """End the connection: what comes on it is not an answer to any call."""
         if self.transport is not None:
             self.transport.abort()
 
