A switch of protocols is no answer for any client

What was seen: all four HTTP clients took an answer with the status 101, though no call of ours asks for another protocol. Whole answers and streams of the direct mode were refused behind them, answers of the proxied mode and of the other readers were not. Cause: 101 was exempt from the interim answers that are dropped, and only direct/sending.py asked for it. Change: the protocol of all clients ends such a call; the check in sending.py is gone.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -154,3 +154,15 @@
       | peers         |
       | proxied peers |
       | the platform  |
+
+  # No call of ours asks for another protocol.
+  Scenario Outline: The client for <peers> takes no answer that switches protocols
+    Given a server that answers with raw bytes
+    Then the client for <peers> takes no answer with a wrong protocol, wherever it is cut
+
+    Examples: clients
+      | peers            |
+      | backends         |
+      | proxied backends |
+      | proxied peers    |
+      | the platform     |
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -38,6 +38,13 @@
         super().__init__(code=502, message=f"the head of the answer is not sound: {fault}")
 
 
+class SwitchedProtocolsError(aiohttp.http.HttpProcessingError):
+    """A server has switched to another protocol, for which no call asks."""
+
+    def __init__(self) -> None:
+        super().__init__(code=502, message="the server switched protocols")
+
+
 class UnprovenEndError(aiohttp.ClientPayloadError):
     """The connection of a body without a length has ended otherwise than in order."""
 
@@ -134,7 +141,9 @@
         message, _ = data
         if not self.awaits_head:
             self.abort_connection()
-        elif FIRST_INTERIM <= message.code < FIRST_FINAL and message.code != SWITCHED_PROTOCOLS:
+        elif message.code == SWITCHED_PROTOCOLS:
+            self.end_call(SwitchedProtocolsError())
+        elif FIRST_INTERIM <= message.code < FIRST_FINAL:
             self.count_interim()
         else:
             self.awaits_head = False
--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -12,7 +12,7 @@
 from returns.result import Result, Success
 
 from .. import clock
-from ..answer_protocol import SWITCHED_PROTOCOLS, AnswerConnector
+from ..answer_protocol import AnswerConnector
 from ..bounded_reading import LARGEST_ANSWER_BYTES
 from ..header_bytes import HeadRequest
 from ..http_client import send_once
@@ -177,9 +177,6 @@
 ) -> Result[aiohttp.ClientResponse, FailedAttempt]:
     """Return the response if it is a valid answer to the request, else the failure."""
     status, headers = response.status, response.headers
-    if status == SWITCHED_PROTOCOLS:
-        message = "the backend switched protocols, for which the request did not ask"
-        return Failed(FailedAttempt(FailureKind.INVALID, True, message))
     if not answers_request(headers, request.parsed_headers.request_id):
         message = "the answer belongs to another request"
         return Failed(FailedAttempt(FailureKind.INVALID, True, message))
