What follows the head of an answer is parsed together with it

Change: only interim heads are parsed by themselves. Bytes that come later can't change an answer that was whole; they end its connection.

--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -145,6 +145,18 @@
       | the store   |
       | the service |
 
+  # Guards against a body that is cut to the length that its head tells; bytes that come later can't change a whole answer.
+  Scenario Outline: The client for <peers> takes no answer with bytes that are too many, if they come at once
+    Given a server that answers with raw bytes
+    Then the client for <peers> takes no answer with more bytes than its head tells, at once
+
+    Examples: clients
+      | peers            |
+      | backends         |
+      | proxied backends |
+      | proxied peers    |
+      | the platform     |
+
   # Guards against an answer that nobody asked for, taken for that of the next call, its head unjudged.
   Scenario Outline: What comes behind a whole answer is no answer to the next call for <peers>
     Given a server that answers with raw bytes
--- a/tests/steps/answer_heads.py
+++ b/tests/steps/answer_heads.py
@@ -132,4 +132,4 @@
     assert fault_of(status, b"X-A: a\r\n" * count) is HeadFault.TOO_LONG
     whole = HeadReader(LIMITS)
     whole.feed(status + b"X-A: " + b"a" * 65_000 + b"\r\n" + b"X-B: b\r\n" * 100 + b"\r\nbody")
-    assert whole.fault is None and bytes(whole.head[whole.end :]) == b"body"
+    assert whole.fault is None and bytes(whole.received[whole.end :]) == b"body"
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -215,7 +215,7 @@
 """Longest time for the verdict on an answer; whatever it is, the server ends the connection."""
 
 
-async def taken_answers(context, peers, answers):
+async def taken_answers(context, peers, answers, cuts_of=cuts_of):
     """Return the answers that a client takes, each with its bytes and the status and body read."""
     server, taken = context.server, []
     async with CLIENTS[peers]() as session:
@@ -243,6 +243,20 @@
     assert not taken, taken
 
 
+@then("the client for {peers} takes no answer with more bytes than its head tells, at once")
+def takes_no_excess(context, peers):
+    no_content = b"HTTP/1.1 204 No Content\r\n"
+    answers = (
+        SOUND + b"d",
+        framed_by(["Transfer-Encoding: chunked"]) + b"d",
+        no_content + b"Content-Length: 3\r\n\r\nabc",
+        no_content + b"\r\nabc",
+        SOUND.replace(b"Length: 3", b"Length: 0"),
+    )
+    taken = run(context, taken_answers(context, peers, answers, lambda answer: (at_once,)))
+    assert not taken, taken
+
+
 @then("it takes a sound one each time")
 def takes_sound(context):
     taken = run(context, taken_answers(context, context.peers, [SOUND]))
--- a/verbenaward/answer_heads.py
+++ b/verbenaward/answer_heads.py
@@ -20,6 +20,10 @@
 """A length that fits into 64 bits."""
 FIRST_BYTES = b"HTTP/1."
 """What each status line begins with, so that other protocols are told without a line end."""
+CODE_START = len(b"HTTP/1.1 ")
+"""Where the status code begins in a status line."""
+INTERIM = b"1"
+"""First digit of the status codes of interim answers."""
 LINE_OVERHEAD_BYTES = 64
 """What a line has beside the text that a parser's limit on lines counts: blanks, line end."""
 
@@ -29,7 +33,7 @@
 
     STATUS_LINE = "no status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599"
     FIELD_LINE = "a line that is no name, colon and value of a field"
-    FRAMING = "a framing other than one length, or one coding that is chunked and no length"
+    FRAMING = "an end of the body that is told neither by one length nor by chunks alone"
     TOO_LONG = "a line that is too long, or too many lines"
 
 
@@ -81,13 +85,12 @@
 class HeadReader:
     """Collects a head until its empty line, and judges each line as it becomes complete.
 
-    The framing, which is a matter of several lines, is judged at the end.
-
-    The verdict does not depend on how the bytes are cut into packets.
+    The framing, which is a matter of several lines, is judged at the end. The verdict does not
+    depend on how the bytes are cut into packets.
 
     Attributes:
       limits: Limits on the head.
-      head: What has come of the head; once it is complete, also what came behind it.
+      received: What has come of the head; once it is complete, also what came behind it.
       lines: Complete lines so far.
       line_start: Where the first line begins that is not complete.
       end: Where the head ends, behind its empty line; 0 while it is not complete.
@@ -96,21 +99,25 @@
 
     def __init__(self, limits: HeadLimits) -> None:
         self.limits = limits
-        self.head = bytearray()
+        self.received = bytearray()
         self.lines = 0
         self.line_start = 0
         self.end = 0
         self.fault: HeadFault | None = None
 
+    def is_interim(self) -> bool:
+        """Return True if the head is that of an interim answer (status 1xx)."""
+        return self.received.startswith(INTERIM, CODE_START)
+
     def feed(self, data: bytes) -> None:
         """Add what has arrived, until the head is complete or has a fault."""
-        searched = len(self.head)
-        self.head += data
-        if not self.head.startswith(FIRST_BYTES[: len(self.head)]):
+        searched = len(self.received)
+        self.received += data
+        if not self.received.startswith(FIRST_BYTES[: len(self.received)]):
             self.fault = HeadFault.STATUS_LINE
         while self.fault is None and not self.end:
-            line_end = self.head.find(b"\n", max(searched, self.line_start))
-            self.judge_length(len(self.head) if line_end < 0 else line_end)
+            line_end = self.received.find(b"\n", max(searched, self.line_start))
+            self.judge_length(len(self.received) if line_end < 0 else line_end)
             if line_end < 0 or self.fault is not None:
                 return
             self.end_line(line_end)
@@ -126,11 +133,11 @@
 
         A line feed without a carriage return is a line end too (RFC 9112, section 2.2).
         """
-        line = bytes(self.head[self.line_start : line_end]).removesuffix(b"\r")
+        line = bytes(self.received[self.line_start : line_end]).removesuffix(b"\r")
         self.line_start = line_end + 1
         if line:
             self.fault = fault_of_line(line, is_first=self.lines == 0)
             self.lines += 1
         else:
             self.end = self.line_start
-            self.fault = fault_of_framing(bytes(self.head[: self.end]))
+            self.fault = fault_of_framing(bytes(self.received[: self.end]))
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -61,7 +61,7 @@
     Attributes:
       awaits_head: True from a call to the head of its answer.
       limits: Limits on a head.
-      head: What has come of a head.
+      head: Collects the next head.
       interim_answers: Interim answers since the call.
       is_request_written: Whether the request of the call has been given to the transport.
       ends_with_connection: Whether the body of the answer does.
@@ -103,20 +103,18 @@
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, once it is known to follow a sound head."""
         if self.awaits_head:
-            data = self.read_heads(data)
-            if not data:
-                return
+            self.read_heads(data)
         elif data and self.is_answered():
             self.abort_connection()
-            return
-        super().data_received(data)
+        else:
+            super().data_received(data)
 
     def is_answered(self) -> bool:
         """Return True if the last call has its whole answer."""
         return self._parser is not None and (self._payload is None or self._payload.is_eof())
 
-    def read_heads(self, data: bytes) -> bytes:
-        """Judge and parse heads, and return what follows that of the answer."""
+    def read_heads(self, data: bytes) -> None:
+        """Judge and parse what comes until the head of the answer."""
         while self.awaits_head and self.exception() is None:
             self.head.feed(data)
             if self.head.fault is not None:
@@ -126,15 +124,19 @@
             else:
                 # The parser, which renews the limit on silence, does not see these bytes yet.
                 super().start_timeout()
-                return b""
-        return data if self.exception() is None else b""
+                return
 
     def parse_head(self) -> bytes:
-        """Parse a head that is complete and sound, and return what came behind it."""
-        received, end = bytes(self.head.head), self.head.end
+        """Parse a head that is complete and sound, and return what is still to be judged.
+
+        What came behind the head of an answer is parsed with it, so that bytes that are too many
+        for the body make the answer an error while it can still be one.
+        """
+        received, head = bytes(self.head.received), self.head
         self.head = HeadReader(self.limits)
-        super().data_received(received[:end])
-        return received[end:]
+        parsed = received[: head.end] if head.is_interim() else received
+        super().data_received(parsed)
+        return received[len(parsed) :]
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass the parsed answer on; interim ones are dropped, and there is no second one."""
