--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
+from .platform import free_address
+
 
 class Ending(StrEnum):
     """What becomes of the connection behind an answer.
@@ -46,6 +48,7 @@
     """Answers requests with bytes that need not be an answer.
 
     Attributes:
+      address: Host and port at which it listens.
       answer: The bytes; ATTEMPT stands for the id of the attempt that is answered.
       cut: Cuts them into the pieces in which they are written.
       turns: Turns of the event loop after each piece, in which its reader gets it before what
@@ -58,6 +61,7 @@
     """
 
     def __init__(self) -> None:
+        self.address = ""
         self.answer = b""
         self.cut: Cut = at_once
         self.turns = 2
@@ -67,9 +71,10 @@
         self.requests = 0
         self.server: asyncio.Server | None = None
 
-    async def start(self, address: str) -> None:
-        """Listen at an address."""
-        host, _, port = address.rpartition(":")
+    async def start(self, address: str = "") -> None:
+        """Listen at an address, or at any free one."""
+        self.address = address or free_address()
+        host, _, port = self.address.rpartition(":")
         listener = socket.create_server((host, int(port)))
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server = await asyncio.start_server(self.serve, sock=listener)
--- a/tests/steps/broken_proxied_answers.py
+++ b/tests/steps/broken_proxied_answers.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 from returns.result import Success
 
-from standins.platform import free_address
 from standins.raw_answers import Ending, RawAnswerStandIn
 from tests.fakes import request_of
 from tests.steps.broken_answers import LONGEST_UPLOAD, WAYS, answer_of
@@ -38,8 +37,8 @@
 
 @given("a backend of the proxied mode that answers with raw bytes")
 def start_raw_backend(context):
-    context.raw, context.address = RawAnswerStandIn(), free_address()
-    run(context, context.raw.start(context.address))
+    context.raw = RawAnswerStandIn()
+    run(context, context.raw.start())
     context.add_cleanup(context.raw.close)
 
 
@@ -50,7 +49,7 @@
         to_endpoint = await stack.enter_async_context(CLIENTS["proxied peers"]())
         handler = RunHandler(
             "vm",
-            BackendClient(f"http://{context.address}", to_backend),
+            BackendClient(f"http://{context.raw.address}", to_backend),
             AdmissionGate(4, 4),
             str,
             False,
@@ -116,7 +115,7 @@
 
     async def send():
         async with CLIENTS["proxied backends"]() as session:
-            client = BackendClient(f"http://{context.address}", session)
+            client = BackendClient(f"http://{context.raw.address}", session)
             body, deadline = b"x" * LONGEST_UPLOAD, clock.now() + SECONDS
             sent = BackendCall("id", "POST", "/", body, "a/b", 0, "", 0, deadline)
             return await client.run(sent, "vm", "")
--- a/tests/steps/cut_answers.py
+++ b/tests/steps/cut_answers.py
@@ -1,14 +1,10 @@
 """Steps on answers that end early."""
 
-import asyncio
-import socket
-import struct
-
 import aiohttp
 from behave import given, then, when
 
-from standins.platform import free_address
 from standins.platform_backend import cut_head_of
+from standins.raw_answers import Ending, RawAnswerStandIn
 from tests.steps.platform_running import call, engines, plain, run
 from verbenaward import clock
 from verbenaward.control import client_session
@@ -39,35 +35,11 @@
 """Places at which a head is cut."""
 
 
-class EarlyServer:
-    """Answers each call with the beginning of an answer, and closes or resets the connection."""
-
-    def __init__(self):
-        self.address = free_address()
-        self.answer = b""
-        self.resets = False
-        self.server = None
-
-    async def start(self):
-        host, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self.serve, host, int(port))
-
-    async def serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(self.answer)
-        await asyncio.sleep(0.001)
-        if self.resets:
-            linger = struct.pack("ii", 1, 0)
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        writer.close()
-
-
 @given("a server that ends its answers early")
 def early_server(context):
-    context.server = EarlyServer()
+    context.server = RawAnswerStandIn()
     run(context, context.server.start())
-    context.add_cleanup(context.server.server.close)
+    context.add_cleanup(context.server.close)
 
 
 @then("the client for {peers} gets no answer that is cut at any byte")
@@ -83,7 +55,7 @@
             unframed = [(UNFRAMED, UNFRAMED[: UNFRAMED_HEAD + size]) for size in range(BODY_BYTES)]
             for resets in (False, True):
                 for _, context.server.answer in (*answers, *(unframed if resets else ())):
-                    context.server.resets = resets
+                    context.server.ending = Ending.RESET if resets else Ending.CLOSE
                     try:
                         taken = await read(session)
                     except aiohttp.ClientError:
@@ -97,7 +69,7 @@
     async def send():
         async with client_session(SETTINGS, force_close=True) as session:
             client = BackendClient(f"http://{context.server.address}", session)
-            context.server.resets = resets
+            context.server.ending = Ending.RESET if resets else Ending.CLOSE
             for size in sizes:
                 context.server.answer = UNFRAMED[:size]
                 sent = BackendCall("id", "POST", "/", b"x", "a/b", 0, "", 0, clock.now() + 3)
--- a/tests/steps/endless_bytes.py
+++ b/tests/steps/endless_bytes.py
@@ -7,7 +7,8 @@
 from behave import given, then
 from returns.result import Failure
 
-from tests.steps.cut_answers import CLIENTS, EarlyServer
+from standins.raw_answers import RawAnswerStandIn
+from tests.steps.cut_answers import CLIENTS
 from tests.steps.platform_running import run
 from verbenaward import clock
 from verbenaward.ctl.clients import read_status
@@ -36,7 +37,7 @@
 }
 
 
-class EndlessServer(EarlyServer):
+class EndlessServer(RawAnswerStandIn):
     """Sends a head and then the same block again and again until the caller closes."""
 
     def __init__(self, head, block):
@@ -67,7 +68,7 @@
         block = answer * (BLOCK // len(answer))
     context.server = EndlessServer(head, block)
     run(context, context.server.start())
-    context.add_cleanup(context.server.server.close)
+    context.add_cleanup(context.server.close)
 
 
 @then('the client for {peers} ends a call with the error "{message}"')
