--- a/verbenaward/direct/sending.py
+++ b/verbenaward/direct/sending.py
@@ -121,7 +121,7 @@
         yield Failed(FailedAttempt(failure_to_connect(error), False, str(error)))
         return
     except (aiohttp.ClientResponseError, ValueError) as error:
-        # What came is not HTTP, or its head is too long.
+        # What came is not HTTP, or its head is not sound or too long.
         yield Failed(FailedAttempt(FailureKind.INVALID, True, f"{type(error).__name__} {error}"))
         return
     except (aiohttp.ClientError, OSError) as error:
