Tests: a stream without a length that breaks between two events does not look whole

On asyncio and uvloop a reset is seen, whether the stream may be resumed or not, and a close in order is the end of a whole stream.

--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -97,6 +97,20 @@
       | asyncio | 3500      | close | 20   |
       | uvloop  | 3500      | close | 20   |
 
+  # Guards against a stream that looks complete because it broke between two events.
+  Scenario Outline: A stream without a length that ends in a <end> between two events <looks>, on the loop of <loop>
+    Given the event loop of <loop>
+    And the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When they answer streams with an event and no length, and <end> them after 0 to 5 turns
+    Then each stream <looks>
+
+    Examples: ends
+      | loop    | end   | looks                |
+      | asyncio | reset | does not look whole  |
+      | uvloop  | reset | does not look whole  |
+      | uvloop  | close | looks whole          |
+
   # Such an answer is whole: its length, its last chunk or the end of the connection in order says so.
   Scenario Outline: An answer to an upload of <kilobytes> KB <when> it is read is whole if it has <framing>, on the loop of <loop>
     Given the event loop of <loop>
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -17,6 +17,8 @@
 BACKENDS = (("p-1", "plain"), ("p-2", "plain"), ("e-1", "engines"), ("e-2", "engines"))
 PATHS = ("book", "look", "stream", "stream/once")
 """A request that runs once, an idempotent one, and streams that may and may not be resumed."""
+STREAM_PATHS = PATHS[2:]
+EVENT = b"id: 1\ndata: piece one\n\n"
 WAYS = {"at once": at_once, "byte by byte": byte_by_byte}
 STATUS_LINE = "HTTP/1.1 200 OK"
 FIELDS = (
@@ -175,3 +177,28 @@
     chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
     fields = (*UNFRAMED, f"Transfer-Encoding: {coding}")
     ask_each(context, [answer_of((STATUS_LINE, *fields), chunks)])
+
+
+@when(
+    "they answer streams with an event and no length, and {end} them after {first:d} to {last:d}"
+    " turns"
+)
+def answer_streams(context, end, first, last):
+    context.outcomes = []
+    for turns in range(first, last + 1):
+        for raw in context.raw_backends:
+            raw.answer = answer_of((STATUS_LINE, *UNFRAMED), EVENT)
+            raw.turns, raw.ending = turns, Ending(end)
+        context.outcomes += [(turns, path, ask(context, path)) for path in STREAM_PATHS]
+
+
+@then("each stream looks whole")
+def streams_whole(context):
+    wrong = [item for item in context.outcomes if (item[2][0], item[2][2]) != (200, EVENT)]
+    assert context.outcomes and not wrong, wrong
+
+
+@then("each stream does not look whole")
+def streams_not_whole(context):
+    wrong = [item for item in context.outcomes if item[2][0] == 200]
+    assert context.outcomes and not wrong, wrong
