--- a/tests/answer_heads.feature
+++ b/tests/answer_heads.feature
@@ -9,6 +9,20 @@
       | C      |
       | Python |
 
+  # The same heads as in http_client.feature, there over connections and in fewer parts.
+  Scenario Outline: No head with a wrong <part> is handed on, wherever it is cut
+    Then no head with a wrong <part> is handed on by either parser, wherever it is cut
+
+    Examples: parts
+      | part         |
+      | status line  |
+      | known name   |
+      | other name   |
+      | leading byte |
+      | value        |
+      | framing      |
+      | protocol     |
+
   # Guards against a line without end that fills the memory, and against a call that waits for its end.
   Scenario: A head that is not sound is refused before it is complete
     Then "HTTP/2" and "\x16\x03" are refused as they come
--- a/tests/steps/answer_heads.py
+++ b/tests/steps/answer_heads.py
@@ -11,6 +11,7 @@
 
 from standins.raw_answers import at_once, byte_by_byte, cut_at
 from tests.steps.platform_running import run
+from tests.steps.unsound_heads import UNSOUND, cuts_of
 from verbenaward.answer_heads import HeadFault, HeadLimits, HeadReader
 from verbenaward.answer_protocol import AnswerProtocol
 
@@ -102,6 +103,14 @@
     check()
 
 
+@then("no head with a wrong {part} is handed on by either parser, wherever it is cut")
+def none_handed_on(context, part):
+    for parser in PARSERS:
+        for answer in UNSOUND[part]:
+            for cut in cuts_of(answer):
+                assert read(context, parser, cut(answer)) is None, (parser, answer)
+
+
 def fault_of(*pieces):
     reader = HeadReader(LIMITS)
     for piece in pieces:
