A WebSocket that a call asks for is no broken answer

No scenario opened one with the client of the daemons. Change: a call that asks for a WebSocket may get 101, and what follows on its connection is not judged as answers. Others are refused as before.

--- a/tests/steps/unsound_heads.py
+++ b/tests/steps/unsound_heads.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import aiohttp
+from aiohttp import web
 from behave import given, then
 
+from standins.platform import free_address, open_site
 from standins.raw_answers import (
     AFTERTHOUGHT_SECONDS,
     Ending,
@@ -194,3 +196,44 @@
 
     bodies = run(context, read_each())
     assert bodies == [(200, b"abc")] * 2 * len(afterthoughts), bodies
+
+
+REPORTS = [b"first", b"second", b"third"]
+
+
+@given("a server that sends reports over a WebSocket")
+def start_reporting(context):
+    async def serve(request):
+        channel = web.WebSocketResponse()
+        await channel.prepare(request)
+        for report in REPORTS:
+            await channel.send_bytes(report)
+            await asyncio.sleep(AFTERTHOUGHT_SECONDS)
+        await channel.close()
+        return channel
+
+    async def start():
+        app = web.Application()
+        app.router.add_get("/", serve)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        context.address = free_address()
+        await open_site(runner, context.address)
+        return runner
+
+    runner = run(context, start())
+    context.add_cleanup(lambda: run(context, runner.cleanup()))
+
+
+@then("the client for proxied peers reads each report and the end of the channel")
+def reads_reports(context):
+    async def read():
+        async with (
+            asyncio.timeout(VERDICT_SECONDS),
+            CLIENTS["proxied peers"]() as session,
+            session.ws_connect(f"http://{context.address}/") as channel,
+        ):
+            return [message.data async for message in channel]
+
+    reports = run(context, read())
+    assert reports == REPORTS, reports
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -39,7 +39,7 @@
 
 
 class SwitchedProtocolsError(aiohttp.http.HttpProcessingError):
-    """A server has switched to another protocol, for which no call asks."""
+    """A server has switched to another protocol, for which the call has not asked."""
 
     def __init__(self) -> None:
         super().__init__(code=502, message="the server switched protocols")
@@ -60,6 +60,7 @@
 
     Attributes:
       awaits_head: True from a call to the head of its answer.
+      may_switch: Whether the call asks for a switch of protocols (status 101).
       limits: Limits on a head.
       head: Collects the next head.
       interim_answers: Interim answers since the call.
@@ -71,6 +72,7 @@
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
         self.awaits_head = False
+        self.may_switch = False
         self.limits = HeadLimits(0, 0)
         self.head = HeadReader(self.limits)
         self.interim_answers = 0
@@ -84,19 +86,26 @@
         max_line_size: int = 8190,
         max_field_size: int = 8190,
         max_headers: int = 128,
+        read_until_eof: bool = False,
         **options: Any,
     ) -> None:
-        """Begin to read the answer to a call; the defaults of the limits are aiohttp's."""
+        """Begin to read the answer to a call; the defaults are aiohttp's.
+
+        Only for a WebSocket, which the call asks for, aiohttp does not read to the connection's
+        end.
+        """
         longest = max(max_line_size, max_field_size) + LINE_OVERHEAD_BYTES
         self.limits = HeadLimits(longest, max_headers + 1)
         self.head = HeadReader(self.limits)
         self.awaits_head = True
+        self.may_switch = not read_until_eof
         self.interim_answers = 0
         self.is_request_written = self.ends_with_connection = self.is_closed_in_order = False
         super().set_response_params(
             max_line_size=max_line_size,
             max_field_size=max_field_size,
             max_headers=max_headers,
+            read_until_eof=read_until_eof,
             **options,
         )
 
@@ -110,8 +119,9 @@
             super().data_received(data)
 
     def is_answered(self) -> bool:
-        """Return True if the last call has its whole answer."""
-        return self._parser is not None and (self._payload is None or self._payload.is_eof())
+        """Return True if the last call has its whole answer, and its connection no other use."""
+        is_whole = self._payload is None or self._payload.is_eof()
+        return self._parser is not None and is_whole and not self.upgraded
 
     def read_heads(self, data: bytes) -> None:
         """Judge and parse what comes until the head of the answer."""
@@ -125,6 +135,9 @@
                 # The parser, which renews the limit on silence, does not see these bytes yet.
                 super().start_timeout()
                 return
+        if data and self.exception() is None:
+            # Behind a switch of protocols comes the other protocol.
+            super().data_received(data)
 
     def parse_head(self) -> bytes:
         """Parse a head that is complete and sound, and return what is still to be judged.
@@ -143,14 +156,14 @@
         message, _ = data
         if not self.awaits_head:
             self.abort_connection()
-        elif message.code == SWITCHED_PROTOCOLS:
+        elif message.code == SWITCHED_PROTOCOLS and not self.may_switch:
             self.end_call(SwitchedProtocolsError())
-        elif FIRST_INTERIM <= message.code < FIRST_FINAL:
+        elif FIRST_INTERIM <= message.code < FIRST_FINAL and message.code != SWITCHED_PROTOCOLS:
             self.count_interim()
         else:
             self.awaits_head = False
-            has_length = "Content-Length" in message.headers
-            self.ends_with_connection = not message.chunked and not has_length
+            is_framed = message.chunked or "Content-Length" in message.headers
+            self.ends_with_connection = not is_framed and message.code != SWITCHED_PROTOCOLS
             super().feed_data(data, size)
 
     def start_timeout(self) -> None:
