Tests: odd but sound answers, verbenactl, every session; words and claims corrected

Tests: answers in odd but lawful forms (no reason, HTTP/1.0, interim answers before them, line feeds alone, control bytes in values, chunks with extensions and trailers, no length and an orderly end) are taken by all four clients, at once, byte by byte and in two parts, and by callers; the fleet and the drain of verbenactl fail on each broken answer; each session of the package has the connector that reads by the rule. Words: comments and one error text of the rule use the field's terms. Corrected: says that a write whose outcome counted as unavailable was repeated or taken back. That is not so: writers treat unavailable and unknown alike (configuration/store.py), and only the end of a lease is repeated after unknown. What was wrong is the outcome, not an action on it.

--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -1,12 +1,19 @@
 Feature: What a backend sends is an answer only if its head and its end are sound
   Both plain backends and both engines answer each request with the same raw bytes.
 
-  Scenario: A sound answer of such a backend reaches its caller, however its bytes come
+  Scenario Outline: A sound answer with the status line "<line>" reaches its caller, however its bytes come
     Given the users' platform with backends that answer with raw bytes
     And one entry process that is ready
-    When the backends answer each kind of request with the status line "HTTP/1.1 200 OK"
+    When the backends answer each kind of request with the status line "<line>"
     Then each caller gets the answer
 
+    Examples: usual and odd forms
+      | line                                                      |
+      | HTTP/1.1 200 OK                                           |
+      | HTTP/1.1 200                                              |
+      | HTTP/1.0 200 OK                                           |
+      | HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK |
+
   # Guards against a status that is none and reaches callers: "HTTP/1.1 0", with the backend's signature.
   Scenario Outline: An answer with the status line "<line>" reaches no caller
     Given the users' platform with backends that answer with raw bytes
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -134,8 +134,10 @@
       | the state of an engine   |
       | the status of a process  |
       | an order to load         |
+      | a fleet by verbenactl    |
+      | a drain by verbenactl    |
 
-  # Guards against a write that is repeated, or taken back, as if it could not have happened.
+  # Guards against an outcome that says that no connection was made.
   Scenario Outline: A write to <store> whose answer is broken may have happened
     Given a server that answers with raw bytes
     Then a write to <store> has an unknown outcome after each broken answer
@@ -145,10 +147,26 @@
       | the store   |
       | the service |
 
-  # Guards against a body that is cut to the length that its head tells; bytes that come later can't change a whole answer.
+  # Guards against a body that is cut to the length that its head announces; bytes that come later can't change a whole answer.
   Scenario Outline: The client for <peers> takes no answer with bytes that are too many, if they come at once
     Given a server that answers with raw bytes
-    Then the client for <peers> takes no answer with more bytes than its head tells, at once
+    Then the client for <peers> takes no answer with more bytes than its head announces, at once
+
+    Examples: clients
+      | peers            |
+      | backends         |
+      | proxied backends |
+      | proxied peers    |
+      | the platform     |
+
+  # Guards against a client that is added later, or that was left out.
+  Scenario: Each HTTP client of the product reads answers by the same rule
+    Then each session in the package has the connector that reads by the rule
+
+  # Guards against a rule that refuses what RFC 9110 and RFC 9112 allow.
+  Scenario Outline: The client for <peers> takes sound answers in odd forms, wherever they are cut
+    Given a server that answers with raw bytes
+    Then the client for <peers> takes each odd but sound answer, wherever it is cut
 
     Examples: clients
       | peers            |
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -35,6 +35,10 @@
     return "".join(f"{line}\r\n" for line in (*lines, "")).encode("latin-1") + body
 
 
+def unescaped(text):
+    return text.encode().decode("unicode_escape")
+
+
 @given("the users' platform with backends that answer with raw bytes")
 def start_raw_backends(context):
     context.platform = PlatformStandIn()
@@ -82,7 +86,7 @@
 
 @when('the backends answer each kind of request with the status line "{line}"')
 def answer_with_status_line(context, line):
-    ask_each(context, [answer_of((line, *FIELDS))])
+    ask_each(context, [answer_of((unescaped(line), *FIELDS))])
 
 
 @then("each caller gets the answer")
@@ -164,7 +168,7 @@
 
 @when('the head of the answer has a line "{line}" in any place')
 def answer_with_line(context, line):
-    line = line.encode().decode("unicode_escape")
+    line = unescaped(line)
     # No second length, which would be refused for itself.
     fields = UNFRAMED if line.lower().startswith(("content-l", "transfer-e")) else FIELDS
     heads = ((*fields[:place], line, *fields[place:]) for place in range(len(fields) + 1))
@@ -173,9 +177,8 @@
 
 @when('the backends frame each kind of answer by the coding "{coding}"')
 def answer_with_coding(context, coding):
-    coding = coding.encode().decode("unicode_escape")
     chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
-    fields = (*UNFRAMED, f"Transfer-Encoding: {coding}")
+    fields = (*UNFRAMED, f"Transfer-Encoding: {unescaped(coding)}")
     ask_each(context, [answer_of((STATUS_LINE, *fields), chunks)])
 
 
--- a/tests/steps/broken_calls.py
+++ b/tests/steps/broken_calls.py
@@ -9,6 +9,8 @@
 from tests.steps.endless_bytes import CALL_SECONDS, CALLS
 from tests.steps.platform_running import run
 from tests.steps.unsound_heads import SOUND, framed_by
+from verbenaward.ctl.clients import post
+from verbenaward.ctl.status import load_fleet
 from verbenaward.direct_shared import platform_session
 from verbenaward.distribution.peer_calls import PeerCalls
 from verbenaward.platform.key_value import KeyValueFailure
@@ -16,14 +18,15 @@
 from verbenaward.platform.leased_store import Lease, LeasedStore
 from verbenaward.platform.weights import LocalEngine
 
+NUMBER = SOUND.replace(b"abc", b"123")
 BROKEN = (
-    *((SOUND.replace(b"200", code), Ending.CLOSE) for code in (b"000", b"600", b"999")),
-    (SOUND.replace(b"X-A:", b"Connection :"), Ending.CLOSE),
+    *((NUMBER.replace(b"200", code), Ending.CLOSE) for code in (b"000", b"600", b"999")),
+    (NUMBER.replace(b"X-A:", b"Connection :"), Ending.CLOSE),
     (framed_by(["Transfer-Encoding: xchunked"]), Ending.CLOSE),
-    (b"HTTP/1.1 200 OK\r\n\r\nabc", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\n\r\n123", Ending.RESET),
     (b"HTTP/1.1 200 OK\r\n\r\n", Ending.RESET),
 )
-"""Broken answers, and what becomes of their connections."""
+"""Broken answers, some with a body in JSON, and what becomes of their connections."""
 
 
 def keep_lease(session, address):
@@ -32,7 +35,17 @@
     return store.keep_alive("key", b"", 3.0)
 
 
+async def fleet_by_verbenactl(_, address):
+    return None if (await load_fleet([address])).entries else Failure("no entry process")
+
+
+async def drain_by_verbenactl(session, address):
+    return Failure("no answer") if await post(session, address, "/admin/drain") is None else None
+
+
 FURTHER_CALLS = {
+    "a fleet by verbenactl": fleet_by_verbenactl,
+    "a drain by verbenactl": drain_by_verbenactl,
     "a renewal of a lease": keep_lease,
     "a chunk of a peer": lambda s, a: PeerCalls(s).fetch(a, "/p"),
     "an order to load": lambda s, a: LocalEngine(s, a).order_load("m", 1, 0),
--- a/tests/steps/unsound_heads.py
+++ b/tests/steps/unsound_heads.py
@@ -1,11 +1,14 @@
 """Steps on the HTTP clients: what a server sends is an answer only if its head is sound."""
 
+import ast
 import asyncio
+from pathlib import Path
 
 import aiohttp
 from aiohttp import web
 from behave import given, then
 
+import verbenaward
 from standins.platform import free_address, open_site
 from standins.raw_answers import (
     AFTERTHOUGHT_SECONDS,
@@ -18,6 +21,7 @@
 from tests.steps.cut_answers import CLIENTS
 from tests.steps.platform_running import run
 
+PACKAGE = Path(verbenaward.__file__).parent
 CUT_STEP = 8
 """Distance of the places at which one answer is cut."""
 VERDICT_SECONDS = 2.0
@@ -58,6 +62,22 @@
     return "\r\n".join(lines).encode("latin-1") + CHUNKED_BODY
 
 
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+ODD_STATUSES = (b"200", b"200 ", b"299 \xe9\t\x01", b"599 x")
+ODD_FIELDS = (b"!#$%&'*+-.^_`|~0aZ:1", b"X-A:", b"X-A:\t1\x0b2 \t")
+ODD_BUT_SOUND = (
+    *(SOUND.replace(b"200 OK", status) for status in ODD_STATUSES),
+    *(SOUND.replace(b"X-A: 1", line) for line in ODD_FIELDS),
+    SOUND.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    SOUND.replace(b"\r\n", b"\n"),
+    INTERIM + SOUND,
+    INTERIM * 3 + SOUND,
+    SOUND.replace(b"Content-Length: 3", b"CONTENT-LENGTH:\t03 "),
+    framed_by(["transfer-encoding:  Chunked "]).replace(b"3\r\nabc", b"1\r\na\r\n02;x=y\r\nbc"),
+    framed_by(["Transfer-Encoding: chunked"]).replace(b"0\r\n\r\n", b"0\r\nX-Trailer: 1\r\n\r\n"),
+    *(b"HTTP/1.%d 200 OK\r\nX-A: 1\r\n\r\nabc" % minor for minor in (0, 1)),
+)
+"""Answers with the body "abc" that a recipient has to accept, or may by RFC 9110 and RFC 9112."""
 UNSOUND = {
     "protocol": (
         b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nabc",
@@ -158,7 +178,7 @@
     assert not taken, taken
 
 
-@then("the client for {peers} takes no answer with more bytes than its head tells, at once")
+@then("the client for {peers} takes no answer with more bytes than its head announces, at once")
 def takes_no_excess(context, peers):
     no_content = b"HTTP/1.1 204 No Content\r\n"
     answers = (
@@ -173,6 +193,26 @@
     assert not taken, taken
 
 
+@then("the client for {peers} takes each odd but sound answer, wherever it is cut")
+def takes_odd(context, peers):
+    written = list(some_cuts(ODD_BUT_SOUND))
+    taken = run(context, taken_answers(context, peers, written))
+    assert [answer for answer, _ in taken] == [answer for answer, _ in written], taken
+    assert {result[1] for _, result in taken} == {b"abc"}, taken
+
+
+@then("each session in the package has the connector that reads by the rule")
+def one_connector(context):
+    for path in PACKAGE.rglob("*.py"):
+        for call in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(call, ast.Call) or not isinstance(call.func, ast.Attribute):
+                continue
+            if call.func.attr == "ClientSession":
+                assert "connector" in {keyword.arg for keyword in call.keywords}, path
+            # Connectors of the library itself read without the rule.
+            assert call.func.attr not in ("TCPConnector", "UnixConnector"), path
+
+
 @then("it takes a sound one each time")
 def takes_sound(context):
     written = [(SOUND, cut) for cut in cuts_of(SOUND)]
--- a/verbenaward/answer_heads.py
+++ b/verbenaward/answer_heads.py
@@ -19,7 +19,7 @@
 LENGTH = re.compile(rb"[0-9]{1,19}")
 """A length that fits into 64 bits."""
 FIRST_BYTES = b"HTTP/1."
-"""What each status line begins with, so that other protocols are told without a line end."""
+"""Beginning of each status line; other protocols are refused at their first bytes."""
 CODE_START = len(b"HTTP/1.1 ")
 """Where the status code begins in a status line."""
 INTERIM = b"1"
@@ -33,7 +33,7 @@
 
     STATUS_LINE = "no status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599"
     FIELD_LINE = "a line that is no name, colon and value of a field"
-    FRAMING = "an end of the body that is told neither by one length nor by chunks alone"
+    FRAMING = "neither one valid Content-Length nor the transfer coding chunked alone"
     TOO_LONG = "a line that is too long, or too many lines"
 
 
@@ -54,8 +54,8 @@
     """Return what is wrong with a line of a head, without its line end.
 
     Args:
-      line: The line; not the empty one that ends the head. One that begins with a blank is wrong:
-        whether it goes on with the line before it can't be told from a name with a blank before it.
+      line: The line; not the empty one that ends the head. One that begins with a blank is refused:
+        it may be a folded line (obs-fold) or a name with a blank before it.
       is_first: True for the status line.
     """
     if is_first:
@@ -66,9 +66,8 @@
 def fault_of_framing(head: bytes) -> HeadFault | None:
     """Return what is wrong with how a whole head says where the body ends.
 
-    A client can't tell the end of a body in another coding than chunked, none of which it asks for
-    (RFC 9112, sections 6.1 and 7). HTTP/1.0 has no codings. A message with both a coding and a
-    length, or several of either, has more than one end.
+    No call of ours accepts another transfer coding than chunked, and HTTP/1.0 has none (RFC 9112,
+    sections 6.1 and 7). A coding and a length, or several of either, may contradict each other.
     """
     fields = [(name.lower(), value.strip(b" \t")) for name, value in FRAMING_FIELD.findall(head)]
     if not fields:
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -3,8 +3,8 @@
 A body with a length or in chunks says itself where it ends. One without ends with its connection,
 and is whole only if this shows that nothing went wrong: the request had been written, and then the
 server closed the connection in order. Other ends are errors of the body, for all that read it.
-aiohttp tells neither: it takes any end for that of such a body, and forgets a reset when the body's
-end cancels the writing of the request.
+aiohttp itself accepts any end of the connection for such a body, and drops the error of a reset
+when the end of the body cancels the writing of the request.
 
 Nothing that comes behind an answer is one: the next call gets a new connection.
 
