Questions for chunks sleep until something happens

Cause, a further one: an endpoint process asks an entry process for all missing chunks at once, up to 48, and entry processes of other regions do too. Each question that waited woke 20 times a second to see whether another reader of the zone has the chunk, while the same event loop reads these chunks from the origin.

Change: a question waits for its own chunk for 0.05 s as before; then it sleeps until the chunk arrives, or until a query finds it at another reader. Only the questions for that chunk wake.

--- a/tests/steps/chunk_readers.py
+++ b/tests/steps/chunk_readers.py
@@ -199,7 +199,7 @@
         self.readers = {
             name: VersionReader(
                 *("model", 2, digests, name, lambda: near, lambda: True),
-                *(ChunkCache(), OriginLink(), self.read_chunk, mock.Mock(), self),
+                *(ChunkCache(), OriginLink(), self.read_chunk, mock.Mock(), mock.Mock(), self),
             )
             for name in order
         }
--- a/tests/steps/platform_running.py
+++ b/tests/steps/platform_running.py
@@ -13,7 +13,7 @@
 from standins.platform import API_KEY, CALLER_HOST, PlatformStandIn, send_request
 from standins.platform_backend import STREAM_EVENTS
 from verbenaward import clock
-from verbenaward.distribution.chunk_cache import DIGESTS_INDEX, ChunkKey
+from verbenaward.distribution.chunk_events import DIGESTS_INDEX, ChunkKey
 from verbenaward.placement.backends import FAILURE_SMOOTHING
 from verbenaward.platform.key_value import KeyValueEntry, Position
 from verbenaward.platform.leased_store import LeasedStore
--- a/tests/steps/spoilt_manifests.py
+++ b/tests/steps/spoilt_manifests.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from tests.steps.platform_running import run, until
-from verbenaward.distribution.chunk_cache import DIGESTS_INDEX, ChunkKey
+from verbenaward.distribution.chunk_events import DIGESTS_INDEX, ChunkKey
 from verbenaward.distribution.confirmation import KEPT_ANSWERS, Confirmation, Doubts
 from verbenaward.replica.chunk_digests import digests_key
 
--- a/verbenaward/distribution/chunk_cache.py
+++ b/verbenaward/distribution/chunk_cache.py
@@ -2,22 +2,11 @@
 
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass
-from weakref import WeakValueDictionary
+
+from .chunk_events import DIGESTS_INDEX, ChunkEvents, ChunkKey
 
 MAXIMUM_CACHE_BYTES = 12 * 1024 * 1024
 """Memory for cached chunks and digests."""
-DIGESTS_INDEX = -1
-"""Index under which the digests of a version are cached."""
-
-
-@dataclass(frozen=True, slots=True)
-class ChunkKey:
-    """A chunk: its model, version and index. `DIGESTS_INDEX` stands for the version's digests."""
-
-    model: str
-    version: int
-    index: int
 
 
 class ChunkCache:
@@ -26,13 +15,13 @@
     Attributes:
       bodies: Chunks and digests by key, the least recently used one first.
       size_bytes: Bytes cached now.
-      arrivals: For each chunk that is waited for, what is set when it is added.
+      arrivals: Wakes the calls that wait for a chunk to be added.
     """
 
     def __init__(self) -> None:
         self.bodies: OrderedDict[ChunkKey, bytes] = OrderedDict()
         self.size_bytes = 0
-        self.arrivals: WeakValueDictionary[ChunkKey, asyncio.Event] = WeakValueDictionary()
+        self.arrivals = ChunkEvents()
 
     def __contains__(self, key: ChunkKey) -> bool:
         return key in self.bodies
@@ -49,8 +38,7 @@
         self.size_bytes += len(body) - len(self.bodies.get(key, b""))
         self.bodies[key] = body
         self.bodies.move_to_end(key)
-        if arrival := self.arrivals.pop(key, None):
-            arrival.set()
+        self.arrivals.happen(key)
         while self.size_bytes > MAXIMUM_CACHE_BYTES:
             _, evicted = self.bodies.popitem(last=False)
             self.size_bytes -= len(evicted)
@@ -70,8 +58,7 @@
     async def wait(self, key: ChunkKey, seconds: float) -> bytes | None:
         """Return a chunk once it is added; None if that takes too long."""
         if key not in self.bodies:
-            arrival = self.arrivals.get(key) or asyncio.Event()
-            self.arrivals[key] = arrival
+            arrival = self.arrivals.next(key)
             try:
                 async with asyncio.timeout(seconds):
                     await arrival.wait()
--- a/verbenaward/distribution/process_map.py
+++ b/verbenaward/distribution/process_map.py
@@ -9,7 +9,7 @@
 from ..membership.ring import rendezvous_order
 from ..placement.fleet import Fleet
 from ..schema.settings import Settings
-from .chunk_cache import DIGESTS_INDEX, ChunkKey
+from .chunk_events import DIGESTS_INDEX, ChunkKey
 from .readers import ORIGIN_READERS, reader_order
 from .version_reader import Neighbours
 
--- a/verbenaward/distribution/relay.py
+++ b/verbenaward/distribution/relay.py
@@ -29,7 +29,8 @@
 from ..platform.weights import fetch_chunk
 from ..replica.chunk_digests import DIGEST_BYTES, newest_stored_version
 from ..schema.settings import Settings
-from .chunk_cache import DIGESTS_INDEX, ChunkCache, ChunkKey
+from .chunk_cache import ChunkCache
+from .chunk_events import DIGESTS_INDEX, ChunkEvents, ChunkKey
 from .chunk_runs import CHUNKS_PER_RUN
 from .confirmation import changed_chunks, split_digests
 from .origin_link import OriginLink
@@ -81,6 +82,7 @@
     Attributes:
       processes: The processes that read, relay or hold chunks.
       cache: Chunks and digests.
+      found_elsewhere: Wakes the calls that wait for a chunk once a reader is found to have it.
       fetching: Running fetches by key.
       readers: Versions that this process reads from the origin, by model and version.
       manifests: Manifests of the origin.
@@ -106,6 +108,7 @@
         self.processes = ProcessMap(settings, fleet, entries)
         self.session = session
         self.cache = ChunkCache()
+        self.found_elsewhere = ChunkEvents()
         self.fetching: dict[ChunkKey, asyncio.Task[bytes | None]] = {}
         self.readers: dict[tuple[str, int], VersionReader] = {}
         self.manifests = OriginManifests(session, self.processes, store, fleet.replica)
@@ -146,12 +149,18 @@
                 self.link,
                 partial(self.read_from_origin, model, version),
                 partial(self.doubt_digests, model, version),
+                partial(self.tell_of_holder, model, version),
                 self.calls,
             )
             metrics.READERS.set(len(self.readers))
             self.run_in_background(self.run_reader(reader))
         return reader
 
+    def tell_of_holder(self, model: str, version: int, indexes: frozenset[int]) -> None:
+        """Wake the calls that wait for chunks which another process now holds."""
+        for index in indexes:
+            self.found_elsewhere.happen(ChunkKey(model, version, index))
+
     def doubt_digests(self, model: str, version: int, index: int, body: bytes) -> None:
         """Read a manifest again if the origin repeats a chunk that does not match it."""
         if self.manifests.doubt(model, version, index, body, clock.now()):
--- a/verbenaward/distribution/relay_answers.py
+++ b/verbenaward/distribution/relay_answers.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from .chunk_cache import DIGESTS_INDEX, ChunkKey
+from .chunk_events import DIGESTS_INDEX, ChunkKey
 from .inventory import encode_inventory
 from .peer_calls import (
     CACHED_QUERY,
@@ -22,8 +22,8 @@
 INVENTORY_PATH = ENTRY_PATH + "/{model}/{version}/" + INVENTORY_NAME
 CHUNK_PATH = ENTRY_PATH + "/{model}/{version}/{index}"
 DIGESTS_PATH = ENTRY_PATH + "/{model}/{version}"
-LOCATE_POLL_SECONDS = 0.05
-"""Interval at which a process that lacks a chunk checks whether another reader has it."""
+LOCATE_OWN_SECONDS = 0.05
+"""Time for which a process that lacks a chunk waits for its own, before it names another reader."""
 LOCATE_WAIT_SECONDS = 2.0
 """As `WAIT_SECONDS`, for a HEAD request, which endpoint processes send for all missing chunks."""
 
@@ -90,11 +90,10 @@
             self.relay.get_in_time(key, LOCATE_WAIT_SECONDS, is_for_reader)
         )
         try:
-            while not getting.done():
-                await asyncio.wait({getting}, timeout=LOCATE_POLL_SECONDS)
-                holder = None if getting.done() else self.other_holder(key)
-                if holder is not None:
-                    return web.Response(headers={"Content-Length": "0", HOLDER_HEADER: holder})
+            await asyncio.wait({getting}, timeout=LOCATE_OWN_SECONDS)
+            holder = await self.find_elsewhere(key, getting)
+            if holder is not None:
+                return web.Response(headers={"Content-Length": "0", HOLDER_HEADER: holder})
             body = getting.result()
         finally:
             getting.cancel()
@@ -102,6 +101,26 @@
         length = {"Content-Length": str(len(body or b""))}
         return web.Response(status=503 if body is None else 200, headers=length)
 
+    async def find_elsewhere(
+        self, key: ChunkKey, getting: "asyncio.Task[bytes | None]"
+    ) -> str | None:
+        """Return another reader of the zone once it has a chunk; None once the getting has ended.
+
+        It sleeps in between: endpoint processes ask for all missing chunks at the same time, and
+        this process needs its processor for the chunks.
+        """
+        while not getting.done():
+            found = self.relay.found_elsewhere.next(key)
+            holder = self.other_holder(key)
+            if holder is not None:
+                return holder
+            waiting = asyncio.create_task(found.wait())
+            try:
+                await asyncio.wait({getting, waiting}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                waiting.cancel()
+        return None
+
     def other_holder(self, key: ChunkKey) -> str | None:
         """Return another reader of the zone that has a chunk; None if none is known."""
         reader = self.relay.readers.get((key.model, key.version))
--- a/verbenaward/distribution/version_reader.py
+++ b/verbenaward/distribution/version_reader.py
@@ -12,7 +12,8 @@
 from .. import clock, metrics
 from ..logs import get_logger
 from ..membership.ring import rendezvous_order
-from .chunk_cache import ChunkCache, ChunkKey
+from .chunk_cache import ChunkCache
+from .chunk_events import ChunkKey
 from .origin_link import OriginLink
 from .peer_calls import CACHED_QUERY, ENDPOINT_PATH, ENTRY_PATH, PeerCalls
 from .readers import (
@@ -55,6 +56,8 @@
 the origin's chunks need the rest."""
 
 
+OnHeld = Callable[[frozenset[int]], None]
+"""Receives the indexes of the chunks that another process is newly known to hold."""
 Doubt = Callable[[int, bytes], None]
 """Receives a chunk of the origin that does not match its digest, by its index and body."""
 ReadChunk = Callable[[int, Callable[[], None]], Awaitable[Result[bytes, str]]]
@@ -95,6 +98,7 @@
       link: The link to the origin.
       read_chunk: Requests a chunk from the origin.
       doubt: Receives the chunks of the origin that do not match their digests.
+      on_held: Receives the chunks that another entry process of the region is found to hold.
       calls: Calls to other processes.
       requested: Chunks that other processes requested from this one as a reader.
       done: Chunks that this process has received, though they may be evicted by now.
@@ -128,6 +132,7 @@
         link: OriginLink,
         read_chunk: ReadChunk,
         doubt: Doubt,
+        on_held: OnHeld,
         calls: PeerCalls,
     ) -> None:
         self.model = model
@@ -140,6 +145,7 @@
         self.link = link
         self.read_chunk = read_chunk
         self.doubt = doubt
+        self.on_held = on_held
         self.calls = calls
         self.requested: set[int] = set()
         self.done: set[int] = set()
@@ -421,7 +427,10 @@
             self.silent.discard(control)
             self.answered_at[control] = now
             corrupt = {index for holder, index in self.corrupt_copies if holder == control}
+            before = self.inventories.get(control, Inventory()).held
             self.inventories[control] = replace(inventory, held=inventory.held - corrupt)
+            if control not in self.remote:
+                self.on_held(self.inventories[control].held - before)
 
     def readers_with(self, index: int) -> list[str]:
         """Return the other entry processes of the origin's region that have a chunk."""
