A process that is late with one answer is busy if it answers others

Cause, a further one, seen in the logs of a run bound to one processor beside ten busy processes: 12 to 33 questions of each endpoint process for chunks ran into their 2.5 s in the same millisecond, while the entry process answered other questions. It then counted as unreachable for 2 s, and the questions went to entry processes of other regions, which began to get the same chunks, over links between regions.

One that refuses or resets a connection, or that is silent, is passed over as before.

--- a/verbenaward/distribution/peer_calls.py
+++ b/verbenaward/distribution/peer_calls.py
@@ -81,7 +81,7 @@
     async def locate(self, control: str, path: str, query: str) -> Result[bytes, CallFailure]:
         """Wait until a process has a chunk available; a failure if that takes too long."""
         timeout = aiohttp.ClientTimeout(total=LOCATE_SECONDS, sock_connect=CONNECT_SECONDS)
-        return await self.call("HEAD", control, path, query, timeout)
+        return await self.call("HEAD", control, path, query, timeout, is_question=True)
 
     async def inventory(self, control: str, path: str) -> Result[Inventory, CallFailure]:
         """Return the inventory of a version at a process."""
@@ -90,9 +90,24 @@
         return result.bind(lambda body: decode_inventory(body).alt(CallFailure))
 
     async def call(
-        self, method: str, control: str, path: str, query: str, timeout: aiohttp.ClientTimeout
+        self,
+        method: str,
+        control: str,
+        path: str,
+        query: str,
+        timeout: aiohttp.ClientTimeout,
+        is_question: bool = False,
     ) -> Result[bytes, CallFailure]:
-        """Return the body of an answer; a process that cannot be reached is remembered."""
+        """Return the body of an answer; a process that cannot be reached is remembered.
+
+        Args:
+          method: HTTP method.
+          control: Control address of the process.
+          path: Path of the URL.
+          query: Name of a query parameter, which is set to 1; empty for none.
+          timeout: Timeout of the call.
+          is_question: True if the process waits before it answers: one that is late may be busy.
+        """
         url = f"http://{control}{path}"
         parameters = {query: "1"} if query else {}
         try:
@@ -100,10 +115,15 @@
                 method, url, params=parameters, timeout=timeout
             ) as response:
                 body = await read_at_most(response, LARGEST_CHUNK_BYTES)
+                self.failures.record_answer(control, clock.now())
                 if response.status == HTTP_OK:
                     return Success(body)
                 return Failure(CallFailure(f"{url}: status {response.status}"))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            self.failures.record_failure(control, clock.now())
+            is_late = isinstance(error, asyncio.TimeoutError)
+            if is_late and is_question:
+                self.failures.record_late(control, clock.now())
+            else:
+                self.failures.record_failure(control, clock.now())
             message = f"{url}: {type(error).__name__} {error}"
-            return Failure(CallFailure(message, isinstance(error, asyncio.TimeoutError)))
+            return Failure(CallFailure(message, is_late))
--- a/verbenaward/weight_loading/fetching.py
+++ b/verbenaward/weight_loading/fetching.py
@@ -81,10 +81,14 @@
             timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
             try:
                 async with self.session.head(f"http://{entry}{path}", timeout=timeout) as response:
+                    self.unreachable_entries.record_answer(entry, clock.now())
                     if response.status == HTTP_OK:
                         return response.headers.get(HOLDER_HEADER, entry)
             except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-                self.unreachable_entries.record_failure(entry, clock.now())
+                if isinstance(error, asyncio.TimeoutError):
+                    self.unreachable_entries.record_late(entry, clock.now())
+                else:
+                    self.unreachable_entries.record_failure(entry, clock.now())
                 LOG.warning("chunk.fetch-failed", url=path, error=f"{type(error).__name__} {error}")
         await asyncio.sleep(RETRY_SECONDS)
         return None
@@ -99,6 +103,8 @@
           is_alone: True if no other chunk is available.
         """
         body = await self.get(f"http://{entry}{path}", MAXIMUM_PARTS if is_alone else 1)
+        if body is not None:
+            self.unreachable_entries.record_answer(entry, clock.now())
         return body if body is not None and sha256(body) == digest else None
 
     async def fetch(self, path: str, digest: bytes, run: str) -> bytes | None:
