The data of a chunk ends with a whole line end

Cause: behind the data of a chunk aiohttp's parser takes a line feed alone for a line end, as it does not behind a size. Answers whose line feeds stand alone everywhere were refused already, so that nothing sound needs this.

Change: AnswerProtocol, which reads all answers of both modes, follows the sizes and ends the body with an error if no whole line end follows the data. Other rules on chunks stay the parser's.

Measured: five rows in tests/direct/broken_answers.feature were red before: three passed on as 200, two refused only at the time limit of the request where their bytes came one by one (504), now 502 at once.

--- a/tests/direct/broken_answers.feature
+++ b/tests/direct/broken_answers.feature
@@ -86,6 +86,36 @@
       | \x0bchunked       |
       | chunked, chunked  |
 
+  # Guards against a body that is one byte too long: data of a chunk that ended with a line feed alone was passed on.
+  Scenario Outline: An answer whose chunks are "<chunks>" reaches no caller
+    Given the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When the body of each kind of answer is "<chunks>"
+    Then each caller gets a 502 that says that it may have run
+
+    Examples: passed on before
+      | chunks                                  |
+      | 3\r\nab\r\n0\r\n\r\n                    |
+      | 3;a=b\r\nab\r\n0\r\n\r\n                |
+      | 2\r\nab\r\n3\r\ncd\r\n0\r\n\r\n          |
+
+    Examples: refused before, after the time limit of the request
+      | chunks                                  |
+      | 2\r\nabc\r\n0\r\n\r\n                   |
+      | 4\r\nab\r\n0\r\n\r\n                    |
+
+  Scenario Outline: An answer whose chunks are "<chunks>" is passed on
+    Given the users' platform with backends that answer with raw bytes
+    And one entry process that is ready
+    When the body of each kind of answer is "<chunks>"
+    Then each caller gets the body "<body>"
+
+    Examples: usual and odd forms
+      | chunks                                       | body   |
+      | 2\r\nab\r\n0\r\n\r\n                         | ab     |
+      | 2;a=b\r\nab\r\n3\r\ncde\r\n0\r\nT: 1\r\n\r\n | abcde  |
+      | 3\r\nab\r\r\n0\r\n\r\n                       | ab\r   |
+
   # Guards against a part of a body that is passed on as whole: the reset of an answer without a length went unseen.
   Scenario Outline: An answer to a long upload without a length that ends in a <end> is not whole, on the loop of <loop>
     Given the event loop of <loop>
--- a/tests/steps/broken_answers.py
+++ b/tests/steps/broken_answers.py
@@ -182,6 +182,21 @@
     ask_each(context, [answer_of((STATUS_LINE, *fields), chunks)])
 
 
+@when('the body of each kind of answer is "{chunks}"')
+def answer_with_chunks(context, chunks):
+    fields = (*UNFRAMED, "Transfer-Encoding: chunked")
+    ask_each(context, [answer_of((STATUS_LINE, *fields), unescaped(chunks).encode())])
+
+
+@then('each caller gets the body "{body}"')
+def each_got_body(context, body):
+    wanted = (200, unescaped(body).encode())
+    # A stream that ends within an event does not look whole.
+    got = [item for item in context.outcomes if item[2] not in STREAM_PATHS]
+    wrong = [item for item in got if (item[3][0], item[3][2]) != wanted]
+    assert got and not wrong, wrong
+
+
 @when(
     "they answer streams with an event and no length, and {end} them after {first:d} to {last:d}"
     " turns"
--- a/verbenaward/answer_protocol.py
+++ b/verbenaward/answer_protocol.py
@@ -18,6 +18,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from .answer_chunks import ChunkEnds
 from .answer_heads import LINE_OVERHEAD_BYTES, HeadFault, HeadLimits, HeadReader
 
 FIRST_INTERIM, FIRST_FINAL, SWITCHED_PROTOCOLS = 100, 200, 101
@@ -53,6 +54,13 @@
         super().__init__(f"the answer has no length, and its connection {reason}")
 
 
+class ChunkEndError(aiohttp.ClientPayloadError):
+    """The data of a chunk does not end where its size says."""
+
+    def __init__(self) -> None:
+        super().__init__("the data of a chunk does not end with a line end")
+
+
 class AnswerProtocol(ResponseHandler):
     """Reads answers from a connection, without the interim ones before them.
 
@@ -67,6 +75,8 @@
       is_request_written: Whether the request of the call has been given to the transport.
       ends_with_connection: Whether the body of the answer does.
       is_closed_in_order: Whether the server has closed its side after the whole request was sent.
+      chunk_ends: Follows the chunks of the answer's body; None if it has none.
+      chunked_body: The body that they make.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -79,6 +89,8 @@
         self.is_request_written = False
         self.ends_with_connection = False
         self.is_closed_in_order = False
+        self.chunk_ends: ChunkEnds | None = None
+        self.chunked_body: Any = None
 
     def set_response_params(
         self,
@@ -101,6 +113,7 @@
         self.may_switch = not read_until_eof
         self.interim_answers = 0
         self.is_request_written = self.ends_with_connection = self.is_closed_in_order = False
+        self.chunk_ends = self.chunked_body = None
         super().set_response_params(
             max_line_size=max_line_size,
             max_field_size=max_field_size,
@@ -117,6 +130,20 @@
             self.abort_connection()
         else:
             super().data_received(data)
+            self.follow_chunks(data)
+
+    def follow_chunks(self, data: bytes) -> None:
+        """End the body with an error if the data of a chunk does not end where its size says.
+
+        All that has come is parsed before anybody reads it.
+        """
+        if self.chunk_ends is None:
+            return
+        self.chunk_ends.feed(data)
+        if not self.chunk_ends.is_sound:
+            self.chunk_ends = None
+            self.chunked_body.set_exception(ChunkEndError())
+            self.abort_connection()
 
     def is_answered(self) -> bool:
         """Return True if the last call has its whole answer, and its connection no other use."""
@@ -149,6 +176,7 @@
         self.head = HeadReader(self.limits)
         parsed = received[: head.end] if head.is_interim() else received
         super().data_received(parsed)
+        self.follow_chunks(received[head.end : len(parsed)])
         return received[len(parsed) :]
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -162,6 +190,8 @@
             self.count_interim()
         else:
             self.awaits_head = False
+            if message.chunked:
+                self.chunk_ends, self.chunked_body = ChunkEnds(), data[1]
             is_framed = message.chunked or "Content-Length" in message.headers
             self.ends_with_connection = not is_framed and message.code != SWITCHED_PROTOCOLS
             super().feed_data(data, size)
