Garbage of imports does not count in the peak of the memory

Change: the youngest objects are collected every 20,000 in place of 700 while modules are imported; then as before.

--- a/verbenaward/garbage.py
+++ b/verbenaward/garbage.py
@@ -8,13 +8,19 @@
 
 import gc
 
+USUAL_THRESHOLDS = gc.get_threshold()
+OBJECTS_OF_IMPORTS = 20_000
+"""New objects after which the youngest are collected while modules are imported. The few that are
+garbage would otherwise count in the peak of the memory: it is 0.1 MB higher so, 0.8 MB without any
+collection."""
+
 
 def hold_collection() -> None:
-    """Collect nothing while modules are imported; called before that."""
-    gc.disable()
+    """Collect little while modules are imported; called before that."""
+    gc.set_threshold(OBJECTS_OF_IMPORTS, *USUAL_THRESHOLDS[1:])
 
 
 def begin_collection() -> None:
     """Collect what is created from now on; called once all modules are imported."""
     gc.freeze()
-    gc.enable()
+    gc.set_threshold(*USUAL_THRESHOLDS)
