Docstrings: no figures of tuning, plainer words

Only docstrings of garbage.py and read_pace.py; the code is the same (syntax trees without docstrings compared). tests/garbage.feature and tests/distribution: 24 passed.

--- a/verbenaward/garbage.py
+++ b/verbenaward/garbage.py
@@ -2,17 +2,16 @@
 
 Load: all processes of a deployment that start at the same moment, as after a loss of power, on VMs
 whose processors do nothing else meanwhile. What modules create while they are imported stays for
-good. The collector would go through all of it again and again, which is a tenth of the processor
-time that a start takes, and later once more in each full collection.
+good. The collector would examine all of it again and again during the start, and later once more in
+each full collection.
 """
 
 import gc
 
 USUAL_THRESHOLDS = gc.get_threshold()
 OBJECTS_OF_IMPORTS = 20_000
-"""New objects after which the youngest are collected while modules are imported. The few that are
-garbage would otherwise count in the peak of the memory: it is 0.1 MB higher so, 0.8 MB without any
-collection."""
+"""New objects after which the youngest are collected while modules are imported. Without any
+collection the garbage of imports would count in the peak of the memory."""
 
 
 def hold_collection() -> None:
--- a/verbenaward/weight_loading/read_pace.py
+++ b/verbenaward/weight_loading/read_pace.py
@@ -14,7 +14,7 @@
 MINIMUM_READS = 2
 """Reads over which a rate is measured, at least: the first one may open a connection."""
 LEAST_GAIN = 1.2
-"""Factor by which twice as many reads at a time must be faster to be worth it."""
+"""Factor by which the rate must rise for twice as many parallel reads to be kept."""
 AMPLE_FACTOR = 3.0
 """Multiple of the needed rate from which half as many reads at a time suffice."""
 
