--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -412,6 +412,7 @@
         self.running += 1
         self.runs[attempt] += 1
         self.deployment.runs.append((time.monotonic(), attempt, self.identity, self.version))
+        self.deployment.record.write(f"{self.identity}, version {self.version}, runs {attempt}")
         try:
             return await self.run(request, attempt, body)
         finally:
