--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -764,12 +764,16 @@
 
     async def whole() -> int:
         deployment = Deployment(case)
+        # A script that is told to stop ends its processes too.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         for name, value in options.items():
             setattr(deployment, name, value)
         try:
             async with asyncio.timeout(112):
                 return await play(deployment)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.record.write(f"could not run: {type(error).__name__} {error}")
             print(f"could not run: {type(error).__name__} {error}")
             return NOT_RUN
